Workspace, ports and protocols: the borders first

Cause: several people build side by side; crate borders, ports and the outside systems' protocols have to stand before anything else can. Conclusion: slices can be built against these borders.

--- /dev/null
+++ b/crates/roseshore/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/roseshore_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written by its owner.
--- /dev/null
+++ b/crates/roseshore_core/src/event.rs
@@ -0,0 +1,95 @@
+//! The catalogue of log events.
+//!
+//! Every line that a daemon logs on purpose begins with an event's number, so that operators can
+//! search and alarm on it. `docs/EVENTS.md` lists them; a test holds the page against this table.
+//! Hundreds group by subsystem: 1 process, 2 requests, 3 answers, 4 unrepeatable work, 5
+//! configuration, 6 membership and load, 7 orders and placement, 8 lookups, 9 the account.
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $summary:literal;)+) => {
+        /// What happened.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $(#[doc = $summary] $name,)+
+        }
+
+        impl Event {
+            /// Every event, in order of number.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)+];
+
+            /// The stable number, written `E101`.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$name => $number,)+ }
+            }
+
+            /// How loud it is logged.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)+ }
+            }
+
+            /// One line for the catalogue.
+            pub fn summary(self) -> &'static str {
+                match self { $(Event::$name => $summary,)+ }
+            }
+        }
+    };
+}
+
+/// How loud an event is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Somebody should act.
+    Error,
+    /// Worth a look when it repeats.
+    Warn,
+    /// Ordinary life.
+    Info,
+    /// Only for the developers.
+    Debug,
+}
+
+events! {
+    Started = 101, Info, "the daemon serves";
+    Draining = 102, Info, "the daemon takes no new work and finishes what is in flight";
+    Stopped = 103, Info, "the daemon has ended";
+    BadSettings = 104, Error, "settings were refused at start";
+    ThreadLost = 105, Error, "a thread ended by a panic";
+    RequestEnded = 201, Debug, "a request got its final verdict";
+    RequestRefused = 202, Info, "a request was refused";
+    CallerLeft = 203, Info, "a caller left before its answer was whole";
+    AnswerLate = 204, Warn, "an answer was given after its deadline";
+    RouteChosen = 301, Debug, "an answer was given a chain of targets";
+    StageLost = 302, Warn, "a stage was lost in the middle of an answer";
+    AnswerResumed = 303, Info, "an answer goes on over another chain";
+    LineageBroken = 304, Error, "a token did not pass every layer once and in order";
+    KeyClaimed = 401, Debug, "a key was won";
+    KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
+    KeyAbandoned = 403, Warn, "a claim was given up before dispatch";
+    KeyUnsettled = 404, Error, "whether a key ran is not known";
+    ConfigApplied = 501, Info, "a configuration is in force";
+    ConfigRejected = 502, Warn, "a command was rejected";
+    LogLost = 503, Warn, "the log service cannot be reached";
+    LogBack = 504, Info, "the log service answers again";
+    ConfigDiverged = 505, Error, "two daemons at one offset differ in state";
+    HostSuspected = 601, Info, "a daemon is suspected";
+    HostGone = 602, Warn, "a daemon is gone";
+    HostJoined = 603, Info, "a daemon joined";
+    TargetLeft = 604, Info, "a target takes no new work";
+    TargetLost = 605, Warn, "a target is out of use";
+    TargetBack = 606, Info, "a target is in use again";
+    LeaseTaken = 701, Info, "this daemon may give orders";
+    LeaseLost = 702, Warn, "this daemon may no longer give orders";
+    OrderSent = 703, Info, "an order was sent to a target";
+    OrderUnknown = 704, Warn, "whether an order took effect is not known";
+    OrderFenced = 705, Warn, "a target refused an order with an old fencing number";
+    SourceSilent = 801, Warn, "a lookup source did not answer";
+    SourceConflict = 802, Warn, "sources of one name differ";
+    AccountWritten = 901, Info, "a part of the weekly account was recorded";
+    AccountDelayed = 902, Warn, "a part of the account waits for the log service";
+}
+
+impl std::fmt::Display for Event {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "E{}", self.number())
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/src/lib.rs
@@ -0,0 +1,13 @@
+//! The decisions of roseshore.
+//!
+//! Every module here is a plain state machine or a pure function: it is given an event and the
+//! time, and returns what is to be done. Nothing in this crate reads a clock, opens a socket,
+//! holds a lock or starts a thread, so each decision can be driven through any order of events by
+//! a table of cases or by `proptest`.
+
+pub mod code;
+pub mod event;
+pub mod fleet;
+pub mod ids;
+pub mod prelude;
+pub mod verdict;
--- /dev/null
+++ b/crates/roseshore_ports/src/lib.rs
@@ -0,0 +1,8 @@
+//! The traits at the border between decisions, their drivers and the outside.
+//!
+//! [`outside`] is what the daemon needs of the world; adapters over sockets and fakes in memory
+//! implement it. [`inside`] is what the parts of the daemon need of each other, so that each can
+//! be replaced or tested alone.
+
+pub mod inside;
+pub mod outside;
--- /dev/null
+++ b/crates/roseshore_wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! The messages that cross a process border.
+//!
+//! [`engine`], [`platform`] and [`service`] are the JSON bodies of the outside systems' published
+//! protocols; [`peer`] holds what our daemons say to each other, coded with `postcard`.
+
+pub mod engine;
+pub mod frame;
+pub mod peer;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/roseshored/src/app.rs
@@ -0,0 +1,47 @@
+//! The parts of a running daemon.
+
+use roseshore_ports::inside::{Claims, Fleets, Gate, Ledger, Members, Router};
+use roseshore_ports::outside::{Engine, Services};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// What serving a request needs.
+#[derive(Clone)]
+pub struct App {
+    /// The configuration in force.
+    pub fleets: Arc<dyn Fleets>,
+    /// Admission and limits.
+    pub gate: Arc<dyn Gate>,
+    /// The choice of targets.
+    pub router: Arc<dyn Router>,
+    /// Unrepeatable work.
+    pub claims: Arc<dyn Claims>,
+    /// The record of requests.
+    pub ledger: Arc<dyn Ledger>,
+    /// The daemons.
+    pub members: Arc<dyn Members>,
+    /// Model engines.
+    pub engine: Arc<dyn Engine>,
+    /// Plain and lookup services.
+    pub services: Arc<dyn Services>,
+    /// Whether this daemon takes no new work.
+    pub drain: Arc<Drain>,
+}
+
+/// Whether this daemon takes no new work.
+#[derive(Debug, Default)]
+pub struct Drain {
+    draining: AtomicBool,
+}
+
+impl Drain {
+    /// Takes no new work from now on.
+    pub fn start(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether no new work is taken.
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+}
