--- /dev/null
+++ b/crates/roseshore_bench/src/bin/proofs.rs
@@ -0,0 +1,67 @@
+//! Prints the matrix of proofs with the verdicts of a run; `scripts/proofs.sh` calls it.
+
+use clap::{Arg, Command, value_parser};
+use roseshore_bench::proofs::{self, Proof, Seen};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = Command::new("proofs")
+        .about("Prints the matrix of proofs with the verdicts of a test run")
+        .arg(
+            Arg::new("pages")
+                .long("pages")
+                .value_parser(value_parser!(PathBuf))
+                .default_value("docs/proofs")
+                .help("Folder of the matrix's pages"),
+        )
+        .arg(
+            Arg::new("results")
+                .long("results")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Output of the test run"),
+        )
+        .get_matches();
+    let pages: &PathBuf = matches.get_one("pages").expect("has a default");
+    let results: &PathBuf = matches.get_one("results").expect("is required");
+    match print(pages, results) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("proofs: {err}; give the folder with `--pages` and the run with `--results`");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Prints the matrix; `false` when a test named in it failed or did not run.
+fn print(pages: &std::path::Path, results: &std::path::Path) -> std::io::Result<bool> {
+    let results = proofs::results(&std::fs::read_to_string(results)?);
+    let mut rows = proofs::read(pages)?;
+    rows.sort_by_key(|row| (row.promise.clone(), row.page.clone()));
+    let mut counts = [0_usize; 4];
+    for row in &rows {
+        let seen = proofs::seen(row, &results);
+        counts[seen as usize] += 1;
+        let proof = match &row.proof {
+            Proof::Tests(names) => {
+                names.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
+            }
+            Proof::Missing(why) | Proof::Unreadable(why) => why.clone(),
+        };
+        println!("{:<4} {:<9} {} | {} | {proof}", row.promise, label(seen), row.fault, row.step);
+    }
+    let [passed, failed, idle, missing] = counts;
+    println!("{passed} passed, {failed} failed, {idle} not run, {missing} not proved");
+    Ok(failed + idle == 0)
+}
+
+fn label(seen: Seen) -> &'static str {
+    match seen {
+        Seen::Passed => "passed",
+        Seen::Failed => "FAILED",
+        Seen::NotRun => "not run",
+        Seen::NotProved => "not proved",
+    }
+}
--- a/crates/roseshore_bench/src/lib.rs
+++ b/crates/roseshore_bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be written by its owner.
+//! Measurements, the load tool, and the matrix of proofs.
+
+pub mod proofs;
--- /dev/null
+++ b/crates/roseshore_bench/tests/proofs.rs
@@ -0,0 +1,107 @@
+//! Holds the matrix of proofs against the tests, and the reader of the matrix against cases.
+
+use roseshore_bench::proofs::{self, Proof, Seen, TestName};
+use std::path::Path;
+
+#[test]
+fn every_cell_names_a_test_that_exists() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let rows = proofs::read(&root.join("docs/proofs")).expect("the pages can be read");
+    assert!(!rows.is_empty(), "the matrix is empty");
+    let crates = root.join("crates");
+    let faults: Vec<String> = rows.iter().flat_map(|row| proofs::faults(row, &crates)).collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+struct Case {
+    name: &'static str,
+    cell: &'static str,
+    tests: Option<usize>,
+    output: &'static str,
+    seen: Seen,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "a test that passed",
+        cell: "`a/b::c`",
+        tests: Some(1),
+        output: "== crate a\nRunning tests/b.rs (x)\ntest c ... ok",
+        seen: Seen::Passed,
+    },
+    Case {
+        name: "a case of a test in a module",
+        cell: "`a/b::c[stage dies, once]`",
+        tests: Some(1),
+        output: "== crate a\nRunning tests/b.rs (x)\ntest m::c ... ok",
+        seen: Seen::Passed,
+    },
+    Case {
+        name: "one of two failed",
+        cell: "`a/b::c` and `a/b::d`",
+        tests: Some(2),
+        output: "== crate a\nRunning tests/b.rs (x)\ntest c ... ok\ntest d ... FAILED",
+        seen: Seen::Failed,
+    },
+    Case {
+        name: "the same file and function of another crate does not count",
+        cell: "`a/b::c`",
+        tests: Some(1),
+        output: "== crate z\nRunning tests/b.rs (x)\ntest c ... ok",
+        seen: Seen::NotRun,
+    },
+    Case {
+        name: "an ignored test did not run",
+        cell: "`a/b::c`",
+        tests: Some(1),
+        output: "== crate a\nRunning tests/b.rs (x)\ntest c ... ignored",
+        seen: Seen::NotRun,
+    },
+    Case {
+        name: "no proof",
+        cell: "not proved: later",
+        tests: None,
+        output: "",
+        seen: Seen::NotProved,
+    },
+    Case {
+        name: "prose is no proof",
+        cell: "surely",
+        tests: None,
+        output: "",
+        seen: Seen::NotProved,
+    },
+];
+
+#[test]
+fn cells_are_read_and_joined_with_a_run() {
+    for case in CASES {
+        let rows = proofs::rows("page", &format!("| P1 | fault | step | {} |", case.cell));
+        let [row] = &rows[..] else { panic!("{}: one row", case.name) };
+        let tests = match &row.proof {
+            Proof::Tests(names) => Some(names.len()),
+            _ => None,
+        };
+        assert_eq!(tests, case.tests, "{}", case.name);
+        let seen = proofs::seen(row, &proofs::results(case.output));
+        assert_eq!(seen, case.seen, "{}", case.name);
+    }
+}
+
+#[test]
+fn names_that_do_not_exist_are_reported() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let here = "roseshore_bench/proofs::names_that_do_not_exist_are_reported";
+    let table = [
+        (here.to_owned(), 0),
+        (format!("{here}[a test that passed]"), 0),
+        (format!("{here}[{}{}]", "no such ", "case at all"), 1),
+        ("roseshore_bench/proofs::nothing".to_owned(), 1),
+        ("roseshore_bench/nowhere::nothing".to_owned(), 1),
+    ];
+    for (name, faults) in table {
+        assert!(TestName::parse(&name).is_some(), "{name}");
+        let rows = proofs::rows("page", &format!("| P2 | f | s | `{name}` |"));
+        assert_eq!(proofs::faults(&rows[0], &crates).len(), faults, "{name}");
+    }
+}
