Engine: stand-in with stages and KV, adapter over HTTP (thin)

Cause: answers cross several machines; the router needs an engine to speak to, and every promise about answers needs one that stamps what really ran. Change: EngineFake (library and the process fake_engine) holds a layer range, runs steps under slots, hands them along the route in frames, keeps a digest per covered token as KV cache and samples text as a pure function of the tokens covered. Proof: whole answers over 1, 3 and 4 stages equal the pure function.

--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -1,1 +1,6 @@
-//! To be written by its owner.
+//! Sockets behind the traits of [`roseshore_ports::outside`].
+//!
+//! An adapter decides nothing: it carries a call over and says by the kind of its error what a
+//! failure proves.
+
+pub mod engine;
--- /dev/null
+++ b/crates/roseshore_fakes/src/engine/kv.rs
@@ -0,0 +1,225 @@
+//! The KV caches of answers: which tokens each covers, and a digest of them.
+//!
+//! A cache keeps one digest per length, so that it can be cut back to what was delivered: a chain
+//! that broke may have run ahead of the tokens that reached the router.
+
+use super::text;
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use parking_lot::Mutex;
+use roseshore_core::prelude::*;
+use roseshore_wire::engine::Kv;
+use std::collections::HashMap;
+
+/// The KV caches of one engine.
+pub(super) struct KvStore {
+    cap: u64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    clock: u64,
+    used: u64,
+    caches: HashMap<RequestId, Cache>,
+}
+
+/// One answer's cache.
+struct Cache {
+    epoch: Epoch,
+    layers: (Layer, Layer),
+    version: VersionId,
+    digests: Vec<u64>,
+    touched: u64,
+    running: bool,
+}
+
+/// Whose cache a step works on.
+#[derive(Clone, Debug)]
+pub(super) struct KvScope {
+    pub(super) answer: RequestId,
+    pub(super) epoch: Epoch,
+    pub(super) layers: (Layer, Layer),
+    pub(super) version: VersionId,
+}
+
+impl KvStore {
+    pub(super) fn new(cap: u64) -> KvStore {
+        KvStore { cap, inner: Mutex::default() }
+    }
+
+    /// Tokens covered by all caches.
+    pub(super) fn used(&self) -> u64 {
+        self.inner.lock().used
+    }
+
+    /// Whether this many more tokens would fit once what nobody runs on is dropped.
+    pub(super) fn fits(&self, tokens: u64) -> bool {
+        let inner = self.inner.lock();
+        let held = inner.caches.values().filter(|c| c.running).map(Cache::len).sum::<u64>();
+        held + tokens <= self.cap
+    }
+
+    /// Starts a cache anew over `sequence`; returns the digest.
+    ///
+    /// # Errors
+    /// When it does not fit.
+    pub(super) fn fill(&self, scope: &KvScope, sequence: &[String]) -> Result<u64, String> {
+        let mut inner = self.inner.lock();
+        inner.remove(&scope.answer);
+        let digests = chain(sequence);
+        let digest = digests.last().copied().unwrap_or(0);
+        inner.insert(scope.clone(), digests, true);
+        inner.shrink(self.cap)?;
+        Ok(digest)
+    }
+
+    /// Takes over a cache that covers `sequence`, all but its last token at least, cutting off
+    /// what it covers beyond; returns the digest over `sequence` and the tokens it lacked.
+    ///
+    /// # Errors
+    /// When there is none that matches.
+    pub(super) fn adopt(&self, scope: &KvScope, sequence: &[String]) -> Result<(u64, u32), String> {
+        let mut inner = self.inner.lock();
+        let cache = inner.caches.get_mut(&scope.answer).ok_or("no KV cache of this answer")?;
+        if cache.layers != scope.layers || cache.version != scope.version {
+            return Err("the KV cache is of other layers or weights".to_owned());
+        }
+        let want = chain(sequence);
+        let common = cache.digests.len().min(want.len());
+        if common + 1 < want.len() || cache.digests[..common] != want[..common] {
+            return Err("the KV cache does not cover the answer".to_owned());
+        }
+        let lacked = (want.len() - common) as u32;
+        let digest = want.last().copied().unwrap_or(0);
+        inner.remove(&scope.answer);
+        inner.insert(scope.clone(), want, true);
+        inner.shrink(self.cap)?;
+        Ok((digest, lacked))
+    }
+
+    /// Covers one more token on a cache that must cover `len` tokens now; returns the digest.
+    ///
+    /// # Errors
+    /// When the cache is gone, of another epoch, or at another position.
+    pub(super) fn push(&self, scope: &KvScope, len: usize, token: &str) -> Result<u64, String> {
+        let mut inner = self.inner.lock();
+        let cache = inner.caches.get_mut(&scope.answer).ok_or("the KV cache is gone")?;
+        if cache.epoch != scope.epoch || cache.digests.len() != len {
+            return Err("the KV cache does not match the position".to_owned());
+        }
+        let digest = text::extend(cache.digests.last().copied().unwrap_or(0), token);
+        cache.digests.push(digest);
+        inner.used += 1;
+        inner.shrink(self.cap)?;
+        Ok(digest)
+    }
+
+    /// Marks a cache as not run on any more; it stays until its room is needed.
+    pub(super) fn rest(&self, scope: &KvScope) {
+        let mut inner = self.inner.lock();
+        if let Some(cache) = inner.caches.get_mut(&scope.answer)
+            && cache.epoch == scope.epoch
+        {
+            cache.running = false;
+        }
+    }
+
+    /// Drops an answer's cache of this epoch or an older one.
+    pub(super) fn free(&self, answer: &RequestId, epoch: Epoch) {
+        let mut inner = self.inner.lock();
+        if inner.caches.get(answer).is_some_and(|c| c.epoch <= epoch) {
+            inner.remove(answer);
+        }
+    }
+
+    /// Drops everything.
+    pub(super) fn clear(&self) {
+        *self.inner.lock() = Inner::default();
+    }
+
+    /// An answer's cache, for another stage.
+    pub(super) fn export(&self, answer: &RequestId) -> Option<Kv> {
+        let inner = self.inner.lock();
+        let cache = inner.caches.get(answer)?;
+        let bytes: Vec<u8> = cache.digests.iter().flat_map(|d| d.to_le_bytes()).collect();
+        Some(Kv {
+            answer: answer.clone(),
+            epoch: cache.epoch,
+            layers: cache.layers,
+            version: cache.version.clone(),
+            tokens: cache.len(),
+            digest: cache.digests.last().copied().unwrap_or(0),
+            content: STANDARD.encode(bytes),
+        })
+    }
+
+    /// Takes an answer's cache from another stage.
+    ///
+    /// # Errors
+    /// When its content is not what it says.
+    pub(super) fn import(&self, kv: &Kv) -> Result<(), String> {
+        let bytes = STANDARD.decode(&kv.content).map_err(|e| e.to_string())?;
+        let (chunks, rest) = bytes.as_chunks::<8>();
+        let digests: Vec<u64> = chunks.iter().map(|c| u64::from_le_bytes(*c)).collect();
+        let whole = rest.is_empty() && digests.len() as u64 == kv.tokens;
+        if !whole || digests.last().copied().unwrap_or(0) != kv.digest {
+            return Err("the content does not match its digest".to_owned());
+        }
+        let mut inner = self.inner.lock();
+        inner.remove(&kv.answer);
+        let scope = KvScope {
+            answer: kv.answer.clone(),
+            epoch: kv.epoch,
+            layers: kv.layers,
+            version: kv.version.clone(),
+        };
+        inner.insert(scope, digests, false);
+        inner.shrink(self.cap)
+    }
+
+    /// The epoch that wrote an answer's cache last.
+    pub(super) fn epoch(&self, answer: &RequestId) -> Option<Epoch> {
+        self.inner.lock().caches.get(answer).map(|c| c.epoch)
+    }
+}
+
+fn chain(sequence: &[String]) -> Vec<u64> {
+    let next = |digest: &mut u64, token: &String| {
+        *digest = text::extend(*digest, token);
+        Some(*digest)
+    };
+    sequence.iter().scan(0, next).collect()
+}
+
+impl Cache {
+    fn len(&self) -> u64 {
+        self.digests.len() as u64
+    }
+}
+
+impl Inner {
+    fn insert(&mut self, scope: KvScope, digests: Vec<u64>, running: bool) {
+        self.clock += 1;
+        self.used += digests.len() as u64;
+        let KvScope { answer, epoch, layers, version } = scope;
+        let cache = Cache { epoch, layers, version, digests, touched: self.clock, running };
+        self.caches.insert(answer, cache);
+    }
+
+    fn remove(&mut self, answer: &RequestId) {
+        if let Some(cache) = self.caches.remove(answer) {
+            self.used -= cache.len();
+        }
+    }
+
+    /// Drops the oldest caches that nobody runs on until the rest fits.
+    fn shrink(&mut self, cap: u64) -> Result<(), String> {
+        while self.used > cap {
+            let idle = self.caches.iter().filter(|(_, c)| !c.running);
+            let oldest = idle.min_by_key(|(_, c)| c.touched).map(|(answer, _)| answer.clone());
+            let answer = oldest.ok_or("the KV cache is full")?;
+            self.remove(&answer);
+        }
+        Ok(())
+    }
+}
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! Each speaks the protocol of its system and has faults that are switched while it runs.
 
+pub mod engine;
 pub mod fault;
 pub mod http;
