Fakes: HTTP server, line streams, switchable faults

Cause: every stand-in needs an HTTP server with bounded workers, streams whose lines reach the caller at once, and faults that can be switched while it runs. Change: a dispatcher with a bounded growing pool over tiny_http; LineWriter flushes the chunk encoder and the buffer below it per line and leaves a dropped response without its final chunk, so that a cut is visible. TCP_NODELAY is set on the listening socket, which accepted sockets inherit; tiny_http has no switch for it.

--- /dev/null
+++ b/crates/roseshore_fakes/src/http.rs
@@ -0,0 +1,265 @@
+//! A small HTTP server for the stand-ins, over `tiny_http`.
+//!
+//! A dispatcher hands each request to a worker thread; workers are started as needed up to a
+//! bound and live as long as the server. Bodies are JSON both ways. [`LineWriter`] streams lines
+//! and puts each on the wire at once, which `tiny_http` does not do by itself: the chunk encoder
+//! and the buffer below it are both flushed after every line.
+
+use chunked_transfer::Encoder;
+use serde::{Serialize, de::DeserializeOwned};
+use socket2::SockRef;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use tiny_http::{Header, Request, Response, StatusCode};
+
+/// The longest request body, bytes.
+pub const MAX_BODY: u64 = 16 << 20;
+
+/// What a stand-in does with a request; it must answer or stream on every path.
+pub trait Handler: Send + Sync + 'static {
+    /// Takes one request, on a worker thread of its own for as long as it needs.
+    fn handle(&self, request: Request);
+}
+
+/// A listening server.
+pub struct Server {
+    addr: SocketAddr,
+    stop: Arc<AtomicBool>,
+    http: Option<Arc<tiny_http::Server>>,
+    dispatcher: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens on `bind` (port 0 for any) with at most `workers` requests at once.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn start(
+        bind: SocketAddr,
+        workers: usize,
+        handler: Arc<dyn Handler>,
+    ) -> io::Result<Server> {
+        let listener = TcpListener::bind(bind)?;
+        // Accepted sockets inherit this. Without it a line may wait for the other side's ack.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let addr = listener.local_addr()?;
+        let http = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let http = Arc::new(http);
+        let stop = Arc::new(AtomicBool::new(false));
+        let pool = Pool::new(workers, handler);
+        let dispatcher = thread::spawn({
+            let (http, stop) = (http.clone(), stop.clone());
+            move || dispatch(&http, &stop, &pool)
+        });
+        Ok(Server { addr, stop, http: Some(http), dispatcher: Some(dispatcher) })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops listening: new connections are refused, running requests go on to their end, and a
+    /// request on a connection that was kept open gets no answer any more.
+    pub fn stop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(http) = self.http.take() {
+            http.unblock();
+        }
+        if let Some(dispatcher) = self.dispatcher.take() {
+            let _ = dispatcher.join();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn dispatch(http: &tiny_http::Server, stop: &AtomicBool, pool: &Pool) {
+    while !stop.load(Ordering::SeqCst) {
+        if let Ok(request) = http.recv() {
+            pool.give(request);
+        }
+    }
+}
+
+struct Pool {
+    max: usize,
+    count: AtomicUsize,
+    busy: Arc<AtomicUsize>,
+    handler: Arc<dyn Handler>,
+    queue: (flume::Sender<Request>, flume::Receiver<Request>),
+}
+
+impl Pool {
+    fn new(max: usize, handler: Arc<dyn Handler>) -> Pool {
+        let queue = flume::bounded(max);
+        Pool { max, count: AtomicUsize::new(0), busy: Arc::default(), handler, queue }
+    }
+
+    // Only the dispatcher calls this; counting here, before the hand-over, means that a worker
+    // which is about to take a request is never mistaken for an idle one.
+    fn give(&self, request: Request) {
+        let busy = self.busy.fetch_add(1, Ordering::SeqCst);
+        if busy >= self.count.load(Ordering::SeqCst) && busy < self.max {
+            self.count.fetch_add(1, Ordering::SeqCst);
+            self.spawn();
+        }
+        let _ = self.queue.0.send(request);
+    }
+
+    fn spawn(&self) {
+        let (queue, handler, busy) =
+            (self.queue.1.clone(), self.handler.clone(), self.busy.clone());
+        thread::spawn(move || {
+            while let Ok(request) = queue.recv() {
+                handler.handle(request);
+                busy.fetch_sub(1, Ordering::SeqCst);
+            }
+        });
+    }
+}
+
+/// The path of a request without its query.
+pub fn path(request: &Request) -> String {
+    request.url().split('?').next().unwrap_or_default().to_owned()
+}
+
+/// A number in a request's query.
+pub fn query(request: &Request, name: &str) -> Option<u64> {
+    let (_, query) = request.url().split_once('?')?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
+
+/// The value of a request's header.
+pub fn header(request: &Request, name: &str) -> Option<String> {
+    let found =
+        request.headers().iter().find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    found.map(|h| h.value.as_str().to_owned())
+}
+
+/// Reads a request's body as it is, up to [`MAX_BODY`].
+///
+/// # Errors
+/// When the body breaks off.
+pub fn read_body(request: &mut Request) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    request.as_reader().take(MAX_BODY).read_to_end(&mut body)?;
+    Ok(body)
+}
+
+/// Reads a request's JSON body.
+///
+/// # Errors
+/// When the body breaks off or is not what it should be; the text says why.
+pub fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, String> {
+    let body = read_body(request).map_err(|e| e.to_string())?;
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
+
+/// Answers with JSON.
+pub fn reply_json<T: Serialize>(request: Request, status: u16, body: &T) {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    reply_bytes(request, status, "application/json", body, &[]);
+}
+
+/// Answers with a status and a text.
+pub fn reply_text(request: Request, status: u16, text: &str) {
+    reply_bytes(request, status, "text/plain", text.as_bytes().to_vec(), &[]);
+}
+
+/// Answers with a status, a text, and when to come back, rounded up to whole seconds.
+pub fn reply_after(request: Request, status: u16, after: Duration, text: &str) {
+    let seconds = after.as_millis().div_ceil(1000).to_string();
+    let headers = [("Retry-After", seconds.as_str())];
+    reply_bytes(request, status, "text/plain", text.as_bytes().to_vec(), &headers);
+}
+
+/// Answers with any body and headers.
+pub fn reply_bytes(
+    request: Request,
+    status: u16,
+    content: &str,
+    body: Vec<u8>,
+    headers: &[(&str, &str)],
+) {
+    let mut response = Response::from_data(body).with_status_code(StatusCode(status));
+    let content = [("Content-Type", content)];
+    for (name, value) in content.iter().chain(headers) {
+        if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
+            response.add_header(header);
+        }
+    }
+    // A caller that hung up is no fault of the stand-in.
+    let _ = request.respond(response);
+}
+
+/// A response that is written line by line, each on the wire at once.
+///
+/// Dropped without [`LineWriter::end`] the response stays without its final chunk, so that the
+/// caller sees a cut; the connection closes if the caller sent `Connection: close`.
+pub struct LineWriter {
+    encoder: Encoder<Valve>,
+    whole: bool,
+}
+
+impl LineWriter {
+    /// Sends the head of a `200` response at once.
+    ///
+    /// # Errors
+    /// When the caller hung up.
+    pub fn start(request: Request, content: &str) -> io::Result<LineWriter> {
+        let mut out = request.into_writer();
+        write!(out, "HTTP/1.1 200 OK\r\nContent-Type: {content}\r\n")?;
+        write!(out, "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n")?;
+        out.flush()?;
+        Ok(LineWriter { encoder: Encoder::new(Valve { out, open: true }), whole: false })
+    }
+
+    /// Writes one line; the newline is added.
+    ///
+    /// # Errors
+    /// When the caller hung up.
+    pub fn line(&mut self, line: &[u8]) -> io::Result<()> {
+        self.encoder.write_all(line)?;
+        self.encoder.write_all(b"\n")?;
+        self.encoder.flush()?;
+        self.encoder.get_mut().flush()
+    }
+
+    /// Ends the response as a whole one.
+    pub fn end(mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for LineWriter {
+    fn drop(&mut self) {
+        self.encoder.get_mut().open = self.whole;
+    }
+}
+
+/// A writer that lets nothing through once closed; the encoder writes its final chunk on drop,
+/// and a cut response must not have one.
+struct Valve {
+    out: Box<dyn Write + Send>,
+    open: bool,
+}
+
+impl Write for Valve {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.open { self.out.write(bytes) } else { Err(io::ErrorKind::BrokenPipe.into()) }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.out.flush()
+    }
+}
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -1,1 +1,6 @@
-//! To be written by its owner.
+//! Small stand-ins for the systems outside, as libraries and as programs.
+//!
+//! Each speaks the protocol of its system and has faults that are switched while it runs.
+
+pub mod fault;
+pub mod http;
