Platform and service stand-ins, their adapters, lookup and retry decisions

Calls to plain services have a fresh connection each, so that a kept connection closed by the other side can't make a clean start unclear.

--- /dev/null
+++ b/crates/roseshore_adapters/tests/platform.rs
@@ -0,0 +1,319 @@
+//! The contract of the log, the host list and the weight store, with their faults.
+
+use roseshore_adapters::platform::HttpPlatform;
+use roseshore_core::prelude::*;
+use roseshore_fakes::platform::log::Retention;
+use roseshore_fakes::platform::{PlatformFake, PlatformFaults, PlatformSettings};
+use roseshore_ports::outside::{CallError, HostList, Log, WeightStore};
+use roseshore_wire::platform::{Host, HostState};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+const LIMIT: Duration = Duration::from_secs(2);
+const BOUND: Duration = Duration::from_secs(20);
+
+fn start(settings: PlatformSettings) -> (PlatformFake, HttpPlatform) {
+    let fake = PlatformFake::start(settings).unwrap();
+    let adapter = HttpPlatform::new(fake.addr(), LIMIT);
+    (fake, adapter)
+}
+
+fn texts(count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("record {i}")).collect()
+}
+
+fn host(name: &str) -> Host {
+    let data_centre = "korangi".to_owned();
+    Host { host: name.to_owned(), data_centre, state: HostState::Live, peer: None }
+}
+
+fn wait_for(what: &str, mut met: impl FnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !met() {
+        assert!(Instant::now() < end, "{what} did not come");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// What an append or read is known to have done.
+#[derive(Debug, PartialEq)]
+enum Told {
+    Fine,
+    Unreached,
+    Lost,
+    Refused(u16),
+    Garbled,
+    Trimmed,
+}
+
+fn told<T>(called: Result<T, CallError>) -> Told {
+    match called {
+        Ok(_) => Told::Fine,
+        Err(CallError::Unreached(_)) => Told::Unreached,
+        Err(CallError::Lost(_)) => Told::Lost,
+        Err(CallError::Refused(status, ..)) => Told::Refused(status),
+        Err(CallError::Garbled(_)) => Told::Garbled,
+        Err(CallError::Trimmed(..)) => Told::Trimmed,
+    }
+}
+
+#[test]
+fn log_faults() {
+    struct Case {
+        name: &'static str,
+        faults: PlatformFaults,
+        append: Told,
+        appended: bool,
+        read: Told,
+    }
+    let none = PlatformFaults::default;
+    let cases = [
+        Case {
+            name: "no fault",
+            faults: none(),
+            append: Told::Fine,
+            appended: true,
+            read: Told::Fine,
+        },
+        Case {
+            name: "log out",
+            faults: PlatformFaults { log_out: true, ..none() },
+            append: Told::Lost,
+            appended: false,
+            read: Told::Lost,
+        },
+        Case {
+            name: "appends out",
+            faults: PlatformFaults { appends_out: true, ..none() },
+            append: Told::Refused(503),
+            appended: false,
+            read: Told::Fine,
+        },
+        Case {
+            name: "appends over the rate",
+            faults: PlatformFaults { appends_limited: true, ..none() },
+            append: Told::Refused(429),
+            appended: false,
+            read: Told::Fine,
+        },
+        Case {
+            name: "reads out",
+            faults: PlatformFaults { reads_out: true, ..none() },
+            append: Told::Fine,
+            appended: true,
+            read: Told::Refused(503),
+        },
+        Case {
+            name: "reply lost after the append took effect",
+            faults: PlatformFaults { lose_replies: 1, ..none() },
+            append: Told::Lost,
+            appended: true,
+            read: Told::Fine,
+        },
+        Case {
+            name: "replies lost on another stream only",
+            faults: PlatformFaults { lose_replies: 1, lose_stream: "other".into(), ..none() },
+            append: Told::Fine,
+            appended: true,
+            read: Told::Fine,
+        },
+        Case {
+            name: "garbled replies",
+            faults: PlatformFaults { garbled: true, ..none() },
+            append: Told::Garbled,
+            appended: true,
+            read: Told::Garbled,
+        },
+        Case {
+            name: "slower than the limit",
+            faults: PlatformFaults { slow_ms: 3000, ..none() },
+            append: Told::Lost,
+            appended: true,
+            read: Told::Lost,
+        },
+        Case {
+            name: "trimmed",
+            faults: PlatformFaults { trim_to: Some(0), ..none() },
+            append: Told::Fine,
+            appended: true,
+            read: Told::Trimmed,
+        },
+    ];
+    for case in cases {
+        let (fake, log) = start(PlatformSettings::default());
+        log.append("s", &texts(1)).unwrap();
+        fake.faults.set(case.faults);
+        assert_eq!(told(log.append("s", &texts(1))), case.append, "append, {}", case.name);
+        assert_eq!(told(log.read("s", 0, 10, Duration::ZERO)), case.read, "read, {}", case.name);
+        fake.faults.clear();
+        let end = |log: &HttpPlatform| log.read("s", 9, 1, Duration::ZERO).unwrap().end;
+        let wanted = if case.appended { 2 } else { 1 };
+        wait_for(case.name, || end(&log) == wanted);
+    }
+}
+
+#[test]
+fn a_platform_that_does_not_listen_was_not_reached() {
+    let (mut fake, platform) = start(PlatformSettings::default());
+    fake.stop();
+    assert_eq!(told(platform.append("s", &texts(1))), Told::Unreached);
+    assert_eq!(told(platform.read("s", 0, 1, Duration::ZERO)), Told::Unreached);
+    assert_eq!(told(platform.hosts()), Told::Unreached);
+    assert_eq!(told(platform.weights()), Told::Unreached);
+}
+
+/// Answers every connection with some bytes, whatever was asked.
+fn scripted(reply: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(reply);
+        }
+    });
+    addr
+}
+
+#[test]
+fn broken_replies_prove_nothing() {
+    struct Case {
+        name: &'static str,
+        reply: &'static [u8],
+        told: Told,
+    }
+    let cases = [
+        Case { name: "closed without a byte", reply: b"", told: Told::Lost },
+        Case { name: "cut in the status line", reply: b"HTTP/1.1 50", told: Told::Lost },
+        Case { name: "cut in a refusal's head", reply: b"HTTP/1.1 503 X\r\n", told: Told::Lost },
+        Case {
+            name: "cut in a refusal's body",
+            reply: b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nnoth",
+            told: Told::Lost,
+        },
+        Case {
+            name: "cut in the body",
+            reply: b"HTTP/1.1 200 X\r\nContent-Length: 11\r\n\r\n{\"first\":1",
+            told: Told::Lost,
+        },
+        Case {
+            name: "a redirect is not followed",
+            reply: b"HTTP/1.1 307 X\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
+            told: Told::Garbled,
+        },
+        Case {
+            name: "whole refusal",
+            reply: b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+            told: Told::Refused(503),
+        },
+        Case {
+            name: "whole reply",
+            reply: b"HTTP/1.1 200 X\r\nContent-Length: 11\r\n\r\n{\"first\":1}",
+            told: Told::Fine,
+        },
+    ];
+    for case in cases {
+        let log = HttpPlatform::new(scripted(case.reply), LIMIT);
+        assert_eq!(told(log.append("s", &texts(1))), case.told, "{}", case.name);
+    }
+}
+
+#[test]
+fn offsets_have_no_holes_and_reads_go_on() {
+    let (_fake, log) = start(PlatformSettings::default());
+    assert_eq!(log.read("s", 0, 9, Duration::ZERO).unwrap().end, 0);
+    assert_eq!(log.append("s", &texts(3)).unwrap(), 0);
+    assert_eq!(log.append("other", &texts(1)).unwrap(), 0);
+    assert_eq!(log.append("s", &texts(2)).unwrap(), 3);
+    let part = log.read("s", 1, 3, Duration::ZERO).unwrap();
+    let offsets: Vec<Offset> = part.records.iter().map(|r| r.offset).collect();
+    assert_eq!(offsets, [1, 2, 3]);
+    assert_eq!((part.end, part.oldest), (5, 0));
+    assert!(part.records.is_sorted_by_key(|r| r.time_ms));
+}
+
+#[test]
+fn retention_keeps_the_newest() {
+    let keep = Retention { count: Some(2), age: None };
+    let (_fake, log) = start(PlatformSettings { keep, ..PlatformSettings::default() });
+    log.append("s", &texts(5)).unwrap();
+    assert_eq!(log.read("s", 0, 9, Duration::ZERO).unwrap_err(), CallError::Trimmed(3, 5));
+    assert_eq!(log.read("s", 3, 9, Duration::ZERO).unwrap().records.len(), 2);
+}
+
+#[test]
+fn a_waiting_read_gets_the_next_record() {
+    let (_fake, log) = start(PlatformSettings::default());
+    let reader = thread::spawn({
+        let log = log.clone();
+        move || log.read("s", 0, 9, BOUND).unwrap()
+    });
+    thread::sleep(Duration::from_millis(20));
+    log.append("s", &texts(1)).unwrap();
+    assert_eq!(reader.join().unwrap().records.len(), 1);
+}
+
+#[test]
+fn appends_are_limited_over_all_streams_and_many_records_count_once() {
+    let (fake, log) = start(PlatformSettings { appends: 0.001, ..PlatformSettings::default() });
+    log.append("a", &texts(500)).unwrap();
+    assert_eq!(told(log.append("b", &texts(1))), Told::Refused(429));
+    assert_eq!(fake.appends(), 1);
+}
+
+#[test]
+fn host_list_faults() {
+    struct Case {
+        name: &'static str,
+        faults: PlatformFaults,
+        shown: Result<HostState, Told>,
+    }
+    let none = PlatformFaults::default;
+    let hour = Some(3_600_000);
+    let cases = [
+        Case { name: "no fault", faults: none(), shown: Ok(HostState::Leaving) },
+        Case {
+            name: "lag",
+            faults: PlatformFaults { hosts_lag_ms: hour, ..none() },
+            shown: Ok(HostState::Live),
+        },
+        Case {
+            name: "frozen",
+            faults: PlatformFaults { hosts_frozen: true, ..none() },
+            shown: Ok(HostState::Live),
+        },
+        Case {
+            name: "out",
+            faults: PlatformFaults { hosts_out: true, ..none() },
+            shown: Err(Told::Lost),
+        },
+    ];
+    for case in cases {
+        let hosts = vec![host("h1"), host("h2")];
+        let (fake, list) = start(PlatformSettings { hosts, ..PlatformSettings::default() });
+        fake.faults.set(case.faults);
+        // The list froze, if it did, when it was first asked after the fault.
+        let _ = list.hosts();
+        assert!(fake.leave("h2"));
+        assert!(!fake.leave("unknown"));
+        let shown = list.hosts();
+        let state = shown.map(|s| s.hosts[1].state).map_err(|e| told::<()>(Err(e)));
+        assert_eq!(state, case.shown, "{}", case.name);
+        fake.faults.clear();
+        assert_eq!(list.hosts().unwrap().hosts[1].state, HostState::Leaving, "{}", case.name);
+    }
+}
+
+#[test]
+fn weight_store_gives_at_its_rate() {
+    let (fake, store) = start(PlatformSettings { rate: 1000, ..PlatformSettings::default() });
+    assert_eq!(store.weights().unwrap().backlog, 0);
+    let url = format!("http://{}/v1/weights/take?bytes=1000000", fake.addr());
+    thread::spawn(move || minreq::get(url).send());
+    wait_for("a backlog", || store.weights().unwrap().backlog > 900_000);
+    assert_eq!(store.weights().unwrap().rate, 1000);
+    fake.faults.change(|f| f.weights_out = true);
+    assert_eq!(told(store.weights()), Told::Lost);
+}
--- /dev/null
+++ b/crates/roseshore_adapters/tests/service.rs
@@ -0,0 +1,289 @@
+//! The contract of replicas of lookup and plain services, with their faults.
+
+use roseshore_adapters::service::HttpServices;
+use roseshore_core::prelude::*;
+use roseshore_fakes::service::records::Source;
+use roseshore_fakes::service::{ServiceFake, ServiceFaults, ServiceSettings};
+use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
+use roseshore_wire::service::Missing;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+const BOUND: Duration = Duration::from_secs(20);
+
+fn start(remembers: bool) -> ServiceFake {
+    let records = [("weld-9".to_owned(), "{\"card\":9}".to_owned())].into();
+    let source = Source { name: "certs".to_owned(), percent: 100, records };
+    let settings = ServiceSettings { sources: vec![source], remembers, ..Default::default() };
+    ServiceFake::start(settings).unwrap()
+}
+
+fn hop(limit: Duration) -> Hop {
+    let trace = Some("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01".to_owned());
+    Hop { deadline: Instant::now() + limit, trace, request: "r1".to_owned() }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Told {
+    Status(u16),
+    Unreached,
+    Lost,
+    Refused,
+    Garbled,
+}
+
+fn told(called: &Called<ServiceReply>) -> Told {
+    match called {
+        Ok(reply) => Told::Status(reply.status),
+        Err(CallError::Unreached(_)) => Told::Unreached,
+        Err(CallError::Lost(_)) => Told::Lost,
+        Err(CallError::Refused(..)) => Told::Refused,
+        Err(CallError::Garbled(_) | CallError::Trimmed(..)) => Told::Garbled,
+    }
+}
+
+#[test]
+fn service_faults() {
+    struct Case {
+        name: &'static str,
+        faults: ServiceFaults,
+        limit: Duration,
+        call: Told,
+        ran: u64,
+        lookup: Told,
+    }
+    let none = ServiceFaults::default;
+    let short = Duration::from_millis(300);
+    let case =
+        |name, faults, limit, call, ran, lookup| Case { name, faults, limit, call, ran, lookup };
+    let cases = [
+        case("no fault", none(), BOUND, Told::Status(200), 1, Told::Status(200)),
+        case(
+            "error after the run",
+            ServiceFaults { error: true, ..none() },
+            BOUND,
+            Told::Status(500),
+            1,
+            Told::Status(500),
+        ),
+        case(
+            "garbled",
+            ServiceFaults { garbled: true, ..none() },
+            BOUND,
+            Told::Garbled,
+            1,
+            Told::Garbled,
+        ),
+        case(
+            "cut in the body",
+            ServiceFaults { cut_body: true, ..none() },
+            short,
+            Told::Lost,
+            1,
+            Told::Lost,
+        ),
+        case(
+            "not run",
+            ServiceFaults { not_run: true, ..none() },
+            BOUND,
+            Told::Refused,
+            0,
+            Told::Status(503),
+        ),
+        case(
+            "reply lost after the run",
+            ServiceFaults { lose_replies: 2, ..none() },
+            short,
+            Told::Lost,
+            1,
+            Told::Lost,
+        ),
+        case(
+            "source cannot say",
+            ServiceFaults { unknown: true, ..none() },
+            BOUND,
+            Told::Status(200),
+            1,
+            Told::Status(500),
+        ),
+        case("gone", ServiceFaults { die: true, ..none() }, short, Told::Lost, 0, Told::Lost),
+        case("frozen", ServiceFaults { freeze: true, ..none() }, short, Told::Lost, 0, Told::Lost),
+        case(
+            "slower than the deadline",
+            ServiceFaults { slow_ms: 2000, ..none() },
+            short,
+            Told::Lost,
+            1,
+            Told::Lost,
+        ),
+    ];
+    for case in cases {
+        let fake = start(false);
+        let services = HttpServices::default();
+        fake.faults.set(case.faults);
+        let call = services.call(fake.addr(), "notes", b"x", Some("k"), &hop(case.limit));
+        assert_eq!(told(&call), case.call, "call, {}", case.name);
+        let end = Instant::now() + BOUND;
+        while fake.ran().total < case.ran && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert_eq!(fake.ran().total, case.ran, "runs, {}", case.name);
+        let lookup = services.lookup(fake.addr(), "certs", "weld-9", &hop(case.limit));
+        assert_eq!(told(&lookup), case.lookup, "lookup, {}", case.name);
+        if let Err(error) = call {
+            let ran = error.verdict() == Verdict::NotRun && case.ran > 0;
+            assert!(!ran, "`not run` is not true, {}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_does_not_listen_was_not_reached() {
+    let mut fake = start(false);
+    fake.stop();
+    let services = HttpServices::default();
+    let call = services.call(fake.addr(), "notes", b"x", None, &hop(BOUND));
+    assert_eq!(told(&call), Told::Unreached);
+    let lookup = services.lookup(fake.addr(), "certs", "weld-9", &hop(BOUND));
+    assert_eq!(told(&lookup), Told::Unreached);
+}
+
+#[test]
+fn nothing_is_sent_after_the_deadline() {
+    let fake = start(false);
+    let call = HttpServices::default().call(fake.addr(), "n", b"x", None, &hop(Duration::ZERO));
+    assert_eq!(told(&call), Told::Unreached);
+    assert_eq!(fake.ran().total, 0);
+}
+
+#[test]
+fn lookups_tell_records_from_missing_names() {
+    let fake = start(false);
+    let services = HttpServices::default();
+    let found = services.lookup(fake.addr(), "certs", "weld-9", &hop(BOUND)).unwrap();
+    assert_eq!((found.status, found.body.as_slice()), (200, b"{\"card\":9}".as_slice()));
+    let generated = services.lookup(fake.addr(), "certs", "pkg-7", &hop(BOUND)).unwrap();
+    assert_eq!(generated.status, 200);
+    let missing = services.lookup(fake.addr(), "certs", "none", &hop(BOUND)).unwrap();
+    let said: Missing = serde_json::from_slice(&missing.body).unwrap();
+    let wanted = Missing { source: "certs".to_owned(), missing: "none".to_owned() };
+    assert_eq!((missing.status, said), (404, wanted));
+    let other = services.lookup(fake.addr(), "elsewhere", "weld-9", &hop(BOUND)).unwrap();
+    assert_eq!(other.status, 500);
+}
+
+#[test]
+fn a_target_that_remembers_answers_a_repeat_with_the_first_result() {
+    let fake = start(true);
+    let services = HttpServices::default();
+    let call = |body: &[u8]| services.call(fake.addr(), "notes", body, Some("k"), &hop(BOUND));
+    let first = call(b"one").unwrap();
+    let again = call(b"two").unwrap();
+    assert_eq!((first.replayed, again.replayed), (false, true));
+    assert_eq!(first.body, again.body);
+    assert_eq!(fake.ran().keys["k"], 1);
+    assert_eq!(fake.ran().requests["r1"], 1);
+}
+
+#[test]
+fn the_report_shows_life_and_leaving() {
+    let fake = start(false);
+    let services = HttpServices::default();
+    assert!(!services.load(fake.addr(), BOUND).unwrap().leaving);
+    fake.faults.change(|f| f.leaving = true);
+    let report = services.load(fake.addr(), BOUND).unwrap();
+    assert_eq!((report.leaving, report.incarnation, report.slots), (true, 1, 64));
+}
+
+/// Reads one request of each connection, tells its head, answers with some bytes and closes.
+fn scripted(reply: &'static [u8]) -> (SocketAddr, flume::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (heads, seen) = flume::unbounded();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let head = head(&mut BufReader::new(&stream));
+            heads.send(head).unwrap();
+            let _ = stream.write_all(reply);
+        }
+    });
+    (addr, seen)
+}
+
+/// The head of a request, whose body (of the length it gives) is read and dropped.
+fn head(reader: &mut BufReader<&std::net::TcpStream>) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).is_ok_and(|n| n > 0) {}
+    let head = head.to_lowercase();
+    let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+    let length = length.map_or(0, |l| l.parse().unwrap());
+    let _ = reader.read_exact(&mut vec![0; length]);
+    head
+}
+
+#[test]
+fn broken_replies_prove_nothing_and_a_call_is_sent_once() {
+    struct Case {
+        name: &'static str,
+        reply: &'static [u8],
+        told: Told,
+    }
+    let cases = [
+        Case { name: "closed without a byte", reply: b"", told: Told::Lost },
+        Case { name: "cut in the head", reply: b"HTTP/1.1 503 X\r\nConte", told: Told::Lost },
+        Case {
+            name: "cut in the body of a 'not run'",
+            reply: b"HTTP/1.1 503 X\r\nContent-Length: 20\r\n\r\n{\"not_run\":true}",
+            told: Told::Lost,
+        },
+        Case { name: "of no length", reply: b"HTTP/1.1 200 X\r\n\r\nhalf", told: Told::Lost },
+        Case {
+            name: "503 that says nothing of running",
+            reply: b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}",
+            told: Told::Status(503),
+        },
+        Case {
+            name: "redirect",
+            reply: b"HTTP/1.1 307 X\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
+            told: Told::Status(307),
+        },
+        Case {
+            name: "'not run'",
+            reply: b"HTTP/1.1 503 X\r\nContent-Length: 16\r\n\r\n{\"not_run\":true}",
+            told: Told::Refused,
+        },
+    ];
+    for case in cases {
+        let (addr, seen) = scripted(case.reply);
+        let call = HttpServices::default().call(addr, "notes", b"x", Some("k"), &hop(BOUND));
+        assert_eq!(told(&call), case.told, "{}", case.name);
+        assert_eq!(seen.len(), 1, "sent more than once, {}", case.name);
+    }
+}
+
+#[test]
+fn a_call_never_goes_over_a_kept_connection() {
+    let reply = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok";
+    // The server closes after each reply without saying so, as one that was idle too long would.
+    let (addr, seen) = scripted(reply);
+    let services = HttpServices::default();
+    for turn in 0..20 {
+        let call = services.call(addr, "notes", b"x", None, &hop(BOUND));
+        assert_eq!(told(&call), Told::Status(200), "call {turn}");
+    }
+    assert_eq!(seen.len(), 20);
+}
+
+#[test]
+fn trace_key_request_and_deadline_travel() {
+    let (addr, seen) = scripted(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+    let hop = hop(BOUND);
+    HttpServices::default().call(addr, "notes", b"x", Some("k9"), &hop).unwrap();
+    let head = seen.recv().unwrap();
+    let trace = format!("traceparent: {}", hop.trace.unwrap());
+    for wanted in ["idempotency-key: k9", "x-request-id: r1", "x-deadline-ms: 1", &trace] {
+        assert!(head.contains(wanted), "`{wanted}` is not in {head}");
+    }
+}
--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod event;
 pub mod fleet;
 pub mod ids;
+pub mod lookup;
 pub mod prelude;
+pub mod retry;
 pub mod verdict;
--- /dev/null
+++ b/crates/roseshore_core/src/retry.rs
@@ -0,0 +1,68 @@
+//! When another attempt is allowed, and after what wait.
+//!
+//! A fault must not multiply the load. A [`Budget`] therefore lets extra attempts grow only with
+//! successes: over any time, the extra attempts are at most the burst, plus the ratio of the
+//! successes, plus a trickle that keeps a quiet service able to retry at all. [`backoff`] spreads
+//! the attempts out, so that callers that failed together do not come back together.
+
+use crate::prelude::*;
+
+/// The part of the successes that may be spent on extra attempts.
+pub const RATIO: f64 = 0.1;
+/// Extra attempts that may be saved up.
+pub const BURST: f64 = 10.0;
+/// Extra attempts a second that are allowed without any success.
+pub const TRICKLE: f64 = 1.0;
+/// The wait before the first retry, at most.
+pub const FIRST_WAIT: Duration = Duration::from_millis(10);
+/// The wait before any retry, at most.
+pub const LONGEST_WAIT: Duration = Duration::from_millis(500);
+
+/// A token bucket of extra attempts, filled by successes.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+    ratio: f64,
+    burst: f64,
+    trickle: f64,
+    seen: Option<Instant>,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget::new(RATIO, BURST, TRICKLE)
+    }
+}
+
+impl Budget {
+    /// A full bucket of `burst` tokens that earns `ratio` a success and `trickle` a second.
+    pub fn new(ratio: f64, burst: f64, trickle: f64) -> Budget {
+        Budget { tokens: burst, ratio, burst, trickle, seen: None }
+    }
+
+    /// Takes note of a success.
+    pub fn earn(&mut self) {
+        self.tokens = self.burst.min(self.tokens + self.ratio);
+    }
+
+    /// Whether one extra attempt may be made now; if so, it is paid for.
+    pub fn spend(&mut self, now: Instant) -> bool {
+        let since = self.seen.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+        self.seen = Some(self.seen.map_or(now, |t| t.max(now)));
+        self.tokens = self.burst.min(self.tokens + self.trickle * since.as_secs_f64());
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
+
+/// The wait before retry `attempt` (0 is the first), between half and all of a doubling bound.
+///
+/// `unit_random` is from `0.0..1.0`.
+pub fn backoff(attempt: u32, unit_random: f64) -> Duration {
+    let factor = 1_u32.checked_shl(attempt).unwrap_or(u32::MAX);
+    let bound = FIRST_WAIT.saturating_mul(factor).min(LONGEST_WAIT);
+    bound.mul_f64(0.5 + 0.5 * unit_random.clamp(0.0, 1.0))
+}
--- a/crates/roseshore_fakes/src/http.rs
+++ b/crates/roseshore_fakes/src/http.rs
@@ -263,3 +263,9 @@
         self.out.flush()
     }
 }
+
+/// Gives no reply at all; the connection closes if the caller sent `Connection: close`, and stays
+/// silent otherwise.
+pub fn cut(request: Request) {
+    drop(request.into_writer());
+}
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -4,3 +4,5 @@
 
 pub mod fault;
 pub mod http;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/roseshore_fakes/src/platform/hosts.rs
@@ -0,0 +1,48 @@
+//! The state of the host list, without I/O: changes are shown late.
+
+use roseshore_core::prelude::*;
+use roseshore_wire::platform::{Host, HostState, Hosts};
+
+/// The list as it is, and as it was.
+#[derive(Debug)]
+pub struct HostsState {
+    changes: Vec<Change>,
+}
+
+#[derive(Debug)]
+struct Change {
+    at: Instant,
+    list: Hosts,
+}
+
+impl HostsState {
+    /// A list that is shown from the start.
+    pub fn new(hosts: Vec<Host>, now: Instant) -> HostsState {
+        HostsState { changes: vec![Change { at: now, list: Hosts { version: 0, hosts } }] }
+    }
+
+    /// Replaces the list.
+    pub fn set(&mut self, hosts: Vec<Host>, now: Instant) {
+        let version = self.newest().version + 1;
+        self.changes.push(Change { at: now, list: Hosts { version, hosts } });
+    }
+
+    /// Marks a host as being taken away; `false` when it is not listed.
+    pub fn leave(&mut self, host: &str, now: Instant) -> bool {
+        let mut hosts = self.newest().hosts.clone();
+        let Some(found) = hosts.iter_mut().find(|h| h.host == host) else { return false };
+        found.state = HostState::Leaving;
+        self.set(hosts, now);
+        true
+    }
+
+    /// The list as it was `lag` before `now`; the first one if there was none.
+    pub fn shown(&self, now: Instant, lag: Duration) -> &Hosts {
+        let old = self.changes.iter().rev().find(|c| c.at + lag <= now);
+        &old.unwrap_or(&self.changes[0]).list
+    }
+
+    fn newest(&self) -> &Hosts {
+        &self.changes[self.changes.len() - 1].list
+    }
+}
--- a/crates/roseshore_wire/src/service.rs
+++ b/crates/roseshore_wire/src/service.rs
@@ -10,6 +10,17 @@
 use roseshore_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// The header with the request's id.
+pub const REQUEST_ID: &str = "x-request-id";
+/// The header with the time left for the answer, whole milliseconds.
+pub const DEADLINE_MS: &str = "x-deadline-ms";
+/// The header with the caller's idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The header of a reply that is an earlier call's result, with the value `true`.
+pub const REPLAYED: &str = "idempotency-replayed";
+/// The header with the W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
 /// A source's word that it does not hold a name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Missing {
