--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -3,4 +3,7 @@
 //! An adapter decides nothing: it carries a call over and says by the kind of its error what a
 //! failure proves.
 
+pub mod call;
 pub mod engine;
+pub mod platform;
+pub mod service;
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod engine;
 pub mod fault;
 pub mod http;
+pub mod platform;
+pub mod service;
