--- /dev/null
+++ b/crates/roseshore_core/src/config.rs
@@ -0,0 +1,33 @@
+//! The configuration: a pure fold over the records of one stream of the log service.
+//!
+//! A record is a [`Command`]: changes of objects, each with the version that the operator saw. The
+//! [`State`] accepts or rejects it by its place in the log alone, so every daemon that folds the
+//! same records reaches the same verdicts, and of racing commands exactly one wins each object.
+//! Records reach a daemon in any order, repeated and with holes; [`Follower`] folds them in order
+//! and only forward. [`Snapshot`] carries a state over the log's retention, [`Reader`] and [`Puller`] decide who
+//! asks the log and the peers when, [`Keeper`] who writes snapshots, and [`Submit`] what an operator may be told of a command.
+
+mod check;
+mod command;
+mod confirm;
+mod follower;
+mod keeper;
+mod reader;
+mod snapshot;
+mod state;
+mod submit;
+
+pub use check::{Fault, MAX_CHANGES, MAX_ID, View, check_fleet};
+pub use command::{Change, Command, FORMAT, Kind, Object, ObjectKey};
+pub use confirm::{Spread, Word, spread};
+pub use follower::{Follower, MAX_WAITING};
+pub use keeper::{Keep, Keeper, KeeperLimits};
+pub use reader::{Act, Peer, Puller, Reader, ReaderLimits, Turn, diverged};
+pub use snapshot::{Assembly, PART, Snapshot, SnapshotError, Tail};
+pub use state::{Author, Folded, Judged, Meta, Outcome, Reason, State, WINDOW, record_digest};
+pub use submit::{Settled, Step, Submit, Tried};
+
+/// The stream of commands.
+pub const STREAM: &str = "config";
+/// The stream of snapshots of the fold.
+pub const SNAPSHOTS: &str = "config-snapshots";
--- /dev/null
+++ b/crates/roseshore_core/src/config/confirm.rs
@@ -0,0 +1,44 @@
+//! Where an accepted command is in force.
+
+use crate::ids::*;
+use std::collections::BTreeMap;
+
+/// A daemon's word on how far it has folded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Where it is.
+    pub data_centre: DataCentreId,
+    /// One past the last record that it has folded.
+    pub offset: Offset,
+}
+
+/// Data centres by whether a command is in force there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spread {
+    /// Every daemon known there has it in force.
+    pub in_force: Vec<DataCentreId>,
+    /// Some daemon there is behind, or none is known.
+    pub unconfirmed: Vec<DataCentreId>,
+}
+
+/// Sorts data centres by the words of their daemons on the command at `version`.
+pub fn spread<'a>(
+    version: Offset,
+    declared: impl IntoIterator<Item = &'a DataCentreId>,
+    words: &[Word],
+) -> Spread {
+    let mut seen: BTreeMap<&DataCentreId, Option<bool>> = BTreeMap::new();
+    for id in declared {
+        seen.insert(id, None);
+    }
+    for word in words {
+        let all = seen.entry(&word.data_centre).or_default();
+        *all = Some(all.unwrap_or(true) && word.offset > version);
+    }
+    let mut out = Spread::default();
+    for (id, all) in seen {
+        let list = if all == Some(true) { &mut out.in_force } else { &mut out.unconfirmed };
+        list.push(id.clone());
+    }
+    out
+}
--- /dev/null
+++ b/crates/roseshore_core/src/declare.rs
@@ -0,0 +1,1 @@
+//! Declarations in TOML.
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -71,6 +71,10 @@
     LogLost = 503, Warn, "the log service cannot be reached";
     LogBack = 504, Info, "the log service answers again";
     ConfigDiverged = 505, Error, "two daemons at one offset differ in state";
+    ConfigTrimmed = 506, Error, "the log no longer keeps records that are missing here";
+    ConfigSkipped = 507, Warn, "a record of the configuration stream was skipped";
+    SnapshotWritten = 508, Info, "a snapshot of the configuration was written";
+    SnapshotBad = 509, Error, "a snapshot of the configuration cannot be used";
     HostSuspected = 601, Info, "a daemon is suspected";
     HostGone = 602, Warn, "a daemon is gone";
     HostJoined = 603, Info, "a daemon joined";
--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -6,6 +6,8 @@
 //! a table of cases or by `proptest`.
 
 pub mod code;
+pub mod config;
+pub mod declare;
 pub mod event;
 pub mod fleet;
 pub mod ids;
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -308,3 +308,9 @@
     /// Takes records in any order, repeats and holes allowed.
     fn take(&self, records: &[roseshore_wire::platform::Record]);
 }
+
+/// Answers operators' questions about requests, for the whole system.
+pub trait Queries: Send + Sync {
+    /// The rows, with the daemons that could not be asked.
+    fn ask(&self, query: &roseshore_wire::query::Query) -> roseshore_wire::query::Reply;
+}
--- a/crates/roseshore_wire/src/lib.rs
+++ b/crates/roseshore_wire/src/lib.rs
@@ -1,10 +1,13 @@
 //! The messages that cross a process border.
 //!
 //! [`engine`], [`platform`] and [`service`] are the JSON bodies of the outside systems' published
-//! protocols; [`peer`] holds what our daemons say to each other, coded with `postcard`.
+//! protocols; [`admin`] and [`query`] those of the operators' interface; [`peer`] holds what our
+//! daemons say to each other, coded with `postcard`.
 
+pub mod admin;
 pub mod engine;
 pub mod frame;
 pub mod peer;
 pub mod platform;
+pub mod query;
 pub mod service;
--- /dev/null
+++ b/crates/roseshored/src/fleets/loops.rs
@@ -0,0 +1,168 @@
+//! The two threads of the driver.
+
+use super::FleetDriver;
+use super::source::Reach;
+use crate::event;
+use roseshore_core::config::{
+    Act, Keep, Keeper, Peer, Puller, Reader, SNAPSHOTS, Snapshot, Tail, Turn, diverged,
+};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Member, MemberState, Members};
+use roseshore_ports::outside::{Called, Peers};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+
+/// What daemons are ranked by.
+pub(super) const SUBJECT: &str = "config";
+
+impl FleetDriver {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    /// When the system gives no thread.
+    pub fn start(
+        self: &Arc<Self>,
+        members: Arc<dyn Members>,
+        peers: Arc<dyn Peers>,
+    ) -> std::io::Result<Vec<JoinHandle<()>>> {
+        let spawn = |name: &str, run: Box<dyn FnOnce() + Send>| {
+            std::thread::Builder::new().name(name.to_owned()).spawn(run)
+        };
+        let (own, all) = (Arc::clone(self), Arc::clone(&members));
+        let reading = spawn("config-log", Box::new(move || own.log_loop(&*all)))?;
+        let own = Arc::clone(self);
+        let pulling = spawn("config-peers", Box::new(move || own.peer_loop(&*members, &*peers)))?;
+        Ok(vec![reading, pulling])
+    }
+
+    fn running(&self) -> bool {
+        !self.stopped.load(Ordering::SeqCst)
+    }
+
+    fn log_loop(&self, members: &dyn Members) {
+        let mut reader = Reader::new(self.settings.reader.clone(), Instant::now());
+        let mut keeper = Keeper::new(self.settings.keeper.clone(), Instant::now());
+        while self.running() {
+            let rank = rank(members);
+            match reader.next(Instant::now(), rank) {
+                Act::Read { wait } => self.read_turn(&mut reader, wait),
+                Act::Rest { until } => self.rest(until),
+            }
+            if reader.healthy() {
+                self.keep(&mut keeper, rank == Some(0));
+            }
+        }
+    }
+
+    fn read_turn(&self, reader: &mut Reader, wait: Duration) {
+        let turn = match self.read_log(wait) {
+            Ok(Reach::Trimmed) => {
+                reader.answered(Instant::now(), false);
+                self.rest(Instant::now() + self.settings.tick);
+                None
+            }
+            Ok(reach) => reader.answered(Instant::now(), reach == Reach::More),
+            Err(err) => {
+                let turn = reader.failed(Instant::now(), rand::random());
+                if turn.is_some() {
+                    event!(Event::LogLost, "stream=config: {err}");
+                }
+                turn
+            }
+        };
+        if turn == Some(Turn::Back) {
+            event!(Event::LogBack, "stream=config");
+        }
+        self.healthy.store(reader.healthy(), Ordering::SeqCst);
+    }
+
+    /// Rests, but not longer than a tick, since the rank may change.
+    fn rest(&self, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
+        std::thread::sleep(left.min(self.settings.tick));
+    }
+
+    fn keep(&self, keeper: &mut Keeper, first: bool) {
+        let offset = self.inspect(roseshore_core::config::State::offset);
+        let done = match keeper.next(Instant::now(), first, offset) {
+            Keep::Nothing => return,
+            Keep::Look => self.newest().map(|it| keeper.seen(Instant::now(), it)),
+            Keep::Write => self.write_snapshot().map(|at| keeper.written(Instant::now(), at)),
+        };
+        if done.is_err() {
+            keeper.failed(Instant::now());
+        }
+    }
+
+    /// The offset and age of the newest snapshot on the log.
+    fn newest(&self) -> Called<Option<(Offset, Duration)>> {
+        let Some((end, _)) = self.snapshot_bounds()? else { return Ok(None) };
+        let found = self.log.read(SNAPSHOTS, end - 1, 1, Duration::ZERO)?;
+        Ok(found.records.last().and_then(|it| {
+            let tail = Tail::read(&it.data)?;
+            let written = SystemTime::UNIX_EPOCH + Duration::from_millis(it.time_ms);
+            Some((tail.offset, written.elapsed().unwrap_or_default()))
+        }))
+    }
+
+    fn write_snapshot(&self) -> Called<Offset> {
+        let (offset, records) = self.inspect(|it| (it.offset(), Snapshot::records(it)));
+        self.log.append(SNAPSHOTS, &records)?;
+        event!(Event::SnapshotWritten, "offset={offset} records={}", records.len());
+        Ok(offset)
+    }
+
+    fn peer_loop(&self, members: &dyn Members, peers: &dyn Peers) {
+        let mut puller = Puller::default();
+        let mut told = BTreeSet::new();
+        while self.running() {
+            let all = others(members);
+            let (offset, digest) = self.inspect(|it| (it.offset(), it.digest()));
+            let seen: Vec<Peer> = all.iter().map(|it| as_peer(it, members)).collect();
+            for it in diverged(offset, digest, &seen) {
+                if told.insert((it.host.clone(), offset)) {
+                    event!(
+                        Event::ConfigDiverged,
+                        "peer=`{}` offset={offset} own={digest:016x} theirs={:016x}",
+                        it.host,
+                        it.digest
+                    );
+                }
+            }
+            told.retain(|(_, at)| *at == offset);
+            let ask = puller.next(offset, &seen);
+            let member = ask.and_then(|ask| all.iter().find(|it| it.host == ask.host));
+            let gave = member.map(|it| self.pull(peers, it.peer));
+            if let Some(gave) = gave {
+                puller.asked(gave);
+            }
+            if gave != Some(true) {
+                self.rest(Instant::now() + self.settings.tick);
+            }
+        }
+    }
+}
+
+/// This daemon's place in rendezvous order.
+fn rank(members: &dyn Members) -> Option<usize> {
+    let own = members.own().host;
+    members.ranked(SUBJECT).iter().position(|it| it.host == own)
+}
+
+fn others(members: &dyn Members) -> Vec<Member> {
+    let own = members.own().host;
+    let mut all = members.all();
+    all.retain(|it| it.host != own && it.state != MemberState::Gone && it.incarnation > 0);
+    all
+}
+
+fn as_peer(it: &Member, members: &dyn Members) -> Peer {
+    Peer {
+        host: it.host.clone(),
+        near: it.data_centre == members.own().data_centre,
+        offset: it.offset,
+        digest: it.digest,
+    }
+}
--- /dev/null
+++ b/crates/roseshored/src/fleets/submit.rs
@@ -0,0 +1,90 @@
+//! Bringing an operator's command to the log and learning what became of it.
+
+use super::FleetDriver;
+use roseshore_core::config::{
+    Command, Settled, Spread, Step, Submit, Tried, Word, record_digest, spread,
+};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{MemberState, Members};
+use roseshore_ports::outside::CallError;
+
+/// The longest wait for one read of the log on the way.
+const LOOK: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(100);
+
+impl FleetDriver {
+    /// Appends a command and waits until it is decided, or `until`.
+    pub fn submit(&self, command: &Command, until: Instant) -> Settled {
+        let data = match serde_json::to_string(command) {
+            Ok(data) => data,
+            Err(err) => {
+                return Settled::Rejected(Code::CommandInvalid, None, err.to_string());
+            }
+        };
+        let id = command.id.clone();
+        let mut submit = Submit::new(id, record_digest(&data), Instant::now(), until);
+        loop {
+            match self.inspect(|state| submit.next(Instant::now(), state)) {
+                Step::Done(settled) => return settled,
+                Step::Append => {
+                    let tried = self.append(&data);
+                    submit.tried(Instant::now(), tried);
+                }
+                Step::Read => {
+                    let left = until.saturating_duration_since(Instant::now());
+                    if self.read_log(left.min(LOOK)).is_err() {
+                        std::thread::sleep(PAUSE.min(left));
+                    }
+                    submit.looked();
+                }
+                Step::Rest(until) => {
+                    std::thread::sleep(until.saturating_duration_since(Instant::now()));
+                }
+            }
+        }
+    }
+
+    fn append(&self, data: &str) -> Tried {
+        match self.log.append(roseshore_core::config::STREAM, &[data.to_owned()]) {
+            Ok(offset) => Tried::Appended(offset),
+            Err(err) if err.verdict() == Verdict::NotRun => Tried::Refused(told(&err)),
+            Err(err) => Tried::Lost(told(&err)),
+        }
+    }
+
+    /// Where the command at `version` is in force, by the words of all daemons.
+    pub fn spread(&self, members: &dyn Members, version: Offset) -> Spread {
+        let own = members.own();
+        let mut words: Vec<Word> = members
+            .all()
+            .into_iter()
+            .filter(|it| it.host != own.host && it.state != MemberState::Gone)
+            .map(|it| Word { data_centre: it.data_centre, offset: it.offset })
+            .collect();
+        let (offset, declared) = self.inspect(|it| {
+            (it.offset(), it.fleet().data_centres.keys().cloned().collect::<Vec<_>>())
+        });
+        words.push(Word { data_centre: own.data_centre, offset });
+        spread(version, &declared, &words)
+    }
+
+    /// Waits until a command is in force everywhere, or `until`.
+    pub fn settle_everywhere(
+        &self,
+        members: &dyn Members,
+        version: Offset,
+        until: Instant,
+    ) -> Spread {
+        loop {
+            let spread = self.spread(members, version);
+            if spread.unconfirmed.is_empty() || Instant::now() >= until {
+                return spread;
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+}
+
+fn told(err: &CallError) -> String {
+    err.to_string()
+}
--- /dev/null
+++ b/crates/roseshored/src/operators.rs
@@ -0,0 +1,221 @@
+//! The operators' interface: the HTTP paths under `/v1/admin/`.
+//!
+//! The server hands every such request to [`handle`] as a [`Call`] and sends the [`Answer`]; the
+//! bodies are those of `roseshore_wire::admin`.
+
+use crate::app::Drain;
+use crate::fleets::FleetDriver;
+use roseshore_core::config::{Command, FORMAT, Settled};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Member, MemberState, Members, Queries};
+use roseshore_wire::admin::{Config, Daemon, Drained, Outcome, Problem, Report, Status, Versioned};
+use roseshore_wire::query::Query;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// The prefix of all paths here.
+pub const PREFIX: &str = "/v1/admin/";
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// The parts that operators' calls touch.
+#[derive(Clone)]
+pub struct Console {
+    /// The configuration.
+    pub fleets: Arc<FleetDriver>,
+    /// The daemons.
+    pub members: Arc<dyn Members>,
+    /// Rows about requests; without it such questions are refused.
+    pub queries: Option<Arc<dyn Queries>>,
+    /// Whether this daemon takes no new work.
+    pub drain: Arc<Drain>,
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The HTTP method, in capitals.
+    pub method: &'a str,
+    /// The path with its query, beginning with [`PREFIX`].
+    pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Its answer, `application/json`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Answers one request; may take as long as its `wait_ms` says, 30 s at most.
+pub fn handle(console: &Console, call: &Call<'_>) -> Answer {
+    let (path, query) = call.path.split_once('?').unwrap_or((call.path, ""));
+    let path = path.strip_prefix(PREFIX).unwrap_or_default();
+    match (call.method, path) {
+        ("GET", "config") => console.config(),
+        ("GET", "status") => console.status(),
+        ("POST", "commands") => console.command(call.body, wait(query)),
+        ("POST", "query") => console.query(call.body),
+        ("POST", "drain") => console.drain(),
+        ("GET", other) if other.starts_with("commands/") => {
+            console.report(&other["commands/".len()..])
+        }
+        _ => problem(Code::UnknownPath, format!("no `{} {}` here", call.method, call.path)),
+    }
+}
+
+impl Console {
+    fn config(&self) -> Answer {
+        let config = self.fleets.inspect(|state| Config {
+            offset: state.offset(),
+            digest: state.digest(),
+            objects: versioned(state),
+        });
+        answer(200, &config)
+    }
+
+    fn status(&self) -> Answer {
+        let own = self.members.own();
+        let (offset, digest) = self.fleets.inspect(|it| (it.offset(), it.digest()));
+        let daemon = |it: Member| {
+            let (offset, digest) =
+                if it.host == own.host { (offset, digest) } else { (it.offset, it.digest) };
+            Daemon {
+                host: it.host,
+                data_centre: it.data_centre,
+                state: state_name(it.state).to_owned(),
+                offset,
+                digest: format!("{digest:016x}"),
+            }
+        };
+        let mut all = self.members.all();
+        if !all.iter().any(|it| it.host == own.host) {
+            all.insert(0, own.clone());
+        }
+        let daemons = all.into_iter().map(daemon).collect();
+        answer(200, &Status { host: own.host, log: self.fleets.healthy(), daemons })
+    }
+
+    fn command(&self, body: &[u8], wait: Duration) -> Answer {
+        let command: Command = match serde_json::from_slice(body) {
+            Ok(command) => command,
+            Err(err) => return problem(Code::BadRequest, format!("no command: {err}")),
+        };
+        if let Some(message) = self.unfit(&command) {
+            return problem(Code::CommandInvalid, message);
+        }
+        let until = Instant::now() + wait;
+        let settled = self.fleets.submit(&command, until);
+        let outcome = self.outcome(settled, until);
+        answer(200, &Report { command: command.id, outcome })
+    }
+
+    /// Why a command is not even appended.
+    fn unfit(&self, command: &Command) -> Option<String> {
+        let stands = || self.fleets.inspect(roseshore_core::config::State::offset);
+        if command.made_at > stands() {
+            self.fleets.catch_up();
+        }
+        let offset = stands();
+        if command.format != FORMAT {
+            return Some(format!("this daemon takes commands of format {FORMAT}"));
+        }
+        if command.made_at > offset {
+            return Some(format!(
+                "the command was made at offset {}, this daemon stands at {offset}; ask another \
+                 or wait a moment",
+                command.made_at
+            ));
+        }
+        None
+    }
+
+    fn report(&self, id: &str) -> Answer {
+        let settled = self.fleets.inspect(|state| state.settled(id));
+        let settled = settled.unwrap_or_else(|| {
+            // One look at the log, since this daemon may be behind it.
+            let looked = self.fleets.catch_up();
+            let again = self.fleets.inspect(|state| state.settled(id));
+            again.unwrap_or_else(|| Settled::Unknown(absent(looked)))
+        });
+        let outcome = self.outcome(settled, Instant::now());
+        answer(200, &Report { command: id.to_owned(), outcome })
+    }
+
+    fn outcome(&self, settled: Settled, until: Instant) -> Outcome {
+        match settled {
+            Settled::Accepted(version) => {
+                let spread = self.fleets.settle_everywhere(&*self.members, version, until);
+                let (in_force, unconfirmed) = (spread.in_force, spread.unconfirmed);
+                Outcome::Accepted { version, in_force, unconfirmed }
+            }
+            Settled::Rejected(code, reason, message) => Outcome::Rejected { code, reason, message },
+            Settled::Unknown(message) => Outcome::Unknown { message },
+        }
+    }
+
+    fn query(&self, body: &[u8]) -> Answer {
+        let query: Query = match serde_json::from_slice(body) {
+            Ok(query) => query,
+            Err(err) => return problem(Code::BadRequest, format!("no query: {err}")),
+        };
+        match &self.queries {
+            Some(queries) => answer(200, &queries.ask(&query)),
+            None => problem(Code::UnknownPath, "this daemon keeps no rows about requests"),
+        }
+    }
+
+    fn drain(&self) -> Answer {
+        self.drain.start();
+        answer(200, &Drained { host: self.members.own().host })
+    }
+}
+
+fn versioned(state: &roseshore_core::config::State) -> Vec<Versioned> {
+    let objects = state.fleet().objects().into_iter();
+    let with = |(key, object)| {
+        let version = state.meta(&key)?.version;
+        Some(Versioned { key, version, object })
+    };
+    objects.filter_map(with).collect()
+}
+
+fn absent(looked: bool) -> String {
+    if looked {
+        return "the log holds no such command up to now, as far back as it is remembered; an \
+                append that is still under way may bring it"
+            .into();
+    }
+    "this daemon does not know it, and the log service cannot be reached from here".into()
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Gone => "gone",
+    }
+}
+
+fn wait(query: &str) -> Duration {
+    let given = query.split('&').find_map(|it| it.strip_prefix("wait_ms="));
+    let given = given.and_then(|it| it.parse().ok()).map(Duration::from_millis);
+    given.unwrap_or(DEFAULT_WAIT).min(MAX_WAIT)
+}
+
+fn answer(status: u16, body: &impl Serialize) -> Answer {
+    match serde_json::to_vec(body) {
+        Ok(body) => Answer { status, body },
+        Err(err) => problem(Code::Internal, err.to_string()),
+    }
+}
+
+fn problem(code: Code, message: impl Into<String>) -> Answer {
+    let body = Problem { code, message: message.into() };
+    Answer { status: code.status(), body: serde_json::to_vec(&body).unwrap_or_default() }
+}
