Callers' front: HTTP, settings, spans, drain, first simple parts

Cause: nothing served callers yet.

Ruled out: tiny_http's own server. One header, `content-length:`, ends the process: its body reader allocates what is unread when it is dropped (trial: exit by SIGABRT, "memory allocation of bytes failed"). It has no bound on connections, heads or time either, gives 400 and 408 without a verdict, and answers 500 by itself for a dropped request.

Change: own accept and connection loop on std sockets with tiny_http's types for methods, headers and statuses, and chunked_transfer for bodies. Each request ends in one place, `Exchange`, with one verdict. Model answers stream one write a token; claims are held by a guard that ends them once. Parts of other owners stand in simple.rs until theirs land.

Border: `Ledger::find` with a default of None.

--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -230,6 +230,15 @@
     pub resumed: u32,
 }
 
+/// What became of a request, as one daemon knows it.
+#[derive(Clone, Debug)]
+pub enum Fate {
+    /// It is being worked on.
+    Running(Ask),
+    /// It got its final verdict.
+    Ended(End),
+}
+
 /// The record of running and ended requests.
 pub trait Ledger: Send + Sync {
     /// A request has come in.
@@ -237,6 +246,11 @@
 
     /// A request got its final verdict.
     fn ended(&self, end: &End);
+
+    /// What became of a request, by its id or the part of it before `~`, which its caller gave.
+    fn find(&self, _id: &str) -> Option<Fate> {
+        None
+    }
 }
 
 /// What a daemon thinks of another.
--- /dev/null
+++ b/crates/roseshored/src/drain.rs
@@ -0,0 +1,106 @@
+//! The daemon's life: start, drain, end.
+//!
+//! A drain takes no new work, lets what is in flight run to its end within a bound, and keeps
+//! answering for a short time even when nothing is in flight, so that the balancer sees readiness
+//! go before connections are refused.
+
+use crate::app::{App, Drain};
+use crate::event;
+use crate::front::Front;
+use crate::serve::Site;
+use crate::settings::Settings;
+use crate::spans;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use roseshore_core::prelude::*;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::thread;
+
+/// The exit status after a second signal.
+const CUT_SHORT: i32 = 1;
+/// Bounds of the buckets of times, seconds.
+const BUCKETS: &[f64] =
+    &[0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.4, 2.0, 5.0, 10.0, 30.0];
+
+/// A running daemon.
+pub struct Running {
+    /// Where callers are heard.
+    pub addr: SocketAddr,
+    front: Front,
+    drain: Arc<Drain>,
+    grace: Duration,
+    limit: Duration,
+}
+
+/// Serves callers with the given parts.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub fn start(settings: &Settings, app: App) -> io::Result<Running> {
+    let drain = app.drain.clone();
+    let site = Site { app, store: spans::install(settings.traces), metrics: recorder() };
+    let front = Front::start(settings, site)?;
+    let addr = front.addr();
+    event!(
+        Event::Started,
+        "host={} data_centre={} listen={addr}",
+        settings.host,
+        settings.data_centre
+    );
+    Ok(Running { addr, front, drain, grace: settings.grace, limit: settings.drain_limit })
+}
+
+/// The metrics of this process, once.
+fn recorder() -> Option<PrometheusHandle> {
+    static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+    let install = || {
+        let seconds = Matcher::Suffix("_seconds".to_owned());
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(seconds, BUCKETS).ok()?;
+        builder.install_recorder().ok()
+    };
+    HANDLE.get_or_init(install).clone()
+}
+
+impl Running {
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
+        self.drain.start();
+        event!(Event::Draining, "in_flight={}", self.front.in_flight());
+    }
+
+    /// Drains to the end; returns how many requests were cut off.
+    pub fn finish(self) -> usize {
+        if !self.drain.draining() {
+            self.drain();
+        }
+        let begun = Instant::now();
+        thread::sleep(self.grace);
+        self.front.wait(self.limit.saturating_sub(begun.elapsed()));
+        let cut = self.front.in_flight();
+        self.front.stop();
+        event!(Event::Stopped, "cut={cut}");
+        cut
+    }
+}
+
+/// Waits for the first `SIGTERM` or `SIGINT`; from then on, a second one ends the process at once.
+///
+/// # Errors
+/// When signals cannot be taken.
+pub fn wait_for_signal() -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (first, came) = flume::bounded(1);
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for (seen, _) in signals.forever().enumerate() {
+            if seen > 0 {
+                std::process::exit(CUT_SHORT);
+            }
+            let _ = first.send(());
+        }
+    })?;
+    let _ = came.recv();
+    Ok(())
+}
--- /dev/null
+++ b/crates/roseshored/src/front/exchange.rs
@@ -0,0 +1,281 @@
+//! One request and its one end.
+//!
+//! Whatever a handler does - answer, refuse, panic, or forget to answer - ends here, in one
+//! place, with one verdict: to the caller, the ledger, the metrics and the log.
+
+use crate::event;
+use crate::front::read::Request;
+use crate::front::reply::{Reply, Response};
+use crate::serve::{self, Site};
+use crate::spans::{Trace, hex16};
+use rand::RngExt;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Ask, End};
+use serde_json::json;
+use std::net::TcpStream;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use tiny_http::Method;
+
+/// How long to stay away when a refusal does not say; as much again is added by chance.
+const AWAY: Duration = Duration::from_millis(500);
+/// The longest id that a caller may give its request.
+const MAX_ID: usize = 64;
+
+/// How an answered request went.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Finish {
+    /// Whether it was a recorded answer given again.
+    pub repeated: bool,
+    /// Re-routes it took.
+    pub resumed: u32,
+}
+
+/// One request on its way to its end.
+pub struct Exchange<'a> {
+    /// The daemon's parts.
+    pub site: &'a Site,
+    /// The request's own id: the caller's, if it gave one, and a part that never occurs twice.
+    pub id: RequestId,
+    /// The id as the caller knows it.
+    pub given: RequestId,
+    /// The request's place in the caller's trace.
+    pub trace: Trace,
+    /// The way back.
+    pub reply: Reply,
+    /// Whose it is, once that is known.
+    pub ask: Option<Ask>,
+    /// Whether a target may have been given it.
+    pub dispatched: bool,
+    /// Whether the record of its key was read.
+    pub consulted: bool,
+    /// Whether the service may run it twice; `None` until the service is known.
+    pub idempotent: Option<bool>,
+    /// When the first token or byte was sent.
+    pub first: Option<Instant>,
+    keyed: bool,
+}
+
+impl<'a> Exchange<'a> {
+    /// The exchange of a request, or of one whose head could not be read.
+    pub fn new(
+        site: &'a Site,
+        stream: TcpStream,
+        request: Option<&Request>,
+        last: bool,
+    ) -> Exchange<'a> {
+        let header = |name| request.and_then(|it| it.header(name));
+        let bare = request.is_some_and(|it| it.method == Method::Head);
+        let chunks = request.is_none_or(|it| it.chunks);
+        let nonce = hex16();
+        let sane = header("x-request-id").filter(|it| is_sane(it));
+        let id = sane.map_or(nonce.clone(), |it| format!("{it}~{nonce}"));
+        Exchange {
+            site,
+            given: sane.map_or(nonce, str::to_owned),
+            id,
+            trace: Trace::below(header("traceparent")),
+            reply: Reply::new(stream, bare, chunks, last),
+            ask: None,
+            dispatched: false,
+            consulted: false,
+            idempotent: None,
+            first: None,
+            keyed: header("idempotency-key").is_some(),
+        }
+    }
+
+    /// Serves the request to its end.
+    pub fn run(&mut self, request: &Request) {
+        let span = tracing::info_span!(
+            "request",
+            request = self.id.as_str(),
+            trace = self.trace.id(),
+            path = request.path.as_str(),
+        );
+        let result =
+            span.in_scope(|| catch_unwind(AssertUnwindSafe(|| serve::handle(request, self))));
+        match result {
+            Ok(Ok(finish)) if !self.reply.unsent() && !self.reply.streaming() => {
+                self.end(Verdict::Answered, None, finish);
+            }
+            Ok(Err(refusal)) => self.refuse(refusal),
+            Ok(Ok(_)) => self.refuse(internal("the request was left without an answer")),
+            Err(_) => {
+                event!(Event::ThreadLost, "request={} thread=caller", self.id);
+                self.refuse(internal("a fault of this daemon; ask again by the request's id"));
+            }
+        }
+    }
+
+    /// Ends the request with a refusal.
+    pub fn refuse(&mut self, refusal: Refusal) {
+        let settled = self.settle(refusal);
+        let body = self.error(&settled);
+        if self.reply.streaming() {
+            self.reply.fail(&body);
+        } else if self.reply.unsent() {
+            let response = self.response(&settled, &body);
+            self.reply.send(&response);
+        }
+        let Settled { refusal, .. } = settled;
+        if !self.reply.broken {
+            event!(
+                Event::RequestRefused,
+                "request={} code={} verdict={} {}",
+                self.id,
+                refusal.code,
+                refusal.verdict.name(),
+                refusal.message
+            );
+        }
+        self.end(refusal.verdict, Some(refusal.code), Finish::default());
+    }
+
+    /// Whether the connection must be closed.
+    pub fn closes(&self) -> bool {
+        self.reply.close
+    }
+
+    /// A verdict is only made less certain here: tokens that were sent prove that it ran, and an
+    /// attempt whose key's record was not read proves nothing of earlier attempts.
+    fn settle(&self, mut refusal: Refusal) -> Settled {
+        let ran = self.reply.streaming() || refusal.code == Code::Internal && self.dispatched;
+        if ran {
+            refusal.verdict = refusal.verdict.join(Verdict::MayHaveRun);
+        }
+        let attempt = refusal.verdict;
+        if self.keyed && !self.consulted && may_repeat(refusal.code) {
+            refusal.verdict = refusal.verdict.join(Verdict::MayHaveRun);
+        }
+        if refusal.retry_after.is_none() && comes_back(refusal.code) {
+            refusal.retry_after = Some(AWAY + rand::rng().random_range(Duration::ZERO..AWAY));
+        }
+        Settled { refusal, attempt }
+    }
+
+    fn error(&self, settled: &Settled) -> serde_json::Value {
+        let refusal = &settled.refusal;
+        json!({"error": {
+            "message": refusal.message,
+            "type": kind(refusal.code),
+            "code": refusal.code.to_string(),
+            "param": param(refusal.code),
+            "verdict": refusal.verdict.name(),
+            "attempt": settled.attempt.name(),
+            "request": self.given,
+            "retry_after_ms": refusal.retry_after.map(|it| it.as_millis() as u64),
+        }})
+    }
+
+    fn response(&self, settled: &Settled, body: &serde_json::Value) -> Response {
+        let refusal = &settled.refusal;
+        let mut response = Response::json(refusal.code.status(), body)
+            .with("x-request-id", self.given.as_str())
+            .with("x-verdict", refusal.verdict.name())
+            .with("x-attempt", settled.attempt.name())
+            .with("x-code", refusal.code.to_string());
+        if let Some(wait) = refusal.retry_after {
+            let seconds = wait.as_millis().div_ceil(1000).max(1);
+            response = response.with("retry-after", seconds.to_string());
+        }
+        // Stock clients repeat refusals by themselves unless they are told not to.
+        let harmful = refusal.verdict == Verdict::MayHaveRun && !self.keyed;
+        if harmful && self.idempotent == Some(false) {
+            response = response.with("x-should-retry", "false");
+        }
+        response
+    }
+
+    fn end(&mut self, verdict: Verdict, code: Option<Code>, finish: Finish) {
+        let now = Instant::now();
+        let left = self.reply.broken;
+        if left {
+            event!(Event::CallerLeft, "request={} verdict={}", self.id, verdict.name());
+        }
+        let Some(ask) = self.ask.take() else {
+            if let Some(code) = code {
+                let code = code.to_string();
+                metrics::counter!("roseshore_unread_total", "code" => code).increment(1);
+            }
+            return;
+        };
+        count(&ask, verdict, code, left);
+        if let Some(first) = self.first {
+            metrics::histogram!("roseshore_first_seconds").record(first - ask.arrived);
+        }
+        metrics::histogram!("roseshore_request_seconds").record(now - ask.arrived);
+        if code.is_none() && now > ask.deadline {
+            event!(Event::AnswerLate, "request={} service={}", self.id, ask.service);
+        }
+        event!(Event::RequestEnded, "request={} verdict={}", self.id, verdict.name());
+        let Finish { repeated, resumed } = finish;
+        let first = self.first;
+        let end = End { ask, verdict, code, repeated, left, ended: now, first, resumed };
+        self.site.app.ledger.ended(&end);
+    }
+}
+
+/// A refusal as the caller is told it.
+struct Settled {
+    refusal: Refusal,
+    /// What is known of this attempt alone, whatever earlier ones with its key did.
+    attempt: Verdict,
+}
+
+fn count(ask: &Ask, verdict: Verdict, code: Option<Code>, left: bool) {
+    let code = code.map(|it| it.to_string()).unwrap_or_default();
+    metrics::counter!(
+        "roseshore_requests_total",
+        "service" => ask.service.clone(),
+        "verdict" => verdict.name(),
+        "code" => code
+    )
+    .increment(1);
+    if left {
+        metrics::counter!("roseshore_callers_left_total").increment(1);
+    }
+}
+
+fn internal(text: &str) -> Refusal {
+    Refusal::not_run(Code::Internal, text)
+}
+
+/// Whether a refusal with this code may have met a request that an earlier attempt ran. One that
+/// cannot be read is no repeat of one that could.
+fn may_repeat(code: Code) -> bool {
+    !matches!(
+        code,
+        Code::BadRequest
+            | Code::BodyTooLarge
+            | Code::SlowCaller
+            | Code::UnknownPath
+            | Code::BadHeader
+    )
+}
+
+fn comes_back(code: Code) -> bool {
+    matches!(code.status(), 429 | 503)
+}
+
+/// The class of error in the form that callers of language models know.
+fn kind(code: Code) -> &'static str {
+    match code.status() {
+        429 => "rate_limit_error",
+        403 => "permission_error",
+        404 => "not_found_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+fn param(code: Code) -> Option<&'static str> {
+    match code {
+        Code::UnknownModel | Code::UnknownAdapter => Some("model"),
+        _ => None,
+    }
+}
+
+fn is_sane(id: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    (1..=MAX_ID).contains(&id.len()) && id.chars().all(plain)
+}
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -7,5 +7,13 @@
 pub mod answer;
 pub mod app;
 pub mod calls;
+pub mod drain;
 pub mod events;
+pub mod front;
 pub mod lookups;
+pub mod serve;
+pub mod settings;
+pub mod simple;
+pub mod spans;
+
+pub use drain::{Running, start};
--- /dev/null
+++ b/crates/roseshored/src/main.rs
@@ -0,0 +1,80 @@
+//! The daemon's process: settings, logging, parts, signals.
+
+use roseshore_core::prelude::*;
+use roseshored::app::{App, Drain};
+use roseshored::settings::{Settings, SettingsError};
+use roseshored::{drain, event, simple};
+use simplelog::{Config, ConfigBuilder, SimpleLogger};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// The exit status for wrong settings.
+const WRONG: u8 = 2;
+
+fn main() -> ExitCode {
+    let settings = match Settings::read(std::env::args()) {
+        Ok(settings) => settings,
+        Err(SettingsError::Usage(err)) => err.exit(),
+        Err(err) => {
+            eprintln!("{} {err}", Event::BadSettings);
+            return ExitCode::from(WRONG);
+        }
+    };
+    if settings.check {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    init_log(&settings);
+    watch_panics();
+    match run(&settings) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("roseshored cannot start: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: &Settings) -> Result<usize, Box<dyn std::error::Error>> {
+    let running = roseshored::start(settings, parts(settings)?)?;
+    drain::wait_for_signal()?;
+    running.drain();
+    Ok(running.finish())
+}
+
+/// The parts of this daemon.
+fn parts(settings: &Settings) -> Result<App, Box<dyn std::error::Error>> {
+    let fleets = Arc::new(simple::StaticFleets::read(settings.static_fleet.as_deref())?);
+    Ok(App {
+        router: Arc::new(simple::FirstFit::new(fleets.clone())),
+        fleets,
+        gate: Arc::new(simple::Bound::new(settings.requests)),
+        claims: Arc::new(simple::NoClaims),
+        ledger: Arc::new(simple::Recent::default()),
+        members: Arc::new(simple::Alone::new(settings)),
+        engine: Arc::new(simple::Absent),
+        services: Arc::new(simple::Absent),
+        drain: Arc::new(Drain::default()),
+    })
+}
+
+fn init_log(settings: &Settings) {
+    let config = if settings.bare_log {
+        let mut builder = ConfigBuilder::new();
+        builder.set_time_level(log::LevelFilter::Off).set_max_level(log::LevelFilter::Off);
+        builder.build()
+    } else {
+        Config::default()
+    };
+    // A logger that is already there is the embedder's own choice.
+    let _ = SimpleLogger::init(settings.log_level, config);
+}
+
+/// Logs each panic with its thread, as no panic may end unseen.
+fn watch_panics() {
+    std::panic::set_hook(Box::new(|info| {
+        let thread = std::thread::current();
+        event!(Event::ThreadLost, "thread={} {info}", thread.name().unwrap_or("?"));
+    }));
+}
--- /dev/null
+++ b/crates/roseshored/src/serve/models.rs
@@ -0,0 +1,206 @@
+//! Answers of models in the form that callers of language models use.
+
+mod body;
+mod form;
+
+use super::asking::{self, Asking};
+use super::record::{Held, Recorded};
+use crate::answer::{self, AnswerAsk, CallerLeft, Sink, Whole};
+use crate::front::exchange::{Exchange, Finish};
+use crate::front::read::Request;
+use crate::front::reply::{Field, Response};
+use body::Question;
+use form::Shape;
+use roseshore_core::fleet::ServiceKind;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Ask, Begin};
+
+pub(super) use form::Form;
+
+/// `POST /v1/chat/completions` and `POST /v1/completions`.
+pub(super) fn run(
+    request: &Request,
+    exchange: &mut Exchange<'_>,
+    form: Form,
+) -> Result<Finish, Refusal> {
+    let fleet = asking::fleet(exchange)?;
+    let question = Question::read(&request.body, form)?;
+    let (service, adapter) = split(&question.model);
+    let declared = find(&fleet, service)?;
+    let model = declared.model.as_deref().unwrap_or(service);
+    let behind = fleet.models.get(model).ok_or_else(|| unknown(service))?;
+    if let Some(adapter) = adapter.filter(|it| !behind.adapters.contains(*it)) {
+        let text = format!(
+            "adapter `{adapter}` is not declared for model `{model}`; declare it with `roseshore apply`"
+        );
+        return Err(Refusal::not_run(Code::UnknownAdapter, text));
+    }
+    let cost = question.prompt.len() as u32 + question.max_tokens;
+    let asking = Asking { fleet: &fleet, service, declared, cost };
+    let ask = asking.ask(request, exchange)?;
+    let key = asking::key(request, &ask)?;
+    let work = AnswerAsk {
+        model: model.to_owned(),
+        version: behind.version.clone(),
+        layers: behind.layers,
+        adapter: adapter.map(str::to_owned),
+        prompt: question.prompt.clone(),
+        max_tokens: question.max_tokens,
+        trace: Some(exchange.trace.header()),
+    };
+    let shape = Shape::new(form, &exchange.given, &question);
+    let _permit = asking::admit(exchange, &ask)?;
+    match key.filter(|_| !declared.idempotent) {
+        Some(key) => once(exchange, &ask, work, &shape, &key),
+        None => give(exchange, &ask, work, &shape, None),
+    }
+}
+
+/// Answers a question that may run once, from the record if it has run.
+fn once(
+    exchange: &mut Exchange<'_>,
+    ask: &Ask,
+    work: AnswerAsk,
+    shape: &Shape,
+    key: &Key,
+) -> Result<Finish, Refusal> {
+    let claims = exchange.site.app.claims.clone();
+    let begin = {
+        let _span = tracing::info_span!("claim").entered();
+        claims.begin(key, digest(&work), ask.deadline)
+    };
+    exchange.consulted = true;
+    match begin {
+        Begin::Won(claim) => give(exchange, ask, work, shape, Some(Held::new(claims, claim))),
+        Begin::Settled(outcome) => Ok(replay(exchange, shape, &Recorded::read(&outcome)?)),
+        Begin::Refused(refusal) => Err(refusal),
+    }
+}
+
+/// A digest over what decides the answer, however the body is written and delivered.
+fn digest(work: &AnswerAsk) -> u64 {
+    let max = work.max_tokens.to_be_bytes();
+    let adapter = work.adapter.as_deref().unwrap_or_default();
+    let head = [work.model.as_bytes(), adapter.as_bytes(), &max];
+    asking::digest(head.into_iter().chain(work.prompt.iter().map(String::as_bytes)))
+}
+
+fn give(
+    exchange: &mut Exchange<'_>,
+    ask: &Ask,
+    work: AnswerAsk,
+    shape: &Shape,
+    held: Option<Held>,
+) -> Result<Finish, Refusal> {
+    let app = exchange.site.app.clone();
+    let request = exchange.id.clone();
+    let mut live = Live { exchange, shape, held };
+    let result = answer::run(&app, ask, work, &mut live);
+    let Live { exchange, held, .. } = live;
+    if let Some(held) = held {
+        let recorded = result.as_ref().map(|it| Recorded::new(&request, it));
+        held.end(recorded.as_ref().map_err(|it| *it));
+    }
+    let whole = result?;
+    finish(exchange, shape, &whole);
+    Ok(Finish { repeated: false, resumed: whole.resumed })
+}
+
+fn finish(exchange: &mut Exchange<'_>, shape: &Shape, whole: &Whole) {
+    if !shape.stream {
+        let body = shape.whole(&whole.text, whole.count, &whole.reason);
+        send(exchange, &body, false);
+        return;
+    }
+    if exchange.reply.unsent() {
+        let fields = fields(exchange, false);
+        exchange.reply.open(&fields, &shape.first());
+    }
+    exchange.reply.event(&shape.last(whole.count, &whole.reason));
+    exchange.reply.done();
+}
+
+fn replay(exchange: &mut Exchange<'_>, shape: &Shape, recorded: &Recorded) -> Finish {
+    exchange.first = Some(Instant::now());
+    if shape.stream {
+        let fields = fields(exchange, true);
+        let first = shape.first() + &shape.token(&recorded.text);
+        exchange.reply.open(&fields, &first);
+        exchange.reply.event(&shape.last(recorded.count, &recorded.reason));
+        exchange.reply.done();
+    } else {
+        let body = shape.whole(&recorded.text, recorded.count, &recorded.reason);
+        send(exchange, &body, true);
+    }
+    Finish { repeated: true, resumed: 0 }
+}
+
+fn send(exchange: &mut Exchange<'_>, body: &serde_json::Value, replayed: bool) {
+    let mut response = Response::json(200, body);
+    response.fields = fields(exchange, replayed);
+    response.fields.push(Field::new("x-verdict", Verdict::Answered.name()));
+    exchange.reply.send(&response);
+}
+
+fn fields(exchange: &Exchange<'_>, replayed: bool) -> Vec<Field> {
+    let mut fields = vec![Field::new("x-request-id", exchange.given.as_str())];
+    if replayed {
+        fields.push(Field::new("idempotency-replayed", "true"));
+    }
+    fields
+}
+
+/// Hands tokens on as they come.
+struct Live<'a, 'b> {
+    exchange: &'a mut Exchange<'b>,
+    shape: &'a Shape,
+    held: Option<Held>,
+}
+
+impl Sink for Live<'_, '_> {
+    fn dispatch(&mut self) -> Result<(), Refusal> {
+        if let Some(held) = &mut self.held
+            && !held.dispatch()
+        {
+            let text = "the claim of this key ran out before anything was sent; ask again";
+            return Err(Refusal::not_run(Code::KeyInProgress, text));
+        }
+        self.exchange.dispatched = true;
+        Ok(())
+    }
+
+    fn token(&mut self, _position: Position, text: &str) -> Result<(), CallerLeft> {
+        self.exchange.first.get_or_insert_with(Instant::now);
+        if !self.shape.stream {
+            return Ok(());
+        }
+        if self.exchange.reply.unsent() {
+            let fields = fields(self.exchange, false);
+            let first = self.shape.first() + &self.shape.token(text);
+            self.exchange.reply.open(&fields, &first);
+        } else {
+            self.exchange.reply.event(&self.shape.token(text));
+        }
+        // An answer that is recorded is worked out to its end, so that a repeat can have it.
+        let gone = self.exchange.reply.broken && self.held.is_none();
+        if gone { Err(CallerLeft) } else { Ok(()) }
+    }
+}
+
+/// `service:adapter`.
+fn split(model: &str) -> (&str, Option<&str>) {
+    match model.split_once(':') {
+        Some((service, adapter)) => (service, Some(adapter)),
+        None => (model, None),
+    }
+}
+
+fn find<'a>(fleet: &'a Fleet, name: &str) -> Result<&'a Service, Refusal> {
+    let service = fleet.services.get(name).filter(|it| it.kind == ServiceKind::Model);
+    service.ok_or_else(|| unknown(name))
+}
+
+fn unknown(name: &str) -> Refusal {
+    let text = format!("model `{name}` is not declared; `GET /v1/models` lists those that are");
+    Refusal::not_run(Code::UnknownModel, text)
+}
--- /dev/null
+++ b/crates/roseshored/src/serve/sight.rs
@@ -0,0 +1,110 @@
+//! What the balancer, operators and scrapers ask of this daemon.
+
+use super::asking;
+use crate::front::exchange::{Exchange, Finish};
+use crate::front::read::Request;
+use crate::front::reply::Response;
+use roseshore_core::fleet::ServiceKind;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{End, Fate};
+use serde_json::{Value, json};
+use tiny_http::Method;
+
+/// The content type of metrics.
+const METRICS: &str = "text/plain; version=0.0.4";
+
+/// Serves the paths that start no work.
+pub(super) fn handle(request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal> {
+    if !matches!(request.method, Method::Get | Method::Head) {
+        return Err(super::unknown(request));
+    }
+    let path = request.path.as_str();
+    let response = match path {
+        "/healthz" => Response::json(200, &json!({"status": "ok"})),
+        "/readyz" => ready(exchange)?,
+        "/metrics" => Response::new(200, METRICS, metrics(exchange).into_bytes()),
+        "/v1/models" => Response::json(200, &models(exchange)?),
+        _ => match path.rsplit_once('/') {
+            Some(("/v1/requests", id)) => fate(exchange, id),
+            Some(("/v1/trace", id)) => trace(exchange, id),
+            _ => return Err(super::unknown(request)),
+        },
+    };
+    let response = response.with("x-request-id", exchange.given.as_str());
+    exchange.reply.send(&response);
+    Ok(Finish::default())
+}
+
+fn ready(exchange: &Exchange<'_>) -> Result<Response, Refusal> {
+    if exchange.site.app.drain.draining() {
+        return Err(Refusal::not_run(Code::Draining, "this host is leaving"));
+    }
+    asking::fleet(exchange)?;
+    Ok(Response::json(200, &json!({"status": "ready"})))
+}
+
+fn metrics(exchange: &Exchange<'_>) -> String {
+    let Some(handle) = &exchange.site.metrics else { return String::new() };
+    handle.run_upkeep();
+    handle.render()
+}
+
+/// Every service of models, and each with its adapters, in the form of model interfaces.
+fn models(exchange: &Exchange<'_>) -> Result<Value, Refusal> {
+    let fleet = asking::fleet(exchange)?;
+    let mut ids = Vec::new();
+    for (name, service) in &fleet.services {
+        if service.kind != ServiceKind::Model {
+            continue;
+        }
+        ids.push(name.clone());
+        let model = service.model.as_ref().unwrap_or(name);
+        let adapters = fleet.models.get(model).map(|it| &it.adapters);
+        ids.extend(adapters.into_iter().flatten().map(|it| format!("{name}:{it}")));
+    }
+    let data: Vec<Value> = ids.into_iter().map(|it| model(&it)).collect();
+    Ok(json!({"object": "list", "data": data}))
+}
+
+fn model(id: &str) -> Value {
+    json!({"id": id, "object": "model", "created": 0, "owned_by": "roseshore"})
+}
+
+fn fate(exchange: &Exchange<'_>, id: &str) -> Response {
+    match exchange.site.app.ledger.find(id) {
+        Some(Fate::Running(ask)) => {
+            let body = json!({"request": id, "state": "running", "service": ask.service});
+            Response::json(200, &body)
+        }
+        Some(Fate::Ended(end)) => Response::json(200, &ended(id, &end)),
+        None => {
+            let text = "this host knows nothing of it; it may be another host's, or too long ago";
+            let body = json!({"request": id, "state": "unknown", "message": text});
+            Response::json(404, &body)
+        }
+    }
+}
+
+fn ended(id: &str, end: &End) -> Value {
+    json!({
+        "request": id,
+        "state": "ended",
+        "service": end.ask.service,
+        "organisation": end.ask.organisation,
+        "verdict": end.verdict.name(),
+        "code": end.code.map(|it| it.to_string()),
+        "repeated": end.repeated,
+        "left": end.left,
+        "late": end.ended > end.ask.deadline,
+        "resumed": end.resumed,
+        "took_ms": (end.ended - end.ask.arrived).as_millis() as u64,
+    })
+}
+
+fn trace(exchange: &Exchange<'_>, id: &str) -> Response {
+    if let Some(tree) = exchange.site.store.find(id) {
+        return Response::json(200, &json!({"request": id, "spans": tree}));
+    }
+    let text = "no spans of it are kept here; raise `--traces`, or ask the host that served it";
+    Response::json(404, &json!({"request": id, "message": text}))
+}
