--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -4,7 +4,18 @@
 //! sockets. Each part is a module with a driver; parts know each other by the traits of
 //! `roseshore_ports` only, and [`app::App`] holds them together.
 
+pub mod answer;
 pub mod app;
+pub mod calls;
+pub mod drain;
 pub mod events;
 pub mod fleets;
 pub mod operators;
+pub mod front;
+pub mod lookups;
+pub mod serve;
+pub mod settings;
+pub mod simple;
+pub mod spans;
+
+pub use drain::{Running, start};
