--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -4,5 +4,8 @@
 //! sockets. Each part is a module with a driver; parts know each other by the traits of
 //! `roseshore_ports` only, and [`app::App`] holds them together.
 
+pub mod answer;
 pub mod app;
+pub mod calls;
 pub mod events;
+pub mod lookups;
