Answer machine: every token once, in order, over any chain

Cause: an answer crosses several machines, and any of them may die, freeze, restart or answer out of order at any step. Change: `answer` in the core, a machine that takes events and the time: lineage check of each token against its route, epochs, a bounded window for early tokens, an adaptive bound on silence with a probe at half of it that finds the stage at fault, an avoid list with one forgiveness, verdicts that follow from what was opened. `cost` chooses between moving KV caches and a new prefill. Border: `Stage` and `Stamp` move from `roseshore_wire::engine` to `roseshore_core::answer::lineage`, which the wire crate exports again, so that the check needs no copy of each token's lineage. No path changes. Ruled out: blaming the first stage for silence (the probe costs no time, it runs inside the bound); counting early tokens as progress (a hole would never be noticed).

--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -5,7 +5,9 @@
 //! holds a lock or starts a thread, so each decision can be driven through any order of events by
 //! a table of cases or by `proptest`.
 
+pub mod answer;
 pub mod code;
+pub mod cost;
 pub mod event;
 pub mod fleet;
 pub mod ids;
--- a/crates/roseshore_wire/src/engine.rs
+++ b/crates/roseshore_wire/src/engine.rs
@@ -19,7 +19,8 @@
 use roseshore_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+
+pub use roseshore_core::answer::lineage::{Stage, Stamp};
 
 /// What an engine holds now.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -80,19 +81,6 @@
     pub leaving: bool,
 }
 
-/// One stage of a route.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Stage {
-    /// The target.
-    pub target: TargetId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// First layer and one past the last that it is to run; inside what it holds.
-    pub layers: (Layer, Layer),
-    /// The life of the engine that the route was made for.
-    pub incarnation: Incarnation,
-}
-
 /// Opens or resumes an answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Generate {
@@ -123,21 +111,6 @@
     pub trace: Option<String>,
 }
 
-/// What one stage did for one token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Stamp {
-    /// The target that ran.
-    pub target: TargetId,
-    /// The life of the engine that ran.
-    pub incarnation: Incarnation,
-    /// The layers it ran, first and one past the last.
-    pub layers: (Layer, Layer),
-    /// The epoch it ran for.
-    pub epoch: Epoch,
-    /// The version of the weights it ran.
-    pub version: VersionId,
-}
-
 /// One line of an answer's stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
