Router says whether a target is leaving

Cause: an answer on a target that is going away is handed over before its end; the driver must learn of it from the part that reads the reports. Change: `Router::leaving`, with a default of no, so that no implementation breaks.

--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -126,6 +126,11 @@
 
     /// Tells how long a target took for one step or call.
     fn observed(&self, target: &TargetId, took: Duration);
+
+    /// Whether a target is known to be going away, so that answers on it should be handed over.
+    fn leaving(&self, _target: &TargetId) -> bool {
+        false
+    }
 }
 
 /// A replica of a plain or lookup service.
