Answer driver: one thread, nothing waits for a target

Cause: the first version took one chain and gave up when it broke. Change: the driver feeds the core's machine from the stream and from calls that run in two bounded pools (opens; cancels, probes and KV moves), so that a frozen target holds up none of them.

--- a/crates/roseshored/src/answer.rs
+++ b/crates/roseshored/src/answer.rs
@@ -2,12 +2,18 @@
 //!
 //! The front gives the question and a [`Sink`]; what comes back is the whole answer or a refusal
 //! that says whether it may have run. The sink is told of tokens in order, each once.
+//!
+//! Decisions are [`roseshore_core::answer::Answer`]'s. Its driver runs in the caller's thread and
+//! never waits for a target: whatever may be held up by a frozen one runs in a bounded pool.
+
+mod driver;
+mod hands;
+mod pool;
 
 use crate::app::App;
+use roseshore_core::answer::Rules;
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{Ask, Need};
-use roseshore_ports::outside::{CallError, StreamItem};
-use roseshore_wire::engine::{Generate, Output};
+use roseshore_ports::inside::Ask;
 
 /// What is asked of a model.
 #[derive(Clone, Debug)]
@@ -64,86 +70,25 @@
     pub resumed: u32,
 }
 
-/// Answers one question; a first version that takes one chain and gives up when it breaks.
+/// Answers one question, over as many chains as it takes within the bounds of
+/// [`roseshore_core::answer::Rules`].
 ///
 /// # Errors
 /// [`Verdict::NotRun`] only when no target took the answer.
 pub fn run(app: &App, ask: &Ask, prompt: AnswerAsk, sink: &mut dyn Sink) -> Result<Whole, Refusal> {
-    let need = Need {
-        model: prompt.model.clone(),
-        version: prompt.version.clone(),
-        layers: prompt.layers,
-        adapter: prompt.adapter.clone(),
-        prefixes: Vec::new(),
-        prompt: prompt.prompt.len() as u32,
-        expected: prompt.max_tokens,
-        avoid: Vec::new(),
-    };
-    let (chain, _permit) = app.router.chain(&need)?;
-    let Some(first) = chain.stages.first() else {
-        return Err(Refusal::not_run(Code::NoRoute, "no chain of targets covers every layer"));
-    };
-    let addr = first.addr;
-    let generate = Generate {
-        answer: ask.request.clone(),
-        epoch: 1,
-        route: chain.stages,
-        model: prompt.model,
-        version: prompt.version,
-        adapter: prompt.adapter,
-        prompt: prompt.prompt,
-        done: Vec::new(),
-        warm: false,
-        max_tokens: prompt.max_tokens,
-        priority: ask.priority,
-        trace: prompt.trace,
-    };
-    sink.dispatch()?;
-    let items = app.engine.generate(addr, &generate, ask.deadline).map_err(unopened)?;
-    collect(&items, ask.deadline, sink)
+    run_with(app, ask, prompt, sink, Rules::default())
 }
 
-fn collect(
-    items: &flume::Receiver<StreamItem>,
-    deadline: Instant,
+/// [`run`] with other bounds.
+///
+/// # Errors
+/// As [`run`].
+pub fn run_with(
+    app: &App,
+    ask: &Ask,
+    prompt: AnswerAsk,
     sink: &mut dyn Sink,
+    rules: Rules,
 ) -> Result<Whole, Refusal> {
-    let mut text = String::new();
-    loop {
-        match items.recv_deadline(deadline) {
-            Ok(StreamItem::Output(Output::Token { position, text: token, .. })) => {
-                sink.token(position, &token).map_err(|CallerLeft| left())?;
-                text.push_str(&token);
-            }
-            Ok(StreamItem::Output(Output::Done { count, reason, cached, .. })) => {
-                return Ok(Whole { text, count, reason, cached, resumed: 0 });
-            }
-            Ok(StreamItem::Output(Output::Lost { reason, .. })) => return Err(lost(&reason)),
-            Ok(StreamItem::Ended(_)) | Err(flume::RecvTimeoutError::Disconnected) => {
-                return Err(lost("the stream was cut"));
-            }
-            Err(flume::RecvTimeoutError::Timeout) => {
-                return Err(Refusal::may_have_run(Code::DeadlinePassed, "the deadline passed"));
-            }
-        }
-    }
-}
-
-fn unopened(err: CallError) -> Refusal {
-    let code = match &err {
-        CallError::Unreached(_) => Code::TargetUnreachable,
-        CallError::Refused(409, ..) => Code::TargetMismatch,
-        CallError::Refused(..) => Code::TargetRefused,
-        _ => Code::TargetLost,
-    };
-    let verdict = err.verdict();
-    Refusal { verdict, code, message: err.to_string(), retry_after: None }
-}
-
-fn left() -> Refusal {
-    Refusal::may_have_run(Code::TargetLost, "the caller left before the answer was whole")
-}
-
-fn lost(why: &str) -> Refusal {
-    Refusal::may_have_run(Code::TargetLost, format!("the answer broke off: {why}"))
+    driver::Driver::new(app, ask, prompt, sink, rules).run()
 }
--- /dev/null
+++ b/crates/roseshored/src/answer/hands.rs
@@ -0,0 +1,156 @@
+//! Calls to targets on behalf of an answer, none of which the answer waits for.
+
+use super::pool::{Job, Pool};
+use parking_lot::Mutex;
+use roseshore_core::answer::{Failure, Health, Input, Move};
+use roseshore_core::cost::Rates;
+use roseshore_core::prelude::*;
+use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
+use roseshore_wire::engine::{Cancel, Generate, KvExport, Stage};
+use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
+
+/// Streams being opened at once.
+const OPENS: usize = 1024;
+/// Cancels, probes and moves at once; beyond it cancels are left out, which costs the target work
+/// that nobody reads, and probes and moves count as failed.
+const CONTROLS: usize = 128;
+/// How long a cancel may take.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Threads are the process's, and so is what its links were seen to take.
+static SHARED: LazyLock<Shared> = LazyLock::new(|| Shared {
+    opens: Pool::new("answer-open", OPENS),
+    controls: Pool::new("answer-control", CONTROLS),
+    rates: Mutex::new(Rates::default()),
+});
+
+struct Shared {
+    opens: Pool,
+    controls: Pool,
+    rates: Mutex<Rates>,
+}
+
+/// What a call reports to the answer's driver.
+pub(super) enum Report {
+    /// An event for the machine.
+    Input(Input),
+    /// A stream's head has come.
+    Opened(Epoch, flume::Receiver<StreamItem>),
+}
+
+/// Moves of KV caches for one new route.
+pub(super) struct Moves {
+    pub(super) answer: RequestId,
+    pub(super) epoch: Epoch,
+    pub(super) list: Vec<Move>,
+    pub(super) limit: Duration,
+    pub(super) tokens: u32,
+}
+
+/// What moving KV caches was seen to take.
+pub(super) fn rates() -> Rates {
+    SHARED.rates.lock().clone()
+}
+
+/// The hands of one answer.
+pub(super) struct Hands {
+    engine: Arc<dyn Engine>,
+    post: flume::Sender<Report>,
+}
+
+impl Hands {
+    pub(super) fn new(engine: Arc<dyn Engine>, post: flume::Sender<Report>) -> Hands {
+        Hands { engine, post }
+    }
+
+    /// Opens a stream.
+    pub(super) fn open(&self, addr: SocketAddr, ask: Generate, deadline: Instant) {
+        let engine = Arc::clone(&self.engine);
+        let post = self.post.clone();
+        let epoch = ask.epoch;
+        let job: Job = Box::new(move || {
+            let report = match engine.generate(addr, &ask, deadline) {
+                Ok(items) => Report::Opened(epoch, items),
+                Err(err) => Report::Input(Input::Unopened(epoch, failure(&err))),
+            };
+            // A driver that has ended drops the stream, and with it the connection.
+            let _ = post.send(report);
+        });
+        if SHARED.opens.run(job).is_err() {
+            let input = Input::Unopened(epoch, Failure::Unreached);
+            let _ = self.post.send(Report::Input(input));
+        }
+    }
+
+    /// Ends the work on a stage, best effort.
+    pub(super) fn cancel(&self, addr: SocketAddr, ask: Cancel) {
+        let engine = Arc::clone(&self.engine);
+        let job: Job = Box::new(move || {
+            if engine.cancel(addr, &ask, CANCEL_LIMIT).is_err() {
+                metrics::counter!("roseshore_answer_cancels_failed_total").increment(1);
+            }
+        });
+        if SHARED.controls.run(job).is_err() {
+            metrics::counter!("roseshore_answer_cancels_failed_total").increment(1);
+        }
+    }
+
+    /// Asks every stage whether it lives.
+    pub(super) fn probe(&self, epoch: Epoch, stages: &[Stage], limit: Duration) {
+        for stage in stages {
+            let engine = Arc::clone(&self.engine);
+            let post = self.post.clone();
+            let target = stage.target.clone();
+            let addr = stage.addr;
+            let job: Job = Box::new(move || {
+                let health = match engine.load(addr, limit) {
+                    Ok(load) => Health::Alive(load.holding.incarnation),
+                    Err(CallError::Unreached(_)) => Health::Dead,
+                    Err(_) => Health::Silent,
+                };
+                let _ = post.send(Report::Input(Input::Probed(epoch, target, health)));
+            });
+            // Without a thread there is no result, which blames nobody.
+            let _ = SHARED.controls.run(job);
+        }
+    }
+
+    /// Brings KV caches over and reports once.
+    pub(super) fn bring(&self, moves: Moves) {
+        let engine = Arc::clone(&self.engine);
+        let post = self.post.clone();
+        let epoch = moves.epoch;
+        let job: Job = Box::new(move || {
+            let done = bring_all(engine.as_ref(), &moves).is_ok();
+            let _ = post.send(Report::Input(Input::Moved(epoch, done)));
+        });
+        if SHARED.controls.run(job).is_err() {
+            let _ = self.post.send(Report::Input(Input::Moved(epoch, false)));
+        }
+    }
+}
+
+fn bring_all(engine: &dyn Engine, all: &Moves) -> Called<()> {
+    for one in &all.list {
+        let began = Instant::now();
+        let cancel = Cancel { answer: all.answer.clone(), epoch: all.epoch - 1, keep_kv: true };
+        engine.cancel(one.from.addr, &cancel, all.limit)?;
+        let export = KvExport { answer: all.answer.clone() };
+        let kv = engine.export(one.from.addr, &export, all.limit)?;
+        engine.import(one.to.addr, &kv, all.limit)?;
+        let layers = one.to.layers.1 - one.to.layers.0;
+        SHARED.rates.lock().observe(all.tokens, layers, began.elapsed());
+    }
+    Ok(())
+}
+
+/// What a failed call means to the machine.
+pub(super) fn failure(err: &CallError) -> Failure {
+    match err {
+        CallError::Unreached(_) => Failure::Unreached,
+        CallError::Refused(status, after, _) => Failure::Refused { status: *status, after: *after },
+        CallError::Garbled(_) => Failure::Garbled,
+        CallError::Lost(_) | CallError::Trimmed(..) => Failure::Lost,
+    }
+}
