--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -5,9 +5,11 @@
 //! holds a lock or starts a thread, so each decision can be driven through any order of events by
 //! a table of cases or by `proptest`.
 
+pub mod answer;
 pub mod code;
 pub mod config;
 pub mod declare;
+pub mod cost;
 pub mod event;
 pub mod fleet;
 pub mod ids;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -19,3 +19,5 @@
 pub mod spans;
 
 pub use drain::{Running, start};
+pub mod events;
+pub mod lookups;
