--- /dev/null
+++ b/crates/roseshore_core/src/admit/fair.rs
@@ -0,0 +1,141 @@
+//! Turns between organisations by their shares.
+//!
+//! Start-time fair queueing: an organisation's next request carries a virtual start time that moves
+//! on by cost over share with each turn, and the smallest goes next. Within an organisation, a level
+//! of priority is worth one second of waiting, which also bounds how long a low one can be passed.
+//! Priorities do not count between organisations: a flood could simply be marked urgent.
+
+use super::{OrgIndex, Waiter};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// The head start of each level of priority.
+const LEVEL: Duration = Duration::from_secs(1);
+/// The highest priority.
+const TOP: u8 = 9;
+/// Virtual time units of one unit of cost at share 1; whole numbers keep the order exact.
+const UNIT: f64 = 1e6;
+/// The least share that counts.
+const LEAST: f64 = 1e-3;
+
+type Tag = u64;
+
+/// A waiting request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Item {
+    /// Who waits.
+    pub waiter: Waiter,
+    /// Whose it is.
+    pub org: OrgIndex,
+    /// The organisation's share.
+    pub share: f64,
+    /// Its expected work.
+    pub cost: f64,
+    /// Larger goes first within its organisation, 0 to 9.
+    pub priority: u8,
+    /// After this its turn is of no use.
+    pub latest: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Flow {
+    tag: Tag,
+    share: f64,
+    cost: f64,
+    items: BTreeMap<(Instant, Waiter), Item>,
+}
+
+/// The queue of one service.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    flows: FxHashMap<OrgIndex, Flow>,
+    ready: BTreeSet<(Tag, OrgIndex)>,
+    places: FxHashMap<Waiter, (OrgIndex, Instant)>,
+    clock: Tag,
+    shares: f64,
+}
+
+impl FairQueue {
+    /// Requests waiting.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Adds a request that came at `now`.
+    pub fn push(&mut self, item: Item, now: Instant) {
+        let flow = self.flows.entry(item.org).or_default();
+        if flow.items.is_empty() {
+            flow.tag = flow.tag.max(self.clock);
+            flow.share = item.share.max(LEAST);
+            self.shares += flow.share;
+            self.ready.insert((flow.tag, item.org));
+        }
+        let key = now + LEVEL * u32::from(TOP - item.priority.min(TOP));
+        flow.items.insert((key, item.waiter), item);
+        flow.cost += item.cost;
+        self.places.insert(item.waiter, (item.org, key));
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<Item> {
+        let &(tag, org) = self.ready.first()?;
+        let (key, _) = self.flows.get(&org)?.items.first_key_value()?;
+        let waiter = key.1;
+        self.clock = tag;
+        let item = self.remove(waiter)?;
+        let flow = self.flows.get_mut(&org)?;
+        let step = (item.cost / flow.share * UNIT) as Tag;
+        if !flow.items.is_empty() {
+            self.ready.remove(&(flow.tag, org));
+            self.ready.insert((flow.tag + step, org));
+        }
+        flow.tag += step;
+        if self.is_empty() {
+            // Nobody waits: what was used before counts no longer.
+            self.flows.clear();
+            self.shares = 0.0;
+        }
+        Some(item)
+    }
+
+    /// Takes a request out of turn.
+    pub fn remove(&mut self, waiter: Waiter) -> Option<Item> {
+        let (org, key) = self.places.remove(&waiter)?;
+        let flow = self.flows.get_mut(&org)?;
+        let item = flow.items.remove(&(key, waiter))?;
+        flow.cost -= item.cost;
+        if flow.items.is_empty() {
+            self.ready.remove(&(flow.tag, org));
+            self.shares -= flow.share;
+        }
+        Some(item)
+    }
+
+    /// The work that has to be done before a new request of `org` has its turn, by shares.
+    pub fn ahead(&self, org: OrgIndex, share: f64) -> f64 {
+        let share = share.max(LEAST);
+        let flow = self.flows.get(&org).filter(|flow| !flow.items.is_empty());
+        let own = flow.map_or(0.0, |flow| flow.cost);
+        let shares = if flow.is_some() { self.shares } else { self.shares + share };
+        own * shares.max(share) / share
+    }
+
+    /// The last request of the organisation that waits with the most work for its share, if that is
+    /// more than `org` would have.
+    pub fn longest(&self, org: OrgIndex) -> Option<Waiter> {
+        let load = |flow: &Flow| flow.cost / flow.share;
+        let busiest = self.flows.iter().filter(|(_, f)| !f.items.is_empty());
+        let (&most, flow) = busiest.max_by(|a, b| load(a.1).total_cmp(&load(b.1)))?;
+        let own = self.flows.get(&org).filter(|f| !f.items.is_empty()).map_or(0.0, load);
+        if most == org || own >= load(flow) {
+            return None;
+        }
+        flow.items.last_key_value().map(|(key, _)| key.1)
+    }
+}
--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -5,9 +5,12 @@
 //! holds a lock or starts a thread, so each decision can be driven through any order of events by
 //! a table of cases or by `proptest`.
 
+pub mod admit;
 pub mod code;
 pub mod event;
 pub mod fleet;
 pub mod ids;
+pub mod load;
 pub mod prelude;
+pub mod route;
 pub mod verdict;
--- /dev/null
+++ b/crates/roseshore_core/src/load.rs
@@ -0,0 +1,439 @@
+//! What this daemon knows of each target.
+//!
+//! A target's report is late and shared by every daemon of the data centre. It is corrected by what
+//! this daemon alone knows for certain: how many of its own requests are in flight there, and how
+//! long steps really took. [`Loads`] keeps one row per target and hands out [`Ticket`]s that count
+//! as in flight until they are given back.
+
+pub mod health;
+pub mod history;
+pub mod pace;
+
+use crate::fleet::TargetKind;
+use crate::prelude::*;
+use health::Health;
+use history::History;
+use pace::Pace;
+use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// The place of a target's row.
+pub type Index = u32;
+/// The place of a data centre in a small table.
+pub type Zone = u16;
+
+/// How far a target's report is assumed to lag behind the moment at which it was polled.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// A report of this age says nothing about queues any more.
+const STALE: Duration = Duration::from_secs(10);
+
+/// What an engine said last.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineState {
+    /// The number of its life.
+    pub incarnation: Incarnation,
+    /// The model loaded, if any.
+    pub model: Option<ModelId>,
+    /// The version loaded, if any.
+    pub version: Option<VersionId>,
+    /// First layer held and one past the last.
+    pub layers: (Layer, Layer),
+    /// The adapters loaded.
+    pub adapters: BTreeSet<AdapterId>,
+    /// Whether it runs prefill and decode alike.
+    pub whole: bool,
+    /// Whether a load is under way.
+    pub loading: bool,
+    /// Whether it asks for no new work.
+    pub leaving: bool,
+    /// Requests waiting.
+    pub queue: u32,
+    /// Answers being worked on.
+    pub running: u32,
+    /// Steps that run at once.
+    pub slots: u32,
+    /// Time of one step.
+    pub step: Duration,
+    /// Prefill rate, tokens a second.
+    pub prefill: f64,
+    /// KV cache not in use, tokens.
+    pub kv_free: u64,
+}
+
+/// What a replica of a service said last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceState {
+    /// The number of its life.
+    pub incarnation: Incarnation,
+    /// Calls waiting.
+    pub queue: u32,
+    /// Calls being worked on.
+    pub running: u32,
+    /// Calls that run at once.
+    pub slots: u32,
+    /// Time of one call.
+    pub call: Duration,
+    /// Whether it asks for no new work.
+    pub leaving: bool,
+}
+
+/// What a poll of a target gave.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Content {
+    /// An engine's report.
+    Engine(EngineState),
+    /// A service replica's report.
+    Service(ServiceState),
+    /// No answer.
+    Silent,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The report was older than the known one, or of an unknown target.
+    Ignored,
+    /// Only load figures.
+    Figures,
+    /// What the target holds, its life or whether it takes work.
+    Holding,
+}
+
+/// What a target is asked to do in a unit of work, and how fast.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    /// Requests waiting or running there, as reported.
+    pub depth: f64,
+    /// Requests waiting there, as reported.
+    pub queue: f64,
+    /// Units that run at once.
+    pub slots: f64,
+    /// Seconds of one step or call.
+    pub step: f64,
+    /// Prefill rate, tokens a second.
+    pub prefill: f64,
+    /// KV cache not in use, tokens.
+    pub kv_free: f64,
+}
+
+impl Figures {
+    /// What is assumed before the first report.
+    const UNKNOWN: Figures =
+        Figures { depth: 0.0, queue: 0.0, slots: 1.0, step: 0.001, prefill: 1000.0, kv_free: 1e9 };
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The target.
+    pub id: TargetId,
+    /// Its machine.
+    pub host: HostId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub zone: Zone,
+    /// What it is.
+    pub kind: TargetKind,
+    /// The service source it serves.
+    pub serves: Option<String>,
+    /// What it holds, for engines that reported.
+    pub engine: Option<EngineState>,
+    /// Its life; 0 before the first report.
+    pub incarnation: Incarnation,
+    /// The load figures reported last.
+    pub figures: Figures,
+    /// Whether it is being taken away, by its own word.
+    pub closing: bool,
+    /// Whether its host is being taken away.
+    pub leaving: bool,
+    /// Whether its failures keep it out of use.
+    pub health: Health,
+    /// How its real times compare with its reports.
+    pub pace: Pace,
+    own: History,
+    seen: Option<Instant>,
+    then: u32,
+    life: u32,
+    declared: bool,
+}
+
+impl Row {
+    /// Whether new work may go there now.
+    pub fn usable(&self, now: Instant) -> bool {
+        self.declared && !self.leaving && !self.closing && self.health.usable(now, self.own.level())
+    }
+
+    /// Whether it has ever reported.
+    pub fn reported(&self) -> bool {
+        self.seen.is_some()
+    }
+
+    /// Own requests in flight there.
+    pub fn own(&self) -> u32 {
+        self.own.level()
+    }
+
+    /// Requests there, a late report corrected by the own ones begun and ended since.
+    pub fn depth(&self, now: Instant) -> f64 {
+        let own = f64::from(self.own.level());
+        match self.seen {
+            Some(seen) if now.saturating_duration_since(seen) < STALE => {
+                (self.figures.depth + own - f64::from(self.then)).max(own)
+            }
+            _ => own,
+        }
+    }
+
+    /// Seconds of one step or call, by report and own observation, without queueing.
+    pub fn step(&self, now: Instant) -> f64 {
+        self.figures.step * self.pace.factor(now)
+    }
+}
+
+/// Work in flight at some targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ticket {
+    /// Rows with the life of each.
+    rows: Vec<(Index, u32)>,
+}
+
+/// Every target.
+#[derive(Debug, Default)]
+pub struct Loads {
+    rows: Vec<Row>,
+    free: Vec<Index>,
+    names: FxHashMap<TargetId, Index>,
+    zones: Vec<DataCentreId>,
+}
+
+impl Loads {
+    /// Takes over the declared targets; what is known of those that stay is kept.
+    pub fn declare(&mut self, fleet: &Fleet) {
+        let gone = self.names.keys().filter(|id| !fleet.targets.contains_key(*id)).cloned();
+        for id in gone.collect::<Vec<_>>() {
+            self.forget(&id);
+        }
+        for (id, target) in &fleet.targets {
+            self.put(id, target);
+        }
+    }
+
+    /// The row of a target.
+    pub fn find(&self, id: &str) -> Option<Index> {
+        self.names.get(id).copied()
+    }
+
+    /// A row by its place.
+    pub fn row(&self, index: Index) -> &Row {
+        &self.rows[index as usize]
+    }
+
+    /// Every declared target's place.
+    pub fn declared(&self) -> impl Iterator<Item = Index> + '_ {
+        self.names.values().copied()
+    }
+
+    /// The place of a data centre, given one if it is new.
+    pub fn zone(&mut self, id: &str) -> Zone {
+        if let Some(zone) = self.zones.iter().position(|z| z == id) {
+            return zone as Zone;
+        }
+        self.zones.push(id.to_owned());
+        (self.zones.len() - 1) as Zone
+    }
+
+    /// The data centres, by place.
+    pub fn zones(&self) -> &[DataCentreId] {
+        &self.zones
+    }
+
+    /// Takes a report polled at `seen`; an older one than known is ignored.
+    pub fn report(&mut self, id: &str, seen: Instant, content: Content) -> Change {
+        let Some(index) = self.find(id) else { return Change::Ignored };
+        let row = &mut self.rows[index as usize];
+        if row.seen.is_some_and(|known| seen <= known) {
+            return Change::Ignored;
+        }
+        if content == Content::Silent {
+            row.health.failed(seen);
+            return Change::Figures;
+        }
+        row.seen = Some(seen);
+        row.then = row.own.at(seen.checked_sub(REPORT_LAG).unwrap_or(seen));
+        match content {
+            Content::Engine(state) => take_engine(row, seen, state),
+            Content::Service(state) => take_service(row, seen, state),
+            Content::Silent => Change::Figures,
+        }
+    }
+
+    /// Counts one more request in flight at each of `chosen`.
+    pub fn begin(&mut self, chosen: &[Index], now: Instant) -> Ticket {
+        let rows = chosen.iter().map(|&index| {
+            let row = &mut self.rows[index as usize];
+            row.own.change(now, 1);
+            (index, row.life)
+        });
+        Ticket { rows: rows.collect() }
+    }
+
+    /// Gives a ticket back; rows that were taken over by other targets are left alone.
+    pub fn end(&mut self, ticket: &Ticket, now: Instant) {
+        for &(index, life) in &ticket.rows {
+            let row = &mut self.rows[index as usize];
+            if row.life == life {
+                row.own.change(now, -1);
+            }
+        }
+    }
+
+    /// Puts a target out of use for a time that grows with every failure in a row.
+    pub fn failed(&mut self, id: &str, now: Instant) {
+        if let Some(index) = self.find(id) {
+            self.rows[index as usize].health.failed(now);
+        }
+    }
+
+    /// Learns from the time that one step or call of one target took.
+    pub fn observed(&mut self, id: &str, took: Duration, now: Instant) {
+        let Some(index) = self.find(id) else { return };
+        self.paced(&[index], 0.0, took, now);
+    }
+
+    /// Learns from the time that one step over several targets took, of which `links` seconds are
+    /// not theirs.
+    pub fn paced(&mut self, chain: &[Index], links: f64, took: Duration, now: Instant) {
+        let expect = |row: &Row| row.figures.step * crowd(row.depth(now), row.figures.slots);
+        let steps: Vec<f64> = chain.iter().map(|&i| expect(self.row(i))).collect();
+        let guess = |(&i, &s): (&Index, &f64)| s * self.row(i).pace.factor(now);
+        let total = chain.iter().zip(&steps).map(guess).sum::<f64>();
+        let square = steps.iter().map(|s| s * s).sum::<f64>();
+        let error = took.as_secs_f64() - links - total;
+        for (&index, &step) in chain.iter().zip(&steps) {
+            let row = &mut self.rows[index as usize];
+            row.pace.learn(now, error * step / square.max(f64::MIN_POSITIVE));
+            row.health.worked(now);
+        }
+    }
+
+    /// Notes whether a target's host is being taken away.
+    pub fn set_leaving(&mut self, index: Index, leaving: bool) {
+        self.rows[index as usize].leaving = leaving;
+    }
+
+    fn put(&mut self, id: &TargetId, target: &Target) {
+        let zone = self.zone(&target.data_centre);
+        if let Some(index) = self.find(id) {
+            let row = &mut self.rows[index as usize];
+            let same = row.addr == target.addr && row.kind == target.kind;
+            if same {
+                row.host.clone_from(&target.host);
+                row.zone = zone;
+                row.serves.clone_from(&target.serves);
+                return;
+            }
+            self.forget(id);
+        }
+        let index = self.free.pop().unwrap_or(self.rows.len() as Index);
+        let life = self.rows.get(index as usize).map_or(0, |row| row.life + 1);
+        let row = Row {
+            id: id.clone(),
+            host: target.host.clone(),
+            addr: target.addr,
+            zone,
+            kind: target.kind,
+            serves: target.serves.clone(),
+            engine: None,
+            incarnation: 0,
+            figures: Figures::UNKNOWN,
+            closing: false,
+            leaving: false,
+            health: Health::default(),
+            pace: Pace::default(),
+            own: History::default(),
+            seen: None,
+            then: 0,
+            life,
+            declared: true,
+        };
+        if index as usize == self.rows.len() {
+            self.rows.push(row);
+        } else {
+            self.rows[index as usize] = row;
+        }
+        self.names.insert(id.clone(), index);
+    }
+
+    fn forget(&mut self, id: &str) {
+        if let Some(index) = self.names.remove(id) {
+            let row = &mut self.rows[index as usize];
+            row.declared = false;
+            row.engine = None;
+            self.free.push(index);
+        }
+    }
+}
+
+/// How many times longer a unit takes with `depth` units on `slots` places.
+pub fn crowd(depth: f64, slots: f64) -> f64 {
+    (depth / slots).max(1.0)
+}
+
+fn take_engine(row: &mut Row, seen: Instant, state: EngineState) -> Change {
+    let figures = Figures {
+        depth: f64::from(state.queue + state.running),
+        queue: f64::from(state.queue),
+        slots: f64::from(state.slots.max(1)),
+        step: state.step.as_secs_f64().max(1e-6),
+        prefill: state.prefill.max(1.0),
+        kv_free: state.kv_free as f64,
+    };
+    take_figures(row, figures);
+    let renewed = state.incarnation != row.incarnation;
+    take_life(row, seen, state.incarnation);
+    let same = row.engine.as_ref().is_some_and(|old| {
+        old.model == state.model
+            && old.version == state.version
+            && old.layers == state.layers
+            && old.adapters == state.adapters
+            && old.whole == state.whole
+            && old.loading == state.loading
+    });
+    let same = same && !renewed && row.closing == state.leaving;
+    row.closing = state.leaving;
+    row.engine = Some(state);
+    if same { Change::Figures } else { Change::Holding }
+}
+
+fn take_service(row: &mut Row, seen: Instant, state: ServiceState) -> Change {
+    let figures = Figures {
+        depth: f64::from(state.queue + state.running),
+        queue: f64::from(state.queue),
+        slots: f64::from(state.slots.max(1)),
+        step: state.call.as_secs_f64().max(1e-6),
+        ..Figures::UNKNOWN
+    };
+    take_figures(row, figures);
+    take_life(row, seen, state.incarnation);
+    let same = row.closing == state.leaving;
+    row.closing = state.leaving;
+    if same { Change::Figures } else { Change::Holding }
+}
+
+fn take_figures(row: &mut Row, figures: Figures) {
+    if row.incarnation != 0 {
+        row.pace.rescale(row.figures.step / figures.step);
+    }
+    row.figures = figures;
+}
+
+fn take_life(row: &mut Row, seen: Instant, incarnation: Incarnation) {
+    if row.incarnation != 0 && row.incarnation != incarnation {
+        row.health = Health::default();
+        row.pace = Pace::default();
+    }
+    row.incarnation = incarnation;
+    row.health.reported(seen);
+}
--- /dev/null
+++ b/crates/roseshore_core/src/load/history.rs
@@ -0,0 +1,56 @@
+//! How many own requests were in flight a moment ago.
+//!
+//! A report says what was true when it was taken; to correct it one has to know the own requests
+//! that it already counts. The last two seconds are kept in steps of an eighth of a second.
+
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(125);
+const STEPS: usize = 16;
+
+/// A count with its recent past.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    level: u32,
+    past: [u32; STEPS],
+    newest: Option<Instant>,
+}
+
+impl History {
+    /// The count now.
+    pub fn level(&self) -> u32 {
+        self.level
+    }
+
+    /// Changes the count at `now`.
+    pub fn change(&mut self, now: Instant, by: i32) {
+        self.advance(now);
+        self.level = self.level.saturating_add_signed(by);
+    }
+
+    /// The count at an earlier time, or the oldest that is known.
+    pub fn at(&mut self, time: Instant) -> u32 {
+        let Some(newest) = self.newest else { return self.level };
+        if time >= newest {
+            return self.level;
+        }
+        let back = (newest - time).as_nanos() / STEP.as_nanos();
+        self.past[(back as usize).min(STEPS - 1)]
+    }
+
+    /// Moves the past on; `past[0]` is the count as it was before `newest`.
+    fn advance(&mut self, now: Instant) {
+        let Some(newest) = self.newest else {
+            self.newest = Some(now);
+            return;
+        };
+        let steps = now.saturating_duration_since(newest).as_nanos() / STEP.as_nanos();
+        let shift = (steps as usize).min(STEPS);
+        if shift == 0 {
+            return;
+        }
+        self.past.copy_within(..STEPS - shift, shift);
+        self.past[..shift].fill(self.level);
+        self.newest = Some(newest + STEP * (steps as u32));
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/src/route/chain.rs
@@ -0,0 +1,205 @@
+//! The shortest path over a few drawn candidates.
+
+use super::cost::{self, StageTime, Work};
+use super::links::Links;
+use super::pool::{Group, Pool, Tiers};
+use super::prefix::Hit;
+use super::{ChainChoice, StageChoice, Tuning};
+use crate::load::{Index, Loads, Zone};
+use crate::prelude::*;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+/// Draws that may hit an unusable or known target before a group is left with fewer candidates.
+const REDRAWS: usize = 2;
+/// The end of a path.
+const END: u32 = u32::MAX;
+
+/// A drawn candidate.
+#[derive(Clone, Copy, Debug)]
+struct Node {
+    row: Index,
+    zone: Zone,
+    layers: (Layer, Layer),
+    time: StageTime,
+    next: u32,
+    total: f64,
+}
+
+/// Memory that is used again for every choice.
+#[derive(Debug, Default)]
+pub struct Scratch {
+    nodes: Vec<Node>,
+}
+
+/// One choice.
+pub struct Step<'a> {
+    /// The targets.
+    pub loads: &'a Loads,
+    /// The delays.
+    pub links: &'a Links,
+    /// The own data centre.
+    pub own: Zone,
+    /// Targets not to use.
+    pub avoid: &'a [Index],
+    /// The work.
+    pub work: Work,
+    /// Targets that seem to hold the prompt's prefix.
+    pub hits: &'a [Hit],
+    /// The time.
+    pub now: Instant,
+}
+
+impl Step<'_> {
+    /// Chooses by drawn candidates, and by all of them when the drawn ones leave a hole.
+    pub fn choose(
+        &self,
+        tiers: &Tiers,
+        tuning: Tuning,
+        random: &mut SmallRng,
+        scratch: &mut Scratch,
+    ) -> Option<ChainChoice> {
+        let drawn = |group: &Group, nodes: &mut Vec<Node>| {
+            self.draw(group, &group.near, tuning.near, random, nodes);
+            let far = if group.near.is_empty() { tuning.near + tuning.far } else { tuning.far };
+            self.draw(group, &group.far, far, random, nodes);
+            self.add_hits(group, nodes);
+        };
+        self.path(&tiers.exact, scratch, drawn)
+            .or_else(|| self.path(&tiers.exact, scratch, |g, n| self.add_all(g, n)))
+            .or_else(|| self.path(&tiers.trimmed, scratch, |g, n| self.add_all(g, n)))
+    }
+
+    /// The shortest path over what `fill` adds for each group; groups come last layers first.
+    fn path(
+        &self,
+        pool: &Pool,
+        scratch: &mut Scratch,
+        mut fill: impl FnMut(&Group, &mut Vec<Node>),
+    ) -> Option<ChainChoice> {
+        let nodes = &mut scratch.nodes;
+        nodes.clear();
+        for group in &pool.groups {
+            let begin = nodes.len();
+            fill(group, nodes);
+            for at in begin..nodes.len() {
+                self.join(nodes, at, pool.layers);
+            }
+        }
+        let entry = |node: &Node| node.total + self.links.delay(self.own, node.zone);
+        let first = nodes
+            .iter()
+            .filter(|node| node.layers.0 == 0 && node.total.is_finite())
+            .min_by(|a, b| entry(a).total_cmp(&entry(b)))?;
+        Some(self.unroll(nodes, *first))
+    }
+
+    /// Finds the best next stage of one candidate.
+    fn join(&self, nodes: &mut [Node], at: usize, layers: Layer) {
+        let node = nodes[at];
+        let tokens = 1.0 + f64::from(self.work.expected);
+        let mut best = (f64::INFINITY, END);
+        if node.layers.1 == layers {
+            best = (self.links.delay(node.zone, self.own) * tokens, END);
+        }
+        for (place, next) in nodes[..at].iter().enumerate() {
+            if next.layers.0 == node.layers.1 {
+                let total = next.total + self.links.delay(node.zone, next.zone) * tokens;
+                if total < best.0 {
+                    best = (total, place as u32);
+                }
+            }
+        }
+        nodes[at].next = best.1;
+        nodes[at].total = best.0 + node.time.whole(self.work);
+    }
+
+    fn unroll(&self, nodes: &[Node], start: Node) -> ChainChoice {
+        let mut stages = Vec::with_capacity(8);
+        let mut first = self.links.delay(self.own, start.zone);
+        let mut between = 0.0;
+        let mut node = start;
+        loop {
+            stages.push(StageChoice { row: node.row, layers: node.layers });
+            first += node.time.first;
+            between += node.time.between;
+            if node.next == END {
+                break;
+            }
+            let next = nodes[node.next as usize];
+            let delay = self.links.delay(node.zone, next.zone);
+            first += delay;
+            between += delay;
+            node = next;
+        }
+        between += self.links.delay(node.zone, start.zone);
+        first += self.links.delay(start.zone, self.own);
+        ChainChoice { stages, first: span(first), between: span(between) }
+    }
+
+    fn draw(
+        &self,
+        group: &Group,
+        rows: &[Index],
+        count: usize,
+        random: &mut SmallRng,
+        nodes: &mut Vec<Node>,
+    ) {
+        if rows.len() <= count {
+            for &row in rows {
+                self.add(group, row, nodes);
+            }
+            return;
+        }
+        let mut left = count * (1 + REDRAWS);
+        let mut found = 0;
+        while found < count && left > 0 {
+            let before = nodes.len();
+            self.add(group, rows[random.random_range(0..rows.len())], nodes);
+            found += nodes.len() - before;
+            left -= 1;
+        }
+    }
+
+    fn add_hits(&self, group: &Group, nodes: &mut Vec<Node>) {
+        for hit in self.hits {
+            let engine = self.loads.row(hit.row).engine.as_ref();
+            if engine.is_some_and(|engine| engine.layers == group.layers) && group.has(hit.row) {
+                self.add(group, hit.row, nodes);
+            }
+        }
+    }
+
+    fn add_all(&self, group: &Group, nodes: &mut Vec<Node>) {
+        let rows = group.near.iter().chain(&group.far);
+        rows.for_each(|&row| self.add(group, row, nodes));
+    }
+
+    /// Adds a candidate, unless it is unusable or there already.
+    fn add(&self, group: &Group, row: Index, nodes: &mut Vec<Node>) {
+        let known = nodes.iter().rev().take_while(|node| node.layers == group.layers);
+        if known.into_iter().any(|node| node.row == row) {
+            return;
+        }
+        let target = self.loads.row(row);
+        if !target.usable(self.now) || self.avoid.contains(&row) {
+            return;
+        }
+        let held = target.engine.as_ref().map_or(group.layers, |engine| engine.layers);
+        let part = f64::from(group.layers.1 - group.layers.0) / f64::from(held.1 - held.0);
+        let cached = self.hits.iter().find(|hit| hit.row == row).map_or(0, |hit| hit.tokens);
+        let time = cost::stage(target, self.work, part, cached, self.now);
+        let zone = target.zone;
+        nodes.push(Node { row, zone, layers: group.layers, time, next: END, total: f64::INFINITY });
+    }
+}
+
+impl Group {
+    fn has(&self, row: Index) -> bool {
+        self.near.contains(&row) || self.far.contains(&row)
+    }
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/roseshore_core/src/route/links.rs
@@ -0,0 +1,55 @@
+//! What a hop between data centres costs.
+
+use crate::load::{Loads, Zone};
+use crate::prelude::*;
+
+/// One-way delay inside a data centre, seconds.
+const INSIDE: f64 = 0.000_1;
+/// One-way delay between data centres that declare none, seconds.
+const DEFAULT: f64 = 0.050;
+
+/// One-way delays between data centres, seconds.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    width: usize,
+    delays: Vec<f64>,
+}
+
+impl Links {
+    /// The declared delays; one direction stands for both when only one is declared.
+    pub fn declared(loads: &mut Loads, fleet: &Fleet) -> Links {
+        for id in fleet.data_centres.keys() {
+            loads.zone(id);
+        }
+        let zones = loads.zones();
+        let width = zones.len();
+        let mut delays = vec![DEFAULT; width * width];
+        let declared = |a: &str, b: &str| fleet.data_centres.get(a)?.links.get(b).copied();
+        for (i, a) in zones.iter().enumerate() {
+            for (j, b) in zones.iter().enumerate() {
+                let millis = declared(a, b).or_else(|| declared(b, a));
+                let delay = millis.map_or(DEFAULT, |ms| ms / 1000.0);
+                delays[i * width + j] = if i == j { INSIDE } else { delay.max(0.0) };
+            }
+        }
+        Links { width, delays }
+    }
+
+    /// Seconds one way.
+    pub fn delay(&self, a: Zone, b: Zone) -> f64 {
+        let place = usize::from(a) * self.width + usize::from(b);
+        self.delays.get(place).copied().unwrap_or(DEFAULT)
+    }
+
+    /// Seconds of a token's way over stages and back to the first one.
+    pub fn round(&self, mut chain: impl Iterator<Item = Zone>) -> f64 {
+        let Some(first) = chain.next() else { return 0.0 };
+        let mut last = first;
+        let mut total = 0.0;
+        for zone in chain {
+            total += self.delay(last, zone);
+            last = zone;
+        }
+        total + self.delay(last, first)
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/src/route/room.rs
@@ -0,0 +1,38 @@
+//! How much the targets of a service can take, for the limit at the door.
+
+use super::ChainNeed;
+use super::pool::holds;
+use super::replica::Group;
+use crate::admit::Room;
+use crate::load::{Index, Loads, Row};
+use std::time::Instant;
+
+/// The room of the narrowest layer; `None` when some layer has no usable engine.
+pub fn of_chains(loads: &Loads, need: &ChainNeed<'_>, now: Instant) -> Option<Room> {
+    let mut layers = vec![Room { slots: 0.0, busy: 0.0 }; usize::from(need.layers)];
+    let rows = loads.declared().map(|index| loads.row(index));
+    for row in rows.filter(|row| holds(row, need)) {
+        let Some(engine) = &row.engine else { continue };
+        let (from, to) = engine.layers;
+        let held = &mut layers[usize::from(from)..usize::from(to)];
+        for room in held {
+            add(room, row, now);
+        }
+    }
+    let narrowest = layers.into_iter().min_by(|a, b| a.slots.total_cmp(&b.slots))?;
+    (narrowest.slots > 0.0).then_some(narrowest)
+}
+
+/// The room of all replicas; `None` when none is usable.
+pub fn of_replicas(loads: &Loads, group: &Group, now: Instant) -> Option<Room> {
+    let mut room = Room { slots: 0.0, busy: 0.0 };
+    group.rows().for_each(|index: Index| add(&mut room, loads.row(index), now));
+    (room.slots > 0.0).then_some(room)
+}
+
+fn add(room: &mut Room, row: &Row, now: Instant) {
+    if row.reported() && row.usable(now) {
+        room.slots += row.figures.slots;
+        room.busy += row.depth(now);
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/tests/route.rs
@@ -0,0 +1,326 @@
+//! Chains tile all layers over usable targets, whatever is known of them.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use roseshore_core::fleet::{DataCentre, TargetKind};
+use roseshore_core::load::{Content, EngineState, ServiceState};
+use roseshore_core::prelude::*;
+use roseshore_core::route::prefix::CacheChange;
+use roseshore_core::route::{ChainNeed, Router, Tuning};
+
+const LAYERS: Layer = 12;
+
+#[derive(Clone, Copy, Debug)]
+struct Engine {
+    id: &'static str,
+    zone: &'static str,
+    layers: (Layer, Layer),
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Good,
+    Queue(u32),
+    OldVersion,
+    OtherModel,
+    NoAdapter,
+    Loading,
+    Closing,
+    HostLeaving,
+    Failed,
+    Silent,
+    Unheard,
+    Prefill,
+    Cached,
+}
+
+use State::*;
+
+fn engine(id: &'static str, zone: &'static str, layers: (Layer, Layer), state: State) -> Engine {
+    Engine { id, zone, layers, state }
+}
+
+fn report(engine: &Engine) -> EngineState {
+    let queue = if let Queue(queue) = engine.state { queue } else { 0 };
+    EngineState {
+        incarnation: 7,
+        model: Some(if engine.state == OtherModel { "n" } else { "m" }.into()),
+        version: Some(if engine.state == OldVersion { "v1" } else { "v2" }.into()),
+        layers: engine.layers,
+        adapters: (engine.state != NoAdapter).then(|| "a".to_owned()).into_iter().collect(),
+        whole: engine.state != Prefill,
+        loading: engine.state == Loading,
+        leaving: engine.state == Closing,
+        queue,
+        running: queue,
+        slots: 4,
+        step: Duration::from_millis(2),
+        prefill: 1000.0,
+        kv_free: 100_000,
+    }
+}
+
+fn target(kind: TargetKind, zone: &str, serves: Option<&str>) -> Target {
+    Target {
+        kind,
+        host: "h".into(),
+        data_centre: zone.into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        serves: serves.map(str::to_owned),
+        model: None,
+        layers: None,
+        accelerator: None,
+        checks_fence: false,
+    }
+}
+
+fn fleet(targets: impl Iterator<Item = (String, Target)>) -> Fleet {
+    let mut fleet = Fleet { targets: targets.collect(), ..Fleet::default() };
+    for zone in ["near", "far"] {
+        let links = [("near", 1.0), ("far", 1.0)].map(|(id, ms)| (id.to_owned(), ms));
+        let zone_links = links.into_iter().collect();
+        let centre = DataCentre { region: "r".into(), links: zone_links };
+        fleet.data_centres.insert(zone.into(), centre);
+    }
+    fleet
+}
+
+fn router(engines: &[Engine], seed: u64, now: Instant) -> Router {
+    let mut router = Router::new("near", Tuning::default(), SmallRng::seed_from_u64(seed));
+    let declared = |e: &Engine| (e.id.to_owned(), target(TargetKind::Engine, e.zone, None));
+    router.declare(&fleet(engines.iter().map(declared)));
+    for engine in engines {
+        if engine.state != Unheard {
+            router.report(engine.id, now, Content::Engine(report(engine)));
+        }
+        match engine.state {
+            Failed => router.failed(engine.id, now),
+            HostLeaving => {
+                let row = router.loads().find(engine.id).unwrap();
+                router.set_leaving(row, true);
+            }
+            Silent => {
+                let later = now + Duration::from_millis(1);
+                router.report(engine.id, later, Content::Silent);
+            }
+            Cached => router.cached(engine.id, &[CacheChange::Stored { hash: 9, tokens: 900 }]),
+            _ => {}
+        }
+    }
+    router
+}
+
+fn choose(router: &mut Router, avoid: &[TargetId], now: Instant) -> Option<Vec<String>> {
+    let need = ChainNeed {
+        model: "m",
+        version: "v2",
+        layers: LAYERS,
+        adapter: Some("a"),
+        prefixes: &[(100, 8), (900, 9)],
+        prompt: 1000,
+        expected: 100,
+        avoid,
+    };
+    let chain = router.chain(&need, now)?;
+    let tiles = chain.stages.windows(2).all(|w| w[0].layers.1 == w[1].layers.0);
+    let (first, last) = (chain.stages.first()?, chain.stages.last()?);
+    assert!(tiles && first.layers.0 == 0 && last.layers.1 == LAYERS, "{chain:?}");
+    Some(chain.stages.iter().map(|s| router.loads().row(s.row).id.clone()).collect())
+}
+
+struct Case {
+    name: &'static str,
+    engines: Vec<Engine>,
+    avoid: &'static [&'static str],
+    chosen: Option<&'static [&'static str]>,
+}
+
+#[test]
+fn a_chain_is_chosen() {
+    let head = engine("head", "near", (0, 6), Good);
+    let tail = engine("tail", "near", (6, 12), Good);
+    let with = |engine: Engine| vec![head, tail, engine];
+    let only = |state: State| vec![head, engine("other", "near", (6, 12), state)];
+    let both: Option<&[&str]> = Some(&["head", "tail"]);
+    let cases = [
+        Case { name: "two halves", engines: vec![head, tail], avoid: &[], chosen: both },
+        Case { name: "a hole", engines: vec![head], avoid: &[], chosen: None },
+        Case {
+            name: "a gap between",
+            engines: vec![head, engine("x", "near", (7, 12), Good)],
+            avoid: &[],
+            chosen: None,
+        },
+        Case {
+            name: "an overlap is trimmed",
+            engines: vec![head, engine("x", "near", (4, 12), Good)],
+            avoid: &[],
+            chosen: Some(&["head", "x"]),
+        },
+        Case {
+            name: "layers beyond the model",
+            engines: vec![head, engine("x", "near", (6, 13), Good)],
+            avoid: &[],
+            chosen: None,
+        },
+        Case { name: "avoided", engines: vec![head, tail], avoid: &["tail"], chosen: None },
+        Case { name: "old version", engines: only(OldVersion), avoid: &[], chosen: None },
+        Case { name: "other model", engines: only(OtherModel), avoid: &[], chosen: None },
+        Case { name: "no adapter", engines: only(NoAdapter), avoid: &[], chosen: None },
+        Case { name: "loading", engines: only(Loading), avoid: &[], chosen: None },
+        Case { name: "target leaving", engines: only(Closing), avoid: &[], chosen: None },
+        Case { name: "host leaving", engines: only(HostLeaving), avoid: &[], chosen: None },
+        Case { name: "failed", engines: only(Failed), avoid: &[], chosen: None },
+        Case { name: "silent", engines: only(Silent), avoid: &[], chosen: None },
+        Case { name: "never reported", engines: only(Unheard), avoid: &[], chosen: None },
+        Case { name: "prefill only", engines: only(Prefill), avoid: &[], chosen: None },
+        Case {
+            name: "own data centre first",
+            engines: with(engine("away", "far", (6, 12), Good)),
+            avoid: &[],
+            chosen: both,
+        },
+        Case {
+            name: "another data centre when necessary",
+            engines: with(engine("away", "far", (6, 12), Good)),
+            avoid: &["tail"],
+            chosen: Some(&["head", "away"]),
+        },
+        Case {
+            name: "another data centre when better",
+            engines: vec![
+                head,
+                engine("tail", "near", (6, 12), Queue(40)),
+                engine("away", "far", (6, 12), Good),
+            ],
+            avoid: &[],
+            chosen: Some(&["head", "away"]),
+        },
+        Case {
+            name: "the shorter queue",
+            engines: with(engine("busy", "near", (6, 12), Queue(20))),
+            avoid: &[],
+            chosen: both,
+        },
+        Case {
+            name: "the cached prefix",
+            engines: with(engine("warm", "near", (6, 12), Cached)),
+            avoid: &[],
+            chosen: Some(&["head", "warm"]),
+        },
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let mut router = router(&case.engines, 1, now);
+        let avoid: Vec<TargetId> = case.avoid.iter().map(|id| (*id).to_owned()).collect();
+        let chosen = choose(&mut router, &avoid, now);
+        let want = case.chosen.map(|ids| ids.iter().map(|id| (*id).to_owned()).collect());
+        assert_eq!(chosen, want, "{}", case.name);
+    }
+}
+
+fn any_engines() -> impl Strategy<Value = Vec<Engine>> {
+    const IDS: [&str; 14] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n"];
+    let state = prop::sample::select(vec![
+        Good,
+        Good,
+        Good,
+        Good,
+        Queue(9),
+        OldVersion,
+        Loading,
+        Closing,
+        HostLeaving,
+        Failed,
+        Silent,
+        Unheard,
+        Cached,
+    ]);
+    let zone = prop::sample::select(vec!["near", "far"]);
+    let border = || prop::sample::select(vec![0_u16, 3, 4, 6, 8, 12]);
+    let one = (zone, border(), border(), state);
+    prop::collection::vec(one, 1..IDS.len()).prop_map(|list| {
+        let named = list.into_iter().zip(IDS);
+        let engine = |((zone, a, b, state), id): ((_, Layer, Layer, _), _)| {
+            engine(id, zone, (a.min(b), a.max(b)), state)
+        };
+        named.map(engine).collect()
+    })
+}
+
+/// Whether usable engines cover all layers, found by trying every start.
+fn coverable(engines: &[Engine], avoid: &[TargetId]) -> bool {
+    let good = |e: &&Engine| {
+        matches!(e.state, Good | Queue(_) | Cached) && !avoid.iter().any(|id| id == e.id)
+    };
+    let mut reach = 0;
+    loop {
+        let over = engines.iter().filter(good).filter(|e| e.layers.0 <= reach);
+        let next = over.map(|e| e.layers.1).max().unwrap_or(0);
+        if next >= LAYERS {
+            return true;
+        }
+        if next <= reach {
+            return false;
+        }
+        reach = next;
+    }
+}
+
+proptest! {
+    #[test]
+    fn chains_tile_over_usable_targets(
+        engines in any_engines(),
+        seed in any::<u64>(),
+        drop in prop::collection::vec(prop::sample::select(vec!["a", "b", "c"]), 0..3),
+    ) {
+        let now = Instant::now();
+        let avoid: Vec<TargetId> = drop.iter().map(|id| (*id).to_owned()).collect();
+        let mut router = router(&engines, seed, now);
+        let chosen = choose(&mut router, &avoid, now);
+        prop_assert_eq!(chosen.is_some(), coverable(&engines, &avoid));
+        for id in chosen.unwrap_or_default() {
+            let engine = engines.iter().find(|e| e.id == id).unwrap();
+            prop_assert!(matches!(engine.state, Good | Queue(_) | Cached), "{:?}", engine);
+            prop_assert!(!avoid.contains(&id));
+        }
+    }
+}
+
+#[test]
+fn replicas_are_chosen() {
+    struct Case {
+        name: &'static str,
+        avoid: &'static [&'static str],
+        failed: &'static [&'static str],
+        chosen: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "near and idle", avoid: &[], failed: &[], chosen: Some("idle") },
+        Case { name: "avoided", avoid: &["idle"], failed: &[], chosen: Some("away") },
+        Case { name: "failed", avoid: &[], failed: &["idle", "away"], chosen: Some("busy") },
+        Case { name: "none left", avoid: &["busy"], failed: &["idle", "away"], chosen: None },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut router = Router::new("near", Tuning::default(), SmallRng::seed_from_u64(1));
+        let all = [("idle", "near", 0), ("busy", "near", 90), ("away", "far", 0)];
+        let declared = all
+            .map(|(id, zone, _)| (id.to_owned(), target(TargetKind::Service, zone, Some("s/one"))));
+        router.declare(&fleet(declared.into_iter()));
+        for (id, _, queue) in all {
+            let call = Duration::from_millis(1);
+            let state =
+                ServiceState { incarnation: 1, queue, running: 0, slots: 4, call, leaving: false };
+            router.report(id, now, Content::Service(state));
+        }
+        case.failed.iter().for_each(|id| router.failed(id, now));
+        let avoid: Vec<TargetId> = case.avoid.iter().map(|id| (*id).to_owned()).collect();
+        let chosen = router.replica("s/one", &avoid, now);
+        let chosen = chosen.map(|row| router.loads().row(row).id.clone());
+        assert_eq!(chosen.as_deref(), case.chosen, "{}", case.name);
+        assert_eq!(router.replica("s/two", &[], now), None, "{}", case.name);
+    }
+}
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -6,3 +6,5 @@
 
 pub mod app;
 pub mod events;
+pub mod gate;
+pub mod routing;
--- /dev/null
+++ b/crates/roseshored/src/routing.rs
@@ -0,0 +1,319 @@
+//! The driver of the choice of targets.
+//!
+//! One lock around [`Router`]: a decision takes microseconds. It follows the configuration in force
+//! and asks the members whether a chosen host is leaving before a choice is given out.
+
+use crate::gate::Rooms;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use roseshore_core::admit::Room;
+use roseshore_core::load::{Content, EngineState, Index, ServiceState};
+use roseshore_core::prelude::*;
+use roseshore_core::route::prefix::CacheChange;
+use roseshore_core::route::{self, ChainChoice, ChainNeed, StageChoice, Tuning};
+use roseshore_ports::inside::{
+    Chain, Fleets, Members, Need, Permit, Replica, Report, ReportContent, Reports, Router,
+};
+use roseshore_wire::engine::{CacheEvent, CacheEvents, Load, Role, Stage};
+use roseshore_wire::service::ServiceLoad;
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+
+/// How often hosts that were leaving are asked about again.
+const RECHECK: Duration = Duration::from_millis(500);
+/// When a caller without a route should come back.
+const NO_ROUTE: Duration = Duration::from_secs(1);
+
+/// The daemon's choice of targets.
+pub struct Routing {
+    fleets: Arc<dyn Fleets>,
+    members: Arc<dyn Members>,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    router: route::Router,
+    offset: Option<Offset>,
+    newest: FxHashMap<TargetId, Report>,
+    leaving: Vec<Index>,
+    checked: Instant,
+}
+
+impl Routing {
+    /// A choice among the targets of the configuration in force.
+    pub fn new(fleets: Arc<dyn Fleets>, members: Arc<dyn Members>) -> Routing {
+        let own = members.own().data_centre;
+        let random = SmallRng::from_rng(&mut rand::rng());
+        let state = State {
+            router: route::Router::new(&own, Tuning::default(), random),
+            offset: None,
+            newest: FxHashMap::default(),
+            leaving: Vec::new(),
+            checked: Instant::now(),
+        };
+        Routing { fleets, members, state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Takes cache events of a target; they may be late and have gaps.
+    pub fn take_cache(&self, target: &TargetId, events: &CacheEvents) {
+        let changes: Vec<CacheChange> = events.events.iter().map(cache_change).collect();
+        self.state.lock().router.cached(target, &changes);
+    }
+
+    /// Takes over a new configuration and looks again at hosts that were leaving.
+    ///
+    /// Other parts are asked without the lock, for they may be telling this one something.
+    fn refresh(&self, now: Instant) {
+        let force = self.fleets.current();
+        let mut state = self.state.lock();
+        if let Some(force) = force
+            && state.offset != Some(force.offset)
+        {
+            state.declare(&force.fleet, force.offset);
+        }
+        if now.saturating_duration_since(state.checked) < RECHECK {
+            return;
+        }
+        state.checked = now;
+        let hosts = state.leaving_hosts();
+        drop(state);
+        for (row, host) in hosts {
+            if !self.members.leaving(&host) {
+                self.state.lock().stays(row, &host);
+            }
+        }
+    }
+
+    /// Chooses until none of the chosen hosts is leaving.
+    fn choose<T>(
+        &self,
+        mut choice: impl FnMut(&mut route::Router, Instant) -> Option<Chosen<T>>,
+    ) -> Option<(T, Permit)> {
+        let now = Instant::now();
+        self.refresh(now);
+        loop {
+            let mut state = self.state.lock();
+            let chosen = choice(&mut state.router, now)?;
+            let ticket = state.router.begin(&chosen.rows, now);
+            drop(state);
+            let shared = Arc::clone(&self.state);
+            let permit = Permit::new(move || shared.lock().router.end(&ticket, Instant::now()));
+            let leaving = chosen.rows.iter().zip(&chosen.hosts);
+            let leaving: Vec<_> = leaving.filter(|(_, host)| self.members.leaving(host)).collect();
+            if leaving.is_empty() {
+                return Some((chosen.value, permit));
+            }
+            let mut state = self.state.lock();
+            for (&row, host) in leaving {
+                state.leaves(row, host);
+            }
+            drop(state);
+            drop(permit);
+        }
+    }
+}
+
+/// A choice that was not yet checked for leaving hosts.
+struct Chosen<T> {
+    value: T,
+    rows: Vec<Index>,
+    hosts: Vec<HostId>,
+}
+
+impl State {
+    fn declare(&mut self, fleet: &Fleet, offset: Offset) {
+        self.router.declare(fleet);
+        self.newest.retain(|id, _| fleet.targets.contains_key(id));
+        self.leaving.retain(|&row| self.router.loads().row(row).leaving);
+        self.offset = Some(offset);
+    }
+
+    fn leaving_hosts(&self) -> Vec<(Index, HostId)> {
+        let host = |&row: &Index| (row, self.router.loads().row(row).host.clone());
+        self.leaving.iter().map(host).collect()
+    }
+
+    fn leaves(&mut self, row: Index, host: &HostId) {
+        if self.router.loads().row(row).host == *host && !self.leaving.contains(&row) {
+            self.router.set_leaving(row, true);
+            self.leaving.push(row);
+        }
+    }
+
+    fn stays(&mut self, row: Index, host: &HostId) {
+        if self.router.loads().row(row).host == *host {
+            self.router.set_leaving(row, false);
+            self.leaving.retain(|&known| known != row);
+        }
+    }
+}
+
+impl Router for Routing {
+    fn chain(&self, need: &Need) -> Result<(Chain, Permit), Refusal> {
+        let wants = ChainNeed {
+            model: &need.model,
+            version: &need.version,
+            layers: need.layers,
+            adapter: need.adapter.as_deref(),
+            prefixes: &need.prefixes,
+            prompt: need.prompt,
+            expected: need.expected,
+            avoid: &need.avoid,
+        };
+        let chosen = self.choose(|router, now| {
+            let choice = router.chain(&wants, now)?;
+            Some(chosen_chain(router, choice))
+        });
+        chosen.ok_or_else(|| no_chain(need))
+    }
+
+    fn replica(&self, serves: &str, avoid: &[TargetId]) -> Result<(Replica, Permit), Refusal> {
+        let chosen = self.choose(|router, now| {
+            let row = router.replica(serves, avoid, now)?;
+            let target = router.loads().row(row);
+            let value = Replica { target: target.id.clone(), addr: target.addr };
+            Some(Chosen { value, rows: vec![row], hosts: vec![target.host.clone()] })
+        });
+        chosen.ok_or_else(|| no_replica(serves))
+    }
+
+    fn failed(&self, target: &TargetId) {
+        self.state.lock().router.failed(target, Instant::now());
+        metrics::counter!("roseshore_target_failures_total", "target" => target.clone())
+            .increment(1);
+        crate::event!(Event::TargetLost, "target=`{target}` out of use for a while");
+    }
+
+    fn observed(&self, target: &TargetId, took: Duration) {
+        self.state.lock().router.observed(target, took, Instant::now());
+    }
+}
+
+impl Reports for Routing {
+    fn take(&self, report: Report) {
+        self.refresh(Instant::now());
+        let mut state = self.state.lock();
+        let known = state.newest.get(&report.target);
+        if known.is_some_and(|known| known.seen >= report.seen) {
+            return;
+        }
+        state.router.report(&report.target, report.seen, content(&report.content));
+        if state.router.loads().find(&report.target).is_some() {
+            state.newest.insert(report.target.clone(), report);
+        }
+    }
+
+    fn newest(&self) -> Vec<Report> {
+        self.state.lock().newest.values().cloned().collect()
+    }
+}
+
+impl Rooms for Routing {
+    fn room(&self, service: &ServiceId) -> Option<Room> {
+        let force = self.fleets.current()?;
+        let declared = force.fleet.services.get(service)?;
+        let now = Instant::now();
+        let Some(id) = &declared.model else {
+            let mut state = self.state.lock();
+            let mut room = |serves: &str| state.router.replica_room(serves, now);
+            if declared.sources.is_empty() {
+                return room(service);
+            }
+            let sources = declared.sources.iter();
+            let rooms = sources.filter_map(|source| room(&format!("{service}/{source}")));
+            return rooms.min_by(|a, b| a.slots.total_cmp(&b.slots));
+        };
+        let model = force.fleet.models.get(id)?;
+        let need = ChainNeed {
+            model: id,
+            version: &model.version,
+            layers: model.layers,
+            adapter: None,
+            prefixes: &[],
+            prompt: 0,
+            expected: 0,
+            avoid: &[],
+        };
+        self.state.lock().router.chain_room(&need, now)
+    }
+}
+
+fn chosen_chain(router: &route::Router, choice: ChainChoice) -> Chosen<Chain> {
+    let row = |stage: &StageChoice| router.loads().row(stage.row);
+    let stages = choice.stages.iter().map(|choice| Stage {
+        target: row(choice).id.clone(),
+        addr: row(choice).addr,
+        layers: choice.layers,
+        incarnation: row(choice).incarnation,
+    });
+    Chosen {
+        value: Chain { stages: stages.collect(), first: choice.first, between: choice.between },
+        rows: choice.stages.iter().map(|stage| stage.row).collect(),
+        hosts: choice.stages.iter().map(|stage| row(stage).host.clone()).collect(),
+    }
+}
+
+fn no_chain(need: &Need) -> Refusal {
+    let text = format!(
+        "no live chain of targets covers all {} layers of model `{}` version `{}`; \
+         see `roseshore running` for its targets, or come back later",
+        need.layers, need.model, need.version
+    );
+    Refusal::not_run(Code::NoRoute, text).after(NO_ROUTE)
+}
+
+fn no_replica(serves: &str) -> Refusal {
+    let text = format!(
+        "no replica of `{serves}` is in use; declare a target with `serves = \"{serves}\"`, or \
+         come back later"
+    );
+    Refusal::not_run(Code::NoRoute, text).after(NO_ROUTE)
+}
+
+fn cache_change(event: &CacheEvent) -> CacheChange {
+    match *event {
+        CacheEvent::Stored { hash, tokens } => CacheChange::Stored { hash, tokens },
+        CacheEvent::Evicted { hash } => CacheChange::Evicted { hash },
+        CacheEvent::Cleared => CacheChange::Cleared,
+    }
+}
+
+fn content(content: &ReportContent) -> Content {
+    match content {
+        ReportContent::Engine(load) => Content::Engine(engine_state(load)),
+        ReportContent::Service(load) => Content::Service(service_state(load)),
+        ReportContent::Silent => Content::Silent,
+    }
+}
+
+fn engine_state(load: &Load) -> EngineState {
+    let holding = &load.holding;
+    EngineState {
+        incarnation: holding.incarnation,
+        model: holding.model.clone(),
+        version: holding.version.clone(),
+        layers: holding.layers,
+        adapters: holding.adapters.clone(),
+        whole: holding.role == Role::Both,
+        loading: holding.loading,
+        leaving: load.leaving,
+        queue: load.queue,
+        running: load.running,
+        slots: load.slots,
+        step: Duration::from_micros(load.step_us),
+        prefill: load.prefill_rate,
+        kv_free: load.kv_cap.saturating_sub(load.kv_used),
+    }
+}
+
+fn service_state(load: &ServiceLoad) -> ServiceState {
+    ServiceState {
+        incarnation: load.incarnation,
+        queue: load.queue,
+        running: load.running,
+        slots: load.slots,
+        call: Duration::from_micros(load.call_us),
+        leaving: load.leaving,
+    }
+}
--- /dev/null
+++ b/crates/roseshored/tests/gate.rs
@@ -0,0 +1,137 @@
+//! The door's driver: threads wait for their turn, and every one of them gets an end.
+
+use roseshore_core::admit::Room;
+use roseshore_core::fleet::ServiceKind;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Ask, Fleets, Gate, InForce, Member, MemberState, Members, Permit};
+use roseshored::gate::{Door, Rooms};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const LONG: Duration = Duration::from_mins(1);
+
+struct Fixed(Option<Arc<Fleet>>);
+
+impl Fleets for Fixed {
+    fn current(&self) -> Option<InForce> {
+        Some(InForce { fleet: self.0.clone()?, offset: 1, digest: 0 })
+    }
+}
+
+struct Alone;
+
+impl Members for Alone {
+    fn own(&self) -> Member {
+        Member {
+            host: "h".into(),
+            data_centre: "d".into(),
+            peer: "127.0.0.1:1".parse().unwrap(),
+            incarnation: 1,
+            state: MemberState::Alive,
+            offset: 0,
+            digest: 0,
+        }
+    }
+
+    fn all(&self) -> Vec<Member> {
+        vec![self.own()]
+    }
+
+    fn ranked(&self, _: &str) -> Vec<Member> {
+        vec![self.own()]
+    }
+
+    fn leaving(&self, _: &HostId) -> bool {
+        false
+    }
+}
+
+struct Four;
+
+impl Rooms for Four {
+    fn room(&self, _: &ServiceId) -> Option<Room> {
+        Some(Room { slots: 4.0, busy: 4.0 })
+    }
+}
+
+fn fleet() -> Arc<Fleet> {
+    let mut fleet = Fleet::default();
+    let service = Service {
+        kind: ServiceKind::Plain,
+        model: None,
+        sources: Vec::new(),
+        idempotent: true,
+        advisory: false,
+        deadline: Duration::from_secs(30),
+    };
+    fleet.services.insert("s".into(), service);
+    let limits = Organisation { share: 1.0, rate: 1e6, burst: 1e6 };
+    fleet.organisations.insert("o".into(), limits);
+    Arc::new(fleet)
+}
+
+fn ask(left: Duration) -> Ask {
+    let now = Instant::now();
+    Ask {
+        request: "r".into(),
+        organisation: "o".into(),
+        service: "s".into(),
+        deadline: now + left,
+        arrived: now,
+        priority: 4,
+        cost: 1,
+    }
+}
+
+fn door(fleet: Option<Arc<Fleet>>) -> Arc<Door> {
+    Arc::new(Door::new(Arc::new(Fixed(fleet)), Arc::new(Alone), Arc::new(Four)))
+}
+
+/// Fills the door, so that the next one has to wait.
+fn fill(door: &Door) -> Vec<Permit> {
+    // The first renewal after a line exists fits its limit to the room.
+    let mut permits = vec![door.enter(&ask(LONG)).unwrap()];
+    door.renew(Instant::now());
+    permits.extend((1..5).map(|_| door.enter(&ask(LONG)).unwrap()));
+    permits
+}
+
+#[test]
+fn every_waiting_thread_has_its_turn() {
+    let door = door(Some(fleet()));
+    let permits = fill(&door);
+    let done = Arc::new(AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for _ in 0..40 {
+            let (door, done) = (Arc::clone(&door), Arc::clone(&done));
+            scope.spawn(move || {
+                drop(door.enter(&ask(LONG)).unwrap());
+                done.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+        while door.counts("s").1 < 40 {
+            std::thread::yield_now();
+        }
+        assert_eq!(done.load(Ordering::SeqCst), 0, "nobody passes a full door");
+        drop(permits);
+    });
+    assert_eq!((done.load(Ordering::SeqCst), door.counts("s")), (40, (0, 0)));
+}
+
+#[test]
+fn a_waiting_thread_gives_up_in_time() {
+    let door = door(Some(fleet()));
+    let permits = fill(&door);
+    let refusal = door.enter(&ask(Duration::from_millis(50))).err().unwrap();
+    assert_eq!((refusal.code, refusal.verdict), (Code::TooLate, Verdict::NotRun));
+    assert!(refusal.retry_after.is_some());
+    assert_eq!(door.counts("s"), (5, 0));
+    drop(permits);
+    assert_eq!(door.counts("s"), (0, 0));
+}
+
+#[test]
+fn without_a_configuration_nothing_is_let_in() {
+    let refusal = door(None).enter(&ask(Duration::from_secs(1))).err().unwrap();
+    assert_eq!((refusal.code, refusal.verdict), (Code::NoConfiguration, Verdict::NotRun));
+}
