--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -6,6 +6,7 @@
 //! a table of cases or by `proptest`.
 
 pub mod answer;
+pub mod admit;
 pub mod code;
 pub mod config;
 pub mod declare;
@@ -16,4 +17,7 @@
 pub mod lookup;
 pub mod prelude;
 pub mod retry;
+pub mod load;
+pub mod prelude;
+pub mod route;
 pub mod verdict;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -21,3 +21,5 @@
 pub use drain::{Running, start};
 pub mod events;
 pub mod lookups;
+pub mod gate;
+pub mod routing;
