--- a/crates/roseshore_fakes/src/http.rs
+++ b/crates/roseshore_fakes/src/http.rs
@@ -9,16 +9,19 @@
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::SockRef;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tiny_http::{Header, Request, Response, StatusCode};
 
 /// The longest request body, bytes.
 pub const MAX_BODY: u64 = 16 << 20;
 
+/// The longest wait for the listener to close.
+const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+
 /// What a stand-in does with a request; it must answer or stream on every path.
 pub trait Handler: Send + Sync + 'static {
     /// Takes one request, on a worker thread of its own for as long as it needs.
@@ -72,6 +75,16 @@
         }
         if let Some(dispatcher) = self.dispatcher.take() {
             let _ = dispatcher.join();
+            self.wait_closed();
+        }
+    }
+
+    /// The accepting thread closes the listener some time after the server is dropped; until then a
+    /// caller would still get a connection and, for its request, silence.
+    fn wait_closed(&self) {
+        let until = Instant::now() + CLOSE_LIMIT;
+        while TcpStream::connect(self.addr).is_ok() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(1));
         }
     }
 }
