Orders: a lease in the log, and level-triggered orders

Cause: targets take orders from anybody, and some check no fencing number. Ruled out: a lease among daemons (a consensus group of our own), orders from every daemon (pulls unchecked targets to and fro). Change: core::order::lease folds lease records by offset and the log's time; Leaser counts its own lease from before the send; Giver repeats orders until the target reports them, keeps a whole chain in service and minds the store. Seen failing: lease counted from reading -> 'ordered past the end'; renewal after the end accepted -> folds failed; no end -> two tests failed; whole-chain rule off -> orders failed. All pass with the mechanisms on.

--- /dev/null
+++ b/crates/roseshore_core/src/order.rs
@@ -0,0 +1,11 @@
+//! Orders to targets: who may give them, and which ones to give.
+//!
+//! One daemon of a data centre gives orders at a time. Its right is a lease in the log
+//! ([`lease`]); the lease record's offset is the fencing number that every order carries. What a
+//! target should hold comes from the declared fleet ([`desired`]), and [`giver`] decides which
+//! orders go out now, so that a change keeps a whole chain in service and stays within the
+//! weight store's rate.
+
+pub mod desired;
+pub mod giver;
+pub mod lease;
