Orders: the driver, not yet wired

Cause: the decisions of core::order need somebody to read, append and send. Change: roseshored::orders, a round of 250 ms; the right to order is asked again in the sending thread, right before the send. Conclusion: partial until wired and tested.

--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod app;
 pub mod events;
+pub mod orders;
--- /dev/null
+++ b/crates/roseshored/src/orders.rs
@@ -0,0 +1,278 @@
+//! Gives orders to the targets of the own data centre.
+//!
+//! The daemon that is first in rendezvous order for the subject `orders` tries to hold the lease
+//! of its data centre; while it does, it brings targets to what the fleet declares. Who may order
+//! and which orders are due is decided in `roseshore_core::order`; this module reads and appends
+//! records, asks the parts for their state, and sends.
+
+use crate::app::Drain;
+use crate::event;
+use parking_lot::Mutex;
+use roseshore_core::order::desired::{Desired, desired};
+use roseshore_core::order::giver::{Giver, GiverBounds, Seen, Store};
+use roseshore_core::order::lease::{LeaseRecord, LeaseTimes, Leaser};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Fleets, Members, Report, ReportContent, Reports};
+use roseshore_ports::outside::{CallError, Engine, Log, WeightStore};
+use roseshore_wire::engine::{Order, Role};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+/// How long a round waits before the next one.
+const ROUND: Duration = Duration::from_millis(250);
+/// The most records read in a round.
+const RECORDS: usize = 256;
+/// A report older than this says nothing about what a target holds.
+const FRESH: Duration = Duration::from_secs(3);
+/// How long a target has to answer an order; the lease's margin covers it.
+const FLIGHT: Duration = Duration::from_secs(1);
+/// Orders that are sent at once.
+const SENDERS: usize = 4;
+
+/// What giving orders needs.
+#[derive(Clone)]
+pub struct OrderParts {
+    /// Keeps the leases.
+    pub log: Arc<dyn Log>,
+    /// Takes the orders.
+    pub engine: Arc<dyn Engine>,
+    /// Gives the weights.
+    pub weights: Arc<dyn WeightStore>,
+    /// What should be held.
+    pub fleets: Arc<dyn Fleets>,
+    /// What is held.
+    pub reports: Arc<dyn Reports>,
+    /// Who else could order.
+    pub members: Arc<dyn Members>,
+    /// Whether this daemon is leaving.
+    pub drain: Arc<Drain>,
+}
+
+/// The orders of one daemon.
+pub struct Orders {
+    parts: OrderParts,
+    stream: String,
+    data_centre: DataCentreId,
+    leaser: Arc<Mutex<Leaser>>,
+    giver: Giver,
+    holding: bool,
+    sender: Sender,
+}
+
+impl Orders {
+    /// Orders of a daemon that holds no lease yet; starts the threads that send.
+    pub fn new(parts: OrderParts, times: LeaseTimes) -> Orders {
+        let own = parts.members.own();
+        let leaser = Leaser::new(own.host, own.incarnation, times);
+        let leaser = Arc::new(Mutex::new(leaser));
+        let sender = Sender::start(parts.engine.clone(), leaser.clone());
+        Orders {
+            stream: format!("orders-{}", own.data_centre),
+            data_centre: own.data_centre,
+            giver: Giver::new(GiverBounds::default()),
+            holding: false,
+            parts,
+            leaser,
+            sender,
+        }
+    }
+
+    /// Runs rounds until `stop` is closed.
+    pub fn run(mut self, stop: &flume::Receiver<()>) {
+        while let Err(flume::RecvTimeoutError::Timeout) = stop.recv_timeout(ROUND) {
+            self.round();
+        }
+        self.release();
+    }
+
+    /// One round: read the stream, hold the lease if it is this daemon's turn, give what is due.
+    pub fn round(&mut self) {
+        let host = self.parts.members.own().host;
+        let ranked = self.parts.members.ranked("orders");
+        // The second in rank reads along, so that it can take over without reading up first.
+        let near = ranked.iter().take(2).any(|m| m.host == host);
+        if !near && !self.holding {
+            return;
+        }
+        if !self.read() {
+            return;
+        }
+        let leaving = self.parts.drain.draining();
+        let first = ranked.first().is_some_and(|m| m.host == host);
+        let due = self.leaser.lock().due(Instant::now(), first && !leaving, rand::random());
+        if let Some(record) = due {
+            self.append(&record);
+        }
+        self.note_holding();
+        if leaving {
+            self.release();
+        } else if self.holding {
+            self.give();
+        }
+    }
+
+    /// Reads the stream up to its end; `false` when the log does not answer.
+    fn read(&self) -> bool {
+        loop {
+            let from = self.leaser.lock().fold().next();
+            match self.parts.log.read(&self.stream, from, RECORDS, Duration::ZERO) {
+                Ok(records) => {
+                    let end = records.end;
+                    let mut leaser = self.leaser.lock();
+                    for record in &records.records {
+                        take(&mut leaser, record);
+                    }
+                    if records.records.is_empty() || leaser.fold().next() >= end {
+                        return true;
+                    }
+                }
+                Err(CallError::Trimmed(oldest, _)) => self.leaser.lock().skip_to(oldest),
+                Err(_) => return false,
+            }
+        }
+    }
+
+    fn append(&self, record: &LeaseRecord) {
+        let Ok(line) = serde_json::to_string(record) else { return };
+        // Whatever becomes of the append, the next reading tells.
+        let _ = self.parts.log.append(&self.stream, &[line]);
+    }
+
+    fn note_holding(&mut self) {
+        let fence = self.leaser.lock().may_order(Instant::now(), true);
+        match (self.holding, fence) {
+            (false, Some(fence)) => {
+                event!(Event::LeaseTaken, "stream={} fence={fence}", self.stream)
+            }
+            (true, None) => event!(Event::LeaseLost, "stream={}", self.stream),
+            _ => {}
+        }
+        self.holding = fence.is_some();
+    }
+
+    /// Ends the lease once no order is under way.
+    fn release(&mut self) {
+        if self.sender.flying() > 0 {
+            return;
+        }
+        let record = self.leaser.lock().release();
+        if let Some(record) = record {
+            self.append(&record);
+            self.holding = false;
+        }
+    }
+
+    fn give(&mut self) {
+        let Some(fleet) = self.parts.fleets.current() else { return };
+        let wants = desired(&fleet.fleet, &self.data_centre);
+        let seen = seen(&self.parts.reports.newest(), Instant::now());
+        let store = self.parts.weights.weights().ok();
+        let store = store.map(|s| Store { rate: s.rate, backlog: s.backlog });
+        let now = Instant::now();
+        let leaser = self.leaser.clone();
+        let allowed = |checks| leaser.lock().may_order(now, checks).is_some();
+        let due = self.giver.due(now, &wants, &seen, store, allowed);
+        metrics::gauge!("roseshore_orders_waiting").set(due.len() as f64);
+        for (id, want) in due {
+            if let Some(target) = fleet.fleet.targets.get(&id) {
+                self.sender.send(id, target.addr, want);
+            }
+        }
+    }
+}
+
+fn take(leaser: &mut Leaser, record: &roseshore_wire::platform::Record) {
+    match serde_json::from_str::<LeaseRecord>(&record.data) {
+        Ok(lease) => {
+            leaser.record(record.offset, record.time_ms, &lease, Instant::now());
+        }
+        // A record of a later version is skipped by every reader alike.
+        Err(_) => leaser.skip_to(record.offset + 1),
+    }
+}
+
+/// What targets hold, by their fresh reports.
+fn seen(reports: &[Report], now: Instant) -> BTreeMap<TargetId, Seen> {
+    let fresh = reports.iter().filter(|r| now.saturating_duration_since(r.seen) < FRESH);
+    fresh.filter_map(|r| Some((r.target.clone(), holding(&r.content)?))).collect()
+}
+
+fn holding(content: &ReportContent) -> Option<Seen> {
+    let ReportContent::Engine(load) = content else { return None };
+    let holding = &load.holding;
+    Some(Seen {
+        model: holding.model.clone(),
+        version: holding.version.clone(),
+        layers: holding.layers,
+        adapters: holding.adapters.clone(),
+        loading: holding.loading,
+    })
+}
+
+struct Job {
+    target: TargetId,
+    addr: std::net::SocketAddr,
+    want: Desired,
+}
+
+/// The threads that send orders.
+struct Sender {
+    jobs: flume::Sender<Job>,
+    flying: Arc<AtomicUsize>,
+}
+
+impl Sender {
+    fn start(engine: Arc<dyn Engine>, leaser: Arc<Mutex<Leaser>>) -> Sender {
+        let (jobs, queue) = flume::bounded::<Job>(SENDERS * 16);
+        let flying = Arc::new(AtomicUsize::new(0));
+        for _ in 0..SENDERS {
+            let (queue, engine) = (queue.clone(), engine.clone());
+            let (leaser, flying) = (leaser.clone(), flying.clone());
+            thread::spawn(move || {
+                for job in queue {
+                    send(engine.as_ref(), &leaser, &job);
+                    flying.fetch_sub(1, Ordering::SeqCst);
+                }
+            });
+        }
+        Sender { jobs, flying }
+    }
+
+    /// Orders that are waiting to be sent or to be answered.
+    fn flying(&self) -> usize {
+        self.flying.load(Ordering::SeqCst)
+    }
+
+    fn send(&self, target: TargetId, addr: std::net::SocketAddr, want: Desired) {
+        self.flying.fetch_add(1, Ordering::SeqCst);
+        // A full queue drops the order; it is due again in a later round.
+        if self.jobs.try_send(Job { target, addr, want }).is_err() {
+            self.flying.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
+
+fn send(engine: &dyn Engine, leaser: &Mutex<Leaser>, job: &Job) {
+    // Asked here and not when the order was decided: the thread may have waited long.
+    let Some(fence) = leaser.lock().may_order(Instant::now(), job.want.checks) else { return };
+    let Job { target, want, .. } = job;
+    let order = Order {
+        fence,
+        order: format!("{fence}-{target}-{}-{}", want.model, want.version),
+        model: Some(want.model.clone()),
+        version: Some(want.version.clone()),
+        layers: want.layers,
+        adapters: want.adapters.clone(),
+        role: Role::Both,
+    };
+    event!(Event::OrderSent, "target={target} version={} fence={fence}", want.version);
+    match engine.order(job.addr, &order, FLIGHT) {
+        Ok(_) => {}
+        Err(CallError::Refused(412, ..)) => {
+            event!(Event::OrderFenced, "target={target} fence={fence}");
+        }
+        Err(err) => event!(Event::OrderUnknown, "target={target} fence={fence}: {err}"),
+    }
+}
