--- a/crates/roseshored/src/orders.rs
+++ b/crates/roseshored/src/orders.rs
@@ -144,7 +144,7 @@
         let fence = self.leaser.lock().may_order(Instant::now(), true);
         match (self.holding, fence) {
             (false, Some(fence)) => {
-                event!(Event::LeaseTaken, "stream={} fence={fence}", self.stream)
+                event!(Event::LeaseTaken, "stream={} fence={fence}", self.stream);
             }
             (true, None) => event!(Event::LeaseLost, "stream={}", self.stream),
             _ => {}
