--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ids;
 pub mod load;
 pub mod lookup;
+pub mod order;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod spans;
 
 pub use drain::{Running, start};
+pub mod orders;
