Ledger: what runs, late and refused, and the weekly account

Cause: nothing may end silently, and the support manager gets an account that outlives hosts and the log's retention. Ruled out: a record per request (log rate), counters asked at the week's end (lost with replaced hosts). Change: core::ledger (book, account), roseshored::ledger (driver, asker, parts and summaries in the log).

--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod event;
 pub mod fleet;
 pub mod ids;
+pub mod ledger;
 pub mod prelude;
 pub mod verdict;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod app;
 pub mod events;
 pub mod fleets;
+pub mod ledger;
 pub mod operators;
