--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod lookup;
 pub mod order;
+pub mod ledger;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod front;
 pub mod gate;
 pub mod lookups;
+pub mod ledger;
 pub mod operators;
 pub mod routing;
 pub mod serve;
