--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -12,9 +12,10 @@
 pub mod fleets;
 pub mod front;
 pub mod gate;
-pub mod lookups;
 pub mod ledger;
+pub mod lookups;
 pub mod operators;
+pub mod orders;
 pub mod routing;
 pub mod serve;
 pub mod settings;
@@ -22,4 +23,3 @@
 pub mod spans;
 
 pub use drain::{Running, start};
-pub mod orders;
