Contract of callers, settings and drain, in tables

A signal that came between the start and the handler's registration ended the process without a drain; signals are now taken before the start.

--- a/crates/roseshored/src/drain.rs
+++ b/crates/roseshored/src/drain.rs
@@ -10,6 +10,7 @@
 use crate::serve::Site;
 use crate::settings::Settings;
 use crate::spans;
+use flume::Receiver;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use roseshore_core::prelude::*;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -86,11 +87,12 @@
     }
 }
 
-/// Waits for the first `SIGTERM` or `SIGINT`; from then on, a second one ends the process at once.
+/// Takes `SIGTERM` and `SIGINT` from now on: the first one comes on the channel, a second one ends
+/// the process at once. Called before the start, so that no signal finds the process undecided.
 ///
 /// # Errors
 /// When signals cannot be taken.
-pub fn wait_for_signal() -> io::Result<()> {
+pub fn watch_signals() -> io::Result<Receiver<()>> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let (first, came) = flume::bounded(1);
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
@@ -101,6 +103,5 @@
             let _ = first.send(());
         }
     })?;
-    let _ = came.recv();
-    Ok(())
+    Ok(came)
 }
--- a/crates/roseshored/src/main.rs
+++ b/crates/roseshored/src/main.rs
@@ -37,8 +37,9 @@
 }
 
 fn run(settings: &Settings) -> Result<usize, Box<dyn std::error::Error>> {
+    let stop = drain::watch_signals()?;
     let running = roseshored::start(settings, parts(settings)?)?;
-    drain::wait_for_signal()?;
+    let _ = stop.recv();
     running.drain();
     Ok(running.finish())
 }
--- /dev/null
+++ b/crates/roseshored/tests/settings.rs
@@ -0,0 +1,108 @@
+//! Settings by flags and variables, as the process takes them.
+
+use std::process::{Command, Output};
+
+struct Case {
+    name: &'static str,
+    flags: &'static [&'static str],
+    variables: &'static [(&'static str, &'static str)],
+    status: i32,
+    says: &'static [&'static str],
+}
+
+const HOST: &str = "--host=h1";
+const ZONE: &str = "--data-centre=a";
+const LOG: &str = "--log=127.0.0.1:9";
+
+const CASES: &[Case] = &[
+    Case {
+        name: "flags",
+        flags: &[HOST, ZONE, LOG],
+        variables: &[],
+        status: 0,
+        says: &["can be used"],
+    },
+    Case {
+        name: "variables",
+        flags: &[],
+        variables: &[
+            ("HOST", "h1"),
+            ("DATA_CENTRE", "a"),
+            ("LOG", "127.0.0.1:9"),
+            ("REQUESTS", "7"),
+        ],
+        status: 0,
+        says: &["can be used"],
+    },
+    Case {
+        name: "a flag goes before its variable",
+        flags: &[HOST, ZONE, LOG, "--poll-ms=100"],
+        variables: &[("POLL_MS", "soon")],
+        status: 0,
+        says: &["can be used"],
+    },
+    Case {
+        name: "nothing",
+        flags: &[],
+        variables: &[],
+        status: 2,
+        says: &[
+            "E104 3 of",
+            "`--host` or `ROSESHORE_HOST`: given nothing",
+            "--data-centre",
+            "--log",
+        ],
+    },
+    Case {
+        name: "all wrong at once",
+        flags: &["--host=a b", ZONE, "--listen=localhost:80", "--caller-ms=1", "--log-level=loud"],
+        variables: &[("LOG", "nowhere"), ("REQUESTS", "0"), ("BODY_BYTES", "1e6")],
+        status: 2,
+        says: &[
+            "E104 7 of",
+            "given `a b`, allowed 1 to 64 letters",
+            "`localhost:80`, allowed an IP number and a port",
+            "`1`, allowed a whole number from 50 to 3600000",
+            "`loud`, allowed one of `error`, `warn`",
+            "`ROSESHORE_LOG`: given `nowhere`",
+            "`ROSESHORE_REQUESTS`: given `0`",
+            "`1e6`, allowed a whole number from 1024",
+        ],
+    },
+    Case {
+        name: "no such flag",
+        flags: &["--speed=1"],
+        variables: &[],
+        status: 2,
+        says: &["--speed"],
+    },
+    Case {
+        name: "help",
+        flags: &["--help"],
+        variables: &[],
+        status: 0,
+        says: &["ROSESHORE_DRAIN_MS", "Ends with 0"],
+    },
+];
+
+fn run(case: &Case) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roseshored"));
+    command.env_clear().arg("--check").args(case.flags);
+    for (name, value) in case.variables {
+        command.env(format!("ROSESHORE_{name}"), value);
+    }
+    command.output().expect("run")
+}
+
+#[test]
+fn settings() {
+    for case in CASES {
+        let output = run(case);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(output.status.code(), Some(case.status), "{}: {text}", case.name);
+        for part in case.says {
+            assert!(text.contains(part), "{}: no `{part}` in {text}", case.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/roseshored/tests/support/fakes.rs
@@ -0,0 +1,421 @@
+//! In-memory parts of a daemon, a raw caller, and a fleet for both.
+
+// Each test file includes this one and uses its own part of it.
+#![allow(dead_code, unreachable_pub)]
+
+use flume::{Receiver, Sender};
+use parking_lot::{Condvar, Mutex};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::*;
+use roseshore_ports::outside::*;
+use roseshore_wire::engine::*;
+use roseshored::app::{App, Drain};
+use roseshored::settings::Settings;
+use roseshored::{Running, simple};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const FLEET: &str = r#"
+[data_centres.a]
+region = "r"
+[models.m]
+layers = 4
+version = "v1"
+adapters = ["tuned"]
+[services.chat]
+kind = "model"
+model = "m"
+[services.verdicts]
+kind = "model"
+model = "m"
+idempotent = false
+[services.cards]
+kind = "lookup"
+sources = ["one"]
+[services.notes]
+kind = "plain"
+idempotent = false
+[organisations.acme]
+[targets.t1]
+kind = "engine"
+host = "h"
+data_centre = "a"
+addr = "127.0.0.1:9"
+model = "m"
+layers = [0, 4]
+"#;
+
+/// What the engine does with each stream that is opened.
+#[derive(Clone)]
+pub enum Play {
+    /// The test gives each item itself.
+    By(Receiver<StreamItem>),
+    /// So many tokens, then the end.
+    Whole(u32),
+    /// So many tokens, then silence and a cut.
+    Cut(u32),
+    Fail(CallError),
+    Panic,
+}
+
+pub struct FakeEngine {
+    pub play: Mutex<Play>,
+    pub opened: Mutex<Vec<Generate>>,
+}
+
+pub fn token(ask: &Generate, position: Position) -> StreamItem {
+    let lineage = ask.route.iter().map(|it| Stamp {
+        target: it.target.clone(),
+        incarnation: it.incarnation,
+        layers: it.layers,
+        epoch: ask.epoch,
+        version: ask.version.clone(),
+    });
+    StreamItem::Output(Output::Token {
+        answer: ask.answer.clone(),
+        epoch: ask.epoch,
+        position,
+        text: format!("t{position} "),
+        lineage: lineage.collect(),
+    })
+}
+
+pub fn done(ask: &Generate, count: u32) -> StreamItem {
+    let (answer, epoch) = (ask.answer.clone(), ask.epoch);
+    StreamItem::Output(Output::Done { answer, epoch, count, reason: "stop".to_owned(), cached: 0 })
+}
+
+impl Engine for FakeEngine {
+    fn load(&self, _: SocketAddr, _: Duration) -> Called<Load> {
+        Err(CallError::Unreached("fake".to_owned()))
+    }
+
+    fn generate(&self, _: SocketAddr, ask: &Generate, _: Instant) -> Called<Receiver<StreamItem>> {
+        self.opened.lock().push(ask.clone());
+        let (give, take) = flume::unbounded();
+        let tokens = |count| {
+            for position in ask.done.len() as u32..count {
+                let _ = give.send(token(ask, position));
+            }
+        };
+        match self.play.lock().clone() {
+            Play::By(items) => return Ok(items),
+            Play::Whole(count) => {
+                tokens(count);
+                let _ = give.send(done(ask, count));
+                let _ = give.send(StreamItem::Ended(Ok(())));
+            }
+            Play::Cut(count) => {
+                tokens(count);
+                let _ = give.send(StreamItem::Ended(Err(CallError::Lost("cut".to_owned()))));
+            }
+            Play::Fail(err) => return Err(err),
+            Play::Panic => panic!("asked for by the test"),
+        }
+        Ok(take)
+    }
+
+    fn cancel(&self, _: SocketAddr, _: &Cancel, _: Duration) -> Called<()> {
+        Ok(())
+    }
+
+    fn export(&self, _: SocketAddr, _: &KvExport, _: Duration) -> Called<Kv> {
+        Err(CallError::Refused(404, None, String::new()))
+    }
+
+    fn import(&self, _: SocketAddr, _: &Kv, _: Duration) -> Called<()> {
+        Err(CallError::Refused(409, None, String::new()))
+    }
+
+    fn cache(&self, _: SocketAddr, _: u64, _: Duration) -> Called<CacheEvents> {
+        Err(CallError::Unreached("fake".to_owned()))
+    }
+
+    fn order(&self, _: SocketAddr, _: &Order, _: Duration) -> Called<Holding> {
+        Err(CallError::Unreached("fake".to_owned()))
+    }
+}
+
+/// How a key begins.
+#[derive(Clone, Debug)]
+pub enum Key1 {
+    Win,
+    /// Wins, but may not dispatch any more.
+    Lapse,
+    Settled(Outcome),
+    Refuse(Refusal),
+}
+
+/// Records what was done with each claim.
+pub struct FakeClaims {
+    pub key: Mutex<Key1>,
+    pub calls: Mutex<Vec<String>>,
+}
+
+impl Claims for FakeClaims {
+    fn begin(&self, key: &Key, _digest: u64, _deadline: Instant) -> Begin {
+        self.calls.lock().push(format!("begin {key}"));
+        match self.key.lock().clone() {
+            Key1::Win | Key1::Lapse => Begin::Won(Claim { key: key.clone(), offset: 7 }),
+            Key1::Settled(outcome) => Begin::Settled(outcome),
+            Key1::Refuse(refusal) => Begin::Refused(refusal),
+        }
+    }
+
+    fn dispatch(&self, _claim: &Claim) -> bool {
+        self.calls.lock().push("dispatch".to_owned());
+        !matches!(*self.key.lock(), Key1::Lapse)
+    }
+
+    fn settle(&self, _claim: &Claim, outcome: Outcome) {
+        self.calls.lock().push(format!("settle {}", outcome.verdict.name()));
+        if outcome.verdict == Verdict::Answered {
+            *self.key.lock() = Key1::Settled(outcome);
+        }
+    }
+
+    fn abandon(&self, _claim: &Claim) {
+        self.calls.lock().push("abandon".to_owned());
+    }
+}
+
+/// Admits everybody, or panics.
+#[derive(Default)]
+pub struct FakeGate {
+    pub panics: Mutex<bool>,
+}
+
+impl Gate for FakeGate {
+    fn enter(&self, _: &Ask) -> Result<Permit, Refusal> {
+        assert!(!*self.panics.lock(), "asked for by the test");
+        Ok(Permit::new(|| {}))
+    }
+}
+
+/// Keeps every end, and lets tests wait for one.
+#[derive(Default)]
+pub struct FakeLedger {
+    ends: Mutex<Vec<End>>,
+    more: Condvar,
+}
+
+impl FakeLedger {
+    pub fn wait(&self, count: usize) -> Vec<End> {
+        let mut ends = self.ends.lock();
+        self.more.wait_while_for(&mut ends, |it| it.len() < count, PATIENCE);
+        assert!(ends.len() >= count, "only {} requests ended", ends.len());
+        ends.clone()
+    }
+}
+
+impl Ledger for FakeLedger {
+    fn begun(&self, _: &Ask) {}
+
+    fn ended(&self, end: &End) {
+        self.ends.lock().push(end.clone());
+        self.more.notify_all();
+    }
+}
+
+/// A daemon in this process with its fakes.
+pub struct Daemon {
+    pub running: Running,
+    pub addr: SocketAddr,
+    pub engine: Arc<FakeEngine>,
+    pub claims: Arc<FakeClaims>,
+    pub gate: Arc<FakeGate>,
+    pub ledger: Arc<FakeLedger>,
+    pub drain: Arc<Drain>,
+}
+
+pub fn settings(flags: &[&str]) -> Settings {
+    let base = ["roseshored", "--host=h1", "--data-centre=a", "--listen=127.0.0.1:0"];
+    let more = ["--static-fleet=x", "--grace-ms=0", "--body-bytes=2048"];
+    let all = base.iter().chain(&more).chain(flags).map(|it| (*it).to_owned());
+    Settings::read(all).expect("settings of the test")
+}
+
+pub fn fleet() -> Fleet {
+    toml::from_str(FLEET).expect("fleet of the test")
+}
+
+/// A daemon; its engine plays `Whole(3)` and its keys win until the test says otherwise.
+pub fn daemon(flags: &[&str]) -> Daemon {
+    daemon_with(flags, Some(fleet()))
+}
+
+pub fn daemon_with(flags: &[&str], fleet: Option<Fleet>) -> Daemon {
+    let settings = settings(flags);
+    let fleets = Arc::new(simple::StaticFleets::new(fleet));
+    let engine =
+        Arc::new(FakeEngine { play: Mutex::new(Play::Whole(3)), opened: Mutex::default() });
+    let claims = Arc::new(FakeClaims { key: Mutex::new(Key1::Win), calls: Mutex::default() });
+    let gate = Arc::new(FakeGate::default());
+    let ledger = Arc::new(FakeLedger::default());
+    let drain = Arc::new(Drain::default());
+    let app = App {
+        router: Arc::new(simple::FirstFit::new(fleets.clone())),
+        fleets,
+        gate: gate.clone(),
+        claims: claims.clone(),
+        ledger: ledger.clone(),
+        members: Arc::new(simple::Alone::new(&settings)),
+        engine: engine.clone(),
+        services: Arc::new(simple::Absent),
+        drain: drain.clone(),
+    };
+    let running = roseshored::start(&settings, app).expect("start");
+    let addr = running.addr;
+    Daemon { running, addr, engine, claims, gate, ledger, drain }
+}
+
+/// A stream of the engine that the test feeds.
+pub fn by_hand(daemon: &Daemon) -> Sender<StreamItem> {
+    let (give, take) = flume::unbounded();
+    *daemon.engine.play.lock() = Play::By(take);
+    give
+}
+
+/// The first stream that was opened, once it is.
+pub fn opened(daemon: &Daemon) -> Generate {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(ask) = daemon.engine.opened.lock().first() {
+            return ask.clone();
+        }
+        assert!(Instant::now() < end, "no stream was opened");
+        std::thread::yield_now();
+    }
+}
+
+/// A caller's connection.
+pub struct Caller {
+    input: BufReader<TcpStream>,
+    chunked: bool,
+}
+
+/// A whole response.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|it| it.split_once(": "));
+        lines.into_iter().find(|it| it.0 == name).map(|it| it.1)
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|_| panic!("no JSON: {self:?}"))
+    }
+
+    /// `CODE verdict`, as the headers say.
+    pub fn refusal(&self) -> String {
+        let code = self.header("x-code").unwrap_or("-");
+        format!("{code} {}", self.header("x-verdict").unwrap_or("-"))
+    }
+}
+
+impl Caller {
+    pub fn new(addr: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(addr).expect("connect");
+        stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
+        Caller { input: BufReader::new(stream), chunked: false }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.input.get_mut().write_all(text.as_bytes()).expect("send");
+    }
+
+    pub fn post(&mut self, path: &str, headers: &str, body: &str) {
+        let len = body.len();
+        let head = "host: a\r\nx-organisation: acme\r\n";
+        self.send(&format!(
+            "POST {path} HTTP/1.1\r\n{head}content-length: {len}\r\n{headers}\r\n{body}"
+        ));
+    }
+
+    pub fn get(&mut self, path: &str) -> Got {
+        self.send(&format!("GET {path} HTTP/1.1\r\nhost: a\r\nx-organisation: acme\r\n\r\n"));
+        self.response()
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.input.read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    pub fn head(&mut self) -> Got {
+        let mut head = String::new();
+        loop {
+            let line = self.line();
+            if line.trim().is_empty() {
+                break;
+            }
+            head += &line.replace('\r', "");
+        }
+        self.chunked = head.contains("transfer-encoding: chunked");
+        let status = head.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
+        Got { status, head, body: String::new() }
+    }
+
+    /// The next chunk; empty at the end.
+    pub fn chunk(&mut self) -> String {
+        assert!(self.chunked, "the body has no chunks");
+        let len = usize::from_str_radix(self.line().trim(), 16).expect("a chunk's length");
+        let mut bytes = vec![0; len + 2];
+        self.input.read_exact(&mut bytes).expect("a whole chunk");
+        String::from_utf8(bytes[..len].to_vec()).expect("text")
+    }
+
+    pub fn response(&mut self) -> Got {
+        let got = self.head();
+        self.rest(got)
+    }
+
+    /// The body that is left after `got`, the head.
+    pub fn rest(&mut self, mut got: Got) -> Got {
+        let len = got.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        if self.chunked {
+            loop {
+                let chunk = self.chunk();
+                if chunk.is_empty() {
+                    break;
+                }
+                got.body += &chunk;
+            }
+        } else {
+            let mut bytes = vec![0; len];
+            self.input.read_exact(&mut bytes).expect("a whole body");
+            got.body = String::from_utf8(bytes).expect("text");
+        }
+        got
+    }
+
+    /// Whether the daemon has closed the connection and sent nothing more.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.input.read(&mut [0]), Ok(0))
+    }
+}
+
+/// One request on its own connection.
+pub fn post(addr: SocketAddr, path: &str, headers: &str, body: &str) -> Got {
+    let mut caller = Caller::new(addr);
+    caller.post(path, headers, body);
+    caller.response()
+}
+
+pub const CHAT: &str = "/v1/chat/completions";
+pub const TEXT: &str = "/v1/completions";
+
+pub fn chat(model: &str, stream: bool) -> String {
+    let messages = r#"[{"role":"user","content":"hello there"}]"#;
+    format!(r#"{{"model":"{model}","messages":{messages},"stream":{stream}}}"#)
+}
