Wiring of the parts that have landed; simple ones leave the product

Routing, gate, configuration, answers, engine, service and platform adapters and the operators' paths are wired in parts.rs. Members, peers, claims, the ledger and the poll of loads are still the simple ones.

--- a/crates/roseshored/src/drain.rs
+++ b/crates/roseshored/src/drain.rs
@@ -7,6 +7,7 @@
 use crate::app::{App, Drain};
 use crate::event;
 use crate::front::Front;
+use crate::operators::Console;
 use crate::serve::Site;
 use crate::settings::Settings;
 use crate::spans;
@@ -36,13 +37,13 @@
     limit: Duration,
 }
 
-/// Serves callers with the given parts.
+/// Serves callers with the given parts, and operators where there is a console.
 ///
 /// # Errors
 /// When the address cannot be listened on.
-pub fn start(settings: &Settings, app: App) -> io::Result<Running> {
+pub fn start(settings: &Settings, app: App, console: Option<Console>) -> io::Result<Running> {
     let drain = app.drain.clone();
-    let site = Site { app, store: spans::install(settings.traces), metrics: recorder() };
+    let site = Site { app, console, store: spans::install(settings.traces), metrics: recorder() };
     let front = Front::start(settings, site)?;
     let addr = front.addr();
     event!(
--- a/crates/roseshored/src/front/read.rs
+++ b/crates/roseshored/src/front/read.rs
@@ -45,6 +45,8 @@
     pub method: Method,
     /// The path, without the query.
     pub path: String,
+    /// What follows the `?`.
+    pub query: String,
     /// The body.
     pub body: Vec<u8>,
     /// When its first byte came.
@@ -228,9 +230,17 @@
         "HTTP/1.0" => false,
         _ => return Err(bad("only `HTTP/1.1` and `HTTP/1.0` are spoken here")),
     };
-    let path = target.split('?').next().unwrap_or_default().to_owned();
-    let body = Vec::new();
-    Ok(Request { method, path, body, received, last: !chunks, chunks, headers: Vec::new() })
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    Ok(Request {
+        method,
+        path: path.to_owned(),
+        query: query.to_owned(),
+        body: Vec::new(),
+        received,
+        last: !chunks,
+        chunks,
+        headers: Vec::new(),
+    })
 }
 
 fn header(line: &str) -> Result<Header, Refusal> {
--- a/crates/roseshored/src/main.rs
+++ b/crates/roseshored/src/main.rs
@@ -1,12 +1,11 @@
 //! The daemon's process: settings, logging, parts, signals.
 
 use roseshore_core::prelude::*;
-use roseshored::app::{App, Drain};
+use roseshored::parts::Parts;
 use roseshored::settings::{Settings, SettingsError};
-use roseshored::{drain, event, simple};
+use roseshored::{drain, event};
 use simplelog::{Config, ConfigBuilder, SimpleLogger};
 use std::process::ExitCode;
-use std::sync::Arc;
 
 /// The exit status for wrong settings.
 const WRONG: u8 = 2;
@@ -38,26 +37,12 @@
 
 fn run(settings: &Settings) -> Result<usize, Box<dyn std::error::Error>> {
     let stop = drain::watch_signals()?;
-    let running = roseshored::start(settings, parts(settings)?)?;
+    let parts = Parts::start(settings)?;
+    let running = roseshored::start(settings, parts.app.clone(), Some(parts.console.clone()))?;
     let _ = stop.recv();
-    running.drain();
-    Ok(running.finish())
-}
-
-/// The parts of this daemon.
-fn parts(settings: &Settings) -> Result<App, Box<dyn std::error::Error>> {
-    let fleets = Arc::new(simple::StaticFleets::read(settings.static_fleet.as_deref())?);
-    Ok(App {
-        router: Arc::new(simple::FirstFit::new(fleets.clone())),
-        fleets,
-        gate: Arc::new(simple::Bound::new(settings.requests)),
-        claims: Arc::new(simple::NoClaims),
-        ledger: Arc::new(simple::Recent::default()),
-        members: Arc::new(simple::Alone::new(settings)),
-        engine: Arc::new(simple::Absent),
-        services: Arc::new(simple::Absent),
-        drain: Arc::new(Drain::default()),
-    })
+    let cut = running.finish();
+    parts.stop();
+    Ok(cut)
 }
 
 fn init_log(settings: &Settings) {
--- a/crates/roseshored/src/serve.rs
+++ b/crates/roseshored/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::app::App;
 use crate::front::exchange::{Exchange, Finish};
 use crate::front::read::Request;
+use crate::operators::Console;
 use crate::spans::Store;
 use metrics_exporter_prometheus::PrometheusHandle;
 use roseshore_core::prelude::*;
@@ -23,6 +24,8 @@
 pub struct Site {
     /// The parts.
     pub app: App,
+    /// What operators' calls touch; without it there are none.
+    pub console: Option<Console>,
     /// The spans of the last requests.
     pub store: &'static Store,
     /// The metrics.
--- a/crates/roseshored/src/serve/sight.rs
+++ b/crates/roseshored/src/serve/sight.rs
@@ -4,6 +4,7 @@
 use crate::front::exchange::{Exchange, Finish};
 use crate::front::read::Request;
 use crate::front::reply::Response;
+use crate::operators::{self, Call, Console};
 use roseshore_core::fleet::ServiceKind;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{End, Fate};
@@ -15,6 +16,13 @@
 
 /// Serves the paths that start no work.
 pub(super) fn handle(request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal> {
+    if let Some(console) = &exchange.site.console
+        && request.path.starts_with(operators::PREFIX)
+    {
+        let response = operate(console, request);
+        exchange.reply.send(&response);
+        return Ok(Finish::default());
+    }
     if !matches!(request.method, Method::Get | Method::Head) {
         return Err(super::unknown(request));
     }
@@ -35,6 +43,13 @@
     Ok(Finish::default())
 }
 
+fn operate(console: &Console, request: &Request) -> Response {
+    let path = format!("{}?{}", request.path, request.query);
+    let method = request.method.as_str();
+    let answer = operators::handle(console, &Call { method, path: &path, body: &request.body });
+    Response::new(answer.status, "application/json", answer.body)
+}
+
 fn ready(exchange: &Exchange<'_>) -> Result<Response, Refusal> {
     if exchange.site.app.drain.draining() {
         return Err(Refusal::not_run(Code::Draining, "this host is leaving"));
--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -10,7 +10,6 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::path::PathBuf;
 
 /// What a setting may be.
 enum Kind {
@@ -22,8 +21,6 @@
     Count(RangeInclusive<u64>),
     /// One of a few words.
     Choice(&'static [&'static str]),
-    /// A file.
-    File,
 }
 
 /// One row of the table.
@@ -57,7 +54,7 @@
     must("data-centre", Kind::Name, "The data centre it is in"),
     row("listen", Some("0.0.0.0:8080"), Kind::Addr, "Where callers are heard, IP:PORT"),
     row("peer", Some("0.0.0.0:8081"), Kind::Addr, "Where daemons are heard, UDP and TCP, IP:PORT"),
-    row("log", None, Kind::Addr, "The platform's log service, IP:PORT"),
+    must("log", Kind::Addr, "The platform's log service, IP:PORT"),
     row("host-list", None, Kind::Addr, "The platform's host list, IP:PORT [that of --log]"),
     row("weight-store", None, Kind::Addr, "The platform's weight store, IP:PORT [that of --log]"),
     row("connections", Some("1024"), Kind::Count(1..=65_536), "Connections of callers at once"),
@@ -85,7 +82,6 @@
     row("traces", Some("1024"), Kind::Count(0..=65_536), "Requests whose spans are kept"),
     row("log-level", Some("info"), Kind::Choice(LEVELS), "What is logged"),
     row("log-format", Some("full"), Kind::Choice(FORMATS), "Lines with time and level, or bare"),
-    row("static-fleet", None, Kind::File, "A fixed fleet in TOML in place of the log, for trials"),
 ];
 
 quick_error! {
@@ -140,11 +136,11 @@
     /// Where daemons are heard, UDP and TCP.
     pub peer: SocketAddr,
     /// The log service.
-    pub log: Option<SocketAddr>,
+    pub log: SocketAddr,
     /// The host list.
-    pub host_list: Option<SocketAddr>,
+    pub host_list: SocketAddr,
     /// The weight store.
-    pub weight_store: Option<SocketAddr>,
+    pub weight_store: SocketAddr,
     /// Connections of callers at once.
     pub connections: usize,
     /// Requests worked on at once.
@@ -175,8 +171,6 @@
     pub log_level: log::LevelFilter,
     /// Whether lines are logged without time and level.
     pub bare_log: bool,
-    /// A fixed fleet in place of the log.
-    pub static_fleet: Option<PathBuf>,
     /// Whether only the settings are to be checked.
     pub check: bool,
 }
@@ -188,13 +182,7 @@
     /// Every wrong setting at once, or what `clap` has to say.
     pub fn read<I: IntoIterator<Item = String>>(args: I) -> Result<Settings, SettingsError> {
         let matches = command().try_get_matches_from(args).map_err(SettingsError::Usage)?;
-        let mut wrong = check(&matches);
-        if matches.get_one::<String>("log").is_none()
-            && matches.get_one::<String>("static-fleet").is_none()
-        {
-            let allowed = "IP:PORT of the log service".to_owned();
-            wrong.push(WrongSetting { flag: "log", given: None, allowed });
-        }
+        let wrong = check(&matches);
         if !wrong.is_empty() {
             return Err(SettingsError::Wrong(wrong));
         }
@@ -202,15 +190,15 @@
     }
 
     fn collect(values: &Values) -> Settings {
-        let log = values.addr("log");
+        let log = values.addr("log").unwrap_or(UNSET);
         Settings {
             host: values.text("host"),
             data_centre: values.text("data-centre"),
             listen: values.addr("listen").unwrap_or(UNSET),
             peer: values.addr("peer").unwrap_or(UNSET),
             log,
-            host_list: values.addr("host-list").or(log),
-            weight_store: values.addr("weight-store").or(log),
+            host_list: values.addr("host-list").unwrap_or(log),
+            weight_store: values.addr("weight-store").unwrap_or(log),
             connections: values.count("connections") as usize,
             requests: values.count("requests") as usize,
             body_bytes: values.count("body-bytes") as usize,
@@ -226,7 +214,6 @@
             traces: values.count("traces") as usize,
             log_level: values.text("log-level").parse().unwrap_or(log::LevelFilter::Info),
             bare_log: values.text("log-format") == "bare",
-            static_fleet: values.get("static-fleet").map(PathBuf::from),
             check: values.matches.get_flag("check"),
         }
     }
@@ -298,7 +285,6 @@
         Kind::Addr => "IP:PORT",
         Kind::Count(_) => "N",
         Kind::Choice(_) => "WORD",
-        Kind::File => "FILE",
     }
 }
 
@@ -324,7 +310,6 @@
         Kind::Addr => text.parse::<SocketAddr>().is_ok(),
         Kind::Count(range) => text.parse().is_ok_and(|it| range.contains(&it)),
         Kind::Choice(words) => words.contains(&text),
-        Kind::File => !text.is_empty(),
     }
 }
 
@@ -339,6 +324,5 @@
         Kind::Addr => "an IP number and a port, as in `127.0.0.1:8080`".to_owned(),
         Kind::Count(range) => format!("a whole number from {} to {}", range.start(), range.end()),
         Kind::Choice(words) => format!("one of `{}`", words.join("`, `")),
-        Kind::File => "the path of a file".to_owned(),
     }
 }
