--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -256,6 +256,7 @@
         .help("Check the settings and end: 0 if they can be used, 2 if not");
     Command::new("roseshored")
         .version(clap::crate_version!())
+        .args_override_self(true)
         .about("Routes requests to model pipelines, lookup and plain services")
         .after_help("Ends with 0 after a drain, 1 when it cannot start, 2 for wrong settings.")
         .args(TABLE.iter().map(arg))
--- /dev/null
+++ b/crates/roseshored/tests/path.rs
@@ -0,0 +1,118 @@
+//! The whole path: an operator's command through the log, a caller's request over two stages.
+
+#[path = "support/fakes.rs"]
+mod fakes;
+
+use fakes::{CHAT, Caller, PATIENCE, chat, post};
+use roseshore_core::config::{Change, Command, FORMAT};
+use roseshore_core::prelude::*;
+use roseshore_fakes::engine::{EngineFake, EngineSettings};
+
+use roseshore_fakes::platform::{PlatformFake, PlatformSettings};
+use roseshored::Running;
+use roseshored::parts::Parts;
+use std::net::SocketAddr;
+
+const FLEET: &str = r#"
+[data_centres.a]
+region = "r"
+[models.m]
+layers = 4
+version = "v1"
+[services.chat]
+kind = "model"
+model = "m"
+[organisations.acme]
+[targets]
+[services.cards]
+kind = "lookup"
+sources = ["one"]
+"#;
+
+/// A platform, two stages and a daemon, each with its own sockets.
+struct Path {
+    _platform: PlatformFake,
+    stages: Vec<EngineFake>,
+    parts: Parts,
+    running: Running,
+}
+
+impl Path {
+    fn start() -> Path {
+        let platform = PlatformFake::start(PlatformSettings::default()).expect("platform");
+        let log = format!("--log={}", platform.addr());
+        let settings = fakes::settings(&[&log, "--poll-ms=20"]);
+        let parts = Parts::start(&settings).expect("parts");
+        let console = Some(parts.console.clone());
+        let running = roseshored::start(&settings, parts.app.clone(), console).expect("start");
+        let holding = [(0, 2), (2, 4)].map(|layers| {
+            let name = format!("e{}", layers.0);
+            EngineFake::start(EngineSettings::holding(&name, "m", "v1", layers)).expect("engine")
+        });
+        Path { _platform: platform, stages: holding.into(), parts, running }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.running.addr
+    }
+
+    fn apply(&self) {
+        let mut fleet: Fleet = toml::from_str(FLEET).expect("fleet");
+        for stage in &self.stages {
+            let layers = stage.holding().layers;
+            let text = format!(
+                "kind = 'engine'\nhost = 'h'\ndata_centre = 'a'\naddr = '{}'\nmodel = 'm'\n\
+                 layers = [{}, {}]",
+                stage.addr(),
+                layers.0,
+                layers.1
+            );
+            let target = toml::from_str(&text).expect("target");
+            fleet.targets.insert(stage.stage().target, target);
+        }
+        let put = |(key, object)| Change { key, base: None, put: Some(object) };
+        let changes = fleet.objects().into_iter().map(put).collect();
+        let (id, operator) = ("c1".to_owned(), "ops".to_owned());
+        let command = Command { format: FORMAT, id, operator, made_at: 0, changes };
+        let body = serde_json::to_string(&command).expect("command");
+        let got = post(self.addr(), "/v1/admin/commands", "", &body);
+        assert_eq!(got.json()["outcome"]["outcome"], "accepted", "{got:?}");
+    }
+
+    /// Waits until the daemon has heard of every stage.
+    fn wait(&self) {
+        let end = Instant::now() + PATIENCE;
+        while post(self.addr(), CHAT, "", &chat("chat", false)).status != 200 {
+            assert!(Instant::now() < end, "the stages are not in use");
+            std::thread::yield_now();
+        }
+    }
+}
+
+/// Without a configuration nothing is served; with one, an answer passes both stages.
+#[test]
+fn from_command_to_answer() {
+    let path = Path::start();
+    let before = post(path.addr(), CHAT, "", &chat("chat", false));
+    assert_eq!(before.refusal(), "RS501 not_run");
+    path.apply();
+    path.wait();
+    let whole = post(path.addr(), CHAT, "x-request-id: w\r\n", &chat("chat", false)).json();
+    let text = whole["choices"][0]["message"]["content"].as_str().expect("text").to_owned();
+    assert!(!text.is_empty());
+    let streamed = post(path.addr(), CHAT, "x-request-id: s\r\n", &chat("chat", true));
+    assert!(streamed.body.ends_with("data: [DONE]\n\n"));
+    let parts = streamed.body.lines().filter_map(|it| it.strip_prefix("data: {"));
+    let parts = parts.map(|it| serde_json::from_str(&format!("{{{it}")).expect("json"));
+    let parts: Vec<serde_json::Value> = parts.collect();
+    let token =
+        |it: &serde_json::Value| it["choices"][0]["delta"]["content"].as_str().map(str::to_owned);
+    assert_eq!(parts.iter().filter_map(token).collect::<String>(), text);
+    let spans = Caller::new(path.addr()).get("/v1/trace/s").body;
+    for hop in ["admit", "answer", "route", "prefill"] {
+        assert!(spans.contains(&format!(r#""name":"{hop}""#)), "no span `{hop}` in {spans}");
+    }
+    let Path { parts, running, .. } = path;
+    assert_eq!(running.finish(), 0);
+    parts.stop();
+}
