--- a/crates/roseshored/src/drain.rs
+++ b/crates/roseshored/src/drain.rs
@@ -7,9 +7,11 @@
 use crate::app::{App, Drain};
 use crate::event;
 use crate::front::Front;
+use crate::operators::Console;
 use crate::serve::Site;
 use crate::settings::Settings;
 use crate::spans;
+use flume::Receiver;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use roseshore_core::prelude::*;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -35,13 +37,13 @@
     limit: Duration,
 }
 
-/// Serves callers with the given parts.
+/// Serves callers with the given parts, and operators where there is a console.
 ///
 /// # Errors
 /// When the address cannot be listened on.
-pub fn start(settings: &Settings, app: App) -> io::Result<Running> {
+pub fn start(settings: &Settings, app: App, console: Option<Console>) -> io::Result<Running> {
     let drain = app.drain.clone();
-    let site = Site { app, store: spans::install(settings.traces), metrics: recorder() };
+    let site = Site { app, console, store: spans::install(settings.traces), metrics: recorder() };
     let front = Front::start(settings, site)?;
     let addr = front.addr();
     event!(
@@ -86,11 +88,12 @@
     }
 }
 
-/// Waits for the first `SIGTERM` or `SIGINT`; from then on, a second one ends the process at once.
+/// Takes `SIGTERM` and `SIGINT` from now on: the first one comes on the channel, a second one ends
+/// the process at once. Called before the start, so that no signal finds the process undecided.
 ///
 /// # Errors
 /// When signals cannot be taken.
-pub fn wait_for_signal() -> io::Result<()> {
+pub fn watch_signals() -> io::Result<Receiver<()>> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let (first, came) = flume::bounded(1);
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
@@ -101,6 +104,5 @@
             let _ = first.send(());
         }
     })?;
-    let _ = came.recv();
-    Ok(())
+    Ok(came)
 }
