Engine adapter: fault table; minreq out, it invents a 503

Cause: the table of verdicts failed in "closed without a reply": an order whose connection was closed without any reply was reported as Refused(503), so "not run". minreq's parse_status_line returns 503 with "Server did not provide a status line" when there is none, an empty reply included. On a path where 503 means "nothing ran" that is a lie. Ruled out: telling it by that reason phrase, which is an unversioned text of the library. Change: every call of this adapter goes through ureq; calls that change something open a connection each. Stages wait in steps, so that the one before a silent stage gives up first and names it (the case "last stage is frozen" named the stage before it until then). Conclusion: whoever uses minreq where 503 counts as "not run" has the same fault.

--- a/crates/roseshore_adapters/src/engine.rs
+++ b/crates/roseshore_adapters/src/engine.rs
@@ -1,11 +1,11 @@
 //! Model engines over HTTP.
 //!
-//! Polls, cancels and streams go through `ureq`, which keeps connections, has timeouts finer than
-//! a second and can be shut down from another thread. Orders and KV transfers are rare and large
-//! enough for `minreq`, which opens a connection for each.
+//! Every call goes through `ureq`. It keeps connections for polls, has timeouts finer than a second,
+//! and can be shut down from another thread. `minreq` is not used: it turns a reply without a status
+//! line, and a connection that was closed without any reply, into status 503, by which an engine
+//! says that nothing ran.
 
 mod client;
-mod slow;
 mod status;
 mod stream;
 
@@ -19,7 +19,8 @@
 
 /// The engines of a fleet.
 pub struct EngineClient {
-    client: Client,
+    kept: Client,
+    fresh: Client,
     streams: Streams,
 }
 
@@ -32,13 +33,14 @@
 impl EngineClient {
     /// A client without connections; starts the thread that ends abandoned streams.
     pub fn new() -> EngineClient {
-        EngineClient { client: Client::pooled(), streams: Streams::start() }
+        let (kept, fresh) = (Client::pooled(), Client::fresh());
+        EngineClient { kept, fresh, streams: Streams::start() }
     }
 }
 
 impl Engine for EngineClient {
     fn load(&self, addr: SocketAddr, limit: Duration) -> Called<Load> {
-        parse(&self.client.get(addr, "/v1/load", limit)?)
+        parse(&self.kept.get(addr, "/v1/load", limit)?)
     }
 
     fn generate(
@@ -51,23 +53,23 @@
     }
 
     fn cancel(&self, addr: SocketAddr, ask: &Cancel, limit: Duration) -> Called<()> {
-        self.client.post(addr, "/v1/cancel", body(ask)?, limit).map(drop)
+        self.fresh.post(addr, "/v1/cancel", body(ask)?, limit).map(drop)
     }
 
     fn export(&self, addr: SocketAddr, ask: &KvExport, limit: Duration) -> Called<Kv> {
-        parse(&slow::post(addr, "/v1/kv/export", body(ask)?, limit)?)
+        parse(&self.fresh.post(addr, "/v1/kv/export", body(ask)?, limit)?)
     }
 
     fn import(&self, addr: SocketAddr, kv: &Kv, limit: Duration) -> Called<()> {
-        slow::post(addr, "/v1/kv/import", body(kv)?, limit).map(drop)
+        self.fresh.post(addr, "/v1/kv/import", body(kv)?, limit).map(drop)
     }
 
     fn cache(&self, addr: SocketAddr, from: u64, limit: Duration) -> Called<CacheEvents> {
-        parse(&self.client.get(addr, &format!("/v1/cache?from={from}"), limit)?)
+        parse(&self.kept.get(addr, &format!("/v1/cache?from={from}"), limit)?)
     }
 
     fn order(&self, addr: SocketAddr, order: &Order, limit: Duration) -> Called<Holding> {
-        parse(&slow::post(addr, "/v1/order", body(order)?, limit)?)
+        parse(&self.fresh.post(addr, "/v1/order", body(order)?, limit)?)
     }
 }
 
--- a/crates/roseshore_adapters/src/engine/client.rs
+++ b/crates/roseshore_adapters/src/engine/client.rs
@@ -1,4 +1,8 @@
-//! Short calls through `ureq`, over connections that are kept.
+//! Short calls through `ureq`.
+//!
+//! Polls go over connections that are kept. Calls that change something get a connection each: one
+//! that was kept may have been closed by the engine just now, and then nobody knows whether the
+//! call was read.
 //!
 //! Two parts of `ureq` are replaced. The connector marks an error that came before there was a
 //! connection, so that "not reached" is certain and is not guessed from the kind of the error. The
@@ -39,6 +43,11 @@
         Client { agent: agent(IDLE_ALL, IDLE_EACH) }
     }
 
+    /// A client that opens a connection for each call.
+    pub(super) fn fresh() -> Client {
+        Client { agent: agent(0, 0) }
+    }
+
     /// Calls without a body.
     pub(super) fn get(&self, addr: SocketAddr, path: &str, limit: Duration) -> Called<Vec<u8>> {
         let request = self.agent.get(url(addr, path)).config();
@@ -54,7 +63,8 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Called<Vec<u8>> {
-        let request = self.agent.post(url(addr, path)).content_type("application/json").config();
+        let request = self.agent.post(url(addr, path)).content_type("application/json");
+        let request = request.header("Connection", "close").config();
         let request = request.timeout_global(Some(limit)).timeout_connect(Some(connect(limit)));
         finish(request.build().send(&body))
     }
--- a/crates/roseshore_adapters/src/engine/status.rs
+++ b/crates/roseshore_adapters/src/engine/status.rs
@@ -3,7 +3,7 @@
 use roseshore_ports::outside::{CallError, Called};
 use std::time::Duration;
 
-/// What came back, whichever library brought it.
+/// What came back.
 pub(super) struct Reply {
     /// The status.
     pub(super) status: u16,
--- a/crates/roseshore_adapters/tests/engine.rs
+++ b/crates/roseshore_adapters/tests/engine.rs
@@ -2,52 +2,19 @@
 
 use roseshore_adapters::engine::EngineClient;
 use roseshore_core::prelude::*;
-use roseshore_fakes::engine::{EngineFake, EngineSettings, text};
-use roseshore_ports::outside::{Called, Engine, StreamItem};
-use roseshore_wire::engine::{Generate, Output, Stage, Stamp};
-
-const MODEL: &str = "indus";
-const VERSION: &str = "v1";
-const LAYERS: Layer = 12;
-const LIMIT: Duration = Duration::from_secs(20);
-
-fn chain(stages: u16, tune: impl Fn(&mut EngineSettings)) -> Vec<EngineFake> {
-    let part = LAYERS / stages;
-    let start = |index: u16| {
-        let name = format!("engine-{index}");
-        let layers = (index * part, (index + 1) * part);
-        let mut settings = EngineSettings::holding(&name, MODEL, VERSION, layers);
-        settings.adapters.insert("safety".to_owned());
-        settings.step = Duration::from_micros(50);
-        tune(&mut settings);
-        EngineFake::start(settings).expect("a free port")
-    };
-    (0..stages).map(start).collect()
-}
-
-fn route(chain: &[EngineFake]) -> Vec<Stage> {
-    chain.iter().map(EngineFake::stage).collect()
-}
+use roseshore_fakes::engine::rig::{ADAPTER, Rig, VERSION, whole, words};
+use roseshore_fakes::engine::{EngineFaults, EngineSettings};
+use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
+use roseshore_wire::engine::{Cancel, Generate, Holding, Order, Output, Role, Stage, Stamp};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
 
-fn words(words: &[&str]) -> Vec<String> {
-    words.iter().map(|word| (*word).to_owned()).collect()
-}
+const LIMIT: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_millis(400);
 
-fn ask(chain: &[EngineFake], epoch: Epoch) -> Generate {
-    Generate {
-        answer: "answer-1".to_owned(),
-        epoch,
-        route: route(chain),
-        model: MODEL.to_owned(),
-        version: VERSION.to_owned(),
-        adapter: None,
-        prompt: words(&["review", "plate", "seven"]),
-        done: Vec::new(),
-        warm: false,
-        max_tokens: 12,
-        priority: 4,
-        trace: None,
-    }
+fn rig(stages: u16, tune: impl Fn(&mut EngineSettings)) -> Rig {
+    Rig::start(stages, tune).expect("free ports")
 }
 
 fn open(ask: &Generate, limit: Duration) -> Called<flume::Receiver<StreamItem>> {
@@ -59,21 +26,20 @@
 struct Heard {
     tokens: Vec<(Position, String)>,
     lineages: Vec<Vec<Stamp>>,
+    strays: usize,
     last: Option<Output>,
     end: Option<Called<()>>,
 }
 
-impl Heard {
-    fn texts(&self) -> Vec<String> {
-        self.tokens.iter().map(|(_, text)| text.clone()).collect()
-    }
-}
-
-fn hear(stream: &flume::Receiver<StreamItem>) -> Heard {
+fn hear(ask: &Generate, stream: &flume::Receiver<StreamItem>) -> Heard {
     let mut heard = Heard::default();
     while let Ok(item) = stream.recv_timeout(LIMIT) {
         match item {
-            StreamItem::Output(Output::Token { position, text, lineage, .. }) => {
+            StreamItem::Output(Output::Token { answer, epoch, position, text, lineage }) => {
+                if answer != ask.answer || epoch != ask.epoch {
+                    heard.strays += 1;
+                    continue;
+                }
                 heard.tokens.push((position, text));
                 heard.lineages.push(lineage);
             }
@@ -84,9 +50,16 @@
     heard
 }
 
-fn whole(ask: &Generate) -> Vec<String> {
-    let adapter = ask.adapter.as_deref();
-    text::expected(&ask.model, &ask.version, adapter, &ask.prompt, ask.max_tokens)
+fn texts(heard: &Heard) -> Vec<String> {
+    heard.tokens.iter().map(|(_, text)| text.clone()).collect()
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
 }
 
 #[test]
@@ -94,78 +67,324 @@
     struct Case {
         name: &'static str,
         stages: u16,
-        prompt: &'static [&'static str],
+        prompt: &'static str,
         adapter: Option<&'static str>,
-        count: u32,
-        reason: &'static str,
+        end: (u32, &'static str),
+    }
+    let case = |name, stages, prompt, adapter, end| Case { name, stages, prompt, adapter, end };
+    let cases = [
+        case("one stage", 1, "review plate", None, (12, "length")),
+        case("three stages", 3, "review plate", None, (12, "length")),
+        case("four stages", 4, "review plate", None, (12, "length")),
+        case("with an adapter", 3, "review plate", Some(ADAPTER), (12, "length")),
+        case("stops early", 3, "review stop:5", None, (5, "stop")),
+        case("no tokens", 3, "stop:0", None, (0, "stop")),
+    ];
+    for case in cases {
+        let rig = rig(case.stages, |_| ());
+        let mut ask = rig.ask("answer", 1);
+        ask.prompt = words(case.prompt);
+        ask.adapter = case.adapter.map(str::to_owned);
+        ask.trace = Some(format!("00-{:032x}-{:016x}-01", 7, 9));
+        let heard = hear(&ask, &open(&ask, LIMIT).expect(case.name));
+        assert_eq!(texts(&heard), whole(&ask), "{}", case.name);
+        assert_eq!(heard.end, Some(Ok(())), "{}", case.name);
+        let Some(Output::Done { count, reason, .. }) = heard.last else { panic!("{}", case.name) };
+        assert_eq!((count, reason.as_str()), case.end, "{}", case.name);
+        let planned = ask.route.iter().map(|s| (&s.target, s.layers, 1));
+        let planned: Vec<_> = planned.collect();
+        for lineage in &heard.lineages {
+            let ran: Vec<_> = lineage.iter().map(|s| (&s.target, s.layers, s.epoch)).collect();
+            assert_eq!(ran, planned, "{}", case.name);
+        }
+        assert_eq!(rig.stages[0].stats().trace, ask.trace, "{}", case.name);
     }
-    let plain: &[&str] = &["review", "plate"];
+}
+
+/// What the adapter reports of a stream.
+enum Report {
+    /// These positions with the right texts, so many strays, then the whole answer's end.
+    Whole(Vec<Position>, usize),
+    /// At most these tokens, then an end with this verdict.
+    Broken(usize, fn(&CallError) -> bool),
+    /// At most these tokens, then the engine's word that this stage was lost.
+    Lost(usize, &'static str),
+    /// Nothing ran.
+    Refused(u16, Option<Duration>),
+    /// Tokens with stamps that leave a layer out, and with other texts.
+    Lineage,
+}
+
+#[test]
+fn stream_faults() {
+    struct Case {
+        name: &'static str,
+        stage: usize,
+        fault: fn(&mut EngineFaults),
+        report: Report,
+    }
+    let all = || (0..12).collect::<Vec<Position>>();
+    let case = |name, stage, report, fault| Case { name, stage, fault, report };
+    let lost = |tokens, stage: usize| Report::Lost(tokens, ["", "engine-1", "engine-2"][stage]);
+    let broken = |tokens| Report::Broken(tokens, |e| matches!(e, CallError::Lost(_)));
+    let garbled = Report::Broken(4, |e| matches!(e, CallError::Garbled(_)));
+    let twice = (0..12).flat_map(|p| [p, p]).collect();
+    let swapped = (0..12).map(|p| p ^ 1).collect();
+    let but_five = (0..12).filter(|p| *p != 5).collect();
+    let seven = Some(Duration::from_secs(7));
     let cases = [
+        case("no fault", 0, Report::Whole(all(), 0), |_| ()),
+        case("first stage dies before a token", 0, broken(0), |f| f.die_after = Some(0)),
+        case("first stage dies after 3 tokens", 0, broken(3), |f| f.die_after = Some(3)),
+        case("middle stage dies before a token", 1, lost(0, 1), |f| f.die_after = Some(0)),
+        case("middle stage dies after 3 tokens", 1, lost(3, 1), |f| f.die_after = Some(3)),
+        case("last stage dies after 3 tokens", 2, lost(3, 2), |f| f.die_after = Some(3)),
+        case("first stage is frozen", 0, broken(0), |f| f.freeze = true),
+        case("first stage freezes after 3 tokens", 0, broken(3), |f| f.freeze_after = Some(3)),
+        case("middle stage freezes after 3 tokens", 1, lost(3, 1), |f| f.freeze_after = Some(3)),
+        case("last stage is frozen", 2, lost(0, 2), |f| f.freeze = true),
+        case("stream is cut before a token", 0, broken(0), |f| f.cut_after = Some(0)),
+        case("stream is cut after 3 tokens", 0, broken(3), |f| f.cut_after = Some(3)),
+        case("line is garbled", 0, garbled, |f| f.garble_after = Some(4)),
+        case("tokens come late", 0, Report::Whole(all(), 0), |f| f.delay_ms = 3),
+        case("steps are slow", 1, Report::Whole(all(), 0), |f| f.slow = 20.0),
+        case("prefill is slow", 1, Report::Whole(all(), 0), |f| f.prefill_slow = 900.0),
+        case("tokens come twice", 0, Report::Whole(twice, 0), |f| f.duplicate = true),
+        case("tokens come out of order", 0, Report::Whole(swapped, 0), |f| f.reorder = true),
+        case("tokens of an old epoch", 0, Report::Whole(all(), 12), |f| f.old_epoch = true),
+        case("tokens of another answer", 0, Report::Whole(all(), 12), |f| f.crossed = true),
+        case("a position is left out", 0, Report::Whole(but_five, 0), |f| f.skip = Some(5)),
+        case("a stage leaves a layer out", 1, Report::Lineage, |f| f.wrong_lineage = true),
+        case("engine is full", 0, Report::Refused(503, seven), |f| f.refuse = Some(7)),
+    ];
+    for case in cases {
+        let rig = rig(3, |settings| settings.hop_timeout = SHORT);
+        rig.stages[case.stage].faults().change(case.fault);
+        // A frozen first stage is only told by the deadline; all others end by themselves.
+        let limit = if matches!(case.report, Report::Broken(..)) { SHORT * 4 } else { LIMIT };
+        let ask = rig.ask("answer", 1);
+        check(case.name, &ask, open(&ask, limit), case.report);
+    }
+}
+
+fn check(name: &str, ask: &Generate, opened: Called<flume::Receiver<StreamItem>>, report: Report) {
+    if let Report::Refused(status, after) = report {
+        let Err(CallError::Refused(got, wait, _)) = opened else { panic!("{name}") };
+        return assert_eq!((got, wait), (status, after), "{name}");
+    }
+    let stream = match (opened, &report) {
+        (Ok(stream), _) => stream,
+        (Err(error), Report::Broken(..)) => {
+            return assert_eq!(error.verdict(), Verdict::MayHaveRun, "{name}");
+        }
+        (Err(error), _) => panic!("{name}: {error}"),
+    };
+    let heard = hear(ask, &stream);
+    let right = whole(ask);
+    let sound = heard.tokens.iter().all(|(p, text)| right[*p as usize] == *text);
+    match report {
+        Report::Whole(positions, strays) => {
+            let got: Vec<_> = heard.tokens.iter().map(|(p, _)| *p).collect();
+            assert_eq!((got, heard.strays, sound), (positions, strays, true), "{name}");
+            assert!(matches!(heard.last, Some(Output::Done { count: 12, .. })), "{name}");
+            assert_eq!(heard.end, Some(Ok(())), "{name}");
+        }
+        Report::Broken(most, fits) => {
+            assert!(sound && heard.tokens.len() <= most, "{name}: {heard:?}");
+            let Some(Err(error)) = heard.end else { panic!("{name}: no error") };
+            assert!(fits(&error), "{name}: {error}");
+            assert_eq!(error.verdict(), Verdict::MayHaveRun, "{name}");
+        }
+        Report::Lost(most, target) => {
+            assert!(sound && heard.tokens.len() <= most, "{name}: {heard:?}");
+            let Some(Output::Lost { stage, .. }) = heard.last else { panic!("{name}: {heard:?}") };
+            assert_eq!(stage.as_deref(), Some(target), "{name}");
+            assert_eq!(heard.end, Some(Ok(())), "{name}");
+        }
+        Report::Lineage => {
+            assert!(heard.lineages.iter().all(|l| l[1].layers == (5, 8)), "{name}");
+            assert_ne!(texts(&heard), right, "{name}");
+        }
+        Report::Refused(..) => {}
+    }
+}
+
+#[test]
+fn stages_check_what_they_are_asked_for() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Generate),
+        stage: Option<usize>,
+    }
+    let case = |name, stage, change| Case { name, change, stage };
+    let cases = [
+        case("another target", Some(0), |ask| ask.route[0].target = "other".to_owned()),
+        case("another life of the first stage", Some(0), |ask| ask.route[0].incarnation += 1),
+        case("another life of a later stage", Some(1), |ask| ask.route[1].incarnation += 1),
+        case("another model", Some(0), |ask| ask.model = "other".to_owned()),
+        case("another version", Some(0), |ask| ask.version = "v2".to_owned()),
+        case("an adapter that is not loaded", Some(0), |ask| ask.adapter = Some("x".to_owned())),
+        case("layers beyond the first stage's", Some(0), |ask| ask.route[0].layers.1 += 1),
+        case("layers beyond a later stage's", Some(1), |ask| ask.route[1].layers.1 += 1),
+        case("a hole before a later stage", Some(1), |ask| ask.route[0].layers.1 -= 1),
+        case("a route that begins late", Some(0), |ask| ask.route[0].layers.0 += 1),
+        case("a stage twice", Some(2), |ask| ask.route.insert(1, ask.route[1].clone())),
+        case("no stage", Some(0), |ask| ask.route.clear()),
+    ];
+    for Case { name, change, stage } in cases {
+        let rig = rig(3, |_| ());
+        let mut ask = rig.ask("answer", 1);
+        change(&mut ask);
+        let opened = EngineClient::new().generate(rig.addr(), &ask, Instant::now() + LIMIT);
+        if stage == Some(0) {
+            let Err(CallError::Refused(409, _, body)) = opened else { panic!("{name}") };
+            let holding: Holding = serde_json::from_str(&body).expect(name);
+            assert_eq!(holding.version.as_deref(), Some(VERSION), "{name}");
+        } else {
+            let heard = hear(&ask, &opened.expect(name));
+            let Some(Output::Lost { stage: Some(lost), .. }) = heard.last else { panic!("{name}") };
+            assert!(heard.tokens.is_empty() && lost.starts_with("engine-"), "{name}: {lost}");
+        }
+        let steps: u64 = rig.stages.iter().map(|stage| stage.stats().steps).sum();
+        assert_eq!(steps, 0, "{name}");
+    }
+}
+
+/// A server that answers one connection with these bytes and closes it, or keeps silent.
+fn answers(bytes: Option<&'static [u8]>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let Ok((mut socket, _)) = listener.accept() else { return };
+        let _ = socket.read(&mut [0; 16 << 10]);
+        match bytes {
+            Some(bytes) => drop(socket.write_all(bytes)),
+            None => thread::sleep(SHORT * 4),
+        }
+    });
+    addr
+}
+
+#[test]
+fn verdicts_of_calls() {
+    struct Case {
+        name: &'static str,
+        reply: Option<&'static [u8]>,
+        kind: fn(&CallError) -> bool,
+        verdict: Verdict,
+    }
+    let lost = |e: &CallError| matches!(e, CallError::Lost(_));
+    let garbled = |e: &CallError| matches!(e, CallError::Garbled(_));
+    let may = Verdict::MayHaveRun;
+    let cases = [
+        Case { name: "silence", reply: None, kind: lost, verdict: may },
+        Case {
+            name: "closed without a reply",
+            reply: Some(b""),
+            kind: |e| e.verdict() == Verdict::MayHaveRun,
+            verdict: may,
+        },
         Case {
-            name: "one stage",
-            stages: 1,
-            prompt: plain,
-            adapter: None,
-            count: 12,
-            reason: "length",
+            name: "no HTTP",
+            reply: Some(b"\x16\x03\x01 what\r\n\r\n"),
+            kind: |e| e.verdict() == Verdict::MayHaveRun,
+            verdict: may,
         },
         Case {
-            name: "three stages",
-            stages: 3,
-            prompt: plain,
-            adapter: None,
-            count: 12,
-            reason: "length",
+            name: "no JSON",
+            reply: Some(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{x\n"),
+            kind: garbled,
+            verdict: may,
         },
         Case {
-            name: "four stages",
-            stages: 4,
-            prompt: plain,
-            adapter: None,
-            count: 12,
-            reason: "length",
+            name: "body cut",
+            reply: Some(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"),
+            kind: |e| e.verdict() == Verdict::MayHaveRun,
+            verdict: may,
         },
         Case {
-            name: "with an adapter",
-            stages: 3,
-            prompt: plain,
-            adapter: Some("safety"),
-            count: 12,
-            reason: "length",
+            name: "redirect",
+            reply: Some(
+                b"HTTP/1.1 307 No\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
+            ),
+            kind: garbled,
+            verdict: may,
         },
         Case {
-            name: "stops early",
-            stages: 3,
-            prompt: &["a", "stop:5"],
-            adapter: None,
-            count: 5,
-            reason: "stop",
+            name: "failure inside",
+            reply: Some(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"),
+            kind: lost,
+            verdict: may,
         },
         Case {
-            name: "no tokens",
-            stages: 3,
-            prompt: &["stop:0"],
-            adapter: None,
-            count: 0,
-            reason: "stop",
+            name: "full",
+            reply: Some(b"HTTP/1.1 503 No\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"),
+            kind: |e| *e == CallError::Refused(503, Some(Duration::from_secs(3)), String::new()),
+            verdict: Verdict::NotRun,
         },
     ];
     for case in cases {
-        let chain = chain(case.stages, |_| ());
-        let mut ask = ask(&chain, 1);
-        ask.prompt = words(case.prompt);
-        ask.adapter = case.adapter.map(str::to_owned);
-        let heard = hear(&open(&ask, LIMIT).expect(case.name));
-        assert_eq!(heard.texts(), whole(&ask), "{}", case.name);
-        assert_eq!(heard.end, Some(Ok(())), "{}", case.name);
-        let Some(Output::Done { count, reason, .. }) = heard.last else { panic!("{}", case.name) };
-        assert_eq!((count, reason.as_str()), (case.count, case.reason), "{}", case.name);
-        for lineage in &heard.lineages {
-            let ran: Vec<_> =
-                lineage.iter().map(|s| (s.target.clone(), s.layers, s.epoch)).collect();
-            let planned: Vec<_> =
-                ask.route.iter().map(|s| (s.target.clone(), s.layers, 1)).collect();
-            assert_eq!(ran, planned, "{}", case.name);
+        for (call, error) in calls(|| answers(case.reply)) {
+            let error = error.expect_err(case.name);
+            assert!((case.kind)(&error), "{} {call}: {error:?}", case.name);
+            assert_eq!(error.verdict(), case.verdict, "{} {call}", case.name);
         }
     }
+    let closed = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("bound");
+    for (call, error) in calls(closed) {
+        let error = error.expect_err("connection refused");
+        assert!(matches!(error, CallError::Unreached(_)), "connection refused {call}: {error:?}");
+    }
+}
+
+/// Each kind of call once, every one to a server of its own.
+fn calls(server: impl Fn() -> SocketAddr) -> Vec<(&'static str, Called<()>)> {
+    let client = EngineClient::new();
+    let cancel = Cancel { answer: "answer".to_owned(), epoch: 1, keep_kv: false };
+    let addr = server();
+    let stage = Stage { target: "engine-0".to_owned(), addr, layers: (0, 12), incarnation: 1 };
+    let mut ask = Rig { stages: Vec::new() }.ask("answer", 1);
+    ask.route.push(stage);
+    // A stream's line is read after its head has come: that fault ends the stream.
+    let streamed = client
+        .generate(addr, &ask, Instant::now() + SHORT)
+        .and_then(|stream| hear(&ask, &stream).end.unwrap_or(Ok(())));
+    let mut outcomes = vec![("generate", streamed)];
+    outcomes.push(("load", client.load(server(), SHORT).map(drop)));
+    outcomes.push(("cache", client.cache(server(), 0, SHORT).map(drop)));
+    outcomes.push(("order", client.order(server(), &order(1, VERSION), SHORT).map(drop)));
+    let addr = server();
+    let cancelled = client.cancel(addr, &cancel, SHORT);
+    // A cancel has no body to be read: only what the status and the length say counts.
+    if cancelled.is_err() {
+        outcomes.push(("cancel", cancelled));
+    }
+    outcomes
+}
+
+fn order(fence: Fence, version: &str) -> Order {
+    Order {
+        fence,
+        order: format!("order-{fence}"),
+        model: Some("indus".to_owned()),
+        version: Some(version.to_owned()),
+        layers: (0, 12),
+        adapters: [ADAPTER.to_owned()].into(),
+        role: Role::Both,
+    }
+}
+
+#[test]
+fn abandoned_streams_are_closed() {
+    let rig = rig(3, |settings| settings.step = Duration::from_millis(5));
+    let mut ask = rig.ask("answer", 1);
+    ask.max_tokens = 1_000_000;
+    let stream = open(&ask, LIMIT * 10).expect("open");
+    assert!(matches!(stream.recv_timeout(LIMIT), Ok(StreamItem::Output(_))));
+    drop(stream);
+    let client = EngineClient::new();
+    for stage in &rig.stages {
+        let idle = || client.load(stage.addr(), LIMIT).is_ok_and(|load| load.running == 0);
+        wait_until("the stages end their work", idle);
+    }
 }
--- a/crates/roseshore_fakes/src/engine.rs
+++ b/crates/roseshore_fakes/src/engine.rs
@@ -14,6 +14,7 @@
 mod kv;
 mod link;
 mod loader;
+pub mod rig;
 mod run;
 mod settings;
 mod slots;
--- a/crates/roseshore_fakes/src/engine/link.rs
+++ b/crates/roseshore_fakes/src/engine/link.rs
@@ -1,13 +1,14 @@
 //! From stage to stage: one connection for each answer and hop, frames of `roseshore_wire`.
 //!
 //! A step goes down the chain, the sampled token comes back up; each side handles one message at
-//! a time. What a stage does when the other side falls silent is bounded by the hop timeout.
+//! a time. A stage waits for the next one for as many hop timeouts as there are stages after it,
+//! so that the stage right before a silent one is the first to give up and can name it.
 
 use super::core::Core;
 use super::run::{Open, Run};
 use parking_lot::Mutex;
 use roseshore_core::prelude::*;
-use roseshore_wire::engine::Stamp;
+use roseshore_wire::engine::{Stage, Stamp};
 use roseshore_wire::frame::{self, FrameError};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -83,20 +84,20 @@
 }
 
 impl Directory {
-    fn find(&self, addr: SocketAddr, incarnation: Incarnation) -> Result<SocketAddr, String> {
+    fn find(&self, stage: &Stage, limit: Duration) -> Result<SocketAddr, String> {
+        let (addr, incarnation) = (stage.addr, stage.incarnation);
         if let Some(found) = self.known.lock().get(&(addr, incarnation)) {
             return Ok(*found);
         }
-        let config =
-            ureq::Agent::config_builder().proxy(None).timeout_global(Some(CONNECT_TIMEOUT)).build();
+        let config = ureq::Agent::config_builder().proxy(None).timeout_global(Some(limit)).build();
         let call = config.new_agent().get(format!("http://{addr}/v1/stage")).call();
         let mut reply = call.map_err(|e| e.to_string())?;
-        let stage: StageAddr = reply.body_mut().read_json().map_err(|e| e.to_string())?;
-        if stage.incarnation != incarnation {
-            return Err(format!("the engine lives as {}", stage.incarnation));
+        let hops: StageAddr = reply.body_mut().read_json().map_err(|e| e.to_string())?;
+        if hops.incarnation != incarnation {
+            return Err(format!("the engine lives as {}", hops.incarnation));
         }
-        self.known.lock().insert((addr, incarnation), stage.addr);
-        Ok(stage.addr)
+        self.known.lock().insert((addr, incarnation), hops.addr);
+        Ok(hops.addr)
     }
 }
 
@@ -116,8 +117,10 @@
         let index = open.index + 1;
         let stage = &open.ask.route[index as usize];
         let failed = |reason| Loss { stage: Some(stage.target.clone()), reason };
-        let addr = core.directory.find(stage.addr, stage.incarnation).map_err(failed)?;
-        let out = connect(addr, core.settings.hop_timeout).map_err(|e| failed(e.to_string()))?;
+        let hop = core.settings.hop_timeout;
+        let after = open.ask.route.len() as u32 - index;
+        let addr = core.directory.find(stage, hop / 2).map_err(failed)?;
+        let out = connect(addr, hop * after).map_err(|e| failed(e.to_string()))?;
         let input = out.try_clone().map_err(|e| failed(e.to_string()))?;
         let mut link = Link { target: stage.target.clone(), out, input: BufReader::new(input) };
         match link.ask(&Down::Open(Open { ask: open.ask.clone(), index }))? {
