--- a/crates/roseshore_core/src/retry.rs
+++ b/crates/roseshore_core/src/retry.rs
@@ -18,12 +18,16 @@
 /// The wait before any retry, at most.
 pub const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Millionths of a token in one; whole numbers, so that ten tenths are one.
+const UNIT: f64 = 1e6;
+const ONE: u64 = 1_000_000;
+
 /// A token bucket of extra attempts, filled by successes.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    tokens: f64,
-    ratio: f64,
-    burst: f64,
+    tokens: u64,
+    ratio: u64,
+    burst: u64,
     trickle: f64,
     seen: Option<Instant>,
 }
@@ -37,7 +41,8 @@
 impl Budget {
     /// A full bucket of `burst` tokens that earns `ratio` a success and `trickle` a second.
     pub fn new(ratio: f64, burst: f64, trickle: f64) -> Budget {
-        Budget { tokens: burst, ratio, burst, trickle, seen: None }
+        let (ratio, burst) = ((ratio * UNIT) as u64, (burst * UNIT) as u64);
+        Budget { tokens: burst, ratio, burst, trickle: trickle * UNIT, seen: None }
     }
 
     /// Takes note of a success.
@@ -47,12 +52,13 @@
 
     /// Whether one extra attempt may be made now; if so, it is paid for.
     pub fn spend(&mut self, now: Instant) -> bool {
-        let since = self.seen.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
-        self.seen = Some(self.seen.map_or(now, |t| t.max(now)));
-        self.tokens = self.burst.min(self.tokens + self.trickle * since.as_secs_f64());
-        let allowed = self.tokens >= 1.0;
+        let seen = self.seen.unwrap_or(now);
+        let earned = self.trickle * now.saturating_duration_since(seen).as_secs_f64();
+        self.seen = Some(seen.max(now));
+        self.tokens = self.burst.min(self.tokens.saturating_add(earned as u64));
+        let allowed = self.tokens >= ONE;
         if allowed {
-            self.tokens -= 1.0;
+            self.tokens -= ONE;
         }
         allowed
     }
