Unrepeatable work: fold, claimant's machine and driver over the log

The first claim of a free key in the log's order holds it; only its claimant frees it or records its outcome. A claim is settled by reading it back; what is given up while it may stand in the log, or come to stand there late, is abandoned by a record that voids it in either order. The time of a key stands inside the key.

Border: `inside::Outcome` moves to core, where the record is, and is re-exported from its old path.

--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod event;
 pub mod fleet;
 pub mod ids;
+pub mod once;
 pub mod prelude;
 pub mod verdict;
--- /dev/null
+++ b/crates/roseshore_core/src/once/keys.rs
@@ -0,0 +1,273 @@
+//! The fold over one claim stream.
+//!
+//! A key goes free → held → settled, or back to free by its claimant's own record. A claim of a
+//! key that is not free is void for ever, and so is one whose abandonment stands before it: an
+//! append whose reply was lost may take effect after the record that gives it up. Only the log's
+//! own times are compared, with each other and with the time that a key carries.
+
+use super::born::{Millis, SKEW, born};
+use super::record::{Act, Nonce, Outcome, Owner, Record};
+use crate::prelude::*;
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Bodies of answers held in memory at most; older ones are read from the log again, bytes.
+const MAX_HELD: usize = 4 << 20;
+
+/// What is known of the keys of one partition.
+#[derive(Debug)]
+pub struct Keys {
+    entries: FxHashMap<Key, Entry>,
+    touched: VecDeque<(Offset, Millis, Key)>,
+    next: Offset,
+    window: Window,
+    newest: Option<Millis>,
+    bound: usize,
+    bodies: VecDeque<(Key, usize)>,
+    bytes: usize,
+}
+
+/// How far back the fold reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Window {
+    /// Whether it holds the stream from its first record on.
+    complete: bool,
+    /// The time of its first record; a record before it has that time at most.
+    start: Option<Millis>,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    state: State,
+    spent: Vec<Nonce>,
+    last: Offset,
+}
+
+/// Where a key stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// Nobody holds it.
+    #[default]
+    Free,
+    /// A claimant may be working on it.
+    Held(Holder),
+    /// Its claimant, while alive, said that nobody knows whether it ran.
+    Unknown(Holder),
+    /// Its end is recorded.
+    Settled(Settled),
+}
+
+/// A claim that holds its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The claim.
+    pub nonce: Nonce,
+    /// The claimant; `None` where the claim is no longer kept.
+    pub owner: Option<Owner>,
+    /// A digest of the request's body.
+    pub digest: u64,
+    /// Where the claim stands.
+    pub offset: Offset,
+}
+
+/// A recorded end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// A digest of the request's body; `None` where an operator settled a key without a claim.
+    pub digest: Option<u64>,
+    /// The answer; `None` where it is not held in memory.
+    pub outcome: Option<Arc<Outcome>>,
+    /// Whether the record holds the answer's body.
+    pub whole: bool,
+    /// Where the record stands.
+    pub offset: Offset,
+    /// The claimant that may still hold a body too large for the log.
+    pub owner: Option<Owner>,
+}
+
+impl Keys {
+    /// A fold that begins with the stream's first record and remembers `bound` records at most.
+    pub fn new(bound: usize) -> Keys {
+        let window = Window { complete: true, start: None };
+        let (entries, touched, bodies) = Default::default();
+        Keys { entries, touched, next: 0, window, newest: None, bound, bodies, bytes: 0 }
+    }
+
+    /// The offset to read from.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// The log's time of the newest record seen.
+    pub fn newest(&self) -> Option<Millis> {
+        self.newest
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Begins anew at the oldest record that the log still keeps.
+    pub fn restart(&mut self, oldest: Offset) {
+        self.entries.clear();
+        self.touched.clear();
+        self.bodies.clear();
+        self.bytes = 0;
+        self.next = oldest;
+        self.window = Window { complete: oldest == 0, start: None };
+    }
+
+    /// Takes the record at [`Keys::next`]; one from elsewhere is ignored.
+    pub fn take(&mut self, offset: Offset, time: Millis, line: &str) -> Option<Record> {
+        if offset != self.next {
+            return None;
+        }
+        self.next += 1;
+        self.window.start.get_or_insert(time);
+        self.newest = Some(time);
+        let record = Record::parse(line)?;
+        self.fold(offset, time, &record);
+        self.forget();
+        self.forget_bodies();
+        Some(record)
+    }
+
+    /// Where a key stands, as far as the fold reaches.
+    pub fn state(&self, key: &Key) -> &State {
+        self.entries.get(key).map_or(&State::Free, |entry| &entry.state)
+    }
+
+    /// Whether a claim has been seen and does not, and never will, hold its key.
+    pub fn spent(&self, key: &Key, nonce: Nonce) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.spent.contains(&nonce))
+    }
+
+    /// Whether every claim that the key ever had must stand inside the fold's reach.
+    pub fn reaches(&self, key: &Key) -> bool {
+        if self.window.complete {
+            return true;
+        }
+        match (born(key), self.window.start) {
+            (Some(born), Some(start)) => born > start.saturating_add(SKEW.as_millis() as u64),
+            _ => false,
+        }
+    }
+
+    /// Whether the key's own time lies ahead of the log's.
+    pub fn ahead(&self, key: &Key) -> bool {
+        let newest = self.newest.unwrap_or(Millis::MAX);
+        is_ahead(key, newest)
+    }
+
+    fn fold(&mut self, offset: Offset, time: Millis, record: &Record) {
+        let entry = self.entries.entry(record.key.clone()).or_default();
+        entry.last = offset;
+        self.touched.push_back((offset, time, record.key.clone()));
+        match &record.act {
+            Act::Claim { owner, digest } => {
+                let void = is_ahead(&record.key, time);
+                let nonce = record.nonce;
+                let owner = Some(owner.clone());
+                entry.claim(Holder { nonce, owner, digest: *digest, offset }, void);
+            }
+            Act::Abandon => entry.free(record.nonce),
+            Act::Outcome { digest, outcome, whole } => {
+                entry.outcome(record.nonce, offset, *digest, outcome, *whole);
+            }
+            Act::Settle { outcome, .. } => entry.settle(offset, outcome),
+        }
+        let State::Settled(settled) = &entry.state else { return };
+        if let Some(outcome) = settled.outcome.as_ref().filter(|_| settled.offset == offset) {
+            self.bytes += outcome.body.len();
+            self.bodies.push_back((record.key.clone(), outcome.body.len()));
+        }
+    }
+
+    /// Drops what was touched longest ago, and with it the right to judge keys of that age.
+    fn forget(&mut self) {
+        while self.touched.len() > self.bound {
+            let Some((offset, time, key)) = self.touched.pop_front() else { return };
+            if self.entries.get(&key).is_some_and(|entry| entry.last == offset) {
+                self.entries.remove(&key);
+            }
+            self.window = Window { complete: false, start: Some(time) };
+        }
+    }
+
+    fn forget_bodies(&mut self) {
+        while self.bytes > MAX_HELD {
+            let Some((key, bytes)) = self.bodies.pop_front() else { return };
+            self.bytes -= bytes;
+            if let Some(Entry { state: State::Settled(settled), .. }) = self.entries.get_mut(&key) {
+                settled.outcome = None;
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn claim(&mut self, holder: Holder, void: bool) {
+        let nonce = holder.nonce;
+        let known = self.spent.contains(&nonce);
+        match &self.state {
+            State::Held(held) | State::Unknown(held) if held.nonce == nonce => {}
+            State::Free if !known && !void => self.state = State::Held(holder),
+            _ if known => {}
+            _ => self.spent.push(nonce),
+        }
+    }
+
+    fn free(&mut self, nonce: Nonce) {
+        if let State::Held(held) = &self.state
+            && held.nonce == nonce
+        {
+            self.state = State::Free;
+        }
+        if !self.spent.contains(&nonce) {
+            self.spent.push(nonce);
+        }
+    }
+
+    fn outcome(&mut self, nonce: Nonce, at: Offset, digest: u64, outcome: &Outcome, whole: bool) {
+        let owner = match &self.state {
+            State::Settled(_) => return,
+            State::Held(held) | State::Unknown(held) if held.nonce == nonce => held.owner.clone(),
+            _ => None,
+        };
+        match outcome.verdict {
+            Verdict::NotRun => self.free(nonce),
+            Verdict::MayHaveRun => {
+                self.state = State::Unknown(Holder { nonce, owner, digest, offset: at });
+            }
+            Verdict::Answered => {
+                let outcome = whole.then(|| Arc::new(outcome.clone()));
+                let (digest, offset) = (Some(digest), at);
+                self.state = State::Settled(Settled { digest, outcome, whole, offset, owner });
+            }
+        }
+    }
+
+    /// An operator's word ends a key; it can neither free it nor leave it unknown.
+    fn settle(&mut self, offset: Offset, outcome: &Outcome) {
+        let (digest, owner) = match &self.state {
+            State::Settled(_) => return,
+            _ if outcome.verdict != Verdict::Answered => return,
+            State::Held(held) | State::Unknown(held) => (Some(held.digest), held.owner.clone()),
+            State::Free => (None, None),
+        };
+        let outcome = Some(Arc::new(outcome.clone()));
+        self.state = State::Settled(Settled { digest, outcome, whole: true, offset, owner });
+    }
+}
+
+fn is_ahead(key: &Key, time: Millis) -> bool {
+    let limit = time.saturating_add(SKEW.as_millis() as u64);
+    born(key).is_some_and(|born| born > limit)
+}
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -3,6 +3,7 @@
 //! One trait per part; each is given out as a trait object, so that a part can be swapped for its
 //! first, simple version or for a fake in tests.
 
+pub use roseshore_core::once::Outcome;
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::{Load, Stage};
 use roseshore_wire::service::ServiceLoad;
@@ -178,19 +179,6 @@
     pub offset: Offset,
 }
 
-/// The recorded end of unrepeatable work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outcome {
-    /// Whether it ran.
-    pub verdict: Verdict,
-    /// The HTTP status of the answer.
-    pub status: u16,
-    /// The content type.
-    pub content: String,
-    /// The answer.
-    pub body: Vec<u8>,
-}
-
 /// Unrepeatable work, run at most once per key.
 pub trait Claims: Send + Sync {
     /// Claims a key; waits for the log, or for another's outcome, until the deadline at most.
--- /dev/null
+++ b/crates/roseshored/src/claims.rs
@@ -0,0 +1,197 @@
+//! The driver of unrepeatable work.
+//!
+//! Each partition of the claim streams has three threads: one owns the state machine and never
+//! blocks on anything but its events, one appends, one reads. Callers send an event and wait for
+//! the machine's word; it answers every attempt by its deadline, so that nobody needs a timer here.
+
+mod guard;
+mod partition;
+
+pub use guard::Won;
+
+use flume::{Receiver, Sender};
+use partition::Event;
+use roseshore_core::once::partition::{Attempt, Decision, Work};
+use roseshore_core::once::record::{Act, Owner, Record};
+use roseshore_core::once::{partition_of, stream_of};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Answers, Begin, Claim, Claims, Members, Outcome};
+use roseshore_ports::outside::{Log, Peers};
+use roseshore_wire::peer::{Ask, Reply};
+use std::io;
+use std::sync::Arc;
+
+/// How long a claimant is asked for its answer.
+const ASK_LIMIT: Duration = Duration::from_secs(1);
+/// How long past its deadline an attempt waits for the machine's word.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Claims keys through the log.
+pub struct ClaimsDriver {
+    partitions: Vec<Sender<Event>>,
+    log: Arc<dyn Log>,
+    peers: Arc<dyn Peers>,
+    members: Arc<dyn Members>,
+}
+
+/// What the driver is started with.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimsConfig {
+    /// The number of claim streams; the same on every daemon, or keys may run twice.
+    pub partitions: usize,
+    /// Records remembered in each partition.
+    pub remembered: usize,
+}
+
+impl Default for ClaimsConfig {
+    fn default() -> ClaimsConfig {
+        ClaimsConfig { partitions: roseshore_core::once::PARTITIONS, remembered: 20_000 }
+    }
+}
+
+impl ClaimsDriver {
+    /// Starts the threads of every partition; they end when the driver is dropped.
+    ///
+    /// # Errors
+    /// When a thread cannot be started.
+    pub fn start(
+        config: ClaimsConfig,
+        log: Arc<dyn Log>,
+        peers: Arc<dyn Peers>,
+        members: Arc<dyn Members>,
+    ) -> io::Result<ClaimsDriver> {
+        let start = |index: usize| {
+            let log = log.clone();
+            partition::start(stream_of(index), config.remembered, log, members.clone())
+        };
+        let partitions = (0..config.partitions.max(1)).map(start).collect::<io::Result<_>>()?;
+        Ok(ClaimsDriver { partitions, log, peers, members })
+    }
+
+    /// Records an operator's word on a key that nobody else can settle.
+    pub fn settle_by(&self, operator: &str, key: &Key, outcome: Outcome) {
+        self.send(key, Event::SettleBy(operator.to_owned(), key.clone(), outcome));
+    }
+
+    fn send(&self, key: &Key, event: Event) {
+        // A partition whose thread is gone drops the event, and the caller's channel with it.
+        let _ = self.sender(key).send(event);
+    }
+
+    fn sender(&self, key: &Key) -> &Sender<Event> {
+        &self.partitions[partition_of(key, self.partitions.len())]
+    }
+
+    fn work(&self, key: &Key) -> Work {
+        let (told, answer) = flume::bounded(1);
+        self.send(key, Event::Work(key.clone(), told));
+        answer.recv().unwrap_or(Work::Elsewhere)
+    }
+
+    /// Reads a recorded answer that is not held in memory any more.
+    fn stored(&self, key: &Key, offset: Offset, refusal: Refusal) -> Begin {
+        let stream = stream_of(partition_of(key, self.partitions.len()));
+        let read = self.log.read(&stream, offset, 1, Duration::ZERO);
+        let line = read.ok().and_then(|read| read.records.into_iter().next());
+        let record = line.filter(|line| line.offset == offset);
+        match record.and_then(|line| Record::parse(&line.data)) {
+            Some(Record { key: of, act: Act::Outcome { outcome, .. }, .. }) if of == *key => {
+                Begin::Settled(outcome)
+            }
+            Some(Record { key: of, act: Act::Settle { outcome, .. }, .. }) if of == *key => {
+                Begin::Settled(outcome)
+            }
+            _ => Begin::Refused(refusal),
+        }
+    }
+
+    fn ask_owner(&self, key: &Key, owner: &Owner, deadline: Instant, refusal: Refusal) -> Begin {
+        if self.members.own().host == owner.host {
+            return match self.work(key) {
+                Work::Ended(outcome) if outcome.verdict == Verdict::Answered => {
+                    Begin::Settled(Outcome::clone(&outcome))
+                }
+                _ => Begin::Refused(refusal),
+            };
+        }
+        let limit = ASK_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
+        let ask = Ask::Outcome { key: key.clone() };
+        let members = self.members.all();
+        let member = members.iter().find(|member| member.host == owner.host);
+        let reply = member.and_then(|member| self.peers.ask(member.peer, &ask, limit).ok());
+        match reply {
+            Some(Reply::Outcome { outcome: Some(json) }) => serde_json::from_str(&json)
+                .ok()
+                .filter(|outcome: &Outcome| outcome.verdict == Verdict::Answered)
+                .map_or(Begin::Refused(refusal), Begin::Settled),
+            _ => Begin::Refused(refusal),
+        }
+    }
+}
+
+impl Drop for ClaimsDriver {
+    fn drop(&mut self) {
+        // The reader and the appender hold senders too, so that the channel alone would not end.
+        for partition in &self.partitions {
+            let _ = partition.send(Event::Stop);
+        }
+    }
+}
+
+impl Claims for ClaimsDriver {
+    fn begin(&self, key: &Key, digest: u64, deadline: Instant) -> Begin {
+        let (told, decided): (Sender<Decision>, Receiver<Decision>) = flume::bounded(1);
+        let ask = Attempt { key: key.clone(), digest, deadline };
+        self.send(key, Event::Begin(ask, told));
+        match decided.recv_deadline(deadline + GRACE) {
+            Ok(Decision::Won(offset)) => Begin::Won(Claim { key: key.clone(), offset }),
+            Ok(Decision::Repeat(outcome)) => Begin::Settled(Outcome::clone(&outcome)),
+            Ok(Decision::Stored(offset, refusal)) => self.stored(key, offset, refusal),
+            Ok(Decision::AskOwner(owner, refusal)) => {
+                self.ask_owner(key, &owner, deadline, refusal)
+            }
+            Ok(Decision::Refused(refusal)) => Begin::Refused(refusal),
+            Err(_) => Begin::Refused(lost(key)),
+        }
+    }
+
+    fn dispatch(&self, claim: &Claim) -> bool {
+        let (told, granted) = flume::bounded(1);
+        self.send(&claim.key, Event::Dispatch(claim.offset, told));
+        granted.recv().unwrap_or(false)
+    }
+
+    fn settle(&self, claim: &Claim, outcome: Outcome) {
+        self.send(&claim.key, Event::Settle(claim.offset, outcome));
+    }
+
+    fn abandon(&self, claim: &Claim) {
+        self.send(&claim.key, Event::Abandon(claim.offset));
+    }
+}
+
+impl Answers for ClaimsDriver {
+    fn answer(&self, ask: &Ask) -> Option<Reply> {
+        let Ask::Outcome { key } = ask else { return None };
+        let reply = match self.work(key) {
+            Work::Elsewhere => {
+                Reply::Unable { reason: format!("key `{key}` is not worked on here") }
+            }
+            Work::UnderWay => Reply::Outcome { outcome: None },
+            Work::Ended(outcome) => match serde_json::to_string(&*outcome) {
+                Ok(json) => Reply::Outcome { outcome: Some(json) },
+                Err(err) => Reply::Unable { reason: err.to_string() },
+            },
+        };
+        Some(reply)
+    }
+}
+
+/// The partition's thread is gone; what the log holds of the key is not known here.
+fn lost(key: &Key) -> Refusal {
+    let text = format!(
+        "this attempt did not run; whether an earlier one with key `{key}` ran is not known: this \
+         daemon cannot judge keys; send it again with the same key"
+    );
+    Refusal::may_have_run(Code::Internal, text).after(Duration::from_secs(1))
+}
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -5,4 +5,5 @@
 //! `roseshore_ports` only, and [`app::App`] holds them together.
 
 pub mod app;
+pub mod claims;
 pub mod events;
