--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod lookup;
 pub mod order;
+pub mod once;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod app;
 pub mod calls;
 pub mod drain;
+pub mod claims;
 pub mod events;
 pub mod fleets;
 pub mod front;
