Event E607: a daemon takes no new work

Leaving had no number of its own; operators alarm on E602 (gone) and must be able to tell a planned leave from it. Additive: the next free number.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -81,6 +81,7 @@
     TargetLeft = 604, Info, "a target takes no new work";
     TargetLost = 605, Warn, "a target is out of use";
     TargetBack = 606, Info, "a target is in use again";
+    HostLeaving = 607, Info, "a daemon takes no new work";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
