Membership decided from heartbeats and the host list

Heartbeat, Member and MemberState move to the core, re-exported where they stood, since the decision cannot depend on wire or ports. Wire: Datagram::Beat carries load notes beside the heartbeat; Ask::Loads (JSON) gives way to Ask::Digests (typed), which nobody used yet. Ports: a trait for datagrams, so that drivers can be cut off in tests.

Ruled out: trusting wall clocks between daemons (ages travel instead); holding a pause of our own against the others.

--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod fleet;
 pub mod ids;
 pub mod lookup;
+pub mod membership;
+pub mod polling;
 pub mod prelude;
 pub mod retry;
 pub mod load;
--- /dev/null
+++ b/crates/roseshore_core/src/membership.rs
@@ -0,0 +1,441 @@
+//! Which daemons there are, and which hosts are being taken away.
+//!
+//! Two sources are merged. Heartbeats say that a daemon lives and whether it is leaving; the
+//! platform's host list says, late, which hosts exist and which are leaving. Leaving in either
+//! means no new work. Gone needs silence past a bound and absence from the list, or silence past a
+//! longer bound. A heartbeat of an older life, or an older one of the same life, changes nothing.
+//!
+//! States change only by events ([`Membership::heard`], [`Membership::told`],
+//! [`Membership::listed`], [`Membership::tick`]); queries read the states as of the last event. A
+//! process that was paused sees a jump between two ticks: the silence of that time was its own, so
+//! it is not held against others, and the view is [`Membership::stale`] until it has settled.
+
+mod hosts;
+mod rank;
+mod settings;
+
+pub use hosts::{HostTable, Listed};
+pub use rank::{ranked, weight};
+pub use settings::Settings;
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a daemon says of itself, several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Its host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Grows with every heartbeat of one life.
+    pub sequence: u64,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// One past the last configuration record it has folded.
+    pub offset: Offset,
+    /// The digest of its configuration at that offset.
+    pub digest: u64,
+}
+
+/// What a daemon thinks of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// Heard of lately.
+    Alive,
+    /// Not heard of lately; still counted among the daemons.
+    Suspect,
+    /// Takes no new work, by its own word or the host list's.
+    Leaving,
+    /// No longer counted.
+    Gone,
+}
+
+/// A daemon, this one included.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where it hears peers, UDP and TCP.
+    pub peer: SocketAddr,
+    /// Its life; 0 until heard of.
+    pub incarnation: Incarnation,
+    /// What this daemon thinks of it.
+    pub state: MemberState,
+    /// One past the last configuration record it says it has folded.
+    pub offset: Offset,
+    /// The digest it gives for that offset.
+    pub digest: u64,
+}
+
+/// A daemon's change of state; `from` is `None` when it was not known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The daemon.
+    pub host: HostId,
+    /// What was thought of it.
+    pub from: Option<MemberState>,
+    /// What is thought of it now.
+    pub to: MemberState,
+}
+
+/// Why a heartbeat was ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ignored {
+    /// The sender's address is neither in the host list nor a seed, or belongs to another host.
+    Stranger,
+    /// It names this daemon's own host.
+    OwnName,
+    /// It is of an older life.
+    OldLife,
+    /// It was heard of before, or a newer one of the same life was.
+    Repeat,
+}
+
+impl Ignored {
+    /// The stable name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ignored::Stranger => "stranger",
+            Ignored::OwnName => "own_name",
+            Ignored::OldLife => "old_life",
+            Ignored::Repeat => "repeat",
+        }
+    }
+}
+
+/// What another data centre's speaker says of one of its daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hearsay {
+    /// The last heartbeat.
+    pub beat: Heartbeat,
+    /// Its age when the speaker wrote, milliseconds.
+    pub age_ms: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Daemon {
+    beat: Option<Heartbeat>,
+    peer: SocketAddr,
+    data_centre: DataCentreId,
+    heard: Instant,
+    state: MemberState,
+}
+
+/// The view of one daemon.
+pub struct Membership {
+    own: Heartbeat,
+    peer: SocketAddr,
+    settings: Settings,
+    seeds: Vec<SocketAddr>,
+    daemons: BTreeMap<HostId, Daemon>,
+    hosts: HostTable,
+    ticked: Instant,
+    settled: Instant,
+}
+
+impl Membership {
+    /// A view that knows only its own daemon; `seeds` are peers' addresses known from settings.
+    pub fn new(
+        own: Heartbeat,
+        peer: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        settings: Settings,
+        now: Instant,
+    ) -> Membership {
+        let settled = now + settings.settle;
+        let hosts = HostTable::new(settings.remember);
+        let daemons = BTreeMap::new();
+        Membership { own, peer, settings, seeds, daemons, hosts, ticked: now, settled }
+    }
+
+    /// Takes a heartbeat that came from `from`.
+    ///
+    /// # Errors
+    /// Why it was ignored; the view is unchanged then.
+    pub fn heard(
+        &mut self,
+        from: SocketAddr,
+        beat: Heartbeat,
+        now: Instant,
+    ) -> Result<Vec<Change>, Ignored> {
+        self.wake(now);
+        if beat.host == self.own.host {
+            return Err(Ignored::OwnName);
+        }
+        if !self.bound(from, &beat.host) {
+            return Err(Ignored::Stranger);
+        }
+        self.take(from, beat, now, now)?;
+        Ok(self.refresh(now))
+    }
+
+    /// Takes what the speaker of another data centre says of its daemons.
+    ///
+    /// Word of own data centre's daemons is ignored: they are heard of directly or not at all.
+    pub fn told(&mut self, notes: Vec<Hearsay>, now: Instant) -> Vec<Change> {
+        self.wake(now);
+        for note in notes {
+            if note.beat.data_centre == self.own.data_centre {
+                continue;
+            }
+            let Some(peer) = self.address(&note.beat.host) else { continue };
+            let age = Duration::from_millis(u64::from(note.age_ms));
+            let heard = now.checked_sub(age).unwrap_or(now);
+            // An old note is the ordinary case here: two speakers tell the same.
+            let _ = self.take(peer, note.beat, heard, now);
+        }
+        self.refresh(now)
+    }
+
+    /// Takes the host list; one with an older version than known is ignored.
+    pub fn listed(&mut self, version: u64, hosts: Vec<Listed>, now: Instant) -> Vec<Change> {
+        self.wake(now);
+        if !self.hosts.replace(version, hosts, now) {
+            return Vec::new();
+        }
+        for (host, peer, data_centre) in self.hosts.daemons() {
+            if *host == self.own.host {
+                continue;
+            }
+            let fresh = Daemon {
+                beat: None,
+                peer,
+                data_centre: data_centre.clone(),
+                heard: now,
+                state: MemberState::Suspect,
+            };
+            self.daemons.entry(host.clone()).or_insert(fresh).peer = peer;
+        }
+        self.refresh(now)
+    }
+
+    /// Lets time pass; called several times in a [`Settings::pause`].
+    pub fn tick(&mut self, now: Instant) -> Vec<Change> {
+        self.wake(now);
+        self.refresh(now)
+    }
+
+    /// The next heartbeat to send.
+    pub fn beat(&mut self, leaving: bool, offset: Offset, digest: u64) -> Heartbeat {
+        self.own.sequence += 1;
+        self.own.leaving = leaving;
+        self.own.offset = offset;
+        self.own.digest = digest;
+        self.own.clone()
+    }
+
+    /// Where heartbeats go: every daemon of the own data centre that is listed or not gone, and the
+    /// seeds among the others. Listed ones get them for ever: after a cut, somebody must begin.
+    pub fn audience(&self) -> Vec<SocketAddr> {
+        let near = self.daemons.iter().filter(|(_, d)| self.near(d));
+        let wanted = near.filter(|(h, d)| d.state != MemberState::Gone || self.hosts.contains(h));
+        let mut peers: Vec<_> = wanted.map(|(_, d)| d.peer).collect();
+        for seed in &self.seeds {
+            if *seed != self.peer && !self.daemons.values().any(|d| d.peer == *seed) {
+                peers.push(*seed);
+            }
+        }
+        peers
+    }
+
+    /// How often heartbeats are sent.
+    pub fn period(&self) -> Duration {
+        self.settings.period(self.peers())
+    }
+
+    /// This daemon.
+    pub fn own(&self) -> Member {
+        let leaving = self.own.leaving || self.hosts.leaving(&self.own.host);
+        Member {
+            host: self.own.host.clone(),
+            data_centre: self.own.data_centre.clone(),
+            peer: self.peer,
+            incarnation: self.own.incarnation,
+            state: if leaving { MemberState::Leaving } else { MemberState::Alive },
+            offset: self.own.offset,
+            digest: self.own.digest,
+        }
+    }
+
+    /// Every daemon that is not gone, this one first, then its data centre's.
+    pub fn all(&self) -> Vec<Member> {
+        let known = self.daemons.iter().filter(|(_, d)| d.state != MemberState::Gone);
+        let mut all: Vec<_> = known.map(|(host, d)| d.member(host)).collect();
+        all.sort_by_key(|m| m.data_centre != self.own.data_centre);
+        all.insert(0, self.own());
+        all
+    }
+
+    /// The alive daemons of the own data centre in rendezvous order for a subject.
+    pub fn ranked(&self, subject: &str) -> Vec<Member> {
+        ranked(subject, self.alive())
+    }
+
+    /// This daemon's place in [`Membership::ranked`] for a subject; `None` while it is leaving.
+    pub fn place(&self, subject: &str) -> Option<usize> {
+        let own = self.own();
+        if own.state != MemberState::Alive {
+            return None;
+        }
+        let mine = weight(subject, &own.host);
+        let near = self.daemons.iter().filter(|(_, d)| self.near(d));
+        let alive = near.filter(|(_, d)| d.state == MemberState::Alive);
+        Some(alive.filter(|(host, _)| weight(subject, host) > mine).count())
+    }
+
+    /// Whether either source says that a host takes no new work.
+    pub fn leaving(&self, host: &HostId) -> bool {
+        let own = *host == self.own.host && self.own.leaving;
+        let said = self.daemons.get(host).and_then(|d| d.beat.as_ref()).is_some_and(|b| b.leaving);
+        own || said || self.hosts.leaving(host)
+    }
+
+    /// Whether this daemon has just begun or woken and may not know who else lives.
+    pub fn stale(&self, now: Instant) -> bool {
+        now < self.settled || now.saturating_duration_since(self.ticked) > self.settings.pause
+    }
+
+    /// What is said to other data centres: the last heartbeats of own data centre, with ages.
+    pub fn hearsay(&self, now: Instant) -> Vec<Hearsay> {
+        let mut notes = vec![Hearsay { beat: self.own.clone(), age_ms: 0 }];
+        notes[0].beat.leaving = self.leaving(&self.own.host);
+        for daemon in self.daemons.values().filter(|d| self.near(d)) {
+            let Some(beat) = &daemon.beat else { continue };
+            if daemon.state == MemberState::Gone {
+                continue;
+            }
+            let age_ms = now.saturating_duration_since(daemon.heard).as_millis() as u32;
+            notes.push(Hearsay { beat: beat.clone(), age_ms });
+        }
+        notes
+    }
+
+    fn alive(&self) -> Vec<Member> {
+        let near = self.daemons.iter().filter(|(_, d)| self.near(d));
+        let alive = near.filter(|(_, d)| d.state == MemberState::Alive);
+        let own = Some(self.own()).filter(|m| m.state == MemberState::Alive);
+        alive.map(|(host, d)| d.member(host)).chain(own).collect()
+    }
+
+    fn peers(&self) -> usize {
+        self.daemons.values().filter(|d| self.near(d) && d.state != MemberState::Gone).count()
+    }
+
+    fn near(&self, daemon: &Daemon) -> bool {
+        daemon.data_centre == self.own.data_centre
+    }
+
+    fn bound(&self, from: SocketAddr, host: &HostId) -> bool {
+        match self.address(host) {
+            Some(peer) => peer == from,
+            None => self.seeds.contains(&from),
+        }
+    }
+
+    fn address(&self, host: &HostId) -> Option<SocketAddr> {
+        self.hosts.peer(host).or_else(|| self.daemons.get(host).map(|d| d.peer))
+    }
+
+    fn take(
+        &mut self,
+        peer: SocketAddr,
+        beat: Heartbeat,
+        heard: Instant,
+        now: Instant,
+    ) -> Result<(), Ignored> {
+        let data_centre = beat.data_centre.clone();
+        let fresh = Daemon { beat: None, peer, data_centre, heard, state: MemberState::Gone };
+        let daemon = self.daemons.entry(beat.host.clone()).or_insert(fresh);
+        if let Some(last) = &daemon.beat {
+            if beat.incarnation < last.incarnation {
+                return Err(Ignored::OldLife);
+            }
+            if beat.incarnation == last.incarnation && beat.sequence <= last.sequence {
+                return Err(Ignored::Repeat);
+            }
+        }
+        // Before the first word, `heard` is only the time since which it is known.
+        let known = daemon.beat.as_ref().map(|_| daemon.heard);
+        daemon.heard = known.map_or(heard, |known| known.max(heard)).min(now);
+        daemon.peer = peer;
+        daemon.data_centre.clone_from(&beat.data_centre);
+        daemon.beat = Some(beat);
+        Ok(())
+    }
+
+    fn wake(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.ticked);
+        self.ticked = self.ticked.max(now);
+        if gap <= self.settings.pause {
+            return;
+        }
+        for daemon in self.daemons.values_mut() {
+            daemon.heard += gap;
+        }
+        self.settled = now + self.settings.settle;
+    }
+
+    fn refresh(&mut self, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let near = self.settings.near(self.peers());
+        let far = self.settings.far();
+        for (host, daemon) in &mut self.daemons {
+            let own = daemon.data_centre == self.own.data_centre;
+            let to = judge(host, daemon, &self.hosts, if own { &near } else { &far }, now);
+            if to != daemon.state {
+                let from = Some(daemon.state);
+                changes.push(Change { host: host.clone(), from, to });
+                daemon.state = to;
+            }
+        }
+        self.hosts.forget(now);
+        let keep = self.settings.remember;
+        let hosts = &self.hosts;
+        let recent = |d: &Daemon| now.saturating_duration_since(d.heard) < keep;
+        self.daemons.retain(|host, d| hosts.contains(host) || recent(d));
+        changes
+    }
+}
+
+fn judge(
+    host: &HostId,
+    daemon: &Daemon,
+    hosts: &HostTable,
+    bounds: &settings::Bounds,
+    now: Instant,
+) -> MemberState {
+    let silence = now.saturating_duration_since(daemon.heard);
+    let absent = !hosts.contains(host);
+    if silence >= bounds.longest || (absent && silence >= bounds.gone) {
+        return MemberState::Gone;
+    }
+    if hosts.leaving(host) || daemon.beat.as_ref().is_some_and(|b| b.leaving) {
+        return MemberState::Leaving;
+    }
+    if daemon.beat.is_none() || silence >= bounds.suspect {
+        return MemberState::Suspect;
+    }
+    MemberState::Alive
+}
+
+impl Daemon {
+    fn member(&self, host: &HostId) -> Member {
+        let beat = self.beat.as_ref();
+        Member {
+            host: host.clone(),
+            data_centre: self.data_centre.clone(),
+            peer: self.peer,
+            incarnation: beat.map_or(0, |b| b.incarnation),
+            state: self.state,
+            offset: beat.map_or(0, |b| b.offset),
+            digest: beat.map_or(0, |b| b.digest),
+        }
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/src/polling.rs
@@ -0,0 +1,194 @@
+//! Which daemon polls which target, and when.
+//!
+//! The first daemon in rendezvous order for a target polls it; the others are told the reports.
+//! Whoever has heard nothing of a target for a while polls it too, those further down the order
+//! later: that covers a poller that died, and one that lives but whose word does not get here.
+//! Each target has at most one poll under way, and all targets together a bounded number.
+//!
+//! A poll that fails is repeated at once; after the second failure the target is out of use, which
+//! is said at once, and it is probed ever more slowly until it answers.
+
+use crate::prelude::*;
+use std::collections::BTreeMap;
+
+/// When to poll.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The time between polls of one target.
+    pub period: Duration,
+    /// The time to the second try after a poll that failed.
+    pub retry: Duration,
+    /// The longest time between probes of a target that is out of use.
+    pub probe: Duration,
+    /// Missing reports, in periods, after which the second in order polls.
+    pub missing: u32,
+    /// What each further place in the order waits more.
+    pub stagger: Duration,
+    /// Failed polls after which a target is out of use.
+    pub misses: u32,
+    /// Polls under way at once.
+    pub inflight: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            period: Duration::from_millis(250),
+            retry: Duration::from_millis(50),
+            probe: Duration::from_secs(1),
+            missing: 3,
+            stagger: Duration::from_millis(100),
+            misses: 2,
+            inflight: 16,
+        }
+    }
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Ask the target for its report, and come back with [`Polling::answered`] or
+    /// [`Polling::missed`].
+    Poll(TargetId),
+    /// Tell the router and the peers that the target does not answer.
+    Silent(TargetId),
+    /// The target is out of use, for the log.
+    Lost(TargetId),
+    /// The target is in use again, for the log.
+    Back(TargetId),
+}
+
+#[derive(Clone, Debug)]
+struct Watch {
+    seen: Instant,
+    due: Instant,
+    asked: Option<Instant>,
+    misses: u32,
+    lost: bool,
+}
+
+/// The polls of one daemon.
+pub struct Polling {
+    settings: Settings,
+    watches: BTreeMap<TargetId, Watch>,
+}
+
+impl Polling {
+    /// No targets yet.
+    pub fn new(settings: Settings) -> Polling {
+        Polling { settings, watches: BTreeMap::new() }
+    }
+
+    /// Sets the time between polls; it grows with the number of daemons to tell.
+    pub fn set_period(&mut self, period: Duration) {
+        self.settings.period = period;
+    }
+
+    /// Sets the targets; known ones keep their state.
+    pub fn set_targets(&mut self, targets: impl IntoIterator<Item = TargetId>, now: Instant) {
+        let mut old = std::mem::take(&mut self.watches);
+        for target in targets {
+            let watch = old.remove(&target).unwrap_or_else(|| Watch {
+                seen: now,
+                due: now + self.phase(&target),
+                asked: None,
+                misses: 0,
+                lost: false,
+            });
+            self.watches.insert(target, watch);
+        }
+    }
+
+    /// What is due. `place` is this daemon's place in the order for a target, `None` if it is not
+    /// to poll at all; call it with a view that is not stale.
+    pub fn tick(&mut self, now: Instant, place: impl Fn(&str) -> Option<usize>) -> Vec<Action> {
+        let mut due: Vec<_> = self.watches.iter().filter(|(_, w)| w.ready(now)).collect();
+        due.sort_by_key(|(_, w)| w.due);
+        let busy = self.watches.values().filter(|w| w.asked.is_some()).count();
+        let room = self.settings.inflight.saturating_sub(busy);
+        let mine = due.into_iter().filter(|(t, w)| self.turn(w, place(t), now));
+        let targets: Vec<_> = mine.take(room).map(|(t, _)| t.clone()).collect();
+        for target in &targets {
+            if let Some(watch) = self.watches.get_mut(target) {
+                watch.asked = Some(now);
+            }
+        }
+        targets.into_iter().map(Action::Poll).collect()
+    }
+
+    /// A target answered a poll.
+    pub fn answered(&mut self, target: &TargetId, now: Instant) -> Vec<Action> {
+        let period = self.settings.period;
+        let Some(watch) = self.watches.get_mut(target) else { return Vec::new() };
+        let begun = watch.asked.take().unwrap_or(now);
+        watch.due = (begun + period).max(now);
+        watch.misses = 0;
+        watch.heard(target, false, now)
+    }
+
+    /// A poll of a target failed.
+    pub fn missed(&mut self, target: &TargetId, now: Instant) -> Vec<Action> {
+        let Settings { retry, probe, misses, .. } = self.settings;
+        let Some(watch) = self.watches.get_mut(target) else { return Vec::new() };
+        watch.asked = None;
+        watch.misses += 1;
+        if watch.misses < misses {
+            watch.due = now + retry;
+            return Vec::new();
+        }
+        let doublings = (watch.misses - misses).min(MAX_DOUBLINGS);
+        watch.due = now + (retry * 2u32.pow(doublings)).min(probe);
+        let mut actions = watch.heard(target, true, now);
+        actions.push(Action::Silent(target.clone()));
+        actions
+    }
+
+    /// A peer told a report of a target that it polled at `seen`.
+    pub fn told(&mut self, target: &TargetId, silent: bool, seen: Instant) -> Vec<Action> {
+        let Some(watch) = self.watches.get_mut(target) else { return Vec::new() };
+        if seen <= watch.seen {
+            return Vec::new();
+        }
+        watch.heard(target, silent, seen)
+    }
+
+    /// Whether a target is out of use.
+    pub fn lost(&self, target: &TargetId) -> bool {
+        self.watches.get(target).is_some_and(|w| w.lost)
+    }
+
+    fn turn(&self, watch: &Watch, place: Option<usize>, now: Instant) -> bool {
+        let Some(place) = place else { return false };
+        if place == 0 {
+            return true;
+        }
+        let usual = if watch.lost { self.settings.probe } else { self.settings.period };
+        let wait = usual * self.settings.missing + self.settings.stagger * (place as u32 - 1);
+        now.saturating_duration_since(watch.seen) >= wait
+    }
+
+    /// Spreads the first polls of many targets over a period.
+    fn phase(&self, target: &str) -> Duration {
+        let hash = crate::membership::weight("phase", target);
+        self.settings.period.mul_f64(hash as f64 / u64::MAX as f64)
+    }
+}
+
+/// Bounds the exponent of the probe's wait, far above what [`Settings::probe`] lets through.
+const MAX_DOUBLINGS: u32 = 16;
+
+impl Watch {
+    fn ready(&self, now: Instant) -> bool {
+        self.asked.is_none() && self.due <= now
+    }
+
+    fn heard(&mut self, target: &TargetId, silent: bool, seen: Instant) -> Vec<Action> {
+        self.seen = self.seen.max(seen);
+        let was = std::mem::replace(&mut self.lost, silent);
+        match (was, silent) {
+            (false, true) => vec![Action::Lost(target.clone())],
+            (true, false) => vec![Action::Back(target.clone())],
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -3,6 +3,7 @@
 //! One trait per part; each is given out as a trait object, so that a part can be swapped for its
 //! first, simple version or for a fake in tests.
 
+pub use roseshore_core::membership::{Member, MemberState};
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::{Load, Stage};
 use roseshore_wire::service::ServiceLoad;
@@ -258,38 +259,6 @@
     }
 }
 
-/// What a daemon thinks of another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemberState {
-    /// Heard of lately.
-    Alive,
-    /// Not heard of lately; still counted among the daemons.
-    Suspect,
-    /// Takes no new work, by its own word or the host list's.
-    Leaving,
-    /// No longer counted.
-    Gone,
-}
-
-/// A daemon, this one included.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Its host.
-    pub host: HostId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Where it hears peers, UDP and TCP.
-    pub peer: std::net::SocketAddr,
-    /// Its life; 0 until heard of.
-    pub incarnation: Incarnation,
-    /// What this daemon thinks of it.
-    pub state: MemberState,
-    /// One past the last configuration record it says it has folded.
-    pub offset: Offset,
-    /// The digest it gives for that offset.
-    pub digest: u64,
-}
-
 /// The daemons, and what the platform says of hosts.
 pub trait Members: Send + Sync {
     /// This daemon.
--- a/crates/roseshore_ports/src/outside.rs
+++ b/crates/roseshore_ports/src/outside.rs
@@ -9,7 +9,7 @@
 use roseshore_wire::engine::{
     CacheEvents, Cancel, Generate, Holding, Kv, KvExport, Load, Order, Output,
 };
-use roseshore_wire::peer::{Ask, Reply};
+use roseshore_wire::peer::{Ask, Datagram, Reply};
 use roseshore_wire::platform::{Hosts, Records, Weights};
 use roseshore_wire::service::ServiceLoad;
 use std::net::SocketAddr;
@@ -212,3 +212,25 @@
     /// When it does not answer within `limit`.
     fn ask(&self, addr: SocketAddr, ask: &Ask, limit: Duration) -> Called<Reply>;
 }
+
+/// A datagram with the address it came from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// The sender's address, as the network gives it.
+    pub from: SocketAddr,
+    /// What it said.
+    pub datagram: Datagram,
+}
+
+/// The other daemons, over UDP; any message may be lost, repeated or reordered.
+pub trait Datagrams: Send + Sync {
+    /// Sends one message.
+    ///
+    /// # Errors
+    /// When it exceeds the bound or the socket refuses it; a loss on the way is not noticed.
+    fn send(&self, to: SocketAddr, datagram: &Datagram) -> Called<()>;
+
+    /// The next message that can be read, or `None` when none came within `limit`; what cannot be
+    /// read is counted and passed over.
+    fn receive(&self, limit: Duration) -> Option<Received>;
+}
--- a/crates/roseshore_wire/src/peer.rs
+++ b/crates/roseshore_wire/src/peer.rs
@@ -3,33 +3,94 @@
 //! [`Datagram`] goes over UDP and may be lost; [`Ask`] and [`Reply`] go over one TCP connection per
 //! pair, one reply per question.
 
+use crate::engine::Load;
+use crate::service::ServiceLoad;
+pub use roseshore_core::membership::{Hearsay, Heartbeat};
 use roseshore_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// A message that may be lost.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// A daemon lives.
-    Heartbeat(Heartbeat),
+    /// A daemon lives, and what the targets that it polls said.
+    Beat {
+        /// The daemon's word of itself.
+        heartbeat: Heartbeat,
+        /// Reports polled since the last one, as many as fit.
+        notes: Vec<LoadNote>,
+    },
+}
+
+/// A target's report on its way to the other daemons of the data centre.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadNote {
+    /// Its age when it was sent, milliseconds.
+    pub age_ms: u32,
+    /// What it says.
+    pub content: NoteContent,
 }
 
-/// What a daemon says of itself, several times a second.
+/// The content of a [`LoadNote`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Its host.
-    pub host: HostId,
-    /// Its data centre.
+pub enum NoteContent {
+    /// An engine's whole report.
+    Engine {
+        /// The target.
+        target: TargetId,
+        /// The report.
+        load: Load,
+    },
+    /// A service replica's whole report.
+    Service {
+        /// The target.
+        target: TargetId,
+        /// The report.
+        load: ServiceLoad,
+    },
+    /// Only what changes from poll to poll; the rest is as in the last whole report with this key.
+    Brief {
+        /// Hash of the target and all that is not in here.
+        key: u64,
+        /// Requests waiting.
+        queue: u32,
+        /// Requests being worked on.
+        running: u32,
+        /// Time of one step or call, microseconds.
+        step_us: u64,
+        /// KV cache in use, tokens; 0 for a service.
+        kv_used: u64,
+    },
+    /// The target does not answer.
+    Silent {
+        /// The target.
+        target: TargetId,
+    },
+}
+
+/// What one data centre tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The data centre that it is about.
     pub data_centre: DataCentreId,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Grows with every heartbeat of one life.
-    pub sequence: u64,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// One past the last configuration record it has folded.
-    pub offset: Offset,
-    /// The digest of its configuration at that offset.
-    pub digest: u64,
+    /// Its daemons.
+    pub members: Vec<Hearsay>,
+    /// Its load by model.
+    pub summaries: Vec<Summary>,
+}
+
+/// The load of one model in one data centre.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The model.
+    pub model: ModelId,
+    /// Requests waiting at its targets.
+    pub queue: u32,
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Age of the oldest report in it when it was sent, milliseconds.
+    pub age_ms: u32,
 }
 
 /// A question over TCP.
@@ -52,10 +113,12 @@
         /// The query, as JSON.
         query: String,
     },
-    /// Load reports of targets that the sender polled.
-    Loads {
-        /// The reports, as JSON.
-        reports: String,
+    /// Digests of data centres, from a speaker to another data centre's or to its own daemons.
+    Digests {
+        /// The digests.
+        digests: Vec<Digest>,
+        /// Whether the receiver is to pass them on to its data centre and answer with its own.
+        speaker: bool,
     },
 }
 
@@ -79,6 +142,11 @@
         /// The rows.
         rows: String,
     },
+    /// See [`Ask::Digests`]: what the receiver's data centre says of itself.
+    Digests {
+        /// The digests.
+        digests: Vec<Digest>,
+    },
     /// Taken note.
     Done,
     /// The receiver cannot say.
