Peer links: one TCP connection per pair, UDP heartbeats

Questions and replies carry a number, so a late reply cannot reach another question. Frames, waiting questions and connections are bounded.

Ruled out: one question at a time per connection (a slow one would hold up all others); a connection per question (a handshake each time).

--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -7,3 +7,6 @@
 pub mod engine;
 pub mod platform;
 pub mod service;
+//! The sockets behind the traits of `roseshore_ports::outside`.
+
+pub mod peer;
--- /dev/null
+++ b/crates/roseshore_adapters/tests/peer.rs
@@ -0,0 +1,290 @@
+//! Contract of the peer links: TCP questions and UDP datagrams, with faults in tables.
+
+use roseshore_adapters::peer::{Limits, Numbered, TcpPeers, UdpSocket, serve};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::Answers;
+use roseshore_ports::outside::{CallError, Datagrams, Peers};
+use roseshore_wire::frame;
+use roseshore_wire::peer::{Ask, Datagram, Heartbeat, Reply};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket as Raw};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const SHORT: Duration = Duration::from_millis(100);
+
+fn ask(key: &str) -> Ask {
+    Ask::Outcome { key: key.into() }
+}
+
+fn outcome(key: &str) -> Reply {
+    Reply::Outcome { outcome: Some(key.into()) }
+}
+
+/// Answers each key with itself.
+struct Echo;
+
+impl Answers for Echo {
+    fn answer(&self, ask: &Ask) -> Option<Reply> {
+        match ask {
+            Ask::Outcome { key } => Some(outcome(key)),
+            _ => None,
+        }
+    }
+}
+
+/// A peer that treats its `n`th connection as the test says; returns how many it had.
+fn peer(
+    treat: impl Fn(usize, TcpStream) + Send + Sync + 'static,
+) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let (seen, treat) = (count.clone(), Arc::new(treat));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let n = seen.fetch_add(1, Ordering::SeqCst);
+            let treat = treat.clone();
+            thread::spawn(move || treat(n, stream));
+        }
+    });
+    (addr, count)
+}
+
+fn read(stream: &mut TcpStream) -> Option<(u64, Reply)> {
+    let ask: Numbered<Ask> = frame::read(stream).ok()?;
+    let Ask::Outcome { key } = ask.body else { return None };
+    Some((ask.number, outcome(&key)))
+}
+
+fn reply(stream: &mut TcpStream, number: u64, body: Reply) {
+    let _ = frame::write(stream, &Numbered { number, body });
+}
+
+#[test]
+fn client_faults() {
+    struct Case {
+        name: &'static str,
+        treat: fn(TcpStream),
+        verdict: Verdict,
+        garbled: bool,
+    }
+    let cases = [
+        Case {
+            name: "closed before the reply",
+            treat: |mut s| drop(read(&mut s)),
+            verdict: Verdict::MayHaveRun,
+            garbled: false,
+        },
+        Case {
+            name: "cut in the middle of a frame",
+            treat: |mut s| {
+                read(&mut s);
+                let _ = s.write_all(&[0, 0, 0, 40, frame::VERSION, 0]);
+            },
+            verdict: Verdict::MayHaveRun,
+            garbled: false,
+        },
+        Case {
+            name: "another version",
+            treat: |mut s| {
+                read(&mut s);
+                let _ = s.write_all(&[0, 0, 0, 3, frame::VERSION + 1, 0, 3]);
+                thread::sleep(LIMIT);
+            },
+            verdict: Verdict::MayHaveRun,
+            garbled: true,
+        },
+        Case {
+            name: "a frame beyond the bound",
+            treat: |mut s| {
+                read(&mut s);
+                let _ = s.write_all(&u32::MAX.to_be_bytes());
+                thread::sleep(LIMIT);
+            },
+            verdict: Verdict::MayHaveRun,
+            garbled: true,
+        },
+        Case {
+            name: "bytes that are no reply",
+            treat: |mut s| {
+                read(&mut s);
+                let _ = s.write_all(&[0, 0, 0, 3, frame::VERSION, 0, 99]);
+                thread::sleep(LIMIT);
+            },
+            verdict: Verdict::MayHaveRun,
+            garbled: true,
+        },
+        Case {
+            name: "silent",
+            treat: |_s| thread::sleep(LIMIT),
+            verdict: Verdict::MayHaveRun,
+            garbled: false,
+        },
+    ];
+    for case in cases {
+        let treat = case.treat;
+        let (addr, _) = peer(move |_, stream| treat(stream));
+        let limit = if case.name == "silent" { SHORT } else { LIMIT };
+        let got = TcpPeers::new(Limits::default()).ask(addr, &ask("k"), limit);
+        let error = got.expect_err(case.name);
+        assert_eq!(error.verdict(), case.verdict, "{}: {error}", case.name);
+        assert_eq!(matches!(error, CallError::Garbled(_)), case.garbled, "{}: {error}", case.name);
+    }
+}
+
+#[test]
+fn refused_is_not_run_and_rests() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    drop(listener);
+    let limits = Limits { rest: LIMIT, longest: LIMIT, ..Limits::default() };
+    let peers = TcpPeers::new(limits);
+    let first = peers.ask(addr, &ask("k"), LIMIT).expect_err("nobody listens");
+    assert_eq!(first.verdict(), Verdict::NotRun);
+    let _listener = TcpListener::bind(addr).expect("the port again");
+    let second = peers.ask(addr, &ask("k"), LIMIT).expect_err("within the rest");
+    assert_eq!(second, CallError::Unreached(format!("`{addr}` failed just now")));
+}
+
+#[test]
+fn a_late_reply_never_reaches_another_question() {
+    let (addr, count) = peer(|_, mut stream| {
+        let (late, old) = read(&mut stream).expect("the first question");
+        let (number, new) = read(&mut stream).expect("the second question");
+        reply(&mut stream, late, old);
+        reply(&mut stream, 77, outcome("never asked"));
+        reply(&mut stream, number, new);
+        reply(&mut stream, number, outcome("told twice"));
+        while let Some((number, body)) = read(&mut stream) {
+            reply(&mut stream, number, body);
+        }
+    });
+    let peers = TcpPeers::new(Limits::default());
+    assert!(peers.ask(addr, &ask("old"), SHORT).is_err());
+    assert_eq!(peers.ask(addr, &ask("new"), LIMIT), Ok(outcome("new")));
+    assert_eq!(peers.ask(addr, &ask("next"), LIMIT), Ok(outcome("next")));
+    assert_eq!(count.load(Ordering::SeqCst), 1, "one connection per pair");
+}
+
+#[test]
+fn replies_in_any_order_reach_their_questions() {
+    let (addr, count) = peer(|_, mut stream| {
+        let asked: Vec<_> = (0..8).filter_map(|_| read(&mut stream)).collect();
+        for (number, body) in asked.into_iter().rev() {
+            reply(&mut stream, number, body);
+        }
+        thread::sleep(LIMIT);
+    });
+    let peers = TcpPeers::new(Limits::default());
+    thread::scope(|scope| {
+        for i in 0..8 {
+            let (peers, key) = (&peers, format!("k{i}"));
+            scope.spawn(move || assert_eq!(peers.ask(addr, &ask(&key), LIMIT), Ok(outcome(&key))));
+        }
+    });
+    assert_eq!(count.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_dead_connection_is_made_anew() {
+    let (addr, count) = peer(|n, mut stream| {
+        while let Some((number, body)) = read(&mut stream) {
+            if n > 0 {
+                reply(&mut stream, number, body);
+            }
+        }
+    });
+    let peers = TcpPeers::new(Limits { rest: Duration::ZERO, ..Limits::default() });
+    let answered = (0..5).any(|_| peers.ask(addr, &ask("k"), SHORT * 5) == Ok(outcome("k")));
+    assert!(answered, "missed replies end the connection");
+    assert_eq!(count.load(Ordering::SeqCst), 2);
+}
+
+#[test]
+fn waiting_questions_are_bounded() {
+    let (addr, _) = peer(|_, stream| {
+        thread::sleep(LIMIT);
+        drop(stream);
+    });
+    let peers = TcpPeers::new(Limits { pending: 0, ..Limits::default() });
+    let error = peers.ask(addr, &ask("k"), SHORT).expect_err("no place");
+    assert_eq!(error.verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn server_faults() {
+    struct Case {
+        name: &'static str,
+        bytes: &'static [u8],
+    }
+    let cases = [
+        Case { name: "another version", bytes: &[0, 0, 0, 3, frame::VERSION + 1, 0, 1] },
+        Case { name: "beyond the bound", bytes: &[255, 255, 255, 255] },
+        Case { name: "no question", bytes: &[0, 0, 0, 3, frame::VERSION, 0, 99] },
+        Case { name: "empty frame", bytes: &[0, 0, 0, 0] },
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let server = serve(listener, vec![Arc::new(Echo)]).expect("a server");
+    for case in cases {
+        let mut stream = TcpStream::connect(server.addr()).expect(case.name);
+        stream.set_read_timeout(Some(LIMIT)).expect(case.name);
+        stream.write_all(case.bytes).expect(case.name);
+        let got = frame::read::<Numbered<Reply>>(&mut stream).expect_err(case.name);
+        let frame::FrameError::Io(e) = got else { panic!("{}: {got}", case.name) };
+        assert_ne!(e.kind(), std::io::ErrorKind::WouldBlock, "{}: left open", case.name);
+        let peers = TcpPeers::new(Limits::default());
+        assert_eq!(peers.ask(server.addr(), &ask("k"), LIMIT), Ok(outcome("k")), "{}", case.name);
+    }
+    let other = Ask::Query { query: String::new() };
+    let peers = TcpPeers::new(Limits::default());
+    let got = peers.ask(server.addr(), &other, LIMIT);
+    assert!(matches!(got, Ok(Reply::Unable { .. })), "no part knows it: {got:?}");
+}
+
+#[test]
+fn datagrams() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+    }
+    let text = |len| "x".repeat(len);
+    let beat = |host: String| Datagram::Beat {
+        heartbeat: Heartbeat {
+            host,
+            data_centre: "d".into(),
+            incarnation: 1,
+            sequence: 1,
+            leaving: false,
+            offset: 7,
+            digest: 8,
+        },
+        notes: Vec::new(),
+    };
+    let mut other = frame::encode(&beat("h".into()), 1400).expect("short");
+    other[0] += 1;
+    let cases = [
+        Case { name: "empty", bytes: vec![] },
+        Case { name: "noise", bytes: b"GET / HTTP/1.1\r\n\r\n".to_vec() },
+        Case { name: "another version", bytes: other },
+        Case { name: "beyond the bound", bytes: frame::encode(&beat(text(1500)), 9000).expect("") },
+        Case {
+            name: "cut short",
+            bytes: frame::encode(&beat(text(9)), 9000).expect("")[..9].into(),
+        },
+    ];
+    let socket = UdpSocket::bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let to = socket.addr().expect("its address");
+    let raw = Raw::bind("127.0.0.1:0").expect("a port");
+    for case in cases {
+        raw.send_to(&case.bytes, to).expect(case.name);
+        assert_eq!(socket.receive(SHORT), None, "{}", case.name);
+    }
+    let from = UdpSocket::bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    from.send(to, &beat("h".into())).expect("sent");
+    let got = socket.receive(LIMIT).expect("the good one after the bad ones");
+    assert_eq!((got.from, got.datagram), (from.addr().expect("its address"), beat("h".into())));
+    assert!(from.send(to, &beat(text(1500))).is_err(), "beyond the bound is not sent");
+}
