--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod lookups;
 pub mod gate;
 pub mod routing;
+pub mod members;
