--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -5,8 +5,6 @@
 
 pub mod call;
 pub mod engine;
+pub mod peer;
 pub mod platform;
 pub mod service;
-//! The sockets behind the traits of `roseshore_ports::outside`.
-
-pub mod peer;
--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -5,21 +5,20 @@
 //! holds a lock or starts a thread, so each decision can be driven through any order of events by
 //! a table of cases or by `proptest`.
 
-pub mod answer;
 pub mod admit;
+pub mod answer;
 pub mod code;
 pub mod config;
-pub mod declare;
 pub mod cost;
+pub mod declare;
 pub mod event;
 pub mod fleet;
 pub mod ids;
+pub mod load;
 pub mod lookup;
 pub mod membership;
 pub mod polling;
 pub mod prelude;
 pub mod retry;
-pub mod load;
-pub mod prelude;
 pub mod route;
 pub mod verdict;
