--- a/crates/roseshore_adapters/tests/peer.rs
+++ b/crates/roseshore_adapters/tests/peer.rs
@@ -137,14 +137,12 @@
 
 #[test]
 fn refused_is_not_run_and_rests() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = listener.local_addr().expect("its address");
-    drop(listener);
+    // A port below those given out, so that no other test's listener can take it meanwhile.
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
     let limits = Limits { rest: LIMIT, longest: LIMIT, ..Limits::default() };
     let peers = TcpPeers::new(limits);
     let first = peers.ask(addr, &ask("k"), LIMIT).expect_err("nobody listens");
     assert_eq!(first.verdict(), Verdict::NotRun);
-    let _listener = TcpListener::bind(addr).expect("the port again");
     let second = peers.ask(addr, &ask("k"), LIMIT).expect_err("within the rest");
     assert_eq!(second, CallError::Unreached(format!("`{addr}` failed just now")));
 }
