--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod call;
 pub mod engine;
+pub mod peer;
 pub mod platform;
 pub mod service;
