--- a/crates/roseshore_core/src/lookup.rs
+++ b/crates/roseshore_core/src/lookup.rs
@@ -248,6 +248,11 @@
         self.done
     }
 
+    /// Whether all sources were asked at once, to compare them.
+    pub fn compares(&self) -> bool {
+        self.policy.compare
+    }
+
     /// Whether an attempt has brought nothing yet.
     pub fn open(&self) -> bool {
         self.attempts.iter().any(|a| a.open)
--- /dev/null
+++ b/crates/roseshored/src/lookups/said.rs
@@ -0,0 +1,38 @@
+//! What a reply of a replica says about a name.
+
+use super::Found;
+use roseshore_core::lookup::Said;
+use roseshore_core::prelude::*;
+use roseshore_ports::outside::{Called, ServiceReply};
+use roseshore_wire::service::{Missing, Unstarted};
+use std::sync::Arc;
+
+const FOUND: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const UNAVAILABLE: u16 = 503;
+
+/// Reads a reply to the question for `name` at `source`.
+///
+/// A `404` counts only with the body that names both; one of a web server on the way, or for
+/// another source, is no word of the source.
+pub fn said(called: Called<ServiceReply>, source: &str, name: &str) -> Said<Found> {
+    let reply = match called {
+        Ok(reply) => reply,
+        Err(error) => return Said::Failed(error.verdict()),
+    };
+    match reply.status {
+        FOUND => Said::Holds(Arc::new(reply)),
+        NOT_FOUND if is_missing(&reply, source, name) => Said::Missing,
+        UNAVAILABLE if is_unstarted(&reply) => Said::Failed(Verdict::NotRun),
+        _ => Said::Failed(Verdict::MayHaveRun),
+    }
+}
+
+fn is_missing(reply: &ServiceReply, source: &str, name: &str) -> bool {
+    let word = serde_json::from_slice::<Missing>(&reply.body);
+    word.is_ok_and(|w| w.source == source && w.missing == name)
+}
+
+fn is_unstarted(reply: &ServiceReply) -> bool {
+    serde_json::from_slice::<Unstarted>(&reply.body).is_ok_and(|w| w.not_run)
+}
