Service adapter: no resolver thread for each request; ways measured

Cause: with a timeout in force ureq starts a thread for each request to resolve a name, kept connections included; all our addresses are numbers.

Conclusion: lookups go over ureq with kept connections.

--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod engine;
 pub mod peer;
 pub mod platform;
+pub mod resolver;
 pub mod service;
--- a/crates/roseshore_adapters/src/service.rs
+++ b/crates/roseshore_adapters/src/service.rs
@@ -5,6 +5,7 @@
 //! proves nothing; for a lookup another attempt settles that, but for a call it would turn many a
 //! clean start into "may have run". Calls therefore have a connection of their own each.
 
+use crate::resolver::NumericResolver;
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
 use roseshore_wire::service::{
@@ -13,6 +14,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use ureq::http::{Request, Response, request::Builder};
+use ureq::unversioned::transport::DefaultConnector;
 use ureq::{Agent, Body, Timeout};
 
 /// The longest body that is read, bytes.
@@ -47,7 +49,7 @@
         .max_idle_connections(if kept == 0 { 0 } else { KEPT_IN_ALL })
         .max_idle_connections_per_host(kept)
         .max_idle_age(KEPT_AGE);
-    config.build().new_agent()
+    Agent::with_parts(config.build(), DefaultConnector::default(), NumericResolver)
 }
 
 impl Services for HttpServices {
@@ -146,6 +148,7 @@
         ureq::Error::Io(e) if e.kind() == ErrorKind::ConnectionRefused => CallError::Unreached(why),
         ureq::Error::Timeout(Timeout::Resolve | Timeout::Connect)
         | ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
         | ureq::Error::BadUri(_) => CallError::Unreached(why),
         ureq::Error::Protocol(_) | ureq::Error::LargeResponseHeader(..) => CallError::Garbled(why),
         _ => CallError::Lost(why),
--- a/crates/roseshore_adapters/tests/service.rs
+++ b/crates/roseshore_adapters/tests/service.rs
@@ -276,6 +276,29 @@
     assert_eq!(seen.len(), 20);
 }
 
+#[test]
+fn lookups_go_over_kept_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (opened, connections) = flume::unbounded();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            opened.send(()).unwrap();
+            while !head(&mut BufReader::new(&stream)).is_empty() {
+                let reply = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok";
+                stream.write_all(reply).unwrap();
+            }
+        }
+    });
+    let services = HttpServices::default();
+    for _ in 0..10 {
+        let reply = services.lookup(addr, "certs", "n", &hop(BOUND));
+        assert_eq!(told(&reply), Told::Status(200));
+    }
+    assert_eq!(connections.len(), 1);
+}
+
 #[test]
 fn trace_key_request_and_deadline_travel() {
     let (addr, seen) = scripted(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
--- /dev/null
+++ b/crates/roseshored/examples/lookup_paths.rs
@@ -0,0 +1,165 @@
+//! Measures the ways a lookup can take to a replica, in one run.
+//!
+//! Each way is driven by the same number of threads against one stand-in for a while, and the ways
+//! take turns, so that what else the machine does hits all of them alike. Prints lookups a second
+//! and the time of one at 50 and 99 of 100, the median of the rounds.
+
+use roseshore_adapters::service::HttpServices;
+use roseshore_core::fleet::ServiceKind;
+use roseshore_core::prelude::*;
+use roseshore_fakes::service::records::Source;
+use roseshore_fakes::service::{ServiceFake, ServiceSettings};
+use roseshore_ports::inside::{Ask, Chain, Fleets, InForce, Need, Permit, Replica, Router};
+use roseshore_ports::outside::{Hop, Services};
+use roseshored::lookups::{Lookups, Parts};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+const ROUNDS: usize = 5;
+const ROUND: Duration = Duration::from_millis(800);
+const LIMIT: Duration = Duration::from_secs(5);
+const THREADS: [usize; 2] = [1, 8];
+
+struct OneFleet(InForce);
+
+impl Fleets for OneFleet {
+    fn current(&self) -> Option<InForce> {
+        Some(self.0.clone())
+    }
+}
+
+struct OneReplica(Replica);
+
+impl Router for OneReplica {
+    fn chain(&self, _: &Need) -> Result<(Chain, Permit), Refusal> {
+        Err(Refusal::not_run(Code::NoRoute, "no chains here"))
+    }
+
+    fn replica(&self, _: &str, avoid: &[TargetId]) -> Result<(Replica, Permit), Refusal> {
+        if avoid.is_empty() {
+            return Ok((self.0.clone(), Permit::new(|| ())));
+        }
+        Err(Refusal::not_run(Code::NoRoute, "no other replica"))
+    }
+
+    fn failed(&self, _: &TargetId) {}
+
+    fn observed(&self, _: &TargetId, _: Duration) {}
+}
+
+type Way = Box<dyn Fn() + Send + Sync>;
+
+fn hop() -> Hop {
+    Hop { deadline: Instant::now() + LIMIT, trace: None, request: "r".to_owned() }
+}
+
+fn minreq_way(addr: SocketAddr) -> Way {
+    Box::new(move || {
+        let url = format!("http://{addr}/v1/lookup/certs/pkg-7");
+        let request = minreq::get(url).with_header("Connection", "close");
+        let reply = request.with_follow_redirects(false).with_timeout(5).send().unwrap();
+        assert_eq!(reply.status_code, 200);
+    })
+}
+
+/// Without its timeout `minreq` starts no thread for each request.
+fn untimed_way(addr: SocketAddr) -> Way {
+    Box::new(move || {
+        let url = format!("http://{addr}/v1/lookup/certs/pkg-7");
+        let request = minreq::get(url).with_header("Connection", "close");
+        assert_eq!(request.with_follow_redirects(false).send().unwrap().status_code, 200);
+    })
+}
+
+fn kept_way(addr: SocketAddr) -> Way {
+    let services = HttpServices::default();
+    Box::new(move || {
+        assert_eq!(services.lookup(addr, "certs", "pkg-7", &hop()).unwrap().status, 200);
+    })
+}
+
+fn whole_way(addr: SocketAddr) -> Way {
+    let service = Service {
+        kind: ServiceKind::Lookup,
+        model: None,
+        sources: vec!["certs".to_owned()],
+        idempotent: true,
+        advisory: false,
+        deadline: LIMIT,
+    };
+    let services = [("cards".to_owned(), service)].into();
+    let fleet = Arc::new(Fleet { services, ..Fleet::default() });
+    let parts = Parts {
+        fleets: Arc::new(OneFleet(InForce { fleet, offset: 1, digest: 1 })),
+        router: Arc::new(OneReplica(Replica { target: "t".to_owned(), addr })),
+        services: Arc::new(HttpServices::default()),
+    };
+    let lookups = Lookups::new(256);
+    Box::new(move || {
+        let arrived = Instant::now();
+        let ask = Ask {
+            request: "r".to_owned(),
+            organisation: "o".to_owned(),
+            service: "cards".to_owned(),
+            deadline: arrived + LIMIT,
+            arrived,
+            priority: 4,
+            cost: 1,
+        };
+        assert_eq!(lookups.run(&parts, &ask, "pkg-7", None).unwrap().status, 200);
+    })
+}
+
+/// The times of all lookups of one round.
+fn round(way: &Way, threads: usize) -> Vec<Duration> {
+    let end = Instant::now() + ROUND;
+    let drive = || {
+        let mut times = Vec::new();
+        while Instant::now() < end {
+            let began = Instant::now();
+            way();
+            times.push(began.elapsed());
+        }
+        times
+    };
+    thread::scope(|scope| {
+        let running: Vec<_> = (0..threads).map(|_| scope.spawn(drive)).collect();
+        running.into_iter().flat_map(|t| t.join().unwrap()).collect()
+    })
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn main() {
+    let source = Source { name: "certs".to_owned(), percent: 100, ..Source::default() };
+    let settings = ServiceSettings { sources: vec![source], ..ServiceSettings::default() };
+    let fake = ServiceFake::start(settings).unwrap();
+    let addr = fake.addr();
+    let ways: [(&str, Way); 4] = [
+        ("minreq, connection per lookup", minreq_way(addr)),
+        ("minreq without a timeout", untimed_way(addr)),
+        ("ureq, kept connections", kept_way(addr)),
+        ("the whole driver over ureq", whole_way(addr)),
+    ];
+    println!("| threads | way | lookups/s | p50 us | p99 us |\n|---|---|---|---|---|");
+    for threads in THREADS {
+        let mut figures = vec![Vec::new(); ways.len()];
+        for _ in 0..ROUNDS {
+            for (index, (_, way)) in ways.iter().enumerate() {
+                let mut times = round(way, threads);
+                times.sort();
+                let at = |part: usize| times[times.len() * part / 100].as_secs_f64() * 1e6;
+                let rate = times.len() as f64 / ROUND.as_secs_f64();
+                figures[index].push([rate, at(50), at(99)]);
+            }
+        }
+        for (index, (name, _)) in ways.iter().enumerate() {
+            let of = |i: usize| median(figures[index].iter().map(|f| f[i]).collect());
+            println!("| {threads} | {name} | {:.0} | {:.0} | {:.0} |", of(0), of(1), of(2));
+        }
+    }
+}
