--- a/crates/roseshored/src/claims/guard.rs
+++ b/crates/roseshored/src/claims/guard.rs
@@ -32,6 +32,11 @@
         self.state == GuardState::Dispatched
     }
 
+    /// Whether something may have been sent.
+    pub fn dispatched(&self) -> bool {
+        self.state == GuardState::Dispatched
+    }
+
     /// Records the end.
     pub fn settle(mut self, outcome: Outcome) {
         self.state = GuardState::Ended;
