--- a/crates/roseshored/src/calls.rs
+++ b/crates/roseshored/src/calls.rs
@@ -157,7 +157,7 @@
 
     /// Ends the claim as the refusal says; a dropped one is abandoned or recorded as not known.
     fn refuse(self, refusal: Refusal) -> Result<CallEnd, Refusal> {
-        if let Some(won) = self.won.filter(|won| won.dispatched())
+        if let Some(won) = self.won.filter(Won::dispatched)
             && refusal.verdict == Verdict::NotRun
         {
             won.settle(Outcome::not_run());
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod operators;
 pub mod orders;
 pub mod parts;
+pub mod lookups;
+pub mod operators;
 pub mod routing;
 pub mod serve;
 pub mod settings;
