--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -54,6 +54,8 @@
     Abandon(usize),
     Land,
     Pass(u64),
+    /// Time passes, and no daemon runs meanwhile.
+    Freeze(u64),
     Replace(usize),
     Trim,
     Members,
@@ -65,6 +67,7 @@
     key: Key,
     digest: u64,
     at: usize,
+    deadline: Instant,
 }
 
 /// A moment at which work of a key may have begun, and whether it ran after all.
@@ -133,9 +136,11 @@
             Step::Dispatch(d) => self.dispatch(d),
             Step::Settle(d, verdict) => self.settle(d, verdict),
             Step::Abandon(d) => {
-                if let Some((_, offset)) = self.daemons[d].won.pop() {
-                    self.daemons[d].machine.abandon(offset);
-                }
+                // A dispatched one must stay what it is.
+                let daemon = &mut self.daemons[d];
+                let sent = daemon.sent.last().map(|(_, offset, _)| *offset);
+                let won = daemon.won.pop().map(|(_, offset)| offset);
+                won.or(sent).into_iter().for_each(|offset| daemon.machine.abandon(offset));
             }
             Step::Land => {
                 if let Some(lines) = self.late.pop() {
@@ -147,6 +152,7 @@
                 let now = self.now;
                 self.daemons.iter_mut().for_each(|daemon| daemon.machine.tick(now));
             }
+            Step::Freeze(millis) => self.now += Duration::from_millis(millis),
             Step::Replace(d) => {
                 let old = std::mem::replace(&mut self.daemons[d], Daemon::new(d, 0));
                 self.daemons[d] = Daemon::new(d, old.life + 1);
@@ -167,7 +173,7 @@
         let deadline = self.now + Duration::from_secs(5);
         let ask = Attempt { key: key.into(), digest, deadline };
         let id = self.daemons[d].machine.begin(ask, self.now);
-        let asked = Asked { key: key.into(), digest, at: self.clock };
+        let asked = Asked { key: key.into(), digest, at: self.clock, deadline };
         self.daemons[d].attempts.insert(id, asked);
     }
 
@@ -207,10 +213,12 @@
     }
 
     fn dispatch(&mut self, d: usize) {
-        let Some((Asked { key, digest, .. }, offset)) = self.daemons[d].won.pop() else { return };
+        let Some((asked, offset)) = self.daemons[d].won.pop() else { return };
         if !self.daemons[d].machine.dispatch(offset, self.now) {
             return;
         }
+        assert!(self.now < asked.deadline, "{asked:?} was dispatched late");
+        let Asked { key, digest, .. } = asked;
         let runs = self.runs.entry(key.clone()).or_default();
         runs.push(Run { digest, at: self.clock, ran: true });
         let run = runs.len() - 1;
@@ -307,6 +315,7 @@
         1 => daemon().prop_map(Step::Abandon),
         2 => Just(Step::Land),
         3 => prop_oneof![Just(10), Just(600), Just(6000), Just(70_000)].prop_map(Step::Pass),
+        1 => prop_oneof![Just(600), Just(6000)].prop_map(Step::Freeze),
         1 => daemon().prop_map(Step::Replace),
         1 => Just(Step::Trim),
         1 => Just(Step::Members),
@@ -569,207 +578,257 @@
     }
 }
 
+struct Story {
+    name: &'static str,
+    /// Daemon 0 goes so far with a key first.
+    before: &'static [&'static [Step]],
+    then: &'static [Step],
+    told: &'static str,
+}
+const OUT: &[Step] = &[Step::Read(0, false), Step::Pass(600)];
+const CLAIM: &[Step] =
+    &[Step::Begin(0, false), Step::Read(0, true), Step::Append(0, Fate::Done), Step::Read(0, true)];
+const RUN: &[Step] = &[Step::Dispatch(0)];
+const SETTLE: &[Step] =
+    &[Step::Settle(0, Verdict::Answered), Step::Pass(20), Step::Append(0, Fate::Done)];
+const GONE: &[Step] = &[Step::Replace(0), Step::Members];
+/// Daemon 1 does the same, whatever it takes.
+const OTHER: &[Step] = &[
+    Step::Begin(1, false),
+    Step::Read(1, true),
+    Step::Append(1, Fate::Done),
+    Step::Read(1, true),
+    Step::Read(1, true),
+];
+const STORIES: &[Story] = &[
+    Story { name: "no fault", before: &[CLAIM], then: &[], told: "won" },
+    Story { name: "repeat", before: &[CLAIM, RUN, SETTLE], then: OTHER, told: "repeat" },
+    Story {
+        name: "log out before the claim",
+        before: &[],
+        then: &[Step::Begin(0, false), Step::Read(0, false), Step::Pass(600)],
+        told: "RS502 may_have_run",
+    },
+    Story {
+        name: "log out for a while",
+        before: &[&[Step::Begin(0, false), Step::Read(0, false), Step::Pass(300)]],
+        then: &[Step::Read(0, true), Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "log back after an outage",
+        before: &[&[Step::Begin(0, false)], OUT, &[Step::Pass(300), Step::Read(0, true)]],
+        then: CLAIM,
+        told: "won",
+    },
+    Story {
+        name: "log out, asked again",
+        before: &[&[Step::Begin(0, false)], OUT],
+        then: &[Step::Begin(0, false)],
+        told: "RS502 may_have_run",
+    },
+    Story {
+        name: "appends out, stream read",
+        before: &[],
+        then: &[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::Unreached),
+            Step::Pass(600),
+        ],
+        told: "RS502 not_run",
+    },
+    Story {
+        name: "log over its rate",
+        before: &[&[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::Busy),
+            Step::Pass(20),
+        ]],
+        then: &[Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, claim in the log",
+        before: &[],
+        then: &[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::LostAfter),
+            Step::Read(0, true),
+        ],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, claim not in the log",
+        before: &[&[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::LostBefore),
+            Step::Pass(20),
+        ]],
+        then: &[Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, log then out",
+        before: &[&[Step::Begin(0, false), Step::Append(0, Fate::Done), Step::Read(0, true)]],
+        then: &[Step::Append(0, Fate::LostAfter), Step::Read(0, false), Step::Pass(600)],
+        told: "RS502 not_run",
+    },
+    Story {
+        name: "claim lost with the log out is given back",
+        before: &[
+            &[Step::Begin(0, false), Step::Read(0, true), Step::Append(0, Fate::LostAfter)],
+            OUT,
+            &[Step::Pass(300), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "claim lands after it was given up",
+        before: &[
+            &[
+                Step::Begin(0, false),
+                Step::Read(0, true),
+                Step::Append(0, Fate::LostLater),
+                Step::Pass(6000),
+            ],
+            &[Step::Append(0, Fate::Done), Step::Land],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "winner paused past its deadline",
+        before: &[CLAIM, &[Step::Freeze(6000), Step::Dispatch(0), Step::Append(0, Fate::Done)]],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "winner gives up",
+        before: &[CLAIM, &[Step::Abandon(0), Step::Pass(20), Step::Append(0, Fate::Done)]],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "log out at the abandonment",
+        before: &[CLAIM, &[Step::Abandon(0), Step::Pass(20), Step::Append(0, Fate::Unreached)]],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Pass(6000)],
+        told: "RS401 may_have_run",
+    },
+    Story {
+        name: "host replaced after the claim",
+        before: &[CLAIM, GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced after the dispatch",
+        before: &[CLAIM, RUN, GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced before its outcome was taken",
+        before: &[CLAIM, RUN, &[Step::Settle(0, Verdict::Answered)], GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced after the outcome",
+        before: &[CLAIM, RUN, SETTLE, GONE],
+        then: OTHER,
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, then back",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::Answered), Step::Pass(20), Step::Append(0, Fate::Unreached)],
+            &[Step::Pass(300), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, asked here",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::Answered), Step::Read(0, false), Step::Pass(600)],
+        ],
+        then: &[Step::Begin(0, false)],
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, asked elsewhere",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Begin(1, false), Step::Read(1, true), Step::Settle(0, Verdict::Answered)],
+        ],
+        then: &[Step::Read(1, false), Step::Pass(600)],
+        told: "ask h0 or RS402",
+    },
+    Story {
+        name: "log out, key known to be settled",
+        before: &[
+            CLAIM,
+            RUN,
+            SETTLE,
+            OTHER,
+            &[Step::Begin(1, true), Step::Read(1, false), Step::Pass(600)],
+        ],
+        then: &[Step::Begin(1, false)],
+        told: "repeat",
+    },
+    Story {
+        name: "target said that nothing ran",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::NotRun), Step::Pass(20), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "target's reply lost",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::MayHaveRun), Step::Pass(20), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "still in progress at the deadline",
+        before: &[CLAIM, RUN],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Pass(6000)],
+        told: "RS401 may_have_run",
+    },
+    Story {
+        name: "another body",
+        before: &[CLAIM, RUN, SETTLE],
+        then: &[Step::Reuse(1), Step::Read(1, true)],
+        told: "RS405 not_run",
+    },
+    Story {
+        name: "record trimmed",
+        before: &[CLAIM, RUN, SETTLE, &[Step::Trim]],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Read(1, true)],
+        told: "RS403 may_have_run",
+    },
+];
+
 #[test]
 fn faults_at_each_step() {
-    use Step::*;
-    struct Case {
-        name: &'static str,
-        /// Daemon 0 goes so far with a key first.
-        before: &'static [&'static [Step]],
-        then: &'static [Step],
-        told: &'static str,
-    }
-    const OUT: &[Step] = &[Read(0, false), Pass(600)];
-    const CLAIM: &[Step] = &[Begin(0, false), Read(0, true), Append(0, Fate::Done), Read(0, true)];
-    const RUN: &[Step] = &[Dispatch(0)];
-    const SETTLE: &[Step] = &[Settle(0, Verdict::Answered), Pass(20), Append(0, Fate::Done)];
-    const GONE: &[Step] = &[Replace(0), Members];
-    /// Daemon 1 does the same, whatever it takes.
-    const OTHER: &[Step] =
-        &[Begin(1, false), Read(1, true), Append(1, Fate::Done), Read(1, true), Read(1, true)];
-    let cases = [
-        Case { name: "no fault", before: &[CLAIM], then: &[], told: "won" },
-        Case { name: "repeat", before: &[CLAIM, RUN, SETTLE], then: OTHER, told: "repeat" },
-        Case {
-            name: "log out before the claim",
-            before: &[],
-            then: &[Begin(0, false), Read(0, false), Pass(600)],
-            told: "RS502 may_have_run",
-        },
-        Case {
-            name: "log out for a while",
-            before: &[&[Begin(0, false), Read(0, false), Pass(300)]],
-            then: &[Read(0, true), Append(0, Fate::Done), Read(0, true)],
-            told: "won",
-        },
-        Case {
-            name: "log back after an outage",
-            before: &[&[Begin(0, false)], OUT, &[Pass(300), Read(0, true)]],
-            then: CLAIM,
-            told: "won",
-        },
-        Case {
-            name: "log out, asked again",
-            before: &[&[Begin(0, false)], OUT],
-            then: &[Begin(0, false)],
-            told: "RS502 may_have_run",
-        },
-        Case {
-            name: "appends out, stream read",
-            before: &[],
-            then: &[Begin(0, false), Read(0, true), Append(0, Fate::Unreached), Pass(600)],
-            told: "RS502 not_run",
-        },
-        Case {
-            name: "log over its rate",
-            before: &[&[Begin(0, false), Read(0, true), Append(0, Fate::Busy), Pass(20)]],
-            then: &[Append(0, Fate::Done), Read(0, true)],
-            told: "won",
-        },
-        Case {
-            name: "append reply lost, claim in the log",
-            before: &[],
-            then: &[Begin(0, false), Read(0, true), Append(0, Fate::LostAfter), Read(0, true)],
-            told: "won",
-        },
-        Case {
-            name: "append reply lost, claim not in the log",
-            before: &[&[Begin(0, false), Read(0, true), Append(0, Fate::LostBefore), Pass(20)]],
-            then: &[Append(0, Fate::Done), Read(0, true)],
-            told: "won",
-        },
-        Case {
-            name: "append reply lost, log then out",
-            before: &[&[Begin(0, false), Append(0, Fate::Done), Read(0, true)]],
-            then: &[Append(0, Fate::LostAfter), Read(0, false), Pass(600)],
-            told: "RS502 not_run",
-        },
-        Case {
-            name: "claim lost with the log out is given back",
-            before: &[
-                &[Begin(0, false), Read(0, true), Append(0, Fate::LostAfter)],
-                OUT,
-                &[Pass(300), Append(0, Fate::Done)],
-            ],
-            then: OTHER,
-            told: "won",
-        },
-        Case {
-            name: "claim lands after it was given up",
-            before: &[
-                &[Begin(0, false), Read(0, true), Append(0, Fate::LostLater), Pass(6000)],
-                &[Append(0, Fate::Done), Land],
-            ],
-            then: OTHER,
-            told: "won",
-        },
-        Case {
-            name: "winner paused past its deadline",
-            before: &[CLAIM, &[Pass(6000), Dispatch(0), Append(0, Fate::Done)]],
-            then: OTHER,
-            told: "won",
-        },
-        Case {
-            name: "winner gives up",
-            before: &[CLAIM, &[Abandon(0), Pass(20), Append(0, Fate::Done)]],
-            then: OTHER,
-            told: "won",
-        },
-        Case {
-            name: "log out at the abandonment",
-            before: &[CLAIM, &[Abandon(0), Pass(20), Append(0, Fate::Unreached)]],
-            then: &[Begin(1, false), Read(1, true), Pass(6000)],
-            told: "RS401 may_have_run",
-        },
-        Case {
-            name: "host replaced after the claim",
-            before: &[CLAIM, GONE],
-            then: OTHER,
-            told: "RS402 may_have_run",
-        },
-        Case {
-            name: "host replaced after the dispatch",
-            before: &[CLAIM, RUN, GONE],
-            then: OTHER,
-            told: "RS402 may_have_run",
-        },
-        Case {
-            name: "host replaced before its outcome was taken",
-            before: &[CLAIM, RUN, &[Settle(0, Verdict::Answered)], GONE],
-            then: OTHER,
-            told: "RS402 may_have_run",
-        },
-        Case {
-            name: "host replaced after the outcome",
-            before: &[CLAIM, RUN, SETTLE, GONE],
-            then: OTHER,
-            told: "repeat",
-        },
-        Case {
-            name: "log out at the outcome, then back",
-            before: &[
-                CLAIM,
-                RUN,
-                &[Settle(0, Verdict::Answered), Pass(20), Append(0, Fate::Unreached)],
-                &[Pass(300), Append(0, Fate::Done)],
-            ],
-            then: OTHER,
-            told: "repeat",
-        },
-        Case {
-            name: "log out at the outcome, asked here",
-            before: &[CLAIM, RUN, &[Settle(0, Verdict::Answered), Read(0, false), Pass(600)]],
-            then: &[Begin(0, false)],
-            told: "repeat",
-        },
-        Case {
-            name: "log out at the outcome, asked elsewhere",
-            before: &[CLAIM, RUN, &[Begin(1, false), Read(1, true), Settle(0, Verdict::Answered)]],
-            then: &[Read(1, false), Pass(600)],
-            told: "ask h0 or RS402",
-        },
-        Case {
-            name: "log out, key known to be settled",
-            before: &[CLAIM, RUN, SETTLE, OTHER, &[Begin(1, true), Read(1, false), Pass(600)]],
-            then: &[Begin(1, false)],
-            told: "repeat",
-        },
-        Case {
-            name: "target said that nothing ran",
-            before: &[CLAIM, RUN, &[Settle(0, Verdict::NotRun), Pass(20), Append(0, Fate::Done)]],
-            then: OTHER,
-            told: "won",
-        },
-        Case {
-            name: "target's reply lost",
-            before: &[
-                CLAIM,
-                RUN,
-                &[Settle(0, Verdict::MayHaveRun), Pass(20), Append(0, Fate::Done)],
-            ],
-            then: OTHER,
-            told: "RS402 may_have_run",
-        },
-        Case {
-            name: "still in progress at the deadline",
-            before: &[CLAIM, RUN],
-            then: &[Begin(1, false), Read(1, true), Pass(6000)],
-            told: "RS401 may_have_run",
-        },
-        Case {
-            name: "another body",
-            before: &[CLAIM, RUN, SETTLE],
-            then: &[Reuse(1), Read(1, true)],
-            told: "RS405 not_run",
-        },
-        Case {
-            name: "record trimmed",
-            before: &[CLAIM, RUN, SETTLE, &[Trim]],
-            then: &[Begin(1, false), Read(1, true), Read(1, true)],
-            told: "RS403 may_have_run",
-        },
-    ];
-    for case in cases {
+    for case in STORIES {
         let mut world = World::new();
         for step in case.before.iter().copied().flatten().chain(case.then) {
             world.step(*step);
