--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod once;
 pub mod order;
 pub mod polling;
+pub mod once;
+pub mod order;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -109,7 +109,9 @@
             let life = known.incarnation == owner.incarnation || known.incarnation == 0;
             known.host == owner.host && life
         };
-        *owner != self.own && !self.alive.is_empty() && !self.alive.iter().any(is)
+        // A daemon that has heard of nobody else yet knows of nobody that is gone either.
+        let knows = self.alive.iter().any(|known| known.host != self.own.host);
+        *owner != self.own && knows && !self.alive.iter().any(is)
     }
 
     fn decide(&mut self, id: AttemptId, decision: Decision) {
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -73,6 +73,18 @@
         self.send(key, Event::SettleBy(operator.to_owned(), key.clone(), outcome));
     }
 
+    /// Waits until the log has taken every outcome and abandonment, for `limit` at most; a daemon
+    /// that ends before leaves keys whose end nobody knows.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        let ask = |partition: &Sender<Event>| {
+            let (told, flushed) = flume::bounded(1);
+            partition.send(Event::Flush(told)).ok().map(|()| flushed)
+        };
+        let asked: Vec<_> = self.partitions.iter().filter_map(ask).collect();
+        asked.iter().all(|flushed| flushed.recv_deadline(deadline).is_ok())
+    }
+
     fn send(&self, key: &Key, event: Event) {
         // A partition whose thread is gone drops the event, and the caller's channel with it.
         let _ = self.sender(key).send(event);
--- a/crates/roseshored/src/claims/partition.rs
+++ b/crates/roseshored/src/claims/partition.rs
@@ -34,6 +34,8 @@
     Work(Key, Sender<Work>),
     Appended(Appended),
     Read(ReadEnd),
+    /// Tell when nothing waits for the log.
+    Flush(Sender<()>),
     /// The driver is gone.
     Stop,
 }
@@ -52,6 +54,7 @@
     looked: Option<Instant>,
     appends: Sender<Vec<String>>,
     reads: Sender<ReadAsk>,
+    flushing: Vec<Sender<()>>,
 }
 
 struct Caller {
@@ -73,8 +76,9 @@
     let own = Owner { host: own.host, incarnation: own.incarnation };
     let machine = Partition::new(own, rand::random(), remembered);
     let callers = FxHashMap::default();
-    let name = stream.clone();
-    let driver = Driver { stream, machine, callers, members, looked: None, appends, reads };
+    let (name, flushing) = (stream.clone(), vec![]);
+    let driver =
+        Driver { stream, machine, callers, members, looked: None, appends, reads, flushing };
     spawn(format!("{name} append"), {
         let (stream, log, events) = (name.clone(), log.clone(), events.clone());
         move || append_all(&stream, &*log, &append_asks, &events)
@@ -181,6 +185,7 @@
             }
             Event::Appended(how) => self.machine.appended(how, now),
             Event::Read(end) => self.machine.read(end, now),
+            Event::Flush(told) => self.flushing.push(told),
             Event::Stop => {}
         }
     }
@@ -209,6 +214,11 @@
                 Action::Decide(id, decision) => self.decide(id, decision),
             }
         }
+        if self.machine.idle() {
+            for told in self.flushing.drain(..) {
+                let _ = told.send(());
+            }
+        }
         metrics::gauge!("roseshore_claims_keys", "stream" => self.stream.clone())
             .set(self.machine.keys().len() as f64);
     }
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -19,8 +19,6 @@
 pub mod operators;
 pub mod orders;
 pub mod parts;
-pub mod lookups;
-pub mod operators;
 pub mod routing;
 pub mod serve;
 pub mod settings;
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -333,6 +333,18 @@
     }
 }
 
+#[test]
+fn a_flush_waits_for_the_log() {
+    let world = World::new(2);
+    let claim = world.win(0);
+    world.faults(PlatformFaults { appends_out: true, ..Default::default() });
+    run(&*world.daemons[0], &claim, answer(3));
+    assert!(!world.daemons[0].flush(Duration::from_millis(100)), "the log takes nothing");
+    world.faults(PlatformFaults::default());
+    assert!(world.daemons[0].flush(Duration::from_secs(20)));
+    assert_eq!(told(&world.begin(1)), "settled 3");
+}
+
 #[test]
 fn an_answer_that_left_memory_is_read_again() {
     let world = World::new(2);
