--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -1,6 +1,8 @@
 //! The parts of a daemon in its own process, put together.
 
 use crate::app::{App, Drain};
+use crate::claims::{ClaimsConfig, ClaimsDriver};
+use crate::event;
 use crate::fleets::{FleetDriver, FleetSettings};
 use crate::gate::Door;
 use crate::operators::Console;
@@ -18,6 +20,8 @@
 
 /// How long the platform may take to answer.
 const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
+/// How long the log may take for the last outcomes at the end.
+const FLUSH_LIMIT: Duration = Duration::from_secs(10);
 
 /// The parts of one daemon.
 pub struct Parts {
@@ -25,6 +29,8 @@
     pub app: App,
     /// What operators' calls touch.
     pub console: Console,
+    /// Unrepeatable work, as [`App::claims`] and for peers' questions.
+    pub claims: Arc<ClaimsDriver>,
 }
 
 impl Parts {
@@ -39,6 +45,9 @@
         let members: Arc<dyn Members> = Arc::new(simple::Alone::new(settings));
         let peers: Arc<dyn Peers> = Arc::new(simple::NoPeers);
         let drain = Arc::new(Drain::default());
+        let (log, links) = (platform.clone(), peers.clone());
+        let claims = ClaimsDriver::start(ClaimsConfig::default(), log, links, members.clone())?;
+        let claims = Arc::new(claims);
         let fleets = FleetDriver::new(platform, FleetSettings::default());
         fleets.start(members.clone(), peers)?;
         let routing = Arc::new(Routing::new(fleets.clone(), members.clone()));
@@ -60,18 +69,21 @@
             gate: Arc::new(Door::new(fleets.clone(), members.clone(), routing.clone())),
             router: routing,
             fleets,
-            claims: Arc::new(simple::NoClaims),
+            claims: claims.clone(),
             ledger: Arc::new(simple::Recent::default()),
             members,
             engine,
             services,
             drain,
         };
-        Ok(Parts { app, console })
+        Ok(Parts { app, console, claims })
     }
 
     /// Ends the threads that are not bound to a request.
     pub fn stop(&self) {
+        if !self.claims.flush(FLUSH_LIMIT) {
+            event!(Event::KeyUnsettled, "the log did not take the last outcomes");
+        }
         self.console.fleets.stop();
     }
 }
