--- /dev/null
+++ b/crates/roseshored/tests/calls.rs
@@ -0,0 +1,249 @@
+//! Calls of plain services: who is asked how often, and what the caller is told.
+
+#[path = "support/fakes.rs"]
+mod fakes;
+
+use fakes::{FakeClaims, FakeEngine, FakeGate, FakeLedger, FirstFit, Key1, Play, StaticFleets};
+use parking_lot::Mutex;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Ask, Outcome};
+use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
+use roseshore_wire::service::ServiceLoad;
+use roseshored::app::{App, Drain};
+use roseshored::{calls, simple};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+
+/// What a replica does with a call.
+#[derive(Clone, Copy, Debug)]
+enum Does {
+    Answers,
+    Fails,
+    Unreached,
+    Refuses,
+    Loses,
+    Garbles,
+    Panics,
+}
+
+/// Replicas that do what a test says, one after the other.
+struct Replicas {
+    script: Mutex<VecDeque<Does>>,
+    keys: Mutex<Vec<Option<String>>>,
+}
+
+impl Services for Replicas {
+    fn lookup(&self, _: SocketAddr, _: &str, _: &str, _: &Hop) -> Called<ServiceReply> {
+        Err(CallError::Unreached("no lookups here".into()))
+    }
+
+    fn call(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        body: &[u8],
+        key: Option<&str>,
+        _: &Hop,
+    ) -> Called<ServiceReply> {
+        self.keys.lock().push(key.map(str::to_owned));
+        let does = self.script.lock().pop_front().expect("no more calls than the script says");
+        let reply = |status| {
+            let (content, body) = ("text/plain".into(), body.to_vec());
+            Ok(ServiceReply { status, content, body, replayed: false })
+        };
+        match does {
+            Does::Answers => reply(200),
+            Does::Fails => reply(500),
+            Does::Unreached => Err(CallError::Unreached("refused".into())),
+            Does::Refuses => Err(CallError::Refused(503, None, String::new())),
+            Does::Loses => Err(CallError::Lost("cut".into())),
+            Does::Garbles => Err(CallError::Garbled("what?".into())),
+            Does::Panics => panic!("asked for by the test"),
+        }
+    }
+
+    fn load(&self, _: SocketAddr, _: Duration) -> Called<ServiceLoad> {
+        Err(CallError::Unreached("no load here".into()))
+    }
+}
+
+/// A fleet with three replicas of one plain service, which has a retry budget of its own.
+fn fleet(service: &str, idempotent: bool) -> Fleet {
+    let replica = |number: u8| {
+        format!(
+            "[targets.t{number}]\nkind = 'service'\nhost = 'h'\ndata_centre = 'a'\n\
+             addr = '127.0.0.1:9'\nserves = '{service}'\n"
+        )
+    };
+    let replicas: String = (1..=3).map(replica).collect();
+    let text = format!(
+        "[data_centres.a]\nregion = 'r'\n[models]\n[organisations]\n[services.'{service}']\n\
+         kind = 'plain'\nidempotent = {idempotent}\n{replicas}"
+    );
+    toml::from_str(&text).expect("a fleet of the test")
+}
+
+struct Case {
+    name: &'static str,
+    idempotent: bool,
+    /// How the key begins, if there is one.
+    key: Option<Key1>,
+    /// What the replicas do, in the order of the calls; all must be made.
+    script: &'static [Does],
+    told: &'static str,
+    /// What becomes of the claim.
+    claim: &'static [&'static str],
+}
+
+fn recorded() -> Outcome {
+    let (content, body) = ("text/plain".into(), b"first".to_vec());
+    Outcome { verdict: Verdict::Answered, status: 201, content, body }
+}
+
+fn once(name: &'static str, script: &'static [Does], told: &'static str) -> Case {
+    Case { name, idempotent: false, key: None, script, told, claim: &[] }
+}
+
+fn keyed(
+    name: &'static str,
+    key: Key1,
+    script: &'static [Does],
+    told: &'static str,
+    claim: &'static [&'static str],
+) -> Case {
+    Case { key: Some(key), claim, ..once(name, script, told) }
+}
+
+fn free(name: &'static str, script: &'static [Does], told: &'static str) -> Case {
+    Case { idempotent: true, ..once(name, script, told) }
+}
+
+fn cases() -> Vec<Case> {
+    use Does::{Answers, Fails, Garbles, Loses, Panics, Refuses, Unreached};
+    let refusal = Refusal::may_have_run(Code::KeyUnknown, "not known");
+    vec![
+        once("once: answered", &[Answers], "200"),
+        once("once: an error of the target is an answer", &[Fails], "500"),
+        once("once: lost", &[Loses], "RS303 may_have_run"),
+        once("once: garbled", &[Garbles], "RS306 may_have_run"),
+        once("once: unreached, then answered", &[Unreached, Answers], "200"),
+        once("once: refused, then lost", &[Refuses, Loses], "RS303 may_have_run"),
+        once("once: nobody began it", &[Unreached, Refuses, Unreached], "RS302 not_run"),
+        free("idempotent: lost, then answered", &[Loses, Answers], "200"),
+        free("idempotent: garbled, then answered", &[Garbles, Answers], "200"),
+        free(
+            "idempotent: lost, then unreached",
+            &[Loses, Unreached, Unreached],
+            "RS302 may_have_run",
+        ),
+        free("idempotent: nobody began it", &[Refuses, Refuses, Refuses], "RS304 not_run"),
+        keyed(
+            "key: answered",
+            Key1::Win,
+            &[Answers],
+            "200",
+            &["begin k", "dispatch", "settle answered"],
+        ),
+        keyed(
+            "key: lost",
+            Key1::Win,
+            &[Loses],
+            "RS303 may_have_run",
+            &["begin k", "dispatch", "settle may_have_run"],
+        ),
+        keyed(
+            "key: unreached, then answered",
+            Key1::Win,
+            &[Unreached, Answers],
+            "200",
+            &["begin k", "dispatch", "settle answered"],
+        ),
+        keyed(
+            "key: nobody began it",
+            Key1::Win,
+            &[Refuses, Refuses, Refuses],
+            "RS304 not_run",
+            &["begin k", "dispatch", "settle not_run"],
+        ),
+        keyed(
+            "key: panic",
+            Key1::Win,
+            &[Panics],
+            "panic",
+            &["begin k", "dispatch", "settle may_have_run"],
+        ),
+        keyed("key: claim lapsed", Key1::Lapse, &[], "RS206 not_run", &["begin k", "dispatch"]),
+        keyed("key: repeated", Key1::Settled(recorded()), &[], "201 repeated", &["begin k"]),
+        keyed("key: refused", Key1::Refuse(refusal), &[], "RS402 may_have_run", &["begin k"]),
+        Case {
+            key: Some(Key1::Win),
+            claim: &[],
+            ..free("key of an idempotent service claims nothing", &[Answers], "200")
+        },
+    ]
+}
+
+#[test]
+fn what_a_caller_is_told() {
+    for (at, case) in cases().into_iter().enumerate() {
+        let service = format!("s{at}");
+        let script = Mutex::new(case.script.iter().copied().collect());
+        let replicas = Arc::new(Replicas { script, keys: Mutex::default() });
+        let key = Mutex::new(case.key.clone().unwrap_or(Key1::Win));
+        let claims = Arc::new(FakeClaims { key, calls: Mutex::default() });
+        let app = app(&service, case.idempotent, claims.clone(), replicas.clone());
+        let key = case.key.is_some().then(|| Key::from("k"));
+        let run = || calls::run(&app, &ask(&service), b"body", key.as_ref(), 7, None);
+        let told = match catch_unwind(AssertUnwindSafe(run)) {
+            Ok(Ok(end)) if end.repeated => format!("{} repeated", end.reply.status),
+            Ok(Ok(end)) => end.reply.status.to_string(),
+            Ok(Err(refusal)) => format!("{} {}", refusal.code, refusal.verdict.name()),
+            Err(_) => "panic".into(),
+        };
+        assert_eq!(told, case.told, "{}", case.name);
+        assert!(replicas.script.lock().is_empty(), "{}: fewer calls than expected", case.name);
+        assert!(replicas.keys.lock().iter().all(|sent| *sent == key), "{}", case.name);
+        assert_eq!(*claims.calls.lock(), case.claim, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_call_past_its_deadline_is_not_sent() {
+    let claims = Arc::new(FakeClaims { key: Mutex::new(Key1::Win), calls: Mutex::default() });
+    let replicas = Arc::new(Replicas { script: Mutex::default(), keys: Mutex::default() });
+    let app = app("late", false, claims.clone(), replicas);
+    let late = Ask { deadline: Instant::now(), ..ask("late") };
+    let refusal = calls::run(&app, &late, b"", Some(&"k".into()), 7, None).expect_err("too late");
+    assert_eq!((refusal.code, refusal.verdict), (Code::DeadlinePassed, Verdict::NotRun));
+    assert_eq!(*claims.calls.lock(), ["begin k", "abandon"]);
+}
+
+fn ask(service: &str) -> Ask {
+    let now = Instant::now();
+    Ask {
+        request: "r1".into(),
+        organisation: "o".into(),
+        service: service.into(),
+        deadline: now + Duration::from_secs(30),
+        arrived: now,
+        priority: 4,
+        cost: 1,
+    }
+}
+
+fn app(service: &str, idempotent: bool, claims: Arc<FakeClaims>, services: Arc<Replicas>) -> App {
+    let fleets = Arc::new(StaticFleets::new(Some(fleet(service, idempotent))));
+    App {
+        router: Arc::new(FirstFit::new(fleets.clone())),
+        fleets,
+        gate: Arc::new(FakeGate::default()),
+        claims,
+        ledger: Arc::new(FakeLedger::default()),
+        members: Arc::new(simple::Alone::new(&fakes::settings(&[]))),
+        engine: Arc::new(FakeEngine { play: Mutex::new(Play::Whole(1)), opened: Mutex::default() }),
+        services,
+        drain: Arc::new(Drain::default()),
+    }
+}
