--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -21,8 +21,6 @@
 pub mod once;
 pub mod order;
 pub mod polling;
-pub mod once;
-pub mod order;
 pub mod prelude;
 pub mod retry;
 pub mod route;
