--- a/crates/roseshore_core/tests/answer.rs
+++ b/crates/roseshore_core/tests/answer.rs
@@ -431,6 +431,19 @@
     }
 }
 
+#[test]
+fn time_that_the_caller_took_is_not_silence() {
+    let mut world = World::new(rules());
+    world.act();
+    assert!(run_until(&mut world, &STEPS[4]));
+    world.now += Duration::from_secs(30);
+    world.answer.rearm(world.now);
+    world.feed(Input::Tick);
+    world.run_to_end();
+    assert_whole(&world, "held up");
+    assert_eq!(world.epoch, 1);
+}
+
 #[test]
 fn silence_is_bounded_by_prediction_and_by_what_was_seen() {
     struct Case {
--- a/crates/roseshored/src/answer.rs
+++ b/crates/roseshored/src/answer.rs
@@ -13,7 +13,9 @@
 use crate::app::App;
 use roseshore_core::answer::Rules;
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::Ask;
+use roseshore_ports::inside::{Ask, Router};
+use roseshore_ports::outside::Engine;
+use std::sync::Arc;
 
 /// What is asked of a model.
 #[derive(Clone, Debug)]
@@ -76,19 +78,31 @@
 /// # Errors
 /// [`Verdict::NotRun`] only when no target took the answer.
 pub fn run(app: &App, ask: &Ask, prompt: AnswerAsk, sink: &mut dyn Sink) -> Result<Whole, Refusal> {
-    run_with(app, ask, prompt, sink, Rules::default())
+    let parts =
+        Parts { router: app.router.clone(), engine: app.engine.clone(), rules: Rules::default() };
+    run_over(&parts, ask, prompt, sink)
 }
 
-/// [`run`] with other bounds.
+/// What an answer needs of the daemon.
+#[derive(Clone)]
+pub struct Parts {
+    /// The choice of targets.
+    pub router: Arc<dyn Router>,
+    /// Model engines.
+    pub engine: Arc<dyn Engine>,
+    /// Bounds.
+    pub rules: Rules,
+}
+
+/// [`run`] over given parts.
 ///
 /// # Errors
 /// As [`run`].
-pub fn run_with(
-    app: &App,
+pub fn run_over(
+    parts: &Parts,
     ask: &Ask,
     prompt: AnswerAsk,
     sink: &mut dyn Sink,
-    rules: Rules,
 ) -> Result<Whole, Refusal> {
-    driver::Driver::new(app, ask, prompt, sink, rules).run()
+    driver::Driver::new(parts, ask, prompt, sink).run()
 }
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -2,8 +2,7 @@
 //! calls.
 
 use super::hands::{self, Hands, Moves, Report};
-use super::{AnswerAsk, CallerLeft, Sink, Whole};
-use crate::app::App;
+use super::{AnswerAsk, CallerLeft, Parts, Sink, Whole};
 use crate::event;
 use flume::{Receiver, RecvError, Selector};
 use roseshore_core::answer::{Action, Answer, Finish, Input, Job, Line, Route, Rules};
@@ -23,7 +22,7 @@
 
 /// One running answer.
 pub(super) struct Driver<'a> {
-    app: &'a App,
+    parts: &'a Parts,
     ask: &'a Ask,
     prompt: AnswerAsk,
     sink: &'a mut dyn Sink,
@@ -51,26 +50,25 @@
 
 impl<'a> Driver<'a> {
     pub(super) fn new(
-        app: &'a App,
+        parts: &'a Parts,
         ask: &'a Ask,
         prompt: AnswerAsk,
         sink: &'a mut dyn Sink,
-        mut rules: Rules,
     ) -> Driver<'a> {
         let now = Instant::now();
         let (post, reports) = flume::unbounded();
         let mut actions = Vec::with_capacity(8);
-        rules.rates = hands::rates();
+        let rules = Rules { rates: hands::rates(), ..parts.rules.clone() };
         let machine = Answer::start(job(ask, &prompt), rules, now, &mut actions);
         let span = tracing::info_span!("answer", request = %ask.request);
         Driver {
-            app,
+            parts,
             ask,
             sink,
             machine,
             actions,
             spare: Vec::with_capacity(8),
-            hands: Hands::new(app.engine.clone(), post),
+            hands: Hands::new(parts.engine.clone(), post),
             reports,
             stream: None,
             permit: None,
@@ -162,7 +160,7 @@
         }
         self.look = now + LEAVE_CHECK;
         let leaving =
-            self.machine.stages().iter().map(|s| &s.target).find(|t| self.app.router.leaving(t));
+            self.machine.stages().iter().map(|s| &s.target).find(|t| self.parts.router.leaving(t));
         if let Some(target) = leaving.cloned() {
             self.feed(Input::Leaving(target));
         }
@@ -201,7 +199,7 @@
                 let answer = self.ask.request.clone();
                 self.hands.bring(Moves { answer, epoch, list: moves, limit, tokens });
             }
-            Action::Failed(target) => self.app.router.failed(&target),
+            Action::Failed(target) => self.parts.router.failed(&target),
             Action::Note(what, text) => event!(what, "request={} {text}", self.ask.request),
             Action::Finish(finish) => self.end = Some(Ok(finish)),
             Action::Refuse(refusal) => self.end = Some(Err(refusal)),
@@ -217,7 +215,7 @@
         } else {
             tracing::info_span!(parent: &self.span, "route")
         };
-        let chain = span.in_scope(|| self.app.router.chain(&self.need(avoid)));
+        let chain = span.in_scope(|| self.parts.router.chain(&self.need(avoid)));
         let (chain, permit) = match chain {
             Ok(chosen) => chosen,
             Err(refusal) => return self.feed(Input::NoChain(refusal)),
