Answers: probes in time, and a budget for what proved nothing

Cause: silence may mean that everything is slow. Going on elsewhere then adds load to what is slow, and nothing bounded that over all answers. Change: a route given up for silence while every stage answers its probe pays from the service's retry budget (`retry::Budget`); a stage proved dead, frozen, restarted or wrong is replaced without paying, for a target lost under a hundred streams must not cut ninety of them. Found by it: a probe was given the whole rest of the silence bound, so its result came after the bound, and frozen stages were never named in the daemon (all were suspects). The socket tests of frozen stages failed with "the retry budget is spent". A probe now has half of the rest; the model world asserts that its result is in time, and fails with the old limit (4 of 11 tests). Tests: 11 of 11 in the core, 7 of 7 over sockets.

--- a/crates/roseshore_core/src/answer/machine.rs
+++ b/crates/roseshore_core/src/answer/machine.rs
@@ -1,15 +1,21 @@
 //! The machine of one answer.
 
+mod recover;
+mod route;
+mod stream;
+
 use crate::answer::avoid::Avoid;
-use crate::answer::lineage::{self, Broken, Stage, Stamp, Wanted};
-use crate::answer::message::{Action, Cause, Failure, Finish, Health, Input, Job, Line, Route};
+use crate::answer::lineage::Stage;
+use crate::answer::message::{Action, Cause, Finish, Input, Job};
 use crate::answer::pace::{Pace, PaceRules};
-use crate::answer::window::{Placed, Window};
-use crate::cost::{self, Held, Plan, Rates};
+use crate::answer::window::Window;
+use crate::cost::{Held, Rates};
 use crate::prelude::*;
 
 /// A probe is sent when this part of the silence bound has passed.
 const PROBE_PART: f64 = 0.5;
+/// A probe may take this part of what is then left of the bound, so that its result comes in time.
+const PROBE_LIMIT: f64 = 0.5;
 /// A move of KV caches may take this multiple of its prediction.
 const MOVE_FACTOR: u32 = 3;
 /// Least time that a move may take.
@@ -114,7 +120,7 @@
 impl Answer {
     /// Begins an answer.
     pub fn start(job: Job, rules: Rules, now: Instant, out: &mut Vec<Action>) -> Answer {
-        out.push(Action::Route { avoid: Vec::new(), retry: false });
+        out.push(Action::Route { avoid: Vec::new(), retry: false, paid: false });
         let window = Window::new(rules.window);
         let pace = Pace::new(rules.pace.clone());
         let quiet = job.deadline;
@@ -225,290 +231,14 @@
         current
     }
 
-    fn chosen(&mut self, now: Instant, route: Route, out: &mut Vec<Action>) {
-        if lineage::tiles(route.stages.iter().map(|s| s.layers), self.job.layers).is_err() {
-            let why = "the chosen chain does not cover every layer once";
-            return self.no_chain(now, Refusal::not_run(Code::NoRoute, why), out);
-        }
-        match self.handing.take() {
-            Some(target) if route.stages.iter().any(|s| s.target == target) => return,
-            Some(_) if self.streaming() => self.hand_over(out),
-            Some(_) => return,
-            None if self.phase != Phase::Routing => return,
-            None => {}
-        }
-        self.adopt(now, route, out);
-    }
-
-    /// Leaves a route that still works; its KV caches are all there.
-    fn hand_over(&mut self, out: &mut Vec<Action>) {
-        let usable = self.phase == Phase::Decode;
-        self.tally.resumed += 1;
-        self.retire(usable, out);
-    }
-
-    fn adopt(&mut self, now: Instant, route: Route, out: &mut Vec<Action>) {
-        let held = self.job.prompt + self.window.next();
-        let plan = cost::plan(&self.old, &route.stages, held, route.first, &self.rules.rates);
-        let targets = route.stages.iter().map(|s| s.target.as_str()).collect::<Vec<_>>();
-        out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
-        self.pace.predict(route.first, route.between);
-        self.stages = route.stages;
-        self.silent = vec![false; self.stages.len()];
-        match plan {
-            Plan::Cold => self.open(now, false, out),
-            Plan::Warm(moves, _) if moves.is_empty() => self.open(now, true, out),
-            Plan::Warm(moves, time) => {
-                let limit = (time * MOVE_FACTOR).max(MOVE_FLOOR);
-                self.phase = Phase::Moving;
-                self.quiet = now + limit * 2;
-                out.push(Action::Move { epoch: self.epoch, moves, limit });
-            }
-        }
-    }
-
-    fn open(&mut self, now: Instant, warm: bool, out: &mut Vec<Action>) {
-        self.release(warm, out);
-        self.phase = Phase::Opening;
-        self.warm = warm;
-        self.attempts += 1;
-        self.tally.routes += 1;
-        self.quiet = now + self.pace.open();
-        out.push(Action::Open { epoch: self.epoch, warm });
-    }
-
-    /// Ends the work of the route before; with `warm`, stages that go on keep their KV cache.
-    fn release(&mut self, warm: bool, out: &mut Vec<Action>) {
-        let epoch = self.epoch - 1;
-        for held in std::mem::take(&mut self.old) {
-            let stays = self.stages.iter().any(|s| s.target == held.stage.target);
-            out.push(Action::Cancel { stage: held.stage, epoch, keep: warm && stays });
-        }
-    }
-
-    fn no_chain(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<Action>) {
-        if self.handing.take().is_some() {
-            self.handed = Some(now);
-            return;
-        }
-        if self.phase != Phase::Routing {
-            return;
-        }
-        if self.avoid.forgive() {
-            self.ask_route(out);
-            return;
-        }
-        self.refuse(refusal, out);
-    }
-
-    fn ask_route(&mut self, out: &mut Vec<Action>) {
-        self.phase = Phase::Routing;
-        self.quiet = self.job.deadline;
-        out.push(Action::Route { avoid: self.avoid.list(), retry: true });
-    }
-
     fn streaming(&self) -> bool {
         matches!(self.phase, Phase::Prefill | Phase::Decode)
     }
 
-    fn leaving(&mut self, now: Instant, target: TargetId, out: &mut Vec<Action>) {
-        let paused = self.handed.is_some_and(|at| now < at + HANDOVER_PAUSE);
-        let ours = self.stages.iter().any(|s| s.target == target);
-        if !ours || paused || !self.streaming() || self.handing.is_some() {
-            return;
-        }
-        let mut avoid = self.avoid.list();
-        avoid.push(target.clone());
-        self.handing = Some(target);
-        out.push(Action::Route { avoid, retry: false });
-    }
-
-    fn opened(&mut self, now: Instant) {
-        if self.phase != Phase::Opening {
-            return;
-        }
-        self.began = true;
-        self.phase = Phase::Prefill;
-        self.last = now;
-        self.arm(now);
-    }
-
-    fn arm(&mut self, now: Instant) {
-        let bound =
-            if self.phase == Phase::Decode { self.pace.decode() } else { self.pace.prefill() };
-        self.quiet = now + bound;
-        self.probe = Some(now + bound.mul_f64(PROBE_PART));
-    }
-
-    fn unopened(&mut self, now: Instant, failure: Failure, out: &mut Vec<Action>) {
-        if self.phase != Phase::Opening {
-            return;
-        }
-        let cause = match failure {
-            Failure::Unreached => Cause::Unreached,
-            Failure::Refused { status: 409, .. } => Cause::Mismatch,
-            Failure::Refused { status: 503, after } => {
-                self.after = after.or(self.after);
-                Cause::Busy
-            }
-            Failure::Refused { .. } => Cause::Refused,
-            Failure::Lost => Cause::Cut,
-            Failure::Garbled => Cause::Garbled,
-        };
-        self.began |= matches!(failure, Failure::Lost | Failure::Garbled);
-        self.give_up(now, cause, Blame::At(0), out);
-    }
-
-    fn line(&mut self, now: Instant, line: Line, out: &mut Vec<Action>) {
-        if !self.streaming() {
-            self.tally.stale += 1;
-            return;
-        }
-        match line {
-            Line::Token { position, text, lineage } => {
-                self.token(now, position, text, &lineage, out);
-            }
-            Line::Done { count, reason, cached } => {
-                let next = self.window.next();
-                if count < next || count > self.job.limit {
-                    return self.give_up(now, Cause::Garbled, Blame::At(0), out);
-                }
-                self.ending = Some((count, Finish { reason, cached }));
-                self.finish(out);
-            }
-            Line::Lost { stage } => {
-                self.lost(now, stage, out);
-            }
-        }
-    }
-
-    fn lost(&mut self, now: Instant, stage: Option<TargetId>, out: &mut Vec<Action>) {
-        let at = stage.and_then(|t| self.stages.iter().position(|s| s.target == t));
-        let blame = match at {
-            // The stage lives, but has lost the cache that a warm start needs.
-            Some(_) if self.warm && self.phase == Phase::Prefill => Blame::None,
-            Some(at) => Blame::At(at),
-            None => Blame::Any,
-        };
-        self.give_up(now, Cause::Lost, blame, out);
-    }
-
-    fn token(
-        &mut self,
-        now: Instant,
-        position: Position,
-        text: String,
-        stamps: &[Stamp],
-        out: &mut Vec<Action>,
-    ) {
-        if let Err(broken) = self.check(stamps) {
-            let text = format!("position {position}: {broken}");
-            out.push(Action::Note(Event::LineageBroken, text));
-            let blame = broken.stage().map_or(Blame::Any, Blame::At);
-            return self.give_up(now, Cause::Lineage(broken), blame, out);
-        }
-        let end = self.ending.as_ref().map_or(self.job.limit, |e| e.0);
-        if position >= end {
-            return self.give_up(now, Cause::Garbled, Blame::At(0), out);
-        }
-        match self.window.put(position, text) {
-            Placed::Held => self.deliver(now, out),
-            Placed::Duplicate => self.tally.duplicates += 1,
-            Placed::Overflow => self.give_up(now, Cause::Overflow, Blame::At(0), out),
-        }
-    }
-
-    fn check(&self, stamps: &[Stamp]) -> Result<(), Broken> {
-        let want = Wanted {
-            stages: &self.stages,
-            layers: self.job.layers,
-            epoch: self.epoch,
-            version: &self.job.version,
-        };
-        lineage::check(stamps, &want)
-    }
-
-    fn deliver(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let before = self.tokens.len();
-        while let Some(text) = self.window.pop() {
-            out.push(Action::Deliver(self.tokens.len() as Position));
-            self.tokens.push(text);
-        }
-        if self.tokens.len() == before {
-            return;
-        }
-        self.progress(now, before, out);
-        self.finish(out);
-    }
-
-    fn progress(&mut self, now: Instant, before: usize, out: &mut Vec<Action>) {
-        if self.phase == Phase::Decode {
-            self.pace.observe(now.saturating_duration_since(self.last));
-        } else if self.epoch > 1 {
-            let text = format!("epoch={} position={before}", self.epoch);
-            out.push(Action::Note(Event::AnswerResumed, text));
-        }
-        self.phase = Phase::Decode;
-        self.attempts = 0;
-        self.cuts = 0;
-        self.last = now;
-        self.silent.fill(false);
-        self.arm(now);
-    }
-
-    /// Ends the answer if its last token has been delivered.
-    fn finish(&mut self, out: &mut Vec<Action>) {
-        match self.ending.take() {
-            Some((count, finish)) if count == self.window.next() => self.complete(finish, out),
-            other => self.ending = other,
-        }
-    }
-
-    fn complete(&mut self, finish: Finish, out: &mut Vec<Action>) {
-        out.push(Action::Close(self.epoch));
-        out.push(Action::Finish(finish));
-        self.phase = Phase::Over;
-    }
-
-    fn ended(&mut self, now: Instant, failure: Option<Failure>, out: &mut Vec<Action>) {
-        if !self.streaming() {
-            return;
-        }
-        if failure == Some(Failure::Garbled) || self.ending.is_some() {
-            return self.give_up(now, Cause::Garbled, Blame::At(0), out);
-        }
-        self.cuts += 1;
-        let blame = if self.cuts > 1 { Blame::At(0) } else { Blame::None };
-        self.give_up(now, Cause::Cut, blame, out);
-    }
-
-    fn probed(&mut self, now: Instant, target: &TargetId, health: Health, out: &mut Vec<Action>) {
-        let Some(at) = self.stages.iter().position(|s| s.target == *target) else {
-            return;
-        };
-        if !self.streaming() {
-            return;
-        }
-        match health {
-            Health::Dead => self.give_up(now, Cause::Dead, Blame::At(at), out),
-            Health::Alive(life) if life != self.stages[at].incarnation => {
-                self.give_up(now, Cause::Restarted, Blame::At(at), out);
-            }
-            Health::Alive(_) => self.silent[at] = false,
-            Health::Silent => self.silent[at] = true,
-        }
-    }
-
-    fn moved(&mut self, now: Instant, done: bool, out: &mut Vec<Action>) {
-        if self.phase == Phase::Moving {
-            self.open(now, done, out);
-        }
-    }
-
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if self.streaming() && self.probe.is_some_and(|at| now >= at) {
+        if self.streaming() && now < self.quiet && self.probe.is_some_and(|at| now >= at) {
             self.probe = None;
-            let limit = self.quiet.saturating_duration_since(now);
+            let limit = self.quiet.saturating_duration_since(now).mul_f64(PROBE_LIMIT);
             out.push(Action::Probe { epoch: self.epoch, limit });
         }
         if now < self.quiet {
@@ -526,92 +256,4 @@
             Phase::Routing | Phase::Over => {}
         }
     }
-
-    fn give_up(&mut self, now: Instant, cause: Cause, blame: Blame, out: &mut Vec<Action>) {
-        self.blame(cause, &blame, out);
-        if cause == Cause::Silent {
-            self.pace.slow_down();
-        }
-        // Only a cut leaves every stage's cache intact; a warm route that brought nothing had none.
-        let usable = cause == Cause::Cut && self.phase == Phase::Decode && self.cuts == 1;
-        self.retire(usable, out);
-        self.last = now;
-        self.tally.resumed += 1;
-        if self.window.next() > 0 && self.window.next() == self.job.limit {
-            let finish = Finish { reason: "length".to_owned(), cached: 0 };
-            return self.complete(finish, out);
-        }
-        if self.attempts >= self.rules.attempts || self.tally.routes >= self.rules.routes {
-            let why = format!("given up after {} routes: {cause}", self.tally.routes);
-            return self.refuse(Refusal::not_run(cause.code(), why), out);
-        }
-        self.ask_route(out);
-    }
-
-    fn blame(&mut self, cause: Cause, blame: &Blame, out: &mut Vec<Action>) {
-        let guilty = self.guilty(blame);
-        let names = if guilty.is_empty() { "unknown".to_owned() } else { guilty.join(",") };
-        let text = format!("target={names} epoch={} cause={cause}", self.epoch);
-        out.push(Action::Note(Event::StageLost, text));
-        let counts = !matches!(cause, Cause::Busy | Cause::Mismatch | Cause::Refused);
-        if guilty.is_empty() && !matches!(blame, Blame::None) {
-            self.stages.iter().for_each(|s| self.avoid.suspect(&s.target));
-        }
-        for target in guilty {
-            self.avoid.fail(&target);
-            if counts {
-                out.push(Action::Failed(target));
-            }
-        }
-    }
-
-    fn guilty(&self, blame: &Blame) -> Vec<TargetId> {
-        let name = |at: usize| self.stages[at].target.clone();
-        match blame {
-            Blame::None | Blame::Any => Vec::new(),
-            Blame::At(at) => vec![name(*at)],
-            Blame::Silent => {
-                (0..self.stages.len()).filter(|at| self.silent[*at]).map(name).collect()
-            }
-        }
-    }
-
-    /// Leaves the current route for the next epoch.
-    fn retire(&mut self, usable: bool, out: &mut Vec<Action>) {
-        out.push(Action::Close(self.epoch));
-        self.release(false, out);
-        for stage in std::mem::take(&mut self.stages) {
-            if usable {
-                self.old.push(Held { usable: true, stage });
-            } else {
-                out.push(Action::Cancel { stage, epoch: self.epoch, keep: false });
-            }
-        }
-        self.epoch += 1;
-        self.phase = Phase::Routing;
-        self.window.clear();
-        self.ending = None;
-        self.probe = None;
-        self.handing = None;
-    }
-
-    /// Gives the answer up; the verdict follows from what was opened.
-    fn refuse(&mut self, mut refusal: Refusal, out: &mut Vec<Action>) {
-        let began = self.began || matches!(self.phase, Phase::Opening);
-        out.push(Action::Close(self.epoch));
-        self.release(false, out);
-        for stage in std::mem::take(&mut self.stages) {
-            out.push(Action::Cancel { stage, epoch: self.epoch, keep: false });
-        }
-        if began {
-            refusal.verdict = refusal.verdict.join(Verdict::MayHaveRun);
-            if refusal.code != Code::DeadlinePassed {
-                refusal.code = Code::TargetLost;
-            }
-        } else if refusal.retry_after.is_none() {
-            refusal.retry_after = self.after.or(Some(self.rules.after));
-        }
-        self.phase = Phase::Over;
-        out.push(Action::Refuse(refusal));
-    }
 }
--- /dev/null
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -0,0 +1,109 @@
+//! Taking a route, leaving one that still works for another, and asking for the next.
+
+use super::{Answer, HANDOVER_PAUSE, MOVE_FACTOR, MOVE_FLOOR, Phase};
+use crate::answer::lineage;
+use crate::answer::message::{Action, Route};
+use crate::cost::{self, Plan};
+use crate::prelude::*;
+
+impl Answer {
+    pub(super) fn chosen(&mut self, now: Instant, route: Route, out: &mut Vec<Action>) {
+        if lineage::tiles(route.stages.iter().map(|s| s.layers), self.job.layers).is_err() {
+            let why = "the chosen chain does not cover every layer once";
+            return self.no_chain(now, Refusal::not_run(Code::NoRoute, why), out);
+        }
+        match self.handing.take() {
+            Some(target) if route.stages.iter().any(|s| s.target == target) => return,
+            Some(_) if self.streaming() => self.hand_over(out),
+            Some(_) => return,
+            None if self.phase != Phase::Routing => return,
+            None => {}
+        }
+        self.adopt(now, route, out);
+    }
+
+    /// Leaves a route that still works; its KV caches are all there.
+    pub(super) fn hand_over(&mut self, out: &mut Vec<Action>) {
+        let usable = self.phase == Phase::Decode;
+        self.tally.resumed += 1;
+        self.retire(usable, out);
+    }
+
+    pub(super) fn adopt(&mut self, now: Instant, route: Route, out: &mut Vec<Action>) {
+        let held = self.job.prompt + self.window.next();
+        let plan = cost::plan(&self.old, &route.stages, held, route.first, &self.rules.rates);
+        let targets = route.stages.iter().map(|s| s.target.as_str()).collect::<Vec<_>>();
+        out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
+        self.pace.predict(route.first, route.between);
+        self.stages = route.stages;
+        self.silent = vec![false; self.stages.len()];
+        match plan {
+            Plan::Cold => self.open(now, false, out),
+            Plan::Warm(moves, _) if moves.is_empty() => self.open(now, true, out),
+            Plan::Warm(moves, time) => {
+                let limit = (time * MOVE_FACTOR).max(MOVE_FLOOR);
+                self.phase = Phase::Moving;
+                self.quiet = now + limit * 2;
+                out.push(Action::Move { epoch: self.epoch, moves, limit });
+            }
+        }
+    }
+
+    pub(super) fn open(&mut self, now: Instant, warm: bool, out: &mut Vec<Action>) {
+        self.release(warm, out);
+        self.phase = Phase::Opening;
+        self.warm = warm;
+        self.attempts += 1;
+        self.tally.routes += 1;
+        self.quiet = now + self.pace.open();
+        out.push(Action::Open { epoch: self.epoch, warm });
+    }
+
+    /// Ends the work of the route before; with `warm`, stages that go on keep their KV cache.
+    pub(super) fn release(&mut self, warm: bool, out: &mut Vec<Action>) {
+        let epoch = self.epoch - 1;
+        for held in std::mem::take(&mut self.old) {
+            let stays = self.stages.iter().any(|s| s.target == held.stage.target);
+            out.push(Action::Cancel { stage: held.stage, epoch, keep: warm && stays });
+        }
+    }
+
+    pub(super) fn no_chain(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<Action>) {
+        if self.handing.take().is_some() {
+            self.handed = Some(now);
+            return;
+        }
+        if self.phase != Phase::Routing {
+            return;
+        }
+        if self.avoid.forgive() {
+            self.ask_route(false, out);
+            return;
+        }
+        self.refuse(refusal, out);
+    }
+
+    pub(super) fn ask_route(&mut self, paid: bool, out: &mut Vec<Action>) {
+        self.phase = Phase::Routing;
+        self.quiet = self.job.deadline;
+        out.push(Action::Route { avoid: self.avoid.list(), retry: true, paid });
+    }
+
+    pub(super) fn leaving(&mut self, now: Instant, target: TargetId, out: &mut Vec<Action>) {
+        let paused = self.handed.is_some_and(|at| now < at + HANDOVER_PAUSE);
+        let ours = self.stages.iter().any(|s| s.target == target);
+        if !ours || paused || !self.streaming() || self.handing.is_some() {
+            return;
+        }
+        let mut avoid = self.avoid.list();
+        avoid.push(target.clone());
+        self.handing = Some(target);
+        out.push(Action::Route { avoid, retry: false, paid: false });
+    }
+
+    pub(super) fn moved(&mut self, now: Instant, done: bool, out: &mut Vec<Action>) {
+        if self.phase == Phase::Moving {
+            self.open(now, done, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/src/answer/machine/stream.rs
@@ -0,0 +1,191 @@
+//! What comes over the open stream, and what probes of its stages say.
+
+use super::{Answer, Blame, PROBE_PART, Phase};
+use crate::answer::lineage::{self, Broken, Stamp, Wanted};
+use crate::answer::message::{Action, Cause, Failure, Finish, Health, Line};
+use crate::answer::window::Placed;
+use crate::prelude::*;
+
+impl Answer {
+    pub(super) fn opened(&mut self, now: Instant) {
+        if self.phase != Phase::Opening {
+            return;
+        }
+        self.began = true;
+        self.phase = Phase::Prefill;
+        self.last = now;
+        self.arm(now);
+    }
+
+    pub(super) fn arm(&mut self, now: Instant) {
+        let bound =
+            if self.phase == Phase::Decode { self.pace.decode() } else { self.pace.prefill() };
+        self.quiet = now + bound;
+        self.probe = Some(now + bound.mul_f64(PROBE_PART));
+    }
+
+    pub(super) fn unopened(&mut self, now: Instant, failure: Failure, out: &mut Vec<Action>) {
+        if self.phase != Phase::Opening {
+            return;
+        }
+        let cause = match failure {
+            Failure::Unreached => Cause::Unreached,
+            Failure::Refused { status: 409, .. } => Cause::Mismatch,
+            Failure::Refused { status: 503, after } => {
+                self.after = after.or(self.after);
+                Cause::Busy
+            }
+            Failure::Refused { .. } => Cause::Refused,
+            Failure::Lost => Cause::Cut,
+            Failure::Garbled => Cause::Garbled,
+        };
+        self.began |= matches!(failure, Failure::Lost | Failure::Garbled);
+        self.give_up(now, cause, Blame::At(0), out);
+    }
+
+    pub(super) fn line(&mut self, now: Instant, line: Line, out: &mut Vec<Action>) {
+        if !self.streaming() {
+            self.tally.stale += 1;
+            return;
+        }
+        match line {
+            Line::Token { position, text, lineage } => {
+                self.token(now, position, text, &lineage, out);
+            }
+            Line::Done { count, reason, cached } => {
+                let next = self.window.next();
+                if count < next || count > self.job.limit {
+                    return self.give_up(now, Cause::Garbled, Blame::At(0), out);
+                }
+                self.ending = Some((count, Finish { reason, cached }));
+                self.finish(out);
+            }
+            Line::Lost { stage } => {
+                self.lost(now, stage, out);
+            }
+        }
+    }
+
+    pub(super) fn lost(&mut self, now: Instant, stage: Option<TargetId>, out: &mut Vec<Action>) {
+        let at = stage.and_then(|t| self.stages.iter().position(|s| s.target == t));
+        let blame = match at {
+            // The stage lives, but has lost the cache that a warm start needs.
+            Some(_) if self.warm && self.phase == Phase::Prefill => Blame::None,
+            Some(at) => Blame::At(at),
+            None => Blame::Any,
+        };
+        self.give_up(now, Cause::Lost, blame, out);
+    }
+
+    pub(super) fn token(
+        &mut self,
+        now: Instant,
+        position: Position,
+        text: String,
+        stamps: &[Stamp],
+        out: &mut Vec<Action>,
+    ) {
+        if let Err(broken) = self.check(stamps) {
+            let text = format!("position {position}: {broken}");
+            out.push(Action::Note(Event::LineageBroken, text));
+            let blame = broken.stage().map_or(Blame::Any, Blame::At);
+            return self.give_up(now, Cause::Lineage(broken), blame, out);
+        }
+        let end = self.ending.as_ref().map_or(self.job.limit, |e| e.0);
+        if position >= end {
+            return self.give_up(now, Cause::Garbled, Blame::At(0), out);
+        }
+        match self.window.put(position, text) {
+            Placed::Held => self.deliver(now, out),
+            Placed::Duplicate => self.tally.duplicates += 1,
+            Placed::Overflow => self.give_up(now, Cause::Overflow, Blame::At(0), out),
+        }
+    }
+
+    pub(super) fn check(&self, stamps: &[Stamp]) -> Result<(), Broken> {
+        let want = Wanted {
+            stages: &self.stages,
+            layers: self.job.layers,
+            epoch: self.epoch,
+            version: &self.job.version,
+        };
+        lineage::check(stamps, &want)
+    }
+
+    pub(super) fn deliver(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let before = self.tokens.len();
+        while let Some(text) = self.window.pop() {
+            out.push(Action::Deliver(self.tokens.len() as Position));
+            self.tokens.push(text);
+        }
+        if self.tokens.len() == before {
+            return;
+        }
+        self.progress(now, before, out);
+        self.finish(out);
+    }
+
+    pub(super) fn progress(&mut self, now: Instant, before: usize, out: &mut Vec<Action>) {
+        if self.phase == Phase::Decode {
+            self.pace.observe(now.saturating_duration_since(self.last));
+        } else if self.epoch > 1 {
+            let text = format!("epoch={} position={before}", self.epoch);
+            out.push(Action::Note(Event::AnswerResumed, text));
+        }
+        self.phase = Phase::Decode;
+        self.attempts = 0;
+        self.cuts = 0;
+        self.last = now;
+        self.silent.fill(false);
+        self.arm(now);
+    }
+
+    /// Ends the answer if its last token has been delivered.
+    pub(super) fn finish(&mut self, out: &mut Vec<Action>) {
+        match self.ending.take() {
+            Some((count, finish)) if count == self.window.next() => self.complete(finish, out),
+            other => self.ending = other,
+        }
+    }
+
+    pub(super) fn complete(&mut self, finish: Finish, out: &mut Vec<Action>) {
+        out.push(Action::Close(self.epoch));
+        out.push(Action::Finish(finish));
+        self.phase = Phase::Over;
+    }
+
+    pub(super) fn ended(&mut self, now: Instant, failure: Option<Failure>, out: &mut Vec<Action>) {
+        if !self.streaming() {
+            return;
+        }
+        if failure == Some(Failure::Garbled) || self.ending.is_some() {
+            return self.give_up(now, Cause::Garbled, Blame::At(0), out);
+        }
+        self.cuts += 1;
+        let blame = if self.cuts > 1 { Blame::At(0) } else { Blame::None };
+        self.give_up(now, Cause::Cut, blame, out);
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        health: Health,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.stages.iter().position(|s| s.target == *target) else {
+            return;
+        };
+        if !self.streaming() {
+            return;
+        }
+        match health {
+            Health::Dead => self.give_up(now, Cause::Dead, Blame::At(at), out),
+            Health::Alive(life) if life != self.stages[at].incarnation => {
+                self.give_up(now, Cause::Restarted, Blame::At(at), out);
+            }
+            Health::Alive(_) => self.silent[at] = false,
+            Health::Silent => self.silent[at] = true,
+        }
+    }
+}
--- a/crates/roseshore_core/src/answer/message.rs
+++ b/crates/roseshore_core/src/answer/message.rs
@@ -149,6 +149,9 @@
         avoid: Vec<TargetId>,
         /// Whether work of an earlier attempt is done again.
         retry: bool,
+        /// Whether the retry must be paid for from the service's retry budget: nothing was proved
+        /// to have failed, so that going on elsewhere may only add load to what is slow.
+        paid: bool,
     },
     /// Open a stream over [`crate::answer::Answer::stages`].
     Open {
--- a/crates/roseshore_core/tests/answer.rs
+++ b/crates/roseshore_core/tests/answer.rs
@@ -386,37 +386,45 @@
         name: &'static str,
         apply: Change,
         route: [&'static str; 3],
+        /// Whether going on is paid for from the retry budget.
+        paid: bool,
     }
     let cases = [
         Case {
             name: "frozen, found by a probe",
             apply: |w| set(w, 1, State::Frozen),
             route: ["e00", "e11", "e20"],
+            paid: false,
         },
         Case {
             name: "two frozen at once",
             apply: |w| [1, 2].into_iter().for_each(|range| set(w, range, State::Frozen)),
             route: ["e00", "e11", "e21"],
+            paid: false,
         },
         Case {
             name: "named by the engine",
             apply: |w| set(w, 2, State::Dead),
             route: ["e00", "e10", "e21"],
+            paid: false,
         },
         Case {
             name: "restarted, found by a probe",
             apply: |w| restart(w, 1),
             route: ["e00", "e11", "e20"],
+            paid: false,
         },
         Case {
             name: "ran another version",
             apply: |w| forge(w, |l| l[2].version.push('x')),
             route: ["e00", "e10", "e21"],
+            paid: false,
         },
         Case {
             name: "silent though all answer probes",
             apply: |w| w.mute(),
             route: ["e01", "e11", "e21"],
+            paid: true,
         },
     ];
     for case in cases {
@@ -428,6 +436,7 @@
         assert_whole(&world, case.name);
         let route = world.route.iter().map(|s| s.target.as_str()).collect::<Vec<_>>();
         assert_eq!(route, case.route, "{}", case.name);
+        assert_eq!(world.paid, case.paid, "{}", case.name);
     }
 }
 
--- a/crates/roseshore_core/tests/answer/world.rs
+++ b/crates/roseshore_core/tests/answer/world.rs
@@ -48,6 +48,8 @@
     pub(crate) began: bool,
     pub(crate) warm: Vec<bool>,
     pub(crate) end: Option<Result<Finish, Refusal>>,
+    /// Whether an attempt had to be paid for from the retry budget.
+    pub(crate) paid: bool,
     /// Whether further attempts are denied.
     pub(crate) deny: bool,
     stream: Option<Stream>,
@@ -84,6 +86,7 @@
             began: false,
             warm: Vec::new(),
             end: None,
+            paid: false,
             deny: false,
             stream: None,
             failed: BTreeSet::new(),
@@ -211,13 +214,20 @@
                 let refusal = Refusal::not_run(Code::RetryBudget, "spent");
                 self.answer.on(self.now, Input::Denied(refusal), &mut self.actions);
             }
-            Action::Route { avoid, .. } => self.choose(&avoid),
+            Action::Route { avoid, paid, .. } => {
+                self.paid |= paid;
+                self.choose(&avoid);
+            }
             Action::Open { epoch, warm } => self.open(epoch, warm),
             Action::Close(epoch) => {
                 self.stream = self.stream.filter(|s| s.epoch != epoch);
             }
             Action::Deliver(position) => self.deliver(position),
-            Action::Probe { epoch, .. } => self.probe(epoch),
+            Action::Probe { epoch, limit } => {
+                let bound = self.answer.wake();
+                assert!(self.now + limit < bound, "a probe says in time who is silent");
+                self.probe(epoch);
+            }
             Action::Move { epoch, moves, .. } => {
                 let fine = |s: &Stage| self.look(s) == State::Live;
                 let done = moves.iter().all(|m| fine(&m.from) && fine(&m.to));
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -179,7 +179,11 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Route { avoid, retry } => self.route(avoid, retry),
+            Action::Route { paid: true, .. } if !hands::pay(&self.ask.service) => {
+                let why = "the retry budget is spent; come back later";
+                self.feed(Input::Denied(Refusal::not_run(Code::RetryBudget, why)));
+            }
+            Action::Route { avoid, retry, .. } => self.route(avoid, retry),
             Action::Open { epoch, warm } => self.open(epoch, warm),
             Action::Close(epoch) => {
                 if self.stream.as_ref().is_some_and(|s| s.0 == epoch) {
@@ -201,7 +205,10 @@
             }
             Action::Failed(target) => self.parts.router.failed(&target),
             Action::Note(what, text) => event!(what, "request={} {text}", self.ask.request),
-            Action::Finish(finish) => self.end = Some(Ok(finish)),
+            Action::Finish(finish) => {
+                hands::earn(&self.ask.service);
+                self.end = Some(Ok(finish));
+            }
             Action::Refuse(refusal) => self.end = Some(Err(refusal)),
         }
         if self.left {
--- a/crates/roseshored/tests/answer/bed.rs
+++ b/crates/roseshored/tests/answer/bed.rs
@@ -65,6 +65,8 @@
     pub(crate) engines: Vec<Vec<EngineFake>>,
     pub(crate) router: Arc<FirstFree>,
     parts: Parts,
+    /// One for each bed, for retry budgets are kept by service.
+    service: ServiceId,
 }
 
 impl Bed {
@@ -83,7 +85,7 @@
         let rules = Rules { pace, attempts: 6, ..Rules::default() };
         let engine = Arc::new(EngineClient::new());
         let parts = Parts { router: router.clone(), engine, rules };
-        Bed { engines, router, parts }
+        Bed { service: engines[0][0].addr().to_string(), engines, router, parts }
     }
 
     pub(crate) fn fault(&self, row: usize, at: usize, change: impl FnOnce(&mut EngineFaults)) {
@@ -95,7 +97,7 @@
         let ask = Ask {
             request: "r1".to_owned(),
             organisation: "o".to_owned(),
-            service: "s".to_owned(),
+            service: self.service.clone(),
             deadline: now + caller.patience,
             arrived: now,
             priority: 4,
