Front tests: free order in the ledger, heads that never end

`panics` failed once in 40 runs of the file at a load of 19: a request ends in the ledger after its caller has the answer, so two requests on two connections may end there in either order.

Switched off in a scratch copy, one mechanism a run, the bounds on heads and on header lines left the tests green: with the bound gone, the heads of the cases were refused for another reason. They now never end, and turn red without their bound (408 in place of 400).

--- a/crates/roseshored/tests/front.rs
+++ b/crates/roseshored/tests/front.rs
@@ -36,8 +36,9 @@
     let good = &chat("chat", false);
     let big = "x".repeat(3000);
     let chunk = format!("bb8\r\n{big}\r\n0\r\n\r\n");
-    let long_head = format!("a: {}\r\n", "y".repeat(20_000));
-    let many = "a: b\r\n".repeat(200);
+    // Neither of these heads ends: without its bound, each would be waited for.
+    let long_head = format!("POST / HTTP/1.1\r\na: {}", "y".repeat(20_000));
+    let many = format!("POST / HTTP/1.1\r\n{}", "a: b\r\n".repeat(200));
     let long_key = format!("idempotency-key: {}\r\n", "k".repeat(201));
     let with = |field: &str| good.replacen('{', &format!("{{{field},"), 1);
     let post = "POST /v1/chat/completions";
@@ -58,6 +59,7 @@
         case("several answers", chat_raw("", &with("\"n\":2")), 400, bad),
         case("stop words", chat_raw("", &with("\"stop\":[\"x\"]")), 400, bad),
         case("no tokens", chat_raw("", &with("\"max_tokens\":0")), 400, bad),
+        case("body far over bound", chat_raw("", &"x".repeat(300_000)), 413, "RS102 not_run"),
         case("length over bound", chat_raw("", &big), 413, "RS102 not_run"),
         case(
             "length that ends tiny_http",
@@ -81,8 +83,8 @@
             header,
         ),
         case("unknown encoding", raw(post, "transfer-encoding: gzip\r\n", ""), 400, header),
-        case("long head", raw(post, &long_head, ""), 400, bad),
-        case("many headers", raw(post, &many, ""), 400, bad),
+        case("long head", long_head, 400, bad),
+        case("many headers", many, 400, bad),
         case("folded header", raw(post, "a: b\r\n c\r\n", ""), 400, header),
         case("header without colon", raw(post, "abc\r\n", ""), 400, header),
         case("other protocol", "\u{16}\u{3}\u{1}\n".to_owned(), 400, bad),
@@ -216,7 +218,10 @@
     daemon.router.panics_from.store(usize::MAX, Ordering::SeqCst);
     *daemon.engine.play.lock() = Play::Whole(3);
     assert_eq!(post(daemon.addr, CHAT, "", &chat("chat", false)).status, 200);
-    let verdicts: Vec<Verdict> = daemon.ledger.wait(4).iter().map(|it| it.verdict).collect();
+    let ends = daemon.ledger.wait(4);
+    let mut verdicts: Vec<Verdict> = ends.iter().map(|it| it.verdict).collect();
+    // A request ends in the ledger after its caller has its answer, so their order is free.
+    verdicts.sort_unstable();
     let may = Verdict::MayHaveRun;
     assert_eq!(verdicts, [Verdict::NotRun, may, may, Verdict::Answered]);
 }
@@ -416,7 +421,9 @@
         assert_eq!(got.body.ends_with("data: [DONE]\n\n"), stream);
     }
     assert_eq!(daemon.engine.opened.lock().len(), 1);
-    let repeated: Vec<bool> = daemon.ledger.wait(3).iter().map(|it| it.repeated).collect();
+    let ends = daemon.ledger.wait(3);
+    let mut repeated: Vec<bool> = ends.iter().map(|it| it.repeated).collect();
+    repeated.sort_unstable();
     assert_eq!(repeated, [false, true, true]);
 }
 
