A key that comes back with another body before its outcome is recorded

Cause: an attempt that met the own claim of a key whose outcome was on its way to the log got that outcome, whatever its body was: a caller received the answer to another request.

Change: the digest is compared there as it is once the outcome is folded. The table `reused` was red in its row `not recorded yet, other body`, and is green. Not looked at here: asking another daemon for the outcome while the log is out (`Decision::AskOwner`) does not carry the digest.

--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -33,6 +33,9 @@
             State::Held(held) if held.nonce == nonce => self.won(id, &held, now),
             State::Held(held) => {
                 if let Some(outcome) = self.own_outcome(held.nonce) {
+                    if held.digest != digest {
+                        return self.refuse(id, reused(&key));
+                    }
                     return self.decide(id, Decision::Repeat(outcome));
                 }
                 let gone = held.owner.as_ref().is_none_or(|owner| self.gone(owner));
