--- /dev/null
+++ b/crates/roseshore_harness/src/lib.rs
@@ -0,0 +1,10 @@
+//! A small system of separate processes, started and broken.
+//!
+//! For the demo, the load tool and tests of failures: [`process`] starts one program and sends it
+//! signals, [`world`] starts a platform, targets and daemons for a declared fleet, and [`caller`]
+//! speaks to daemons as callers do, and [`fleets`] has small declared fleets. It starts processes and therefore is no part of the product.
+
+pub mod caller;
+pub mod fleets;
+pub mod process;
+pub mod world;
--- /dev/null
+++ b/crates/roseshore_harness/tests/whole.rs
@@ -0,0 +1,119 @@
+//! The whole path with separate processes, and stages lost in the middle of answers.
+
+use roseshore_fakes::engine::text::expected;
+use roseshore_harness::caller::{Chat, Got, Marks};
+use roseshore_harness::fleets::{self, CARDS, CHAT, CUSTOMER, MODEL, NOTE, Shape, VERSION};
+use roseshore_harness::process::wait_until;
+use roseshore_harness::world::{Plan, World};
+use serde_json::json;
+
+fn world(shape: Shape, daemons: usize) -> World {
+    let fleet = fleets::fleet(shape);
+    World::serving(Plan { fleet, daemons, ..Plan::default() }).expect("the system starts")
+}
+
+fn text(prompt: &str, tokens: u32) -> String {
+    // The front puts a token for the role before a message's words.
+    let words = prompt.split_whitespace().map(str::to_owned);
+    let prompt: Vec<String> = std::iter::once("<user>".to_owned()).chain(words).collect();
+    expected(MODEL, VERSION, None, &prompt, tokens).join("")
+}
+
+/// The caller's text without the blanks between tokens.
+fn joined(got: &Got) -> String {
+    got.text.split_whitespace().collect()
+}
+
+#[test]
+fn a_request_of_each_kind_is_served() {
+    let world = world(Shape { centres: 2, ..Shape::default() }, 2);
+    let marks = Marks::of(CUSTOMER);
+    for daemon in &world.daemons {
+        let chat = Chat { service: CHAT, prompt: "one two three", tokens: 12 };
+        let got = world.caller.stream(daemon.addr, &chat, &marks, |_| ());
+        assert!(got.whole, "{got:?}");
+        assert_eq!(joined(&got), text(chat.prompt, chat.tokens));
+        let got = world.caller.answer(daemon.addr, &chat, &marks);
+        assert_eq!((got.status, joined(&got)), (200, text(chat.prompt, chat.tokens)));
+        let got = world.caller.lookup(daemon.addr, CARDS, "pkg-1", &marks);
+        assert_eq!(got.status, 200, "{got:?}");
+        let got = world.caller.lookup(daemon.addr, CARDS, "no-such-name", &marks);
+        assert_eq!((got.status, got.code.as_deref()), (404, Some("RS601")), "{got:?}");
+        let got = world.caller.call(daemon.addr, NOTE, "text", &marks);
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
+/// How a stage is lost after some tokens.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Killed,
+    Frozen,
+    Cut,
+}
+
+struct Case {
+    name: &'static str,
+    loss: Loss,
+    /// The stages of the chain that are struck.
+    stages: &'static [usize],
+    after: u32,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "first stage killed", loss: Loss::Killed, stages: &[0], after: 5 },
+    Case { name: "middle stage killed", loss: Loss::Killed, stages: &[1], after: 5 },
+    Case { name: "last stage killed", loss: Loss::Killed, stages: &[2], after: 5 },
+    Case { name: "killed before the first token", loss: Loss::Killed, stages: &[1], after: 0 },
+    Case { name: "killed before the last token", loss: Loss::Killed, stages: &[1], after: 19 },
+    Case { name: "first stage frozen", loss: Loss::Frozen, stages: &[0], after: 5 },
+    Case { name: "middle stage frozen", loss: Loss::Frozen, stages: &[1], after: 5 },
+    Case { name: "last stage frozen", loss: Loss::Frozen, stages: &[2], after: 5 },
+    Case { name: "stream cut", loss: Loss::Cut, stages: &[0], after: 5 },
+    Case { name: "two stages killed", loss: Loss::Killed, stages: &[0, 2], after: 5 },
+];
+
+/// Strikes the stages of every chain but one, so that the answer meets the fault wherever it goes
+/// first.
+fn strike(world: &World, case: &Case, chains: usize) {
+    let faults = match case.loss {
+        Loss::Killed => json!({ "die_after": case.after }),
+        Loss::Frozen => json!({ "freeze_after": case.after }),
+        Loss::Cut => json!({ "cut_after": case.after }),
+    };
+    for chain in 1..chains {
+        for stage in case.stages {
+            let addr = world.addr(&format!("north-{chain}-{stage}")).expect("declared");
+            world.fault(addr, &faults).expect("the engine answers");
+        }
+    }
+}
+
+#[test]
+fn an_answer_outlives_its_stages() {
+    const CHAINS: usize = 3;
+    for case in CASES {
+        let shape = Shape { chains: CHAINS, stages: 3, ..Shape::default() };
+        let world = world(shape, 1);
+        strike(&world, case, CHAINS);
+        let addr = world.daemons[0].addr;
+        let marks = Marks::of(CUSTOMER);
+        let mut resumed = false;
+        // Answers are sent until one has met the fault; each of them must be whole.
+        let met = wait_until(|| {
+            let chat = Chat { service: CHAT, prompt: "a b c d", tokens: 20 };
+            let got = world.caller.stream(addr, &chat, &marks, |_| ());
+            assert!(got.whole, "{}: {got:?}", case.name);
+            assert_eq!(joined(&got), text(chat.prompt, chat.tokens), "{}", case.name);
+            resumed |= resumed_once(&world, &got);
+            resumed
+        });
+        assert!(met, "{}: no answer met the fault", case.name);
+    }
+}
+
+fn resumed_once(world: &World, got: &Got) -> bool {
+    let id = got.request.clone().unwrap_or_default();
+    let fate = world.caller.get(world.daemons[0].addr, &format!("/v1/requests/{id}"));
+    fate.is_ok_and(|fate| fate["resumed"].as_u64().unwrap_or(0) > 0)
+}
