--- a/crates/roseshore_harness/src/caller.rs
+++ b/crates/roseshore_harness/src/caller.rs
@@ -35,6 +35,13 @@
     pub took: Duration,
 }
 
+impl Got {
+    /// The text without the blanks between tokens.
+    pub fn joined(&self) -> String {
+        self.text.split_whitespace().collect()
+    }
+}
+
 /// Whose request it is and how it is to be treated.
 #[derive(Clone, Debug, Default)]
 pub struct Marks {
--- a/crates/roseshore_harness/src/fleets.rs
+++ b/crates/roseshore_harness/src/fleets.rs
@@ -1,7 +1,9 @@
 //! Small declared fleets for tests and measurements.
 
+use crate::caller::Chat;
 use roseshore_core::fleet::{DataCentre, ServiceKind, TargetKind};
 use roseshore_core::prelude::*;
+use roseshore_fakes::engine::text::expected;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -74,6 +76,14 @@
     fleet
 }
 
+/// The text that a whole answer of [`MODEL`] has.
+pub fn text(chat: &Chat<'_>) -> String {
+    // The front puts a token for the role before a message's words.
+    let words = chat.prompt.split_whitespace().map(str::to_owned);
+    let prompt: Vec<String> = std::iter::once("<user>".to_owned()).chain(words).collect();
+    expected(MODEL, VERSION, None, &prompt, chat.tokens).concat()
+}
+
 fn add_services(fleet: &mut Fleet) {
     let service = |kind, idempotent| Service {
         kind,
--- /dev/null
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -0,0 +1,244 @@
+//! Promises under failure, with separate processes: killed, frozen, stopped in order, cut off from
+//! the platform.
+
+use roseshore_harness::caller::{Chat, Got, Marks};
+use roseshore_harness::fleets::{self, CARDS, CHAT, CUSTOMER, NOTE, Shape};
+use roseshore_harness::process::wait_until;
+use roseshore_harness::world::{Plan, World};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+const END: Duration = Duration::from_secs(30);
+
+fn world(shape: Shape, daemons: usize) -> World {
+    let fleet = fleets::fleet(shape);
+    World::serving(Plan { fleet, daemons, ..Plan::default() }).expect("the system starts")
+}
+
+/// How often the unrepeatable service ran, over all its replicas.
+fn ran(world: &World, key: &str) -> u64 {
+    let replicas = world.plan.fleet.targets.iter();
+    let notes = replicas.filter(|(_, t)| t.serves.as_deref() == Some(NOTE));
+    notes.map(|(_, t)| counted(world, t.addr, key)).sum()
+}
+
+fn counted(world: &World, addr: SocketAddr, key: &str) -> u64 {
+    let ran: Value = world.caller.get(addr, "/_ran").expect("the replica answers");
+    let keys = ran["keys"].as_object().cloned().unwrap_or_default();
+    // Daemons join a key with its organisation and service.
+    keys.iter().filter(|(k, _)| k.contains(key)).filter_map(|(_, n)| n.as_u64()).sum()
+}
+
+/// Sends the same keyed call to every daemon at once.
+fn everywhere(world: &World, key: &str) -> Vec<Got> {
+    let marks = Marks::of(CUSTOMER).keyed(key);
+    thread::scope(|scope| {
+        let calls: Vec<_> = world
+            .daemons
+            .iter()
+            .map(|daemon| scope.spawn(|| world.caller.call(daemon.addr, NOTE, "note", &marks)))
+            .collect();
+        calls.into_iter().map(|call| call.join().expect("no panic")).collect()
+    })
+}
+
+#[test]
+fn a_key_at_all_entry_hosts_at_once_runs_once_and_repeats_get_its_answer() {
+    let world = world(Shape { centres: 2, ..Shape::default() }, 2);
+    for round in 0..10 {
+        let key = format!("key-{round}");
+        for got in everywhere(&world, &key) {
+            assert!(got.status == 200 || got.code.as_deref() == Some("RS401"), "{got:?}");
+        }
+        assert_eq!(ran(&world, &key), 1, "{key}");
+        let again = everywhere(&world, &key);
+        assert!(again.iter().all(|got| got.status == 200 && got.replayed), "{again:?}");
+        assert!(again.iter().all(|got| got.text == again[0].text), "{again:?}");
+        assert_eq!(ran(&world, &key), 1, "{key}");
+    }
+}
+
+#[test]
+fn a_key_outlives_the_host_that_took_it() {
+    let mut world = world(Shape::default(), 3);
+    let marks = Marks::of(CUSTOMER).keyed("first");
+    let got = world.caller.call(world.daemons[0].addr, NOTE, "note", &marks);
+    assert_eq!(got.status, 200, "{got:?}");
+    world.daemons[0].process.kill();
+    let fresh = world.start_daemon("north", "north-9").expect("starts");
+    let addr = fresh.addr;
+    world.daemons[0] = fresh;
+    world.list_hosts().expect("listed");
+    world.ready().expect("ready");
+    for daemon in &world.daemons {
+        let again = world.caller.call(daemon.addr, NOTE, "note", &marks);
+        assert!(again.status == 200 && again.replayed && again.text == got.text, "{again:?}");
+    }
+    assert_eq!(world.daemons[0].addr, addr);
+    assert_eq!(ran(&world, "first"), 1);
+}
+
+#[test]
+fn without_the_platform_reads_go_on_and_keyed_work_is_refused_truthfully() {
+    let world = world(Shape::default(), 2);
+    let addr = world.daemons[0].addr;
+    world.platform.freeze();
+    let chat = Chat { service: CHAT, prompt: "go on", tokens: 6 };
+    let marks = Marks::of(CUSTOMER);
+    for _ in 0..5 {
+        let got = world.caller.stream(addr, &chat, &marks, |_| ());
+        assert!(got.whole && got.joined() == fleets::text(&chat), "{got:?}");
+        let got = world.caller.lookup(addr, CARDS, "pkg-7", &marks);
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    let keyed = Marks { deadline: Some(3_000), ..Marks::of(CUSTOMER).keyed("out") };
+    let refused = world.caller.call(addr, NOTE, "note", &keyed);
+    assert!(refused.status >= 400, "{refused:?}");
+    assert!(refused.retry_after.is_some(), "{refused:?}");
+    world.platform.thaw();
+    assert_eq!(ran(&world, "out"), 0, "the refused attempt never runs");
+    let answered = wait_until(|| {
+        let got = world.caller.call(addr, NOTE, "note", &Marks::of(CUSTOMER).keyed("back"));
+        got.status == 200
+    });
+    assert!(answered, "keyed work goes on with the platform");
+    assert_eq!(ran(&world, "back"), 1);
+}
+
+#[test]
+fn a_host_that_starts_without_the_platform_gets_its_configuration_from_peers() {
+    let mut world = world(Shape::default(), 2);
+    // The list is still served, the log is not.
+    world.fault(world.log, &json!({ "log_out": true })).expect("switched");
+    let fresh = world.start_daemon("north", "north-9").expect("starts");
+    world.daemons.push(fresh);
+    world.list_hosts().expect("listed");
+    world.ready().expect("the new daemon serves by its peers' configuration");
+}
+
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    const ROUNDS: usize = 6;
+    let mut world = world(Shape { chains: 3, ..Shape::default() }, 2);
+    let addrs: Vec<SocketAddr> = world.daemons.iter().map(|d| d.addr).collect();
+    let stop = AtomicBool::new(false);
+    let whole = AtomicUsize::new(0);
+    for round in 0..ROUNDS {
+        let struck = round % 2;
+        let addr = world.daemons[struck].addr;
+        stop.store(false, Ordering::SeqCst);
+        let cut = thread::scope(|scope| {
+            let streams: Vec<_> =
+                (0..8).map(|_| scope.spawn(|| stream_until(&world, addr, &stop, &whole))).collect();
+            let before = whole.load(Ordering::SeqCst);
+            assert!(wait_until(|| whole.load(Ordering::SeqCst) > before + 8), "under load");
+            world.daemons[struck].process.terminate();
+            let gone = || world.caller.status(addr, "/readyz") != Some(200);
+            assert!(wait_until(gone), "the balancer sees it leave");
+            stop.store(true, Ordering::SeqCst);
+            let results = streams.into_iter().map(|s| s.join().expect("no panic"));
+            results.flatten().collect::<Vec<Got>>()
+        });
+        assert!(cut.is_empty(), "round {round}: {cut:?}");
+        let status = world.daemons[struck].process.wait(END).expect("it ends by itself");
+        assert!(status.success(), "round {round}: {status:?}");
+        let host = format!("north-{}", 10 + round);
+        world.daemons[struck] = world.start_daemon("north", &host).expect("starts");
+        world.list_hosts().expect("listed");
+        world.ready().expect("ready");
+    }
+    assert_eq!(addrs.len(), 2);
+}
+
+/// Streams answers until told to stop; returns those that were neither whole nor truly refused.
+fn stream_until(
+    world: &World,
+    addr: SocketAddr,
+    stop: &AtomicBool,
+    whole: &AtomicUsize,
+) -> Vec<Got> {
+    let chat = Chat { service: CHAT, prompt: "a long answer", tokens: 40 };
+    let marks = Marks::of(CUSTOMER);
+    let mut cut = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let got = world.caller.stream(addr, &chat, &marks, |_| ());
+        if got.whole && got.joined() == fleets::text(&chat) {
+            whole.fetch_add(1, Ordering::SeqCst);
+        } else if got.verdict.as_deref() != Some("not_run") && got.status != 0 {
+            cut.push(got);
+        }
+    }
+    cut
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let world = world(Shape { chains: 2, ..Shape::default() }, 2);
+    let marks = Marks::of(CUSTOMER);
+    let chat = Chat { service: CHAT, prompt: "work", tokens: 2 };
+    let send = || {
+        for daemon in &world.daemons {
+            let got = world.caller.answer(daemon.addr, &chat, &marks);
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+    };
+    let opened = |target: &str| {
+        let addr = world.addr(target).expect("declared");
+        let stats = world.caller.get(addr, "/_stats").expect("answers");
+        stats["opened"].as_u64().unwrap_or(0)
+    };
+    for target in ["north-0-0", "north-1-0"] {
+        let leaving = json!({ "host": format!("host-{target}") });
+        world.caller.post(world.log, "/_hosts/leave", &leaving).expect("listed");
+        let out = wait_until(|| {
+            let before = opened(target);
+            (0..10).for_each(|_| send());
+            opened(target) == before
+        });
+        assert!(out, "{target} still gets work");
+        let before = opened(target);
+        (0..50).for_each(|_| send());
+        assert_eq!(opened(target), before, "{target} got work again");
+        world.list_hosts().expect("back on the list");
+        let back = wait_until(|| {
+            send();
+            opened(target) > before
+        });
+        assert!(back || target == "north-1-0", "{target} is not used again");
+    }
+}
+
+#[test]
+fn a_frozen_daemon_wakes_to_the_newest_configuration() {
+    let world = world(Shape::default(), 2);
+    let offset = |addr| {
+        let status = world.caller.get(addr, "/v1/admin/config").ok();
+        status.and_then(|s| s["offset"].as_u64()).unwrap_or(0)
+    };
+    let frozen = &world.daemons[1];
+    let before = offset(frozen.addr);
+    frozen.process.freeze();
+    let customer = roseshore_core::fleet::Organisation { share: 1.0, rate: 1.0, burst: 1.0 };
+    let key = roseshore_core::config::ObjectKey::new(
+        roseshore_core::config::Kind::Organisation,
+        "late-comer",
+    );
+    let object = roseshore_core::config::Object::Organisation(customer);
+    let outcome = world.command("while-frozen", &[(key, object)]).expect("answered");
+    let accepted = format!("{outcome:?}").starts_with("Accepted");
+    assert!(accepted, "{outcome:?}");
+    frozen.process.thaw();
+    let mut last = before;
+    let caught = wait_until(|| {
+        let now = offset(frozen.addr);
+        assert!(now >= last, "the configuration went back from {last} to {now}");
+        last = now;
+        now > before
+    });
+    assert!(caught, "the daemon did not catch up");
+    let fleet = world.caller.get(frozen.addr, "/v1/admin/config").expect("answers");
+    assert!(fleet.to_string().contains("late-comer"));
+}
--- a/crates/roseshore_harness/tests/whole.rs
+++ b/crates/roseshore_harness/tests/whole.rs
@@ -1,8 +1,7 @@
 //! The whole path with separate processes, and stages lost in the middle of answers.
 
-use roseshore_fakes::engine::text::expected;
 use roseshore_harness::caller::{Chat, Got, Marks};
-use roseshore_harness::fleets::{self, CARDS, CHAT, CUSTOMER, MODEL, NOTE, Shape, VERSION};
+use roseshore_harness::fleets::{self, CARDS, CHAT, CUSTOMER, NOTE, Shape};
 use roseshore_harness::process::wait_until;
 use roseshore_harness::world::{Plan, World};
 use serde_json::json;
@@ -12,18 +11,6 @@
     World::serving(Plan { fleet, daemons, ..Plan::default() }).expect("the system starts")
 }
 
-fn text(prompt: &str, tokens: u32) -> String {
-    // The front puts a token for the role before a message's words.
-    let words = prompt.split_whitespace().map(str::to_owned);
-    let prompt: Vec<String> = std::iter::once("<user>".to_owned()).chain(words).collect();
-    expected(MODEL, VERSION, None, &prompt, tokens).join("")
-}
-
-/// The caller's text without the blanks between tokens.
-fn joined(got: &Got) -> String {
-    got.text.split_whitespace().collect()
-}
-
 #[test]
 fn a_request_of_each_kind_is_served() {
     let world = world(Shape { centres: 2, ..Shape::default() }, 2);
@@ -32,9 +19,9 @@
         let chat = Chat { service: CHAT, prompt: "one two three", tokens: 12 };
         let got = world.caller.stream(daemon.addr, &chat, &marks, |_| ());
         assert!(got.whole, "{got:?}");
-        assert_eq!(joined(&got), text(chat.prompt, chat.tokens));
+        assert_eq!(got.joined(), fleets::text(&chat));
         let got = world.caller.answer(daemon.addr, &chat, &marks);
-        assert_eq!((got.status, joined(&got)), (200, text(chat.prompt, chat.tokens)));
+        assert_eq!((got.status, got.joined()), (200, fleets::text(&chat)));
         let got = world.caller.lookup(daemon.addr, CARDS, "pkg-1", &marks);
         assert_eq!(got.status, 200, "{got:?}");
         let got = world.caller.lookup(daemon.addr, CARDS, "no-such-name", &marks);
@@ -73,15 +60,14 @@
     Case { name: "two stages killed", loss: Loss::Killed, stages: &[0, 2], after: 5 },
 ];
 
-/// Strikes the stages of every chain but one, so that the answer meets the fault wherever it goes
-/// first.
+/// Strikes the stages of every chain but the slowest, which is the last that an answer is sent to.
 fn strike(world: &World, case: &Case, chains: usize) {
     let faults = match case.loss {
         Loss::Killed => json!({ "die_after": case.after }),
         Loss::Frozen => json!({ "freeze_after": case.after }),
         Loss::Cut => json!({ "cut_after": case.after }),
     };
-    for chain in 1..chains {
+    for chain in 0..chains - 1 {
         for stage in case.stages {
             let addr = world.addr(&format!("north-{chain}-{stage}")).expect("declared");
             world.fault(addr, &faults).expect("the engine answers");
@@ -93,7 +79,7 @@
 fn an_answer_outlives_its_stages() {
     const CHAINS: usize = 3;
     for case in CASES {
-        let shape = Shape { chains: CHAINS, stages: 3, ..Shape::default() };
+        let shape = Shape { chains: CHAINS, stages: 3, mixed: true, ..Shape::default() };
         let world = world(shape, 1);
         strike(&world, case, CHAINS);
         let addr = world.daemons[0].addr;
@@ -104,7 +90,7 @@
             let chat = Chat { service: CHAT, prompt: "a b c d", tokens: 20 };
             let got = world.caller.stream(addr, &chat, &marks, |_| ());
             assert!(got.whole, "{}: {got:?}", case.name);
-            assert_eq!(joined(&got), text(chat.prompt, chat.tokens), "{}", case.name);
+            assert_eq!(got.joined(), fleets::text(&chat), "{}", case.name);
             resumed |= resumed_once(&world, &got);
             resumed
         });
