--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Begin(usize, bool),
+    /// With the key of the others, and another body.
+    Reuse(usize),
     Append(usize, Fate),
     Read(usize, bool),
     Dispatch(usize),
@@ -52,18 +54,37 @@
     Abandon(usize),
     Land,
     Pass(u64),
+    /// Time passes, and no daemon runs meanwhile.
+    Freeze(u64),
     Replace(usize),
     Trim,
     Members,
 }
 
+/// An attempt, as the judge outside sees it.
+#[derive(Clone, Debug)]
+struct Asked {
+    key: Key,
+    digest: u64,
+    at: usize,
+    deadline: Instant,
+}
+
+/// A moment at which work of a key may have begun, and whether it ran after all.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    digest: u64,
+    at: usize,
+    ran: bool,
+}
+
 struct Daemon {
     machine: Partition,
     life: u64,
     append: Option<Vec<String>>,
     read: Option<Offset>,
-    attempts: BTreeMap<AttemptId, (Key, usize)>,
-    won: Vec<(Key, Offset)>,
+    attempts: BTreeMap<AttemptId, Asked>,
+    won: Vec<(Asked, Offset)>,
     sent: Vec<(Key, Offset, usize)>,
 }
 
@@ -84,8 +105,7 @@
     oldest: usize,
     late: Vec<Vec<String>>,
     daemons: Vec<Daemon>,
-    /// The moments at which work of each key may have begun, whether it ran after all.
-    runs: BTreeMap<Key, Vec<(usize, bool)>>,
+    runs: BTreeMap<Key, Vec<Run>>,
     answers: BTreeMap<Key, Vec<Outcome>>,
     decisions: Vec<(Key, Decision)>,
     clock: usize,
@@ -109,15 +129,18 @@
     fn step(&mut self, step: Step) {
         self.clock += 1;
         match step {
-            Step::Begin(d, timed) => self.begin(d, if timed { TIMED } else { PLAIN }),
+            Step::Begin(d, timed) => self.begin(d, if timed { TIMED } else { PLAIN }, 7),
+            Step::Reuse(d) => self.begin(d, PLAIN, 8),
             Step::Append(d, fate) => self.append(d, fate),
             Step::Read(d, works) => self.read(d, works),
             Step::Dispatch(d) => self.dispatch(d),
             Step::Settle(d, verdict) => self.settle(d, verdict),
             Step::Abandon(d) => {
-                if let Some((_, offset)) = self.daemons[d].won.pop() {
-                    self.daemons[d].machine.abandon(offset);
-                }
+                // A dispatched one must stay what it is.
+                let daemon = &mut self.daemons[d];
+                let sent = daemon.sent.last().map(|(_, offset, _)| *offset);
+                let won = daemon.won.pop().map(|(_, offset)| offset);
+                won.or(sent).into_iter().for_each(|offset| daemon.machine.abandon(offset));
             }
             Step::Land => {
                 if let Some(lines) = self.late.pop() {
@@ -129,6 +152,7 @@
                 let now = self.now;
                 self.daemons.iter_mut().for_each(|daemon| daemon.machine.tick(now));
             }
+            Step::Freeze(millis) => self.now += Duration::from_millis(millis),
             Step::Replace(d) => {
                 let old = std::mem::replace(&mut self.daemons[d], Daemon::new(d, 0));
                 self.daemons[d] = Daemon::new(d, old.life + 1);
@@ -145,11 +169,12 @@
         (0..DAEMONS).for_each(|d| self.act(d));
     }
 
-    fn begin(&mut self, d: usize, key: &str) {
+    fn begin(&mut self, d: usize, key: &str, digest: u64) {
         let deadline = self.now + Duration::from_secs(5);
-        let ask = Attempt { key: key.into(), digest: 7, deadline };
+        let ask = Attempt { key: key.into(), digest, deadline };
         let id = self.daemons[d].machine.begin(ask, self.now);
-        self.daemons[d].attempts.insert(id, (key.into(), self.clock));
+        let asked = Asked { key: key.into(), digest, at: self.clock, deadline };
+        self.daemons[d].attempts.insert(id, asked);
     }
 
     fn append(&mut self, d: usize, fate: Fate) {
@@ -188,14 +213,16 @@
     }
 
     fn dispatch(&mut self, d: usize) {
-        let Some((key, offset)) = self.daemons[d].won.pop() else { return };
+        let Some((asked, offset)) = self.daemons[d].won.pop() else { return };
         if !self.daemons[d].machine.dispatch(offset, self.now) {
             return;
         }
+        assert!(self.now < asked.deadline, "{asked:?} was dispatched late");
+        let Asked { key, digest, .. } = asked;
         let runs = self.runs.entry(key.clone()).or_default();
-        runs.push((self.clock, true));
+        runs.push(Run { digest, at: self.clock, ran: true });
         let run = runs.len() - 1;
-        let ran = runs.iter().filter(|(_, ran)| *ran).count();
+        let ran = runs.iter().filter(|run| run.ran).count();
         assert_eq!(ran, 1, "key {key} ran twice");
         self.daemons[d].sent.push((key, offset, run));
     }
@@ -204,7 +231,7 @@
         let Some((key, offset, run)) = self.daemons[d].sent.pop() else { return };
         let outcome = Outcome { verdict, ..answer(&format!("run {run} of {key}")) };
         if verdict == Verdict::NotRun {
-            self.runs.get_mut(&key).expect("it was dispatched")[run].1 = false;
+            self.runs.get_mut(&key).expect("it was dispatched")[run].ran = false;
         }
         self.daemons[d].machine.settle(offset, outcome, self.now);
     }
@@ -216,17 +243,17 @@
                 Action::Append(lines) => self.daemons[d].append = Some(lines),
                 Action::Read { from, .. } => self.daemons[d].read = Some(from),
                 Action::Decide(id, decision) => {
-                    let (key, arrived) =
-                        self.daemons[d].attempts.remove(&id).expect("one decision");
-                    self.judge(d, key, arrived, decision);
+                    let asked = self.daemons[d].attempts.remove(&id).expect("one decision");
+                    self.judge(d, asked, decision);
                 }
             }
         }
     }
 
-    fn judge(&mut self, d: usize, key: Key, arrived: usize, decision: Decision) {
+    fn judge(&mut self, d: usize, asked: Asked, decision: Decision) {
+        let key = asked.key.clone();
         match &decision {
-            Decision::Won(offset) => self.daemons[d].won.push((key.clone(), *offset)),
+            Decision::Won(offset) => self.daemons[d].won.push((asked, *offset)),
             Decision::Repeat(outcome) => {
                 let answers = self.answers.entry(key.clone()).or_default();
                 answers.push(Outcome::clone(outcome));
@@ -234,7 +261,8 @@
             }
             Decision::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
                 let runs = self.runs.get(&key).map_or(&[][..], Vec::as_slice);
-                let ran = runs.iter().any(|(at, ran)| *ran && *at < arrived);
+                let mine = |run: &Run| run.ran && run.digest == asked.digest;
+                let ran = runs.iter().any(|run| mine(run) && run.at < asked.at);
                 assert!(!ran, "{key} had run, and was told {refusal:?}");
             }
             Decision::Refused(_) | Decision::Stored(..) | Decision::AskOwner(..) => {}
@@ -279,6 +307,7 @@
     ];
     prop_oneof![
         5 => (daemon(), any::<bool>()).prop_map(|(d, timed)| Step::Begin(d, timed)),
+        1 => daemon().prop_map(Step::Reuse),
         8 => (daemon(), fate()).prop_map(|(d, fate)| Step::Append(d, fate)),
         8 => (daemon(), prop::bool::weighted(0.8)).prop_map(|(d, works)| Step::Read(d, works)),
         5 => daemon().prop_map(Step::Dispatch),
@@ -286,6 +315,7 @@
         1 => daemon().prop_map(Step::Abandon),
         2 => Just(Step::Land),
         3 => prop_oneof![Just(10), Just(600), Just(6000), Just(70_000)].prop_map(Step::Pass),
+        1 => prop_oneof![Just(600), Just(6000)].prop_map(Step::Freeze),
         1 => daemon().prop_map(Step::Replace),
         1 => Just(Step::Trim),
         1 => Just(Step::Members),
@@ -475,3 +505,334 @@
         assert_eq!(born(case.key), case.born, "{}", case.name);
     }
 }
+
+#[test]
+fn reach_of_the_fold() {
+    struct Case {
+        name: &'static str,
+        oldest: Offset,
+        bound: usize,
+        key: &'static str,
+        reaches: bool,
+    }
+    let cases = [
+        Case { name: "whole stream, plain key", oldest: 0, bound: 9, key: PLAIN, reaches: true },
+        Case { name: "trimmed, plain key", oldest: 5, bound: 9, key: PLAIN, reaches: false },
+        Case { name: "trimmed, old key", oldest: 5, bound: 9, key: TIMED, reaches: false },
+        Case {
+            name: "trimmed, key inside the skew",
+            oldest: 5,
+            bound: 9,
+            key: "k@1800000060000",
+            reaches: false,
+        },
+        Case {
+            name: "trimmed, key past the skew",
+            oldest: 5,
+            bound: 9,
+            key: "k@1800000060001",
+            reaches: true,
+        },
+        Case { name: "memory full, plain key", oldest: 0, bound: 1, key: PLAIN, reaches: false },
+        Case {
+            name: "memory full, key past the skew",
+            oldest: 0,
+            bound: 1,
+            key: "k@1800000060001",
+            reaches: true,
+        },
+    ];
+    for case in cases {
+        let mut keys = Keys::new(case.bound);
+        keys.restart(case.oldest);
+        for nonce in 0..2 {
+            let record = Record { key: format!("other{nonce}"), nonce, act: claim(nonce) };
+            keys.take(case.oldest + nonce, EPOCH, &record.line());
+        }
+        assert_eq!(keys.reaches(&case.key.into()), case.reaches, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_key_from_the_future_is_void() {
+    let mut keys = Keys::new(9);
+    let key = Key::from("k@1800000060001");
+    let first = Record { key: key.clone(), nonce: 1, act: claim(1) };
+    keys.take(0, EPOCH, &first.line());
+    assert_eq!((keys.state(&key), keys.ahead(&key)), (&State::Free, true));
+    keys.take(1, EPOCH + 1, &Record { nonce: 2, ..first }.line());
+    assert!(matches!(keys.state(&key), State::Held(held) if held.nonce == 2));
+}
+
+/// What the last decided attempt was told.
+fn told(world: &World) -> String {
+    match world.decisions.last().map(|(_, decision)| decision) {
+        None => "nothing".into(),
+        Some(Decision::Won(_)) => "won".into(),
+        Some(Decision::Repeat(_)) => "repeat".into(),
+        Some(Decision::Stored(..)) => "stored".into(),
+        Some(Decision::AskOwner(owner, refusal)) => {
+            format!("ask {} or {}", owner.host, refusal.code)
+        }
+        Some(Decision::Refused(refusal)) => format!("{} {}", refusal.code, refusal.verdict.name()),
+    }
+}
+
+struct Story {
+    name: &'static str,
+    /// Daemon 0 goes so far with a key first.
+    before: &'static [&'static [Step]],
+    then: &'static [Step],
+    told: &'static str,
+}
+const OUT: &[Step] = &[Step::Read(0, false), Step::Pass(600)];
+const CLAIM: &[Step] =
+    &[Step::Begin(0, false), Step::Read(0, true), Step::Append(0, Fate::Done), Step::Read(0, true)];
+const RUN: &[Step] = &[Step::Dispatch(0)];
+const SETTLE: &[Step] =
+    &[Step::Settle(0, Verdict::Answered), Step::Pass(20), Step::Append(0, Fate::Done)];
+const GONE: &[Step] = &[Step::Replace(0), Step::Members];
+/// Daemon 1 does the same, whatever it takes.
+const OTHER: &[Step] = &[
+    Step::Begin(1, false),
+    Step::Read(1, true),
+    Step::Append(1, Fate::Done),
+    Step::Read(1, true),
+    Step::Read(1, true),
+];
+const STORIES: &[Story] = &[
+    Story { name: "no fault", before: &[CLAIM], then: &[], told: "won" },
+    Story { name: "repeat", before: &[CLAIM, RUN, SETTLE], then: OTHER, told: "repeat" },
+    Story {
+        name: "log out before the claim",
+        before: &[],
+        then: &[Step::Begin(0, false), Step::Read(0, false), Step::Pass(600)],
+        told: "RS502 may_have_run",
+    },
+    Story {
+        name: "log out for a while",
+        before: &[&[Step::Begin(0, false), Step::Read(0, false), Step::Pass(300)]],
+        then: &[Step::Read(0, true), Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "log back after an outage",
+        before: &[&[Step::Begin(0, false)], OUT, &[Step::Pass(300), Step::Read(0, true)]],
+        then: CLAIM,
+        told: "won",
+    },
+    Story {
+        name: "log out, asked again",
+        before: &[&[Step::Begin(0, false)], OUT],
+        then: &[Step::Begin(0, false)],
+        told: "RS502 may_have_run",
+    },
+    Story {
+        name: "appends out, stream read",
+        before: &[],
+        then: &[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::Unreached),
+            Step::Pass(600),
+        ],
+        told: "RS502 not_run",
+    },
+    Story {
+        name: "log over its rate",
+        before: &[&[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::Busy),
+            Step::Pass(20),
+        ]],
+        then: &[Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, claim in the log",
+        before: &[],
+        then: &[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::LostAfter),
+            Step::Read(0, true),
+        ],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, claim not in the log",
+        before: &[&[
+            Step::Begin(0, false),
+            Step::Read(0, true),
+            Step::Append(0, Fate::LostBefore),
+            Step::Pass(20),
+        ]],
+        then: &[Step::Append(0, Fate::Done), Step::Read(0, true)],
+        told: "won",
+    },
+    Story {
+        name: "append reply lost, log then out",
+        before: &[&[Step::Begin(0, false), Step::Append(0, Fate::Done), Step::Read(0, true)]],
+        then: &[Step::Append(0, Fate::LostAfter), Step::Read(0, false), Step::Pass(600)],
+        told: "RS502 not_run",
+    },
+    Story {
+        name: "claim lost with the log out is given back",
+        before: &[
+            &[Step::Begin(0, false), Step::Read(0, true), Step::Append(0, Fate::LostAfter)],
+            OUT,
+            &[Step::Pass(300), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "claim lands after it was given up",
+        before: &[
+            &[
+                Step::Begin(0, false),
+                Step::Read(0, true),
+                Step::Append(0, Fate::LostLater),
+                Step::Pass(6000),
+            ],
+            &[Step::Append(0, Fate::Done), Step::Land],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "winner paused past its deadline",
+        before: &[CLAIM, &[Step::Freeze(6000), Step::Dispatch(0), Step::Append(0, Fate::Done)]],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "winner gives up",
+        before: &[CLAIM, &[Step::Abandon(0), Step::Pass(20), Step::Append(0, Fate::Done)]],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "log out at the abandonment",
+        before: &[CLAIM, &[Step::Abandon(0), Step::Pass(20), Step::Append(0, Fate::Unreached)]],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Pass(6000)],
+        told: "RS401 may_have_run",
+    },
+    Story {
+        name: "host replaced after the claim",
+        before: &[CLAIM, GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced after the dispatch",
+        before: &[CLAIM, RUN, GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced before its outcome was taken",
+        before: &[CLAIM, RUN, &[Step::Settle(0, Verdict::Answered)], GONE],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "host replaced after the outcome",
+        before: &[CLAIM, RUN, SETTLE, GONE],
+        then: OTHER,
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, then back",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::Answered), Step::Pass(20), Step::Append(0, Fate::Unreached)],
+            &[Step::Pass(300), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, asked here",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::Answered), Step::Read(0, false), Step::Pass(600)],
+        ],
+        then: &[Step::Begin(0, false)],
+        told: "repeat",
+    },
+    Story {
+        name: "log out at the outcome, asked elsewhere",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Begin(1, false), Step::Read(1, true), Step::Settle(0, Verdict::Answered)],
+        ],
+        then: &[Step::Read(1, false), Step::Pass(600)],
+        told: "ask h0 or RS402",
+    },
+    Story {
+        name: "log out, key known to be settled",
+        before: &[
+            CLAIM,
+            RUN,
+            SETTLE,
+            OTHER,
+            &[Step::Begin(1, true), Step::Read(1, false), Step::Pass(600)],
+        ],
+        then: &[Step::Begin(1, false)],
+        told: "repeat",
+    },
+    Story {
+        name: "target said that nothing ran",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::NotRun), Step::Pass(20), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "target's reply lost",
+        before: &[
+            CLAIM,
+            RUN,
+            &[Step::Settle(0, Verdict::MayHaveRun), Step::Pass(20), Step::Append(0, Fate::Done)],
+        ],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "still in progress at the deadline",
+        before: &[CLAIM, RUN],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Pass(6000)],
+        told: "RS401 may_have_run",
+    },
+    Story {
+        name: "another body",
+        before: &[CLAIM, RUN, SETTLE],
+        then: &[Step::Reuse(1), Step::Read(1, true)],
+        told: "RS405 not_run",
+    },
+    Story {
+        name: "record trimmed",
+        before: &[CLAIM, RUN, SETTLE, &[Step::Trim]],
+        then: &[Step::Begin(1, false), Step::Read(1, true), Step::Read(1, true)],
+        told: "RS403 may_have_run",
+    },
+];
+
+#[test]
+fn faults_at_each_step() {
+    for case in STORIES {
+        let mut world = World::new();
+        for step in case.before.iter().copied().flatten().chain(case.then) {
+            world.step(*step);
+        }
+        assert_eq!(told(&world), case.told, "{}", case.name);
+    }
+}
