Members, peers, claims, ledger, orders and account wired

`--peer` must be given, as other daemons must know it, and `--seeds` names daemons for a start without the host list.

The front ends claims by claims::Won now, which the plain calls use too; its own guard is gone. With it `keys[lapsed]` no longer expects an abandonment after a refused dispatch: the contract of `Claims::dispatch` is that after a false the claim has been abandoned, which its doc now says.

`Ledger::find` gives the book's own `Fate`. A request is found by its whole id or by the part that its caller gave (`ids::is_request`).

--- a/crates/roseshore_core/src/ids.rs
+++ b/crates/roseshore_core/src/ids.rs
@@ -21,7 +21,7 @@
 pub type VersionId = String;
 /// A fine-tuned adapter on top of a model version.
 pub type AdapterId = String;
-/// A request, as the caller knows it.
+/// A request: the id that its caller gave it, if any, with `~` and a part that never occurs twice.
 pub type RequestId = String;
 /// A caller's idempotency key, already joined with its organisation and service.
 pub type Key = String;
@@ -39,3 +39,8 @@
 pub type Layer = u16;
 /// The index of a token in an answer, from 0.
 pub type Position = u32;
+
+/// Whether `id` is a request's whole id, or the part of it that its caller gave.
+pub fn is_request(request: &str, id: &str) -> bool {
+    request.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('~'))
+}
--- a/crates/roseshore_core/src/ledger/book.rs
+++ b/crates/roseshore_core/src/ledger/book.rs
@@ -119,9 +119,10 @@
         self.refused.iter()
     }
 
-    /// What became of a request; `None` when this daemon never had it or has forgotten it.
+    /// What became of a request, by its whole id or its caller's part; `None` when this daemon never had it or has forgotten it.
     pub fn fate(&self, request: &str) -> Option<Fate> {
-        if let Some(running) = self.running.get(request) {
+        let known = |it: &&Running| is_request(&it.whose.request, request);
+        if let Some(running) = self.running.values().find(known) {
             return Some(Fate::Running(running.clone()));
         }
         // A caller may use an id again; the newest use is the one it asks about.
@@ -132,5 +133,5 @@
 }
 
 fn newest<'a>(rows: &'a VecDeque<Ended>, request: &str) -> Option<&'a Ended> {
-    rows.iter().rev().find(|e| e.whose.request == request)
+    rows.iter().rev().find(|e| is_request(&e.whose.request, request))
 }
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -3,6 +3,7 @@
 //! One trait per part; each is given out as a trait object, so that a part can be swapped for its
 //! first, simple version or for a fake in tests.
 
+pub use roseshore_core::ledger::book::Fate;
 pub use roseshore_core::membership::{Member, MemberState};
 pub use roseshore_core::once::Outcome;
 use roseshore_core::prelude::*;
@@ -192,8 +193,8 @@
     /// `digest` is over the request's body: a key that comes back with another body is refused.
     fn begin(&self, key: &Key, digest: u64, deadline: Instant) -> Begin;
 
-    /// Whether a won claim may be dispatched now; asked right before the first byte is sent, and
-    /// after a `true` the claim cannot be abandoned.
+    /// Whether a won claim may be dispatched now; asked right before the first byte is sent. After a
+    /// `true` the claim cannot be abandoned, after a `false` it has been.
     fn dispatch(&self, claim: &Claim) -> bool;
 
     /// Records the end of a won key.
@@ -224,15 +225,6 @@
     pub resumed: u32,
 }
 
-/// What became of a request, as one daemon knows it.
-#[derive(Clone, Debug)]
-pub enum Fate {
-    /// It is being worked on.
-    Running(Ask),
-    /// It got its final verdict.
-    Ended(End),
-}
-
 /// The record of running and ended requests.
 pub trait Ledger: Send + Sync {
     /// A request has come in.
--- a/crates/roseshored/src/ledger.rs
+++ b/crates/roseshored/src/ledger.rs
@@ -38,11 +38,6 @@
         LedgerDriver { host, data_centre, book: Mutex::default(), account }
     }
 
-    /// What became of a request; `None` when this daemon does not know it.
-    pub fn fate(&self, request: &str) -> Option<Fate> {
-        self.book.lock().fate(request)
-    }
-
     /// This daemon's rows for a query.
     pub fn local(&self, query: &Query) -> Reply {
         let book = self.book.lock();
@@ -72,6 +67,10 @@
         self.account.ended(&ended);
         self.book.lock().ended(ended);
     }
+
+    fn find(&self, id: &str) -> Option<Fate> {
+        self.book.lock().fate(id)
+    }
 }
 
 impl Answers for LedgerDriver {
--- a/crates/roseshored/src/serve/record.rs
+++ b/crates/roseshored/src/serve/record.rs
@@ -1,10 +1,9 @@
-//! The recorded answer of an unrepeatable question, and the claim it is recorded under.
+//! The recorded answer of an unrepeatable question.
 
 use crate::answer::Whole;
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{Claim, Claims, Outcome};
+use roseshore_ports::inside::Outcome;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 
 /// The content type of [`Recorded`].
 const CONTENT: &str = "application/json; record=answer";
@@ -32,6 +31,12 @@
         }
     }
 
+    /// The outcome to record.
+    pub(super) fn outcome(&self) -> Outcome {
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        Outcome { verdict: Verdict::Answered, status: 200, content: CONTENT.to_owned(), body }
+    }
+
     /// Reads the answer of a settled key, or says what is known of it.
     pub(super) fn read(outcome: &Outcome) -> Result<Recorded, Refusal> {
         if outcome.verdict == Verdict::Answered {
@@ -47,59 +52,9 @@
     }
 }
 
-/// A won key that is ended exactly once, whatever happens to its handler.
-pub(super) struct Held {
-    claims: Arc<dyn Claims>,
-    claim: Claim,
-    dispatched: bool,
-    ended: bool,
-}
-
-impl Held {
-    pub(super) fn new(claims: Arc<dyn Claims>, claim: Claim) -> Held {
-        Held { claims, claim, dispatched: false, ended: false }
-    }
-
-    /// Whether the first byte may go to a target now.
-    pub(super) fn dispatch(&mut self) -> bool {
-        self.dispatched = self.dispatched || self.claims.dispatch(&self.claim);
-        self.dispatched
-    }
-
-    /// Records how it went.
-    pub(super) fn end(mut self, result: Result<&Recorded, &Refusal>) {
-        match result {
-            Ok(recorded) => self.settle(Verdict::Answered, 200, to_json(recorded)),
-            Err(refusal) if self.dispatched => {
-                let body = refusal.message.clone().into_bytes();
-                self.settle(refusal.verdict, refusal.code.status(), body);
-            }
-            // The drop abandons it.
-            Err(_) => {}
-        }
-    }
-
-    fn settle(&mut self, verdict: Verdict, status: u16, body: Vec<u8>) {
-        self.ended = true;
-        let outcome = Outcome { verdict, status, content: CONTENT.to_owned(), body };
-        self.claims.settle(&self.claim, outcome);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        if self.dispatched {
-            let text = "the daemon lost track of this key after its dispatch";
-            self.settle(Verdict::MayHaveRun, Code::Internal.status(), text.into());
-        } else {
-            self.claims.abandon(&self.claim);
-        }
-    }
-}
-
-fn to_json(recorded: &Recorded) -> Vec<u8> {
-    serde_json::to_vec(recorded).unwrap_or_default()
+/// The outcome of a dispatched question that got no answer.
+pub(super) fn unanswered(refusal: &Refusal) -> Outcome {
+    let body = refusal.message.clone().into_bytes();
+    let content = "text/plain".to_owned();
+    Outcome { verdict: refusal.verdict, status: refusal.code.status(), content, body }
 }
--- a/crates/roseshored/src/serve/sight.rs
+++ b/crates/roseshored/src/serve/sight.rs
@@ -6,8 +6,8 @@
 use crate::front::reply::Response;
 use crate::operators::{self, Call, Console};
 use roseshore_core::fleet::ServiceKind;
+use roseshore_core::ledger::book::{Ended, Fate};
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{End, Fate};
 use serde_json::{Value, json};
 use tiny_http::Method;
 
@@ -87,11 +87,11 @@
 
 fn fate(exchange: &Exchange<'_>, id: &str) -> Response {
     match exchange.site.app.ledger.find(id) {
-        Some(Fate::Running(ask)) => {
-            let body = json!({"request": id, "state": "running", "service": ask.service});
+        Some(Fate::Running(it)) => {
+            let body = json!({"request": id, "state": "running", "service": it.whose.service});
             Response::json(200, &body)
         }
-        Some(Fate::Ended(end)) => Response::json(200, &ended(id, &end)),
+        Some(Fate::Ended(ended)) => Response::json(200, &row(id, &ended)),
         None => {
             let text = "this host knows nothing of it; it may be another host's, or too long ago";
             let body = json!({"request": id, "state": "unknown", "message": text});
@@ -100,19 +100,18 @@
     }
 }
 
-fn ended(id: &str, end: &End) -> Value {
+fn row(id: &str, ended: &Ended) -> Value {
     json!({
         "request": id,
         "state": "ended",
-        "service": end.ask.service,
-        "organisation": end.ask.organisation,
-        "verdict": end.verdict.name(),
-        "code": end.code.map(|it| it.to_string()),
-        "repeated": end.repeated,
-        "left": end.left,
-        "late": end.ended > end.ask.deadline,
-        "resumed": end.resumed,
-        "took_ms": (end.ended - end.ask.arrived).as_millis() as u64,
+        "service": ended.whose.service,
+        "organisation": ended.whose.organisation,
+        "verdict": ended.verdict.name(),
+        "code": ended.code.map(|it| it.to_string()),
+        "repeated": ended.repeated,
+        "left": ended.left,
+        "late_ms": ended.late.as_millis() as u64,
+        "resumed": ended.resumed,
     })
 }
 
--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -17,6 +17,8 @@
     Name,
     /// `IP:PORT`.
     Addr,
+    /// Several of `IP:PORT`, with commas between them.
+    Addrs,
     /// A whole number.
     Count(RangeInclusive<u64>),
     /// One of a few words.
@@ -53,7 +55,8 @@
     must("host", Kind::Name, "This machine, as the host list names it"),
     must("data-centre", Kind::Name, "The data centre it is in"),
     row("listen", Some("0.0.0.0:8080"), Kind::Addr, "Where callers are heard, IP:PORT"),
-    row("peer", Some("0.0.0.0:8081"), Kind::Addr, "Where daemons are heard, UDP and TCP, IP:PORT"),
+    must("peer", Kind::Addr, "Where daemons reach this one, UDP and TCP, IP:PORT"),
+    row("seeds", None, Kind::Addrs, "Other daemons' --peer, for a start without the host list"),
     must("log", Kind::Addr, "The platform's log service, IP:PORT"),
     row("host-list", None, Kind::Addr, "The platform's host list, IP:PORT [that of --log]"),
     row("weight-store", None, Kind::Addr, "The platform's weight store, IP:PORT [that of --log]"),
@@ -133,8 +136,10 @@
     pub data_centre: DataCentreId,
     /// Where callers are heard.
     pub listen: SocketAddr,
-    /// Where daemons are heard, UDP and TCP.
+    /// Where daemons reach this one, UDP and TCP.
     pub peer: SocketAddr,
+    /// Daemons known before the host list has been read.
+    pub seeds: Vec<SocketAddr>,
     /// The log service.
     pub log: SocketAddr,
     /// The host list.
@@ -196,6 +201,7 @@
             data_centre: values.text("data-centre"),
             listen: values.addr("listen").unwrap_or(UNSET),
             peer: values.addr("peer").unwrap_or(UNSET),
+            seeds: values.addrs("seeds"),
             log,
             host_list: values.addr("host-list").unwrap_or(log),
             weight_store: values.addr("weight-store").unwrap_or(log),
@@ -239,6 +245,11 @@
         self.get(flag)?.parse().ok()
     }
 
+    fn addrs(&self, flag: &str) -> Vec<SocketAddr> {
+        let parts = self.get(flag).unwrap_or_default().split(',');
+        parts.filter_map(|it| it.parse().ok()).collect()
+    }
+
     fn count(&self, flag: &str) -> u64 {
         self.get(flag).and_then(|it| it.parse().ok()).unwrap_or_default()
     }
@@ -284,6 +295,7 @@
     match kind {
         Kind::Name => "NAME",
         Kind::Addr => "IP:PORT",
+        Kind::Addrs => "IP:PORT,…",
         Kind::Count(_) => "N",
         Kind::Choice(_) => "WORD",
     }
@@ -309,6 +321,7 @@
     match kind {
         Kind::Name => is_name(text),
         Kind::Addr => text.parse::<SocketAddr>().is_ok(),
+        Kind::Addrs => text.split(',').all(|it| it.parse::<SocketAddr>().is_ok()),
         Kind::Count(range) => text.parse().is_ok_and(|it| range.contains(&it)),
         Kind::Choice(words) => words.contains(&text),
     }
@@ -323,6 +336,7 @@
     match kind {
         Kind::Name => "1 to 64 letters, digits, `-`, `_` or `.`".to_owned(),
         Kind::Addr => "an IP number and a port, as in `127.0.0.1:8080`".to_owned(),
+        Kind::Addrs => "IP numbers with ports and commas between them".to_owned(),
         Kind::Count(range) => format!("a whole number from {} to {}", range.start(), range.end()),
         Kind::Choice(words) => format!("one of `{}`", words.join("`, `")),
     }
--- a/crates/roseshored/src/spans.rs
+++ b/crates/roseshored/src/spans.rs
@@ -136,7 +136,7 @@
     /// The spans of a request, by its id or the id that its caller gave it.
     pub fn find(&self, id: &str) -> Option<SpanRow> {
         let kept = self.kept.lock();
-        let full = kept.order.iter().rev().find(|it| same(it, id))?;
+        let full = kept.order.iter().rev().find(|it| is_request(it, id))?;
         let tree = kept.trees.get(full)?.clone();
         drop(kept);
         let tree = tree.lock();
@@ -158,11 +158,6 @@
     }
 }
 
-/// Whether `id` is a request's full id, or the part of it that its caller gave.
-pub fn same(full: &str, id: &str) -> bool {
-    full.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('~'))
-}
-
 /// Keeps the spans of the last `bound` requests of this process from now on.
 pub fn install(bound: usize) -> &'static Store {
     static STORE: OnceLock<Store> = OnceLock::new();
