--- a/crates/roseshored/tests/calls.rs
+++ b/crates/roseshored/tests/calls.rs
@@ -3,14 +3,16 @@
 #[path = "support/fakes.rs"]
 mod fakes;
 
-use fakes::{FakeClaims, FakeEngine, FakeGate, FakeLedger, FirstFit, Key1, Play, StaticFleets};
+use fakes::{
+    Alone, FakeClaims, FakeEngine, FakeGate, FakeLedger, FirstFit, Key1, Play, StaticFleets,
+};
 use parking_lot::Mutex;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Outcome};
 use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
 use roseshore_wire::service::ServiceLoad;
 use roseshored::app::{App, Drain};
-use roseshored::{calls, simple};
+use roseshored::calls;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -241,7 +243,7 @@
         gate: Arc::new(FakeGate::default()),
         claims,
         ledger: Arc::new(FakeLedger::default()),
-        members: Arc::new(simple::Alone::new(&fakes::settings(&[]))),
+        members: Arc::new(Alone::new(&fakes::settings(&[]))),
         engine: Arc::new(FakeEngine { play: Mutex::new(Play::Whole(1)), opened: Mutex::default() }),
         services,
         drain: Arc::new(Drain::default()),
