Claims: marks keep the window open, a log that lost records is not believed

A partition without keys for a whole retention had an empty window; a daemon that started then refused every key for the minute of skew. A daemon that appended nothing for ten minutes now appends a mark. A log whose end lies before what was read counts as out. Reads are bounded to 128 records, 11 MB with the longest answers; refusals are spread over two seconds.

--- a/crates/roseshore_core/src/once/batch.rs
+++ b/crates/roseshore_core/src/once/batch.rs
@@ -10,8 +10,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Records in one append at most.
-const MAX_RECORDS: usize = 512;
+/// Records in one append at most, where nothing else is asked for.
+pub const MAX_RECORDS: usize = 512;
 /// Bytes in one append at most, short of one record.
 const MAX_BYTES: usize = 1 << 20;
 /// The shortest time from one append to the next.
@@ -26,6 +26,7 @@
     flight: Vec<Waiting>,
     pace: Duration,
     due: Option<Instant>,
+    together: usize,
 }
 
 #[derive(Debug)]
@@ -52,13 +53,13 @@
     Lost,
 }
 
-impl Default for Batch {
-    fn default() -> Batch {
-        Batch { queue: VecDeque::new(), flight: vec![], pace: MIN_PACE, due: None }
+impl Batch {
+    /// Nothing to append; at most `together` records go into one append.
+    pub fn new(together: usize) -> Batch {
+        let (queue, flight) = Default::default();
+        Batch { queue, flight, pace: MIN_PACE, due: None, together: together.max(1) }
     }
-}
 
-impl Batch {
     /// Adds a record.
     pub fn push(&mut self, record: &Record) {
         let claim = matches!(record.act, Act::Claim { .. });
@@ -97,7 +98,7 @@
         while let Some(waiting) = self.queue.pop_front() {
             bytes += waiting.line.len();
             self.flight.push(waiting);
-            if bytes >= MAX_BYTES || self.flight.len() >= MAX_RECORDS {
+            if bytes >= MAX_BYTES || self.flight.len() >= self.together {
                 break;
             }
         }
--- a/crates/roseshore_core/src/once/keys.rs
+++ b/crates/roseshore_core/src/once/keys.rs
@@ -167,6 +167,9 @@
     }
 
     fn fold(&mut self, offset: Offset, time: Millis, record: &Record) {
+        if record.act == Act::Mark {
+            return;
+        }
         let entry = self.entries.entry(record.key.clone()).or_default();
         entry.last = offset;
         self.touched.push_back((offset, time, record.key.clone()));
@@ -182,6 +185,7 @@
                 entry.outcome(record.nonce, offset, *digest, outcome, *whole);
             }
             Act::Settle { outcome, .. } => entry.settle(offset, outcome),
+            Act::Mark => {}
         }
         let State::Settled(settled) = &entry.state else { return };
         if let Some(outcome) = settled.outcome.as_ref().filter(|_| settled.offset == offset) {
--- a/crates/roseshore_core/src/once/partition.rs
+++ b/crates/roseshore_core/src/once/partition.rs
@@ -26,8 +26,12 @@
 const RETRY: Duration = Duration::from_millis(250);
 /// Answers too large for the log that the claimant holds at most, bytes.
 const MAX_LARGE: usize = 8 << 20;
-/// When callers are told to come back.
+/// When callers are told to come back at the earliest.
 const COME_BACK: Duration = Duration::from_secs(1);
+/// Over how long those that are refused together are spread, milliseconds.
+const SPREAD: u64 = 2000;
+/// How often a daemon without keys keeps the window from being empty.
+pub const MARK_EVERY: Duration = Duration::from_mins(10);
 
 /// The number of an attempt, unique in its partition's machine.
 pub type AttemptId = u64;
@@ -159,21 +163,24 @@
     /// Since when appends or reads have failed.
     appends_fail: Option<Instant>,
     reads_fail: Option<Instant>,
+    /// When this daemon appended last, or began to run.
+    wrote: Option<Instant>,
     /// Answers of this daemon that are too large for the log, the oldest first.
     large: VecDeque<(Key, Arc<Outcome>)>,
     actions: Vec<Action>,
 }
 
 impl Partition {
-    /// A machine that has read nothing and remembers `bound` records; `seed` must be random.
-    pub fn new(own: Owner, seed: u64, bound: usize) -> Partition {
+    /// A machine that has read nothing, remembers `bound` records and appends at most `together`
+    /// at once; `seed` must be random.
+    pub fn new(own: Owner, seed: u64, bound: usize, together: usize) -> Partition {
         Partition {
             own,
             seed,
             count: 0,
             keys: Keys::new(bound),
             running: BTreeMap::new(),
-            batch: Batch::default(),
+            batch: Batch::new(together),
             alive: vec![],
             reads: 0,
             current: 0,
@@ -181,6 +188,7 @@
             again: None,
             appends_fail: None,
             reads_fail: None,
+            wrote: None,
             large: VecDeque::new(),
             actions: vec![],
         }
@@ -200,6 +208,7 @@
     pub fn actions(&mut self, now: Instant) -> Vec<Action> {
         let lines = self.batch.take(now);
         if !lines.is_empty() {
+            self.wrote = Some(now);
             self.actions.push(Action::Append(lines));
         }
         self.read_on(now);
@@ -319,6 +328,8 @@
         self.reading = false;
         self.again = None;
         match end {
+            // A log that has lost records would have this daemon take known keys for new.
+            ReadEnd::Records { end, .. } if end < self.keys.next() => self.read_failed(now),
             ReadEnd::Records { records, end } => {
                 self.reads_fail = None;
                 for line in &records {
@@ -341,17 +352,24 @@
                 };
                 self.running.retain(|_, run| !ended(run));
             }
-            ReadEnd::Failed => {
-                self.reads_fail.get_or_insert(now);
-                self.again = Some(now + RETRY);
-            }
+            ReadEnd::Failed => self.read_failed(now),
         }
         self.look_all(now);
         self.tick(now);
     }
 
+    fn read_failed(&mut self, now: Instant) {
+        self.reads_fail.get_or_insert(now);
+        self.again = Some(now + RETRY);
+    }
+
     /// Gives up what is over its time.
     pub fn tick(&mut self, now: Instant) {
+        let wrote = *self.wrote.get_or_insert(now);
+        if now >= wrote + MARK_EVERY && self.batch.is_empty() {
+            let nonce = self.fresh();
+            self.batch.push(&Record::mark(nonce));
+        }
         let out = self.out(now);
         let ids: Vec<AttemptId> = self.running.keys().copied().collect();
         for id in ids {
@@ -414,7 +432,7 @@
                 };
                 self.running.retain(|_, run| !ended(run));
             }
-            Act::Abandon | Act::Settle { .. } => {}
+            Act::Abandon | Act::Settle { .. } | Act::Mark => {}
         }
     }
 }
--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -1,6 +1,6 @@
 //! What becomes of an attempt, by what the fold says of its key.
 
-use super::{Action, AttemptId, COME_BACK, Decision, Partition, Phase};
+use super::{Action, AttemptId, COME_BACK, Decision, Partition, Phase, SPREAD};
 use crate::once::keys::{Holder, Settled, State};
 use crate::once::record::{Act, Nonce, Outcome, Owner, Record};
 use crate::once::refusals::{
@@ -157,6 +157,7 @@
             State::Free if out => log_out(key),
             State::Free | State::Settled(_) => log_slow(key),
         };
-        self.refuse(id, refusal.after(COME_BACK));
+        let spread = Duration::from_millis(run.nonce % SPREAD);
+        self.refuse(id, refusal.after(COME_BACK + spread));
     }
 }
--- a/crates/roseshore_core/src/once/record.rs
+++ b/crates/roseshore_core/src/once/record.rs
@@ -50,6 +50,9 @@
         /// The answer that repeats get from now on.
         outcome: Outcome,
     },
+    /// Nothing; it keeps the window from being empty while no key comes, so that a daemon that
+    /// starts then finds out how far back the stream reaches.
+    Mark,
 }
 
 /// One life of a daemon.
@@ -101,6 +104,11 @@
         serde_json::from_str(line).ok()
     }
 
+    /// A record that is about no key.
+    pub fn mark(nonce: Nonce) -> Record {
+        Record { key: Key::new(), nonce, act: Act::Mark }
+    }
+
     /// The record of an outcome, without its body where that is too large for the log.
     pub fn outcome(key: Key, nonce: Nonce, digest: u64, outcome: &Outcome) -> Record {
         let whole = outcome.body.len() <= MAX_BODY;
--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -58,6 +58,8 @@
     Freeze(u64),
     Replace(usize),
     Trim,
+    /// The log service comes back empty.
+    Lose,
     Members,
 }
 
@@ -91,7 +93,7 @@
 impl Daemon {
     fn new(host: usize, life: u64) -> Daemon {
         let seed = host as u64 * 1000 + life;
-        let machine = Partition::new(owner(host, life), seed, 1000);
+        let machine = Partition::new(owner(host, life), seed, 1000, 512);
         let (attempts, won, sent) = Default::default();
         Daemon { machine, life, append: None, read: None, attempts, won, sent }
     }
@@ -158,6 +160,7 @@
                 self.daemons[d] = Daemon::new(d, old.life + 1);
             }
             Step::Trim => self.oldest = self.log.len(),
+            Step::Lose => self.log.clear(),
             Step::Members => {
                 let lives = self.daemons.iter().enumerate();
                 let alive: Vec<Owner> = lives.map(|(host, d)| owner(host, d.life)).collect();
@@ -553,6 +556,23 @@
     }
 }
 
+#[test]
+fn marks_keep_the_window_open() {
+    let mut world = World::new();
+    let minutes = |minutes: u64| Step::Pass(minutes * 60_000);
+    for step in [minutes(0), minutes(10), Step::Append(0, Fate::Done), minutes(2), Step::Trim] {
+        world.step(step);
+    }
+    assert_eq!(world.log.len(), 1, "one mark");
+    // The log keeps the mark; a daemon that starts now can judge a key that is made now.
+    world.oldest = 0;
+    let mut keys = Keys::new(9);
+    keys.restart(5);
+    keys.take(5, world.log[0].0, &world.log[0].1);
+    assert!(keys.is_empty());
+    assert!(keys.reaches(&format!("k@{}", EPOCH + 12 * 60_000)));
+}
+
 #[test]
 fn a_key_from_the_future_is_void() {
     let mut keys = Keys::new(9);
@@ -818,6 +838,12 @@
         then: &[Step::Reuse(1), Step::Read(1, true)],
         told: "RS405 not_run",
     },
+    Story {
+        name: "log that lost its records",
+        before: &[CLAIM, RUN, SETTLE],
+        then: &[Step::Begin(0, true), Step::Lose, Step::Read(0, true), Step::Pass(600)],
+        told: "RS502 may_have_run",
+    },
     Story {
         name: "record trimmed",
         before: &[CLAIM, RUN, SETTLE, &[Step::Trim]],
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -11,9 +11,10 @@
 
 use flume::{Receiver, Sender};
 use partition::Event;
+use roseshore_core::once::batch::MAX_RECORDS;
 use roseshore_core::once::partition::{Attempt, Decision, Work};
 use roseshore_core::once::record::{Act, Owner, Record};
-use roseshore_core::once::{partition_of, stream_of};
+use roseshore_core::once::{PARTITIONS, partition_of, stream_of};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Answers, Begin, Claim, Claims, Members, Outcome};
 use roseshore_ports::outside::{Log, Peers};
@@ -41,11 +42,13 @@
     pub partitions: usize,
     /// Records remembered in each partition.
     pub remembered: usize,
+    /// Records in one append at most.
+    pub together: usize,
 }
 
 impl Default for ClaimsConfig {
     fn default() -> ClaimsConfig {
-        ClaimsConfig { partitions: roseshore_core::once::PARTITIONS, remembered: 20_000 }
+        ClaimsConfig { partitions: PARTITIONS, remembered: 20_000, together: MAX_RECORDS }
     }
 }
 
@@ -62,7 +65,7 @@
     ) -> io::Result<ClaimsDriver> {
         let start = |index: usize| {
             let log = log.clone();
-            partition::start(stream_of(index), config.remembered, log, members.clone())
+            partition::start(stream_of(index), config, log, members.clone())
         };
         let partitions = (0..config.partitions.max(1)).map(start).collect::<io::Result<_>>()?;
         Ok(ClaimsDriver { partitions, log, peers, members })
--- a/crates/roseshored/src/claims/partition.rs
+++ b/crates/roseshored/src/claims/partition.rs
@@ -1,5 +1,6 @@
 //! The threads of one partition.
 
+use super::ClaimsConfig;
 use crate::event;
 use flume::{Receiver, RecvTimeoutError, Sender};
 use roseshore_core::event as numbered;
@@ -17,8 +18,8 @@
 use std::sync::Arc;
 use std::{io, thread};
 
-/// Records in one read at most.
-const READ_MAX: usize = 4096;
+/// Records in one read at most; with the longest answers some 11 MB.
+const READ_MAX: usize = 128;
 /// How old the view of the daemons may be while work is under way.
 const MEMBERS_EVERY: Duration = Duration::from_millis(100);
 /// The longest wait for an event.
@@ -65,7 +66,7 @@
 /// Starts the threads of the partition with this stream.
 pub(super) fn start(
     stream: String,
-    remembered: usize,
+    config: ClaimsConfig,
     log: Arc<dyn Log>,
     members: Arc<dyn Members>,
 ) -> io::Result<Sender<Event>> {
@@ -74,7 +75,7 @@
     let (reads, read_asks) = flume::unbounded();
     let own = members.own();
     let own = Owner { host: own.host, incarnation: own.incarnation };
-    let machine = Partition::new(own, rand::random(), remembered);
+    let machine = Partition::new(own, rand::random(), config.remembered, config.together);
     let callers = FxHashMap::default();
     let (name, flushing) = (stream.clone(), vec![]);
     let driver =
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -17,7 +17,7 @@
 use std::thread;
 
 const KEY: &str = "org/plates/7781";
-const CONFIG: ClaimsConfig = ClaimsConfig { partitions: 2, remembered: 1000 };
+const CONFIG: ClaimsConfig = ClaimsConfig { partitions: 2, remembered: 1000, together: 512 };
 
 /// The daemons of a test, as each sees the others.
 #[derive(Default)]
