--- a/crates/roseshore_core/src/once.rs
+++ b/crates/roseshore_core/src/once.rs
@@ -20,7 +20,10 @@
 
 /// The number of partitions of a fleet. It is no setting: two daemons that disagree would judge one
 /// key in two streams, and it could run twice.
-pub const PARTITIONS: usize = 4;
+///
+/// One append goes to one stream, so more partitions mean smaller batches: `docs/design/once.md`
+/// has the figures, and the way to more of them.
+pub const PARTITIONS: usize = 1;
 
 /// The partition that a key belongs to, below `count`.
 pub fn partition_of(key: &Key, count: usize) -> usize {
--- a/crates/roseshore_core/src/once/keys.rs
+++ b/crates/roseshore_core/src/once/keys.rs
@@ -18,13 +18,13 @@
 /// What is known of the keys of one partition.
 #[derive(Debug)]
 pub struct Keys {
-    entries: FxHashMap<Key, Entry>,
-    touched: VecDeque<(Offset, Millis, Key)>,
+    entries: FxHashMap<Arc<str>, Entry>,
+    touched: VecDeque<Touched>,
     next: Offset,
     window: Window,
     newest: Option<Millis>,
     bound: usize,
-    bodies: VecDeque<(Key, usize)>,
+    bodies: VecDeque<(Arc<str>, usize)>,
     bytes: usize,
 }
 
@@ -37,6 +37,14 @@
     start: Option<Millis>,
 }
 
+/// That a record was about a key.
+#[derive(Debug)]
+struct Touched {
+    offset: Offset,
+    time: Millis,
+    key: Arc<str>,
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     state: State,
@@ -141,12 +149,12 @@
 
     /// Where a key stands, as far as the fold reaches.
     pub fn state(&self, key: &Key) -> &State {
-        self.entries.get(key).map_or(&State::Free, |entry| &entry.state)
+        self.entries.get(key.as_str()).map_or(&State::Free, |entry| &entry.state)
     }
 
     /// Whether a claim has been seen and does not, and never will, hold its key.
     pub fn spent(&self, key: &Key, nonce: Nonce) -> bool {
-        self.entries.get(key).is_some_and(|entry| entry.spent.contains(&nonce))
+        self.entries.get(key.as_str()).is_some_and(|entry| entry.spent.contains(&nonce))
     }
 
     /// Whether every claim that the key ever had must stand inside the fold's reach.
@@ -170,9 +178,12 @@
         if record.act == Act::Mark {
             return;
         }
-        let entry = self.entries.entry(record.key.clone()).or_default();
+        let known = self.entries.get_key_value(record.key.as_str());
+        let key: Arc<str> =
+            known.map_or_else(|| record.key.as_str().into(), |(key, _)| key.clone());
+        let entry = self.entries.entry(key.clone()).or_default();
         entry.last = offset;
-        self.touched.push_back((offset, time, record.key.clone()));
+        self.touched.push_back(Touched { offset, time, key: key.clone() });
         match &record.act {
             Act::Claim { owner, digest } => {
                 let void = is_ahead(&record.key, time);
@@ -190,14 +201,14 @@
         let State::Settled(settled) = &entry.state else { return };
         if let Some(outcome) = settled.outcome.as_ref().filter(|_| settled.offset == offset) {
             self.bytes += outcome.body.len();
-            self.bodies.push_back((record.key.clone(), outcome.body.len()));
+            self.bodies.push_back((key, outcome.body.len()));
         }
     }
 
     /// Drops what was touched longest ago, and with it the right to judge keys of that age.
     fn forget(&mut self) {
         while self.touched.len() > self.bound {
-            let Some((offset, time, key)) = self.touched.pop_front() else { return };
+            let Some(Touched { offset, time, key }) = self.touched.pop_front() else { return };
             if self.entries.get(&key).is_some_and(|entry| entry.last == offset) {
                 self.entries.remove(&key);
             }
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -335,14 +335,33 @@
 
 #[test]
 fn a_flush_waits_for_the_log() {
-    let world = World::new(2);
-    let claim = world.win(0);
-    world.faults(PlatformFaults { appends_out: true, ..Default::default() });
-    run(&*world.daemons[0], &claim, answer(3));
-    assert!(!world.daemons[0].flush(Duration::from_millis(100)), "the log takes nothing");
-    world.faults(PlatformFaults::default());
-    assert!(world.daemons[0].flush(Duration::from_secs(20)));
-    assert_eq!(told(&world.begin(1)), "settled 3");
+    struct Case {
+        name: &'static str,
+        faults: PlatformFaults,
+    }
+    let cases = [
+        Case {
+            name: "refused",
+            faults: PlatformFaults { appends_out: true, ..Default::default() },
+        },
+        Case { name: "cut", faults: PlatformFaults { log_out: true, ..Default::default() } },
+        Case {
+            name: "over its rate",
+            faults: PlatformFaults { appends_limited: true, ..Default::default() },
+        },
+        Case { name: "garbled", faults: PlatformFaults { garbled: true, ..Default::default() } },
+    ];
+    for case in cases {
+        let world = World::new(2);
+        let claim = world.win(0);
+        world.faults(case.faults);
+        run(&*world.daemons[0], &claim, answer(3));
+        let early = world.daemons[0].flush(Duration::from_millis(100));
+        assert!(!early, "{}: the log tells nothing", case.name);
+        world.faults(PlatformFaults::default());
+        assert!(world.daemons[0].flush(Duration::from_secs(20)), "{}", case.name);
+        assert_eq!(told(&world.begin(1)), "settled 3", "{}", case.name);
+    }
 }
 
 #[test]
