An answer under a key is in the log before its caller has it

Ruled out: the fold and the readers (the record was never in the log). Change: settle() waits until the log has taken the outcome, 500 ms at most; in an outage the caller is answered all the same, as the work has run.

--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -197,7 +197,7 @@
     /// `true` the claim cannot be abandoned, after a `false` it has been.
     fn dispatch(&self, claim: &Claim) -> bool;
 
-    /// Records the end of a won key.
+    /// Records the end of a won key; returns once the record is safe, or after a bounded time.
     fn settle(&self, claim: &Claim, outcome: Outcome);
 
     /// Gives up a won key that was not dispatched.
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -26,6 +26,8 @@
 const ASK_LIMIT: Duration = Duration::from_secs(1);
 /// How long past its deadline an attempt waits for the machine's word.
 const GRACE: Duration = Duration::from_secs(5);
+/// How long an answer waits for its record in the log.
+const RECORD_LIMIT: Duration = Duration::from_millis(500);
 
 /// Claims keys through the log.
 pub struct ClaimsDriver {
@@ -177,7 +179,13 @@
     }
 
     fn settle(&self, claim: &Claim, outcome: Outcome) {
+        let (told, recorded) = flume::bounded(1);
         self.send(&claim.key, Event::Settle(claim.offset, outcome));
+        self.send(&claim.key, Event::Flush(told));
+        // A host that is lost right after its caller was answered must leave the answer behind.
+        // When the log does not take it in time, the caller is answered all the same, since the
+        // work has run.
+        let _ = recorded.recv_timeout(RECORD_LIMIT);
     }
 
     fn abandon(&self, claim: &Claim) {
