Claims: another body is refused as soon as the holder is read

Change: refused at once when a current read shows the holder; with the log out nobody is asked. Not current is not enough: the holder may have been freed since, and the other body have run.

--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -38,6 +38,10 @@
                     }
                     return self.decide(id, Decision::Repeat(outcome));
                 }
+                // An older holder may have been freed since, and this body have run.
+                if current && held.digest != digest && self.keys.reaches(&key) {
+                    return self.refuse(id, reused(&key));
+                }
                 let gone = held.owner.as_ref().is_none_or(|owner| self.gone(owner));
                 if current && gone {
                     self.refuse(id, unknown(&key, "its claimant is gone"));
@@ -143,13 +147,14 @@
         let current = self.current > run.earlier;
         let refusal = match self.keys.state(key) {
             State::Held(held) if held.nonce == run.nonce && self.keys.reaches(key) => late(key),
-            State::Held(held) if out => {
+            State::Held(held) if out && held.digest == run.ask.digest => {
                 let refusal = unknown(key, "the log cannot be reached").after(COME_BACK);
                 let owner = held.owner.clone();
                 let refused = Decision::Refused(refusal.clone());
                 let decision = owner.map_or(refused, |owner| Decision::AskOwner(owner, refusal));
                 return self.decide(id, decision);
             }
+            State::Held(_) if out => unknown(key, "the log cannot be reached"),
             State::Held(_) => in_progress(key),
             State::Unknown(_) => unknown(key, "its claimant got no whole reply"),
             State::Free if current && self.keys.reaches(key) && out => free_but_out(key),
