--- a/crates/roseshore_adapters/tests/engine.rs
+++ b/crates/roseshore_adapters/tests/engine.rs
@@ -7,11 +7,11 @@
 use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
 use roseshore_wire::engine::{Cancel, Generate, Holding, Order, Output, Role, Stage, Stamp};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 const LIMIT: Duration = Duration::from_secs(30);
-const SHORT: Duration = Duration::from_millis(400);
+const SHORT: Duration = Duration::from_secs(1);
 
 fn rig(stages: u16, tune: impl Fn(&mut EngineSettings)) -> Rig {
     Rig::start(stages, tune).expect("free ports")
@@ -158,10 +158,13 @@
         case("engine is full", 0, Report::Refused(503, seven), |f| f.refuse = Some(7)),
     ];
     for case in cases {
-        let rig = rig(3, |settings| settings.hop_timeout = SHORT);
-        rig.stages[case.stage].faults().change(case.fault);
+        let mut faults = EngineFaults::default();
+        (case.fault)(&mut faults);
+        let frozen = faults.freeze || faults.freeze_after.is_some();
+        let rig = rig(3, |settings| settings.hop_timeout = if frozen { SHORT } else { LIMIT });
+        rig.stages[case.stage].faults().set(faults);
         // A frozen first stage is only told by the deadline; all others end by themselves.
-        let limit = if matches!(case.report, Report::Broken(..)) { SHORT * 4 } else { LIMIT };
+        let limit = if frozen && case.stage == 0 { SHORT } else { LIMIT };
         let ask = rig.ask("answer", 1);
         check(case.name, &ask, open(&ask, limit), case.report);
     }
@@ -259,7 +262,7 @@
         let _ = socket.read(&mut [0; 16 << 10]);
         match bytes {
             Some(bytes) => drop(socket.write_all(bytes)),
-            None => thread::sleep(SHORT * 4),
+            None => thread::sleep(SHORT * 3),
         }
     });
     addr
@@ -324,21 +327,24 @@
         },
     ];
     for case in cases {
-        for (call, error) in calls(|| answers(case.reply)) {
+        for (call, error) in calls(case.reply.map_or(SHORT, |_| LIMIT), || answers(case.reply)) {
             let error = error.expect_err(case.name);
             assert!((case.kind)(&error), "{} {call}: {error:?}", case.name);
             assert_eq!(error.verdict(), case.verdict, "{} {call}", case.name);
         }
     }
-    let closed = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("bound");
-    for (call, error) in calls(closed) {
+    // The port of a client's side: nobody listens on it, and nobody else can meanwhile.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let socket = listener.local_addr().and_then(TcpStream::connect).expect("connected");
+    let closed = socket.local_addr().expect("bound");
+    for (call, error) in calls(LIMIT, || closed) {
         let error = error.expect_err("connection refused");
         assert!(matches!(error, CallError::Unreached(_)), "connection refused {call}: {error:?}");
     }
 }
 
 /// Each kind of call once, every one to a server of its own.
-fn calls(server: impl Fn() -> SocketAddr) -> Vec<(&'static str, Called<()>)> {
+fn calls(limit: Duration, server: impl Fn() -> SocketAddr) -> Vec<(&'static str, Called<()>)> {
     let client = EngineClient::new();
     let cancel = Cancel { answer: "answer".to_owned(), epoch: 1, keep_kv: false };
     let addr = server();
@@ -347,14 +353,14 @@
     ask.route.push(stage);
     // A stream's line is read after its head has come: that fault ends the stream.
     let streamed = client
-        .generate(addr, &ask, Instant::now() + SHORT)
+        .generate(addr, &ask, Instant::now() + limit)
         .and_then(|stream| hear(&ask, &stream).end.unwrap_or(Ok(())));
     let mut outcomes = vec![("generate", streamed)];
-    outcomes.push(("load", client.load(server(), SHORT).map(drop)));
-    outcomes.push(("cache", client.cache(server(), 0, SHORT).map(drop)));
-    outcomes.push(("order", client.order(server(), &order(1, VERSION), SHORT).map(drop)));
+    outcomes.push(("load", client.load(server(), limit).map(drop)));
+    outcomes.push(("cache", client.cache(server(), 0, limit).map(drop)));
+    outcomes.push(("order", client.order(server(), &order(1, VERSION), limit).map(drop)));
     let addr = server();
-    let cancelled = client.cancel(addr, &cancel, SHORT);
+    let cancelled = client.cancel(addr, &cancel, limit);
     // A cancel has no body to be read: only what the status and the length say counts.
     if cancelled.is_err() {
         outcomes.push(("cancel", cancelled));
--- a/crates/roseshore_fakes/src/engine/kv.rs
+++ b/crates/roseshore_fakes/src/engine/kv.rs
@@ -9,6 +9,7 @@
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::Kv;
 use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The KV caches of one engine.
 pub(super) struct KvStore {
@@ -141,7 +142,8 @@
     pub(super) fn export(&self, answer: &RequestId) -> Option<Kv> {
         let inner = self.inner.lock();
         let cache = inner.caches.get(answer)?;
-        let bytes: Vec<u8> = cache.digests.iter().flat_map(|d| d.to_le_bytes()).collect();
+        let mut bytes: Vec<u8> = cache.digests.iter().flat_map(|d| d.to_le_bytes()).collect();
+        bytes.extend(xxh3_64(&bytes).to_le_bytes());
         Some(Kv {
             answer: answer.clone(),
             epoch: cache.epoch,
@@ -159,10 +161,12 @@
     /// When its content is not what it says.
     pub(super) fn import(&self, kv: &Kv) -> Result<(), String> {
         let bytes = STANDARD.decode(&kv.content).map_err(|e| e.to_string())?;
-        let (chunks, rest) = bytes.as_chunks::<8>();
+        let (content, sum) = bytes.split_last_chunk::<8>().ok_or("the content is empty")?;
+        let (chunks, rest) = content.as_chunks::<8>();
         let digests: Vec<u64> = chunks.iter().map(|c| u64::from_le_bytes(*c)).collect();
-        let whole = rest.is_empty() && digests.len() as u64 == kv.tokens;
-        if !whole || digests.last().copied().unwrap_or(0) != kv.digest {
+        let whole = rest.is_empty() && u64::from_le_bytes(*sum) == xxh3_64(content);
+        let digest = digests.last().copied().unwrap_or(0);
+        if !whole || digests.len() as u64 != kv.tokens || digest != kv.digest {
             return Err("the content does not match its digest".to_owned());
         }
         let mut inner = self.inner.lock();
--- a/crates/roseshore_fakes/src/engine/slots.rs
+++ b/crates/roseshore_fakes/src/engine/slots.rs
@@ -69,3 +69,6 @@
         self.slots.give();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/roseshore_fakes/src/http.rs
+++ b/crates/roseshore_fakes/src/http.rs
@@ -14,7 +14,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
-use tiny_http::{Header, Request, Response, StatusCode};
+use tiny_http::{Header, Response, StatusCode};
+
+pub use tiny_http::Request;
 
 /// The longest request body, bytes.
 pub const MAX_BODY: u64 = 16 << 20;
@@ -267,6 +269,16 @@
     open: bool,
 }
 
+// The buffer below belongs to the connection and outlives the response: what the encoder wrote on
+// its drop would stay there for as long as the connection is kept open.
+impl Drop for Valve {
+    fn drop(&mut self) {
+        if self.open {
+            let _ = self.out.flush();
+        }
+    }
+}
+
 impl Write for Valve {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if self.open { self.out.write(bytes) } else { Err(io::ErrorKind::BrokenPipe.into()) }
