--- a/crates/roseshore_fakes/src/engine/core.rs
+++ b/crates/roseshore_fakes/src/engine/core.rs
@@ -4,7 +4,7 @@
 use super::cache::PrefixCache;
 use super::faults::EngineFaults;
 use super::kv::KvStore;
-use super::link::Directory;
+use super::link::{self, Directory};
 use super::loader::HoldingCell;
 use super::settings::{Death, EngineSettings};
 use super::slots::Slots;
@@ -81,6 +81,7 @@
             return;
         }
         self.answers.shut_all();
+        link::wake(self.hops);
         let _ = self.end.0.try_send(());
     }
 
--- a/crates/roseshore_fakes/src/engine/link.rs
+++ b/crates/roseshore_fakes/src/engine/link.rs
@@ -19,9 +19,6 @@
 
 /// How long the making of a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often the end of the stand-in is looked for while nobody connects.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Down the chain.
 #[derive(Debug, Serialize, Deserialize)]
 enum Down {
@@ -172,21 +169,25 @@
 /// Takes connections of earlier stages until the stand-in ends.
 pub(super) fn listen(core: Arc<Core>, listener: TcpListener) {
     thread::spawn(move || {
-        if listener.set_nonblocking(true).is_err() {
-            return;
-        }
-        while !core.over() {
-            match listener.accept() {
-                Ok((socket, _)) => take(core.clone(), socket),
-                Err(_) => thread::sleep(ACCEPT_PAUSE),
+        for socket in listener.incoming() {
+            if core.over() {
+                return;
+            }
+            if let Ok(socket) = socket {
+                take(core.clone(), socket);
             }
         }
     });
 }
 
+/// Lets the thread that takes connections see that the stand-in has ended.
+pub(super) fn wake(listener: SocketAddr) {
+    let _ = TcpStream::connect_timeout(&listener, CONNECT_TIMEOUT);
+}
+
 fn take(core: Arc<Core>, socket: TcpStream) {
     thread::spawn(move || {
-        if socket.set_nonblocking(false).is_ok() && socket.set_nodelay(true).is_ok() {
+        if socket.set_nodelay(true).is_ok() {
             // An end of the connection in any way is the end of the work; nobody is left to tell.
             let _ = serve(&core, socket);
         }
