Routing tells answers which of their targets leave

Cause: `Router::leaving` had only its default, so that no answer was ever handed over in the daemon. Change: the target's own report, what routing knows of its host, or the members' word. Border: a small addition in routing's driver.

--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -188,6 +188,19 @@
     fn observed(&self, target: &TargetId, took: Duration) {
         self.state.lock().router.observed(target, took, Instant::now());
     }
+
+    fn leaving(&self, target: &TargetId) -> bool {
+        let state = self.state.lock();
+        let loads = state.router.loads();
+        let Some(row) = loads.find(target).map(|index| loads.row(index)) else {
+            return false;
+        };
+        let known = row.leaving || row.closing;
+        let host = row.host.clone();
+        // Other parts are asked without the lock.
+        drop(state);
+        known || self.members.leaving(&host)
+    }
 }
 
 impl Reports for Routing {
--- a/crates/roseshored/tests/routing.rs
+++ b/crates/roseshored/tests/routing.rs
@@ -128,6 +128,10 @@
         }
         hosts.0.lock().extend(case.leaving.iter().map(|id| (*id).to_owned()));
         case.failed.iter().for_each(|id| routing.failed(&(*id).to_owned()));
+        for id in ["e1", "e2"] {
+            let leaves = case.leaving.contains(&format!("host-{id}").as_str());
+            assert_eq!(routing.leaving(&id.to_owned()), leaves, "{}: {id}", case.name);
+        }
         let mut chosen = BTreeSet::new();
         // Permits are held, so that queues grow and every usable target is chosen.
         let mut permits = Vec::new();
