Answers: a full pool is not the target's fault

Cause: when every thread for opens was held up, the next answer counted its first stage as not reached and reported it failed, so that a healthy target was taken out of use. Change: it counts as full (nothing ran, nobody blamed). No test: the pool of 1024 is process-wide; the machine's side is the case `first stage full`.

--- a/crates/roseshored/src/answer/hands.rs
+++ b/crates/roseshored/src/answer/hands.rs
@@ -98,7 +98,9 @@
             let _ = post.send(report);
         });
         if SHARED.opens.run(job).is_err() {
-            let input = Input::Unopened(epoch, Failure::Unreached);
+            // This daemon is full, not the target: nothing was sent, and the target is not blamed.
+            let full = Failure::Refused { status: 503, after: None };
+            let input = Input::Unopened(epoch, full);
             let _ = self.post.send(Report::Input(input));
         }
     }
