--- a/crates/roseshore_bench/src/lib.rs
+++ b/crates/roseshore_bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measurements, the load tool, and the matrix of proofs.
 
+pub mod answer;
 pub mod proofs;
