--- a/crates/roseshore_core/src/config/state.rs
+++ b/crates/roseshore_core/src/config/state.rs
@@ -297,8 +297,10 @@
                 self.sum = self.sum.wrapping_sub(old.hash(&id));
             }
         }
-        while let Some((_, key)) = self.gone_order.first().filter(|it| it.0 < before).cloned() {
-            self.revive(&key);
+        while self.gone_order.first().is_some_and(|it| it.0 < before) {
+            if let Some((_, key)) = self.gone_order.pop_first() {
+                self.revive(&key);
+            }
         }
     }
 }
