--- a/crates/roseshore_core/tests/config.rs
+++ b/crates/roseshore_core/tests/config.rs
@@ -75,6 +75,8 @@
     last: &'static str,
 }
 
+// One table, a line or two for each case.
+#[allow(clippy::too_many_lines)]
 fn verdicts() -> Vec<Verdicts> {
     let one = |name, edits: &[Edit<'_>], last| Verdicts {
         name,
@@ -287,13 +289,13 @@
 
 #[test]
 fn a_repeat_past_the_window_changes_nothing() {
-    let create = |id: &str| command(id, 0, &[("organisation", id, None, org(1.0))]);
-    let delete = command("d", 0, &[("organisation", "x", Some(0), Value::Null)]);
     struct Case {
         name: &'static str,
         place: Offset,
         want: &'static str,
     }
+    let create = |id: &str| command(id, 0, &[("organisation", id, None, org(1.0))]);
+    let delete = command("d", 0, &[("organisation", "x", Some(0), Value::Null)]);
     let cases = [
         Case { name: "the last remembered place", place: WINDOW, want: "repeat of 0" },
         Case { name: "one place later", place: WINDOW + 1, want: "too old" },
@@ -415,13 +417,13 @@
 
 #[test]
 fn snapshots_are_checked() {
-    let (state, _) = fold(&[base()]);
-    let part = Snapshot::records(&state).remove(0);
     struct Case {
         name: &'static str,
         data: String,
         want: &'static str,
     }
+    let (state, _) = fold(&[base()]);
+    let part = Snapshot::records(&state).remove(0);
     let cases = [
         Case { name: "whole", data: part.clone(), want: "Ok(true)" },
         Case {
--- a/crates/roseshore_core/tests/config_submit.rs
+++ b/crates/roseshore_core/tests/config_submit.rs
@@ -361,6 +361,12 @@
 
 #[test]
 fn records_are_pulled_from_whoever_is_ahead() {
+    struct Case {
+        name: &'static str,
+        offset: Offset,
+        failures: usize,
+        want: Option<&'static str>,
+    }
     let peer = |host: &str, near, offset| Peer { host: host.into(), near, offset, digest: offset };
     let peers = [
         peer("far", false, 9),
@@ -368,12 +374,6 @@
         peer("behind", true, 3),
         peer("top", true, 8),
     ];
-    struct Case {
-        name: &'static str,
-        offset: Offset,
-        failures: usize,
-        want: Option<&'static str>,
-    }
     let cases = [
         Case { name: "the near one that is furthest", offset: 3, failures: 0, want: Some("top") },
         Case { name: "the next after a failure", offset: 3, failures: 1, want: Some("near") },
@@ -394,7 +394,6 @@
 
 #[test]
 fn a_snapshot_is_written_when_due_by_the_first_alone() {
-    let minutes = |it: u64| Duration::from_mins(it);
     struct Case {
         name: &'static str,
         first: bool,
@@ -402,6 +401,7 @@
         newest: Option<(Offset, u64)>,
         want: Keep,
     }
+    let minutes = |it: u64| Duration::from_mins(it);
     let cases = [
         Case { name: "no records yet", first: true, offset: 0, newest: None, want: Keep::Nothing },
         Case {
