Configuration's driver proved over several daemons and a log in memory

Cause: the fold is right by itself; that records reach every daemon, through cuts, lost replies, trimmed logs and starts without the log, is the driver's part. Change: tests/fleets.rs, six daemons in three data centres as threads over fakes of Log, Members and Peers, waiting for conditions within 30 s. First red by the fake: a long poll begun before a cut brought a record after it; the fake holds such an answer back now.

--- /dev/null
+++ b/crates/roseshored/tests/fleets.rs
@@ -0,0 +1,460 @@
+//! The configuration's driver: several daemons in one process over a log in memory.
+
+use parking_lot::{Condvar, Mutex};
+use roseshore_core::config::{
+    Command, KeeperLimits, ReaderLimits, SNAPSHOTS, STREAM, Settled, State,
+};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Answers, Fleets, Member, MemberState, Members};
+use roseshore_ports::outside::{CallError, Called, Log, Peers};
+use roseshore_wire::peer::{Ask, Reply};
+use roseshore_wire::platform::{Record, Records};
+use roseshored::fleets::{FleetDriver, FleetSettings};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const BOUND: Duration = Duration::from_secs(30);
+const CENTRES: [&str; 3] = ["korangi", "clifton", "landhi"];
+
+#[derive(Default)]
+struct Stream {
+    records: Vec<Record>,
+    oldest: usize,
+}
+
+#[derive(Default)]
+struct Faults {
+    /// Data centres that cannot reach the log.
+    platform: BTreeSet<String>,
+    /// Data centres that cannot reach the others.
+    peers: BTreeSet<String>,
+    /// Appends to come whose reply is lost after the effect.
+    lose: u32,
+}
+
+/// What all daemons share: the log, and what is cut.
+#[derive(Default)]
+struct World {
+    streams: Mutex<BTreeMap<String, Stream>>,
+    grown: Condvar,
+    faults: Mutex<Faults>,
+}
+
+impl World {
+    fn add(&self, stream: &str, data: &[String]) -> Offset {
+        let mut streams = self.streams.lock();
+        let records = &mut streams.entry(stream.to_owned()).or_default().records;
+        let first = records.len() as Offset;
+        let record =
+            |(offset, it): (Offset, &String)| Record { offset, time_ms: 0, data: it.clone() };
+        records.extend((first..).zip(data).map(record));
+        self.grown.notify_all();
+        first
+    }
+
+    fn trim(&self, stream: &str, oldest: usize) {
+        self.streams.lock().entry(stream.to_owned()).or_default().oldest = oldest;
+    }
+
+    fn end(&self, stream: &str) -> usize {
+        self.streams.lock().get(stream).map_or(0, |it| it.records.len())
+    }
+}
+
+/// The log as one data centre reaches it.
+struct Reach(Arc<World>, String);
+
+impl Reach {
+    fn open(&self) -> Called<()> {
+        let cut = self.0.faults.lock().platform.contains(&self.1);
+        if cut { Err(CallError::Unreached("cut off".into())) } else { Ok(()) }
+    }
+}
+
+impl Log for Reach {
+    fn append(&self, stream: &str, records: &[String]) -> Called<Offset> {
+        self.open()?;
+        let first = self.0.add(stream, records);
+        let mut faults = self.0.faults.lock();
+        if faults.lose > 0 && stream == STREAM {
+            faults.lose -= 1;
+            return Err(CallError::Lost("reply lost".into()));
+        }
+        Ok(first)
+    }
+
+    fn read(&self, stream: &str, from: Offset, max: usize, wait: Duration) -> Called<Records> {
+        self.open()?;
+        let mut streams = self.0.streams.lock();
+        let until = Instant::now() + wait;
+        while streams.get(stream).is_none_or(|it| it.records.len() as Offset <= from) {
+            if self.0.grown.wait_until(&mut streams, until).timed_out() {
+                break;
+            }
+        }
+        // A cut holds back the answer to a long poll too.
+        self.open()?;
+        let Stream { records, oldest } = streams.entry(stream.to_owned()).or_default();
+        let (oldest, end) = (*oldest as Offset, records.len() as Offset);
+        if from < oldest {
+            return Err(CallError::Trimmed(oldest, end));
+        }
+        let records = records.iter().skip(from as usize).take(max).cloned().collect();
+        Ok(Records { records, end, oldest })
+    }
+}
+
+struct Node {
+    host: HostId,
+    centre: DataCentreId,
+    addr: SocketAddr,
+    driver: Arc<FleetDriver>,
+}
+
+/// The daemons; each one's view of the others, by heartbeats that a cut keeps back.
+#[derive(Default)]
+struct Net {
+    nodes: Mutex<Vec<Arc<Node>>>,
+    world: Arc<World>,
+}
+
+struct View {
+    net: Arc<Net>,
+    own: HostId,
+    seen: Mutex<BTreeMap<HostId, Member>>,
+}
+
+impl Net {
+    fn connected(&self, a: &str, b: &str) -> bool {
+        let faults = self.world.faults.lock();
+        a == b || !(faults.peers.contains(a) || faults.peers.contains(b))
+    }
+
+    fn node(&self, host: &str) -> Arc<Node> {
+        Arc::clone(self.nodes.lock().iter().find(|it| it.host == host).expect("a node"))
+    }
+}
+
+fn member(node: &Node) -> Member {
+    let (offset, digest) = node.driver.inspect(|it| (it.offset(), it.digest()));
+    Member {
+        host: node.host.clone(),
+        data_centre: node.centre.clone(),
+        peer: node.addr,
+        incarnation: 1,
+        state: MemberState::Alive,
+        offset,
+        digest,
+    }
+}
+
+impl Members for View {
+    fn own(&self) -> Member {
+        member(&self.net.node(&self.own))
+    }
+
+    fn all(&self) -> Vec<Member> {
+        let own = self.net.node(&self.own);
+        let nodes = self.net.nodes.lock().clone();
+        let mut seen = self.seen.lock();
+        for node in nodes.iter().filter(|it| self.net.connected(&own.centre, &it.centre)) {
+            seen.insert(node.host.clone(), member(node));
+        }
+        seen.values().cloned().collect()
+    }
+
+    fn ranked(&self, _: &str) -> Vec<Member> {
+        let centre = self.own().data_centre;
+        self.all().into_iter().filter(|it| it.data_centre == centre).collect()
+    }
+
+    fn leaving(&self, _: &HostId) -> bool {
+        false
+    }
+}
+
+impl Peers for View {
+    fn ask(&self, addr: SocketAddr, ask: &Ask, _: Duration) -> Called<Reply> {
+        let own = self.net.node(&self.own);
+        let nodes = self.net.nodes.lock().clone();
+        let asked = nodes.iter().find(|it| it.addr == addr);
+        let asked = asked.filter(|it| self.net.connected(&own.centre, &it.centre));
+        let asked = asked.ok_or_else(|| CallError::Unreached("cut off".into()))?;
+        asked.driver.answer(ask).ok_or_else(|| CallError::Lost("no answer".into()))
+    }
+}
+
+/// Daemons that are stopped when the test ends.
+struct Cluster {
+    net: Arc<Net>,
+    views: BTreeMap<HostId, Arc<View>>,
+}
+
+impl Cluster {
+    fn new() -> Cluster {
+        Cluster { net: Arc::new(Net::default()), views: BTreeMap::new() }
+    }
+
+    fn world(&self) -> &World {
+        &self.net.world
+    }
+
+    fn start(&mut self, centre: &str) -> Arc<Node> {
+        let index = self.views.len();
+        let host = format!("{centre}-{index}");
+        let log = Arc::new(Reach(Arc::clone(&self.net.world), centre.into()));
+        let ms = Duration::from_millis;
+        let settings = FleetSettings {
+            reader: ReaderLimits {
+                readers: 1,
+                wait: ms(100),
+                backstop: ms(400),
+                pause: ms(10),
+                most: ms(100),
+            },
+            keeper: KeeperLimits { records: 8, age: Duration::from_hours(1), pause: ms(50) },
+            tick: ms(10),
+            peer: ms(500),
+        };
+        let driver = FleetDriver::new(log, settings);
+        let addr = SocketAddr::from(([127, 0, 0, 1], 9000 + index as u16));
+        let node = Arc::new(Node { host: host.clone(), centre: centre.into(), addr, driver });
+        self.net.nodes.lock().push(Arc::clone(&node));
+        let view = View { net: Arc::clone(&self.net), own: host.clone(), seen: Mutex::default() };
+        let view = Arc::new(view);
+        node.driver.start(view.clone(), view.clone()).expect("threads");
+        self.views.insert(host, view);
+        node
+    }
+
+    /// Two daemons in each data centre.
+    fn full() -> (Cluster, Vec<Arc<Node>>) {
+        let mut cluster = Cluster::new();
+        let nodes = CENTRES.iter().chain(&CENTRES).map(|it| cluster.start(it)).collect();
+        (cluster, nodes)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.net.nodes.lock().iter().for_each(|it| it.driver.stop());
+    }
+}
+
+fn command(id: &str, base: Option<Offset>, rate: u32) -> Command {
+    let text = format!(
+        r#"{{"format":1,"id":"{id}","operator":"op-{id}","made_at":0,"changes":[{{
+            "key":{{"kind":"organisation","id":"o"}},"base":null,"put":{{"organisation":{{"rate":{rate}}}}}}}]}}"#
+    );
+    let mut command: Command = serde_json::from_str(&text).expect("a command");
+    command.changes[0].base = base;
+    command
+}
+
+fn submit(node: &Node, command: &Command, wait: Duration) -> Settled {
+    node.driver.submit(command, Instant::now() + wait)
+}
+
+fn rate(node: &Node) -> Option<f64> {
+    Some(node.driver.current()?.fleet.organisations.get("o")?.rate)
+}
+
+/// Waits for a condition; nothing here is timed.
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let until = Instant::now() + BOUND;
+    while !holds() {
+        assert!(Instant::now() < until, "not within the bound: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn cut(cluster: &Cluster, platform: &[&str], peers: &[&str]) {
+    let mut faults = cluster.world().faults.lock();
+    faults.platform = platform.iter().map(|it| (*it).to_owned()).collect();
+    faults.peers = peers.iter().map(|it| (*it).to_owned()).collect();
+}
+
+fn noise(count: usize) -> Vec<String> {
+    vec!["noise".into(); count]
+}
+
+#[test]
+fn an_accepted_command_is_in_force_everywhere() {
+    let (cluster, nodes) = Cluster::full();
+    assert!(nodes.iter().all(|it| it.driver.current().is_none()), "nothing is declared yet");
+    assert_eq!(submit(&nodes[4], &command("a", None, 5), BOUND), Settled::Accepted(0));
+    eventually("every daemon has it", || nodes.iter().all(|it| rate(it) == Some(5.0)));
+    let view = &cluster.views[&nodes[4].host];
+    let spread = nodes[4].driver.settle_everywhere(&**view, 0, Instant::now() + BOUND);
+    assert_eq!((spread.in_force.len(), spread.unconfirmed.len()), (3, 0));
+    let digests: BTreeSet<u64> = nodes.iter().map(|it| it.driver.inspect(State::digest)).collect();
+    assert_eq!(digests.len(), 1);
+}
+
+#[test]
+fn racing_operators_get_one_winner() {
+    let (_cluster, nodes) = Cluster::full();
+    let racers = nodes.iter().enumerate().map(|(index, node)| {
+        let node = Arc::clone(node);
+        std::thread::spawn(move || submit(&node, &command(&format!("c{index}"), None, 1), BOUND))
+    });
+    let racers: Vec<_> = racers.collect();
+    let ends: Vec<Settled> = racers.into_iter().map(|it| it.join().expect("an end")).collect();
+    let won = ends.iter().filter(|it| matches!(it, Settled::Accepted(_))).count();
+    let named = |it: &&Settled| matches!(it, Settled::Rejected(Code::CommandConflict, Some(_), why) if why.contains("changed it with command"));
+    assert_eq!((won, ends.iter().filter(named).count()), (1, nodes.len() - 1), "{ends:?}");
+}
+
+#[test]
+fn a_lost_reply_is_settled_by_reading() {
+    let (cluster, nodes) = Cluster::full();
+    cluster.world().faults.lock().lose = 1;
+    assert_eq!(submit(&nodes[0], &command("a", None, 5), BOUND), Settled::Accepted(0));
+    assert_eq!(
+        submit(&nodes[1], &command("a", None, 5), BOUND),
+        Settled::Accepted(0),
+        "sent again"
+    );
+    eventually("everywhere", || nodes.iter().all(|it| rate(it) == Some(5.0)));
+}
+
+/// What is cut while a command is accepted elsewhere, and whether the cut data centre gets it.
+struct Cut {
+    name: &'static str,
+    platform: &'static [&'static str],
+    peers: &'static [&'static str],
+    reached: bool,
+}
+
+#[test]
+fn a_cut_data_centre_serves_on_and_rejoins() {
+    let cases = [
+        Cut { name: "cut off from all", platform: &["landhi"], peers: &["landhi"], reached: false },
+        Cut { name: "cut off from the platform", platform: &["landhi"], peers: &[], reached: true },
+        Cut { name: "cut off from the others", platform: &[], peers: &["landhi"], reached: true },
+    ];
+    for case in cases {
+        let (cluster, nodes) = Cluster::full();
+        assert_eq!(submit(&nodes[0], &command("a", None, 5), BOUND), Settled::Accepted(0));
+        eventually("the first everywhere", || nodes.iter().all(|it| rate(it) == Some(5.0)));
+        cut(&cluster, case.platform, case.peers);
+        assert_eq!(
+            submit(&nodes[0], &command("b", Some(0), 6), BOUND),
+            Settled::Accepted(1),
+            "{}",
+            case.name
+        );
+        if case.reached {
+            eventually(case.name, || nodes.iter().all(|it| rate(it) == Some(6.0)));
+        } else {
+            let view = &cluster.views[&nodes[0].host];
+            let unconfirmed = || nodes[0].driver.spread(&**view, 1).unconfirmed;
+            eventually("only the cut one is behind", || unconfirmed() == ["landhi"]);
+            assert_eq!(rate(&nodes[2]), Some(5.0), "{}: serves what it knew", case.name);
+        }
+        if !case.platform.is_empty() {
+            let end = submit(&nodes[2], &command("c", Some(0), 7), BOUND);
+            let plain = matches!(end, Settled::Rejected(Code::LogUnreachable, None, _));
+            assert!(plain, "{}: {end:?}", case.name);
+        }
+        cut(&cluster, &[], &[]);
+        eventually("rejoined", || nodes.iter().all(|it| rate(it) == Some(6.0)));
+        assert_eq!(cluster.world().end(STREAM), 2, "{}: the rejected one never comes", case.name);
+    }
+}
+
+/// What a daemon that starts finds.
+struct Start {
+    name: &'static str,
+    /// Records of the log besides the one that declares the organisation.
+    records: usize,
+    /// Whether the log has forgotten them.
+    trimmed: bool,
+    /// Whether the log is out.
+    out: bool,
+    /// Whether other daemons are there.
+    peers: bool,
+    ready: bool,
+}
+
+#[test]
+fn a_new_daemon_finds_the_configuration_or_says_that_it_has_none() {
+    let cases = [
+        Start {
+            name: "the log alone",
+            records: 3,
+            trimmed: false,
+            out: false,
+            peers: false,
+            ready: true,
+        },
+        Start {
+            name: "a trimmed log with a snapshot",
+            records: 20,
+            trimmed: true,
+            out: false,
+            peers: false,
+            ready: true,
+        },
+        Start {
+            name: "the log is out, peers have the records",
+            records: 3,
+            trimmed: false,
+            out: true,
+            peers: true,
+            ready: true,
+        },
+        Start {
+            name: "the log is out, peers have a snapshot only",
+            records: 2000,
+            trimmed: false,
+            out: true,
+            peers: true,
+            ready: true,
+        },
+        Start {
+            name: "the log is out and nobody is there",
+            records: 3,
+            trimmed: false,
+            out: true,
+            peers: false,
+            ready: false,
+        },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::new();
+        let old = cluster.start(CENTRES[0]);
+        assert_eq!(submit(&old, &command("a", None, 5), BOUND), Settled::Accepted(0));
+        cluster.world().add(STREAM, &noise(case.records));
+        let end = case.records as Offset + 1;
+        eventually("the old one has all", || old.driver.inspect(State::offset) == end);
+        if case.trimmed {
+            eventually("a snapshot", || cluster.world().end(SNAPSHOTS) > 0);
+            cluster.world().trim(STREAM, case.records);
+            // What the snapshot may lack is kept; the hole before it is what matters.
+            eventually("a late snapshot", || {
+                cluster.world().add(STREAM, &noise(1));
+                std::thread::sleep(Duration::from_millis(20));
+                cluster.world().end(SNAPSHOTS) > 2
+            });
+        }
+        if !case.peers {
+            old.driver.stop();
+            cluster.net.nodes.lock().clear();
+        }
+        if case.out {
+            cut(&cluster, &CENTRES, &[]);
+        }
+        let new = cluster.start(CENTRES[1]);
+        if case.ready {
+            eventually(case.name, || rate(&new) == Some(5.0));
+            assert!(new.driver.inspect(State::offset) >= end, "{}: not an old state", case.name);
+        } else {
+            std::thread::sleep(Duration::from_millis(300));
+            assert!(new.driver.current().is_none(), "{}", case.name);
+            cut(&cluster, &[], &[]);
+            eventually("the log is back", || rate(&new) == Some(5.0));
+        }
+    }
+}
