--- a/crates/roseshore_core/tests/once_reused.rs
+++ b/crates/roseshore_core/tests/once_reused.rs
@@ -83,7 +83,7 @@
     ];
     for case in cases {
         let own = Owner { host: "h".into(), incarnation: 1 };
-        let machine = Partition::new(own, 1, 100);
+        let machine = Partition::new(own, 1, 100, 512);
         let mut world = World { machine, log: Vec::new(), now: Instant::now() };
         world.begin(1);
         let Some(Decision::Won(offset)) = world.turn(true) else { panic!("{}", case.name) };
