Targets polled by one daemon, reports shared with heartbeats

Polling is decided in the core: first in rendezvous order polls, the next ones when nobody has told them of a target, later the further down they stand. That covers a dead poller and one whose word does not get here alike. Two failed polls, the second at once, put a target out of use; that is told at once.

Ruled out: taking over only by membership (a cut one way between two live daemons leaves the deaf one without reports: its property fails); a separate connection for reports (headers of their own for some 15 bytes of counts; they ride on heartbeats).

--- a/crates/roseshore_core/src/polling.rs
+++ b/crates/roseshore_core/src/polling.rs
@@ -26,8 +26,12 @@
     pub stagger: Duration,
     /// Failed polls after which a target is out of use.
     pub misses: u32,
+    /// How often a target that another daemon polls is looked at.
+    pub recheck: Duration,
     /// Polls under way at once.
     pub inflight: usize,
+    /// A poll of which nothing was heard for so long is no longer under way.
+    pub abandon: Duration,
 }
 
 impl Default for Settings {
@@ -39,7 +43,9 @@
             missing: 3,
             stagger: Duration::from_millis(100),
             misses: 2,
+            recheck: Duration::from_millis(50),
             inflight: 16,
+            abandon: Duration::from_secs(2),
         }
     }
 }
@@ -102,18 +108,28 @@
     /// What is due. `place` is this daemon's place in the order for a target, `None` if it is not
     /// to poll at all; call it with a view that is not stale.
     pub fn tick(&mut self, now: Instant, place: impl Fn(&str) -> Option<usize>) -> Vec<Action> {
-        let mut due: Vec<_> = self.watches.iter().filter(|(_, w)| w.ready(now)).collect();
-        due.sort_by_key(|(_, w)| w.due);
+        for watch in self.watches.values_mut() {
+            let abandon = self.settings.abandon;
+            watch.asked = watch.asked.filter(|at| now.saturating_duration_since(*at) < abandon);
+        }
         let busy = self.watches.values().filter(|w| w.asked.is_some()).count();
-        let room = self.settings.inflight.saturating_sub(busy);
-        let mine = due.into_iter().filter(|(t, w)| self.turn(w, place(t), now));
-        let targets: Vec<_> = mine.take(room).map(|(t, _)| t.clone()).collect();
-        for target in &targets {
-            if let Some(watch) = self.watches.get_mut(target) {
-                watch.asked = Some(now);
+        let mut room = self.settings.inflight.saturating_sub(busy);
+        let mut due: Vec<_> = self.watches.iter_mut().filter(|(_, w)| w.ready(now)).collect();
+        due.sort_by_key(|(_, w)| w.due);
+        let mut actions = Vec::new();
+        for (target, watch) in due {
+            if !watch.turn(&self.settings, place(target), now) {
+                watch.due = now + self.settings.recheck;
+                continue;
             }
+            if room == 0 {
+                break;
+            }
+            room -= 1;
+            watch.asked = Some(now);
+            actions.push(Action::Poll(target.clone()));
         }
-        targets.into_iter().map(Action::Poll).collect()
+        actions
     }
 
     /// A target answered a poll.
@@ -157,16 +173,6 @@
         self.watches.get(target).is_some_and(|w| w.lost)
     }
 
-    fn turn(&self, watch: &Watch, place: Option<usize>, now: Instant) -> bool {
-        let Some(place) = place else { return false };
-        if place == 0 {
-            return true;
-        }
-        let usual = if watch.lost { self.settings.probe } else { self.settings.period };
-        let wait = usual * self.settings.missing + self.settings.stagger * (place as u32 - 1);
-        now.saturating_duration_since(watch.seen) >= wait
-    }
-
     /// Spreads the first polls of many targets over a period.
     fn phase(&self, target: &str) -> Duration {
         let hash = crate::membership::weight("phase", target);
@@ -182,6 +188,17 @@
         self.asked.is_none() && self.due <= now
     }
 
+    /// Whether this daemon, with its place in the order, is to poll now.
+    fn turn(&self, settings: &Settings, place: Option<usize>, now: Instant) -> bool {
+        let Some(place) = place else { return false };
+        if place == 0 {
+            return true;
+        }
+        let usual = if self.lost { settings.probe } else { settings.period };
+        let wait = usual * settings.missing + settings.stagger * (place as u32 - 1);
+        now.saturating_duration_since(self.seen) >= wait
+    }
+
     fn heard(&mut self, target: &TargetId, silent: bool, seen: Instant) -> Vec<Action> {
         self.seen = self.seen.max(seen);
         let was = std::mem::replace(&mut self.lost, silent);
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod front;
 pub mod gate;
 pub mod ledger;
+pub mod loads;
 pub mod lookups;
 pub mod members;
 pub mod operators;
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -11,7 +11,7 @@
 use roseshore_ports::inside::{Fleets, Member, MemberState, Members};
 use roseshore_ports::outside::{Datagrams, HostList, Received};
 use roseshore_wire::frame::MAX_DATAGRAM;
-use roseshore_wire::peer::{Datagram, LoadNote};
+use roseshore_wire::peer::{Datagram, LoadNote, NoteContent};
 use roseshore_wire::platform::{HostState, Hosts};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +56,17 @@
     pub notes: Vec<LoadNote>,
 }
 
+/// A report for the peers.
+#[derive(Clone, Debug)]
+pub struct Fresh {
+    /// When the target was polled; its age is worked out when it is sent.
+    pub seen: Instant,
+    /// What it said.
+    pub content: NoteContent,
+    /// Whether it cannot wait for the next heartbeat.
+    pub urgent: bool,
+}
+
 /// The daemons, as this one sees them.
 pub struct MemberDriver {
     view: Mutex<Membership>,
@@ -63,7 +74,7 @@
     list: Arc<dyn HostList>,
     fleets: Arc<dyn Fleets>,
     drain: Arc<Drain>,
-    outbox: flume::Sender<LoadNote>,
+    outbox: flume::Sender<Fresh>,
     inbox: flume::Receiver<Told>,
     joined: AtomicBool,
     stopped: AtomicBool,
@@ -103,8 +114,8 @@
     }
 
     /// Sends a report with the next heartbeat; it is dropped if too many wait.
-    pub fn share(&self, note: LoadNote) {
-        if self.outbox.try_send(note).is_err() {
+    pub fn share(&self, fresh: Fresh) {
+        if self.outbox.try_send(fresh).is_err() {
             metrics::counter!("roseshore_notes_dropped_total").increment(1);
         }
     }
@@ -176,26 +187,36 @@
         }
     }
 
-    fn send(&self, notes: &flume::Receiver<LoadNote>) {
+    fn send(&self, outbox: &flume::Receiver<Fresh>) {
         let mut next = Instant::now();
         let mut draining = false;
+        let mut waiting = Vec::new();
         while self.running() {
             let changes = self.view.lock().tick(Instant::now());
             self.report(&changes);
             let began = self.drain.draining() != draining;
             draining = self.drain.draining();
-            if began || Instant::now() >= next {
-                next = Instant::now() + self.period();
-                self.beat(notes.drain().collect());
+            let now = Instant::now();
+            if began || now >= next {
+                next = now + self.period();
+                waiting.extend(outbox.drain());
+                self.beat(std::mem::take(&mut waiting));
+            }
+            let wait = next.saturating_duration_since(now).min(LOOK);
+            if let Ok(fresh) = outbox.recv_timeout(wait) {
+                let urgent = fresh.urgent;
+                waiting.push(fresh);
+                if urgent {
+                    self.beat(std::mem::take(&mut waiting));
+                }
             }
-            let wait = next.saturating_duration_since(Instant::now());
-            thread::sleep(wait.min(LOOK));
         }
     }
 
-    fn beat(&self, notes: Vec<LoadNote>) {
+    fn beat(&self, fresh: Vec<Fresh>) {
+        let now = Instant::now();
         let audience = self.view.lock().audience();
-        for notes in split(notes) {
+        for notes in split(fresh.into_iter().map(|f| f.note(now))) {
             let heartbeat = self.heartbeat();
             let datagram = Datagram::Beat { heartbeat, notes };
             for peer in &audience {
@@ -274,8 +295,15 @@
     thread::Builder::new().name(name.into()).spawn(body).map(drop)
 }
 
+impl Fresh {
+    fn note(self, now: Instant) -> LoadNote {
+        let age_ms = now.saturating_duration_since(self.seen).as_millis() as u32;
+        LoadNote { age_ms, content: self.content }
+    }
+}
+
 /// Splits notes so that each part fits a datagram; there is always at least one part.
-fn split(notes: Vec<LoadNote>) -> Vec<Vec<LoadNote>> {
+fn split(notes: impl Iterator<Item = LoadNote>) -> Vec<Vec<LoadNote>> {
     let mut parts = vec![Vec::new()];
     let mut used = 0;
     for note in notes {
