Data centres speak by rendezvous, and what membership costs

Cause: a data centre cut off for hours must be suspected, then gone, without anything waiting for it, and found again. One daemon per other data centre exchanges digests (members with ages, load by model) and relays them; listed daemons are called even when gone. Of two data centres the smaller name begins, the other after two silent periods.

Summaries: not seen failing with a mechanism off.

--- a/crates/roseshore_core/src/membership.rs
+++ b/crates/roseshore_core/src/membership.rs
@@ -11,114 +11,21 @@
 //! it is not held against others, and the view is [`Membership::stale`] until it has settled.
 
 mod hosts;
+mod member;
 mod rank;
 mod settings;
+mod speakers;
 
 pub use hosts::{HostTable, Listed};
-pub use rank::{ranked, weight};
+pub use member::{Change, Hearsay, Heartbeat, Ignored, Member, MemberState};
+pub use rank::{Order, ranked, weight};
 pub use settings::Settings;
+pub use speakers::{Call, Speakers};
 
 use crate::prelude::*;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// What a daemon says of itself, several times a second.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Its host.
-    pub host: HostId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Grows with every heartbeat of one life.
-    pub sequence: u64,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// One past the last configuration record it has folded.
-    pub offset: Offset,
-    /// The digest of its configuration at that offset.
-    pub digest: u64,
-}
-
-/// What a daemon thinks of another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemberState {
-    /// Heard of lately.
-    Alive,
-    /// Not heard of lately; still counted among the daemons.
-    Suspect,
-    /// Takes no new work, by its own word or the host list's.
-    Leaving,
-    /// No longer counted.
-    Gone,
-}
-
-/// A daemon, this one included.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Its host.
-    pub host: HostId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Where it hears peers, UDP and TCP.
-    pub peer: SocketAddr,
-    /// Its life; 0 until heard of.
-    pub incarnation: Incarnation,
-    /// What this daemon thinks of it.
-    pub state: MemberState,
-    /// One past the last configuration record it says it has folded.
-    pub offset: Offset,
-    /// The digest it gives for that offset.
-    pub digest: u64,
-}
-
-/// A daemon's change of state; `from` is `None` when it was not known.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// The daemon.
-    pub host: HostId,
-    /// What was thought of it.
-    pub from: Option<MemberState>,
-    /// What is thought of it now.
-    pub to: MemberState,
-}
-
-/// Why a heartbeat was ignored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Ignored {
-    /// The sender's address is neither in the host list nor a seed, or belongs to another host.
-    Stranger,
-    /// It names this daemon's own host.
-    OwnName,
-    /// It is of an older life.
-    OldLife,
-    /// It was heard of before, or a newer one of the same life was.
-    Repeat,
-}
-
-impl Ignored {
-    /// The stable name used in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Ignored::Stranger => "stranger",
-            Ignored::OwnName => "own_name",
-            Ignored::OldLife => "old_life",
-            Ignored::Repeat => "repeat",
-        }
-    }
-}
-
-/// What another data centre's speaker says of one of its daemons.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hearsay {
-    /// The last heartbeat.
-    pub beat: Heartbeat,
-    /// Its age when the speaker wrote, milliseconds.
-    pub age_ms: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Daemon {
     beat: Option<Heartbeat>,
@@ -136,6 +43,12 @@
     seeds: Vec<SocketAddr>,
     daemons: BTreeMap<HostId, Daemon>,
     hosts: HostTable,
+    /// Other data centres in the host list.
+    centres: usize,
+    /// Other daemons of the own data centre that are not gone, as of the last change.
+    peers: usize,
+    /// Those of them that are alive.
+    alive: Vec<HostId>,
     ticked: Instant,
     settled: Instant,
 }
@@ -152,7 +65,19 @@
         let settled = now + settings.settle;
         let hosts = HostTable::new(settings.remember);
         let daemons = BTreeMap::new();
-        Membership { own, peer, settings, seeds, daemons, hosts, ticked: now, settled }
+        Membership {
+            own,
+            peer,
+            settings,
+            seeds,
+            daemons,
+            hosts,
+            centres: 0,
+            peers: 0,
+            alive: Vec::new(),
+            ticked: now,
+            settled,
+        }
     }
 
     /// Takes a heartbeat that came from `from`.
@@ -172,8 +97,9 @@
         if !self.bound(from, &beat.host) {
             return Err(Ignored::Stranger);
         }
+        let host = beat.host.clone();
         self.take(from, beat, now, now)?;
-        Ok(self.refresh(now))
+        Ok(self.refresh_one(&host, now))
     }
 
     /// Takes what the speaker of another data centre says of its daemons.
@@ -213,6 +139,9 @@
             };
             self.daemons.entry(host.clone()).or_insert(fresh).peer = peer;
         }
+        let far = self.daemons.values().filter(|d| !self.near(d));
+        self.centres = far.map(|d| &d.data_centre).collect::<BTreeSet<_>>().len();
+        self.count();
         self.refresh(now)
     }
 
@@ -247,7 +176,7 @@
 
     /// How often heartbeats are sent.
     pub fn period(&self) -> Duration {
-        self.settings.period(self.peers())
+        self.settings.period(self.peers)
     }
 
     /// This daemon.
@@ -275,19 +204,27 @@
 
     /// The alive daemons of the own data centre in rendezvous order for a subject.
     pub fn ranked(&self, subject: &str) -> Vec<Member> {
-        ranked(subject, self.alive())
+        let known = |host: &HostId| self.daemons.get(host).map(|d| d.member(host));
+        let own = Some(self.own()).filter(|m| m.state == MemberState::Alive);
+        ranked(subject, self.alive.iter().filter_map(known).chain(own).collect())
     }
 
     /// This daemon's place in [`Membership::ranked`] for a subject; `None` while it is leaving.
     pub fn place(&self, subject: &str) -> Option<usize> {
-        let own = self.own();
-        if own.state != MemberState::Alive {
+        let own = &self.own;
+        if self.leaving(&own.host) {
             return None;
         }
-        let mine = weight(subject, &own.host);
-        let near = self.daemons.iter().filter(|(_, d)| self.near(d));
-        let alive = near.filter(|(_, d)| d.state == MemberState::Alive);
-        Some(alive.filter(|(host, _)| weight(subject, host) > mine).count())
+        let order = Order::new(subject);
+        let mine = order.weight(&own.host);
+        Some(self.alive.iter().filter(|host| order.weight(host) > mine).count())
+    }
+
+    /// The daemons of other data centres that are listed or not gone.
+    pub fn far(&self) -> Vec<Member> {
+        let far = self.daemons.iter().filter(|(_, d)| !self.near(d));
+        let wanted = far.filter(|(h, d)| d.state != MemberState::Gone || self.hosts.contains(h));
+        wanted.map(|(host, d)| d.member(host)).collect()
     }
 
     /// Whether either source says that a host takes no new work.
@@ -317,15 +254,13 @@
         notes
     }
 
-    fn alive(&self) -> Vec<Member> {
+    /// Counts anew after a change of state.
+    fn count(&mut self) {
         let near = self.daemons.iter().filter(|(_, d)| self.near(d));
-        let alive = near.filter(|(_, d)| d.state == MemberState::Alive);
-        let own = Some(self.own()).filter(|m| m.state == MemberState::Alive);
-        alive.map(|(host, d)| d.member(host)).chain(own).collect()
-    }
-
-    fn peers(&self) -> usize {
-        self.daemons.values().filter(|d| self.near(d) && d.state != MemberState::Gone).count()
+        let states: Vec<_> = near.map(|(host, d)| (host.clone(), d.state)).collect();
+        self.peers = states.iter().filter(|(_, state)| *state != MemberState::Gone).count();
+        let alive = states.into_iter().filter(|(_, state)| *state == MemberState::Alive);
+        self.alive = alive.map(|(host, _)| host).collect();
     }
 
     fn near(&self, daemon: &Daemon) -> bool {
@@ -383,49 +318,71 @@
     }
 
     fn refresh(&mut self, now: Instant) -> Vec<Change> {
+        let near = self.settings.near(self.peers);
+        let far = self.settings.far(self.centres);
         let mut changes = Vec::new();
-        let near = self.settings.near(self.peers());
-        let far = self.settings.far();
         for (host, daemon) in &mut self.daemons {
             let own = daemon.data_centre == self.own.data_centre;
-            let to = judge(host, daemon, &self.hosts, if own { &near } else { &far }, now);
-            if to != daemon.state {
-                let from = Some(daemon.state);
-                changes.push(Change { host: host.clone(), from, to });
-                daemon.state = to;
-            }
+            let bounds = if own { &near } else { &far };
+            changes.extend(daemon.judge(host, &self.hosts, bounds, now));
         }
         self.hosts.forget(now);
         let keep = self.settings.remember;
         let hosts = &self.hosts;
         let recent = |d: &Daemon| now.saturating_duration_since(d.heard) < keep;
-        self.daemons.retain(|host, d| hosts.contains(host) || recent(d));
+        self.daemons.retain(|host, d| recent(d) || hosts.contains(host));
+        if !changes.is_empty() {
+            self.count();
+        }
         changes
     }
-}
 
-fn judge(
-    host: &HostId,
-    daemon: &Daemon,
-    hosts: &HostTable,
-    bounds: &settings::Bounds,
-    now: Instant,
-) -> MemberState {
-    let silence = now.saturating_duration_since(daemon.heard);
-    let absent = !hosts.contains(host);
-    if silence >= bounds.longest || (absent && silence >= bounds.gone) {
-        return MemberState::Gone;
-    }
-    if hosts.leaving(host) || daemon.beat.as_ref().is_some_and(|b| b.leaving) {
-        return MemberState::Leaving;
-    }
-    if daemon.beat.is_none() || silence >= bounds.suspect {
-        return MemberState::Suspect;
+    fn refresh_one(&mut self, host: &HostId, now: Instant) -> Vec<Change> {
+        let bounds = self.settings.near(self.peers);
+        let daemon = self.daemons.get_mut(host);
+        let change = daemon.and_then(|d| d.judge(host, &self.hosts, &bounds, now));
+        if change.is_some() {
+            self.count();
+        }
+        change.into_iter().collect()
     }
-    MemberState::Alive
 }
 
 impl Daemon {
+    /// Settles the state, and says so if it changed.
+    fn judge(
+        &mut self,
+        host: &HostId,
+        hosts: &HostTable,
+        bounds: &settings::Bounds,
+        now: Instant,
+    ) -> Option<Change> {
+        let to = self.state_at(host, hosts, bounds, now);
+        let from = std::mem::replace(&mut self.state, to);
+        (from != to).then(|| Change { host: host.clone(), from, to })
+    }
+
+    fn state_at(
+        &self,
+        host: &HostId,
+        hosts: &HostTable,
+        bounds: &settings::Bounds,
+        now: Instant,
+    ) -> MemberState {
+        let silence = now.saturating_duration_since(self.heard);
+        let absent = || !hosts.contains(host);
+        if silence >= bounds.longest || (silence >= bounds.gone && absent()) {
+            return MemberState::Gone;
+        }
+        if hosts.leaving(host) || self.beat.as_ref().is_some_and(|b| b.leaving) {
+            return MemberState::Leaving;
+        }
+        if self.beat.is_none() || silence >= bounds.suspect {
+            return MemberState::Suspect;
+        }
+        MemberState::Alive
+    }
+
     fn member(&self, host: &HostId) -> Member {
         let beat = self.beat.as_ref();
         Member {
--- a/crates/roseshore_core/src/membership/hosts.rs
+++ b/crates/roseshore_core/src/membership/hosts.rs
@@ -4,7 +4,7 @@
 //! live again: the list is late, and a host on its way out must not get work in between.
 
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// One host of the list.
@@ -25,13 +25,16 @@
     version: Option<u64>,
     hosts: BTreeMap<HostId, Listed>,
     left: BTreeMap<HostId, Instant>,
+    /// The leaving ones of `hosts` and all of `left`: few, and asked for often.
+    leaving: BTreeSet<HostId>,
     remember: Duration,
 }
 
 impl HostTable {
     /// No list yet; hosts that left are remembered as long as `remember`.
     pub fn new(remember: Duration) -> HostTable {
-        HostTable { version: None, hosts: BTreeMap::new(), left: BTreeMap::new(), remember }
+        let (hosts, left, leaving) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        HostTable { version: None, hosts, left, leaving, remember }
     }
 
     /// Takes a list, or returns `false` if it is older than the known one.
@@ -48,13 +51,22 @@
         }
         self.left.retain(|host, _| !fresh.contains_key(host));
         self.hosts = fresh;
+        let leaving = self.hosts.values().filter(|h| h.leaving).map(|h| &h.host);
+        self.leaving = leaving.chain(self.left.keys()).cloned().collect();
         true
     }
 
     /// Forgets hosts that left long ago.
     pub fn forget(&mut self, now: Instant) {
         let keep = self.remember;
-        self.left.retain(|_, since| now.saturating_duration_since(*since) < keep);
+        let leaving = &mut self.leaving;
+        self.left.retain(|host, since| {
+            let recent = now.saturating_duration_since(*since) < keep;
+            if !recent {
+                leaving.remove(host);
+            }
+            recent
+        });
     }
 
     /// Whether the list has the host.
@@ -64,7 +76,7 @@
 
     /// Whether the list says, or last said, that the host is leaving.
     pub fn leaving(&self, host: &HostId) -> bool {
-        self.hosts.get(host).map_or(self.left.contains_key(host), |h| h.leaving)
+        self.leaving.contains(host)
     }
 
     /// Where the daemon on a host hears peers.
--- /dev/null
+++ b/crates/roseshore_core/src/membership/member.rs
@@ -0,0 +1,101 @@
+//! What is said and thought of a daemon.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What a daemon says of itself, several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Its host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Grows with every heartbeat of one life.
+    pub sequence: u64,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// One past the last configuration record it has folded.
+    pub offset: Offset,
+    /// The digest of its configuration at that offset.
+    pub digest: u64,
+}
+
+/// What a daemon thinks of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// Heard of lately.
+    Alive,
+    /// Not heard of lately; still counted among the daemons.
+    Suspect,
+    /// Takes no new work, by its own word or the host list's.
+    Leaving,
+    /// No longer counted.
+    Gone,
+}
+
+/// A daemon, this one included.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where it hears peers, UDP and TCP.
+    pub peer: SocketAddr,
+    /// Its life; 0 until heard of.
+    pub incarnation: Incarnation,
+    /// What this daemon thinks of it.
+    pub state: MemberState,
+    /// One past the last configuration record it says it has folded.
+    pub offset: Offset,
+    /// The digest it gives for that offset.
+    pub digest: u64,
+}
+
+/// A daemon's change of state; one not known before was gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The daemon.
+    pub host: HostId,
+    /// What was thought of it.
+    pub from: MemberState,
+    /// What is thought of it now.
+    pub to: MemberState,
+}
+
+/// Why a heartbeat was ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ignored {
+    /// The sender's address is neither in the host list nor a seed, or belongs to another host.
+    Stranger,
+    /// It names this daemon's own host.
+    OwnName,
+    /// It is of an older life.
+    OldLife,
+    /// It was heard of before, or a newer one of the same life was.
+    Repeat,
+}
+
+impl Ignored {
+    /// The stable name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ignored::Stranger => "stranger",
+            Ignored::OwnName => "own_name",
+            Ignored::OldLife => "old_life",
+            Ignored::Repeat => "repeat",
+        }
+    }
+}
+
+/// What another data centre's speaker says of one of its daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hearsay {
+    /// The last heartbeat.
+    pub beat: Heartbeat,
+    /// Its age when the speaker wrote, milliseconds.
+    pub age_ms: u32,
+}
--- a/crates/roseshore_core/src/membership/settings.rs
+++ b/crates/roseshore_core/src/membership/settings.rs
@@ -15,8 +15,10 @@
     pub gone: Duration,
     /// Silence after which it is gone, whatever the list says.
     pub longest: Duration,
-    /// How often data centres exchange digests.
+    /// How often two data centres exchange digests; see [`Settings::digest_period`].
     pub digest: Duration,
+    /// What each further data centre adds to that period.
+    pub digest_spread: Duration,
     /// A gap between two events longer than this was a pause of this process.
     pub pause: Duration,
     /// How long after a start or a pause the view is not relied on.
@@ -29,11 +31,12 @@
     fn default() -> Settings {
         Settings {
             period: Duration::from_millis(200),
-            spread: Duration::from_millis(24),
+            spread: Duration::from_millis(28),
             misses: 3.0,
             gone: Duration::from_secs(10),
             longest: Duration::from_mins(1),
             digest: Duration::from_secs(2),
+            digest_spread: Duration::from_secs(1),
             pause: Duration::from_millis(500),
             settle: Duration::from_millis(600),
             remember: Duration::from_hours(24),
@@ -64,9 +67,14 @@
         Bounds { suspect, gone: self.gone, longest: self.longest }
     }
 
-    /// The bounds in the other data centres.
-    pub(super) fn far(&self) -> Bounds {
-        let suspect = self.digest * FAR_MISSES;
+    /// How often digests are exchanged with each of `centres` other data centres.
+    pub fn digest_period(&self, centres: usize) -> Duration {
+        self.digest.max(self.digest_spread * centres as u32)
+    }
+
+    /// The bounds in the other data centres, `centres` of them.
+    pub(super) fn far(&self, centres: usize) -> Bounds {
+        let suspect = self.digest_period(centres) * FAR_MISSES;
         Bounds { suspect, gone: self.gone.max(suspect * 2), longest: self.longest.max(suspect * 4) }
     }
 }
--- a/crates/roseshore_core/tests/membership.rs
+++ b/crates/roseshore_core/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::membership::{
-    Hearsay, Heartbeat, Ignored, Listed, MemberState, Membership, Settings, ranked,
+    Hearsay, Heartbeat, Ignored, Listed, MemberState, Membership, Settings, Speakers, ranked,
 };
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -483,3 +483,86 @@
         prop_assert_eq!(ranked(&subject, rest), before);
     }
 }
+
+#[test]
+fn who_speaks_with_another_data_centre() {
+    /// One event; times are in milliseconds since the step before.
+    enum Step {
+        /// With this place in the order, the host that is called, if one is.
+        At(u64, Option<usize>, Option<u16>),
+        /// The call failed.
+        Failed,
+        /// Word came from over there.
+        Heard,
+    }
+    use Step::{At, Failed, Heard};
+    struct Case {
+        name: &'static str,
+        own: &'static str,
+        steps: &'static [Step],
+    }
+    let cases = [
+        Case {
+            name: "the smaller name begins, each period",
+            own: "a",
+            steps: &[At(0, Some(0), Some(1)), At(1900, Some(0), None), At(100, Some(0), Some(1))],
+        },
+        Case {
+            name: "the others of the data centre keep still",
+            own: "a",
+            steps: &[At(0, Some(1), None), At(5000, None, None), At(0, Some(0), Some(1))],
+        },
+        Case {
+            name: "the larger name waits, and begins when it hears nothing",
+            own: "z",
+            steps: &[
+                At(0, Some(0), None),
+                At(3900, Some(0), None),
+                Heard,
+                At(3900, Some(0), None),
+                At(100, Some(0), Some(1)),
+            ],
+        },
+        Case {
+            name: "after a failure the next one, then a rest, then round again",
+            own: "a",
+            steps: &[
+                At(0, Some(0), Some(1)),
+                Failed,
+                At(100, Some(0), Some(2)),
+                Failed,
+                At(100, Some(0), None),
+                At(1900, Some(0), Some(3)),
+                Failed,
+                At(100, Some(0), Some(1)),
+                Heard,
+                At(2000, Some(0), Some(1)),
+            ],
+        },
+    ];
+    let mut far = ranked("speaker/a", (1..4).map(|n| view(n, Instant::now()).own()).collect());
+    // The places of the order get the numbers 1 to 3; the gone one is tried last.
+    far.rotate_left(1);
+    far[2].state = MemberState::Gone;
+    for case in cases {
+        let far = ranked(&format!("speaker/{}", case.own), far.clone());
+        let mut order: Vec<_> = far.iter().filter(|m| m.state == Alive).collect();
+        order.extend(far.iter().filter(|m| m.state != Alive));
+        let mut now = Instant::now();
+        let mut speakers = Speakers::new(case.own.into(), Settings::default());
+        for (i, step) in case.steps.iter().enumerate() {
+            match *step {
+                At(time, place, want) => {
+                    now += ms(time);
+                    let calls = speakers.tick(far.clone(), |_| place, now);
+                    let got: Vec<_> = calls.into_iter().map(|c| c.to.host).collect();
+                    let want: Vec<_> =
+                        want.iter().map(|n| order[*n as usize - 1].host.clone()).collect();
+                    assert_eq!(got, want, "{}, step {i}", case.name);
+                }
+                Failed => speakers.failed(&"near".into(), now),
+                Heard => speakers.heard(&"near".into(), now),
+            }
+        }
+    }
+}
--- a/crates/roseshore_wire/src/peer.rs
+++ b/crates/roseshore_wire/src/peer.rs
@@ -30,6 +30,9 @@
     pub content: NoteContent,
 }
 
+/// Six bytes of a hash: short on the wire, and a data centre has a few hundred of them at most.
+pub type NoteKey = [u8; 6];
+
 /// The content of a [`LoadNote`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum NoteContent {
@@ -50,7 +53,7 @@
     /// Only what changes from poll to poll; the rest is as in the last whole report with this key.
     Brief {
         /// Hash of the target and all that is not in here.
-        key: u64,
+        key: NoteKey,
         /// Requests waiting.
         queue: u32,
         /// Requests being worked on.
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operators;
 pub mod orders;
 pub mod parts;
+pub mod peers;
 pub mod routing;
 pub mod serve;
 pub mod settings;
--- a/crates/roseshored/src/loads/notes.rs
+++ b/crates/roseshored/src/loads/notes.rs
@@ -7,13 +7,13 @@
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::ReportContent;
 use roseshore_wire::engine::Load;
-use roseshore_wire::peer::NoteContent;
+use roseshore_wire::peer::{NoteContent, NoteKey};
 use roseshore_wire::service::ServiceLoad;
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often a report that did not change is sent whole.
-const REFRESH: Duration = Duration::from_secs(5);
+const REFRESH: Duration = Duration::from_secs(30);
 
 /// Shortens reports.
 #[derive(Default)]
@@ -22,7 +22,7 @@
 }
 
 struct Sent {
-    key: u64,
+    key: NoteKey,
     at: Instant,
 }
 
@@ -59,8 +59,8 @@
 /// Completes shortened reports.
 #[derive(Default)]
 pub struct Unpacker {
-    whole: FxHashMap<u64, Whole>,
-    keys: FxHashMap<TargetId, u64>,
+    whole: FxHashMap<NoteKey, Whole>,
+    keys: FxHashMap<TargetId, NoteKey>,
 }
 
 struct Whole {
@@ -137,7 +137,7 @@
     }
 }
 
-fn brief(key: u64, content: &ReportContent) -> NoteContent {
+fn brief(key: NoteKey, content: &ReportContent) -> NoteContent {
     let (queue, running, step_us, kv_used) = match content {
         ReportContent::Engine(load) => (load.queue, load.running, load.step_us, load.kv_used),
         ReportContent::Service(load) => (load.queue, load.running, load.call_us, 0),
@@ -147,7 +147,7 @@
 }
 
 /// The hash of the target and all that is not a count; `None` for a silent target.
-fn key(target: &TargetId, content: &ReportContent) -> Option<u64> {
+fn key(target: &TargetId, content: &ReportContent) -> Option<NoteKey> {
     let fixed = match content.clone() {
         ReportContent::Engine(load) => {
             ReportContent::Engine(Load { queue: 0, running: 0, step_us: 0, kv_used: 0, ..load })
@@ -158,5 +158,6 @@
         ReportContent::Silent => return None,
     };
     let bytes = roseshore_wire::frame::encode(&whole(target, &fixed), usize::MAX).ok()?;
-    Some(xxh3_64(&bytes))
+    let hash = xxh3_64(&bytes).to_le_bytes();
+    hash.first_chunk().copied()
 }
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -145,6 +145,11 @@
         self.view.lock().period()
     }
 
+    /// The daemons of other data centres that are listed or not gone.
+    pub fn far(&self) -> Vec<Member> {
+        self.view.lock().far()
+    }
+
     /// What is said to other data centres.
     pub fn hearsay(&self) -> Vec<Hearsay> {
         self.view.lock().hearsay(Instant::now())
--- /dev/null
+++ b/crates/roseshored/src/peers.rs
@@ -0,0 +1,198 @@
+//! Exchanges digests with the other data centres.
+//!
+//! [`roseshore_core::membership::Speakers`] decides who speaks with whom; this driver carries the
+//! digests and passes what was learned on to the own data centre. Nothing else waits for its
+//! thread, so a data centre that is cut off holds up nobody.
+
+mod summary;
+
+pub use summary::summarise;
+
+use crate::members::MemberDriver;
+use parking_lot::Mutex;
+use roseshore_core::membership::{Call, Settings, Speakers};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Answers, MemberState, Members, Reports};
+use roseshore_ports::outside::Peers;
+use roseshore_wire::peer::{Ask, Digest, Reply, Summary};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::{io, thread};
+
+/// How often the decision is asked which calls are due.
+const TICK: Duration = Duration::from_millis(100);
+/// How long a peer may take to reply.
+const LIMIT: Duration = Duration::from_millis(500);
+/// Digests that may wait to be passed on.
+const MAX_WAITING: usize = 64;
+
+/// What the driver needs.
+pub struct Parts {
+    /// The daemons.
+    pub members: Arc<MemberDriver>,
+    /// The links.
+    pub peers: Arc<dyn Peers>,
+    /// The reports of the own data centre's targets.
+    pub reports: Arc<dyn Reports>,
+    /// The bounds that the members go by.
+    pub settings: Settings,
+}
+
+/// The load of another data centre, as last told.
+#[derive(Clone, Debug)]
+pub struct FarLoad {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// When it was told.
+    pub told: Instant,
+    /// By model; ages count from `told`.
+    pub summaries: Vec<Summary>,
+}
+
+/// The running driver; put it among the [`Answers`] that serve peers.
+pub struct PeerDriver {
+    members: Arc<MemberDriver>,
+    peers: Arc<dyn Peers>,
+    reports: Arc<dyn Reports>,
+    speakers: Mutex<Speakers>,
+    far: Mutex<BTreeMap<DataCentreId, FarLoad>>,
+    learn: flume::Sender<Learned>,
+    stopped: AtomicBool,
+}
+
+/// Digests to pass on to the own data centre.
+struct Learned {
+    at: Instant,
+    digests: Vec<Digest>,
+}
+
+impl PeerDriver {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    /// When a thread cannot be started.
+    pub fn start(parts: Parts) -> io::Result<Arc<PeerDriver>> {
+        let own = parts.members.own().data_centre;
+        let (learn, learned) = flume::bounded(MAX_WAITING);
+        let driver = Arc::new(PeerDriver {
+            members: parts.members,
+            peers: parts.peers,
+            reports: parts.reports,
+            speakers: Mutex::new(Speakers::new(own, parts.settings)),
+            far: Mutex::new(BTreeMap::new()),
+            learn,
+            stopped: AtomicBool::new(false),
+        });
+        let (speaker, relay) = (driver.clone(), driver.clone());
+        thread::Builder::new().name("peers-speak".into()).spawn(move || speaker.speak())?;
+        thread::Builder::new().name("peers-relay".into()).spawn(move || relay.relay(&learned))?;
+        Ok(driver)
+    }
+
+    /// Ends the threads within a moment.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+    }
+
+    /// The loads of the other data centres.
+    pub fn far(&self) -> Vec<FarLoad> {
+        self.far.lock().values().cloned().collect()
+    }
+
+    fn running(&self) -> bool {
+        !self.stopped.load(Ordering::SeqCst)
+    }
+
+    fn speak(&self) {
+        while self.running() {
+            thread::sleep(TICK);
+            if self.members.stale() {
+                continue;
+            }
+            let far = self.members.far();
+            let place = |subject: &str| self.members.place(subject);
+            let calls = self.speakers.lock().tick(far, place, Instant::now());
+            for call in calls {
+                self.call(call);
+            }
+        }
+    }
+
+    fn call(&self, call: Call) {
+        let ask = Ask::Digests { digests: vec![self.digest()], speaker: true };
+        if let Ok(Reply::Digests { digests }) = self.peers.ask(call.to.peer, &ask, LIMIT) {
+            self.learned(digests);
+            return;
+        }
+        metrics::counter!("roseshore_digests_failed_total").increment(1);
+        self.speakers.lock().failed(&call.data_centre, Instant::now());
+    }
+
+    /// Takes digests from another data centre, and lets the own one know.
+    fn learned(&self, digests: Vec<Digest>) {
+        let at = Instant::now();
+        self.take(&digests, at);
+        if self.learn.try_send(Learned { at, digests }).is_err() {
+            metrics::counter!("roseshore_digests_dropped_total").increment(1);
+        }
+    }
+
+    fn take(&self, digests: &[Digest], told: Instant) {
+        for digest in digests {
+            let data_centre = digest.data_centre.clone();
+            self.members.take_hearsay(digest.members.clone());
+            self.speakers.lock().heard(&data_centre, told);
+            let summaries = digest.summaries.clone();
+            let load = FarLoad { data_centre: data_centre.clone(), told, summaries };
+            self.far.lock().insert(data_centre, load);
+        }
+    }
+
+    fn relay(&self, learned: &flume::Receiver<Learned>) {
+        while self.running() {
+            let Ok(Learned { at, digests }) = learned.recv_timeout(TICK) else { continue };
+            let own = self.members.own();
+            for member in self.members.all() {
+                let near = member.data_centre == own.data_centre && member.host != own.host;
+                if near && member.state != MemberState::Suspect {
+                    let digests = aged(&digests, at.elapsed());
+                    let ask = Ask::Digests { digests, speaker: false };
+                    // A loss is made good by the next digest.
+                    let _ = self.peers.ask(member.peer, &ask, LIMIT);
+                }
+            }
+        }
+    }
+
+    fn digest(&self) -> Digest {
+        Digest {
+            data_centre: self.members.own().data_centre,
+            members: self.members.hearsay(),
+            summaries: summarise(&self.reports.newest(), Instant::now()),
+        }
+    }
+}
+
+impl Answers for PeerDriver {
+    fn answer(&self, ask: &Ask) -> Option<Reply> {
+        let Ask::Digests { digests, speaker } = ask else { return None };
+        if !speaker {
+            self.take(digests, Instant::now());
+            return Some(Reply::Done);
+        }
+        self.learned(digests.clone());
+        Some(Reply::Digests { digests: vec![self.digest()] })
+    }
+}
+
+/// Adds the time since they were told to the ages in digests.
+fn aged(digests: &[Digest], by: Duration) -> Vec<Digest> {
+    let by = by.as_millis() as u32;
+    let mut digests = digests.to_vec();
+    for digest in &mut digests {
+        digest.members.iter_mut().for_each(|m| m.age_ms = m.age_ms.saturating_add(by));
+        digest.summaries.iter_mut().for_each(|s| s.age_ms = s.age_ms.saturating_add(by));
+    }
+    digests
+}
--- /dev/null
+++ b/crates/roseshored/tests/cluster/cluster.rs
@@ -0,0 +1,221 @@
+//! Daemons on loopback with a host list that the test changes; every wait is for a condition.
+
+use parking_lot::Mutex;
+use roseshore_adapters::peer::UdpSocket;
+use roseshore_core::membership::{Heartbeat, Settings};
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Fleets, InForce, MemberState, Members, Report, Reports};
+use roseshore_ports::outside::{CallError, Called, Datagrams, HostList, Received};
+use roseshore_wire::engine::{Holding, Load, Role};
+use roseshore_wire::peer::Datagram;
+use roseshore_wire::platform::{Host, HostState, Hosts};
+use roseshore_wire::service::ServiceLoad;
+use roseshored::app::Drain;
+use roseshored::members::{MemberDriver, Parts};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+pub(crate) const BOUND: Duration = Duration::from_secs(20);
+
+pub(crate) fn wait(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !condition() {
+        assert!(Instant::now() < end, "waited for: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The platform's list, which the test changes.
+#[derive(Default)]
+pub(crate) struct List {
+    pub(crate) hosts: Mutex<Hosts>,
+    pub(crate) down: AtomicBool,
+}
+
+impl List {
+    pub(crate) fn set(&self, change: impl FnOnce(&mut Vec<Host>)) {
+        let mut hosts = self.hosts.lock();
+        hosts.version += 1;
+        change(&mut hosts.hosts);
+    }
+}
+
+impl HostList for List {
+    fn hosts(&self) -> Called<Hosts> {
+        if self.down.load(Ordering::SeqCst) {
+            return Err(CallError::Unreached("the platform is out".into()));
+        }
+        Ok(self.hosts.lock().clone())
+    }
+}
+
+pub(crate) struct Folded;
+
+impl Fleets for Folded {
+    fn current(&self) -> Option<InForce> {
+        Some(InForce { fleet: Arc::default(), offset: 42, digest: 7 })
+    }
+}
+
+/// A socket that the test can cut off in either direction.
+pub(crate) struct Cable {
+    pub(crate) socket: UdpSocket,
+    pub(crate) deaf: AtomicBool,
+    pub(crate) mute: AtomicBool,
+}
+
+impl Datagrams for Cable {
+    fn send(&self, to: SocketAddr, datagram: &Datagram) -> Called<()> {
+        if self.mute.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        self.socket.send(to, datagram)
+    }
+
+    fn receive(&self, limit: Duration) -> Option<Received> {
+        self.socket.receive(limit).filter(|_| !self.deaf.load(Ordering::SeqCst))
+    }
+}
+
+pub(crate) struct Daemon {
+    pub(crate) driver: Arc<MemberDriver>,
+    pub(crate) cable: Arc<Cable>,
+    pub(crate) drain: Arc<Drain>,
+    pub(crate) listener: TcpListener,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.driver.stop();
+    }
+}
+
+/// A port that is free for UDP and TCP.
+pub(crate) fn sockets(addr: SocketAddr) -> (UdpSocket, TcpListener) {
+    let end = Instant::now() + BOUND;
+    loop {
+        let listener = TcpListener::bind(addr).expect("a port");
+        match UdpSocket::bind(listener.local_addr().expect("its address")) {
+            Ok(socket) => return (socket, listener),
+            Err(e) => assert!(Instant::now() < end, "no port for both: {e}"),
+        }
+    }
+}
+
+/// Bounds that let a cut between data centres be noticed within a test.
+pub(crate) fn settings() -> Settings {
+    Settings {
+        digest: Duration::from_millis(200),
+        longest: Duration::from_secs(4),
+        ..Settings::default()
+    }
+}
+
+impl Daemon {
+    pub(crate) fn start(n: usize, incarnation: u64, addr: SocketAddr, list: &Arc<List>) -> Daemon {
+        let (socket, listener) = sockets(addr);
+        let peer = socket.addr().expect("its address");
+        let cable = Arc::new(Cable { socket, deaf: false.into(), mute: false.into() });
+        let drain = Arc::new(Drain::default());
+        let parts = Parts {
+            own: Heartbeat {
+                host: format!("h{n}"),
+                data_centre: centre(n),
+                incarnation,
+                sequence: 0,
+                leaving: false,
+                offset: 0,
+                digest: 0,
+            },
+            peer,
+            seeds: Vec::new(),
+            settings: settings(),
+            socket: cable.clone(),
+            list: list.clone(),
+            fleets: Arc::new(Folded),
+            drain: drain.clone(),
+        };
+        Daemon { driver: MemberDriver::start(parts).expect("threads"), cable, drain, listener }
+    }
+
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.driver.own().peer
+    }
+
+    pub(crate) fn sees(&self, n: usize) -> Option<MemberState> {
+        let host = format!("h{n}");
+        self.driver.all().iter().find(|m| m.host == host).map(|m| m.state)
+    }
+}
+
+/// Three daemons that know each other.
+pub(crate) fn cluster() -> (Arc<List>, Vec<Daemon>) {
+    let list = Arc::new(List::default());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let daemons: Vec<_> = (0..3).map(|n| Daemon::start(n, 1, any, &list)).collect();
+    list.set(|hosts| {
+        hosts.extend(daemons.iter().enumerate().map(|(n, d)| host(n, Some(d.peer()))));
+        hosts.push(host(9, None));
+    });
+    wait("all alive", || {
+        daemons.iter().all(|d| d.driver.ranked("x").len() == 3 && !d.driver.stale())
+    });
+    (list, daemons)
+}
+
+/// Numbers from 50 on are in the other data centre.
+pub(crate) fn centre(n: usize) -> DataCentreId {
+    if n < 50 { "near" } else { "far" }.into()
+}
+
+pub(crate) fn host(n: usize, peer: Option<SocketAddr>) -> Host {
+    Host { host: format!("h{n}"), data_centre: centre(n), state: HostState::Live, peer }
+}
+
+pub(crate) fn load() -> Load {
+    let holding = Holding {
+        incarnation: 3,
+        model: Some("indus-notes".into()),
+        version: Some("v12".into()),
+        layers: (0, 16),
+        adapters: ["summary".to_owned()].into(),
+        role: Role::Both,
+        fence: None,
+        loading: false,
+    };
+    Load {
+        holding,
+        queue: 0,
+        running: 1,
+        slots: 8,
+        step_us: 900,
+        prefill_rate: 4000.0,
+        kv_used: 100,
+        kv_cap: 100_000,
+        kv_bytes: 4096,
+        leaving: false,
+    }
+}
+
+pub(crate) fn service_load() -> ServiceLoad {
+    ServiceLoad { incarnation: 1, queue: 0, running: 0, slots: 4, call_us: 500, leaving: false }
+}
+
+#[derive(Default)]
+pub(crate) struct Taken(pub(crate) Mutex<BTreeMap<TargetId, Report>>);
+
+impl Reports for Taken {
+    fn take(&self, report: Report) {
+        let mut all = self.0.lock();
+        if all.get(&report.target).is_none_or(|known| known.seen < report.seen) {
+            all.insert(report.target.clone(), report);
+        }
+    }
+
+    fn newest(&self) -> Vec<Report> {
+        self.0.lock().values().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/roseshored/tests/loads.rs
@@ -0,0 +1,323 @@
+//! Polling and sharing of reports over real sockets on loopback, with targets in memory.
+
+// A part of it is unused in each test program, since both share it.
+#[allow(dead_code)]
+#[path = "cluster/cluster.rs"]
+mod cluster;
+
+use cluster::*;
+use parking_lot::Mutex;
+use roseshore_core::fleet::TargetKind;
+use roseshore_core::prelude::*;
+use roseshore_ports::inside::{Fleets, InForce, Report, ReportContent};
+use roseshore_ports::outside::{
+    CallError, Called, Engine, Hop, ServiceReply, Services, StreamItem,
+};
+use roseshore_wire::engine::{CacheEvents, Cancel, Generate, Holding, Kv, KvExport, Load, Order};
+use roseshore_wire::peer::{NoteContent, Summary};
+use roseshore_wire::service::ServiceLoad;
+use roseshored::loads::notes::{Packer, Unpacker};
+use roseshored::loads::{self, LoadDriver};
+use roseshored::peers::summarise;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Targets that answer as the test says, and the reports that one daemon took.
+#[derive(Default)]
+struct Site {
+    queue: AtomicU32,
+    silent: Mutex<Option<SocketAddr>>,
+}
+
+struct Targets(Arc<Site>);
+
+impl Targets {
+    fn ask(&self, addr: SocketAddr) -> Called<u32> {
+        if *self.0.silent.lock() == Some(addr) {
+            return Err(CallError::Lost("no reply in time".into()));
+        }
+        Ok(self.0.queue.load(Ordering::SeqCst))
+    }
+}
+
+fn unused<T>() -> Called<T> {
+    Err(CallError::Unreached("not part of this test".into()))
+}
+
+impl Engine for Targets {
+    fn load(&self, addr: SocketAddr, _limit: Duration) -> Called<Load> {
+        let queue = self.ask(addr)?;
+        Ok(Load { queue, ..load() })
+    }
+    fn generate(
+        &self,
+        _: SocketAddr,
+        _: &Generate,
+        _: Instant,
+    ) -> Called<flume::Receiver<StreamItem>> {
+        unused()
+    }
+    fn cancel(&self, _: SocketAddr, _: &Cancel, _: Duration) -> Called<()> {
+        unused()
+    }
+    fn export(&self, _: SocketAddr, _: &KvExport, _: Duration) -> Called<Kv> {
+        unused()
+    }
+    fn import(&self, _: SocketAddr, _: &Kv, _: Duration) -> Called<()> {
+        unused()
+    }
+    fn cache(&self, _: SocketAddr, _: u64, _: Duration) -> Called<CacheEvents> {
+        unused()
+    }
+    fn order(&self, _: SocketAddr, _: &Order, _: Duration) -> Called<Holding> {
+        unused()
+    }
+}
+
+impl Services for Targets {
+    fn lookup(&self, _: SocketAddr, _: &str, _: &str, _: &Hop) -> Called<ServiceReply> {
+        unused()
+    }
+    fn call(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        _: &[u8],
+        _: Option<&str>,
+        _: &Hop,
+    ) -> Called<ServiceReply> {
+        unused()
+    }
+    fn load(&self, addr: SocketAddr, _: Duration) -> Called<ServiceLoad> {
+        Ok(ServiceLoad { queue: self.ask(addr)?, ..service_load() })
+    }
+}
+
+const TARGETS: usize = 6;
+
+/// Six targets in the data centre of the daemons, half of them engines, and one elsewhere.
+struct Declared;
+
+impl Fleets for Declared {
+    fn current(&self) -> Option<InForce> {
+        let mut fleet = Fleet::default();
+        for n in 0..=TARGETS {
+            let kind = if n % 2 == 0 { TargetKind::Engine } else { TargetKind::Service };
+            let data_centre = if n < TARGETS { "near" } else { "far" }.into();
+            let target = Target {
+                kind,
+                host: format!("t{n}"),
+                data_centre,
+                addr: target_addr(n),
+                serves: None,
+                model: None,
+                layers: None,
+                accelerator: None,
+                checks_fence: false,
+            };
+            fleet.targets.insert(format!("t{n}"), target);
+        }
+        Some(InForce { fleet: Arc::new(fleet), offset: 1, digest: 1 })
+    }
+}
+
+fn target_addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1 + n as u16))
+}
+
+fn poll(daemon: &Daemon, site: &Arc<Site>) -> (LoadDriver, Arc<Taken>) {
+    let taken = Arc::new(Taken::default());
+    let parts = loads::Parts {
+        members: daemon.driver.clone(),
+        fleets: Arc::new(Declared),
+        engine: Arc::new(Targets(site.clone())),
+        services: Arc::new(Targets(site.clone())),
+        reports: taken.clone(),
+        settings: roseshore_core::polling::Settings::default(),
+    };
+    (LoadDriver::start(parts).expect("threads"), taken)
+}
+
+impl Taken {
+    /// Whether every target's newest report satisfies a condition.
+    fn all(&self, condition: impl Fn(&Report) -> bool) -> bool {
+        let all = self.0.lock();
+        all.len() == TARGETS && all.values().all(condition)
+    }
+
+    fn queue(&self, target: &str) -> Option<u32> {
+        match &self.0.lock().get(target)?.content {
+            ReportContent::Engine(load) => Some(load.queue),
+            ReportContent::Service(load) => Some(load.queue),
+            ReportContent::Silent => None,
+        }
+    }
+}
+
+#[test]
+fn reports_reach_every_daemon() {
+    let (list, mut daemons) = cluster();
+    let site = Arc::new(Site::default());
+    let mut loads: Vec<_> = daemons.iter().map(|d| poll(d, &site)).collect();
+    let all = |loads: &[(LoadDriver, Arc<Taken>)], queue| {
+        let of = |t: &Taken| (0..TARGETS).all(|n| t.queue(&format!("t{n}")) == Some(queue));
+        loads.iter().all(|(_, t)| of(t) && t.all(|_| true))
+    };
+    wait("all targets at all daemons", || all(&loads, 0));
+    site.queue.store(7, Ordering::SeqCst);
+    wait("a change at all daemons", || all(&loads, 7));
+
+    *site.silent.lock() = Some(target_addr(2));
+    wait("silent at all daemons", || loads.iter().all(|(_, t)| t.queue("t2").is_none()));
+    *site.silent.lock() = None;
+    wait("back at all daemons", || all(&loads, 7));
+
+    daemons.remove(0).driver.stop();
+    drop(loads.remove(0));
+    let since = Instant::now();
+    wait("the others poll what it polled", || loads.iter().all(|(_, t)| t.all(|r| r.seen > since)));
+
+    let new = Daemon::start(4, 1, SocketAddr::from(([127, 0, 0, 1], 0)), &list);
+    list.set(|hosts| hosts.push(host(4, Some(new.peer()))));
+    loads.push(poll(&new, &site));
+    site.queue.store(9, Ordering::SeqCst);
+    wait("one that joins knows all", || all(&loads, 9));
+}
+
+#[test]
+fn all_go_by_the_word_of_one_poller() {
+    let (_list, daemons) = cluster();
+    let number = |n| Arc::new(Site { queue: AtomicU32::new(n), ..Site::default() });
+    let loads: Vec<_> = daemons.iter().zip(1..).map(|(d, n)| poll(d, &number(n))).collect();
+    for target in (0..TARGETS).map(|n| format!("t{n}")) {
+        wait("the same poller's word at all daemons", || {
+            let first = loads[0].1.queue(&target);
+            first.is_some() && loads.iter().all(|(_, taken)| taken.queue(&target) == first)
+        });
+    }
+}
+
+#[test]
+fn short_notes() {
+    enum Step {
+        /// A report, milliseconds after the last; whether it travels whole, and arrives or not.
+        Say(u64, ReportContent, bool, bool),
+        /// Somebody joined.
+        Join,
+    }
+    use Step::{Join, Say};
+    struct Case {
+        name: &'static str,
+        steps: Vec<Step>,
+    }
+    let engine = |queue, kv_used| ReportContent::Engine(Load { queue, kv_used, ..load() });
+    let service = |queue| ReportContent::Service(ServiceLoad { queue, ..service_load() });
+    let leaving = ReportContent::Engine(Load { leaving: true, ..load() });
+    let cases = [
+        Case {
+            name: "counts travel short",
+            steps: vec![
+                Say(0, engine(0, 0), true, true),
+                Say(250, engine(5, 9000), false, true),
+                Say(250, engine(0, 1), false, true),
+            ],
+        },
+        Case {
+            name: "what else changes travels whole",
+            steps: vec![
+                Say(0, engine(0, 0), true, true),
+                Say(250, leaving, true, true),
+                Say(250, engine(0, 0), true, true),
+            ],
+        },
+        Case {
+            name: "now and then whole, for those who lost it",
+            steps: vec![
+                Say(0, service(0), true, true),
+                Say(29_900, service(1), false, true),
+                Say(200, service(2), true, true),
+            ],
+        },
+        Case {
+            name: "whole for one that joins",
+            steps: vec![Say(0, service(0), true, true), Join, Say(250, service(1), true, true)],
+        },
+        Case {
+            name: "counts without their whole report are passed over",
+            steps: vec![Say(0, service(0), true, false), Say(250, service(1), false, false)],
+        },
+        Case {
+            name: "silence needs nothing",
+            steps: vec![
+                Say(0, ReportContent::Silent, true, true),
+                Say(250, engine(0, 0), true, true),
+                Say(250, ReportContent::Silent, true, true),
+                Say(250, engine(1, 0), false, true),
+            ],
+        },
+    ];
+    for case in cases {
+        let (mut packer, mut unpacker) = (Packer::default(), Unpacker::default());
+        let mut now = Instant::now();
+        for (i, step) in case.steps.into_iter().enumerate() {
+            let Say(after, content, whole, arrives) = step else {
+                packer.reset();
+                continue;
+            };
+            now += Duration::from_millis(after);
+            let note = packer.pack(&"t".to_owned(), &content, now);
+            let short = matches!(note, NoteContent::Brief { .. });
+            assert_eq!(short, !whole, "{}, step {i}", case.name);
+            if arrives || short {
+                let got = unpacker.unpack(note).map(|u| u.content);
+                assert_eq!(got, arrives.then_some(content), "{}, step {i}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn summaries() {
+    struct Case {
+        name: &'static str,
+        /// First layer, one past the last, queue, slots, leaving.
+        engines: &'static [(Layer, Layer, u32, u32, bool)],
+        /// Queue and slots of the model, if it is there.
+        want: Option<(u32, u32)>,
+    }
+    let cases = [
+        Case { name: "nothing", engines: &[], want: None },
+        Case {
+            name: "the tightest layer bounds, the longest queue waits",
+            engines: &[(0, 8, 1, 4, false), (0, 8, 2, 4, false), (8, 16, 9, 4, false)],
+            want: Some((9, 4)),
+        },
+        Case {
+            name: "layers that overlap",
+            engines: &[(0, 10, 1, 4, false), (6, 16, 2, 5, false)],
+            want: Some((3, 4)),
+        },
+        Case { name: "a hole", engines: &[(8, 16, 1, 4, false)], want: Some((1, 0)) },
+        Case {
+            name: "one that leaves does not count",
+            engines: &[(0, 16, 1, 4, false), (0, 16, 5, 4, true)],
+            want: Some((1, 4)),
+        },
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let report = |(n, engine): (usize, &(Layer, Layer, u32, u32, bool))| {
+            let (first, end, queue, slots, leaving) = *engine;
+            let mut load = Load { queue, slots, leaving, ..load() };
+            load.holding.layers = (first, end);
+            let content = ReportContent::Engine(load);
+            Report { target: format!("t{n}"), seen: now, content }
+        };
+        let reports: Vec<_> = case.engines.iter().enumerate().map(report).collect();
+        let got = summarise(&reports, now + Duration::from_millis(70));
+        let lines: Vec<_> = got.iter().map(|s: &Summary| (s.queue, s.slots)).collect();
+        assert_eq!(lines, case.want.into_iter().collect::<Vec<_>>(), "{}", case.name);
+        assert!(got.iter().all(|s| s.age_ms == 70), "{}", case.name);
+    }
+}
