--- a/crates/roseshored/tests/members.rs
+++ b/crates/roseshored/tests/members.rs
@@ -1,150 +1,23 @@
 //! Membership over real sockets on loopback; every wait is for a condition.
 
-use parking_lot::Mutex;
-use roseshore_adapters::peer::UdpSocket;
-use roseshore_core::membership::{Heartbeat, Settings};
+// A part of it is unused in each test program, since both share it.
+#[allow(dead_code)]
+#[path = "cluster/cluster.rs"]
+mod cluster;
+
+use cluster::*;
+use roseshore_adapters::peer::{Limits, Server, TcpPeers, serve};
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{Fleets, InForce, MemberState, Members};
-use roseshore_ports::outside::{CallError, Called, Datagrams, HostList, Received};
-use roseshore_wire::peer::{Datagram, LoadNote, NoteContent};
-use roseshore_wire::platform::{Host, HostState, Hosts};
-use roseshored::app::Drain;
-use roseshored::members::{MemberDriver, Parts};
+use roseshore_ports::inside::{MemberState, Members, Report, ReportContent, Reports};
+use roseshore_ports::outside::{CallError, Called, Peers};
+use roseshore_wire::engine::Load;
+use roseshore_wire::peer::{Ask, NoteContent, Reply};
+use roseshore_wire::platform::HostState;
+use roseshored::members::Fresh;
+use roseshored::peers::{self, PeerDriver};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
-
-const BOUND: Duration = Duration::from_secs(20);
-
-fn wait(what: &str, condition: impl Fn() -> bool) {
-    let end = Instant::now() + BOUND;
-    while !condition() {
-        assert!(Instant::now() < end, "waited for: {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// The platform's list, which the test changes.
-#[derive(Default)]
-struct List {
-    hosts: Mutex<Hosts>,
-    down: AtomicBool,
-}
-
-impl List {
-    fn set(&self, change: impl FnOnce(&mut Vec<Host>)) {
-        let mut hosts = self.hosts.lock();
-        hosts.version += 1;
-        change(&mut hosts.hosts);
-    }
-}
-
-impl HostList for List {
-    fn hosts(&self) -> Called<Hosts> {
-        if self.down.load(Ordering::SeqCst) {
-            return Err(CallError::Unreached("the platform is out".into()));
-        }
-        Ok(self.hosts.lock().clone())
-    }
-}
-
-struct Folded;
-
-impl Fleets for Folded {
-    fn current(&self) -> Option<InForce> {
-        Some(InForce { fleet: Arc::default(), offset: 42, digest: 7 })
-    }
-}
-
-/// A socket that the test can cut off in either direction.
-struct Cable {
-    socket: UdpSocket,
-    deaf: AtomicBool,
-    mute: AtomicBool,
-}
-
-impl Datagrams for Cable {
-    fn send(&self, to: SocketAddr, datagram: &Datagram) -> Called<()> {
-        if self.mute.load(Ordering::SeqCst) {
-            return Ok(());
-        }
-        self.socket.send(to, datagram)
-    }
-
-    fn receive(&self, limit: Duration) -> Option<Received> {
-        self.socket.receive(limit).filter(|_| !self.deaf.load(Ordering::SeqCst))
-    }
-}
-
-struct Daemon {
-    driver: Arc<MemberDriver>,
-    cable: Arc<Cable>,
-    drain: Arc<Drain>,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.driver.stop();
-    }
-}
-
-impl Daemon {
-    fn start(n: usize, incarnation: u64, addr: SocketAddr, list: &Arc<List>) -> Daemon {
-        let socket = UdpSocket::bind(addr).expect("a port");
-        let peer = socket.addr().expect("its address");
-        let cable = Arc::new(Cable { socket, deaf: false.into(), mute: false.into() });
-        let drain = Arc::new(Drain::default());
-        let parts = Parts {
-            own: Heartbeat {
-                host: format!("h{n}"),
-                data_centre: "near".into(),
-                incarnation,
-                sequence: 0,
-                leaving: false,
-                offset: 0,
-                digest: 0,
-            },
-            peer,
-            seeds: Vec::new(),
-            settings: Settings::default(),
-            socket: cable.clone(),
-            list: list.clone(),
-            fleets: Arc::new(Folded),
-            drain: drain.clone(),
-        };
-        Daemon { driver: MemberDriver::start(parts).expect("threads"), cable, drain }
-    }
-
-    fn peer(&self) -> SocketAddr {
-        self.driver.own().peer
-    }
-
-    fn sees(&self, n: usize) -> Option<MemberState> {
-        let host = format!("h{n}");
-        self.driver.all().iter().find(|m| m.host == host).map(|m| m.state)
-    }
-}
-
-/// Three daemons that know each other.
-fn cluster() -> (Arc<List>, Vec<Daemon>) {
-    let list = Arc::new(List::default());
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let daemons: Vec<_> = (0..3).map(|n| Daemon::start(n, 1, any, &list)).collect();
-    list.set(|hosts| {
-        hosts.extend(daemons.iter().enumerate().map(|(n, d)| host(n, Some(d.peer()))));
-        hosts.push(host(9, None));
-    });
-    wait("all alive", || {
-        daemons.iter().all(|d| d.driver.ranked("x").len() == 3 && !d.driver.stale())
-    });
-    (list, daemons)
-}
-
-fn host(n: usize, peer: Option<SocketAddr>) -> Host {
-    let (host, data_centre) = (format!("h{n}"), "near".into());
-    Host { host, data_centre, state: HostState::Live, peer }
-}
 
 #[test]
 fn daemons_find_each_other_and_agree() {
@@ -236,19 +109,108 @@
 #[test]
 fn notes_reach_the_others_once() {
     let (_list, daemons) = cluster();
+    let name = |n| format!("a target with quite a long name {n}");
     for n in 0..100 {
-        let content = NoteContent::Silent { target: format!("a target with quite a name {n}") };
-        daemons[0].driver.share(LoadNote { age_ms: n, content });
+        let content = NoteContent::Silent { target: name(n) };
+        daemons[0].driver.share(Fresh { seen: Instant::now(), content, urgent: n == 99 });
     }
     for other in &daemons[1..] {
         let inbox = other.driver.told();
-        let mut ages = Vec::new();
-        wait("all notes, over several datagrams", || inbox.len() >= 3);
-        while ages.len() < 100 {
+        let mut got = Vec::new();
+        while got.len() < 100 {
             let told = inbox.recv_timeout(BOUND).expect("notes");
-            ages.extend(told.notes.iter().map(|n| n.age_ms));
+            got.extend(told.notes.into_iter().map(|n| n.content));
         }
-        assert_eq!(ages, (0..100).collect::<Vec<_>>());
+        let want = (0..100).map(|n| NoteContent::Silent { target: name(n) });
+        assert_eq!(got, want.collect::<Vec<_>>(), "over several datagrams");
         assert!(inbox.is_empty());
     }
 }
+
+/// Links that the test can cut.
+struct Wire {
+    peers: TcpPeers,
+    cut: Arc<AtomicBool>,
+}
+
+impl Peers for Wire {
+    fn ask(&self, addr: SocketAddr, ask: &Ask, limit: Duration) -> Called<Reply> {
+        if self.cut.load(Ordering::SeqCst) {
+            return Err(CallError::Unreached("cut".into()));
+        }
+        self.peers.ask(addr, ask, limit)
+    }
+}
+
+struct Speaking {
+    daemon: Daemon,
+    driver: Arc<PeerDriver>,
+    _server: Server,
+}
+
+impl Drop for Speaking {
+    fn drop(&mut self) {
+        self.driver.stop();
+    }
+}
+
+/// A daemon that speaks with other data centres; its targets' queue is its own number.
+fn speaking(n: usize, list: &Arc<List>, cut: &Arc<AtomicBool>) -> Speaking {
+    let daemon = Daemon::start(n, 1, SocketAddr::from(([127, 0, 0, 1], 0)), list);
+    let reports = Arc::new(Taken::default());
+    let content = ReportContent::Engine(Load { queue: n as u32, ..load() });
+    reports.take(Report { target: "t".into(), seen: Instant::now(), content });
+    let parts = peers::Parts {
+        members: daemon.driver.clone(),
+        peers: Arc::new(Wire { peers: TcpPeers::new(Limits::default()), cut: cut.clone() }),
+        reports,
+        settings: settings(),
+    };
+    let driver = PeerDriver::start(parts).expect("threads");
+    let listener = daemon.listener.try_clone().expect("the listener");
+    let server = serve(listener, vec![driver.clone()]).expect("a server");
+    Speaking { daemon, driver, _server: server }
+}
+
+#[test]
+fn data_centres_part_and_meet_again() {
+    let list = Arc::new(List::default());
+    let cut = Arc::new(AtomicBool::new(false));
+    let numbers = [1, 2, 51, 52];
+    let all: Vec<_> = numbers.iter().map(|n| speaking(*n, &list, &cut)).collect();
+    list.set(|hosts| {
+        let peers = all.iter().map(|s| Some(s.daemon.peer()));
+        hosts.extend(numbers.iter().zip(peers).map(|(n, peer)| host(*n, peer)));
+    });
+    let far = |n: usize| if n < 50 { [51, 52] } else { [1, 2] };
+    let sees = |state: Option<MemberState>| {
+        let both = |(n, s): (&usize, &Speaking)| far(*n).iter().all(|f| s.daemon.sees(*f) == state);
+        numbers.iter().zip(&all).all(both)
+    };
+    let queues = |s: &Speaking| -> Vec<(DataCentreId, u32)> {
+        let far = s.driver.far();
+        far.iter().map(|f| (f.data_centre.clone(), f.summaries[0].queue)).collect()
+    };
+    wait("all alive to all", || sees(Some(MemberState::Alive)));
+    wait("the load over there, of one of its daemons", || {
+        numbers.iter().zip(&all).all(|(n, s)| {
+            let told = queues(s);
+            told.len() == 1
+                && told[0].0 == centre(far(*n)[0])
+                && far(*n).contains(&(told[0].1 as usize))
+        })
+    });
+    cut.store(true, Ordering::SeqCst);
+    wait("suspected, then gone over there", || sees(None));
+    let near = |s: &Speaking| s.daemon.driver.ranked("x").len() == 2;
+    wait("alive here meanwhile", || all.iter().all(near));
+    all[0].daemon.drain.start();
+    cut.store(false, Ordering::SeqCst);
+    wait("met again, with what happened meanwhile", || {
+        let leaving = |n: usize| if n == 1 { MemberState::Leaving } else { MemberState::Alive };
+        numbers
+            .iter()
+            .zip(&all)
+            .all(|(n, s)| far(*n).iter().all(|f| s.daemon.sees(*f) == Some(leaving(*f))))
+    });
+}
