--- a/crates/roseshore_core/src/answer/machine.rs
+++ b/crates/roseshore_core/src/answer/machine.rs
@@ -97,7 +97,8 @@
     phase: Phase,
     epoch: Epoch,
     stages: Vec<Stage>,
-    silent: Vec<bool>,
+    /// For each stage, whether the last probe found it silent; `None` without a result.
+    silent: Vec<Option<bool>>,
     old: Vec<Held>,
     tokens: Vec<String>,
     window: Window,
@@ -238,6 +239,7 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.streaming() && now < self.quiet && self.probe.is_some_and(|at| now >= at) {
             self.probe = None;
+            self.silent.fill(None);
             let limit = self.quiet.saturating_duration_since(now).mul_f64(PROBE_LIMIT);
             out.push(Action::Probe { epoch: self.epoch, limit });
         }
--- a/crates/roseshore_core/src/answer/machine/recover.rs
+++ b/crates/roseshore_core/src/answer/machine/recover.rs
@@ -59,9 +59,10 @@
         match blame {
             Blame::None | Blame::Any => Vec::new(),
             Blame::At(at) => vec![name(*at)],
-            Blame::Silent => {
-                (0..self.stages.len()).filter(|at| self.silent[*at]).map(name).collect()
-            }
+            Blame::Silent => (0..self.stages.len())
+                .filter(|at| self.silent[*at] == Some(true))
+                .map(name)
+                .collect(),
         }
     }
 
--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -36,7 +36,7 @@
         out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
         self.pace.predict(route.first, route.between);
         self.stages = route.stages;
-        self.silent = vec![false; self.stages.len()];
+        self.silent = vec![None; self.stages.len()];
         match plan {
             Plan::Cold => self.open(now, false, out),
             Plan::Warm(moves, _) if moves.is_empty() => self.open(now, true, out),
--- a/crates/roseshore_core/src/answer/machine/stream.rs
+++ b/crates/roseshore_core/src/answer/machine/stream.rs
@@ -136,7 +136,7 @@
         self.attempts = 0;
         self.cuts = 0;
         self.last = now;
-        self.silent.fill(false);
+        self.silent.fill(None);
         self.arm(now);
     }
 
@@ -166,6 +166,19 @@
         self.give_up(now, Cause::Cut, blame, out);
     }
 
+    /// Once every stage was heard of, one that is silent need not be waited for any longer.
+    fn heard_of(&mut self, now: Instant, at: usize, silent: bool, out: &mut Vec<Action>) {
+        // A token has come since the probe was sent.
+        if self.probe.is_some() {
+            return;
+        }
+        self.silent[at] = Some(silent);
+        let all = self.silent.iter().all(Option::is_some);
+        if all && self.silent.contains(&Some(true)) {
+            self.give_up(now, Cause::Silent, Blame::Silent, out);
+        }
+    }
+
     pub(super) fn probed(
         &mut self,
         now: Instant,
@@ -184,8 +197,8 @@
             Health::Alive(life) if life != self.stages[at].incarnation => {
                 self.give_up(now, Cause::Restarted, Blame::At(at), out);
             }
-            Health::Alive(_) => self.silent[at] = false,
-            Health::Silent => self.silent[at] = true,
+            Health::Alive(_) => self.heard_of(now, at, false, out),
+            Health::Silent => self.heard_of(now, at, true, out),
         }
     }
 }
--- a/crates/roseshore_core/tests/answer.rs
+++ b/crates/roseshore_core/tests/answer.rs
@@ -440,6 +440,40 @@
     }
 }
 
+#[test]
+fn a_silent_stage_is_given_up_once_probed_unless_a_token_came() {
+    struct Case {
+        name: &'static str,
+        token: bool,
+        epoch: Epoch,
+    }
+    let cases = [
+        Case { name: "no token since", token: false, epoch: 2 },
+        Case { name: "a token since", token: true, epoch: 1 },
+    ];
+    for case in cases {
+        let mut world = World::new(rules());
+        world.act();
+        assert!(run_until(&mut world, &STEPS[4]));
+        set(&mut world, 1, State::Frozen);
+        world.now = world.answer.wake();
+        world.feed(Input::Tick);
+        let results = std::mem::take(&mut world.queue);
+        assert_eq!(results.len(), RANGES.len(), "{}: every stage is probed", case.name);
+        set(&mut world, 1, State::Live);
+        if case.token {
+            let token = world.token(1, world.delivered.len() as u32);
+            world.feed(Input::Line("own".to_owned(), 1, token));
+        }
+        for result in results {
+            world.feed(result);
+        }
+        assert_eq!(world.epoch, case.epoch, "{}", case.name);
+        world.run_to_end();
+        assert_whole(&world, case.name);
+    }
+}
+
 #[test]
 fn time_that_the_caller_took_is_not_silence() {
     let mut world = World::new(rules());
