--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -36,7 +36,7 @@
         out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
         self.pace.predict(route.first, route.between);
         self.stages = route.stages;
-        self.silent = vec![false; self.stages.len()];
+        self.silent = vec![None; self.stages.len()];
         match plan {
             Plan::Cold => self.open(now, false, out),
             Plan::Warm(moves, _) if moves.is_empty() => self.open(now, true, out),
@@ -55,7 +55,10 @@
         self.warm = warm;
         self.attempts += 1;
         self.tally.routes += 1;
-        self.quiet = now + self.pace.open();
+        let open = self.pace.open();
+        // A stage that keeps a cache has just been heard of; if it died since, that shows soon.
+        let bound = if warm { open.min(self.pace.decode()) } else { open };
+        self.quiet = now + bound;
         out.push(Action::Open { epoch: self.epoch, warm });
     }
 
