--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -80,8 +80,6 @@
         "Between heartbeats to other daemons",
     ),
     row("poll-ms", Some("250"), Kind::Count(20..=60_000), "Between polls of a target's load"),
-    row("host-list-ms", Some("500"), Kind::Count(20..=60_000), "Between polls of the host list"),
-    row("config-ms", Some("1000"), Kind::Count(20..=60_000), "Longest wait of a read of the log"),
     row("traces", Some("1024"), Kind::Count(0..=65_536), "Requests whose spans are kept"),
     row("log-level", Some("info"), Kind::Choice(LEVELS), "What is logged"),
     row("log-format", Some("full"), Kind::Choice(FORMATS), "Lines with time and level, or bare"),
@@ -166,10 +164,6 @@
     pub heartbeat: Duration,
     /// Between polls of a target.
     pub poll: Duration,
-    /// Between polls of the host list.
-    pub host_poll: Duration,
-    /// Longest wait of a read of the log.
-    pub config_wait: Duration,
     /// Requests whose spans are kept.
     pub traces: usize,
     /// What is logged.
@@ -215,8 +209,6 @@
             grace: values.millis("grace-ms"),
             heartbeat: values.millis("heartbeat-ms"),
             poll: values.millis("poll-ms"),
-            host_poll: values.millis("host-list-ms"),
-            config_wait: values.millis("config-ms"),
             traces: values.count("traces") as usize,
             log_level: values.text("log-level").parse().unwrap_or(log::LevelFilter::Info),
             bare_log: values.text("log-format") == "bare",
