--- a/crates/roseshored/tests/drain.rs
+++ b/crates/roseshored/tests/drain.rs
@@ -2,11 +2,12 @@
 
 #[path = "support/fakes.rs"]
 mod fakes;
+#[path = "support/process.rs"]
+mod process;
 
 use fakes::*;
+use process::Process;
 use roseshore_core::prelude::*;
-use std::io::{BufRead, BufReader};
-use std::process::{Child, Command, ExitStatus, Stdio};
 use std::thread;
 
 /// Streams and calls in flight end whole; whatever comes after is refused as not run.
@@ -53,53 +54,6 @@
     assert_eq!(daemon.running.finish(), 1);
 }
 
-/// A process of the daemon; ended with the test.
-struct Process {
-    child: Child,
-    addr: std::net::SocketAddr,
-}
-
-impl Process {
-    fn start(grace: &str) -> Process {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_roseshored"))
-            .args(["--host=h1", "--data-centre=a", "--listen=127.0.0.1:0", grace])
-            .args(["--log=127.0.0.1:9", "--peer=127.0.0.1:0"])
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("run");
-        let mut lines = BufReader::new(child.stdout.take().expect("output")).lines();
-        let started = lines.find(|it| it.as_ref().is_ok_and(|it| it.contains("E101")));
-        let started = started.expect("a start").expect("a line");
-        let addr = started.rsplit_once("listen=").and_then(|it| it.1.parse().ok()).expect("addr");
-        thread::spawn(move || lines.for_each(drop));
-        Process { child, addr }
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-        assert!(sent.expect("kill").success());
-    }
-
-    fn end(&mut self) -> ExitStatus {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            if let Some(status) = self.child.try_wait().expect("wait") {
-                return status;
-            }
-            assert!(Instant::now() < end, "the process goes on");
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 struct Ended {
     name: &'static str,
     grace: &'static str,
@@ -122,7 +76,7 @@
         },
     ];
     for case in cases {
-        let mut process = Process::start(case.grace);
+        let mut process = Process::start(&[case.grace]);
         for (index, signal) in case.sent.iter().enumerate() {
             if index > 0 && *signal == "TERM" && case.sent[index - 1] == "TERM" {
                 let ready = || Caller::new(process.addr).get("/readyz").refusal();
@@ -139,7 +93,7 @@
 /// A daemon that was frozen serves on, connections made meanwhile included.
 #[test]
 fn frozen_and_thawed() {
-    let process = Process::start("--grace-ms=0");
+    let process = Process::start(&["--grace-ms=0"]);
     for _ in 0..3 {
         process.signal("STOP");
         let mut caller = Caller::new(process.addr);
--- a/crates/roseshored/tests/path.rs
+++ b/crates/roseshored/tests/path.rs
@@ -2,16 +2,20 @@
 
 #[path = "support/fakes.rs"]
 mod fakes;
+#[path = "support/process.rs"]
+mod process;
 
 use fakes::{CHAT, Caller, PATIENCE, chat, post};
 use roseshore_core::config::{Change, Command, FORMAT};
 use roseshore_core::prelude::*;
 use roseshore_fakes::engine::{EngineFake, EngineSettings};
 
+use process::Process;
 use roseshore_fakes::platform::{PlatformFake, PlatformSettings};
 use roseshored::Running;
 use roseshored::parts::Parts;
 use std::net::SocketAddr;
+use std::thread;
 
 const FLEET: &str = r#"
 [data_centres.a]
@@ -32,7 +36,7 @@
 
 /// A platform, two stages and a daemon, each with its own sockets.
 struct Path {
-    _platform: PlatformFake,
+    platform: PlatformFake,
     stages: Vec<EngineFake>,
     parts: Parts,
     running: Running,
@@ -50,7 +54,7 @@
             let name = format!("e{}", layers.0);
             EngineFake::start(EngineSettings::holding(&name, "m", "v1", layers)).expect("engine")
         });
-        Path { _platform: platform, stages: holding.into(), parts, running }
+        Path { platform, stages: holding.into(), parts, running }
     }
 
     fn addr(&self) -> SocketAddr {
@@ -87,14 +91,28 @@
 
     /// Waits until the daemon has heard of every stage.
     fn wait(&self) {
-        let end = Instant::now() + PATIENCE;
-        while post(self.addr(), CHAT, "", &chat("chat", false)).status != 200 {
-            assert!(Instant::now() < end, "the stages are not in use");
-            std::thread::yield_now();
-        }
+        wait_for_stages(self.addr());
+    }
+}
+
+fn wait_for_stages(addr: SocketAddr) {
+    let end = Instant::now() + PATIENCE;
+    while post(addr, CHAT, "", &chat("chat", false)).status != 200 {
+        assert!(Instant::now() < end, "the stages are not in use");
+        thread::sleep(Duration::from_millis(5));
     }
 }
 
+/// Opens a stream, says so, and reads it to its end.
+fn stream(addr: SocketAddr, opened: &flume::Sender<()>) -> String {
+    let mut caller = Caller::new(addr);
+    caller.post(CHAT, "", &chat("chat", true));
+    let top = caller.head();
+    caller.chunk();
+    opened.send(()).expect("a listener");
+    caller.rest(top).body
+}
+
 /// Without a configuration nothing is served; with one, an answer passes both stages.
 #[test]
 fn from_command_to_answer() {
@@ -141,3 +159,33 @@
     assert_eq!(other.header("x-code"), Some("RS405"), "{other:?}");
     path.stop();
 }
+
+/// A daemon's process is stopped again and again with streams in flight; none is cut off.
+#[test]
+fn restarts_cut_nothing() {
+    const RESTARTS: usize = 10;
+    const STREAMS: usize = 4;
+    let path = Path::start();
+    path.apply();
+    let log = format!("--log={}", path.platform.addr());
+    for restart in 0..RESTARTS {
+        let mut process = Process::start(&["--host=h2", "--grace-ms=0", "--poll-ms=20", &log]);
+        let addr = process.addr;
+        wait_for_stages(addr);
+        let (opened, open) = flume::bounded(STREAMS);
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|_| opened.clone())
+            .map(|opened| thread::spawn(move || stream(addr, &opened)))
+            .collect();
+        for _ in 0..STREAMS {
+            open.recv_timeout(PATIENCE).expect("an open stream");
+        }
+        process.signal("TERM");
+        for stream in streams {
+            let body = stream.join().expect("a whole stream");
+            assert!(body.ends_with("data: [DONE]\n\n"), "restart {restart}: {body}");
+        }
+        assert_eq!(process.end().code(), Some(0), "restart {restart}");
+    }
+    path.stop();
+}
