--- a/crates/roseshore_core/src/config/reader.rs
+++ b/crates/roseshore_core/src/config/reader.rs
@@ -64,22 +64,22 @@
     limits: ReaderLimits,
     due: Instant,
     failures: u32,
+    answered: bool,
 }
 
 impl Reader {
     /// A reader that has not asked yet.
     pub fn new(limits: ReaderLimits, now: Instant) -> Reader {
-        Reader { limits, due: now, failures: 0 }
+        Reader { limits, due: now, failures: 0, answered: false }
     }
 
     /// What to do now; `rank` is this daemon's place in rendezvous order.
     pub fn next(&self, now: Instant, rank: Option<usize>) -> Act {
         let first = rank.is_some_and(|it| it < self.limits.readers);
-        if now >= self.due {
-            return Act::Read { wait: if first { self.limits.wait } else { Duration::ZERO } };
-        }
-        if first && self.failures == 0 {
-            return Act::Read { wait: self.limits.wait };
+        // The first answer, and the first after a failure, are worth having at once.
+        let poll = first && self.answered && self.failures == 0;
+        if poll || now >= self.due {
+            return Act::Read { wait: if poll { self.limits.wait } else { Duration::ZERO } };
         }
         Act::Rest { until: self.due }
     }
@@ -88,6 +88,7 @@
     pub fn answered(&mut self, now: Instant, more: bool) -> Option<Turn> {
         let back = self.failures > 0;
         self.failures = 0;
+        self.answered = true;
         self.due = if more { now } else { now + self.limits.backstop };
         back.then_some(Turn::Back)
     }
--- a/crates/roseshore_core/src/declare.rs
+++ b/crates/roseshore_core/src/declare.rs
@@ -71,16 +71,18 @@
     let mut fleet = Fleet::default();
     let mut places: BTreeMap<ObjectKey, Place> = BTreeMap::new();
     let mut mistakes = Vec::new();
+    let mut tilings = Vec::new();
     for source in sources {
-        let objects = match file::read(&source.text) {
-            Ok(objects) => objects,
+        let content = match file::read(&source.text) {
+            Ok(content) => content,
             Err(err) => {
                 let message = format!("{}; correct the declaration", err.message());
                 mistakes.push(Mistake { place: source.place(err.span()), message });
                 continue;
             }
         };
-        for declared in objects {
+        tilings.extend(content.tilings.into_iter().map(|it| (source, it)));
+        for declared in content.objects {
             let place = source.place(Some(declared.span));
             if let Some(first) = places.get(&declared.key) {
                 let message = format!(
@@ -94,6 +96,12 @@
             places.insert(declared.key, place);
         }
     }
+    for (source, tiling) in tilings {
+        let layers = fleet.models.get(&tiling.model).map(|it| it.layers);
+        if let Some((span, message)) = layers.and_then(|it| tiling.fault(it)) {
+            mistakes.push(Mistake { place: source.place(Some(span)), message });
+        }
+    }
     if mistakes.is_empty() {
         mistakes = check_fleet(&fleet)
             .into_iter()
--- a/crates/roseshore_core/src/declare/file.rs
+++ b/crates/roseshore_core/src/declare/file.rs
@@ -20,6 +20,37 @@
     pub(super) span: Range<usize>,
 }
 
+/// The stages of a chain, which must tile the layers of its model.
+pub(super) struct Tiling {
+    pub(super) model: ModelId,
+    pub(super) stages: Vec<(Range<usize>, (Layer, Layer))>,
+}
+
+impl Tiling {
+    /// The first stage that leaves a hole or overlaps, and why.
+    pub(super) fn fault(&self, layers: Layer) -> Option<(Range<usize>, String)> {
+        let mut due = 0;
+        for (span, (first, end)) in &self.stages {
+            if *first != due {
+                let why =
+                    format!("this stage begins at layer {first}, the one before ends at {due}");
+                return Some((span.clone(), format!("{why}; let them meet")));
+            }
+            due = *end;
+        }
+        let (span, _) = self.stages.last()?;
+        let why = format!("the chain ends at layer {due}, but model `{}` has {layers}", self.model);
+        (due != layers).then(|| (span.clone(), format!("{why}; add or correct a stage")))
+    }
+}
+
+/// What one file declares.
+#[derive(Default)]
+pub(super) struct Content {
+    pub(super) objects: Vec<Declared>,
+    pub(super) tilings: Vec<Tiling>,
+}
+
 type Table<T> = BTreeMap<Spanned<String>, T>;
 
 #[derive(Deserialize)]
@@ -78,21 +109,23 @@
 }
 
 /// Reads one file.
-pub(super) fn read(text: &str) -> Result<Vec<Declared>, toml::de::Error> {
+pub(super) fn read(text: &str) -> Result<Content, toml::de::Error> {
     let file: File = toml::from_str(text)?;
-    let mut out = Vec::new();
-    table(&mut out, file.data_centre, Kind::DataCentre, Object::DataCentre);
-    table(&mut out, file.model, Kind::Model, Object::Model);
-    table(&mut out, file.service, Kind::Service, Object::Service);
-    table(&mut out, file.organisation, Kind::Organisation, Object::Organisation);
-    table(&mut out, file.target, Kind::Target, Object::Target);
-    for chain in file.chain {
-        engines(&mut out, chain);
-    }
+    let mut content = Content::default();
+    let out = &mut content.objects;
+    table(out, file.data_centre, Kind::DataCentre, Object::DataCentre);
+    table(out, file.model, Kind::Model, Object::Model);
+    table(out, file.service, Kind::Service, Object::Service);
+    table(out, file.organisation, Kind::Organisation, Object::Organisation);
+    table(out, file.target, Kind::Target, Object::Target);
     for process in file.process {
-        replicas(&mut out, process);
+        replicas(out, process);
+    }
+    for chain in file.chain {
+        content.tilings.push(tiling(&chain));
+        engines(&mut content.objects, chain);
     }
-    Ok(out)
+    Ok(content)
 }
 
 fn table<T>(out: &mut Vec<Declared>, table: Table<T>, kind: Kind, wrap: fn(T) -> Object) {
@@ -103,6 +136,11 @@
     }
 }
 
+fn tiling(chain: &Chain) -> Tiling {
+    let stages = chain.stages.iter().map(|it| (it.span(), it.as_ref().layers));
+    Tiling { model: chain.model.clone(), stages: stages.collect() }
+}
+
 fn engines(out: &mut Vec<Declared>, chain: Chain) {
     for (index, stage) in chain.stages.into_iter().enumerate() {
         let span = stage.span();
--- a/crates/roseshored/src/fleets/source.rs
+++ b/crates/roseshored/src/fleets/source.rs
@@ -10,7 +10,9 @@
 use roseshore_wire::platform::{Record, Records};
 use std::net::SocketAddr;
 
-const BATCH: usize = 256;
+const BATCH: usize = 64;
+/// Parts of a snapshot in one read; a part has up to 256 KiB.
+const PARTS: usize = 8;
 /// The most bytes of records in one reply to a peer; below the bound of a frame.
 const MAX_REPLY: usize = 4 << 20;
 
@@ -69,7 +71,7 @@
         let parts = tail.map_or(end, |it| Offset::from(it.parts));
         let mut from = end.saturating_sub(parts).max(oldest);
         while from < end {
-            let found = self.log.read(SNAPSHOTS, from, BATCH, Duration::ZERO)?;
+            let found = self.log.read(SNAPSHOTS, from, PARTS, Duration::ZERO)?;
             let Some(last) = found.records.last() else { break };
             from = last.offset + 1;
             for it in &found.records {
