--- a/crates/roseshore_core/tests/config.rs
+++ b/crates/roseshore_core/tests/config.rs
@@ -75,8 +75,8 @@
     last: &'static str,
 }
 
-// One table, a line or two for each case.
-#[allow(clippy::too_many_lines)]
+// One case a line.
+#[rustfmt::skip]
 fn verdicts() -> Vec<Verdicts> {
     let one = |name, edits: &[Edit<'_>], last| Verdicts {
         name,
@@ -88,187 +88,42 @@
     let raw = |text: &str| vec![text.to_owned()];
     vec![
         one("a new object", &[("organisation", "o", None, org(1.0))], "accepted"),
-        many(
-            "racing creators",
-            vec![put("x", None, 1.0), put("y", None, 2.0)],
-            "organisation `o` is version 1, not absent as you saw it: `op-x` changed it with command `x`",
-        ),
-        many(
-            "racing changes",
-            vec![put("x", None, 1.0), put("y", Some(1), 2.0), put("z", Some(1), 3.0)],
-            "version 2, not version 1 as you saw it: `op-y` changed it with command `y`",
-        ),
-        many(
-            "a change of what was deleted",
-            vec![
-                put("x", None, 1.0),
-                command("d", 1, &[("organisation", "o", Some(1), Value::Null)]),
-                put("y", Some(1), 2.0),
-            ],
-            "organisation `o` is absent, not version 1 as you saw it: `op-d`",
-        ),
-        many(
-            "deleted and made anew is another version",
-            vec![
-                put("x", None, 1.0),
-                command("d", 1, &[("organisation", "o", Some(1), Value::Null)]),
-                put("n", None, 1.0),
-                put("y", Some(1), 2.0),
-            ],
-            "version 3, not version 1",
-        ),
-        many(
-            "one conflict rejects every change",
-            vec![
-                put("x", None, 1.0),
-                command(
-                    "y",
-                    1,
-                    &[("organisation", "p", None, org(1.0)), ("organisation", "o", None, org(1.0))],
-                ),
-                command("z", 1, &[("organisation", "p", None, org(1.0))]),
-            ],
-            "accepted",
-        ),
-        many(
-            "the same command again",
-            vec![put("x", None, 1.0), put("x", None, 1.0)],
-            "repeat of 1, same: true",
-        ),
-        many(
-            "the same id with another content",
-            vec![put("x", None, 1.0), put("x", Some(1), 2.0)],
-            "repeat of 1, same: false",
-        ),
-        many(
-            "a rejected command again",
-            vec![put("x", Some(9), 1.0), put("x", Some(9), 1.0)],
-            "repeat of 1",
-        ),
-        many(
-            "another format",
-            raw(r#"{"format":2,"id":"x","shape":[]}"#),
-            "skipped: format 2 is not known",
-        ),
+        many("racing creators", vec![put("x", None, 1.0), put("y", None, 2.0)], "organisation `o` is version 1, not absent as you saw it: `op-x` changed it with command `x`",),
+        many("racing changes", vec![put("x", None, 1.0), put("y", Some(1), 2.0), put("z", Some(1), 3.0)], "version 2, not version 1 as you saw it: `op-y` changed it with command `y`",),
+        many("a change of what was deleted", vec![put("x", None, 1.0), command("d", 1, &[("organisation", "o", Some(1), Value::Null)]), put("y", Some(1), 2.0)], "organisation `o` is absent, not version 1 as you saw it: `op-d`",),
+        many("deleted and made anew is another version", vec![put("x", None, 1.0), command("d", 1, &[("organisation", "o", Some(1), Value::Null)]), put("n", None, 1.0), put("y", Some(1), 2.0)], "version 3, not version 1",),
+        many("one conflict rejects every change", vec![put("x", None, 1.0), command("y", 1, &[("organisation", "p", None, org(1.0)), ("organisation", "o", None, org(1.0))]), command("z", 1, &[("organisation", "p", None, org(1.0))])], "accepted",),
+        many("the same command again", vec![put("x", None, 1.0), put("x", None, 1.0)], "repeat of 1, same: true",),
+        many("the same id with another content", vec![put("x", None, 1.0), put("x", Some(1), 2.0)], "repeat of 1, same: false",),
+        many("a rejected command again", vec![put("x", Some(9), 1.0), put("x", Some(9), 1.0)], "repeat of 1",),
+        many("another format", raw(r#"{"format":2,"id":"x","shape":[]}"#), "skipped: format 2 is not known",),
         many("no JSON", raw("{nonsense"), "skipped: no command"),
-        many(
-            "an unknown field",
-            raw(r#"{"format":1,"id":"x","operator":"o","made_at":0,"changes":[],"more":1}"#),
-            "skipped: unreadable command",
-        ),
-        many(
-            "made after its own place",
-            vec![command("x", 9, &[("organisation", "o", None, org(1.0))])],
-            "skipped: made at 9",
-        ),
+        many("an unknown field", raw(r#"{"format":1,"id":"x","operator":"o","made_at":0,"changes":[],"more":1}"#), "skipped: unreadable command",),
+        many("made after its own place", vec![command("x", 9, &[("organisation", "o", None, org(1.0))])], "skipped: made at 9",),
         one("no change", &[], "a command has 1 to"),
-        one(
-            "one object twice",
-            &[("organisation", "o", None, org(1.0)), ("organisation", "o", None, org(2.0))],
-            "changed twice",
-        ),
+        one("one object twice", &[("organisation", "o", None, org(1.0)), ("organisation", "o", None, org(2.0))], "changed twice",),
         one("deleting nothing", &[("organisation", "o", None, Value::Null)], "nothing to delete"),
-        one(
-            "a name with a slash",
-            &[("organisation", "a/b", None, org(1.0))],
-            "`a/b` is not a name",
-        ),
+        one("a name with a slash", &[("organisation", "a/b", None, org(1.0))], "`a/b` is not a name",),
         one("no rate", &[("organisation", "o", None, org(0.0))], "`rate` must be"),
-        one(
-            "a model in use",
-            &[("model", "m", Some(0), Value::Null)],
-            "service `notes` still refers to model `m`",
-        ),
-        one(
-            "a model with its users",
-            &[
-                ("service", "notes", Some(0), Value::Null),
-                ("target", "e0", Some(0), Value::Null),
-                ("target", "e1", Some(0), Value::Null),
-                ("model", "m", Some(0), Value::Null),
-            ],
-            "accepted",
-        ),
-        one(
-            "a data centre in use",
-            &[("data_centre", "korangi", Some(0), Value::Null)],
-            "still refers to",
-        ),
-        one(
-            "a link to nowhere",
-            &[("data_centre", "clifton", None, json!({"region": "r", "links": {"x": 1.0}}))],
-            "data_centre `x` is not declared",
-        ),
-        one(
-            "a service without its model",
-            &[("service", "s", None, json!({"kind": "model", "model": "q"}))],
-            "model `q` is not declared; declare it",
-        ),
-        one(
-            "a lookup that may run once",
-            &[("service", "s", None, json!({"kind": "lookup", "idempotent": false}))],
-            "a lookup is idempotent",
-        ),
-        one(
-            "a source that is still served",
-            &[("service", "crates", Some(0), json!({"kind": "lookup", "sources": ["b"]}))],
-            "target `r0` no longer fits: service `crates` has no source `a`",
-        ),
-        one(
-            "a hole in the layers",
-            &[("target", "e1", Some(0), Value::Null)],
-            "no target holds layers 4..8",
-        ),
-        one(
-            "a hole by fewer layers",
-            &[("target", "e0", Some(0), engine(1, (0, 3)))],
-            "no target holds layers 3..4",
-        ),
-        one(
-            "layers past the end",
-            &[("target", "e2", None, engine(9, (4, 9)))],
-            "holds layers 4..9, but the model has 8",
-        ),
-        one(
-            "a smaller model",
-            &[("model", "m", Some(0), json!({"layers": 7, "version": "v1"}))],
-            "but the model has 7",
-        ),
+        one("a model in use", &[("model", "m", Some(0), Value::Null)], "service `notes` still refers to model `m`",),
+        one("a model with its users", &[("service", "notes", Some(0), Value::Null), ("target", "e0", Some(0), Value::Null), ("target", "e1", Some(0), Value::Null), ("model", "m", Some(0), Value::Null)], "accepted",),
+        one("a data centre in use", &[("data_centre", "korangi", Some(0), Value::Null)], "still refers to",),
+        one("a link to nowhere", &[("data_centre", "clifton", None, json!({"region": "r", "links": {"x": 1.0}}))], "data_centre `x` is not declared",),
+        one("a service without its model", &[("service", "s", None, json!({"kind": "model", "model": "q"}))], "model `q` is not declared; declare it",),
+        one("a lookup that may run once", &[("service", "s", None, json!({"kind": "lookup", "idempotent": false}))], "a lookup is idempotent",),
+        one("a source that is still served", &[("service", "crates", Some(0), json!({"kind": "lookup", "sources": ["b"]}))], "target `r0` no longer fits: service `crates` has no source `a`",),
+        one("a hole in the layers", &[("target", "e1", Some(0), Value::Null)], "no target holds layers 4..8",),
+        one("a hole by fewer layers", &[("target", "e0", Some(0), engine(1, (0, 3)))], "no target holds layers 3..4",),
+        one("layers past the end", &[("target", "e2", None, engine(9, (4, 9)))], "holds layers 4..9, but the model has 8",),
+        one("a smaller model", &[("model", "m", Some(0), json!({"layers": 7, "version": "v1"}))], "but the model has 7",),
         one("empty layers", &[("target", "e2", None, engine(9, (4, 4)))], "4..4 is empty"),
         one("overlapping engines", &[("target", "e2", None, engine(9, (2, 8)))], "accepted"),
-        one(
-            "two engines at one address",
-            &[("target", "e2", None, engine(1, (0, 4)))],
-            "another target has the address",
-        ),
-        one(
-            "an engine beside a replica",
-            &[("target", "e2", None, engine(3, (0, 4)))],
-            "another target has the address",
-        ),
-        one(
-            "two sources in one process",
-            &[("target", "r1", None, replica(3, "crates/b"))],
-            "accepted",
-        ),
-        one(
-            "one source twice in one process",
-            &[("target", "r1", None, replica(3, "crates/a"))],
-            "another target has",
-        ),
-        one(
-            "addresses swapped",
-            &[
-                ("target", "e0", Some(0), engine(2, (0, 4))),
-                ("target", "e1", Some(0), engine(1, (4, 8))),
-            ],
-            "accepted",
-        ),
-        one(
-            "no port",
-            &[("target", "e2", None, engine(0, (0, 4)))],
-            "is not an address to connect to",
-        ),
+        one("two engines at one address", &[("target", "e2", None, engine(1, (0, 4)))], "another target has the address",),
+        one("an engine beside a replica", &[("target", "e2", None, engine(3, (0, 4)))], "another target has the address",),
+        one("two sources in one process", &[("target", "r1", None, replica(3, "crates/b"))], "accepted",),
+        one("one source twice in one process", &[("target", "r1", None, replica(3, "crates/a"))], "another target has",),
+        one("addresses swapped", &[("target", "e0", Some(0), engine(2, (0, 4))), ("target", "e1", Some(0), engine(1, (4, 8)))], "accepted",),
+        one("no port", &[("target", "e2", None, engine(0, (0, 4)))], "is not an address to connect to",),
     ]
 }
 
--- a/crates/roseshore_core/tests/config_submit.rs
+++ b/crates/roseshore_core/tests/config_submit.rs
@@ -115,6 +115,8 @@
     want: &'static str,
 }
 
+// One case a line.
+#[rustfmt::skip]
 fn cases() -> Vec<Case> {
     let good = || record(ID, "null", "1");
     let raced = || vec![record("first", "null", "2")];
@@ -128,84 +130,21 @@
     };
     vec![
         case("accepted", vec![], good(), &[Replied], &[true], "Accepted(0)"),
-        case(
-            "invalid",
-            vec![],
-            record(ID, "null", "0"),
-            &[Replied],
-            &[true],
-            "Rejected(CommandInvalid, Some(Invalid",
-        ),
-        case(
-            "lost the race",
-            raced(),
-            good(),
-            &[Replied],
-            &[true],
-            "Rejected(CommandConflict, Some(Conflict",
-        ),
+        case("invalid", vec![], record(ID, "null", "0"), &[Replied], &[true], "Rejected(CommandInvalid, Some(Invalid",),
+        case("lost the race", raced(), good(), &[Replied], &[true], "Rejected(CommandConflict, Some(Conflict",),
         case("reply lost, accepted", vec![], good(), &[ReplyLost], &[true], "Accepted(0)"),
-        case(
-            "reply lost, log unread, sent again",
-            vec![],
-            good(),
-            &[ReplyLost, Replied],
-            &[false, true],
-            "Accepted(0)",
-        ),
-        case(
-            "reply lost, lost the race",
-            raced(),
-            good(),
-            &[ReplyLost],
-            &[true],
-            "Rejected(CommandConflict",
-        ),
+        case("reply lost, log unread, sent again", vec![], good(), &[ReplyLost, Replied], &[false, true], "Accepted(0)",),
+        case("reply lost, lost the race", raced(), good(), &[ReplyLost], &[true], "Rejected(CommandConflict",),
         case("reply lost, then out", vec![], good(), &[ReplyLost], &[], "Unknown"),
-        case(
-            "vanished, sent again",
-            vec![],
-            good(),
-            &[Vanished, Replied],
-            &[true, true],
-            "Accepted(0)",
-        ),
+        case("vanished, sent again", vec![], good(), &[Vanished, Replied], &[true, true], "Accepted(0)",),
         case("vanished, then out", vec![], good(), &[Vanished], &[true, true], "Unknown"),
         case("delayed, then out", vec![], good(), &[Delayed], &[true], "Unknown"),
-        case(
-            "out from the start",
-            vec![],
-            good(),
-            &[],
-            &[],
-            "Rejected(LogUnreachable, None, \"nothing was appended",
-        ),
+        case("out from the start", vec![], good(), &[], &[], "Rejected(LogUnreachable, None, \"nothing was appended",),
         case("refused, then taken", vec![], good(), &[Refused, Replied], &[true], "Accepted(0)"),
-        case(
-            "refused after a lost reply",
-            vec![],
-            good(),
-            &[Delayed, Refused, Refused, Refused, Refused, Refused],
-            &[true],
-            "Unknown",
-        ),
+        case("refused after a lost reply", vec![], good(), &[Delayed, Refused, Refused, Refused, Refused, Refused], &[true], "Unknown",),
         case("taken, then out", vec![], good(), &[Replied], &[], "it lies at offset 0 of the log"),
-        case(
-            "the id of another command",
-            vec![record(ID, "null", "9")],
-            good(),
-            &[Replied],
-            &[true],
-            "belongs to another command, at offset 0",
-        ),
-        case(
-            "sent before by another host",
-            vec![good()],
-            good(),
-            &[Replied],
-            &[true],
-            "Accepted(0)",
-        ),
+        case("the id of another command", vec![record(ID, "null", "9")], good(), &[Replied], &[true], "belongs to another command, at offset 0",),
+        case("sent before by another host", vec![good()], good(), &[Replied], &[true], "Accepted(0)",),
     ]
 }
 
@@ -250,26 +189,12 @@
         in_force: &'static [&'static str],
         unconfirmed: &'static [&'static str],
     }
+    #[rustfmt::skip] // One case a line.
     let cases = [
         Case { name: "nobody heard", words: &[], in_force: &[], unconfirmed: &["a", "b"] },
-        Case {
-            name: "one behind",
-            words: &[("a", 6), ("b", 6), ("b", 5)],
-            in_force: &["a"],
-            unconfirmed: &["b"],
-        },
-        Case {
-            name: "everywhere",
-            words: &[("a", 6), ("b", 9), ("b", 6)],
-            in_force: &["a", "b"],
-            unconfirmed: &[],
-        },
-        Case {
-            name: "an undeclared place counts",
-            words: &[("a", 6), ("c", 1), ("b", 6)],
-            in_force: &["a", "b"],
-            unconfirmed: &["c"],
-        },
+        Case { name: "one behind", words: &[("a", 6), ("b", 6), ("b", 5)], in_force: &["a"], unconfirmed: &["b"] },
+        Case { name: "everywhere", words: &[("a", 6), ("b", 9), ("b", 6)], in_force: &["a", "b"], unconfirmed: &[] },
+        Case { name: "an undeclared place counts", words: &[("a", 6), ("c", 1), ("b", 6)], in_force: &["a", "b"], unconfirmed: &["c"] },
     ];
     for case in cases {
         let declared = ["a".to_owned(), "b".to_owned()];
@@ -290,45 +215,16 @@
         since_ms: u64,
         want: Option<u64>,
     }
+    #[rustfmt::skip] // One case a line.
     let cases = [
-        Case {
-            name: "at once after the start",
-            rank: Some(5),
-            failures: 0,
-            since_ms: 0,
-            want: Some(0),
-        },
+        Case { name: "at once after the start", rank: Some(5), failures: 0, since_ms: 0, want: Some(0) },
         Case { name: "the first too", rank: Some(0), failures: 0, since_ms: 0, want: Some(0) },
-        Case {
-            name: "the first holds a long poll",
-            rank: Some(0),
-            failures: 0,
-            since_ms: 1,
-            want: Some(2000),
-        },
-        Case {
-            name: "so does the second",
-            rank: Some(1),
-            failures: 0,
-            since_ms: 1,
-            want: Some(2000),
-        },
+        Case { name: "the first holds a long poll", rank: Some(0), failures: 0, since_ms: 1, want: Some(2000) },
+        Case { name: "so does the second", rank: Some(1), failures: 0, since_ms: 1, want: Some(2000) },
         Case { name: "the third rests", rank: Some(2), failures: 0, since_ms: 4999, want: None },
-        Case {
-            name: "and asks as a backstop",
-            rank: Some(2),
-            failures: 0,
-            since_ms: 5000,
-            want: Some(0),
-        },
+        Case { name: "and asks as a backstop", rank: Some(2), failures: 0, since_ms: 5000, want: Some(0) },
         Case { name: "without a rank too", rank: None, failures: 0, since_ms: 5000, want: Some(0) },
-        Case {
-            name: "a pause after a failure",
-            rank: Some(0),
-            failures: 1,
-            since_ms: 49,
-            want: None,
-        },
+        Case { name: "a pause after a failure", rank: Some(0), failures: 1, since_ms: 49, want: None },
         Case { name: "then again", rank: Some(0), failures: 1, since_ms: 100, want: Some(0) },
         Case { name: "longer pauses", rank: Some(0), failures: 4, since_ms: 300, want: None },
         Case { name: "up to a bound", rank: Some(0), failures: 40, since_ms: 2000, want: Some(0) },
@@ -369,6 +265,7 @@
         peer("behind", true, 3),
         peer("top", true, 8),
     ];
+    #[rustfmt::skip] // One case a line.
     let cases = [
         Case { name: "the near one that is furthest", offset: 3, failures: 0, want: Some("top") },
         Case { name: "the next after a failure", offset: 3, failures: 1, want: Some("near") },
@@ -397,37 +294,14 @@
         want: Keep,
     }
     let minutes = |it: u64| Duration::from_mins(it);
+    #[rustfmt::skip] // One case a line.
     let cases = [
         Case { name: "no records yet", first: true, offset: 0, newest: None, want: Keep::Nothing },
-        Case {
-            name: "not the first",
-            first: false,
-            offset: 900,
-            newest: None,
-            want: Keep::Nothing,
-        },
+        Case { name: "not the first", first: false, offset: 900, newest: None, want: Keep::Nothing },
         Case { name: "there is none", first: true, offset: 1, newest: None, want: Keep::Write },
-        Case {
-            name: "a fresh one",
-            first: true,
-            offset: 300,
-            newest: Some((45, 14)),
-            want: Keep::Nothing,
-        },
-        Case {
-            name: "many records since",
-            first: true,
-            offset: 301,
-            newest: Some((45, 14)),
-            want: Keep::Write,
-        },
-        Case {
-            name: "an old one, nothing new",
-            first: true,
-            offset: 45,
-            newest: Some((45, 15)),
-            want: Keep::Write,
-        },
+        Case { name: "a fresh one", first: true, offset: 300, newest: Some((45, 14)), want: Keep::Nothing },
+        Case { name: "many records since", first: true, offset: 301, newest: Some((45, 14)), want: Keep::Write },
+        Case { name: "an old one, nothing new", first: true, offset: 45, newest: Some((45, 15)), want: Keep::Write },
     ];
     for case in cases {
         let now = Instant::now() + minutes(60);
--- a/crates/roseshored/tests/fleets.rs
+++ b/crates/roseshored/tests/fleets.rs
@@ -31,6 +31,8 @@
     peers: BTreeSet<String>,
     /// Appends to come whose reply is lost after the effect.
     lose: u32,
+    /// Reads that are answered before the log is out, if it goes out.
+    reads: Option<u32>,
 }
 
 /// What all daemons share: the log, and what is cut.
@@ -86,6 +88,9 @@
 
     fn read(&self, stream: &str, from: Offset, max: usize, wait: Duration) -> Called<Records> {
         self.open()?;
+        if let Some(left) = &mut self.0.faults.lock().reads {
+            *left = left.checked_sub(1).ok_or_else(|| CallError::Unreached("out".into()))?;
+        }
         let mut streams = self.0.streams.lock();
         let until = Instant::now() + wait;
         while streams.get(stream).is_none_or(|it| it.records.len() as Offset <= from) {
@@ -458,3 +463,20 @@
         }
     }
 }
+
+#[test]
+fn a_new_daemon_serves_no_state_older_than_its_source() {
+    let mut cluster = Cluster::new();
+    let text = |it: &Command| serde_json::to_string(it).expect("JSON");
+    cluster.world().add(STREAM, &[text(&command("a", None, 5))]);
+    cluster.world().add(STREAM, &noise(200));
+    cluster.world().add(STREAM, &[text(&command("b", Some(0), 6))]);
+    cluster.world().faults.lock().reads = Some(1);
+    let new = cluster.start(CENTRES[0]);
+    eventually("the first part", || new.driver.inspect(State::offset) > 0);
+    assert!(new.driver.inspect(State::offset) < 202, "the rest is out of reach");
+    assert!(new.driver.current().is_none(), "its state is known to be old");
+    cluster.world().faults.lock().reads = None;
+    eventually("the log is back", || new.driver.current().is_some());
+    assert_eq!(rate(&new), Some(6.0));
+}
