--- a/crates/roseshore_harness/src/lib.rs
+++ b/crates/roseshore_harness/src/lib.rs
@@ -5,6 +5,7 @@
 //! speaks to daemons as callers do, and [`fleets`] has small declared fleets. It starts processes and therefore is no part of the product.
 
 pub mod caller;
+pub mod demo;
 pub mod fleets;
 pub mod process;
 pub mod world;
--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -134,6 +134,17 @@
     }
 }
 
+/// Runs a program of this workspace to its end; returns its exit code and standard output.
+///
+/// # Errors
+/// When it is not built.
+pub fn run(program: &str, args: &[String]) -> Result<(i32, String), ProcessError> {
+    let output = command(program, args).stderr(Stdio::inherit()).output();
+    let output = output.map_err(|err| ProcessError::Start(program.to_owned(), err))?;
+    let code = output.status.code().unwrap_or(-1);
+    Ok((code, String::from_utf8_lossy(&output.stdout).into_owned()))
+}
+
 fn command(program: &str, args: &[String]) -> Command {
     let mut command = Command::new(folder().join(program));
     command.args(args).stdin(Stdio::null()).stderr(Stdio::null());
--- a/crates/roseshore_harness/src/world.rs
+++ b/crates/roseshore_harness/src/world.rs
@@ -26,12 +26,12 @@
 
 /// The kinds of accelerators; the fastest is six times as fast as the slowest.
 pub const SPEEDS: &[Speed] = &[
-    Speed { name: "a1", step_us: 1_000, slots: 16, prefill: 60_000 },
-    Speed { name: "a2", step_us: 1_500, slots: 12, prefill: 40_000 },
-    Speed { name: "b1", step_us: 2_000, slots: 12, prefill: 30_000 },
-    Speed { name: "b2", step_us: 3_000, slots: 8, prefill: 20_000 },
-    Speed { name: "c1", step_us: 4_000, slots: 8, prefill: 15_000 },
-    Speed { name: "c2", step_us: 6_000, slots: 6, prefill: 10_000 },
+    Speed { name: "h100", step_us: 1_000, slots: 16, prefill: 60_000 },
+    Speed { name: "mi300", step_us: 1_500, slots: 12, prefill: 40_000 },
+    Speed { name: "a100", step_us: 2_000, slots: 12, prefill: 30_000 },
+    Speed { name: "l40s", step_us: 3_000, slots: 8, prefill: 20_000 },
+    Speed { name: "l4", step_us: 4_000, slots: 8, prefill: 15_000 },
+    Speed { name: "t4", step_us: 6_000, slots: 6, prefill: 10_000 },
 ];
 
 /// The speed of a declared kind; the middle one when it is not known.
@@ -57,6 +57,24 @@
     pub flags: Vec<String>,
 }
 
+impl Plan {
+    /// The first target declared at a fixed address; one process serves all that share it.
+    fn first_at(&self, addr: SocketAddr) -> Option<&TargetId> {
+        let mut targets = self.fleet.targets.iter();
+        let same = targets.find(|(_, t)| addr.port() != 0 && t.addr == addr);
+        same.map(|(id, _)| id)
+    }
+
+    /// The sources of all targets at a fixed address, or of one target with any address.
+    fn sources<'a>(&'a self, target: &'a Target) -> Vec<&'a str> {
+        let shared = |t: &&Target| target.addr.port() != 0 && t.addr == target.addr;
+        let all: Vec<&Target> = self.fleet.targets.values().filter(shared).collect();
+        let all = if all.is_empty() { vec![target] } else { all };
+        let serves = all.into_iter().filter_map(|t| t.serves.as_ref());
+        serves.filter_map(|s| s.split_once('/')).map(|(_, source)| source).collect()
+    }
+}
+
 /// A started daemon.
 pub struct Daemon {
     /// Its host.
@@ -99,6 +117,9 @@
         let mut targets = BTreeMap::new();
         let flags = plan.clone();
         for (id, target) in &mut plan.fleet.targets {
+            if flags.first_at(target.addr).is_some_and(|first| first != id) {
+                continue;
+            }
             let (process, addr) = start_target(&flags, id, target, log)?;
             target.addr = addr;
             targets.insert(id.clone(), process);
@@ -305,7 +326,7 @@
 
 fn service_args(plan: &Plan, target: &Target) -> Vec<String> {
     let mut args = flags(&[("bind", &target.addr.to_string())]);
-    if let Some((_, source)) = target.serves.as_ref().and_then(|s| s.split_once('/')) {
+    for source in plan.sources(target) {
         args.extend(flags(&[("source", source)]));
     }
     args.extend(plan.services.iter().cloned());
