--- a/crates/roseshore_harness/src/bin/demo.rs
+++ b/crates/roseshore_harness/src/bin/demo.rs
@@ -9,7 +9,9 @@
 fn main() -> ExitCode {
     let matches = Command::new("demo")
         .about("Starts a declared fleet, shows that it answers right, and stops it")
-        .after_help("Ends with 0 when every check held, 1 when one did not, 2 when it could not start.")
+        .after_help(
+            "Ends with 0 when every check held, 1 when one did not, 2 when it could not start.",
+        )
         .arg(
             Arg::new("fleet")
                 .long("fleet")
