Settle waits for its own record, not for an idle partition

Cause: settle() waited by a flush, which answers when nothing at all is under way in the partition. Under load that is never, so every answer under a key would wait out the whole limit of 500 ms (read in the code, not measured). Change: the machine says which claim's outcome the log has taken, by the append's reply or by reading it back, and settle() waits for that. Red with the wait off (a_settled_key_stands_in_the_log), green with it; the three keyed tests with processes passed three runs of three.

--- a/crates/roseshore_core/src/once/batch.rs
+++ b/crates/roseshore_core/src/once/batch.rs
@@ -113,12 +113,14 @@
         if self.queue.is_empty() || !self.flight.is_empty() { None } else { self.due }
     }
 
-    /// Takes note of how the append under way ended.
-    pub fn appended(&mut self, how: Appended, now: Instant) {
+    /// Takes note of how the append under way ended; the claims whose records, other than the claim
+    /// itself, the log has taken.
+    pub fn appended(&mut self, how: Appended, now: Instant) -> Vec<Nonce> {
         let flight = std::mem::take(&mut self.flight);
         if how == Appended::Done {
             self.pace = (self.pace * 9 / 10).max(MIN_PACE);
-            return;
+            let taken = flight.iter().filter(|waiting| !waiting.claim);
+            return taken.map(|waiting| waiting.nonce).collect();
         }
         self.pace = (self.pace * 2).min(MAX_PACE);
         self.due = Some(now + self.pace);
@@ -126,5 +128,6 @@
             waiting.unsure |= how == Appended::Lost;
             self.queue.push_front(waiting);
         }
+        vec![]
     }
 }
--- a/crates/roseshore_core/src/once/partition.rs
+++ b/crates/roseshore_core/src/once/partition.rs
@@ -77,6 +77,8 @@
     },
     /// Tell an attempt.
     Decide(AttemptId, Decision),
+    /// The outcome of the claim at this offset stands in the log.
+    Recorded(Offset),
 }
 
 /// What a daemon knows of its own work on a key.
@@ -313,7 +315,10 @@
 
     /// Takes how the append under way ended.
     pub fn appended(&mut self, how: Appended, now: Instant) {
-        self.batch.appended(how, now);
+        let taken = self.batch.appended(how, now);
+        for nonce in taken {
+            self.recorded(nonce);
+        }
         match how {
             Appended::Done | Appended::Busy => self.appends_fail = None,
             Appended::Unreached | Appended::Lost => {
@@ -382,6 +387,15 @@
         }
     }
 
+    fn recorded(&mut self, nonce: Nonce) {
+        let mut own = self.running.values().filter(|run| run.nonce == nonce);
+        let settling = own.find_map(|run| match run.phase {
+            Phase::Settling(offset, _) => Some(offset),
+            _ => None,
+        });
+        self.actions.extend(settling.map(Action::Recorded));
+    }
+
     fn fresh(&mut self) -> Nonce {
         self.count += 1;
         xxh3_64_with_seed(&self.count.to_be_bytes(), self.seed)
@@ -427,6 +441,7 @@
                 self.batch.recall(record.nonce);
             }
             Act::Outcome { .. } => {
+                self.recorded(record.nonce);
                 let ended = |run: &Running| {
                     run.nonce == record.nonce && matches!(run.phase, Phase::Settling(..))
                 };
--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -245,6 +245,13 @@
             match action {
                 Action::Append(lines) => self.daemons[d].append = Some(lines),
                 Action::Read { from, .. } => self.daemons[d].read = Some(from),
+                Action::Recorded(claim) => {
+                    let nonce = |line: &String| Record::parse(line).map(|record| record.nonce);
+                    let lines = self.log.iter().map(|(_, line)| line);
+                    let of = lines.clone().nth(claim as usize).and_then(nonce);
+                    let outcome = |line: &String| line.contains("outcome") && nonce(line) == of;
+                    assert!(lines.clone().any(outcome), "no outcome of the claim at {claim}");
+                }
                 Action::Decide(id, decision) => {
                     let asked = self.daemons[d].attempts.remove(&id).expect("one decision");
                     self.judge(d, asked, decision);
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -180,11 +180,10 @@
 
     fn settle(&self, claim: &Claim, outcome: Outcome) {
         let (told, recorded) = flume::bounded(1);
-        self.send(&claim.key, Event::Settle(claim.offset, outcome));
-        self.send(&claim.key, Event::Flush(told));
+        self.send(&claim.key, Event::Settle(claim.offset, outcome, told));
         // A host that is lost right after its caller was answered must leave the answer behind.
         // When the log does not take it in time, the caller is answered all the same, since the
-        // work has run.
+        // work has run. The end of the wait is a dropped sender.
         let _ = recorded.recv_timeout(RECORD_LIMIT);
     }
 
--- a/crates/roseshored/src/claims/partition.rs
+++ b/crates/roseshored/src/claims/partition.rs
@@ -29,7 +29,8 @@
 pub(super) enum Event {
     Begin(Attempt, Sender<Decision>),
     Dispatch(Offset, Sender<bool>),
-    Settle(Offset, Outcome),
+    /// The sender is dropped once the outcome stands in the log.
+    Settle(Offset, Outcome, Sender<()>),
     SettleBy(String, Key, Outcome),
     Abandon(Offset),
     Work(Key, Sender<Work>),
@@ -56,6 +57,7 @@
     appends: Sender<Vec<String>>,
     reads: Sender<ReadAsk>,
     flushing: Vec<Sender<()>>,
+    settling: FxHashMap<Offset, Sender<()>>,
 }
 
 struct Caller {
@@ -77,9 +79,18 @@
     let own = Owner { host: own.host, incarnation: own.incarnation };
     let machine = Partition::new(own, rand::random(), config.remembered, config.together);
     let callers = FxHashMap::default();
-    let (name, flushing) = (stream.clone(), vec![]);
-    let driver =
-        Driver { stream, machine, callers, members, looked: None, appends, reads, flushing };
+    let (name, flushing, settling) = (stream.clone(), vec![], FxHashMap::default());
+    let driver = Driver {
+        stream,
+        machine,
+        callers,
+        members,
+        looked: None,
+        appends,
+        reads,
+        flushing,
+        settling,
+    };
     spawn(format!("{name} append"), {
         let (stream, log, events) = (name.clone(), log.clone(), events.clone());
         move || append_all(&stream, &*log, &append_asks, &events)
@@ -173,7 +184,10 @@
                 // A caller that is gone leaves its guard's outcome, or a claim that stays unknown.
                 let _ = told.send(granted);
             }
-            Event::Settle(offset, outcome) => self.machine.settle(offset, outcome, now),
+            Event::Settle(offset, outcome, told) => {
+                self.settling.insert(offset, told);
+                self.machine.settle(offset, outcome, now);
+            }
             Event::SettleBy(operator, key, outcome) => {
                 self.machine.settle_by(operator, key, outcome);
             }
@@ -213,9 +227,11 @@
                 Action::Append(lines) => drop(self.appends.send(lines)),
                 Action::Read { from, wait } => drop(self.reads.send(ReadAsk { from, wait })),
                 Action::Decide(id, decision) => self.decide(id, decision),
+                Action::Recorded(offset) => drop(self.settling.remove(&offset)),
             }
         }
         if self.machine.idle() {
+            self.settling.clear();
             for told in self.flushing.drain(..) {
                 let _ = told.send(());
             }
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -333,6 +333,15 @@
     }
 }
 
+#[test]
+fn a_settled_key_stands_in_the_log() {
+    let world = World::new(1);
+    let stream = stream_of(partition_of(&KEY.into(), CONFIG.partitions));
+    run(&*world.daemons[0], &world.win(0), answer(3));
+    let end = world.log.read(&stream, 0, 9, Duration::ZERO).expect("the log answers").end;
+    assert_eq!(end, 2, "claim and outcome");
+}
+
 #[test]
 fn a_flush_waits_for_the_log() {
     struct Case {
