Orders: the driver under faults, several daemons over one log

The driver's times are settable now (`OrderTimes`), and its contract tests run several `Orders` over one platform stand-in and four engine stand-ins, rounds by hand: lost replies of orders and of lease records, several writers, log, reads, appends and weight store out, a holder paused with its order in hand against targets that check (412) and that don't, drain, takeover.

The harm with targets that check nothing is shown: the late order takes effect, a stream opened meanwhile is refused (409), and the new holder's next round puts the holding right.

--- a/crates/roseshored/src/orders.rs
+++ b/crates/roseshored/src/orders.rs
@@ -24,13 +24,33 @@
 const ROUND: Duration = Duration::from_millis(250);
 /// The most records read in a round.
 const RECORDS: usize = 256;
-/// A report older than this says nothing about what a target holds.
-const FRESH: Duration = Duration::from_secs(3);
-/// How long a target has to answer an order; the lease's margin covers it.
-const FLIGHT: Duration = Duration::from_secs(1);
 /// Orders that are sent at once.
 const SENDERS: usize = 4;
 
+/// The times of giving orders.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderTimes {
+    /// Those of the lease.
+    pub lease: LeaseTimes,
+    /// Those of the choice of orders.
+    pub giver: GiverBounds,
+    /// A report older than this says nothing about what a target holds.
+    pub fresh: Duration,
+    /// How long a target has to answer an order; the lease's margin covers it.
+    pub flight: Duration,
+}
+
+impl Default for OrderTimes {
+    fn default() -> OrderTimes {
+        OrderTimes {
+            lease: LeaseTimes::default(),
+            giver: GiverBounds::default(),
+            fresh: Duration::from_secs(3),
+            flight: Duration::from_secs(1),
+        }
+    }
+}
+
 /// What giving orders needs.
 #[derive(Clone)]
 pub struct OrderParts {
@@ -57,21 +77,23 @@
     data_centre: DataCentreId,
     leaser: Arc<Mutex<Leaser>>,
     giver: Giver,
+    fresh: Duration,
     holding: bool,
     sender: Sender,
 }
 
 impl Orders {
     /// Orders of a daemon that holds no lease yet; starts the threads that send.
-    pub fn new(parts: OrderParts, times: LeaseTimes) -> Orders {
+    pub fn new(parts: OrderParts, times: OrderTimes) -> Orders {
         let own = parts.members.own();
-        let leaser = Leaser::new(own.host, own.incarnation, times);
+        let leaser = Leaser::new(own.host, own.incarnation, times.lease);
         let leaser = Arc::new(Mutex::new(leaser));
-        let sender = Sender::start(parts.engine.clone(), leaser.clone());
+        let sender = Sender::start(parts.engine.clone(), leaser.clone(), times.flight);
         Orders {
             stream: format!("orders-{}", own.data_centre),
             data_centre: own.data_centre,
-            giver: Giver::new(GiverBounds::default()),
+            giver: Giver::new(times.giver),
+            fresh: times.fresh,
             holding: false,
             parts,
             leaser,
@@ -87,6 +109,11 @@
         self.release();
     }
 
+    /// The fencing number with which this daemon may order now, if it holds the lease.
+    pub fn fence(&self) -> Option<Fence> {
+        self.leaser.lock().may_order(Instant::now(), true)
+    }
+
     /// One round: read the stream, hold the lease if it is this daemon's turn, give what is due.
     pub fn round(&mut self) {
         let host = self.parts.members.own().host;
@@ -141,7 +168,7 @@
     }
 
     fn note_holding(&mut self) {
-        let fence = self.leaser.lock().may_order(Instant::now(), true);
+        let fence = self.fence();
         match (self.holding, fence) {
             (false, Some(fence)) => {
                 event!(Event::LeaseTaken, "stream={} fence={fence}", self.stream);
@@ -167,7 +194,7 @@
     fn give(&mut self) {
         let Some(fleet) = self.parts.fleets.current() else { return };
         let wants = desired(&fleet.fleet, &self.data_centre);
-        let seen = seen(&self.parts.reports.newest(), Instant::now());
+        let seen = seen(&self.parts.reports.newest(), Instant::now(), self.fresh);
         let store = self.parts.weights.weights().ok();
         let store = store.map(|s| Store { rate: s.rate, backlog: s.backlog });
         let now = Instant::now();
@@ -194,8 +221,8 @@
 }
 
 /// What targets hold, by their fresh reports.
-fn seen(reports: &[Report], now: Instant) -> BTreeMap<TargetId, Seen> {
-    let fresh = reports.iter().filter(|r| now.saturating_duration_since(r.seen) < FRESH);
+fn seen(reports: &[Report], now: Instant, limit: Duration) -> BTreeMap<TargetId, Seen> {
+    let fresh = reports.iter().filter(|r| now.saturating_duration_since(r.seen) < limit);
     fresh.filter_map(|r| Some((r.target.clone(), holding(&r.content)?))).collect()
 }
 
@@ -224,7 +251,7 @@
 }
 
 impl Sender {
-    fn start(engine: Arc<dyn Engine>, leaser: Arc<Mutex<Leaser>>) -> Sender {
+    fn start(engine: Arc<dyn Engine>, leaser: Arc<Mutex<Leaser>>, flight: Duration) -> Sender {
         let (jobs, queue) = flume::bounded::<Job>(SENDERS * 16);
         let flying = Arc::new(AtomicUsize::new(0));
         for _ in 0..SENDERS {
@@ -232,7 +259,7 @@
             let (leaser, flying) = (leaser.clone(), flying.clone());
             thread::spawn(move || {
                 for job in queue {
-                    send(engine.as_ref(), &leaser, &job);
+                    send(engine.as_ref(), &leaser, &job, flight);
                     flying.fetch_sub(1, Ordering::SeqCst);
                 }
             });
@@ -254,7 +281,7 @@
     }
 }
 
-fn send(engine: &dyn Engine, leaser: &Mutex<Leaser>, job: &Job) {
+fn send(engine: &dyn Engine, leaser: &Mutex<Leaser>, job: &Job, flight: Duration) {
     // Asked here and not when the order was decided: the thread may have waited long.
     let Some(fence) = leaser.lock().may_order(Instant::now(), job.want.checks) else { return };
     let Job { target, want, .. } = job;
@@ -268,7 +295,7 @@
         role: Role::Both,
     };
     event!(Event::OrderSent, "target={target} version={} fence={fence}", want.version);
-    match engine.order(job.addr, &order, FLIGHT) {
+    match engine.order(job.addr, &order, flight) {
         Ok(_) => {}
         Err(CallError::Refused(412, ..)) => {
             event!(Event::OrderFenced, "target={target} fence={fence}");
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -9,7 +9,7 @@
 use crate::ledger::{Asker, LedgerDriver};
 use crate::members::{self, MemberDriver};
 use crate::operators::Console;
-use crate::orders::{OrderParts, Orders};
+use crate::orders::{OrderParts, OrderTimes, Orders};
 use crate::routing::Routing;
 use crate::settings::Settings;
 use crate::simple::Poller;
@@ -19,7 +19,6 @@
 use roseshore_adapters::platform::HttpPlatform;
 use roseshore_adapters::service::HttpServices;
 use roseshore_core::membership::Heartbeat;
-use roseshore_core::order::lease::LeaseTimes;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Fleets, Members};
 use roseshore_ports::outside::{Datagrams, Engine, HostList, Log, Peers, Services, WeightStore};
@@ -139,7 +138,7 @@
         let workers = vec![
             Worker::start("loads", move |stop| poller.run(stop))?,
             Worker::start("orders", move |stop| {
-                Orders::new(orders, LeaseTimes::default()).run(stop);
+                Orders::new(orders, OrderTimes::default()).run(stop);
             })?,
             Worker::start("account", move |stop| account.run(&*counted, stop))?,
         ];
--- /dev/null
+++ b/crates/roseshored/tests/orders/bed.rs
@@ -0,0 +1,296 @@
+//! Several daemons' orders over one log, two chains of engine stand-ins and rounds by hand.
+
+use parking_lot::Mutex;
+use roseshore_adapters::engine::EngineClient;
+use roseshore_adapters::platform::HttpPlatform;
+use roseshore_core::fleet::TargetKind;
+use roseshore_core::order::giver::GiverBounds;
+use roseshore_core::order::lease::LeaseTimes;
+use roseshore_core::prelude::*;
+use roseshore_fakes::engine::{EngineFake, EngineSettings};
+use roseshore_fakes::platform::{PlatformFake, PlatformSettings};
+use roseshore_ports::inside::{
+    Fleets, InForce, Member, MemberState, Members, Report, ReportContent, Reports,
+};
+use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
+use roseshore_wire::engine::{
+    CacheEvents, Cancel, Generate, Holding, Kv, KvExport, Load, Order, Stage,
+};
+use roseshored::app::Drain;
+use roseshored::orders::{OrderParts, OrderTimes, Orders};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+pub(crate) const LAYERS: Layer = 4;
+const RANGES: [(Layer, Layer); 2] = [(0, 2), (2, 4)];
+const CHAINS: usize = 2;
+/// How long a condition may take.
+const LIMIT: Duration = Duration::from_secs(20);
+
+pub(crate) fn wait(what: &str, mut met: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !met() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+pub(crate) fn times(ttl: Duration) -> OrderTimes {
+    let lease = LeaseTimes { ttl, renew: ttl * 2 / 3, margin: ttl / 4, settle: ttl / 8 };
+    let giver = GiverBounds { again: Duration::from_millis(100), ..GiverBounds::default() };
+    OrderTimes { lease, giver, ..OrderTimes::default() }
+}
+
+/// One daemon's view of the configuration.
+struct View(Mutex<Arc<Fleet>>);
+
+impl Fleets for View {
+    fn current(&self) -> Option<InForce> {
+        Some(InForce { fleet: self.0.lock().clone(), offset: 1, digest: 0 })
+    }
+}
+
+/// One daemon's view of who is first; the list holds hosts in order.
+struct Ranks {
+    own: HostId,
+    order: Mutex<Vec<HostId>>,
+}
+
+fn member(host: &HostId) -> Member {
+    Member {
+        host: host.clone(),
+        data_centre: "north".into(),
+        peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+        state: MemberState::Alive,
+        offset: 0,
+        digest: 0,
+    }
+}
+
+impl Members for Ranks {
+    fn own(&self) -> Member {
+        member(&self.own)
+    }
+
+    fn all(&self) -> Vec<Member> {
+        self.ranked("")
+    }
+
+    fn ranked(&self, _: &str) -> Vec<Member> {
+        self.order.lock().iter().map(member).collect()
+    }
+
+    fn leaving(&self, _: &HostId) -> bool {
+        false
+    }
+}
+
+/// Asks the engines whenever reports are wanted, so that none is late.
+struct Polls(Vec<(TargetId, SocketAddr)>);
+
+impl Reports for Polls {
+    fn take(&self, _: Report) {}
+
+    fn newest(&self) -> Vec<Report> {
+        let poll = |(target, addr): &(TargetId, SocketAddr)| {
+            let load = EngineClient::new().load(*addr, Duration::from_secs(1)).ok()?;
+            let content = ReportContent::Engine(load);
+            Some(Report { target: target.clone(), seen: Instant::now(), content })
+        };
+        self.0.iter().filter_map(poll).collect()
+    }
+}
+
+/// Sends orders on, but holds them up while it is shut: their sender is paused then.
+#[derive(Default)]
+pub(crate) struct Gate {
+    client: EngineClient,
+    shut: Mutex<bool>,
+    pub(crate) waiting: Mutex<usize>,
+    /// The status of each refused order.
+    pub(crate) refused: Mutex<Vec<u16>>,
+}
+
+impl Gate {
+    pub(crate) fn shut(&self, shut: bool) {
+        *self.shut.lock() = shut;
+    }
+}
+
+impl Engine for Gate {
+    fn load(&self, addr: SocketAddr, limit: Duration) -> Called<Load> {
+        self.client.load(addr, limit)
+    }
+
+    fn generate(
+        &self,
+        addr: SocketAddr,
+        ask: &Generate,
+        deadline: Instant,
+    ) -> Called<flume::Receiver<StreamItem>> {
+        self.client.generate(addr, ask, deadline)
+    }
+
+    fn cancel(&self, addr: SocketAddr, ask: &Cancel, limit: Duration) -> Called<()> {
+        self.client.cancel(addr, ask, limit)
+    }
+
+    fn export(&self, addr: SocketAddr, ask: &KvExport, limit: Duration) -> Called<Kv> {
+        self.client.export(addr, ask, limit)
+    }
+
+    fn import(&self, addr: SocketAddr, kv: &Kv, limit: Duration) -> Called<()> {
+        self.client.import(addr, kv, limit)
+    }
+
+    fn cache(&self, addr: SocketAddr, from: u64, limit: Duration) -> Called<CacheEvents> {
+        self.client.cache(addr, from, limit)
+    }
+
+    fn order(&self, addr: SocketAddr, order: &Order, limit: Duration) -> Called<Holding> {
+        *self.waiting.lock() += 1;
+        while *self.shut.lock() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        *self.waiting.lock() -= 1;
+        let done = self.client.order(addr, order, limit);
+        if let Err(CallError::Refused(status, ..)) = &done {
+            self.refused.lock().push(*status);
+        }
+        done
+    }
+}
+
+/// The orders of one daemon.
+pub(crate) struct Daemon {
+    pub(crate) orders: Orders,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) drain: Arc<Drain>,
+    view: Arc<View>,
+    ranks: Arc<Ranks>,
+}
+
+impl Daemon {
+    /// Shows this daemon another version in force.
+    pub(crate) fn declare(&self, bed: &Bed, version: &str) {
+        *self.view.0.lock() = bed.fleet(version);
+    }
+
+    pub(crate) fn rank(&self, order: &[&str]) {
+        *self.ranks.order.lock() = order.iter().map(|host| (*host).to_owned()).collect();
+    }
+}
+
+/// The platform and the targets.
+pub(crate) struct Bed {
+    pub(crate) platform: PlatformFake,
+    pub(crate) engines: Vec<EngineFake>,
+    checks: bool,
+}
+
+impl Bed {
+    pub(crate) fn start(checks: bool) -> Bed {
+        Bed::loading(checks, Duration::ZERO)
+    }
+
+    /// Targets whose loads take a while.
+    pub(crate) fn loading(checks: bool, load_time: Duration) -> Bed {
+        let platform = PlatformFake::start(PlatformSettings::default()).expect("starts");
+        let engine = |at: usize| {
+            let settings = EngineSettings {
+                checks_fence: checks,
+                load_time,
+                ..EngineSettings::holding(&name(at), "m", "v1", RANGES[at % 2])
+            };
+            EngineFake::start(settings).expect("starts")
+        };
+        Bed { platform, engines: (0..CHAINS * 2).map(engine).collect(), checks }
+    }
+
+    fn fleet(&self, version: &str) -> Arc<Fleet> {
+        let mut fleet = Fleet::default();
+        let model = Model {
+            layers: LAYERS,
+            version: version.into(),
+            adapters: BTreeSet::new(),
+            layer_bytes: 1,
+        };
+        fleet.models.insert("m".into(), model);
+        for (at, engine) in self.engines.iter().enumerate() {
+            let target = Target {
+                kind: TargetKind::Engine,
+                host: format!("host-{at}"),
+                data_centre: "north".into(),
+                addr: engine.addr(),
+                serves: None,
+                model: Some("m".into()),
+                layers: Some(RANGES[at % 2]),
+                accelerator: None,
+                checks_fence: self.checks,
+            };
+            fleet.targets.insert(name(at), target);
+        }
+        Arc::new(fleet)
+    }
+
+    /// A daemon that sees version `v1` in force and itself first.
+    pub(crate) fn daemon(&self, host: &str, times: OrderTimes) -> Daemon {
+        let platform = || Arc::new(HttpPlatform::new(self.platform.addr(), Duration::from_secs(1)));
+        let gate = Arc::new(Gate::default());
+        let drain = Arc::new(Drain::default());
+        let view = Arc::new(View(Mutex::new(self.fleet("v1"))));
+        let order = Mutex::new(vec![host.to_owned()]);
+        let ranks = Arc::new(Ranks { own: host.into(), order });
+        let addrs = self.engines.iter().enumerate().map(|(at, e)| (name(at), e.addr()));
+        let parts = OrderParts {
+            log: platform(),
+            engine: gate.clone(),
+            weights: platform(),
+            fleets: view.clone(),
+            reports: Arc::new(Polls(addrs.collect())),
+            members: ranks.clone(),
+            drain: drain.clone(),
+        };
+        Daemon { orders: Orders::new(parts, times), gate, drain, view, ranks }
+    }
+
+    /// Whether every engine holds a version, ready to serve.
+    pub(crate) fn all(&self, version: &str) -> bool {
+        self.engines.iter().all(|e| holds(e, version))
+    }
+
+    pub(crate) fn loads(&self) -> Vec<u64> {
+        self.engines.iter().map(|e| e.stats().loads).collect()
+    }
+
+    /// A request over the first chain, as a router that still trusts its last reports sends it.
+    pub(crate) fn ask(&self, version: &str) -> Generate {
+        let stage = |at: usize| Stage { layers: RANGES[at], ..self.engines[at].stage() };
+        Generate {
+            answer: "a".into(),
+            epoch: 1,
+            route: (0..2).map(stage).collect(),
+            model: "m".into(),
+            version: version.into(),
+            adapter: None,
+            prompt: vec!["one".into()],
+            done: Vec::new(),
+            warm: false,
+            max_tokens: 3,
+            priority: 4,
+            trace: None,
+        }
+    }
+}
+
+pub(crate) fn name(at: usize) -> TargetId {
+    format!("{}-{}", ["a", "b"][at / 2], at % 2)
+}
+
+pub(crate) fn holds(engine: &EngineFake, version: &str) -> bool {
+    let holding = engine.holding();
+    !holding.loading && holding.version.as_deref() == Some(version)
+}
