--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -127,6 +127,9 @@
     /// Tells that a target failed just now.
     fn failed(&self, target: &TargetId);
 
+    /// Tells how long one step over a whole chain took, links included.
+    fn paced(&self, _stages: &[Stage], _took: Duration) {}
+
     /// Tells how long a target took for one step or call.
     fn observed(&self, target: &TargetId, took: Duration);
 
