--- a/crates/roseshore_core/src/admit/limit.rs
+++ b/crates/roseshore_core/src/admit/limit.rs
@@ -10,9 +10,9 @@
 /// The limit before any target has reported.
 const UNKNOWN: f64 = 256.0;
 /// Requests per slot that keep a target from idling between a report and the next.
-const SLACK: f64 = 1.25;
+const SLACK: f64 = 1.5;
 /// Targets are full from this many requests per slot on.
-const FULL: f64 = 1.25;
+const FULL: f64 = 3.0;
 /// Part of the equal share by which a limit grows at once.
 const GROWTH: f64 = 0.1;
 /// What is left of a limit when the targets are full.
@@ -52,6 +52,6 @@
         } else if waiters {
             self.value += (equal * GROWTH).max(1.0);
         }
-        self.value = self.value.clamp((equal / 2.0).max(1.0), (room.slots * SLACK).max(1.0));
+        self.value = self.value.clamp((equal / 2.0).max(1.0), (room.slots * FULL).max(1.0));
     }
 }
--- a/crates/roseshore_core/src/admit/line.rs
+++ b/crates/roseshore_core/src/admit/line.rs
@@ -12,6 +12,10 @@
 /// Part of a new sample in the mean time inside.
 const RATE: f64 = 0.05;
 
+/// The part of requests that take no longer than the time inside that a deadline is held against.
+/// A mean would let a few slow targets shut the door to all.
+const QUICK: f64 = 0.3;
+
 /// What becomes of one that joins.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Joined {
@@ -33,12 +37,14 @@
     inside: usize,
     hold: f64,
     cost: f64,
+    quick: f64,
 }
 
 impl Line {
     /// Lets a request in, has it wait, or turns it away.
     pub fn join(&mut self, mut item: Item, now: Instant) -> Joined {
-        let service = self.service(item.cost);
+        // With nobody inside, nothing would be learned any more: one may always try.
+        let service = if self.inside == 0 { Duration::ZERO } else { span(self.quick * item.cost) };
         let Some(latest) = item.latest.checked_sub(service).filter(|latest| *latest >= now) else {
             return Joined::Late(Duration::ZERO);
         };
@@ -87,8 +93,11 @@
         if self.cost == 0.0 {
             self.hold = took;
             self.cost = cost;
+            self.quick = took / cost;
             return;
         }
+        let below = took / cost < self.quick;
+        self.quick *= if below { 1.0 - RATE * (1.0 - QUICK) } else { 1.0 + RATE * QUICK };
         self.hold += RATE * (took - self.hold);
         self.cost += RATE * (cost - self.cost);
     }
@@ -123,10 +132,6 @@
     fn pace(&self) -> f64 {
         if self.cost == 0.0 { 0.0 } else { self.hold / self.cost }
     }
-
-    fn service(&self, cost: f64) -> Duration {
-        span(self.pace() * cost)
-    }
 }
 
 fn span(seconds: f64) -> Duration {
--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -28,6 +28,13 @@
 /// A report of this age says nothing about queues any more.
 const STALE: Duration = Duration::from_secs(10);
 
+/// Standard deviation of a step's time, as a part of it; steps of one answer are much alike, so
+/// that this stands for several of them.
+const NOISE: f64 = 1.0;
+
+/// How much is learned from a step that took longer than expected, against one that was faster.
+const RISE: f64 = 0.1;
+
 /// What an engine said last.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineState {
@@ -305,15 +312,25 @@
     /// Learns from the time that one step over several targets took, of which `links` seconds are
     /// not theirs.
     pub fn paced(&mut self, chain: &[Index], links: f64, took: Duration, now: Instant) {
-        let expect = |row: &Row| row.figures.step * crowd(row.depth(now), row.figures.slots);
-        let steps: Vec<f64> = chain.iter().map(|&i| expect(self.row(i))).collect();
+        let idle: f64 = links + chain.iter().map(|&i| self.row(i).step(now)).sum::<f64>();
+        let expect = |&index: &Index| {
+            let row = self.row(index);
+            let load = row.depth(now) * row.step(now) / idle;
+            row.figures.step * crowd(load, row.figures.slots)
+        };
+        let steps: Vec<f64> = chain.iter().map(expect).collect();
         let guess = |(&i, &s): (&Index, &f64)| s * self.row(i).pace.factor(now);
         let total = chain.iter().zip(&steps).map(guess).sum::<f64>();
-        let square = steps.iter().map(|s| s * s).sum::<f64>();
         let error = took.as_secs_f64() - links - total;
+        // Queueing makes steps longer and never shorter, and is accounted for elsewhere.
+        let trust = if error > 0.0 { RISE } else { 1.0 };
+        let spread = |(&i, &s): (&Index, &f64)| s * s * self.row(i).pace.variance(now);
+        let noise = (NOISE * total).powi(2) / trust;
+        let square = noise + chain.iter().zip(&steps).map(spread).sum::<f64>();
         for (&index, &step) in chain.iter().zip(&steps) {
             let row = &mut self.rows[index as usize];
-            row.pace.learn(now, error * step / square.max(f64::MIN_POSITIVE));
+            let gain = row.pace.variance(now) * step / square;
+            row.pace.learn(now, error, gain, step);
             row.health.worked(now);
         }
     }
--- a/crates/roseshore_core/src/route.rs
+++ b/crates/roseshore_core/src/route.rs
@@ -13,6 +13,7 @@
 pub mod prefix;
 pub mod replica;
 pub mod room;
+pub mod weighted;
 
 use crate::admit::Room;
 use crate::load::{Change, Content, Index, Loads, Ticket, Zone};
@@ -20,7 +21,7 @@
 use chain::{Scratch, Step};
 use cost::Work;
 use links::Links;
-use pool::Pools;
+use pool::{Place, Pools};
 use prefix::{CacheChange, Hit, Prefixes};
 use rand::rngs::SmallRng;
 use replica::Replicas;
@@ -64,6 +65,8 @@
     pub first: Duration,
     /// Predicted time between tokens.
     pub between: Duration,
+    /// Seconds for the whole answer if the chain were idle.
+    pub idle: f64,
 }
 
 /// How a choice is made; the defaults are those measured best.
@@ -182,22 +185,26 @@
 
     /// Chooses a chain, or `None` when the usable targets leave a hole.
     pub fn chain(&mut self, need: &ChainNeed<'_>, now: Instant) -> Option<ChainChoice> {
-        let pool = self.pools.get(&self.loads, &self.links, self.own, need);
+        let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
+        let tiers = self.pools.get(&place, need);
         let loads = &self.loads;
         self.avoid.clear();
         self.avoid.extend(need.avoid.iter().filter_map(|id| loads.find(id)));
         self.hits.clear();
         self.prefixes.find(need.prefixes, &mut self.hits);
+        let work = Work { prompt: need.prompt, expected: need.expected };
         let step = Step {
             loads,
             links: &self.links,
             own: self.own,
             avoid: &self.avoid,
-            work: Work { prompt: need.prompt, expected: need.expected },
+            work,
             hits: &self.hits,
+            life: tiers.life.predict(work),
             now,
         };
-        let choice = step.choose(pool, self.tuning, &mut self.random, &mut self.scratch)?;
+        let choice = step.choose(tiers, self.tuning, &mut self.random, &mut self.scratch)?;
+        tiers.life.learn(work, choice.idle);
         self.note_prefixes(need, &choice);
         Some(choice)
     }
@@ -207,20 +214,25 @@
         let loads = &self.loads;
         self.avoid.clear();
         self.avoid.extend(avoid.iter().filter_map(|id| loads.find(id)));
-        let list = self.replicas.get(loads, &self.links, self.own, serves);
+        let place = Place { loads, links: &self.links, own: self.own, now };
+        let list = self.replicas.get(&place, serves);
         let pick =
             replica::Pick { loads, links: &self.links, own: self.own, avoid: &self.avoid, now };
         pick.choose(list, self.tuning, &mut self.random)
     }
 
     /// The room of the narrowest layer of a model's engines.
-    pub fn chain_room(&self, need: &ChainNeed<'_>, now: Instant) -> Option<Room> {
-        room::of_chains(&self.loads, need, now)
+    pub fn chain_room(&mut self, need: &ChainNeed<'_>, now: Instant) -> Option<Room> {
+        let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
+        let tiers = self.pools.get(&place, need);
+        let work = Work { prompt: need.prompt, expected: need.expected };
+        room::of_chains(&self.loads, need, tiers.life.predict(work), now)
     }
 
     /// The room of the replicas of a service source.
     pub fn replica_room(&mut self, serves: &str, now: Instant) -> Option<Room> {
-        let list = self.replicas.get(&self.loads, &self.links, self.own, serves);
+        let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
+        let list = self.replicas.get(&place, serves);
         room::of_replicas(&self.loads, list, now)
     }
 
--- a/crates/roseshore_core/src/route/chain.rs
+++ b/crates/roseshore_core/src/route/chain.rs
@@ -1,13 +1,13 @@
 //! The shortest path over a few drawn candidates.
 
-use super::cost::{self, StageTime, Work};
+use super::cost::{self, Job, StageTime, Work};
 use super::links::Links;
 use super::pool::{Group, Pool, Tiers};
 use super::prefix::Hit;
+use super::weighted::Weighted;
 use super::{ChainChoice, StageChoice, Tuning};
 use crate::load::{Index, Loads, Zone};
 use crate::prelude::*;
-use rand::RngExt;
 use rand::rngs::SmallRng;
 
 /// Draws that may hit an unusable or known target before a group is left with fewer candidates.
@@ -46,6 +46,8 @@
     pub work: Work,
     /// Targets that seem to hold the prompt's prefix.
     pub hits: &'a [Hit],
+    /// Seconds that such an answer takes on an idle chain; 0 when unknown.
+    pub life: f64,
     /// The time.
     pub now: Instant,
 }
@@ -61,7 +63,8 @@
     ) -> Option<ChainChoice> {
         let drawn = |group: &Group, nodes: &mut Vec<Node>| {
             self.draw(group, &group.near, tuning.near, random, nodes);
-            let far = if group.near.is_empty() { tuning.near + tuning.far } else { tuning.far };
+            let far =
+                if group.near.rows().is_empty() { tuning.near + tuning.far } else { tuning.far };
             self.draw(group, &group.far, far, random, nodes);
             self.add_hits(group, nodes);
         };
@@ -111,42 +114,49 @@
             }
         }
         nodes[at].next = best.1;
-        nodes[at].total = best.0 + node.time.whole(self.work);
+        nodes[at].total = best.0 + node.time.cost;
     }
 
     fn unroll(&self, nodes: &[Node], start: Node) -> ChainChoice {
         let mut stages = Vec::with_capacity(8);
         let mut first = self.links.delay(self.own, start.zone);
         let mut between = 0.0;
+        let mut idle = 0.0;
+        let mut hops = 0.0;
         let mut node = start;
         loop {
             stages.push(StageChoice { row: node.row, layers: node.layers });
             first += node.time.first;
             between += node.time.between;
+            idle += node.time.idle;
             if node.next == END {
                 break;
             }
             let next = nodes[node.next as usize];
             let delay = self.links.delay(node.zone, next.zone);
-            first += delay;
-            between += delay;
+            hops += delay;
             node = next;
         }
-        between += self.links.delay(node.zone, start.zone);
-        first += self.links.delay(start.zone, self.own);
-        ChainChoice { stages, first: span(first), between: span(between) }
+        hops += self.links.delay(node.zone, start.zone);
+        let tokens = 1.0 + f64::from(self.work.expected);
+        ChainChoice {
+            stages,
+            first: span(first + hops + self.links.delay(start.zone, self.own)),
+            between: span(between + hops),
+            idle: idle + hops * tokens,
+        }
     }
 
     fn draw(
         &self,
         group: &Group,
-        rows: &[Index],
+        from: &Weighted,
         count: usize,
         random: &mut SmallRng,
         nodes: &mut Vec<Node>,
     ) {
-        if rows.len() <= count {
-            for &row in rows {
+        if from.rows().len() <= count {
+            for &row in from.rows() {
                 self.add(group, row, nodes);
             }
             return;
@@ -155,7 +165,8 @@
         let mut found = 0;
         while found < count && left > 0 {
             let before = nodes.len();
-            self.add(group, rows[random.random_range(0..rows.len())], nodes);
+            let Some(row) = from.draw(random) else { return };
+            self.add(group, row, nodes);
             found += nodes.len() - before;
             left -= 1;
         }
@@ -171,8 +182,9 @@
     }
 
     fn add_all(&self, group: &Group, nodes: &mut Vec<Node>) {
-        let rows = group.near.iter().chain(&group.far);
-        rows.for_each(|&row| self.add(group, row, nodes));
+        for &row in group.near.rows().iter().chain(group.far.rows()) {
+            self.add(group, row, nodes);
+        }
     }
 
     /// Adds a candidate, unless it is unusable or there already.
@@ -188,7 +200,8 @@
         let held = target.engine.as_ref().map_or(group.layers, |engine| engine.layers);
         let part = f64::from(group.layers.1 - group.layers.0) / f64::from(held.1 - held.0);
         let cached = self.hits.iter().find(|hit| hit.row == row).map_or(0, |hit| hit.tokens);
-        let time = cost::stage(target, self.work, part, cached, self.now);
+        let job = Job { work: self.work, part, cached, life: self.life };
+        let time = cost::stage(target, job, self.now);
         let zone = target.zone;
         nodes.push(Node { row, zone, layers: group.layers, time, next: END, total: f64::INFINITY });
     }
@@ -196,7 +209,7 @@
 
 impl Group {
     fn has(&self, row: Index) -> bool {
-        self.near.contains(&row) || self.far.contains(&row)
+        self.near.rows().contains(&row) || self.far.rows().contains(&row)
     }
 }
 
--- a/crates/roseshore_core/src/route/cost.rs
+++ b/crates/roseshore_core/src/route/cost.rs
@@ -1,4 +1,8 @@
 //! Predicted times of one stage.
+//!
+//! An answer uses a stage's slots only while its steps are there; the rest of its time it spends on
+//! other stages and links. So a stage takes more answers than it has slots: the answers divided by
+//! the part of its life that an answer spends there, its duty.
 
 use crate::load::{Row, crowd};
 use std::time::Instant;
@@ -6,6 +10,10 @@
 /// A stage whose KV cache cannot take the answer counts as this many times slower.
 const FULL: f64 = 8.0;
 
+/// How steeply the cost of a choice grows with the load of a target. Choosing by the caller's own
+/// time alone would leave slow targets idle until the fast ones are several times overloaded.
+const STEEP: i32 = 3;
+
 /// How much an answer has to do.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -15,6 +23,19 @@
     pub expected: u32,
 }
 
+/// What is asked of one stage.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// The work of the answer.
+    pub work: Work,
+    /// Part of the layers held that it runs.
+    pub part: f64,
+    /// Tokens of the prompt that it seems to have cached.
+    pub cached: u32,
+    /// Seconds that such an answer takes on an idle chain; 0 when unknown.
+    pub life: f64,
+}
+
 /// Predicted seconds of one stage, without links.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StageTime {
@@ -22,29 +43,31 @@
     pub first: f64,
     /// Between tokens.
     pub between: f64,
+    /// For the whole answer, if the target were idle.
+    pub idle: f64,
+    /// What choices are made by: the time for the whole answer, and more the fuller the target.
+    pub cost: f64,
 }
 
-impl StageTime {
-    /// Seconds for the whole answer.
-    pub fn whole(&self, work: Work) -> f64 {
-        self.first + self.between * f64::from(work.expected)
-    }
-}
-
-/// Predicts one stage that runs `part` of the layers it holds and has `cached` tokens of the prompt.
-pub fn stage(row: &Row, work: Work, part: f64, cached: u32, now: Instant) -> StageTime {
-    let depth = row.depth(now) + 1.0;
+/// Predicts one stage.
+pub fn stage(row: &Row, job: Job, now: Instant) -> StageTime {
     let figures = &row.figures;
-    let factor = row.pace.factor(now);
-    let slow = factor * part * crowd(depth, figures.slots);
+    let work = job.work;
     let tokens = f64::from(work.prompt) + f64::from(work.expected);
     let full = if tokens > figures.kv_free { FULL } else { 1.0 };
-    let between = figures.step * slow * full;
+    let slow = row.pace.factor(now) * job.part * full;
+    let step = figures.step * slow;
+    let prefill = |tokens: u32| f64::from(tokens) / figures.prefill * slow;
+    let idle = prefill(work.prompt) + step * (1.0 + f64::from(work.expected));
+    let duty = if job.life > 0.0 { (idle / job.life).min(1.0) } else { 1.0 };
+    let load = (row.depth(now) + 1.0) * duty;
     // A hit counts only while the target has room, so that a hot prefix does not pull for ever.
-    let cached = if depth <= figures.slots { cached } else { 0 };
-    let prefill = f64::from(work.prompt.saturating_sub(cached)) / figures.prefill * slow * full;
-    let wait = figures.queue / figures.slots * between * f64::from(work.expected);
-    StageTime { first: wait + prefill + between, between }
+    let cached = if load <= figures.slots { job.cached } else { 0 };
+    let crowd = crowd(load, figures.slots);
+    let first = prefill(work.prompt.saturating_sub(cached)) + step;
+    let alone = first + step * f64::from(work.expected);
+    let cost = alone * (1.0 + (load / figures.slots).powi(STEEP));
+    StageTime { first: first * crowd, between: step * crowd, idle, cost }
 }
 
 /// Predicted seconds of one call of a replica.
--- a/crates/roseshore_core/src/route/replica.rs
+++ b/crates/roseshore_core/src/route/replica.rs
@@ -3,24 +3,25 @@
 use super::Tuning;
 use super::cost;
 use super::links::Links;
+use super::pool::{Place, WEIGH};
+use super::weighted::Weighted;
 use crate::fleet::TargetKind;
 use crate::load::{Index, Loads, Zone};
 use crate::prelude::*;
-use rand::RngExt;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHashMap;
 
 /// Replicas of one service source.
 #[derive(Clone, Debug, Default)]
 pub struct Group {
-    near: Vec<Index>,
-    far: Vec<Index>,
+    near: Weighted,
+    far: Weighted,
 }
 
 impl Group {
     /// All of them.
     pub fn rows(&self) -> impl Iterator<Item = Index> + '_ {
-        self.near.iter().chain(&self.far).copied()
+        self.near.rows().iter().chain(self.far.rows()).copied()
     }
 }
 
@@ -28,38 +29,45 @@
 #[derive(Debug, Default)]
 pub struct Replicas {
     groups: Option<FxHashMap<String, Group>>,
+    none: Group,
+    weighed: Option<Instant>,
 }
 
 impl Replicas {
     /// Forgets all; the configuration changed.
     pub fn clear(&mut self) {
         self.groups = None;
+        self.weighed = None;
     }
 
     /// The replicas that serve a source.
-    pub fn get(&mut self, loads: &Loads, links: &Links, own: Zone, serves: &str) -> &Group {
-        static NONE: Group = Group { near: Vec::new(), far: Vec::new() };
-        let groups = self.groups.get_or_insert_with(|| build(loads, links, own));
-        groups.get(serves).unwrap_or(&NONE)
+    pub fn get(&mut self, place: &Place<'_>, serves: &str) -> &Group {
+        let groups = self.groups.get_or_insert_with(|| build(place));
+        let due = |at: Instant| place.now.saturating_duration_since(at) >= WEIGH;
+        if self.weighed.is_none_or(due) {
+            self.weighed = Some(place.now);
+            for group in groups.values_mut() {
+                group.near.weigh(place.loads, place.now);
+                group.far.weigh(place.loads, place.now);
+            }
+        }
+        groups.get(serves).unwrap_or(&self.none)
     }
 }
 
-fn build(loads: &Loads, links: &Links, own: Zone) -> FxHashMap<String, Group> {
-    let mut groups: FxHashMap<String, Group> = FxHashMap::default();
-    for index in loads.declared() {
-        let row = loads.row(index);
+fn build(place: &Place<'_>) -> FxHashMap<String, Group> {
+    let mut sides: FxHashMap<String, (Vec<Index>, Vec<Index>)> = FxHashMap::default();
+    for index in place.loads.declared() {
+        let row = place.loads.row(index);
         let Some(serves) = row.serves.clone().filter(|_| row.kind == TargetKind::Service) else {
             continue;
         };
-        let group = groups.entry(serves).or_default();
-        let list = if row.zone == own { &mut group.near } else { &mut group.far };
+        let (near, far) = sides.entry(serves).or_default();
+        let list = if row.zone == place.own { near } else { far };
         list.push(index);
     }
-    let delay = |i: &Index| links.delay(own, loads.row(*i).zone);
-    for group in groups.values_mut() {
-        group.far.sort_by(|a, b| delay(a).total_cmp(&delay(b)));
-    }
-    groups
+    let group = |(near, far)| Group { near: Weighted::new(near), far: Weighted::new(far) };
+    sides.into_iter().map(|(serves, lists)| (serves, group(lists))).collect()
 }
 
 /// One choice.
@@ -90,19 +98,20 @@
 
     fn draw(
         &self,
-        rows: &[Index],
+        from: &Weighted,
         count: usize,
         random: &mut SmallRng,
         best: &mut (f64, Option<Index>),
     ) {
-        if rows.len() <= count {
-            for &row in rows {
+        if from.rows().len() <= count {
+            for &row in from.rows() {
                 self.weigh(row, best);
             }
             return;
         }
         for _ in 0..count {
-            self.weigh(rows[random.random_range(0..rows.len())], best);
+            let Some(row) = from.draw(random) else { return };
+            self.weigh(row, best);
         }
     }
 
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -22,6 +22,8 @@
 
 /// How often hosts that were leaving are asked about again.
 const RECHECK: Duration = Duration::from_millis(500);
+/// The tokens of prompt and answer for which the room of a model's targets is worked out.
+const TYPICAL: (u32, u32) = (200, 100);
 /// When a caller without a route should come back.
 const NO_ROUTE: Duration = Duration::from_secs(1);
 
@@ -185,6 +187,15 @@
         crate::event!(Event::TargetLost, "target=`{target}` out of use for a while");
     }
 
+    fn paced(&self, stages: &[Stage], took: Duration) {
+        let mut state = self.state.lock();
+        let rows = stages.iter().filter_map(|s| state.router.loads().find(&s.target));
+        let rows: Vec<Index> = rows.collect();
+        if rows.len() == stages.len() {
+            state.router.paced(&rows, took, Instant::now());
+        }
+    }
+
     fn observed(&self, target: &TargetId, took: Duration) {
         self.state.lock().router.observed(target, took, Instant::now());
     }
@@ -244,8 +255,8 @@
             layers: model.layers,
             adapter: None,
             prefixes: &[],
-            prompt: 0,
-            expected: 0,
+            prompt: TYPICAL.0,
+            expected: TYPICAL.1,
             avoid: &[],
         };
         self.state.lock().router.chain_room(&need, now)
