Smoother reports, and no turn at the very deadline

Cause: daemons that follow late reports at once run to and fro together; and a deadline that is now was let in when nobody was inside (the table of refusals failed on it).

--- a/crates/roseshore_core/src/admit/line.rs
+++ b/crates/roseshore_core/src/admit/line.rs
@@ -45,7 +45,7 @@
     pub fn join(&mut self, mut item: Item, now: Instant) -> Joined {
         // With nobody inside, nothing would be learned any more: one may always try.
         let service = if self.inside == 0 { Duration::ZERO } else { span(self.quick * item.cost) };
-        let Some(latest) = item.latest.checked_sub(service).filter(|latest| *latest >= now) else {
+        let Some(latest) = item.latest.checked_sub(service).filter(|latest| *latest > now) else {
             return Joined::Late(Duration::ZERO);
         };
         if self.queue.is_empty() && self.inside < self.limit.value() {
--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -28,6 +28,9 @@
 /// A report of this age says nothing about queues any more.
 const STALE: Duration = Duration::from_secs(10);
 
+/// Part of a new report that is believed at once: late reports that are followed at once make all
+/// daemons run to and fro together.
+const SMOOTH: f64 = 0.5;
 /// Standard deviation of a step's time, as a part of it; steps of one answer are much alike, so
 /// that this stands for several of them.
 const NOISE: f64 = 1.0;
@@ -161,7 +164,7 @@
     pub pace: Pace,
     own: History,
     seen: Option<Instant>,
-    then: u32,
+    others: f64,
     life: u32,
     declared: bool,
 }
@@ -187,7 +190,7 @@
         let own = f64::from(self.own.level());
         match self.seen {
             Some(seen) if now.saturating_duration_since(seen) < STALE => {
-                (self.figures.depth + own - f64::from(self.then)).max(own)
+                own + self.others
             }
             _ => own,
         }
@@ -267,13 +270,18 @@
             row.health.failed(seen);
             return Change::Figures;
         }
+        let first = row.seen.is_none();
         row.seen = Some(seen);
-        row.then = row.own.at(seen.checked_sub(REPORT_LAG).unwrap_or(seen));
-        match content {
+        let change = match content {
             Content::Engine(state) => take_engine(row, seen, state),
             Content::Service(state) => take_service(row, seen, state),
             Content::Silent => Change::Figures,
-        }
+        };
+        let own = row.own.at(seen.checked_sub(REPORT_LAG).unwrap_or(seen));
+        let others = (row.figures.depth - f64::from(own)).max(0.0);
+        let part = if first { 1.0 } else { SMOOTH };
+        row.others += part * (others - row.others);
+        change
     }
 
     /// Counts one more request in flight at each of `chosen`.
@@ -371,7 +379,7 @@
             pace: Pace::default(),
             own: History::default(),
             seen: None,
-            then: 0,
+            others: 0.0,
             life,
             declared: true,
         };
--- a/crates/roseshore_core/src/load/pace.rs
+++ b/crates/roseshore_core/src/load/pace.rs
@@ -11,7 +11,7 @@
 /// The bounds of the factor.
 const BOUNDS: (f64, f64) = (0.5, 100.0);
 /// Without an observation, the factor is back at 1 after this time.
-const FORGIVE: Duration = Duration::from_mins(1);
+const FORGIVE: Duration = Duration::from_mins(3);
 /// Variance of a factor of which nothing is known.
 const UNKNOWN: f64 = 16.0;
 /// Variance that a factor gains in a second.
