A target without progress counts as slow before its first answer ends

Cause: of the answers that went to slowed targets most were chosen while nothing had been learned of them (a trial print: factor 1, variance untouched, 30 answers inside): the first step is seen only after the prefill, seconds later, and until then more were sent. Change: own requests in flight without any progress raise a target's factor by one each 250 ms; a factor is never below 1; 0.3 of a new report is believed at once.

--- a/crates/roseshore_core/examples/route_compare.rs
+++ b/crates/roseshore_core/examples/route_compare.rs
@@ -293,8 +293,12 @@
         let own = &mut self.jobs[job];
         own.at = (own.at + 1) % own.chain.len();
         if own.at == 0 {
-            if own.done > 0 && self.setup.way == Way::Ours {
-                self.routers[own.daemon].paced(&own.chain, self.now - own.last, self.now);
+            let (chain, gap) = (own.chain.clone(), self.now - own.last);
+            match self.setup.way {
+                Way::Ours if own.done > 0 => self.routers[own.daemon].paced(&chain, gap, self.now),
+                // The oracle knows the speeds; it is only told that there is progress.
+                Way::Oracle => self.routers[DAEMONS].paced(&chain, Duration::ZERO, self.now),
+                _ => {}
             }
             own.done += 1;
             own.last = self.now;
--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -30,7 +30,9 @@
 
 /// Part of a new report that is believed at once: late reports that are followed at once make all
 /// daemons run to and fro together.
-const SMOOTH: f64 = 0.5;
+const SMOOTH: f64 = 0.3;
+/// Without progress of any own request, a target counts as one time slower for each such span.
+const SILENCE: Duration = Duration::from_millis(250);
 /// Standard deviation of a step's time, as a part of it; steps of one answer are much alike, so
 /// that this stands for several of them.
 const NOISE: f64 = 1.0;
@@ -163,6 +165,7 @@
     /// How its real times compare with its reports.
     pub pace: Pace,
     own: History,
+    progress: Option<Instant>,
     seen: Option<Instant>,
     others: f64,
     life: u32,
@@ -189,16 +192,24 @@
     pub fn depth(&self, now: Instant) -> f64 {
         let own = f64::from(self.own.level());
         match self.seen {
-            Some(seen) if now.saturating_duration_since(seen) < STALE => {
-                own + self.others
-            }
+            Some(seen) if now.saturating_duration_since(seen) < STALE => own + self.others,
             _ => own,
         }
     }
 
+    /// How many times longer it takes than it reports, by own observation. Own requests in flight
+    /// without any progress say so before the first of them has ended.
+    pub fn factor(&self, now: Instant) -> f64 {
+        let silence = match self.progress {
+            Some(last) if self.own.level() > 0 => now.saturating_duration_since(last),
+            _ => Duration::ZERO,
+        };
+        self.pace.factor(now).max(silence.as_secs_f64() / SILENCE.as_secs_f64())
+    }
+
     /// Seconds of one step or call, by report and own observation, without queueing.
     pub fn step(&self, now: Instant) -> f64 {
-        self.figures.step * self.pace.factor(now)
+        self.figures.step * self.factor(now)
     }
 }
 
@@ -288,6 +299,9 @@
     pub fn begin(&mut self, chosen: &[Index], now: Instant) -> Ticket {
         let rows = chosen.iter().map(|&index| {
             let row = &mut self.rows[index as usize];
+            if row.own.level() == 0 {
+                row.progress = Some(now);
+            }
             row.own.change(now, 1);
             (index, row.life)
         });
@@ -320,10 +334,10 @@
     /// Learns from the time that one step over several targets took, of which `links` seconds are
     /// not theirs.
     pub fn paced(&mut self, chain: &[Index], links: f64, took: Duration, now: Instant) {
-        let idle: f64 = links + chain.iter().map(|&i| self.row(i).step(now)).sum::<f64>();
+        let idle: f64 = links + chain.iter().map(|&i| self.known(i, now)).sum::<f64>();
         let expect = |&index: &Index| {
             let row = self.row(index);
-            let load = row.depth(now) * row.step(now) / idle;
+            let load = row.depth(now) * self.known(index, now) / idle;
             row.figures.step * crowd(load, row.figures.slots)
         };
         let steps: Vec<f64> = chain.iter().map(expect).collect();
@@ -339,6 +353,7 @@
             let row = &mut self.rows[index as usize];
             let gain = row.pace.variance(now) * step / square;
             row.pace.learn(now, error, gain, step);
+            row.progress = Some(now);
             row.health.worked(now);
         }
     }
@@ -348,6 +363,12 @@
         self.rows[index as usize].leaving = leaving;
     }
 
+    /// Seconds of one step by what was learned from steps alone.
+    fn known(&self, index: Index, now: Instant) -> f64 {
+        let row = self.row(index);
+        row.figures.step * row.pace.factor(now)
+    }
+
     fn put(&mut self, id: &TargetId, target: &Target) {
         let zone = self.zone(&target.data_centre);
         if let Some(index) = self.find(id) {
@@ -378,6 +399,7 @@
             health: Health::default(),
             pace: Pace::default(),
             own: History::default(),
+            progress: None,
             seen: None,
             others: 0.0,
             life,
--- a/crates/roseshore_core/src/load/pace.rs
+++ b/crates/roseshore_core/src/load/pace.rs
@@ -8,8 +8,8 @@
 
 use std::time::{Duration, Instant};
 
-/// The bounds of the factor.
-const BOUNDS: (f64, f64) = (0.5, 100.0);
+/// The bounds of the factor; a target that is faster than it says is simply believed.
+const BOUNDS: (f64, f64) = (1.0, 100.0);
 /// Without an observation, the factor is back at 1 after this time.
 const FORGIVE: Duration = Duration::from_mins(3);
 /// Variance of a factor of which nothing is known.
--- a/crates/roseshore_core/src/route/cost.rs
+++ b/crates/roseshore_core/src/route/cost.rs
@@ -55,7 +55,7 @@
     let work = job.work;
     let tokens = f64::from(work.prompt) + f64::from(work.expected);
     let full = if tokens > figures.kv_free { FULL } else { 1.0 };
-    let slow = row.pace.factor(now) * job.part * full;
+    let slow = row.factor(now) * job.part * full;
     let step = figures.step * slow;
     let prefill = |tokens: u32| f64::from(tokens) / figures.prefill * slow;
     let idle = prefill(work.prompt) + step * (1.0 + f64::from(work.expected));
