Parts: loads are polled and shared by their drivers, cache events are read

Cause: the daemon still ran the first, sequential poll of every target, so one frozen target held up all others for 500 ms, each daemon polled each target, and the load, peer and cache parts were built but not started.

Change: `parts` starts `LoadDriver`, `PeerDriver` and a reader of cache events; `simple` is gone. The reader asks one engine each 200 ms, none sooner than 2 s after its last; whose turn it is, is `polling::Caches`. `--host-list-ms` is new and goes to the members, with the heartbeat. `Parts::start` is cut into one function for each subsystem, the adapters and worker threads into modules of their own.

Changed behaviour: targets of other data centres are not polled any more, so nothing is routed to them (the sequential poll did that by accident of polling everything). Not connected: demands between daemons; docs/design/members.md says why.

The cost of reading cache events was not measured.

--- a/crates/roseshore_core/src/polling.rs
+++ b/crates/roseshore_core/src/polling.rs
@@ -8,6 +8,10 @@
 //! A poll that fails is repeated at once; after the second failure the target is out of use, which
 //! is said at once, and it is probed ever more slowly until it answers.
 
+mod caches;
+
+pub use caches::Caches;
+
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
--- a/crates/roseshore_core/tests/polling.rs
+++ b/crates/roseshore_core/tests/polling.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::membership::weight;
-use roseshore_core::polling::{Action, Polling, Settings};
+use roseshore_core::polling::{Action, Caches, Polling, Settings};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -311,3 +311,58 @@
         prop_assert!(polls <= bound, "{} polls, at most one per daemon, target and period", polls);
     }
 }
+
+/// Who is asked for cache events: the number of each engine's life, then what is due.
+#[test]
+fn cache_readers() {
+    type Numbered = (&'static str, u64);
+    type Engines = &'static [Numbered];
+    struct Case {
+        name: &'static str,
+        /// Milliseconds after the last step, engines with their lives, those restarted, what is due.
+        steps: &'static [(u64, Engines, &'static [&'static str], Option<Numbered>)],
+    }
+    let cases = [
+        Case { name: "nobody", steps: &[(0, &[], &[], None)] },
+        Case {
+            name: "in turn, each after a rest, from where it was read",
+            steps: &[
+                (0, &[("a", 1), ("b", 1)], &[], Some(("a", 0))),
+                (200, &[("a", 1), ("b", 1)], &[], Some(("b", 0))),
+                (1700, &[("a", 1), ("b", 1)], &[], None),
+                (100, &[("a", 1), ("b", 1)], &[], Some(("a", 10))),
+                (200, &[("a", 1), ("b", 1)], &[], Some(("b", 10))),
+            ],
+        },
+        Case {
+            name: "a restarted one from its first event",
+            steps: &[
+                (0, &[("a", 1)], &[], Some(("a", 0))),
+                (2000, &[("a", 2)], &["a"], Some(("a", 0))),
+            ],
+        },
+        Case {
+            name: "one that left and came back from its first event",
+            steps: &[
+                (0, &[("a", 1)], &[], Some(("a", 0))),
+                (200, &[], &[], None),
+                (200, &[("a", 1)], &[], Some(("a", 0))),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut caches = Caches::new(Duration::from_secs(2));
+        let mut now = Instant::now();
+        for (i, &(after, engines, restarted, due)) in case.steps.iter().enumerate() {
+            now += ms(after);
+            let lives = engines.iter().map(|&(id, life)| (id.to_owned(), life));
+            assert_eq!(caches.set(lives), restarted, "{}, step {i}", case.name);
+            let asked = caches.due(now);
+            let want = due.map(|(id, from)| (id.to_owned(), from));
+            assert_eq!(asked, want, "{}, step {i}", case.name);
+            if let Some((target, from)) = asked {
+                caches.read(&target, from + 10);
+            }
+        }
+    }
+}
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -7,7 +7,7 @@
 pub use roseshore_core::membership::{Member, MemberState};
 pub use roseshore_core::once::Outcome;
 use roseshore_core::prelude::*;
-use roseshore_wire::engine::{Load, Stage};
+use roseshore_wire::engine::{CacheEvent, Load, Stage};
 use roseshore_wire::service::ServiceLoad;
 use std::sync::Arc;
 
@@ -264,6 +264,12 @@
     fn newest(&self) -> Vec<Report>;
 }
 
+/// Takes what entered and left the prefix caches of engines; it may be late and have gaps.
+pub trait Caches: Send + Sync {
+    /// Takes events of one engine, in order.
+    fn take_cache(&self, target: &TargetId, events: &[CacheEvent]);
+}
+
 /// Answers questions of peers; every part that knows an [`roseshore_wire::peer::Ask`] is asked in
 /// turn.
 pub trait Answers: Send + Sync {
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod routing;
 pub mod serve;
 pub mod settings;
-pub mod simple;
 pub mod spans;
 
 pub use drain::{Running, start};
--- a/crates/roseshored/src/loads.rs
+++ b/crates/roseshored/src/loads.rs
@@ -4,6 +4,7 @@
 //! that a frozen one holds up nothing but its own poll. Reports go to [`Reports`] here and, with
 //! the next heartbeat, to the other daemons of the data centre.
 
+pub mod caches;
 pub mod notes;
 
 use crate::event;
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -20,8 +20,6 @@
 
 /// The longest wait of a thread before it looks whether it should end.
 const LOOK: Duration = Duration::from_millis(100);
-/// How often the host list is read.
-const LIST_PERIOD: Duration = Duration::from_millis(500);
 /// Notes that may wait for the next heartbeat.
 const MAX_NOTES: usize = 4096;
 /// Bytes of a datagram kept free for the heartbeat itself.
@@ -37,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The bounds.
     pub settings: Settings,
+    /// Between readings of the host list.
+    pub list_period: Duration,
     /// The socket at `peer`.
     pub socket: Arc<dyn Datagrams>,
     /// The platform's host list.
@@ -86,7 +86,7 @@
     /// # Errors
     /// When a thread cannot be started.
     pub fn start(parts: Parts) -> io::Result<Arc<MemberDriver>> {
-        let Parts { own, peer, seeds, settings, socket, list, fleets, drain } = parts;
+        let Parts { own, peer, seeds, settings, list_period, socket, list, fleets, drain } = parts;
         let view = Mutex::new(Membership::new(own, peer, seeds, settings, Instant::now()));
         let (outbox, notes) = flume::bounded(MAX_NOTES);
         let (tell, inbox) = flume::bounded(MAX_NOTES);
@@ -104,7 +104,7 @@
         let (a, b, c) = (driver.clone(), driver.clone(), driver.clone());
         spawn("members-hear", move || a.hear(&tell))?;
         spawn("members-beat", move || b.send(&notes))?;
-        spawn("members-list", move || c.read_list())?;
+        spawn("members-list", move || c.read_list(list_period))?;
         Ok(driver)
     }
 
@@ -238,7 +238,7 @@
         self.view.lock().beat(self.drain.draining(), offset, digest)
     }
 
-    fn read_list(&self) {
+    fn read_list(&self, period: Duration) {
         while self.running() {
             match self.list.hosts() {
                 Ok(hosts) => self.take_list(hosts),
@@ -247,7 +247,7 @@
                     log::debug!("host list: {e}");
                 }
             }
-            thread::sleep(LIST_PERIOD);
+            thread::sleep(period);
         }
     }
 
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -1,4 +1,10 @@
 //! The parts of a daemon in its own process, put together.
+//!
+//! First what everything stands on ([`Ground`]: configuration and members), then one function for
+//! each subsystem.
+
+mod outside;
+mod worker;
 
 use crate::app::{App, Drain};
 use crate::claims::{ClaimsConfig, ClaimsDriver};
@@ -7,34 +13,28 @@
 use crate::gate::Door;
 use crate::ledger::account::Account;
 use crate::ledger::{Asker, LedgerDriver};
-use crate::members::{self, MemberDriver};
+use crate::loads::caches::CacheReader;
+use crate::loads::{self, LoadDriver};
+use crate::members::MemberDriver;
 use crate::operators::Console;
 use crate::orders::{OrderParts, OrderTimes, Orders};
+use crate::peers::{self, PeerDriver};
 use crate::routing::Routing;
 use crate::settings::Settings;
-use crate::simple::Poller;
+use outside::{Outside, join, listen, times};
 use parking_lot::Mutex;
-use roseshore_adapters::engine::EngineClient;
-use roseshore_adapters::peer::{Limits, Server, TcpPeers, UdpSocket, serve};
-use roseshore_adapters::platform::HttpPlatform;
-use roseshore_adapters::service::HttpServices;
-use roseshore_core::membership::Heartbeat;
+use roseshore_adapters::peer::{Server, serve};
+use roseshore_core::polling;
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{Fleets, Members};
-use roseshore_ports::outside::{Datagrams, Engine, HostList, Log, Peers, Services, WeightStore};
+use roseshore_ports::inside::{Answers, Fleets, Members};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use worker::Worker;
 
-/// How long the platform may take to answer.
-const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
 /// How long the log may take for the last outcomes at the end.
 const FLUSH_LIMIT: Duration = Duration::from_secs(10);
 
-/// Ports that are tried where the settings leave the choice to the system.
-const PORT_TRIES: usize = 16;
-
 /// The parts of one daemon.
 pub struct Parts {
     /// What serving a request needs.
@@ -44,56 +44,105 @@
     /// Unrepeatable work, as [`App::claims`] and for peers' questions.
     pub claims: Arc<ClaimsDriver>,
     members: Arc<MemberDriver>,
+    speaker: Arc<PeerDriver>,
+    loads: Mutex<Option<LoadDriver>>,
     peer: Server,
     workers: Mutex<Vec<Worker>>,
 }
 
-/// A thread that ends when its channel is closed.
-struct Worker {
-    name: &'static str,
-    stop: flume::Sender<()>,
-    thread: JoinHandle<()>,
+/// What the other parts stand on.
+struct Ground {
+    outside: Outside,
+    drain: Arc<Drain>,
+    configuration: Arc<FleetDriver>,
+    fleets: Arc<dyn Fleets>,
+    joined: Arc<MemberDriver>,
+    members: Arc<dyn Members>,
+}
+
+/// The record of requests, and who asks the other daemons for theirs.
+struct Books {
+    account: Arc<Account>,
+    ledger: Arc<LedgerDriver>,
+    asker: Arc<Asker>,
 }
 
-impl Worker {
-    fn start(
-        name: &'static str,
-        run: impl FnOnce(&flume::Receiver<()>) + Send + 'static,
-    ) -> io::Result<Worker> {
-        let (stop, stopped) = flume::bounded(0);
-        let thread = thread::Builder::new().name(name.to_owned()).spawn(move || run(&stopped))?;
-        Ok(Worker { name, stop, thread })
+impl Ground {
+    /// Follows the configuration and joins the other daemons.
+    fn start(settings: &Settings) -> io::Result<(Ground, TcpListener)> {
+        let outside = Outside::new(settings);
+        let drain = Arc::new(Drain::default());
+        let configuration = FleetDriver::new(outside.log.clone(), FleetSettings::default());
+        let (socket, listener) = listen(settings.peer)?;
+        let part = join(settings, &outside, socket, configuration.clone(), drain.clone())?;
+        let joined = MemberDriver::start(part)?;
+        configuration.start(joined.clone(), outside.peers.clone())?;
+        let (fleets, members) = (configuration.clone(), joined.clone());
+        Ok((Ground { outside, drain, configuration, fleets, joined, members }, listener))
     }
 
-    fn end(self) {
-        drop(self.stop);
-        if self.thread.join().is_err() {
-            event!(Event::ThreadLost, "thread={}", self.name);
-        }
+    fn claims(&self) -> io::Result<Arc<ClaimsDriver>> {
+        let (log, peers) = (self.outside.log.clone(), self.outside.peers.clone());
+        let members = self.members.clone();
+        ClaimsDriver::start(ClaimsConfig::default(), log, peers, members).map(Arc::new)
     }
-}
 
-/// The systems outside, behind their adapters.
-struct Outside {
-    log: Arc<dyn Log>,
-    list: Arc<dyn HostList>,
-    weights: Arc<dyn WeightStore>,
-    engine: Arc<dyn Engine>,
-    services: Arc<dyn Services>,
-    peers: Arc<dyn Peers>,
-}
+    fn books(&self) -> Books {
+        let own = self.members.own();
+        let account = Arc::new(Account::new(self.outside.log.clone(), &own));
+        let ledger = Arc::new(LedgerDriver::new(&own, account.clone()));
+        let (members, peers) = (self.members.clone(), self.outside.peers.clone());
+        let asker = Arc::new(Asker::new(ledger.clone(), account.clone(), members, peers));
+        Books { account, ledger, asker }
+    }
 
-impl Outside {
-    fn new(settings: &Settings) -> Outside {
-        let platform = |addr| Arc::new(HttpPlatform::new(addr, PLATFORM_LIMIT));
-        Outside {
-            log: platform(settings.log),
-            list: platform(settings.host_list),
-            weights: platform(settings.weight_store),
-            engine: Arc::new(EngineClient::new()),
-            services: Arc::new(HttpServices::default()),
-            peers: Arc::new(TcpPeers::new(Limits::default())),
-        }
+    /// Polls the targets of the own data centre and shares what they say.
+    fn loads(&self, settings: &Settings, routing: &Arc<Routing>) -> io::Result<LoadDriver> {
+        let period = settings.poll;
+        LoadDriver::start(loads::Parts {
+            members: self.joined.clone(),
+            fleets: self.fleets.clone(),
+            engine: self.outside.engine.clone(),
+            services: self.outside.services.clone(),
+            reports: routing.clone(),
+            settings: polling::Settings { period, ..polling::Settings::default() },
+        })
+    }
+
+    /// Speaks to the other data centres.
+    fn speaker(&self, settings: &Settings, routing: &Arc<Routing>) -> io::Result<Arc<PeerDriver>> {
+        PeerDriver::start(peers::Parts {
+            members: self.joined.clone(),
+            peers: self.outside.peers.clone(),
+            reports: routing.clone(),
+            settings: times(settings),
+        })
+    }
+
+    fn workers(&self, routing: &Arc<Routing>, account: Arc<Account>) -> io::Result<Vec<Worker>> {
+        let caches = CacheReader {
+            fleets: self.fleets.clone(),
+            engine: self.outside.engine.clone(),
+            reports: routing.clone(),
+            caches: routing.clone(),
+        };
+        let orders = OrderParts {
+            log: self.outside.log.clone(),
+            engine: self.outside.engine.clone(),
+            weights: self.outside.weights.clone(),
+            fleets: self.fleets.clone(),
+            reports: routing.clone(),
+            members: self.members.clone(),
+            drain: self.drain.clone(),
+        };
+        let members = self.members.clone();
+        Ok(vec![
+            Worker::start("caches", move |stop| caches.run(stop))?,
+            Worker::start("orders", move |stop| {
+                Orders::new(orders, OrderTimes::default()).run(stop);
+            })?,
+            Worker::start("account", move |stop| account.run(&*members, stop))?,
+        ])
     }
 }
 
@@ -103,65 +152,48 @@
     /// # Errors
     /// When the system gives no thread or socket.
     pub fn start(settings: &Settings) -> io::Result<Parts> {
-        let outside = Outside::new(settings);
-        let drain = Arc::new(Drain::default());
-        let driver = FleetDriver::new(outside.log.clone(), FleetSettings::default());
-        let fleets: Arc<dyn Fleets> = driver.clone();
-        let (socket, listener) = listen(settings.peer)?;
-        let addr = socket.addr()?;
-        let part = join(settings, &outside, addr, Arc::new(socket), &fleets, &drain);
-        let joined = MemberDriver::start(part)?;
-        let members: Arc<dyn Members> = joined.clone();
-        driver.start(members.clone(), outside.peers.clone())?;
-        let (log, peers) = (outside.log.clone(), outside.peers.clone());
-        let claims = ClaimsDriver::start(ClaimsConfig::default(), log, peers, members.clone())?;
-        let claims = Arc::new(claims);
-        let account = Arc::new(Account::new(outside.log.clone(), &members.own()));
-        let ledger = Arc::new(LedgerDriver::new(&members.own(), account.clone()));
-        let routing = Arc::new(Routing::new(fleets.clone(), members.clone()));
-        let (engine, services) = (outside.engine.clone(), outside.services.clone());
-        let (reports, every) = (routing.clone(), settings.poll);
-        let poller = Poller { fleets: fleets.clone(), engine, services, reports, every };
-        let orders = OrderParts {
-            log: outside.log.clone(),
-            engine: outside.engine.clone(),
-            weights: outside.weights,
-            fleets: fleets.clone(),
-            reports: routing.clone(),
-            members: members.clone(),
-            drain: drain.clone(),
-        };
-        let answers = vec![driver.clone() as _, claims.clone() as _, ledger.clone() as _];
-        let asker =
-            Asker::new(ledger.clone(), account.clone(), members.clone(), outside.peers.clone());
-        let counted = members.clone();
-        let workers = vec![
-            Worker::start("loads", move |stop| poller.run(stop))?,
-            Worker::start("orders", move |stop| {
-                Orders::new(orders, OrderTimes::default()).run(stop);
-            })?,
-            Worker::start("account", move |stop| account.run(&*counted, stop))?,
+        let (ground, listener) = Ground::start(settings)?;
+        let claims = ground.claims()?;
+        let books = ground.books();
+        let routing = Arc::new(Routing::new(ground.fleets.clone(), ground.members.clone()));
+        let loads = ground.loads(settings, &routing)?;
+        let speaker = ground.speaker(settings, &routing)?;
+        let workers = ground.workers(&routing, books.account)?;
+        let answers: Vec<Arc<dyn Answers>> = vec![
+            ground.configuration.clone(),
+            claims.clone(),
+            books.ledger.clone(),
+            speaker.clone(),
         ];
+        let peer = serve(listener, answers)?;
         let console = Console {
-            fleets: driver,
-            members: members.clone(),
-            queries: Some(Arc::new(asker)),
-            drain: drain.clone(),
+            fleets: ground.configuration,
+            members: ground.members.clone(),
+            queries: Some(books.asker),
+            drain: ground.drain.clone(),
         };
+        let (fleets, members) = (ground.fleets, ground.members);
         let app = App {
             gate: Arc::new(Door::new(fleets.clone(), members.clone(), routing.clone())),
             router: routing,
             fleets,
             claims: claims.clone(),
-            ledger,
+            ledger: books.ledger,
             members,
-            engine: outside.engine,
-            services: outside.services,
-            drain,
+            engine: ground.outside.engine,
+            services: ground.outside.services,
+            drain: ground.drain,
         };
-        let peer = serve(listener, answers)?;
-        let workers = Mutex::new(workers);
-        Ok(Parts { app, console, claims, members: joined, peer, workers })
+        Ok(Parts {
+            app,
+            console,
+            claims,
+            members: ground.joined,
+            speaker,
+            loads: Mutex::new(Some(loads)),
+            peer,
+            workers: Mutex::new(workers),
+        })
     }
 
     /// Where other daemons reach this one.
@@ -177,59 +209,9 @@
         for worker in self.workers.lock().drain(..) {
             worker.end();
         }
+        drop(self.loads.lock().take());
+        self.speaker.stop();
         self.console.fleets.stop();
         self.members.stop();
     }
 }
-
-/// Listens on one address over both; with port 0, until a port is free for both.
-fn listen(peer: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
-    for _ in 0..PORT_TRIES {
-        let listener = TcpListener::bind(peer)?;
-        match UdpSocket::bind(listener.local_addr()?) {
-            Ok(socket) => return Ok((socket, listener)),
-            Err(err) if peer.port() != 0 => return Err(err),
-            Err(_) => {}
-        }
-    }
-    Err(io::ErrorKind::AddrInUse.into())
-}
-
-fn join(
-    settings: &Settings,
-    outside: &Outside,
-    peer: SocketAddr,
-    socket: Arc<dyn Datagrams>,
-    fleets: &Arc<dyn Fleets>,
-    drain: &Arc<Drain>,
-) -> members::Parts {
-    let own = Heartbeat {
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
-        incarnation: incarnation(),
-        sequence: 0,
-        leaving: false,
-        offset: 0,
-        digest: 0,
-    };
-    let times = roseshore_core::membership::Settings {
-        period: settings.heartbeat,
-        ..roseshore_core::membership::Settings::default()
-    };
-    members::Parts {
-        own,
-        peer,
-        seeds: settings.seeds.clone(),
-        settings: times,
-        socket,
-        list: outside.list.clone(),
-        fleets: fleets.clone(),
-        drain: drain.clone(),
-    }
-}
-
-/// The number of this process's life: later ones are higher, as hosts keep nothing to count in.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map(|it| it.as_millis() as u64).unwrap_or_default()
-}
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -13,9 +13,9 @@
 use roseshore_core::route::prefix::CacheChange;
 use roseshore_core::route::{self, ChainChoice, ChainNeed, StageChoice, Tuning};
 use roseshore_ports::inside::{
-    Chain, Fleets, Members, Need, Permit, Replica, Report, ReportContent, Reports, Router,
+    Caches, Chain, Fleets, Members, Need, Permit, Replica, Report, ReportContent, Reports, Router,
 };
-use roseshore_wire::engine::{CacheEvent, CacheEvents, Load, Role, Stage};
+use roseshore_wire::engine::{CacheEvent, Load, Role, Stage};
 use roseshore_wire::service::ServiceLoad;
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
@@ -55,12 +55,6 @@
         Routing { fleets, members, state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Takes cache events of a target; they may be late and have gaps.
-    pub fn take_cache(&self, target: &TargetId, events: &CacheEvents) {
-        let changes: Vec<CacheChange> = events.events.iter().map(cache_change).collect();
-        self.state.lock().router.cached(target, &changes);
-    }
-
     /// Takes over a new configuration and looks again at hosts that were leaving.
     ///
     /// Other parts are asked without the lock, for they may be telling this one something.
@@ -222,6 +216,13 @@
     }
 }
 
+impl Caches for Routing {
+    fn take_cache(&self, target: &TargetId, events: &[CacheEvent]) {
+        let changes: Vec<CacheChange> = events.iter().map(cache_change).collect();
+        self.state.lock().router.cached(target, &changes);
+    }
+}
+
 impl Rooms for Routing {
     fn room(&self, service: &ServiceId) -> Option<Room> {
         let force = self.fleets.current()?;
--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -79,6 +79,12 @@
         Kind::Count(20..=10_000),
         "Between heartbeats to other daemons",
     ),
+    row(
+        "host-list-ms",
+        Some("500"),
+        Kind::Count(20..=60_000),
+        "Between readings of the platform's host list",
+    ),
     row("poll-ms", Some("250"), Kind::Count(20..=60_000), "Between polls of a target's load"),
     row("traces", Some("1024"), Kind::Count(0..=65_536), "Requests whose spans are kept"),
     row("log-level", Some("info"), Kind::Choice(LEVELS), "What is logged"),
@@ -162,6 +168,8 @@
     pub grace: Duration,
     /// Between heartbeats.
     pub heartbeat: Duration,
+    /// Between readings of the host list.
+    pub list_period: Duration,
     /// Between polls of a target.
     pub poll: Duration,
     /// Requests whose spans are kept.
@@ -208,6 +216,7 @@
             drain_limit: values.millis("drain-ms"),
             grace: values.millis("grace-ms"),
             heartbeat: values.millis("heartbeat-ms"),
+            list_period: values.millis("host-list-ms"),
             poll: values.millis("poll-ms"),
             traces: values.count("traces") as usize,
             log_level: values.text("log-level").parse().unwrap_or(log::LevelFilter::Info),
--- a/crates/roseshored/tests/cluster/cluster.rs
+++ b/crates/roseshored/tests/cluster/cluster.rs
@@ -133,6 +133,7 @@
             peer,
             seeds: Vec::new(),
             settings: settings(),
+            list_period: Duration::from_millis(500),
             socket: cable.clone(),
             list: list.clone(),
             fleets: Arc::new(Folded),
