--- a/crates/roseshore_bench/src/lib.rs
+++ b/crates/roseshore_bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measurements, the load tool, and the matrix of proofs.
 
 pub mod answer;
+pub mod capacity;
 pub mod proofs;
