--- a/crates/roseshore_harness/src/lib.rs
+++ b/crates/roseshore_harness/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod caller;
 pub mod fleets;
 pub mod process;
+pub mod recovery;
 pub mod world;
