Answers tell the router the pace of their chain

Ruled out: Router::observed with the gap of a whole chain, which would blame every stage alike. Change: core::answer::meter averages eight gaps of one route, without the wait for the first token and without times in which the caller held a token up; the driver tells the router. Effect under load: not measured here.

--- a/crates/roseshore_core/src/answer.rs
+++ b/crates/roseshore_core/src/answer.rs
@@ -19,6 +19,7 @@
 pub mod lineage;
 pub mod machine;
 pub mod message;
+pub mod meter;
 pub mod pace;
 pub mod window;
 
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -2,9 +2,11 @@
 //! calls.
 
 use super::hands::{self, Hands, Moves, Report};
+
 use super::{AnswerAsk, CallerLeft, Parts, Sink, Whole};
 use crate::event;
 use flume::{Receiver, RecvError, Selector};
+use roseshore_core::answer::meter::Meter;
 use roseshore_core::answer::{Action, Answer, Finish, Input, Job, Line, Route, Rules};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Need, Permit};
@@ -34,6 +36,7 @@
     stream: Option<(Epoch, Receiver<StreamItem>)>,
     permit: Option<Permit>,
     prefixes: Vec<(u32, u64)>,
+    meter: Meter,
     look: Instant,
     left: bool,
     end: Option<Result<Finish, Refusal>>,
@@ -73,6 +76,7 @@
             stream: None,
             permit: None,
             prefixes: prefixes(&prompt.prompt),
+            meter: Meter::default(),
             prompt,
             look: now + LEAVE_CHECK,
             left: false,
@@ -253,6 +257,7 @@
         self.step = tracing::info_span!(parent: &self.span, "open", epoch, warm);
         let route = self.machine.stages().to_vec();
         let addr = route[0].addr;
+        self.meter.reset();
         let generate = Generate {
             answer: self.ask.request.clone(),
             epoch,
@@ -283,8 +288,13 @@
             self.left = true;
             return self.feed(Input::CallerLeft);
         }
-        if began.elapsed() > HELD_UP {
-            self.machine.rearm(Instant::now());
+        let now = Instant::now();
+        if now - began > HELD_UP {
+            // Tokens piled up behind the caller say nothing of the chain.
+            self.machine.rearm(now);
+            self.meter.reset();
+        } else if let Some(pace) = self.meter.token(now) {
+            self.parts.router.paced(self.machine.stages(), pace);
         }
     }
 
--- a/crates/roseshored/tests/answer.rs
+++ b/crates/roseshored/tests/answer.rs
@@ -214,3 +214,20 @@
     });
     assert_eq!(bed.run_whole("slow caller", &mut caller), 0);
 }
+
+#[test]
+fn the_router_is_told_the_pace_of_the_chain_that_runs() {
+    let bed = Bed::new(QUICK);
+    let told = || bed.router.seen.lock().paced.last().cloned();
+    // A machine that is busy may hold the caller up, and a pace is not counted then.
+    while told().is_none() {
+        bed.run_whole("first chain", &mut Caller::new());
+    }
+    assert_eq!(told().expect("told"), ["e00", "e10", "e20"]);
+    bed.fault(1, 0, |f| f.die_after = Some(0));
+    while told().is_some_and(|chain| chain[1] == "e10") {
+        bed.run_whole("second chain", &mut Caller::new());
+    }
+    // The first stage may have been given up along with the one that died.
+    assert_eq!(told().expect("told")[1], "e11");
+}
--- a/crates/roseshored/tests/answer/bed.rs
+++ b/crates/roseshored/tests/answer/bed.rs
@@ -27,6 +27,8 @@
     pub(crate) failed: BTreeSet<TargetId>,
     pub(crate) leaving: BTreeSet<TargetId>,
     pub(crate) permits: Arc<Mutex<i32>>,
+    /// The chains whose pace was told, newest last.
+    pub(crate) paced: Vec<Vec<TargetId>>,
 }
 
 impl Router for FirstFree {
@@ -54,6 +56,11 @@
         self.seen.lock().failed.insert(target.clone());
     }
 
+    fn paced(&self, stages: &[Stage], _: Duration) {
+        let chain = stages.iter().map(|s| s.target.clone()).collect();
+        self.seen.lock().paced.push(chain);
+    }
+
     fn observed(&self, _: &TargetId, _: Duration) {}
 
     fn leaving(&self, target: &TargetId) -> bool {
