--- a/crates/roseshore_core/tests/admit.rs
+++ b/crates/roseshore_core/tests/admit.rs
@@ -321,6 +321,11 @@
     assert!(fates[1].took.len() as f64 > 0.9 * 50.0 * 30.0, "{}", fates[1].took.len());
     let longest = fates[1].took.iter().max().unwrap();
     assert!(*longest < Duration::from_secs(12), "{longest:?}");
+    // More urgent ones than can be served: others are refused like them, or have their turn.
+    let fates = serve(&fleet, &[source(250.0, 9), source(10.0, 0)], Duration::from_secs(30));
+    let longest = fates[1].took.iter().max().unwrap();
+    assert!(*longest < Duration::from_secs(14), "{longest:?}");
+    assert!(fates[1].took.len() > 60, "{} of 300", fates[1].took.len());
 }
 
 #[test]
