Answer tests: every answer has its own id

Cause: the bed ran several answers under one id; engines refuse the second opening of an epoch, so the test of the chain's pace could blame a healthy first stage and, after many runs, fail for want of retry budget. Change: ids r1, r2, ...

--- a/crates/roseshored/tests/answer/bed.rs
+++ b/crates/roseshored/tests/answer/bed.rs
@@ -11,6 +11,7 @@
 use roseshored::answer::{AnswerAsk, CallerLeft, Parts, Sink, Whole, run_over};
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 const RANGES: [(Layer, Layer); 3] = [(0, 4), (4, 8), (8, 12)];
 pub(crate) const TOKENS: u32 = 12;
@@ -72,6 +73,8 @@
     pub(crate) engines: Vec<Vec<EngineFake>>,
     pub(crate) router: Arc<FirstFree>,
     parts: Parts,
+    /// Engines take an answer's id once for each epoch, so every answer has its own.
+    asked: AtomicU32,
     /// One for each bed, for retry budgets are kept by service.
     service: ServiceId,
 }
@@ -92,7 +95,8 @@
         let rules = Rules { pace, attempts: 6, ..Rules::default() };
         let engine = Arc::new(EngineClient::new());
         let parts = Parts { router: router.clone(), engine, rules };
-        Bed { service: engines[0][0].addr().to_string(), engines, router, parts }
+        let service = engines[0][0].addr().to_string();
+        Bed { service, engines, router, parts, asked: AtomicU32::new(1) }
     }
 
     pub(crate) fn fault(&self, row: usize, at: usize, change: impl FnOnce(&mut EngineFaults)) {
@@ -102,7 +106,7 @@
     pub(crate) fn run(&self, caller: &mut Caller) -> Result<Whole, Refusal> {
         let now = Instant::now();
         let ask = Ask {
-            request: "r1".to_owned(),
+            request: format!("r{}", self.asked.fetch_add(1, Ordering::Relaxed)),
             organisation: "o".to_owned(),
             service: self.service.clone(),
             deadline: now + caller.patience,
