Front: heads are parsed by httparse

Cause: the request line and headers were split by hand, which is a parser of our own where a well-kept one exists; it also let control characters and a lone carriage return into header values.

Change: the head is gathered up to 16 KiB and parsed by `httparse` whenever a line has ended in what came. Bounds and verdicts stay: an empty first line, which `httparse` would pass over, is refused as before, values must be ASCII, at most 100 headers. Stricter: control characters in values are refused with RS109, a lone carriage return with RS101 or RS109.

The speed of parsing was not measured.

--- a/crates/roseshored/src/front/read.rs
+++ b/crates/roseshored/src/front/read.rs
@@ -1,6 +1,6 @@
 //! Reading one request of a caller, within bounds of size and time.
 //!
-//! The head's lines go through `tiny_http`'s own types and a chunked body through
+//! The head goes through `httparse` into `tiny_http`'s own types, a chunked body through
 //! `chunked_transfer`; what is done here is what `tiny_http`'s server leaves out: a bound on the
 //! head, on the body, and on the time that both may take together.
 
@@ -12,9 +12,12 @@
 use tiny_http::{Header, Method};
 
 /// The longest head, bytes.
-const MAX_HEAD: u64 = 16 << 10;
+const MAX_HEAD: usize = 16 << 10;
 /// The most header lines.
 const MAX_HEADERS: usize = 100;
+/// The minor version of HTTP 1 from which on callers understand chunks.
+const MINOR_WITH_CHUNKS: u8 = 1;
+const REQUEST_LINE: &str = "the request line is not `METHOD /PATH HTTP/1.1`";
 /// Headers that change what is done; each may be given once.
 const CONTROL: &[&str] = &[
     "content-length",
@@ -152,22 +155,25 @@
     }
 
     fn head(&mut self, received: Instant) -> Result<Request, Refusal> {
-        let mut input = self.input.by_ref().take(MAX_HEAD);
-        let line = read_line(&mut input)?;
-        let mut request = request_line(&line, received)?;
-        loop {
-            let line = read_line(&mut input)?;
-            if line.is_empty() {
+        let mut head = Vec::new();
+        while head.len() < MAX_HEAD {
+            let came = self.input.fill_buf().map_err(|err| broken(&err))?;
+            if came.is_empty() {
                 break;
             }
-            if request.headers.len() == MAX_HEADERS {
-                return Err(bad(format!("more than {MAX_HEADERS} headers; send fewer")));
+            let before = head.len();
+            let taken = came.len().min(MAX_HEAD - before);
+            head.extend_from_slice(&came[..taken]);
+            // Only a line's end can tell more, so that a head sent byte by byte costs no more.
+            let ended = head[before..].contains(&b'\n');
+            let whole = if ended { parse(&head, received)? } else { None };
+            if let Some((request, len)) = whole {
+                self.input.consume(len - before);
+                return Ok(request);
             }
-            request.headers.push(header(&line)?);
+            self.input.consume(taken);
         }
-        no_doubles(&request.headers)?;
-        note_connection(&mut request);
-        Ok(request)
+        Err(bad("the head ends early or exceeds 16 KiB; send a shorter one"))
     }
 
     fn body(&mut self, request: &Request) -> Result<Vec<u8>, Refusal> {
@@ -204,34 +210,39 @@
     }
 }
 
-fn read_line(input: &mut impl BufRead) -> Result<String, Refusal> {
-    let mut line = Vec::new();
-    input.read_until(b'\n', &mut line).map_err(|err| broken(&err))?;
-    if line.pop() != Some(b'\n') {
-        return Err(bad("the head ends early or exceeds 16 KiB; send a shorter one"));
+/// Parses a head that may not be whole yet; a whole one comes with its length.
+fn parse(head: &[u8], received: Instant) -> Result<Option<(Request, usize)>, Refusal> {
+    if head.starts_with(b"\r") || head.starts_with(b"\n") {
+        return Err(bad(REQUEST_LINE));
     }
-    if line.last() == Some(&b'\r') {
-        line.pop();
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    match parsed.parse(head).map_err(malformed)? {
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(len) => Ok(Some((request(&parsed, received)?, len))),
     }
-    String::from_utf8(line).map_err(|_| bad("the head is not plain text"))
 }
 
-fn request_line(line: &str, received: Instant) -> Result<Request, Refusal> {
-    let mut parts = line.split(' ');
-    let method = parts.next().and_then(|it| Method::from_str(it).ok());
-    let target = parts.next().filter(|it| it.starts_with('/'));
-    let version = parts.next();
-    let (Some(method), Some(target), Some(version), None) = (method, target, version, parts.next())
-    else {
-        return Err(bad("the request line is not `METHOD /PATH HTTP/1.1`"));
-    };
-    let chunks = match version {
-        "HTTP/1.1" => true,
-        "HTTP/1.0" => false,
-        _ => return Err(bad("only `HTTP/1.1` and `HTTP/1.0` are spoken here")),
-    };
+fn malformed(err: httparse::Error) -> Refusal {
+    match err {
+        httparse::Error::Version => bad("only `HTTP/1.1` and `HTTP/1.0` are spoken here"),
+        httparse::Error::TooManyHeaders => {
+            bad(format!("more than {MAX_HEADERS} headers; send fewer"))
+        }
+        httparse::Error::HeaderName | httparse::Error::HeaderValue => {
+            bad_header("a header is not `NAME: VALUE` on one line")
+        }
+        _ => bad(REQUEST_LINE),
+    }
+}
+
+fn request(parsed: &httparse::Request<'_, '_>, received: Instant) -> Result<Request, Refusal> {
+    let method = parsed.method.and_then(|it| Method::from_str(it).ok());
+    let target = parsed.path.filter(|it| it.starts_with('/'));
+    let (Some(method), Some(target)) = (method, target) else { return Err(bad(REQUEST_LINE)) };
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    Ok(Request {
+    let chunks = parsed.version == Some(MINOR_WITH_CHUNKS);
+    let mut request = Request {
         method,
         path: path.to_owned(),
         query: query.to_owned(),
@@ -239,15 +250,16 @@
         received,
         last: !chunks,
         chunks,
-        headers: Vec::new(),
-    })
+        headers: parsed.headers.iter().map(header).collect::<Result<_, _>>()?,
+    };
+    no_doubles(&request.headers)?;
+    note_connection(&mut request);
+    Ok(request)
 }
 
-fn header(line: &str) -> Result<Header, Refusal> {
-    if line.starts_with([' ', '\t']) {
-        return Err(bad_header("a header is folded over two lines; send it on one"));
-    }
-    Header::from_str(line).map_err(|()| bad_header("a header is not `NAME: VALUE` in ASCII"))
+fn header(parsed: &httparse::Header<'_>) -> Result<Header, Refusal> {
+    let ascii = Header::from_bytes(parsed.name, parsed.value);
+    ascii.map_err(|()| bad_header("a header's value is not ASCII"))
 }
 
 fn no_doubles(headers: &[Header]) -> Result<(), Refusal> {
