Adapters: one HTTP agent for engines and services; tests take a port that stays closed

Cause: `NumericResolver` and the engine client's `Literal` were the same resolver twice, with two agents and two readings of failures beside them. The tests of a system that does not listen used the port of a stand-in that was stopped; the system may give that port out again, and service.rs::a_replica_that_does_not_listen_was_not_reached was seen to fail 1 run in 7 (reported, not run here).

Change: `agent` holds the agent, the connector that marks what came before a connection, the resolver and `failure`. For services that makes every failure to connect "not reached", by the connector and no longer by the kind of the error; a reply over the bound is garbled and no longer lost (both "may have run"). `roseshore_fakes::closed::Closed` gives an address on which nobody listens or can begin to, as tests/engine.rs did; the tests in service.rs, platform.rs, engine.rs and roseshored/lookups.rs use it, with all their assertions.

Ruled out: other tests that bind a port and free it. `free_port` of the harness is given once a process and stays as it is.

--- a/crates/roseshore_adapters/src/engine/stream.rs
+++ b/crates/roseshore_adapters/src/engine/stream.rs
@@ -5,6 +5,7 @@
 //! and shuts the connection down, which ends the read.
 
 use super::client;
+use crate::agent::{Kept, agent, failure};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallError, Called, StreamItem};
 use roseshore_wire::engine::{Generate, Output};
@@ -53,7 +54,7 @@
         if limit.is_zero() {
             return Err(CallError::Unreached("the deadline passed".to_owned()));
         }
-        let agent = client::agent(0, 0);
+        let agent = agent(Kept::NONE);
         let response = post(&agent, addr, ask, &body, limit)?;
         let (sender, receiver) = flume::bounded(AHEAD);
         let _ = self.watched.send(Watched { items: sender.downgrade(), agent });
@@ -80,7 +81,7 @@
     }
     let request = request.config().timeout_global(Some(limit));
     let request = request.timeout_connect(Some(client::connect(limit))).build();
-    let response = request.send(body).map_err(client::failure)?;
+    let response = request.send(body).map_err(failure)?;
     if response.status().as_u16() == 200 {
         return Ok(response);
     }
--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -3,9 +3,9 @@
 //! An adapter decides nothing: it carries a call over and says by the kind of its error what a
 //! failure proves.
 
+mod agent;
 pub mod call;
 pub mod engine;
 pub mod peer;
 pub mod platform;
-pub mod resolver;
 pub mod service;
--- a/crates/roseshore_adapters/src/service.rs
+++ b/crates/roseshore_adapters/src/service.rs
@@ -5,26 +5,20 @@
 //! proves nothing; for a lookup another attempt settles that, but for a call it would turn many a
 //! clean start into "may have run". Calls therefore have a connection of their own each.
 
-use crate::resolver::NumericResolver;
+use crate::agent::{Kept, agent, failure};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
 use roseshore_wire::service::{
     DEADLINE_MS, IDEMPOTENCY_KEY, REPLAYED, REQUEST_ID, ServiceLoad, TRACEPARENT, Unstarted,
 };
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use ureq::http::{Request, Response, request::Builder};
-use ureq::unversioned::transport::DefaultConnector;
-use ureq::{Agent, Body, Timeout};
+use ureq::{Agent, Body};
 
 /// The longest body that is read, bytes.
 const MAX_BODY: u64 = 16 << 20;
-/// Connections kept for each replica.
-const KEPT: usize = 64;
-/// Connections kept in all.
-const KEPT_IN_ALL: usize = 1024;
-/// How long a connection is kept without use.
-const KEPT_AGE: Duration = Duration::from_secs(10);
+/// Connections kept without use, for each replica and in all.
+const KEPT: Kept = Kept { each: 64, all: 1024, age: Duration::from_secs(10) };
 const UNAVAILABLE: u16 = 503;
 
 /// Replicas reached over HTTP.
@@ -36,22 +30,10 @@
 
 impl Default for HttpServices {
     fn default() -> HttpServices {
-        HttpServices { kept: agent(KEPT), fresh: agent(0) }
+        HttpServices { kept: agent(KEPT), fresh: agent(Kept::NONE) }
     }
 }
 
-fn agent(kept: usize) -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .max_redirects_will_error(false)
-        .proxy(None)
-        .max_idle_connections(if kept == 0 { 0 } else { KEPT_IN_ALL })
-        .max_idle_connections_per_host(kept)
-        .max_idle_age(KEPT_AGE);
-    Agent::with_parts(config.build(), DefaultConnector::default(), NumericResolver)
-}
-
 impl Services for HttpServices {
     fn lookup(
         &self,
@@ -141,16 +123,3 @@
 fn unsent(error: ureq::http::Error) -> CallError {
     CallError::Unreached(error.to_string())
 }
-
-fn failure(error: ureq::Error) -> CallError {
-    let why = error.to_string();
-    match error {
-        ureq::Error::Io(e) if e.kind() == ErrorKind::ConnectionRefused => CallError::Unreached(why),
-        ureq::Error::Timeout(Timeout::Resolve | Timeout::Connect)
-        | ureq::Error::ConnectionFailed
-        | ureq::Error::HostNotFound
-        | ureq::Error::BadUri(_) => CallError::Unreached(why),
-        ureq::Error::Protocol(_) | ureq::Error::LargeResponseHeader(..) => CallError::Garbled(why),
-        _ => CallError::Lost(why),
-    }
-}
--- a/crates/roseshore_adapters/tests/engine.rs
+++ b/crates/roseshore_adapters/tests/engine.rs
@@ -2,12 +2,13 @@
 
 use roseshore_adapters::engine::EngineClient;
 use roseshore_core::prelude::*;
+use roseshore_fakes::closed::Closed;
 use roseshore_fakes::engine::rig::{ADAPTER, Rig, VERSION, whole, words};
 use roseshore_fakes::engine::{EngineFaults, EngineSettings};
 use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
 use roseshore_wire::engine::{Cancel, Generate, Holding, Order, Output, Role, Stage, Stamp};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -339,11 +340,8 @@
             assert_eq!(error.verdict(), case.verdict, "{} {call}", case.name);
         }
     }
-    // The port of a client's side: nobody listens on it, and nobody else can meanwhile.
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let socket = listener.local_addr().and_then(TcpStream::connect).expect("connected");
-    let closed = socket.local_addr().expect("bound");
-    for (call, error) in calls(LIMIT, || closed) {
+    let closed = Closed::start().expect("a free port");
+    for (call, error) in calls(LIMIT, || closed.addr()) {
         let error = error.expect_err("connection refused");
         assert!(matches!(error, CallError::Unreached(_)), "connection refused {call}: {error:?}");
     }
--- a/crates/roseshore_adapters/tests/platform.rs
+++ b/crates/roseshore_adapters/tests/platform.rs
@@ -2,6 +2,7 @@
 
 use roseshore_adapters::platform::HttpPlatform;
 use roseshore_core::prelude::*;
+use roseshore_fakes::closed::Closed;
 use roseshore_fakes::platform::log::Retention;
 use roseshore_fakes::platform::{PlatformFake, PlatformFaults, PlatformSettings};
 use roseshore_ports::outside::{CallError, HostList, Log, WeightStore};
@@ -155,8 +156,8 @@
 
 #[test]
 fn a_platform_that_does_not_listen_was_not_reached() {
-    let (mut fake, platform) = start(PlatformSettings::default());
-    fake.stop();
+    let closed = Closed::start().unwrap();
+    let platform = HttpPlatform::new(closed.addr(), LIMIT);
     assert_eq!(told(platform.append("s", &texts(1))), Told::Unreached);
     assert_eq!(told(platform.read("s", 0, 1, Duration::ZERO)), Told::Unreached);
     assert_eq!(told(platform.hosts()), Told::Unreached);
--- a/crates/roseshore_adapters/tests/service.rs
+++ b/crates/roseshore_adapters/tests/service.rs
@@ -2,6 +2,7 @@
 
 use roseshore_adapters::service::HttpServices;
 use roseshore_core::prelude::*;
+use roseshore_fakes::closed::Closed;
 use roseshore_fakes::service::records::Source;
 use roseshore_fakes::service::{ServiceFake, ServiceFaults, ServiceSettings};
 use roseshore_ports::outside::{CallError, Called, Hop, ServiceReply, Services};
@@ -140,12 +141,11 @@
 
 #[test]
 fn a_replica_that_does_not_listen_was_not_reached() {
-    let mut fake = start(false);
-    fake.stop();
+    let closed = Closed::start().unwrap();
     let services = HttpServices::default();
-    let call = services.call(fake.addr(), "notes", b"x", None, &hop(BOUND));
+    let call = services.call(closed.addr(), "notes", b"x", None, &hop(BOUND));
     assert_eq!(told(&call), Told::Unreached);
-    let lookup = services.lookup(fake.addr(), "certs", "weld-9", &hop(BOUND));
+    let lookup = services.lookup(closed.addr(), "certs", "weld-9", &hop(BOUND));
     assert_eq!(told(&lookup), Told::Unreached);
 }
 
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each speaks the protocol of its system and has faults that are switched while it runs.
 
+pub mod closed;
 pub mod engine;
 pub mod fault;
 pub mod http;
--- a/crates/roseshored/tests/lookups.rs
+++ b/crates/roseshored/tests/lookups.rs
@@ -6,6 +6,7 @@
 use roseshore_core::lookup::Said;
 use roseshore_core::prelude::*;
 use roseshore_core::retry::{BURST, TRICKLE};
+use roseshore_fakes::closed::Closed;
 use roseshore_fakes::service::records::Source;
 use roseshore_fakes::service::{ServiceFake, ServiceFaults, ServiceSettings};
 use roseshore_ports::inside::{Ask, Chain, Fleets, InForce, Need, Permit, Replica, Router};
@@ -306,8 +307,12 @@
 
 #[test]
 fn replicas_that_do_not_listen_ran_nothing() {
-    let mut site = site(&SOURCES[..1], vec![is(0, Some("a"))]);
-    site.fakes[0].stop();
+    let mut router = FixedRouter::default();
+    let closed = Closed::start().unwrap();
+    let replica = Replica { target: "t0".to_owned(), addr: closed.addr() };
+    router.replicas.push((format!("packages/{}", SOURCES[0]), replica));
+    let site = site(&SOURCES[..1], Vec::new());
+    let site = Site { parts: Parts { router: Arc::new(router), ..site.parts.clone() }, ..site };
     assert_eq!(look_up(&site.parts, 0.0), Told::Silent(Verdict::NotRun));
 }
 
