One piece each for wall-clock millis, reading a stream on, and waiting in tests

Where the logic is the same and not only the shape: six ways to milliseconds of the epoch, three loops that read a stream to its end around trimming, eight wait loops in tests, and the same lone member in two tests.

Change: `roseshore_core::wall`, `roseshored::stream::read_on` (account, its summaries, orders), `roseshore_fakes::wait::wait_until`, tests/support/hosts.rs. Conditions in tests now have 30 s everywhere (10 to 30 s before, none is a timing assertion); orders read 512 records at once instead of 256. The line of the lookups' comparison is waited for as before, without listing the lines that came instead.

Left: claims and the configuration read one batch at a time under their own state machines, which `read_on` does not fit. Most other pairs are alike in shape only.

--- a/crates/roseshore/src/ask.rs
+++ b/crates/roseshore/src/ask.rs
@@ -6,6 +6,7 @@
 use crate::{Done, Exit};
 use clap::ArgMatches;
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_wire::admin::{Drained, Status};
 use roseshore_wire::query::{Filter, Query, Reply, Topic};
 
@@ -65,8 +66,7 @@
 }
 
 fn before(now: SystemTime, ago: Duration) -> u64 {
-    let since = now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    since.saturating_sub(ago).as_millis() as u64
+    wall::millis(now).saturating_sub(ago.as_millis() as u64)
 }
 
 /// Runs `explain`: asks every host, since only the one that took the request knows it.
--- a/crates/roseshore/src/show.rs
+++ b/crates/roseshore/src/show.rs
@@ -5,6 +5,7 @@
 use comfy_table::{Table, presets};
 use roseshore_core::declare::Diff;
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_wire::admin::{Outcome, Report, Status};
 use roseshore_wire::query::{Origin, Reply, Rows};
 use serde::{Deserialize, Serialize};
@@ -215,8 +216,7 @@
 }
 
 fn time(ms: u64) -> String {
-    let at = SystemTime::UNIX_EPOCH + Duration::from_millis(ms);
-    humantime::format_rfc3339_millis(at).to_string()
+    humantime::format_rfc3339_millis(wall::time(ms)).to_string()
 }
 
 fn date(ms: u64) -> String {
--- a/crates/roseshore_core/src/ledger/account.rs
+++ b/crates/roseshore_core/src/ledger/account.rs
@@ -7,6 +7,7 @@
 
 use crate::ledger::book::Ended;
 use crate::prelude::*;
+use crate::wall::millis;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -276,7 +277,3 @@
         Summary { upto: self.next, rows: self.rows().collect(), taken: taken.collect() }
     }
 }
-
-fn millis(time: SystemTime) -> u64 {
-    time.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
--- a/crates/roseshore_core/src/lib.rs
+++ b/crates/roseshore_core/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod retry;
 pub mod route;
 pub mod verdict;
+pub mod wall;
--- a/crates/roseshore_fakes/src/lib.rs
+++ b/crates/roseshore_fakes/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod http;
 pub mod platform;
 pub mod service;
+pub mod wait;
--- a/crates/roseshore_fakes/src/service/records.rs
+++ b/crates/roseshore_fakes/src/service/records.rs
@@ -1,6 +1,7 @@
 //! What a source holds: a rule for generated names, and records of its own.
 
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -44,5 +45,5 @@
 
 /// The incarnation of a process that starts now.
 pub fn incarnation() -> Incarnation {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64)
+    wall::millis(SystemTime::now())
 }
--- a/crates/roseshored/src/fleets/loops.rs
+++ b/crates/roseshored/src/fleets/loops.rs
@@ -7,6 +7,7 @@
     Act, Keep, Keeper, Peer, Puller, Reader, SNAPSHOTS, Snapshot, Tail, Turn, diverged,
 };
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_ports::inside::{Member, MemberState, Members};
 use roseshore_ports::outside::{Called, Peers};
 use std::collections::BTreeSet;
@@ -102,7 +103,7 @@
         let found = self.log.read(SNAPSHOTS, end - 1, 1, Duration::ZERO)?;
         Ok(found.records.last().and_then(|it| {
             let tail = Tail::read(&it.data)?;
-            let written = SystemTime::UNIX_EPOCH + Duration::from_millis(it.time_ms);
+            let written = wall::time(it.time_ms);
             Some((tail.offset, written.elapsed().unwrap_or_default()))
         }))
     }
--- a/crates/roseshored/src/ledger/account.rs
+++ b/crates/roseshored/src/ledger/account.rs
@@ -1,12 +1,14 @@
 //! Writes this daemon's part of the weekly account, and reads the whole.
 
 use crate::event;
+use crate::stream::{Met, read_on};
 use parking_lot::Mutex;
 use roseshore_core::ledger::account::{Counter, Fold, Part, Row, Summary};
 use roseshore_core::ledger::book::Ended;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Member, Members};
-use roseshore_ports::outside::{CallError, Called, Log};
+use roseshore_ports::outside::{Called, Log};
+use roseshore_wire::platform::Record;
 use roseshore_wire::query::{AccountRow, Query, Reply, Rows};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,8 +23,6 @@
 const FLUSH_EVERY: Duration = Duration::from_secs(10);
 /// How often the whole account is written down; far below the log's retention.
 const KEEP_EVERY: Duration = Duration::from_hours(1);
-/// The most records read at once.
-const RECORDS: usize = 512;
 
 /// The account, towards the log.
 pub struct Account {
@@ -124,25 +124,24 @@
         if self.fold.lock().next() == 0 {
             self.resume()?;
         }
-        loop {
-            let from = self.fold.lock().next();
-            match self.log.read(PARTS, from, RECORDS, Duration::ZERO) {
-                Ok(records) => {
-                    let mut fold = self.fold.lock();
-                    for record in &records.records {
-                        let part = serde_json::from_str::<Part>(&record.data).ok();
-                        fold.take(record.offset, part.as_ref());
-                    }
-                    if records.records.is_empty() || fold.next() >= records.end {
-                        return Ok(());
-                    }
-                }
-                Err(CallError::Trimmed(oldest, _)) => {
+        let from = self.fold.lock().next();
+        read_on(&*self.log, PARTS, from, |met| {
+            match met {
+                Met::Records(records) => self.take(records),
+                Met::Trimmed(oldest) => {
                     self.resume()?;
                     self.skip(oldest);
                 }
-                Err(err) => return Err(err),
             }
+            Ok(self.fold.lock().next())
+        })
+    }
+
+    fn take(&self, records: &[Record]) {
+        let mut fold = self.fold.lock();
+        for record in records {
+            let part = serde_json::from_str::<Part>(&record.data).ok();
+            fold.take(record.offset, part.as_ref());
         }
     }
 
@@ -156,25 +155,21 @@
 
     /// Goes on from the newest summary that is kept.
     fn resume(&self) -> Called<()> {
-        let mut from = 0;
-        loop {
-            match self.log.read(SUMMARIES, from, RECORDS, Duration::ZERO) {
-                Ok(records) => {
-                    let summaries = records.records.iter();
-                    for summary in
-                        summaries.filter_map(|r| serde_json::from_str::<Summary>(&r.data).ok())
-                    {
-                        self.fold.lock().resume(&summary);
-                    }
-                    from += records.records.len() as Offset;
-                    if records.records.is_empty() || from >= records.end {
-                        return Ok(());
+        let mut next = 0;
+        read_on(&*self.log, SUMMARIES, next, |met| {
+            match met {
+                Met::Records(records) => {
+                    for record in records {
+                        if let Ok(summary) = serde_json::from_str::<Summary>(&record.data) {
+                            self.fold.lock().resume(&summary);
+                        }
+                        next = record.offset + 1;
                     }
                 }
-                Err(CallError::Trimmed(oldest, _)) => from = oldest,
-                Err(err) => return Err(err),
+                Met::Trimmed(oldest) => next = oldest,
             }
-        }
+            Ok(next)
+        })
     }
 
     /// The account for an operator. Rows that are not whole are marked: when the log does not
--- a/crates/roseshored/src/ledger/rows.rs
+++ b/crates/roseshored/src/ledger/rows.rs
@@ -2,6 +2,7 @@
 
 use roseshore_core::ledger::book::{Book, Ended, Running, Whose};
 use roseshore_core::prelude::*;
+use roseshore_core::wall::millis;
 use roseshore_wire::query::{
     Filter, LateRow, Origin, Query, RefusedRow, Reply, Rows, RunningRow, Topic,
 };
@@ -126,7 +127,3 @@
         _ => whole.cut = true,
     }
 }
-
-fn millis(time: SystemTime) -> u64 {
-    time.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod serve;
 pub mod settings;
 pub mod spans;
+mod stream;
 
 pub use drain::{Running, start};
--- a/crates/roseshored/src/orders.rs
+++ b/crates/roseshored/src/orders.rs
@@ -7,6 +7,7 @@
 
 use crate::app::Drain;
 use crate::event;
+use crate::stream::{Met, read_on};
 use parking_lot::Mutex;
 use roseshore_core::order::desired::{Desired, desired};
 use roseshore_core::order::giver::{Giver, GiverBounds, Seen, Store};
@@ -22,8 +23,6 @@
 
 /// How long a round waits before the next one.
 const ROUND: Duration = Duration::from_millis(250);
-/// The most records read in a round.
-const RECORDS: usize = 256;
 /// Orders that are sent at once.
 const SENDERS: usize = 4;
 
@@ -142,23 +141,16 @@
 
     /// Reads the stream up to its end; `false` when the log does not answer.
     fn read(&self) -> bool {
-        loop {
-            let from = self.leaser.lock().fold().next();
-            match self.parts.log.read(&self.stream, from, RECORDS, Duration::ZERO) {
-                Ok(records) => {
-                    let end = records.end;
-                    let mut leaser = self.leaser.lock();
-                    for record in &records.records {
-                        take(&mut leaser, record);
-                    }
-                    if records.records.is_empty() || leaser.fold().next() >= end {
-                        return true;
-                    }
-                }
-                Err(CallError::Trimmed(oldest, _)) => self.leaser.lock().skip_to(oldest),
-                Err(_) => return false,
+        let from = self.leaser.lock().fold().next();
+        let read = read_on(&*self.parts.log, &self.stream, from, |met| {
+            let mut leaser = self.leaser.lock();
+            match met {
+                Met::Records(records) => records.iter().for_each(|it| take(&mut leaser, it)),
+                Met::Trimmed(oldest) => leaser.skip_to(oldest),
             }
-        }
+            Ok(leaser.fold().next())
+        });
+        read.is_ok()
     }
 
     fn append(&self, record: &LeaseRecord) {
--- a/crates/roseshored/src/parts/outside.rs
+++ b/crates/roseshored/src/parts/outside.rs
@@ -9,6 +9,7 @@
 use roseshore_adapters::service::HttpServices;
 use roseshore_core::membership::{self, Heartbeat};
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_ports::inside::Fleets;
 use roseshore_ports::outside::{Engine, HostList, Log, Peers, Services, WeightStore};
 use std::io;
@@ -94,6 +95,5 @@
 
 /// The number of this process's life: later ones are higher, as hosts keep nothing to count in.
 fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map(|it| it.as_millis() as u64).unwrap_or_default()
+    wall::millis(SystemTime::now())
 }
