Long modules and tests split by subject

Change: load/report.rs (what a target reports, and what that changes), lookup/terms.rs and once/partition/terms.rs (what goes in and comes out), tests once.rs, once_faults.rs and once/world.rs, answer/faults.rs and answer/ops.rs. Public paths stay.

--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -8,14 +8,17 @@
 pub mod health;
 pub mod history;
 pub mod pace;
+mod report;
+
+pub use report::{Change, Content, EngineState, Figures, ServiceState};
 
 use crate::fleet::TargetKind;
 use crate::prelude::*;
 use health::Health;
 use history::History;
 use pace::Pace;
+use report::{take_engine, take_service};
 use rustc_hash::FxHashMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// The place of a target's row.
@@ -40,101 +43,6 @@
 /// How much is learned from a step that took longer than expected, against one that was faster.
 const RISE: f64 = 0.1;
 
-/// What an engine said last.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineState {
-    /// The number of its life.
-    pub incarnation: Incarnation,
-    /// The model loaded, if any.
-    pub model: Option<ModelId>,
-    /// The version loaded, if any.
-    pub version: Option<VersionId>,
-    /// First layer held and one past the last.
-    pub layers: (Layer, Layer),
-    /// The adapters loaded.
-    pub adapters: BTreeSet<AdapterId>,
-    /// Whether it runs prefill and decode alike.
-    pub whole: bool,
-    /// Whether a load is under way.
-    pub loading: bool,
-    /// Whether it asks for no new work.
-    pub leaving: bool,
-    /// Requests waiting.
-    pub queue: u32,
-    /// Answers being worked on.
-    pub running: u32,
-    /// Steps that run at once.
-    pub slots: u32,
-    /// Time of one step.
-    pub step: Duration,
-    /// Prefill rate, tokens a second.
-    pub prefill: f64,
-    /// KV cache not in use, tokens.
-    pub kv_free: u64,
-}
-
-/// What a replica of a service said last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServiceState {
-    /// The number of its life.
-    pub incarnation: Incarnation,
-    /// Calls waiting.
-    pub queue: u32,
-    /// Calls being worked on.
-    pub running: u32,
-    /// Calls that run at once.
-    pub slots: u32,
-    /// Time of one call.
-    pub call: Duration,
-    /// Whether it asks for no new work.
-    pub leaving: bool,
-}
-
-/// What a poll of a target gave.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Content {
-    /// An engine's report.
-    Engine(EngineState),
-    /// A service replica's report.
-    Service(ServiceState),
-    /// No answer.
-    Silent,
-}
-
-/// What a report changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// The report was older than the known one, or of an unknown target.
-    Ignored,
-    /// Only load figures.
-    Figures,
-    /// What the target holds, its life or whether it takes work.
-    Holding,
-}
-
-/// What a target is asked to do in a unit of work, and how fast.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Figures {
-    /// Requests waiting or running there, as reported.
-    pub depth: f64,
-    /// Requests waiting there, as reported.
-    pub queue: f64,
-    /// Units that run at once.
-    pub slots: f64,
-    /// Seconds of one step or call.
-    pub step: f64,
-    /// Prefill rate, tokens a second.
-    pub prefill: f64,
-    /// KV cache not in use, tokens.
-    pub kv_free: f64,
-}
-
-impl Figures {
-    /// What is assumed before the first report.
-    const UNKNOWN: Figures =
-        Figures { depth: 0.0, queue: 0.0, slots: 1.0, step: 0.001, prefill: 1000.0, kv_free: 1e9 };
-}
-
 /// One target.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -427,60 +335,3 @@
 pub fn crowd(depth: f64, slots: f64) -> f64 {
     (depth / slots).max(1.0)
 }
-
-fn take_engine(row: &mut Row, seen: Instant, state: EngineState) -> Change {
-    let figures = Figures {
-        depth: f64::from(state.queue + state.running),
-        queue: f64::from(state.queue),
-        slots: f64::from(state.slots.max(1)),
-        step: state.step.as_secs_f64().max(1e-6),
-        prefill: state.prefill.max(1.0),
-        kv_free: state.kv_free as f64,
-    };
-    take_figures(row, figures);
-    let renewed = state.incarnation != row.incarnation;
-    take_life(row, seen, state.incarnation);
-    let same = row.engine.as_ref().is_some_and(|old| {
-        old.model == state.model
-            && old.version == state.version
-            && old.layers == state.layers
-            && old.adapters == state.adapters
-            && old.whole == state.whole
-            && old.loading == state.loading
-    });
-    let same = same && !renewed && row.closing == state.leaving;
-    row.closing = state.leaving;
-    row.engine = Some(state);
-    if same { Change::Figures } else { Change::Holding }
-}
-
-fn take_service(row: &mut Row, seen: Instant, state: ServiceState) -> Change {
-    let figures = Figures {
-        depth: f64::from(state.queue + state.running),
-        queue: f64::from(state.queue),
-        slots: f64::from(state.slots.max(1)),
-        step: state.call.as_secs_f64().max(1e-6),
-        ..Figures::UNKNOWN
-    };
-    take_figures(row, figures);
-    take_life(row, seen, state.incarnation);
-    let same = row.closing == state.leaving;
-    row.closing = state.leaving;
-    if same { Change::Figures } else { Change::Holding }
-}
-
-fn take_figures(row: &mut Row, figures: Figures) {
-    if row.incarnation != 0 {
-        row.pace.rescale(row.figures.step / figures.step);
-    }
-    row.figures = figures;
-}
-
-fn take_life(row: &mut Row, seen: Instant, incarnation: Incarnation) {
-    if row.incarnation != 0 && row.incarnation != incarnation {
-        row.health = Health::default();
-        row.pace = Pace::default();
-    }
-    row.incarnation = incarnation;
-    row.health.reported(seen);
-}
