--- a/crates/roseshore_harness/src/lib.rs
+++ b/crates/roseshore_harness/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod demo;
 pub mod fleets;
 pub mod process;
+pub mod recovery;
 pub mod world;
--- /dev/null
+++ b/crates/roseshore_harness/src/recovery/streams.rs
@@ -0,0 +1,198 @@
+//! Stages struck while an answer is prefilled or decoded.
+
+use super::{Row, median, world};
+use crate::caller::{Chat, Got, Marks};
+use crate::fleets::{self, CHAT, CUSTOMER, Shape};
+use crate::process::ProcessError;
+use crate::world::World;
+use serde_json::json;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const CHAINS: usize = 3;
+const STAGES: usize = 3;
+const TOKENS: u32 = 30;
+/// The token after which a stage is struck.
+const AFTER: usize = 8;
+/// Words of a prompt whose prefill takes some 100 ms a stage.
+const LONG: usize = 1500;
+/// Until a target that is back is known to be back: its probes are a second apart at most.
+const SETTLE: Duration = Duration::from_millis(1300);
+const BOUND: &str = "detection, then a new prefill";
+
+#[derive(Clone, Copy, PartialEq)]
+enum Loss {
+    Killed,
+    Frozen,
+}
+
+struct Case {
+    name: &'static str,
+    loss: Loss,
+    stage: usize,
+    bound: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "first stage killed", loss: Loss::Killed, stage: 0, bound: "new prefill" },
+    Case { name: "middle stage killed", loss: Loss::Killed, stage: 1, bound: "new prefill" },
+    Case { name: "last stage killed", loss: Loss::Killed, stage: 2, bound: "new prefill" },
+    Case { name: "first stage frozen", loss: Loss::Frozen, stage: 0, bound: BOUND },
+    Case { name: "middle stage frozen", loss: Loss::Frozen, stage: 1, bound: BOUND },
+    Case { name: "last stage frozen", loss: Loss::Frozen, stage: 2, bound: BOUND },
+];
+
+/// Every case, during decode and during prefill, and streams cut off.
+pub(super) fn run(repeats: usize) -> Result<Vec<Row>, ProcessError> {
+    let shape = Shape { chains: CHAINS, stages: STAGES, kind: 4, ..Shape::default() };
+    let mut world = world(shape, 1)?;
+    let mut count = 0;
+    let mut prompt = |words: usize| {
+        count += 1;
+        (0..words).map(|w| format!("p{count}w{w}")).collect::<Vec<_>>().join(" ")
+    };
+    let plain = median((0..5).map(|_| undisturbed(&world, &prompt(4)).first).collect());
+    let long = median((0..5).map(|_| undisturbed(&world, &prompt(LONG)).first).collect());
+    let mut rows = Vec::new();
+    for case in CASES {
+        let mut took = Vec::new();
+        for _ in 0..repeats {
+            took.push(in_decode(&mut world, case, &prompt(4))?);
+        }
+        rows.push(Row::new(format!("{}, decode", case.name), case.bound, took).beside(plain));
+    }
+    let cuts = (0..repeats).map(|_| cut(&world, &prompt(4))).collect::<Result<_, _>>()?;
+    rows.push(Row::new("stream cut, decode", "new head over the kept cache", cuts).beside(plain));
+    for case in CASES {
+        let mut took = Vec::new();
+        for _ in 0..repeats {
+            took.push(in_prefill(&mut world, case, &prompt(LONG))?);
+        }
+        rows.push(Row::new(format!("{}, prefill", case.name), case.bound, took).beside(long));
+    }
+    Ok(rows)
+}
+
+fn undisturbed(world: &World, prompt: &str) -> Got {
+    let chat = Chat { service: CHAT, prompt, tokens: TOKENS };
+    world.caller.stream(world.daemons[0].addr, &chat, &Marks::of(CUSTOMER), |_| ())
+}
+
+/// Answers begun by each chain.
+fn opened(world: &World) -> [u64; CHAINS] {
+    std::array::from_fn(|chain| {
+        let stats = world.addr(&name(chain, 0)).and_then(|a| world.caller.get(a, "/_stats").ok());
+        stats.and_then(|s| s["opened"].as_u64()).unwrap_or(0)
+    })
+}
+
+fn name(chain: usize, stage: usize) -> String {
+    format!("north-{chain}-{stage}")
+}
+
+/// The chain that has begun an answer since `before`.
+fn busy(world: &World, before: [u64; CHAINS]) -> Option<usize> {
+    let now = opened(world);
+    (0..CHAINS).find(|&chain| now[chain] > before[chain])
+}
+
+fn strike(world: &mut World, loss: Loss, target: &str) -> Instant {
+    let begun = Instant::now();
+    if let Some(process) = world.targets.get_mut(target) {
+        match loss {
+            Loss::Killed => process.kill(),
+            Loss::Frozen => process.freeze(),
+        }
+    }
+    begun
+}
+
+fn mend(world: &mut World, loss: Loss, target: &str) -> Result<(), ProcessError> {
+    match loss {
+        Loss::Killed => world.restart(target)?,
+        Loss::Frozen => world.targets[target].thaw(),
+    }
+    thread::sleep(SETTLE);
+    Ok(())
+}
+
+fn in_decode(world: &mut World, case: &Case, prompt: &str) -> Result<Duration, ProcessError> {
+    let chat = Chat { service: CHAT, prompt, tokens: TOKENS };
+    let (caller, addr, before) = (world.caller.clone(), world.daemons[0].addr, opened(world));
+    let mut struck = None;
+    let mut tokens = Vec::new();
+    let got = caller.stream(addr, &chat, &Marks::of(CUSTOMER), |count| {
+        tokens.push(Instant::now());
+        if count == AFTER {
+            let chain = busy(world, before).unwrap_or(0);
+            let target = name(chain, case.stage);
+            struck = Some((strike(world, case.loss, &target), target));
+        }
+    });
+    check(&got, &chat)?;
+    let (at, target) = struck.ok_or_else(|| missed(case.name))?;
+    mend(world, case.loss, &target)?;
+    // Tokens that were under way still come; the longest gap after the fault is the pause.
+    let after = tokens.windows(2).filter(|pair| pair[1] > at);
+    let pause = after.max_by_key(|pair| pair[1] - pair[0]).map(|pair| pair[1]);
+    Ok(pause.ok_or_else(|| missed(case.name))? - at)
+}
+
+fn in_prefill(world: &mut World, case: &Case, prompt: &str) -> Result<Duration, ProcessError> {
+    let chat = Chat { service: CHAT, prompt, tokens: 4 };
+    let (caller, addr, before) = (world.caller.clone(), world.daemons[0].addr, opened(world));
+    let (got, first, struck) = thread::scope(|scope| {
+        let stream = scope.spawn(|| {
+            let mut first = None;
+            let got = caller.stream(addr, &chat, &Marks::of(CUSTOMER), |_| {
+                first.get_or_insert_with(Instant::now);
+            });
+            (got, first)
+        });
+        let mut chain = None;
+        while chain.is_none() && !stream.is_finished() {
+            chain = busy(world, before);
+        }
+        thread::sleep(Duration::from_millis(20));
+        let struck = chain.map(|chain| {
+            let target = name(chain, case.stage);
+            (strike(world, case.loss, &target), target)
+        });
+        let (got, first) = stream.join().unwrap_or_default();
+        (got, first, struck)
+    });
+    check(&got, &chat)?;
+    let (at, target) = struck.ok_or_else(|| missed(case.name))?;
+    mend(world, case.loss, &target)?;
+    let first = first.ok_or_else(|| missed(case.name))?;
+    first.checked_duration_since(at).ok_or_else(|| missed(case.name))
+}
+
+/// The pause at a stream that breaks off while its stages live.
+fn cut(world: &World, prompt: &str) -> Result<Duration, ProcessError> {
+    let faults = |faults| {
+        let chains = (0..CHAINS).filter_map(|chain| world.addr(&name(chain, 0)));
+        chains.for_each(|addr| drop(world.fault(addr, &faults)));
+    };
+    faults(json!({ "cut_after": AFTER }));
+    let chat = Chat { service: CHAT, prompt, tokens: TOKENS };
+    let marks = Marks::of(CUSTOMER);
+    let got = world.caller.stream(world.daemons[0].addr, &chat, &marks, |count| {
+        if count == AFTER + 1 {
+            faults(json!({}));
+        }
+    });
+    check(&got, &chat)?;
+    got.gaps.get(AFTER - 1).copied().ok_or_else(|| missed("stream cut"))
+}
+
+fn check(got: &Got, chat: &Chat<'_>) -> Result<(), ProcessError> {
+    if got.whole && got.joined() == fleets::text(chat) {
+        return Ok(());
+    }
+    Err(ProcessError::Call(format!("an answer was not whole or not right: {got:?}")))
+}
+
+fn missed(case: &str) -> ProcessError {
+    ProcessError::Call(format!("the fault `{case}` did not meet the answer"))
+}
--- a/crates/roseshore_harness/src/world.rs
+++ b/crates/roseshore_harness/src/world.rs
@@ -175,6 +175,18 @@
         Ok(Daemon { host, data_centre, addr, peer, process })
     }
 
+    /// Starts a target that has ended again, at its old address.
+    ///
+    /// # Errors
+    /// When it is not declared, not built or does not come to serve.
+    pub fn restart(&mut self, target: &str) -> Result<(), ProcessError> {
+        let declared = self.plan.fleet.targets.get(target);
+        let declared = declared.ok_or_else(|| ProcessError::NotReady(target.to_owned()))?;
+        let (process, _) = start_target(&self.plan, target, declared, self.log)?;
+        self.targets.insert(target.to_owned(), process);
+        Ok(())
+    }
+
     /// Puts every daemon and target on the host list.
     ///
     /// # Errors
