A daemon whose host the list marks as leaving takes no new work

Ruled out: beginning a drain by the list's word, since the list may take it back and a drain has no way back. Change: `App::leaving` is the drain or the own member's state. Proof: tests/faults.rs::a_leaving_daemon_takes_no_new_work_and_finishes_ what_it_has, seen failing without the change, then passing.

--- a/crates/roseshore_harness/tests/faults.rs
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -211,6 +211,30 @@
     }
 }
 
+#[test]
+fn a_leaving_daemon_takes_no_new_work_and_finishes_what_it_has() {
+    let world = world(Shape::default(), 2);
+    let daemon = &world.daemons[1];
+    let marks = Marks::of(CUSTOMER);
+    let chat = Chat { service: CHAT, prompt: "a long answer", tokens: 400 };
+    let leave = json!({ "host": daemon.host });
+    let ready = || world.caller.status(daemon.addr, "/readyz") == Some(200);
+    let got = world.caller.stream(daemon.addr, &chat, &marks, |count| {
+        if count == 5 {
+            world.caller.post(world.log, "/_hosts/leave", &leave).expect("listed");
+            assert!(wait_until(|| !ready()), "the balancer sees it leave");
+        }
+    });
+    assert!(got.whole && got.joined() == fleets::text(&chat), "{got:?}");
+    let refused = world.caller.answer(daemon.addr, &chat, &marks);
+    let verdict = (refused.code.as_deref(), refused.verdict.as_deref());
+    assert_eq!(verdict, (Some("RS204"), Some("not_run")), "{refused:?}");
+    let other = world.caller.answer(world.daemons[0].addr, &chat, &marks);
+    assert_eq!(other.status, 200, "{other:?}");
+    world.list_hosts().expect("the list takes it back");
+    assert!(wait_until(ready), "it is used again");
+}
+
 #[test]
 fn a_frozen_daemon_wakes_to_the_newest_configuration() {
     let world = world(Shape::default(), 2);
--- a/crates/roseshored/src/app.rs
+++ b/crates/roseshored/src/app.rs
@@ -1,6 +1,6 @@
 //! The parts of a running daemon.
 
-use roseshore_ports::inside::{Claims, Fleets, Gate, Ledger, Members, Router};
+use roseshore_ports::inside::{Claims, Fleets, Gate, Ledger, MemberState, Members, Router};
 use roseshore_ports::outside::{Engine, Services};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -28,6 +28,14 @@
     pub drain: Arc<Drain>,
 }
 
+impl App {
+    /// Whether this daemon takes no new work: it was told to drain, or the host list shows its host
+    /// as leaving. The list may take that back, so that it begins no drain.
+    pub fn leaving(&self) -> bool {
+        self.drain.draining() || self.members.own().state == MemberState::Leaving
+    }
+}
+
 /// Whether this daemon takes no new work.
 #[derive(Debug, Default)]
 pub struct Drain {
--- a/crates/roseshored/src/serve.rs
+++ b/crates/roseshored/src/serve.rs
@@ -56,7 +56,7 @@
     if is_sight(request) {
         return sight::handle(request, exchange);
     }
-    if exchange.site.app.drain.draining() {
+    if exchange.site.app.leaving() {
         exchange.reply.close = true;
         let text = "this host is leaving and takes no new work; another one will";
         return Err(Refusal::not_run(Code::Draining, text));
--- a/crates/roseshored/src/serve/sight.rs
+++ b/crates/roseshored/src/serve/sight.rs
@@ -51,7 +51,7 @@
 }
 
 fn ready(exchange: &Exchange<'_>) -> Result<Response, Refusal> {
-    if exchange.site.app.drain.draining() {
+    if exchange.site.app.leaving() {
         return Err(Refusal::not_run(Code::Draining, "this host is leaving"));
     }
     asking::fleet(exchange)?;
