Orders: answers in flight end before their weights go

An order to load cleared the KV cache under answers in flight: they prefilled again elsewhere all at once, and those on the last chain of the old version had nowhere to go.

A target whose chain is spare is ordered the role `decode` first, which takes it out of new answers; the load follows when no answer is left and late daemons have had a second, or after 30 s. Replaced chains wait in the same way without the order; a model's only chain waits for an idle moment, not drained.

--- a/crates/roseshore_core/src/order/giver.rs
+++ b/crates/roseshore_core/src/order/giver.rs
@@ -2,12 +2,18 @@
 //!
 //! Orders are level-triggered: an order says what to hold, and is given again until the target
 //! reports that. So a lost reply needs no memory, and an order of a former holder that lands late
-//! is put right by the next round. Three bounds hold: a target whose going would break the last
-//! whole chain of what it serves now waits for another, the weight store's backlog stays within a
-//! horizon, and a target is not ordered again before its last order can have taken effect.
+//! is put right by the next round. Four bounds hold: a target whose going would break the last
+//! whole chain of what it serves now waits for another, answers in flight get time to end before
+//! weights go, the weight store's backlog stays within a horizon, and a target is not ordered again
+//! before its last order can have taken effect.
+
+mod serving;
+
+pub use serving::tiles;
 
 use crate::order::desired::Desired;
 use crate::prelude::*;
+use serving::{Going, Serving};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a target reports that it holds.
@@ -23,11 +29,16 @@
     pub adapters: BTreeSet<AdapterId>,
     /// Whether a load is under way.
     pub loading: bool,
+    /// Whether it takes new answers, by its role.
+    pub serves: bool,
+    /// Answers that it works on.
+    pub running: u32,
 }
 
 impl Seen {
     fn fits(&self, want: &Desired) -> bool {
         !self.loading
+            && self.serves
             && self.model.as_ref() == Some(&want.model)
             && self.version.as_ref() == Some(&want.version)
             && self.layers == want.layers
@@ -53,6 +64,11 @@
     pub again: Duration,
     /// The longest wait between repeats of an order that has no effect.
     pub longest: Duration,
+    /// How long daemons may take to hear that a target takes no new answers, or that a new version
+    /// serves.
+    pub quiet: Duration,
+    /// How long answers in flight may hold up a change.
+    pub drain: Duration,
 }
 
 impl Default for GiverBounds {
@@ -61,31 +77,76 @@
             horizon: Duration::from_secs(20),
             again: Duration::from_secs(2),
             longest: Duration::from_mins(1),
+            quiet: Duration::from_secs(1),
+            drain: Duration::from_secs(30),
         }
     }
 }
 
+/// What a target is ordered to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// To take no new answers, and to keep what it holds.
+    Drain(Seen),
+    /// To hold what it should.
+    Hold(Desired),
+}
+
+/// An order that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// The target.
+    pub target: TargetId,
+    /// Whether it refuses old fencing numbers.
+    pub checks: bool,
+    /// What it is to do.
+    pub step: Step,
+}
+
+/// Since when a target waits for its answers in flight.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    since: Instant,
+    serves: bool,
+}
+
+/// A target that does not hold what it should.
+struct Open<'a> {
+    id: &'a TargetId,
+    want: &'a Desired,
+    holds: &'a Seen,
+    going: Going,
+}
+
 #[derive(Clone, Debug)]
 struct Given {
     want: Desired,
+    drain: bool,
     next: Instant,
     tries: u32,
 }
 
+impl Given {
+    fn same(&self, want: &Desired, drain: bool) -> bool {
+        self.want == *want && self.drain == drain
+    }
+}
+
 /// Decides which orders to give.
 #[derive(Clone, Debug, Default)]
 pub struct Giver {
     bounds: GiverBounds,
     given: BTreeMap<TargetId, Given>,
+    waits: BTreeMap<TargetId, Wait>,
 }
 
 impl Giver {
     /// A giver that has given nothing yet.
     pub fn new(bounds: GiverBounds) -> Giver {
-        Giver { bounds, given: BTreeMap::new() }
+        Giver { bounds, ..Giver::default() }
     }
 
-    /// The targets to order now, each with what it should hold.
+    /// The orders to give now.
     ///
     /// `seen` has only targets whose report is fresh; a silent target is not ordered. `allowed`
     /// says whether orders may be given to a target with this `checks` mark. `store` is `None`
@@ -97,32 +158,72 @@
         seen: &BTreeMap<TargetId, Seen>,
         store: Option<Store>,
         allowed: impl Fn(bool) -> bool,
-    ) -> Vec<(TargetId, Desired)> {
+    ) -> Vec<Due> {
         self.forget(wants, seen);
+        let open = self.open(wants, seen);
+        self.waits.retain(|id, _| open.iter().any(|o| o.id == id));
+        let mut budget = Budget::new(store, self.bounds.horizon);
+        let mut orders = Vec::new();
+        for open in open {
+            let bytes = if same_weights(open.holds, open.want) { 0 } else { open.want.bytes };
+            let step = self.step(now, &open);
+            let Some(step) = step.filter(|_| allowed(open.want.checks)) else { continue };
+            let drain = matches!(step, Step::Drain(_));
+            // A drained target needs the store next, so draining takes its place there as well.
+            if self.waited(open.id, open.want, drain, now) && budget.take(bytes) {
+                self.note(open.id, open.want, drain, now);
+                let checks = open.want.checks;
+                orders.push(Due { target: open.id.clone(), checks, step });
+            }
+        }
+        orders
+    }
+
+    /// The targets that may change now, those first that cost their model nothing.
+    fn open<'a>(
+        &self,
+        wants: &'a BTreeMap<TargetId, Desired>,
+        seen: &'a BTreeMap<TargetId, Seen>,
+    ) -> Vec<Open<'a>> {
         let mut serving = Serving::new(seen, wants);
-        let (spare, blocked): (Vec<_>, Vec<_>) = wants
+        let (mut open, blocked): (Vec<_>, Vec<_>) = wants
             .iter()
             .filter_map(|(id, want)| Some((id, want, seen.get(id)?)))
             .filter(|(_, want, holds)| !holds.loading && !holds.fits(want))
-            .partition(|(id, want, holds)| serving.spare(id, holds, want));
+            .map(|(id, want, holds)| {
+                let going = serving.leave(id, holds, want);
+                Open { id, want, holds, going }
+            })
+            .partition(|open| open.going != Going::Last);
         let mut changing = self.changing(seen);
-        changing.extend(spare.iter().map(|(_, want, _)| &want.model));
+        changing.extend(open.iter().map(|open| &open.want.model));
         // Nothing else of the model is on the move, so waiting would last for ever: a model with a
         // single chain has to go out of service for its change.
-        let forced = blocked.into_iter().filter(|(_, want, _)| !changing.contains(&want.model));
-        let candidates: Vec<_> = spare.iter().copied().chain(forced).collect();
-        let mut budget = Budget::new(store, self.bounds.horizon);
-        let mut orders = Vec::new();
-        for (id, want, holds) in candidates {
-            let bytes = if same_weights(holds, want) { 0 } else { want.bytes };
-            if allowed(want.checks) && self.waited(id, want, now) && budget.take(bytes) {
-                orders.push((id.clone(), want.clone()));
-            }
+        open.extend(blocked.into_iter().filter(|open| !changing.contains(&open.want.model)));
+        open
+    }
+
+    /// What a target is to do now, if its answers in flight leave it anything to do.
+    fn step(&mut self, now: Instant, open: &Open<'_>) -> Option<Step> {
+        let hold = || Some(Step::Hold(open.want.clone()));
+        let holds = open.holds;
+        if same_weights(holds, open.want) {
+            return hold();
         }
-        for (id, want) in &orders {
-            self.note(id, want, now);
+        if open.going == Going::Spare {
+            return Some(Step::Drain(holds.clone()));
         }
-        orders
+        let wait = Wait { since: now, serves: holds.serves };
+        let known = self.waits.entry(open.id.clone()).or_insert(wait);
+        if known.serves != wait.serves {
+            *known = wait;
+        }
+        let waited = now.saturating_duration_since(known.since);
+        // Daemons that have not heard of it yet may still send new answers.
+        let trailing = !holds.serves || open.going == Going::Replaced;
+        let quiet = if trailing { self.bounds.quiet } else { Duration::ZERO };
+        let idle = holds.running == 0 && waited >= quiet;
+        if idle || waited >= self.bounds.drain { hold() } else { None }
     }
 
     /// The models of which a load is under way or ordered.
@@ -132,18 +233,18 @@
         loading.filter_map(|holds| holds.model.as_ref()).chain(ordered).collect()
     }
 
-    fn waited(&self, id: &TargetId, want: &Desired, now: Instant) -> bool {
-        self.given.get(id).is_none_or(|given| given.want != *want || now >= given.next)
+    fn waited(&self, id: &TargetId, want: &Desired, drain: bool, now: Instant) -> bool {
+        self.given.get(id).is_none_or(|given| !given.same(want, drain) || now >= given.next)
     }
 
-    fn note(&mut self, id: &TargetId, want: &Desired, now: Instant) {
+    fn note(&mut self, id: &TargetId, want: &Desired, drain: bool, now: Instant) {
         let tries = match self.given.get(id) {
-            Some(given) if given.want == *want => given.tries + 1,
+            Some(given) if given.same(want, drain) => given.tries + 1,
             _ => 0,
         };
         let backoff = self.bounds.again * 2_u32.saturating_pow(tries.min(10));
         let next = now + backoff.min(self.bounds.longest);
-        self.given.insert(id.clone(), Given { want: want.clone(), next, tries });
+        self.given.insert(id.clone(), Given { want: want.clone(), drain, next, tries });
     }
 
     /// Drops what was given to targets that hold it by now or are no longer declared.
@@ -186,85 +287,3 @@
         true
     }
 }
-
-/// The layer ranges that serve one version of one model.
-type Ranges<'a> = BTreeMap<&'a TargetId, (Layer, Layer)>;
-
-/// The targets that serve now, by model and version.
-struct Serving<'a> {
-    now: BTreeMap<(&'a ModelId, &'a VersionId), Ranges<'a>>,
-    /// Those among them that hold what they should.
-    done: BTreeMap<(&'a ModelId, &'a VersionId), Ranges<'a>>,
-    /// The number of layers of each model that is wanted.
-    depths: BTreeMap<&'a ModelId, Layer>,
-}
-
-impl<'a> Serving<'a> {
-    fn new(
-        seen: &'a BTreeMap<TargetId, Seen>,
-        wants: &'a BTreeMap<TargetId, Desired>,
-    ) -> Serving<'a> {
-        let depths = wants.values().map(|want| (&want.model, want.depth)).collect();
-        let mut serving = Serving { now: BTreeMap::new(), done: BTreeMap::new(), depths };
-        for (id, holds) in seen {
-            let (Some(model), Some(version), false) = (&holds.model, &holds.version, holds.loading)
-            else {
-                continue;
-            };
-            serving.now.entry((model, version)).or_default().insert(id, holds.layers);
-            if wants.get(id).is_some_and(|want| holds.fits(want)) {
-                serving.done.entry((model, version)).or_default().insert(id, holds.layers);
-            }
-        }
-        serving
-    }
-
-    /// Takes a target out of service if nothing is lost by it: what it serves is not whole, stays
-    /// whole without it, or is replaced by a whole chain that holds what it should.
-    fn spare(&mut self, id: &TargetId, holds: &Seen, want: &Desired) -> bool {
-        let (Some(model), Some(version)) = (&holds.model, &holds.version) else {
-            return true;
-        };
-        // A model that no target is wanted for may go.
-        let Some(&depth) = self.depths.get(model) else {
-            return true;
-        };
-        let replaced = *model == want.model
-            && find(&mut self.done, model, &want.version)
-                .is_some_and(|ranges| tiles(ranges.values().copied(), depth));
-        let Some(group) = find(&mut self.now, model, version) else {
-            return true;
-        };
-        let whole = tiles(group.values().copied(), depth);
-        let Some((key, range)) = group.remove_entry(id) else {
-            return true;
-        };
-        if whole && !replaced && !tiles(group.values().copied(), depth) {
-            group.insert(key, range);
-            return false;
-        }
-        true
-    }
-}
-
-/// Looks up a group by borrowed ids of any lifetime.
-fn find<'a, 'b>(
-    groups: &'b mut BTreeMap<(&'a ModelId, &'a VersionId), Ranges<'a>>,
-    model: &ModelId,
-    version: &VersionId,
-) -> Option<&'b mut Ranges<'a>> {
-    groups.iter_mut().find(|((m, v), _)| *m == model && *v == version).map(|(_, ranges)| ranges)
-}
-
-/// Whether some of the ranges follow each other from 0 to `depth` without hole or overlap.
-pub fn tiles(ranges: impl Iterator<Item = (Layer, Layer)>, depth: Layer) -> bool {
-    let mut sorted: Vec<(Layer, Layer)> = ranges.filter(|(from, to)| from < to).collect();
-    sorted.sort_unstable();
-    let mut reached = BTreeSet::from([0]);
-    for (from, to) in sorted {
-        if reached.contains(&from) {
-            reached.insert(to);
-        }
-    }
-    reached.contains(&depth)
-}
--- a/crates/roseshored/src/orders.rs
+++ b/crates/roseshored/src/orders.rs
@@ -8,14 +8,15 @@
 use crate::app::Drain;
 use crate::event;
 use parking_lot::Mutex;
-use roseshore_core::order::desired::{Desired, desired};
-use roseshore_core::order::giver::{Giver, GiverBounds, Seen, Store};
+use roseshore_core::order::desired::desired;
+use roseshore_core::order::giver::{Due, Giver, GiverBounds, Seen, Step, Store};
 use roseshore_core::order::lease::{LeaseRecord, LeaseTimes, Leaser};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Fleets, Members, Report, ReportContent, Reports};
 use roseshore_ports::outside::{CallError, Engine, Log, WeightStore};
 use roseshore_wire::engine::{Order, Role};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -202,9 +203,9 @@
         let allowed = |checks| leaser.lock().may_order(now, checks).is_some();
         let due = self.giver.due(now, &wants, &seen, store, allowed);
         metrics::gauge!("roseshore_orders_waiting").set(due.len() as f64);
-        for (id, want) in due {
-            if let Some(target) = fleet.fleet.targets.get(&id) {
-                self.sender.send(id, target.addr, want);
+        for due in due {
+            if let Some(target) = fleet.fleet.targets.get(&due.target) {
+                self.sender.send(Job { addr: target.addr, due });
             }
         }
     }
@@ -235,13 +236,41 @@
         layers: holding.layers,
         adapters: holding.adapters.clone(),
         loading: holding.loading,
+        serves: holding.role == Role::Both,
+        running: load.running,
     })
 }
 
 struct Job {
-    target: TargetId,
-    addr: std::net::SocketAddr,
-    want: Desired,
+    addr: SocketAddr,
+    due: Due,
+}
+
+impl Job {
+    fn order(&self, fence: Fence) -> Order {
+        let target = &self.due.target;
+        match &self.due.step {
+            Step::Hold(want) => Order {
+                fence,
+                order: format!("{fence}-{target}-{}-{}", want.model, want.version),
+                model: Some(want.model.clone()),
+                version: Some(want.version.clone()),
+                layers: want.layers,
+                adapters: want.adapters.clone(),
+                role: Role::Both,
+            },
+            // Answers in flight go on; routers choose only targets that prefill as well.
+            Step::Drain(holds) => Order {
+                fence,
+                order: format!("{fence}-{target}-drain"),
+                model: holds.model.clone(),
+                version: holds.version.clone(),
+                layers: holds.layers,
+                adapters: holds.adapters.clone(),
+                role: Role::Decode,
+            },
+        }
+    }
 }
 
 /// The threads that send orders.
@@ -272,10 +301,10 @@
         self.flying.load(Ordering::SeqCst)
     }
 
-    fn send(&self, target: TargetId, addr: std::net::SocketAddr, want: Desired) {
+    fn send(&self, job: Job) {
         self.flying.fetch_add(1, Ordering::SeqCst);
         // A full queue drops the order; it is due again in a later round.
-        if self.jobs.try_send(Job { target, addr, want }).is_err() {
+        if self.jobs.try_send(job).is_err() {
             self.flying.fetch_sub(1, Ordering::SeqCst);
         }
     }
@@ -283,18 +312,11 @@
 
 fn send(engine: &dyn Engine, leaser: &Mutex<Leaser>, job: &Job, flight: Duration) {
     // Asked here and not when the order was decided: the thread may have waited long.
-    let Some(fence) = leaser.lock().may_order(Instant::now(), job.want.checks) else { return };
-    let Job { target, want, .. } = job;
-    let order = Order {
-        fence,
-        order: format!("{fence}-{target}-{}-{}", want.model, want.version),
-        model: Some(want.model.clone()),
-        version: Some(want.version.clone()),
-        layers: want.layers,
-        adapters: want.adapters.clone(),
-        role: Role::Both,
-    };
-    event!(Event::OrderSent, "target={target} version={} fence={fence}", want.version);
+    let Some(fence) = leaser.lock().may_order(Instant::now(), job.due.checks) else { return };
+    let order = job.order(fence);
+    let target = &job.due.target;
+    let (role, version) = (order.role, order.version.as_deref().unwrap_or_default());
+    event!(Event::OrderSent, "target={target} version={version} role={role:?} fence={fence}");
     match engine.order(job.addr, &order, flight) {
         Ok(_) => {}
         Err(CallError::Refused(412, ..)) => {
