New answers use one version while targets change to another

`order::rollout` chooses: the declared version once a whole chain of it serves in the own data centre, the former one until then, never back unless declared. The router's port gets `version` (by default the declared one); admission asks it too. An answer without a token may begin anew with the version that serves by then, one with tokens goes on with its own or ends as "may have run". A daemon's routing moves to higher offsets of the configuration only.

Border: `Router::version` with a default, event E706, `Answer:: change_version`, `route::Router::pieces`.

--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -86,6 +86,19 @@
         self.refuse(refusal, out);
     }
 
+    /// Begins anew with another version of the weights; `false` once a token was delivered or a
+    /// route is open, for an answer is of one version.
+    pub fn change_version(&mut self, version: VersionId) -> bool {
+        if self.phase != Phase::Routing || !self.tokens.is_empty() {
+            return false;
+        }
+        self.job.version = version;
+        for held in &mut self.old {
+            held.usable = false;
+        }
+        true
+    }
+
     pub(super) fn ask_route(&mut self, paid: bool, out: &mut Vec<Action>) {
         self.phase = Phase::Routing;
         self.quiet = self.job.deadline;
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -87,6 +87,7 @@
     OrderSent = 703, Info, "an order was sent to a target";
     OrderUnknown = 704, Warn, "whether an order took effect is not known";
     OrderFenced = 705, Warn, "a target refused an order with an old fencing number";
+    VersionServes = 706, Info, "new answers use another version of a model";
     SourceSilent = 801, Warn, "a lookup source did not answer";
     SourceConflict = 802, Warn, "sources of one name differ";
     AccountWritten = 901, Info, "a part of the weekly account was recorded";
--- a/crates/roseshore_core/src/order.rs
+++ b/crates/roseshore_core/src/order.rs
@@ -4,8 +4,9 @@
 //! ([`lease`]); the lease record's offset is the fencing number that every order carries. What a
 //! target should hold comes from the declared fleet ([`desired`]), and [`giver`] decides which
 //! orders go out now, so that a change keeps a whole chain in service and stays within the
-//! weight store's rate.
+//! weight store's rate. [`rollout`] says which version new answers use meanwhile.
 
 pub mod desired;
 pub mod giver;
 pub mod lease;
+pub mod rollout;
--- a/crates/roseshore_core/src/route.rs
+++ b/crates/roseshore_core/src/route.rs
@@ -16,7 +16,9 @@
 pub mod weighted;
 
 use crate::admit::Room;
+use crate::fleet::TargetKind;
 use crate::load::{Change, Content, Index, Loads, Ticket, Zone};
+use crate::order::rollout::{Piece, Pieces};
 use crate::prelude::*;
 use chain::{Scratch, Step};
 use cost::Work;
@@ -221,6 +223,25 @@
         pick.choose(list, self.tuning, &mut self.random)
     }
 
+    /// What the usable engines hold of a model.
+    pub fn pieces(&self, model: &str, now: Instant) -> Pieces {
+        let mut pieces = Pieces { held: Vec::new(), heard: true };
+        for row in self.loads.declared().map(|index| self.loads.row(index)) {
+            if row.kind != TargetKind::Engine {
+                continue;
+            }
+            let near = row.zone == self.own;
+            pieces.heard &= !near || row.reported() || !row.usable(now);
+            let Some(engine) = row.engine.as_ref().filter(|_| row.usable(now)) else { continue };
+            let serves = engine.whole && !engine.loading && !engine.leaving;
+            let Some(version) = engine.version.clone().filter(|_| serves) else { continue };
+            if engine.model.as_deref() == Some(model) {
+                pieces.held.push(Piece { version, layers: engine.layers, near });
+            }
+        }
+        pieces
+    }
+
     /// The room of the narrowest layer of a model's engines.
     pub fn chain_room(&mut self, need: &ChainNeed<'_>, now: Instant) -> Option<Room> {
         let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -118,6 +118,12 @@
     /// [`Code::NoRoute`] when the live targets leave a hole.
     fn chain(&self, need: &Need) -> Result<(Chain, Permit), Refusal>;
 
+    /// The version that a new answer of a model is to use: the declared one, or while targets
+    /// change to it, the one that serves still. `None` leaves it at the declared one.
+    fn version(&self, _model: &ModelId) -> Option<VersionId> {
+        None
+    }
+
     /// A replica that serves `serves` (`service` or `service/source`), not one of `avoid`.
     ///
     /// # Errors
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -226,7 +226,10 @@
         } else {
             tracing::info_span!(parent: &self.span, "route")
         };
-        let chain = span.in_scope(|| self.parts.router.chain(&self.need(avoid)));
+        let mut chain = span.in_scope(|| self.parts.router.chain(&self.need(avoid.clone())));
+        if chain.is_err() && self.change_version() {
+            chain = span.in_scope(|| self.parts.router.chain(&self.need(avoid)));
+        }
         let (chain, permit) = match chain {
             Ok(chosen) => chosen,
             Err(refusal) => return self.feed(Input::NoChain(refusal)),
@@ -239,6 +242,17 @@
         self.feed(Input::Chosen(route));
     }
 
+    /// Goes over to the version that serves by now, if nothing of the answer has been delivered.
+    fn change_version(&mut self) -> bool {
+        let Some(version) = self.parts.router.version(&self.prompt.model) else { return false };
+        let changed =
+            version != self.prompt.version && self.machine.change_version(version.clone());
+        if changed {
+            self.prompt.version = version;
+        }
+        changed
+    }
+
     fn need(&self, avoid: Vec<TargetId>) -> Need {
         let done = self.machine.tokens().len() as u32;
         Need {
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use roseshore_core::admit::Room;
 use roseshore_core::load::{Content, EngineState, Index, ServiceState};
+use roseshore_core::order::rollout::Rollout;
 use roseshore_core::prelude::*;
 use roseshore_core::route::prefix::CacheChange;
 use roseshore_core::route::{self, ChainChoice, ChainNeed, StageChoice, Tuning};
@@ -36,6 +37,8 @@
 
 struct State {
     router: route::Router,
+    rollout: Rollout,
+    fleet: Arc<Fleet>,
     offset: Option<Offset>,
     newest: FxHashMap<TargetId, Report>,
     leaving: Vec<Index>,
@@ -49,6 +52,8 @@
         let random = SmallRng::from_rng(&mut rand::rng());
         let state = State {
             router: route::Router::new(&own, Tuning::default(), random),
+            rollout: Rollout::default(),
+            fleet: Arc::default(),
             offset: None,
             newest: FxHashMap::default(),
             leaving: Vec::new(),
@@ -64,7 +69,7 @@
         let force = self.fleets.current();
         let mut state = self.state.lock();
         if let Some(force) = force
-            && state.offset != Some(force.offset)
+            && state.offset.is_none_or(|known| force.offset > known)
         {
             state.declare(&force.fleet, force.offset);
         }
@@ -118,8 +123,10 @@
 }
 
 impl State {
-    fn declare(&mut self, fleet: &Fleet, offset: Offset) {
+    fn declare(&mut self, fleet: &Arc<Fleet>, offset: Offset) {
+        self.fleet = Arc::clone(fleet);
         self.router.declare(fleet);
+        self.rollout.declare(fleet);
         self.newest.retain(|id, _| fleet.targets.contains_key(id));
         self.leaving.retain(|&row| self.router.loads().row(row).leaving);
         self.offset = Some(offset);
@@ -164,6 +171,21 @@
         chosen.ok_or_else(|| no_chain(need))
     }
 
+    fn version(&self, model: &ModelId) -> Option<VersionId> {
+        let now = Instant::now();
+        self.refresh(now);
+        let mut state = self.state.lock();
+        let State { router, rollout, fleet, .. } = &mut *state;
+        let declared = fleet.models.get(model)?;
+        let look = || router.pieces(model, now);
+        let choice = rollout.choose(model, &declared.version, declared.layers, look);
+        drop(state);
+        if choice.switched {
+            crate::event!(Event::VersionServes, "model=`{model}` version=`{}`", choice.version);
+        }
+        Some(choice.version)
+    }
+
     fn replica(&self, serves: &str, avoid: &[TargetId]) -> Result<(Replica, Permit), Refusal> {
         let chosen = self.choose(|router, now| {
             let row = router.replica(serves, avoid, now)?;
@@ -250,9 +272,10 @@
             return rooms.min_by(|a, b| a.slots.total_cmp(&b.slots));
         };
         let model = force.fleet.models.get(id)?;
+        let version = self.version(id)?;
         let need = ChainNeed {
             model: id,
-            version: &model.version,
+            version: &version,
             layers: model.layers,
             adapter: None,
             prefixes: &[],
--- a/crates/roseshored/src/serve/models.rs
+++ b/crates/roseshored/src/serve/models.rs
@@ -40,9 +40,11 @@
     let asking = Asking { fleet: &fleet, service, declared, cost };
     let ask = asking.ask(request, exchange)?;
     let key = asking::key(request, &ask)?;
+    let version = exchange.site.app.router.version(&model.to_owned());
+    let version = version.unwrap_or_else(|| behind.version.clone());
     let work = AnswerAsk {
         model: model.to_owned(),
-        version: behind.version.clone(),
+        version,
         layers: behind.layers,
         adapter: adapter.map(str::to_owned),
         prompt: question.prompt.clone(),
--- /dev/null
+++ b/crates/roseshored/tests/rollout.rs
@@ -0,0 +1,137 @@
+//! An answer whose version goes while it is routed or under way: it is of one version.
+
+use parking_lot::Mutex;
+use roseshore_adapters::engine::EngineClient;
+use roseshore_core::answer::Rules;
+use roseshore_core::prelude::*;
+use roseshore_fakes::engine::{EngineFake, EngineFaults, EngineSettings, text};
+use roseshore_ports::inside::{Ask, Chain, Need, Permit, Replica, Router};
+use roseshore_wire::engine::Stage;
+use roseshored::answer::{AnswerAsk, CallerLeft, Parts, Sink, run_over};
+use std::sync::Arc;
+
+const TOKENS: u32 = 12;
+
+/// Knows one chain of each version, and gives the old one out once only: it is gone after that.
+struct Changing {
+    old: Mutex<Option<Stage>>,
+    new: Stage,
+}
+
+impl Router for Changing {
+    fn chain(&self, need: &Need) -> Result<(Chain, Permit), Refusal> {
+        let new = (need.version == "v2").then(|| self.new.clone());
+        let stage = new.or_else(|| self.old.lock().take());
+        let stage = stage.ok_or_else(|| Refusal::not_run(Code::NoRoute, "no chain"))?;
+        let [first, between] = [100, 2].map(Duration::from_millis);
+        Ok((Chain { stages: vec![stage], first, between }, Permit::new(|| ())))
+    }
+
+    fn version(&self, _: &ModelId) -> Option<VersionId> {
+        Some("v2".into())
+    }
+
+    fn replica(&self, _: &str, _: &[TargetId]) -> Result<(Replica, Permit), Refusal> {
+        Err(Refusal::not_run(Code::NoRoute, "no replicas here"))
+    }
+
+    fn failed(&self, _: &TargetId) {}
+
+    fn observed(&self, _: &TargetId, _: Duration) {}
+}
+
+#[derive(Default)]
+struct Tokens(Vec<String>);
+
+impl Sink for Tokens {
+    fn token(&mut self, _: Position, text: &str) -> Result<(), CallerLeft> {
+        self.0.push(text.to_owned());
+        Ok(())
+    }
+}
+
+struct Case {
+    name: &'static str,
+    /// What the target of the old chain holds by now.
+    holds: &'static str,
+    faults: EngineFaults,
+    version: &'static str,
+    tokens: usize,
+    whole: bool,
+}
+
+fn cases() -> Vec<Case> {
+    let cut = |after| EngineFaults { cut_after: Some(after), ..EngineFaults::default() };
+    vec![
+        Case {
+            name: "the target has changed before the stream opens",
+            holds: "v2",
+            faults: EngineFaults::default(),
+            version: "v2",
+            tokens: TOKENS as usize,
+            whole: true,
+        },
+        Case {
+            name: "the target is lost before the first token",
+            holds: "v1",
+            faults: cut(0),
+            version: "v2",
+            tokens: TOKENS as usize,
+            whole: true,
+        },
+        Case {
+            name: "the target is lost after some tokens",
+            holds: "v1",
+            faults: cut(5),
+            version: "v1",
+            tokens: 5,
+            whole: false,
+        },
+    ]
+}
+
+fn engine(name: &str, version: &str) -> EngineFake {
+    EngineFake::start(EngineSettings::holding(name, "m", version, (0, 4))).expect("starts")
+}
+
+#[test]
+fn an_answer_is_of_one_version() {
+    for case in cases() {
+        let (old, new) = (engine("old", case.holds), engine("new", "v2"));
+        old.faults().set(case.faults);
+        let router = Changing { old: Mutex::new(Some(old.stage())), new: new.stage() };
+        let engine = Arc::new(EngineClient::new());
+        let parts = Parts { router: Arc::new(router), engine, rules: Rules::default() };
+        let prompt = vec!["review".to_owned(), "plate".to_owned()];
+        let work = AnswerAsk {
+            model: "m".into(),
+            version: "v1".into(),
+            layers: 4,
+            adapter: None,
+            prompt: prompt.clone(),
+            max_tokens: TOKENS,
+            trace: None,
+        };
+        let now = Instant::now();
+        let ask = Ask {
+            request: case.name.replace(' ', "-"),
+            organisation: "o".into(),
+            service: "s".into(),
+            deadline: now + Duration::from_secs(20),
+            arrived: now,
+            priority: 4,
+            cost: TOKENS,
+        };
+        let mut sink = Tokens::default();
+        let got = run_over(&parts, &ask, work, &mut sink);
+        let expected = text::expected("m", case.version, None, &prompt, TOKENS);
+        assert_eq!(sink.0, expected[..case.tokens], "{}: {got:?}", case.name);
+        match got {
+            Ok(whole) => assert!(case.whole && whole.text == expected.concat(), "{}", case.name),
+            Err(refusal) => {
+                assert!(!case.whole, "{}: {refusal:?}", case.name);
+                assert_eq!(refusal.verdict, Verdict::MayHaveRun, "{}", case.name);
+            }
+        }
+    }
+}
