Spans: an opening names the stages of its chain

Cause: explain showed that a route was opened, but not over which targets. Change: the span open has the targets in order.

--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -268,8 +268,10 @@
     }
 
     fn open(&mut self, epoch: Epoch, warm: bool) {
-        self.step = tracing::info_span!(parent: &self.span, "open", epoch, warm);
         let route = self.machine.stages().to_vec();
+        let names: Vec<&str> = route.iter().map(|s| s.target.as_str()).collect();
+        let stages = names.join(">");
+        self.step = tracing::info_span!(parent: &self.span, "open", epoch, warm, stages);
         let addr = route[0].addr;
         self.meter.reset();
         let generate = Generate {
