--- /dev/null
+++ b/crates/roseshore_bench/src/bin/figures.rs
@@ -0,0 +1,175 @@
+//! Measures in one run what a daemon adds and what it lets through, against the way without it and
+//! against the bound of the stand-ins' speeds.
+
+use clap::{Arg, Command};
+use roseshore_bench::capacity::usage;
+use roseshore_bench::figures::bound::bound;
+use roseshore_bench::figures::direct::{Chain, Direct};
+use roseshore_bench::figures::rounds::{
+    Rate, TOKENS, Task, Way, latency, offered, rates, stages, straight, work,
+};
+use roseshore_bench::load::tally::Times;
+use roseshore_core::prelude::*;
+use roseshore_harness::caller::{Caller, Marks};
+use roseshore_harness::fleets::{self, CARDS, CUSTOMER, LAYERS, NOTE, SOURCES, Shape};
+use roseshore_harness::process::ProcessError;
+use roseshore_harness::world::{Plan, World};
+
+/// Answers of each way in the measurement of latency.
+const ANSWERS: usize = 100;
+/// Callers in the measurement of rates.
+const THREADS: usize = 8;
+/// One round of one task.
+const ROUND: Duration = Duration::from_secs(1);
+const ROUNDS: usize = 3;
+/// One run of offered load.
+const SPAN: Duration = Duration::from_secs(8);
+/// Answers under way at each chain when it is asked straight.
+const EACH: usize = 24;
+const PARTS: [&str; 4] = ["all", "latency", "rates", "saturation"];
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let part = Arg::new("part").long("part").default_value("all").value_parser(PARTS);
+    let matches = Command::new("figures")
+        .about("Measures the way through daemons against the way without them, in one run")
+        .arg(part.help("What to measure"))
+        .get_matches();
+    let part = matches.get_one::<String>("part").map_or("all", String::as_str);
+    let wanted = |name: &str| ["all", name].contains(&part);
+    println!("load average at the start {}", usage::load_average());
+    if wanted("latency") || wanted("rates") {
+        let world = quiet()?;
+        if wanted("latency") {
+            added(&world)?;
+        }
+        if wanted("rates") {
+            plain(&world);
+        }
+    }
+    if wanted("saturation") {
+        saturation()?;
+    }
+    println!("load average at the end {}", usage::load_average());
+    Ok(())
+}
+
+/// One chain of three quick stages behind one daemon.
+fn quiet() -> Result<World, ProcessError> {
+    let shape = Shape { chains: 1, stages: 3, ..Shape::default() };
+    World::serving(Plan { fleet: fleets::fleet(shape), daemons: 1, ..Plan::default() })
+}
+
+fn chain(
+    world: &World,
+    direct: &Direct,
+    chain: usize,
+    stages: usize,
+) -> Result<Chain, ProcessError> {
+    let ids: Vec<TargetId> = (0..stages).map(|stage| format!("north-{chain}-{stage}")).collect();
+    let found = direct.chain(&world.plan.fleet, &ids);
+    found.ok_or_else(|| ProcessError::NotReady(format!("chain {chain}")))
+}
+
+fn added(world: &World) -> Result<(), ProcessError> {
+    let direct = Direct::new(Duration::from_secs(10));
+    let chain = chain(world, &direct, 0, 3)?;
+    let [straight, through] = latency(world, &direct, &chain, ANSWERS);
+    println!(
+        "\n| ms at 50/95/99 | straight | through a daemon | added at the median |\n|---|---|---|---|"
+    );
+    let row = |name: &str, pick: fn(&Way) -> &Times| {
+        let (a, b) = (pick(&straight), pick(&through));
+        println!("| {name} | {a} | {b} | {:.3} |", b.at(0.5) - a.at(0.5));
+    };
+    row("first token", |way| &way.first);
+    row("between tokens", |way| &way.between);
+    println!("not whole: {} straight, {} through", straight.failed, through.failed);
+    Ok(())
+}
+
+fn plain(world: &World) {
+    let direct = Direct::new(Duration::from_secs(5));
+    let caller = Caller::new(Duration::from_secs(5));
+    let (daemon, marks) = (world.daemons[0].addr, Marks::of(CUSTOMER));
+    let addr = |id: &str| world.addr(&format!("north-{id}")).expect("a declared replica");
+    let (source, note) = (addr(SOURCES[0]), addr(NOTE));
+    let millis = || SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let key = |n: usize| format!("k{n}@{}", millis().as_millis());
+    let tasks = [
+        Task {
+            name: "lookup, straight",
+            body: Box::new(|n| {
+                direct.get(source, &format!("/v1/lookup/{}/pkg-{}", SOURCES[0], n % 200))
+            }),
+        },
+        Task {
+            name: "lookup, through a daemon",
+            body: Box::new(|n| {
+                let got = caller.lookup(daemon, CARDS, &format!("pkg-{}", n % 200), &marks);
+                got.status == 200
+            }),
+        },
+        Task {
+            name: "call, straight",
+            body: Box::new(|n| direct.post(note, &format!("/v1/call/{NOTE}"), &n.to_string())),
+        },
+        Task {
+            name: "call, through a daemon",
+            body: Box::new(|n| caller.call(daemon, NOTE, &n.to_string(), &marks).status == 200),
+        },
+        Task {
+            name: "call under a key",
+            body: Box::new(|n| {
+                let marks = marks.clone().keyed(&key(n));
+                caller.call(daemon, NOTE, &n.to_string(), &marks).status == 200
+            }),
+        },
+    ];
+    let rates = rates(&tasks, THREADS, ROUND, ROUNDS);
+    println!(
+        "\n| {THREADS} callers | a second | part of straight | ms at 50/95/99 | failed |\n|---|---|---|---|---|"
+    );
+    for (index, (task, rate)) in tasks.iter().zip(&rates).enumerate() {
+        let base: &Rate = &rates[if index < 2 { 0 } else { 2 }];
+        let (median, part) = (rate.median(), rate.median() / base.median());
+        println!("| {} | {median:.0} | {part:.2} | {} | {} |", task.name, rate.times, rate.failed);
+    }
+}
+
+/// Three chains of unlike accelerators behind two daemons.
+fn saturation() -> Result<(), ProcessError> {
+    const CHAINS: usize = 3;
+    const STAGES: usize = 2;
+    let shape = Shape { chains: CHAINS, stages: STAGES, kind: 3, mixed: true, ..Shape::default() };
+    let world =
+        World::serving(Plan { fleet: fleets::fleet(shape), daemons: 2, ..Plan::default() })?;
+    let most = bound(&stages(&world.plan.fleet), LAYERS, work());
+    let direct = Direct::new(Duration::from_secs(10));
+    let chains = (0..CHAINS).map(|n| chain(&world, &direct, n, STAGES));
+    let chains = chains.collect::<Result<Vec<_>, _>>()?;
+    let reached = straight(&direct, &chains, EACH, SPAN);
+    let daemons: Vec<_> = world.daemons.iter().map(|daemon| daemon.addr).collect();
+    println!(
+        "\nbound {most:.1} answers/s of {TOKENS} tokens; straight {reached:.1}, {:.2} of it",
+        reached / most
+    );
+    println!(
+        "| offered, of the bound | whole/s | of the bound | of straight | first, ms 50/95/99 | total, ms | else |\n|---|---|---|---|---|---|---|"
+    );
+    for (seed, times) in [(1, 0.5), (2, 1.0), (3, 3.0)] {
+        let report = offered(daemons.clone(), most * times, SPAN, seed);
+        let (all, good) = (report.all(), report.answers());
+        let ends: Vec<String> = all.ends.iter().map(|(end, n)| format!("{end:?} {n}")).collect();
+        println!(
+            "| {times} | {good:.1} | {:.2} | {:.2} | {} | {} | {} |",
+            good / most,
+            good / reached,
+            all.first,
+            all.total,
+            ends.join(", ")
+        );
+    }
+    let again = straight(&direct, &chains, EACH, SPAN);
+    println!("straight again {again:.1}, {:.2} of the bound", again / most);
+    Ok(())
+}
--- a/crates/roseshore_bench/src/lib.rs
+++ b/crates/roseshore_bench/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod answer;
 pub mod capacity;
+pub mod figures;
+pub mod load;
 pub mod proofs;
