--- a/crates/roseshore_bench/src/bin/figures.rs
+++ b/crates/roseshore_bench/src/bin/figures.rs
@@ -6,7 +6,7 @@
 use roseshore_bench::figures::bound::bound;
 use roseshore_bench::figures::direct::{Chain, Direct};
 use roseshore_bench::figures::rounds::{
-    Rate, TOKENS, Task, Way, latency, offered, rates, stages, straight, work,
+    Rate, TOKENS, Task, Way, busy, latency, offered, rates, stages, straight, work,
 };
 use roseshore_bench::load::tally::Times;
 use roseshore_core::prelude::*;
@@ -14,6 +14,7 @@
 use roseshore_harness::fleets::{self, CARDS, CUSTOMER, LAYERS, NOTE, SOURCES, Shape};
 use roseshore_harness::process::ProcessError;
 use roseshore_harness::world::{Plan, World};
+use std::thread;
 
 /// Answers of each way in the measurement of latency.
 const ANSWERS: usize = 100;
@@ -154,20 +155,36 @@
         reached / most
     );
     println!(
-        "| offered, of the bound | whole/s | of the bound | of straight | first, ms 50/95/99 | total, ms | else |\n|---|---|---|---|---|---|---|"
+        "| offered, of the bound | whole/s | of the bound | of straight | first, ms 50/95/99 | total, ms | refused, ms | sent late, ms | else |\n|---|---|---|---|---|---|---|---|---|"
     );
     for (seed, times) in [(1, 0.5), (2, 1.0), (3, 3.0)] {
-        let report = offered(daemons.clone(), most * times, SPAN, seed);
+        let spent = || {
+            let ids = world.daemons.iter().map(|daemon| daemon.process.id());
+            ids.map(usage::processor).sum::<Duration>()
+        };
+        let (begun, before) = (Instant::now(), spent());
+        let offer = || offered(daemons.clone(), most * times, SPAN, seed);
+        let (report, busy) = thread::scope(|scope| {
+            let load = scope.spawn(offer);
+            let busy = busy(&world, &direct, SPAN);
+            (load.join().expect("the load does not panic"), busy)
+        });
         let (all, good) = (report.all(), report.answers());
         let ends: Vec<String> = all.ends.iter().map(|(end, n)| format!("{end:?} {n}")).collect();
         println!(
-            "| {times} | {good:.1} | {:.2} | {:.2} | {} | {} | {} |",
+            "| {times} | {good:.1} | {:.2} | {:.2} | {} | {} | {} | {} | {} |",
             good / most,
             good / reached,
             all.first,
             all.total,
+            all.refusal,
+            all.late,
             ends.join(", ")
         );
+        let busy: Vec<String> = busy.iter().map(|(id, part)| format!("{id} {part:.2}")).collect();
+        let cores = (spent() - before).as_secs_f64() / begun.elapsed().as_secs_f64();
+        println!("  steps run, of those possible: {}", busy.join(", "));
+        println!("  both daemons used {cores:.2} cores");
     }
     let again = straight(&direct, &chains, EACH, SPAN);
     println!("straight again {again:.1}, {:.2} of the bound", again / most);
--- a/crates/roseshore_bench/src/figures/direct.rs
+++ b/crates/roseshore_bench/src/figures/direct.rs
@@ -2,6 +2,7 @@
 
 use crate::load::run::prompt;
 use roseshore_core::prelude::*;
+use roseshore_fakes::engine::Stats;
 use roseshore_fakes::engine::text::expected;
 use roseshore_harness::caller::Got;
 use roseshore_wire::engine::{Generate, Load, Output, Stage};
@@ -105,6 +106,13 @@
         got
     }
 
+    /// Steps that an engine's stand-in has run; 0 when it does not say.
+    pub fn steps(&self, addr: SocketAddr) -> u64 {
+        let reply = self.agent.get(format!("http://{addr}/_stats")).call().ok();
+        let stats = reply.and_then(|mut reply| reply.body_mut().read_json::<Stats>().ok());
+        stats.map_or(0, |stats| stats.steps)
+    }
+
     /// Gets a path of a replica; whether it answered 200 or 404.
     pub fn get(&self, addr: SocketAddr, path: &str) -> bool {
         let reply = self.agent.get(format!("http://{addr}{path}")).call();
--- a/crates/roseshore_bench/src/figures/rounds.rs
+++ b/crates/roseshore_bench/src/figures/rounds.rs
@@ -146,6 +146,24 @@
     Work { prompt: PROMPT as u32 + 1, tokens: TOKENS }
 }
 
+/// The part of its possible steps that each engine runs in the time of a load that counts for
+/// goodput, by target. It is to be called when the load begins.
+pub fn busy(world: &World, direct: &Direct, span: Duration) -> Vec<(TargetId, f64)> {
+    let engines = || world.plan.fleet.targets.iter().filter(|(_, target)| target.layers.is_some());
+    let steps = || engines().map(|(_, target)| direct.steps(target.addr)).collect::<Vec<_>>();
+    thread::sleep(span / 4);
+    let (begun, before) = (Instant::now(), steps());
+    thread::sleep(span * 3 / 4);
+    let ran = steps().into_iter().zip(before).map(|(after, before)| after.saturating_sub(before));
+    let took = begun.elapsed().as_secs_f64();
+    let part = |((id, target), ran): ((&TargetId, &Target), u64)| {
+        let speed = speed(target.accelerator.as_deref());
+        let most = f64::from(speed.slots) / (speed.step_us as f64 / 1e6) * took;
+        (id.clone(), ran as f64 / most)
+    };
+    engines().zip(ran).map(part).collect()
+}
+
 /// Answers a second that chains give to callers who keep `each` answers under way at each of them,
 /// without any daemon.
 ///
@@ -178,5 +196,5 @@
 pub fn offered(daemons: Vec<SocketAddr>, rate: f64, span: Duration, seed: u64) -> Report {
     let mix = Mix { name: "streams", parts: vec![streams(CUSTOMER, TOKENS, 1.0)] };
     let deadline = Duration::from_secs(3);
-    run(&Load { daemons, mix, rate, span, deadline, workers: 400, seed })
+    run(&Load { daemons, mix, rate, span, deadline, workers: 900, seed })
 }
--- a/crates/roseshore_bench/src/load/run.rs
+++ b/crates/roseshore_bench/src/load/run.rs
@@ -74,15 +74,15 @@
         for (name, tally) in parts.chain([all]) {
             let seconds = self.counted.as_secs_f64();
             let (good, tokens) = (tally.good as f64 / seconds, tally.tokens as f64 / seconds);
-            let Tally { sent, first, between, total, .. } = &tally;
+            let Tally { sent, late, first, between, total, .. } = &tally;
             write!(
                 f,
-                "{name} | {sent} | {good:.1} | {tokens:.0} | {first} | {between} | {total} |"
+                "{name} | {sent} | {late} | {good:.1} | {tokens:.0} | {first} | {between} | {total} |"
             )?;
             for (end, count) in &tally.ends {
                 match end {
                     End::Refused(why) => write!(f, " {why}: {count}")?,
-                    End::Broken => write!(f, " broken: {count}")?,
+                    End::Broken(why) => write!(f, " broken, {why}: {count}")?,
                     End::Whole => {}
                 }
             }
--- a/crates/roseshore_bench/src/load/tally.rs
+++ b/crates/roseshore_bench/src/load/tally.rs
@@ -61,8 +61,8 @@
     Whole,
     /// Refused in words, with verdict and code.
     Refused(String),
-    /// Cut short or without a reply.
-    Broken,
+    /// Cut short or without a reply, and what is known of why.
+    Broken(String),
 }
 
 /// How what a caller got is to be counted.
@@ -75,7 +75,8 @@
     match got.status {
         // 404: a name that no source has is an answer.
         200 | 404 if got.whole => End::Whole,
-        0 | 200 => End::Broken,
+        0 => End::Broken(got.text.clone()),
+        200 => End::Broken("cut".to_owned()),
         status => End::Refused(format!("HTTP {status} {}", got.code.as_deref().unwrap_or("-"))),
     }
 }
@@ -93,6 +94,8 @@
     pub total: Times,
     /// To the end of refusals.
     pub refusal: Times,
+    /// From when a request was due to when a thread was free to send it.
+    pub late: Times,
     /// Whole answers that ended in the time that counts.
     pub good: u64,
     /// Their tokens.
@@ -106,6 +109,7 @@
     /// that goodput is counted in.
     pub fn add(&mut self, got: &Got, late: Duration, counts: bool) {
         self.sent += 1;
+        self.late.add(late);
         let end = end(got);
         if end != End::Whole {
             self.refusal.add(late + got.took);
@@ -128,6 +132,7 @@
         self.between.join(&other.between);
         self.total.join(&other.total);
         self.refusal.join(&other.refusal);
+        self.late.join(&other.late);
         self.good += other.good;
         self.tokens += other.tokens;
         for (end, count) in &other.ends {
--- a/crates/roseshore_bench/tests/load.rs
+++ b/crates/roseshore_bench/tests/load.rs
@@ -62,6 +62,7 @@
 #[test]
 fn ends_are_told_apart() {
     let refused = |text: &str| End::Refused(text.to_owned());
+    let cut = |text: &str| End::Broken(text.to_owned());
     let cases = [
         Ending { name: "whole", status: 200, verdict: None, whole: true, end: End::Whole },
         Ending {
@@ -72,8 +73,8 @@
             end: End::Whole,
         },
         Ending { name: "not found", status: 404, verdict: None, whole: true, end: End::Whole },
-        Ending { name: "cut", status: 200, verdict: None, whole: false, end: End::Broken },
-        Ending { name: "no reply", status: 0, verdict: None, whole: false, end: End::Broken },
+        Ending { name: "cut", status: 200, verdict: None, whole: false, end: cut("cut") },
+        Ending { name: "no reply", status: 0, verdict: None, whole: false, end: cut("") },
         Ending {
             name: "refused",
             status: 429,
