--- a/crates/roseshore_bench/src/bin/figures.rs
+++ b/crates/roseshore_bench/src/bin/figures.rs
@@ -182,7 +182,7 @@
             ends.join(", ")
         );
         let busy: Vec<String> = busy.iter().map(|(id, part)| format!("{id} {part:.2}")).collect();
-        let cores = (spent() - before).as_secs_f64() / begun.elapsed().as_secs_f64();
+        let cores = spent().saturating_sub(before).as_secs_f64() / begun.elapsed().as_secs_f64();
         println!("  steps run, of those possible: {}", busy.join(", "));
         println!("  both daemons used {cores:.2} cores");
     }
