--- a/crates/roseshore/src/cli.rs
+++ b/crates/roseshore/src/cli.rs
@@ -1,15 +1,22 @@
 //! The language: commands, flags and environment variables.
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const SETTLE: &str = "\
+The claimant must be gone, and the time past that `roseshore key` shows: look at the target after
+that, then settle. Saying that a key did not run lets it run again.
+
+Exit codes: 0 the word is recorded; 1 rejected, nothing changed; 2 the command line is wrong; 3 not
+known, look with `roseshore key`; 4 no entry host was reached.";
 const EXITS: &str = "\
 Exit codes:
   0  done; a command is accepted and in force everywhere
   1  rejected; nothing changed
   2  the command line is wrong; nothing was asked
-  3  whether the command took effect is not known; ask with `roseshore command ID`
+  3  whether the command took effect is not known; ask with `roseshore command ID`, or look with
+     `roseshore key`, which ends with 3 itself when the log cannot be read
   4  no entry host could be reached; nothing was asked
   5  accepted, but not yet confirmed in every data centre
   6  answered without the rows of hosts that could not be asked";
@@ -60,6 +67,8 @@
                 .about("Lets a daemon finish what is in flight and take nothing new")
                 .arg(Arg::new("HOST").required(true).help("The daemon's HOST:PORT")),
         )
+        .subcommand(key(Command::new("key").about("Says what is known of an idempotency key")))
+        .subcommand(settle())
         .subcommand(Command::new("status").about("Lists the daemons and their configuration"))
 }
 
@@ -79,6 +88,25 @@
         .arg(flag("operator", "NAME", "Who asks").default_value("operator"))
 }
 
+fn settle() -> Command {
+    key(Command::new("settle"))
+        .about("Records whether a key ran, where nobody else can tell; the first word stays")
+        .after_help(SETTLE)
+        .arg(switch("ran", "It ran; it never runs again, and repeats are told so"))
+        .arg(switch("not-run", "It did not run; it may be sent again"))
+        .group(ArgGroup::new("word").args(["ran", "not-run"]).required(true))
+        .arg(flag("note", "TEXT", "What you looked at").required(true))
+        .arg(flag("operator", "NAME", "Who says so").required(true))
+}
+
+fn key(command: Command) -> Command {
+    let arg = |name: &'static str, help| Arg::new(name).required(true).help(help);
+    command
+        .arg(arg("ORGANISATION", "Whose key it is"))
+        .arg(arg("SERVICE", "The service that was called"))
+        .arg(arg("KEY", "The key as the caller sent it"))
+}
+
 fn topic(name: &'static str, about: &'static str) -> Command {
     Command::new(name).about(about).arg(Arg::new("FILTER").num_args(0..).help(
         "service=NAME, organisation=NAME, data-centre=NAME, since=TIME ago, such as since=1h",
--- a/crates/roseshore/src/lib.rs
+++ b/crates/roseshore/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ask;
 pub mod cli;
 pub mod client;
+pub mod keys;
 mod show;
 
 use clap::ArgMatches;
@@ -23,7 +24,7 @@
     Rejected = 1,
     /// The command line is wrong; nothing was asked.
     Usage = 2,
-    /// Whether the command took effect is not known; ask again with its id.
+    /// Whether the command took effect is not known; ask again with its id, or look at the key.
     Unknown = 3,
     /// No entry host could be reached; nothing was asked.
     Unreachable = 4,
@@ -72,6 +73,8 @@
         Some(("apply", args)) => apply::run(client, &scope, args),
         Some(("command", args)) => apply::report(client, &scope, cli::text(args, "ID")),
         Some(("explain", args)) => ask::explain(client, &scope, cli::text(args, "REQUEST")),
+        Some(("key", args)) => keys::look(client, &scope, args),
+        Some(("settle", args)) => keys::settle(client, &scope, args),
         Some(("status", _)) => ask::status(client, &scope),
         Some(("drain", args)) => ask::drain(client, &scope, cli::text(args, "HOST")),
         Some((topic, args)) => ask::rows(client, &scope, topic, args),
--- a/crates/roseshore/src/show.rs
+++ b/crates/roseshore/src/show.rs
@@ -6,7 +6,7 @@
 use roseshore_core::declare::Diff;
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
-use roseshore_wire::admin::{Outcome, Report, Status};
+use roseshore_wire::admin::{KeyReport, KeyState, Outcome, Report, Settle, Settled, Status};
 use roseshore_wire::query::{Origin, Reply, Rows};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -159,6 +159,64 @@
     }
 }
 
+/// What is known of a key.
+pub(crate) fn key(report: &KeyReport) -> String {
+    let by =
+        |host: &Option<HostId>| host.as_ref().map_or("nobody known".into(), |it| format!("`{it}`"));
+    let state = match &report.state {
+        KeyState::Free if !report.complete => {
+            "no record kept; it may be older than the record of keys reaches".into()
+        }
+        KeyState::Free => "free".into(),
+        KeyState::Held { host, since_ms, until_ms } => format!(
+            "held by {} since {}, which does not dispatch it after {}",
+            by(host),
+            time(*since_ms),
+            time(*until_ms)
+        ),
+        KeyState::Unknown { host, since_ms } => {
+            format!("not known whether it ran; so said {} at {}", by(host), time(*since_ms))
+        }
+        KeyState::Settled { verdict, offset } => {
+            format!("settled at offset {offset}: {}", verdict.name())
+        }
+        KeyState::Ran => "ran, its answer is not recorded".into(),
+    };
+    let mut text = format!("`{}` {state}; as of offset {}", report.key, report.offset);
+    if let Some(word) = &report.word {
+        let ran = if word.ran { "ran" } else { "not run" };
+        let _ = write!(
+            text,
+            "\nword of `{}` at offset {}: {ran}, {}",
+            word.operator, word.offset, word.note
+        );
+    }
+    if !report.current {
+        text.push_str("\nthe log could not be read to its end; ask again or another host");
+    }
+    text
+}
+
+/// What became of a word on a key.
+pub(crate) fn settled(settle: &Settle, settled: &Settled, json: bool) -> Done {
+    let (exit, text) = match settled {
+        Settled::Taken { offset } if settle.ran => {
+            (Exit::Good, format!("recorded at offset {offset}: `{}` ran", settle.key))
+        }
+        Settled::Taken { offset } => {
+            (Exit::Good, format!("recorded at offset {offset}: `{}` may be sent again", settle.key))
+        }
+        Settled::Rejected { code, message } => {
+            (Exit::Rejected, format!("rejected, nothing changed: {code}: {message}"))
+        }
+        Settled::Unknown { message } => (
+            Exit::Unknown,
+            format!("not known whether it took effect: {message}; look with `roseshore key`"),
+        ),
+    };
+    Done::new(exit, json, settled, text)
+}
+
 /// The daemons.
 pub(crate) fn status(status: &Status) -> String {
     let daemons = table(
--- a/crates/roseshore/tests/cli.rs
+++ b/crates/roseshore/tests/cli.rs
@@ -39,6 +39,14 @@
 const STATUS: &str = r#"{"host":"kor-1","log":false,"daemons":[{"host":"kor-1","data_centre":"korangi",
     "state":"alive","offset":7,"digest":"00ff"}]}"#;
 
+const FREE: &str = r#"{"key":"o/s/k","offset":7,"current":true,"complete":true,"state":{"state":"free"},"word":null}"#;
+const STALE: &str = r#"{"key":"o/s/k","offset":7,"current":false,"complete":true,"state":{"state":"free"},"word":null}"#;
+const HELD: &str = r#"{"key":"o/s/k","offset":7,"current":true,"complete":true,"word":null,
+    "state":{"state":"held","host":"kor-1","since_ms":1782691200000,"until_ms":1782691260000}}"#;
+const KEY: &[&str] = &["key", "o", "s", "k"];
+const SETTLE: &[&str] =
+    &["settle", "o", "s", "k", "--not-run", "--note", "looked", "--operator", "op"];
+
 // One case a line.
 #[rustfmt::skip]
 const CASES: &[Case] = &[
@@ -58,6 +66,14 @@
     Case { name: "an answer of another shape", args: &["status"], answer: Some("{}"), exit: 4, says: "answer not understood" },
     Case { name: "no such file", args: &["apply", "missing.toml"], answer: None, exit: 2, says: "file `missing.toml`" },
     Case { name: "a command not known", args: &["command", "c"], answer: Some(r#"{"command":"c","outcome":{"outcome":"unknown","message":"m"}}"#), exit: 3, says: "ask again" },
+    Case { name: "a free key", args: KEY, answer: Some(FREE), exit: 0, says: "`o/s/k` free; as of offset 7" },
+    Case { name: "a held key", args: KEY, answer: Some(HELD), exit: 0, says: "held by `kor-1` since 2026-06-29" },
+    Case { name: "a key, log out", args: KEY, answer: Some(STALE), exit: 3, says: "could not be read" },
+    Case { name: "nobody to ask about a key", args: KEY, answer: None, exit: 4, says: "not reached" },
+    Case { name: "settled", args: SETTLE, answer: Some(r#"{"outcome":"taken","offset":9}"#), exit: 0, says: "may be sent again" },
+    Case { name: "not settled", args: SETTLE, answer: Some(r#"{"outcome":"rejected","code":"CommandConflict","message":"m"}"#), exit: 1, says: "RS701: m" },
+    Case { name: "perhaps settled", args: SETTLE, answer: Some(r#"{"outcome":"unknown","message":"m"}"#), exit: 3, says: "roseshore key" },
+    Case { name: "nobody to settle", args: SETTLE, answer: None, exit: 4, says: "not reached" },
     Case { name: "not yet everywhere", args: &["command", "c"], answer: Some(r#"{"command":"c","outcome":{"outcome":"accepted","version":4,"in_force":["a"],"unconfirmed":["b"]}}"#), exit: 5, says: "not yet confirmed in `b`" },
 ];
 
@@ -80,3 +96,49 @@
     let help = command.render_long_help().to_string();
     assert!((0..=6).all(|exit| help.contains(&format!("\n  {exit}  "))), "{help}");
 }
+
+/// Takes a word and loses the reply; the key is then in `state`, by the word of `operator`.
+struct Lost(&'static str, &'static str);
+
+impl Client for Lost {
+    fn call(
+        &self,
+        _: SocketAddr,
+        path: &str,
+        body: Option<String>,
+        _: Duration,
+    ) -> Result<Answer, CallError> {
+        if body.is_some() {
+            return Err(CallError::Lost("cut".into()));
+        }
+        assert_eq!(path, "/v1/admin/keys?organisation=o&service=s&key=a%2Fb%26c", "encoded");
+        let Lost(state, operator) = self;
+        let body = format!(
+            r#"{{"key":"k","offset":7,"current":true,"complete":true,"state":{{"state":"{state}"}},
+            "word":{{"operator":"{operator}","note":"looked","ran":false,"offset":6}}}}"#
+        );
+        Ok(Answer { status: 200, body: body.into() })
+    }
+}
+
+#[test]
+fn a_lost_reply_is_made_up_for_by_looking() {
+    struct Case {
+        name: &'static str,
+        state: &'static str,
+        operator: &'static str,
+        exit: u8,
+    }
+    let cases = [
+        Case { name: "own word stands", state: "free", operator: "op", exit: 0 },
+        Case { name: "another's word stands", state: "free", operator: "other", exit: 3 },
+        Case { name: "own word, run since", state: "ran", operator: "op", exit: 3 },
+    ];
+    for case in cases {
+        let args = ["roseshore", "settle", "o", "s", "a/b&c", "--not-run", "--note", "looked"];
+        let args = args.into_iter().chain(["--operator", "op"]);
+        let matches = roseshore::cli::command().try_get_matches_from(args).expect(case.name);
+        let done = roseshore::run(&matches, &Lost(case.state, case.operator));
+        assert_eq!(done.exit as u8, case.exit, "{}: {}", case.name, done.out);
+    }
+}
--- a/crates/roseshore_bench/src/bin/claims.rs
+++ b/crates/roseshore_bench/src/bin/claims.rs
@@ -167,7 +167,7 @@
         |key: u64, act: Act| Record { key: format!("org/service/{key:032x}"), nonce: key, act };
     let mut lines = vec![];
     for key in 0..count {
-        lines.push(line(key, Act::Claim { owner: owner.clone(), digest: 7 }).line());
+        lines.push(line(key, Act::Claim { owner: owner.clone(), digest: 7, left: 0 }).line());
         let outcome = Outcome { verdict: Verdict::Answered, ..Outcome::unknown() };
         lines.push(line(key, Act::Outcome { digest: 7, outcome, whole: true }).line());
     }
--- a/crates/roseshore_core/src/code.rs
+++ b/crates/roseshore_core/src/code.rs
@@ -64,6 +64,7 @@
     KeyTooOld = 403, 422, "the key is older than the record of keys reaches";
     KeyMissing = 404, 400, "the service needs an idempotency key";
     KeyReused = 405, 422, "the key was used with another body";
+    KeyRan = 406, 410, "the key ran, and its answer was not recorded";
     NoConfiguration = 501, 503, "this host has no configuration yet";
     LogUnreachable = 502, 503, "the log service cannot be reached";
     Internal = 503, 500, "a fault of this daemon";
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -66,6 +66,7 @@
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
     KeyAbandoned = 403, Warn, "a claim was given up before dispatch";
     KeyUnsettled = 404, Error, "whether a key ran is not known";
+    KeySettled = 405, Warn, "an operator's word settled a key";
     ConfigApplied = 501, Info, "a configuration is in force";
     ConfigRejected = 502, Warn, "a command was rejected";
     LogLost = 503, Warn, "the log service cannot be reached";
--- a/crates/roseshore_core/src/once/batch.rs
+++ b/crates/roseshore_core/src/once/batch.rs
@@ -34,6 +34,8 @@
     nonce: Nonce,
     line: String,
     claim: bool,
+    /// Whether it may be taken back.
+    recalls: bool,
     /// Whether an append that carried it may have taken effect.
     unsure: bool,
     /// Whether it must not be sent again.
@@ -63,13 +65,15 @@
     /// Adds a record.
     pub fn push(&mut self, record: &Record) {
         let claim = matches!(record.act, Act::Claim { .. });
+        let recalls = claim || matches!(record.act, Act::Settle(_));
         let (nonce, line) = (record.nonce, record.line());
-        self.queue.push_back(Waiting { nonce, line, claim, unsure: false, recalled: false });
+        let (unsure, recalled) = (false, false);
+        self.queue.push_back(Waiting { nonce, line, claim, recalls, unsure, recalled });
     }
 
-    /// Takes back a claim; `true` when it certainly never reached the log and never will.
+    /// Takes back a claim or an operator's word; `true` when it certainly never reached the log and never will.
     pub fn recall(&mut self, nonce: Nonce) -> bool {
-        let mine = |waiting: &Waiting| waiting.claim && waiting.nonce == nonce;
+        let mine = |waiting: &Waiting| waiting.recalls && waiting.nonce == nonce;
         if let Some(flying) = self.flight.iter_mut().find(|waiting| mine(waiting)) {
             flying.recalled = true;
             return false;
--- a/crates/roseshore_core/src/once/keys.rs
+++ b/crates/roseshore_core/src/once/keys.rs
@@ -6,7 +6,7 @@
 //! own times are compared, with each other and with the time that a key carries.
 
 use super::born::{Millis, SKEW, born};
-use super::record::{Act, Nonce, Outcome, Owner, Record};
+use super::record::{Act, Nonce, Outcome, Owner, Record, Word};
 use crate::prelude::*;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
@@ -50,6 +50,7 @@
     state: State,
     spent: Vec<Nonce>,
     last: Offset,
+    said: Option<Arc<Said>>,
 }
 
 /// Where a key stands.
@@ -64,6 +65,19 @@
     Unknown(Holder),
     /// Its end is recorded.
     Settled(Settled),
+    /// It ran, and nobody has its answer; the digest is that of the request's body, if known.
+    Ran(Option<u64>),
+}
+
+/// The last operator's word on a key that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// The record.
+    pub nonce: Nonce,
+    /// Where it stands.
+    pub offset: Offset,
+    /// What it says.
+    pub word: Word,
 }
 
 /// A claim that holds its key.
@@ -77,13 +91,17 @@
     pub digest: u64,
     /// Where the claim stands.
     pub offset: Offset,
+    /// The log's time of the record.
+    pub since: Millis,
+    /// The log's time after which the claimant does not dispatch any more.
+    pub until: Millis,
 }
 
 /// A recorded end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settled {
-    /// A digest of the request's body; `None` where an operator settled a key without a claim.
-    pub digest: Option<u64>,
+    /// A digest of the request's body.
+    pub digest: u64,
     /// The answer; `None` where it is not held in memory.
     pub outcome: Option<Arc<Outcome>>,
     /// Whether the record holds the answer's body.
@@ -152,6 +170,11 @@
         self.entries.get(key.as_str()).map_or(&State::Free, |entry| &entry.state)
     }
 
+    /// The last operator's word on a key that took effect.
+    pub fn said(&self, key: &Key) -> Option<&Arc<Said>> {
+        self.entries.get(key.as_str()).and_then(|entry| entry.said.as_ref())
+    }
+
     /// Whether a claim has been seen and does not, and never will, hold its key.
     pub fn spent(&self, key: &Key, nonce: Nonce) -> bool {
         self.entries.get(key.as_str()).is_some_and(|entry| entry.spent.contains(&nonce))
@@ -184,18 +207,20 @@
         let entry = self.entries.entry(key.clone()).or_default();
         entry.last = offset;
         self.touched.push_back(Touched { offset, time, key: key.clone() });
+        let at = Place { nonce: record.nonce, offset, time };
         match &record.act {
-            Act::Claim { owner, digest } => {
+            Act::Claim { owner, digest, left } => {
                 let void = is_ahead(&record.key, time);
-                let nonce = record.nonce;
+                let (nonce, digest) = (record.nonce, *digest);
                 let owner = Some(owner.clone());
-                entry.claim(Holder { nonce, owner, digest: *digest, offset }, void);
+                let (since, until) = (time, time.saturating_add(*left));
+                entry.claim(Holder { nonce, owner, digest, offset, since, until }, void);
             }
             Act::Abandon => entry.free(record.nonce),
             Act::Outcome { digest, outcome, whole } => {
-                entry.outcome(record.nonce, offset, *digest, outcome, *whole);
+                entry.outcome(&at, *digest, outcome, *whole);
             }
-            Act::Settle { outcome, .. } => entry.settle(offset, outcome),
+            Act::Settle(word) => entry.settle(&at, word),
             Act::Mark => {}
         }
         let State::Settled(settled) = &entry.state else { return };
@@ -250,35 +275,60 @@
         }
     }
 
-    fn outcome(&mut self, nonce: Nonce, at: Offset, digest: u64, outcome: &Outcome, whole: bool) {
+    fn outcome(&mut self, at: &Place, digest: u64, outcome: &Outcome, whole: bool) {
+        let Place { nonce, offset, time } = *at;
         let owner = match &self.state {
-            State::Settled(_) => return,
+            State::Settled(_) | State::Ran(_) => return,
             State::Held(held) | State::Unknown(held) if held.nonce == nonce => held.owner.clone(),
             _ => None,
         };
         match outcome.verdict {
             Verdict::NotRun => self.free(nonce),
             Verdict::MayHaveRun => {
-                self.state = State::Unknown(Holder { nonce, owner, digest, offset: at });
+                let (since, until) = (time, time);
+                self.state = State::Unknown(Holder { nonce, owner, digest, offset, since, until });
             }
             Verdict::Answered => {
                 let outcome = whole.then(|| Arc::new(outcome.clone()));
-                let (digest, offset) = (Some(digest), at);
                 self.state = State::Settled(Settled { digest, outcome, whole, offset, owner });
             }
         }
     }
 
-    /// An operator's word ends a key; it can neither free it nor leave it unknown.
-    fn settle(&mut self, offset: Offset, outcome: &Outcome) {
-        let (digest, owner) = match &self.state {
-            State::Settled(_) => return,
-            _ if outcome.verdict != Verdict::Answered => return,
-            State::Held(held) | State::Unknown(held) => (Some(held.digest), held.owner.clone()),
+    /// An operator's word is about one claim, so that one that lands late cannot void a later claim.
+    /// It counts only when the claimant cannot dispatch any more, by the log's own times.
+    fn settle(&mut self, at: &Place, word: &Word) {
+        if self.spent.contains(&at.nonce) {
+            return;
+        }
+        self.spent.push(at.nonce);
+        let (claim, digest) = match &self.state {
+            State::Settled(_) | State::Ran(_) => return,
+            State::Held(held) if held.may_dispatch(at.time) => return,
+            State::Held(held) | State::Unknown(held) => (Some(held.nonce), Some(held.digest)),
             State::Free => (None, None),
         };
-        let outcome = Some(Arc::new(outcome.clone()));
-        self.state = State::Settled(Settled { digest, outcome, whole: true, offset, owner });
+        if claim != word.claim || (claim.is_none() && !word.ran) {
+            return;
+        }
+        self.spent.extend(claim);
+        self.state = if word.ran { State::Ran(digest) } else { State::Free };
+        let (nonce, offset, word) = (at.nonce, at.offset, word.clone());
+        self.said = Some(Arc::new(Said { nonce, offset, word }));
+    }
+}
+
+/// Where a record stands.
+struct Place {
+    nonce: Nonce,
+    offset: Offset,
+    time: Millis,
+}
+
+impl Holder {
+    /// Whether the claimant may still dispatch at a time of the log.
+    pub fn may_dispatch(&self, time: Millis) -> bool {
+        time < self.until.saturating_add(SKEW.as_millis() as Millis)
     }
 }
 
--- a/crates/roseshore_core/src/once/partition.rs
+++ b/crates/roseshore_core/src/once/partition.rs
@@ -8,8 +8,10 @@
 
 mod decide;
 mod terms;
+mod word;
 
 pub use terms::{Action, Attempt, AttemptId, Decision, Line, ReadEnd, Work};
+pub use word::{Claimant, Known, Ruling, Settling, may_settle};
 
 use super::batch::{Appended, Batch};
 use super::keys::Keys;
@@ -17,6 +19,7 @@
 use crate::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use word::Desk;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a fault of the log is waited out before attempts are refused.
@@ -83,6 +86,8 @@
     wrote: Option<Instant>,
     /// Answers of this daemon that are too large for the log, the oldest first.
     large: VecDeque<(Key, Arc<Outcome>)>,
+    /// What operators ask.
+    desk: Desk,
     actions: Vec<Action>,
 }
 
@@ -106,6 +111,7 @@
             reads_fail: None,
             wrote: None,
             large: VecDeque::new(),
+            desk: Desk::default(),
             actions: vec![],
         }
     }
@@ -117,7 +123,7 @@
 
     /// Whether nothing is under way that the log has not yet taken.
     pub fn idle(&self) -> bool {
-        self.running.is_empty() && self.batch.is_empty()
+        self.running.is_empty() && self.batch.is_empty() && self.desk.is_empty()
     }
 
     /// What is to be done now; empties the list.
@@ -141,7 +147,8 @@
         let again = self.again.filter(|_| self.wants_read());
         let fails = [self.appends_fail, self.reads_fail].into_iter().flatten();
         let fails = fails.map(|since| since + PATIENCE).filter(|end| *end > now);
-        ends.chain(self.batch.due()).chain(again).chain(fails).min()
+        let desk = self.desk.due();
+        ends.chain(self.batch.due()).chain(again).chain(fails).chain(desk).min()
     }
 
     /// Takes an attempt.
@@ -192,12 +199,6 @@
         self.look_all(now);
     }
 
-    /// Records an operator's word on a key.
-    pub fn settle_by(&mut self, operator: String, key: Key, outcome: Outcome) {
-        let nonce = self.fresh();
-        self.batch.push(&Record { key, nonce, act: Act::Settle { operator, outcome } });
-    }
-
     fn keep_large(&mut self, key: Key, outcome: Arc<Outcome>) {
         self.large.push_back((key, outcome));
         while self.large.iter().map(|(_, kept)| kept.body.len()).sum::<usize>() > MAX_LARGE {
@@ -274,6 +275,7 @@
             ReadEnd::Failed => self.read_failed(now),
         }
         self.look_all(now);
+        self.show_current();
         self.tick(now);
     }
 
@@ -290,6 +292,7 @@
             self.batch.push(&Record::mark(nonce));
         }
         let out = self.out(now);
+        self.tick_desk(out, now);
         let ids: Vec<AttemptId> = self.running.keys().copied().collect();
         for id in ids {
             let run = &self.running[&id];
@@ -328,6 +331,7 @@
     fn wants_read(&self) -> bool {
         let failing = self.appends_fail.is_some() || self.reads_fail.is_some();
         failing
+            || !self.desk.is_empty()
             || self.running.values().any(|run| match run.phase {
                 Phase::Waiting(_) | Phase::Settling(..) => true,
                 Phase::Won(_) | Phase::Dispatched(_) => false,
@@ -342,7 +346,8 @@
         self.reading = true;
         self.reads += 1;
         // An attempt that waits for the stream's end as of now must not wait for more records.
-        let behind = self.running.values().any(|run| self.current <= run.earlier);
+        let asked = self.running.values().map(|run| run.earlier).chain(self.desk.earlier());
+        let behind = asked.max().is_some_and(|earlier| self.current <= earlier);
         let wait = if behind { Duration::ZERO } else { POLL };
         self.actions.push(Action::Read { from: self.keys.next(), wait });
     }
@@ -361,7 +366,9 @@
                 };
                 self.running.retain(|_, run| !ended(run));
             }
-            Act::Abandon | Act::Settle { .. } | Act::Mark => {}
+            Act::Settle(_) => self.settled_by(&record, line.offset),
+            Act::Mark => self.marked(record.nonce),
+            Act::Abandon => {}
         }
     }
 }
--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -4,7 +4,8 @@
 use crate::once::keys::{Holder, Settled, State};
 use crate::once::record::{Act, Nonce, Outcome, Owner, Record};
 use crate::once::refusals::{
-    ahead, free_but_out, in_progress, late, log_out, log_slow, not_held, reused, too_old, unknown,
+    ahead, free_but_out, in_progress, late, log_out, log_slow, not_held, ran, reused, too_old,
+    unknown,
 };
 use crate::prelude::*;
 use std::sync::Arc;
@@ -25,11 +26,15 @@
         let current = self.current > run.earlier;
         match self.keys.state(&key).clone() {
             State::Settled(settled) => {
-                if settled.digest.is_some_and(|first| first != digest) {
+                if settled.digest != digest {
                     return self.refuse(id, reused(&key));
                 }
                 self.repeat(id, settled);
             }
+            State::Ran(first) if first.is_some_and(|first| first != digest) => {
+                self.refuse(id, reused(&key));
+            }
+            State::Ran(_) => self.refuse(id, ran(&key)),
             State::Held(held) if held.nonce == nonce => self.won(id, &held, now),
             State::Held(held) => {
                 if let Some(outcome) = self.own_outcome(held.nonce) {
@@ -50,9 +55,9 @@
             State::Unknown(_) if current => {
                 self.refuse(id, unknown(&key, "its claimant got no whole reply"));
             }
-            State::Free if self.keys.spent(&key, nonce) => self.claim_anew(id),
+            State::Free if self.keys.spent(&key, nonce) => self.claim_anew(id, now),
             State::Free if current && !self.keys.reaches(&key) => self.refuse(id, too_old(&key)),
-            State::Free if !claimed && self.current > 0 => self.claim(id),
+            State::Free if !claimed && self.current > 0 => self.claim(id, now),
             State::Unknown(_) | State::Free => {}
         }
     }
@@ -82,16 +87,17 @@
         self.actions.push(Action::Decide(id, Decision::Won(held.offset)));
     }
 
-    fn claim(&mut self, id: AttemptId) {
+    fn claim(&mut self, id: AttemptId, now: Instant) {
         let run = self.running.get_mut(&id).expect("the attempt was just found");
         run.phase = Phase::Waiting(true);
         let (key, nonce, digest) = (run.ask.key.clone(), run.nonce, run.ask.digest);
+        let left = run.ask.deadline.saturating_duration_since(now).as_millis() as u64;
         let owner = self.own.clone();
-        self.batch.push(&Record { key, nonce, act: Act::Claim { owner, digest } });
+        self.batch.push(&Record { key, nonce, act: Act::Claim { owner, digest, left } });
     }
 
     /// The claim came while another one held the key, which is free now.
-    fn claim_anew(&mut self, id: AttemptId) {
+    fn claim_anew(&mut self, id: AttemptId, now: Instant) {
         let key = self.running[&id].ask.key.clone();
         if self.keys.ahead(&key) {
             return self.refuse(id, ahead(&key));
@@ -99,7 +105,7 @@
         let nonce = self.fresh();
         let run = self.running.get_mut(&id).expect("the attempt was just found");
         run.nonce = nonce;
-        self.claim(id);
+        self.claim(id, now);
     }
 
     fn own_outcome(&self, nonce: Nonce) -> Option<Arc<Outcome>> {
@@ -160,7 +166,7 @@
             State::Free if current && self.keys.reaches(key) && out => free_but_out(key),
             State::Free if current && self.keys.reaches(key) => late(key),
             State::Free if out => log_out(key),
-            State::Free | State::Settled(_) => log_slow(key),
+            State::Free | State::Settled(_) | State::Ran(_) => log_slow(key),
         };
         let spread = Duration::from_millis(run.nonce % SPREAD);
         self.refuse(id, refusal.after(COME_BACK + spread));
--- a/crates/roseshore_core/src/once/partition/terms.rs
+++ b/crates/roseshore_core/src/once/partition/terms.rs
@@ -1,5 +1,6 @@
 //! What goes into a partition's machine and what comes out.
 
+use super::word::{Known, Ruling};
 use crate::once::record::{Outcome, Owner};
 use crate::prelude::*;
 use std::sync::Arc;
@@ -50,6 +51,10 @@
     Decide(AttemptId, Decision),
     /// The outcome of the claim at this offset stands in the log.
     Recorded(Offset),
+    /// Tell an operator what is known of a key.
+    Show(AttemptId, Known),
+    /// Tell an operator what became of a word.
+    Rule(AttemptId, Ruling),
 }
 
 /// What a daemon knows of its own work on a key.
--- a/crates/roseshore_core/src/once/record.rs
+++ b/crates/roseshore_core/src/once/record.rs
@@ -1,5 +1,6 @@
 //! The records of the claim streams, as JSON.
 
+use super::born::Millis;
 use crate::prelude::*;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
@@ -31,6 +32,9 @@
         owner: Owner,
         /// A digest of the request's body.
         digest: u64,
+        /// How long after it is made the claimant may still dispatch, milliseconds.
+        #[serde(default = "longest")]
+        left: Millis,
     },
     /// The claimant has not dispatched and never will.
     Abandon,
@@ -43,18 +47,26 @@
         /// Whether the body stands here.
         whole: bool,
     },
-    /// An operator has looked and says how it ended; the key is never free again.
-    Settle {
-        /// Who says so.
-        operator: String,
-        /// The answer that repeats get from now on.
-        outcome: Outcome,
-    },
+    /// An operator has looked and says whether it ran.
+    Settle(Word),
     /// Nothing; it keeps the window from being empty while no key comes, so that a daemon that
     /// starts then finds out how far back the stream reaches.
     Mark,
 }
 
+/// An operator's word on a key that nobody else can settle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Who says so.
+    pub operator: String,
+    /// What the operator looked at.
+    pub note: String,
+    /// Whether the key ran.
+    pub ran: bool,
+    /// The claim that it is about, and no later one; `None` for a key that nobody holds.
+    pub claim: Option<Nonce>,
+}
+
 /// One life of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Owner {
@@ -120,6 +132,11 @@
     }
 }
 
+/// What a claim that does not say so may have left: the longest deadline that a caller may ask for.
+fn longest() -> Millis {
+    Duration::from_hours(1).as_millis() as Millis
+}
+
 fn write_body<S: Serializer>(body: &[u8], s: S) -> Result<S::Ok, S::Error> {
     s.serialize_str(&STANDARD.encode(body))
 }
--- a/crates/roseshore_core/src/once/refusals.rs
+++ b/crates/roseshore_core/src/once/refusals.rs
@@ -27,6 +27,14 @@
     Refusal::may_have_run(Code::KeyUnknown, text)
 }
 
+/// An operator said that it ran.
+pub(super) fn ran(key: &Key) -> Refusal {
+    let text = format!(
+        "key `{key}` ran and will not run again, but its answer was not recorded; look at the target"
+    );
+    Refusal::may_have_run(Code::KeyRan, text)
+}
+
 /// An earlier claim may have been trimmed.
 pub(super) fn too_old(key: &Key) -> Refusal {
     let text = format!(
--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -11,7 +11,7 @@
 use roseshore_core::once::born::born;
 use roseshore_core::once::keys::{Keys, State};
 use roseshore_core::once::partition::Decision;
-use roseshore_core::once::record::{Act, Nonce, Record};
+use roseshore_core::once::record::{Act, Nonce, Record, Word};
 use roseshore_core::prelude::*;
 use world::*;
 
@@ -50,6 +50,7 @@
         1 => daemon().prop_map(Step::Replace),
         1 => Just(Step::Trim),
         1 => Just(Step::Members),
+        3 => (daemon(), any::<bool>()).prop_map(|(d, timed)| Step::Operator(d, timed)),
     ]
 }
 
@@ -101,7 +102,7 @@
 }
 
 fn claim(nonce: Nonce) -> Act {
-    Act::Claim { owner: owner(nonce as usize, 1), digest: 7 }
+    Act::Claim { owner: owner(nonce as usize, 1), digest: 7, left: 0 }
 }
 
 fn outcome(text: &str) -> Act {
@@ -119,7 +120,8 @@
         records: Vec<(Nonce, Act)>,
         state: &'static str,
     }
-    let settle = || Act::Settle { operator: "op".into(), outcome: answer("looked") };
+    let word = Word { operator: "op".into(), note: "looked".into(), ran: true, claim: Some(1) };
+    let ran = || Act::Settle(word.clone());
     let cases = [
         Case {
             name: "first claim holds",
@@ -183,22 +185,24 @@
         },
         Case {
             name: "an operator settles what is unknown",
-            records: vec![(1, claim(1)), (1, ended(Verdict::MayHaveRun)), (0, settle())],
-            state: "settled looked",
+            records: vec![(1, claim(1)), (1, ended(Verdict::MayHaveRun)), (9, ran())],
+            state: "ran",
         },
         Case {
             name: "an operator's word comes before a late outcome",
-            records: vec![(1, claim(1)), (0, settle()), (1, outcome("late"))],
-            state: "settled looked",
+            records: vec![(1, claim(1)), (9, ran()), (1, outcome("late"))],
+            state: "ran",
         },
     ];
     for case in cases {
         let mut keys = Keys::new(100);
         for (at, (nonce, act)) in case.records.into_iter().enumerate() {
             let record = Record { key: PLAIN.into(), nonce, act };
-            keys.take(at as Offset, EPOCH, &record.line());
+            // A minute apart, so that a claim with no time left can be settled by the next record.
+            keys.take(at as Offset, EPOCH + at as u64 * 60_000, &record.line());
         }
         let state = match keys.state(&PLAIN.into()) {
+            State::Ran(_) => "ran".into(),
             State::Free => "free".into(),
             State::Held(held) => format!("held {}", held.nonce),
             State::Unknown(held) => format!("unknown {}", held.nonce),
--- a/crates/roseshore_core/tests/once/world.rs
+++ b/crates/roseshore_core/tests/once/world.rs
@@ -3,9 +3,10 @@
 use roseshore_core::once::Outcome;
 use roseshore_core::once::batch::Appended;
 use roseshore_core::once::partition::{
-    Action, Attempt, AttemptId, Decision, Line, Partition, ReadEnd,
+    Action, Attempt, AttemptId, Claimant, Decision, Known, Line, Partition, ReadEnd, Ruling,
+    Settling, may_settle,
 };
-use roseshore_core::once::record::{Owner, Record};
+use roseshore_core::once::record::{Owner, Record, Word};
 use roseshore_core::prelude::*;
 use std::collections::BTreeMap;
 
@@ -57,6 +58,8 @@
     /// The log service comes back empty.
     Lose,
     Members,
+    /// An operator asks a daemon about a key, and says what happened.
+    Operator(usize, bool),
 }
 
 /// An attempt, as the judge outside sees it.
@@ -84,14 +87,15 @@
     pub(crate) attempts: BTreeMap<AttemptId, Asked>,
     pub(crate) won: Vec<(Asked, Offset)>,
     pub(crate) sent: Vec<(Key, Offset, usize)>,
+    pub(crate) asked: BTreeMap<AttemptId, &'static str>,
 }
 
 impl Daemon {
     pub(crate) fn new(host: usize, life: u64) -> Daemon {
         let seed = host as u64 * 1000 + life;
         let machine = Partition::new(owner(host, life), seed, 1000, 512);
-        let (attempts, won, sent) = Default::default();
-        Daemon { machine, life, append: None, read: None, attempts, won, sent }
+        let (attempts, won, sent, asked) = Default::default();
+        Daemon { machine, life, append: None, read: None, attempts, won, sent, asked }
     }
 }
 
@@ -106,6 +110,7 @@
     pub(crate) runs: BTreeMap<Key, Vec<Run>>,
     pub(crate) answers: BTreeMap<Key, Vec<Outcome>>,
     pub(crate) decisions: Vec<(Key, Decision)>,
+    pub(crate) rulings: Vec<Ruling>,
     pub(crate) clock: usize,
 }
 
@@ -113,10 +118,10 @@
     pub(crate) fn new() -> World {
         let start = Instant::now();
         let daemons = (0..DAEMONS).map(|host| Daemon::new(host, 1)).collect();
-        let (runs, answers, decisions) = Default::default();
+        let (runs, answers, decisions, rulings) = Default::default();
         let (log, late) = Default::default();
         let (now, oldest, clock) = (start, 0, 0);
-        World { start, now, log, oldest, late, daemons, runs, answers, decisions, clock }
+        World { start, now, log, oldest, late, daemons, runs, answers, decisions, rulings, clock }
     }
 
     pub(crate) fn take_in(&mut self, lines: Vec<String>) {
@@ -157,6 +162,12 @@
             }
             Step::Trim => self.oldest = self.log.len(),
             Step::Lose => self.log.clear(),
+            Step::Operator(d, timed) => {
+                let key = if timed { TIMED } else { PLAIN };
+                let limit = self.now + Duration::from_secs(5);
+                let id = self.daemons[d].machine.ask(key.into(), true, limit);
+                self.daemons[d].asked.insert(id, key);
+            }
             Step::Members => {
                 let lives = self.daemons.iter().enumerate();
                 let alive: Vec<Owner> = lives.map(|(host, d)| owner(host, d.life)).collect();
@@ -248,6 +259,8 @@
                     let outcome = |line: &String| line.contains("outcome") && nonce(line) == of;
                     assert!(lines.clone().any(outcome), "no outcome of the claim at {claim}");
                 }
+                Action::Show(id, known) => self.settle_by(d, id, &known),
+                Action::Rule(_, ruling) => self.rulings.push(ruling),
                 Action::Decide(id, decision) => {
                     let asked = self.daemons[d].attempts.remove(&id).expect("one decision");
                     self.judge(d, asked, decision);
@@ -256,6 +269,20 @@
         }
     }
 
+    /// The operator tells the truth as of now, and believes that the claimant is gone.
+    fn settle_by(&mut self, d: usize, id: AttemptId, known: &Known) {
+        let key = Key::from(self.daemons[d].asked[&id]);
+        let ran = self.runs.get(&key).is_some_and(|runs| runs.iter().any(|run| run.ran));
+        let claim = match may_settle(&key, known, ran, Claimant::Gone) {
+            Ok(claim) => claim,
+            Err(refusal) => return self.rulings.push(Ruling::Rejected(refusal)),
+        };
+        let (operator, note) = ("op".into(), "looked".into());
+        let word = Word { operator, note, ran, claim };
+        let deadline = self.now + Duration::from_secs(5);
+        self.daemons[d].machine.settle_by(Settling { key, word, deadline });
+    }
+
     pub(crate) fn judge(&mut self, d: usize, asked: Asked, decision: Decision) {
         let key = asked.key.clone();
         match &decision {
--- a/crates/roseshore_core/tests/once_faults.rs
+++ b/crates/roseshore_core/tests/once_faults.rs
@@ -45,6 +45,16 @@
     Step::Read(1, true),
     Step::Read(1, true),
 ];
+/// Daemon 2 marks the log, reads, and sends the word.
+const WORD: &[Step] = &[
+    Step::Operator(2, false),
+    Step::Append(2, Fate::Done),
+    Step::Read(2, true),
+    Step::Read(2, true),
+    Step::Freeze(20),
+    Step::Append(2, Fate::Done),
+    Step::Read(2, true),
+];
 const STORIES: &[Story] = &[
     Story { name: "no fault", before: &[CLAIM], then: &[], told: "won" },
     Story { name: "repeat", before: &[CLAIM, RUN, SETTLE], then: OTHER, told: "repeat" },
@@ -281,6 +291,30 @@
         then: &[Step::Begin(0, true), Step::Lose, Step::Read(0, true), Step::Pass(600)],
         told: "RS502 may_have_run",
     },
+    Story {
+        name: "settled as not run",
+        before: &[CLAIM, GONE, &[Step::Pass(70_000)], WORD],
+        then: OTHER,
+        told: "won",
+    },
+    Story {
+        name: "settled as run",
+        before: &[CLAIM, RUN, GONE, &[Step::Pass(70_000)], WORD],
+        then: OTHER,
+        told: "RS406 may_have_run",
+    },
+    Story {
+        name: "settled too early",
+        before: &[CLAIM, GONE, &[Step::Pass(60_000)], WORD],
+        then: OTHER,
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "paused claimant wakes after the word",
+        before: &[CLAIM, &[Step::Freeze(70_000)], WORD, &[Step::Dispatch(0)]],
+        then: OTHER,
+        told: "won",
+    },
     Story {
         name: "record trimmed",
         before: &[CLAIM, RUN, SETTLE, &[Step::Trim]],
--- a/crates/roseshore_core/tests/once_reused.rs
+++ b/crates/roseshore_core/tests/once_reused.rs
@@ -32,7 +32,10 @@
                         self.log.extend(lines);
                         self.machine.appended(Appended::Done, self.now);
                     }
-                    Action::Append(_) | Action::Recorded(_) => {}
+                    Action::Append(_)
+                    | Action::Recorded(_)
+                    | Action::Show(..)
+                    | Action::Rule(..) => {}
                     Action::Read { from, .. } => self.read(from),
                     Action::Decide(_, decision) => last = Some(decision),
                 }
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -6,6 +6,7 @@
 pub use roseshore_core::ledger::book::Fate;
 pub use roseshore_core::membership::{Member, MemberState};
 pub use roseshore_core::once::Outcome;
+pub use roseshore_core::once::partition::{Known, Ruling};
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::{CacheEvent, Load, Stage};
 use roseshore_wire::service::ServiceLoad;
@@ -213,6 +214,26 @@
     fn abandon(&self, claim: &Claim);
 }
 
+/// An operator's word on a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyWord {
+    /// Who says so.
+    pub operator: String,
+    /// What the operator looked at.
+    pub note: String,
+    /// Whether the key ran.
+    pub ran: bool,
+}
+
+/// What operators ask about keys.
+pub trait Keys: Send + Sync {
+    /// What is known of a key; `None` when this daemon cannot judge keys.
+    fn known(&self, key: &Key, deadline: Instant) -> Option<Known>;
+
+    /// Records an operator's word on a key that nobody else can settle.
+    fn settle_by(&self, key: &Key, word: KeyWord, deadline: Instant) -> Ruling;
+}
+
 /// How a request ended, for the account, the operators' queries and the metrics.
 #[derive(Clone, Debug)]
 pub struct End {
--- a/crates/roseshore_wire/src/admin.rs
+++ b/crates/roseshore_wire/src/admin.rs
@@ -8,6 +8,8 @@
 //! | `GET /v1/admin/status` | - | [`Status`] |
 //! | `POST /v1/admin/query` | [`crate::query::Query`] | [`crate::query::Reply`] |
 //! | `POST /v1/admin/drain` | - | [`Drained`]; the daemon that is asked drains |
+//! | `GET /v1/admin/keys?organisation=O&service=S&key=K` | - | [`KeyReport`] |
+//! | `POST /v1/admin/keys/settle` | a [`Settle`] | [`Settled`] |
 //!
 //! Sending a command again with the same id is harmless: it is one command.
 
@@ -108,6 +110,109 @@
     pub host: HostId,
 }
 
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyReport {
+    /// The key, joined with its organisation and service.
+    pub key: Key,
+    /// One past the last record of its stream that this daemon has folded.
+    pub offset: Offset,
+    /// Whether the log's end was read for this answer.
+    pub current: bool,
+    /// Whether no older record of the key can be missing.
+    pub complete: bool,
+    /// Where it stands.
+    pub state: KeyState,
+    /// The last operator's word that took effect.
+    pub word: Option<WordReport>,
+}
+
+/// Where a key stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "state")]
+pub enum KeyState {
+    /// Nobody holds it.
+    Free,
+    /// A claimant may be working on it.
+    Held {
+        /// The claimant's host, where it is known.
+        host: Option<HostId>,
+        /// The log's time of the claim, milliseconds of the epoch.
+        since_ms: u64,
+        /// The log's time after which the claimant does not dispatch any more.
+        until_ms: u64,
+    },
+    /// Its claimant recorded that nobody knows whether it ran.
+    Unknown {
+        /// The claimant's host, where it is known.
+        host: Option<HostId>,
+        /// The log's time of the record, milliseconds of the epoch.
+        since_ms: u64,
+    },
+    /// It ran, and its answer is recorded at this offset.
+    Settled {
+        /// What repeats are told.
+        verdict: Verdict,
+        /// Where the record stands.
+        offset: Offset,
+    },
+    /// It ran by an operator's word, and its answer is not recorded.
+    Ran,
+}
+
+/// An operator's word that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordReport {
+    /// Who said so.
+    pub operator: String,
+    /// What the operator looked at.
+    pub note: String,
+    /// Whether the key ran.
+    pub ran: bool,
+    /// Where the record stands.
+    pub offset: Offset,
+}
+
+/// An operator's word on a key that nobody else can settle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// The customer.
+    pub organisation: OrganisationId,
+    /// The service.
+    pub service: ServiceId,
+    /// The key as the caller gave it.
+    pub key: String,
+    /// Whether it ran.
+    pub ran: bool,
+    /// What the operator looked at.
+    pub note: String,
+    /// Who says so.
+    pub operator: String,
+}
+
+/// What became of an operator's word.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum Settled {
+    /// It took effect, and stands at this offset of the key's stream.
+    Taken {
+        /// Where it stands.
+        offset: Offset,
+    },
+    /// It changed nothing and never will.
+    Rejected {
+        /// Why, as a stable numbered code.
+        code: Code,
+        /// Why, for people.
+        message: String,
+    },
+    /// It may take effect; look at the key.
+    Unknown {
+        /// Why it is not known.
+        message: String,
+    },
+}
+
 /// A refusal of the interface itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Problem {
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -4,6 +4,7 @@
 //! blocks on anything but its events, one appends, one reads. Callers send an event and wait for
 //! the machine's word; it answers every attempt by its deadline, so that nobody needs a timer here.
 
+mod desk;
 mod guard;
 mod partition;
 
@@ -73,11 +74,6 @@
         Ok(ClaimsDriver { partitions, log, peers, members })
     }
 
-    /// Records an operator's word on a key that nobody else can settle.
-    pub fn settle_by(&self, operator: &str, key: &Key, outcome: Outcome) {
-        self.send(key, Event::SettleBy(operator.to_owned(), key.clone(), outcome));
-    }
-
     /// Waits until the log has taken every outcome and abandonment, for `limit` at most; a daemon
     /// that ends before leaves keys whose end nobody knows.
     pub fn flush(&self, limit: Duration) -> bool {
@@ -115,9 +111,6 @@
             Some(Record { key: of, act: Act::Outcome { outcome, .. }, .. }) if of == *key => {
                 Begin::Settled(outcome)
             }
-            Some(Record { key: of, act: Act::Settle { outcome, .. }, .. }) if of == *key => {
-                Begin::Settled(outcome)
-            }
             _ => Begin::Refused(refusal),
         }
     }
--- a/crates/roseshored/src/claims/partition.rs
+++ b/crates/roseshored/src/claims/partition.rs
@@ -7,7 +7,7 @@
 use roseshore_core::once::Outcome;
 use roseshore_core::once::batch::Appended;
 use roseshore_core::once::partition::{
-    Action, Attempt, AttemptId, Decision, Line, Partition, ReadEnd, Work,
+    Action, Attempt, AttemptId, Decision, Known, Line, Partition, ReadEnd, Ruling, Settling, Work,
 };
 use roseshore_core::once::record::Owner;
 use roseshore_core::prelude::{Code, Duration, Instant, Key, Offset, Verdict};
@@ -31,7 +31,9 @@
     Dispatch(Offset, Sender<bool>),
     /// The sender is dropped once the outcome stands in the log.
     Settle(Offset, Outcome, Sender<()>),
-    SettleBy(String, Key, Outcome),
+    /// What is known of a key; `true` to learn the log's time too.
+    Look(Key, bool, Instant, Sender<Known>),
+    SettleBy(Settling, Sender<Ruling>),
     Abandon(Offset),
     Work(Key, Sender<Work>),
     Appended(Appended),
@@ -58,6 +60,8 @@
     reads: Sender<ReadAsk>,
     flushing: Vec<Sender<()>>,
     settling: FxHashMap<Offset, Sender<()>>,
+    looks: FxHashMap<AttemptId, Sender<Known>>,
+    words: FxHashMap<AttemptId, Sender<Ruling>>,
 }
 
 struct Caller {
@@ -90,6 +94,8 @@
         reads,
         flushing,
         settling,
+        looks: FxHashMap::default(),
+        words: FxHashMap::default(),
     };
     spawn(format!("{name} append"), {
         let (stream, log, events) = (name.clone(), log.clone(), events.clone());
@@ -188,8 +194,13 @@
                 self.settling.insert(offset, told);
                 self.machine.settle(offset, outcome, now);
             }
-            Event::SettleBy(operator, key, outcome) => {
-                self.machine.settle_by(operator, key, outcome);
+            Event::Look(key, mark, deadline, told) => {
+                let id = self.machine.ask(key, mark, deadline);
+                self.looks.insert(id, told);
+            }
+            Event::SettleBy(settling, told) => {
+                let id = self.machine.settle_by(settling);
+                self.words.insert(id, told);
             }
             Event::Abandon(offset) => {
                 event!(numbered::Event::KeyAbandoned, "offset={offset}");
@@ -227,6 +238,12 @@
                 Action::Append(lines) => drop(self.appends.send(lines)),
                 Action::Read { from, wait } => drop(self.reads.send(ReadAsk { from, wait })),
                 Action::Decide(id, decision) => self.decide(id, decision),
+                Action::Show(id, known) => {
+                    self.looks.remove(&id).map(|told| told.send(known));
+                }
+                Action::Rule(id, ruling) => {
+                    self.words.remove(&id).map(|told| told.send(ruling));
+                }
                 Action::Recorded(offset) => drop(self.settling.remove(&offset)),
             }
         }
--- a/crates/roseshored/src/operators.rs
+++ b/crates/roseshored/src/operators.rs
@@ -3,11 +3,13 @@
 //! The server hands every such request to [`handle`] as a [`Call`] and sends the [`Answer`]; the
 //! bodies are those of `roseshore_wire::admin`.
 
+mod keys;
+
 use crate::app::Drain;
 use crate::fleets::FleetDriver;
 use roseshore_core::config::{Command, FORMAT, Settled};
 use roseshore_core::prelude::*;
-use roseshore_ports::inside::{Member, MemberState, Members, Queries};
+use roseshore_ports::inside::{Keys, Member, MemberState, Members, Queries};
 use roseshore_wire::admin::{Config, Daemon, Drained, Outcome, Problem, Report, Status, Versioned};
 use roseshore_wire::query::Query;
 use serde::Serialize;
@@ -27,6 +29,8 @@
     pub members: Arc<dyn Members>,
     /// Rows about requests; without it such questions are refused.
     pub queries: Option<Arc<dyn Queries>>,
+    /// What is known of keys.
+    pub keys: Arc<dyn Keys>,
     /// Whether this daemon takes no new work.
     pub drain: Arc<Drain>,
 }
@@ -61,6 +65,8 @@
         ("POST", "commands") => console.command(call.body, wait(query)),
         ("POST", "query") => console.query(call.body),
         ("POST", "drain") => console.drain(),
+        ("GET", "keys") => keys::show(&*console.keys, query),
+        ("POST", "keys/settle") => keys::settle(&*console.keys, call.body),
         ("GET", other) if other.starts_with("commands/") => {
             console.report(&other["commands/".len()..])
         }
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -170,6 +170,7 @@
             fleets: ground.configuration,
             members: ground.members.clone(),
             queries: Some(books.asker),
+            keys: claims.clone(),
             drain: ground.drain.clone(),
         };
         let (fleets, members) = (ground.fleets, ground.members);
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -6,7 +6,7 @@
 use roseshore_core::prelude::*;
 use roseshore_fakes::platform::{PlatformFake, PlatformFaults, PlatformSettings};
 use roseshore_ports::inside::{
-    Answers, Begin, Claim, Claims, Member, MemberState, Members, Outcome,
+    Answers, Begin, Claim, Claims, KeyWord, Keys, Member, MemberState, Members, Outcome, Ruling,
 };
 use roseshore_ports::outside::{CallError, Called, Log, Peers};
 use roseshore_wire::peer::{Ask, Reply};
@@ -106,6 +106,20 @@
         won(self.begin(daemon))
     }
 
+    /// Has an operator settle the key through daemon 1.
+    fn settle(&self, ran: bool) -> String {
+        let word = KeyWord { operator: "op".into(), note: "looked".into(), ran };
+        let deadline = Instant::now() + Duration::from_secs(20);
+        match self.daemons[1].settle_by(&KEY.into(), word, deadline) {
+            Ruling::Taken(offset) => format!("taken {offset}"),
+            Ruling::Rejected(refusal) if refusal.message.contains("among the daemons") => {
+                "at work".into()
+            }
+            Ruling::Rejected(refusal) => refusal.code.to_string(),
+            Ruling::Unknown => "unknown".into(),
+        }
+    }
+
     /// Waits until the stream of the key holds so many records.
     fn records(&self, count: Offset) {
         let stream = stream_of(partition_of(&KEY.into(), CONFIG.partitions));
@@ -117,6 +131,14 @@
     }
 }
 
+/// Daemon 0 wins the key, sends it and gets no whole reply.
+fn lose_outcome(world: &World) {
+    let claim = world.win(0);
+    assert!(world.daemons[0].dispatch(&claim));
+    world.daemons[0].settle(&claim, Outcome::unknown());
+    world.records(2);
+}
+
 fn begin(claims: &dyn Claims) -> Begin {
     claims.begin(&KEY.into(), 7, Instant::now() + Duration::from_secs(20))
 }
@@ -265,14 +287,67 @@
     },
     Story {
         name: "settled by an operator",
+        before: |world| {
+            lose_outcome(world);
+            assert_eq!(world.settle(true), "taken 3");
+        },
+        told: "RS406 may_have_run",
+    },
+    Story {
+        name: "settled by an operator as not run",
+        before: |world| {
+            lose_outcome(world);
+            assert_eq!(world.settle(false), "taken 3");
+            assert_eq!(world.settle(true), "taken 5", "the key is free again");
+            assert_eq!(world.settle(false), "RS701", "the first word stays");
+        },
+        told: "RS406 may_have_run",
+    },
+    Story {
+        name: "settled while the claimant works",
         before: |world| {
             let claim = world.win(0);
-            assert!(world.daemons[0].dispatch(&claim));
+            assert_eq!(world.settle(true), "at work");
+            run(&*world.daemons[0], &claim, answer(3));
+            assert_eq!(world.settle(true), "RS701", "the answer stays");
+        },
+        told: "settled 3",
+    },
+    Story {
+        name: "settled while the claimant may yet wake",
+        before: |world| {
+            world.win(0);
             world.add(0);
-            world.daemons[1].settle_by("op", &KEY.into(), answer(5));
-            world.records(2);
+            assert_eq!(world.settle(false), "RS401");
+        },
+        told: "RS402 may_have_run",
+    },
+    Story {
+        name: "settled with the log out",
+        before: |world| {
+            lose_outcome(world);
+            world.faults(PlatformFaults { log_out: true, ..Default::default() });
+            assert_eq!(world.settle(true), "RS502");
+            world.faults(PlatformFaults::default());
+            // The first questions after an outage are still refused at once.
+            while world.settle(false) == "RS502" {}
         },
-        told: "settled 5",
+        told: "won",
+    },
+    Story {
+        name: "settled, reply lost",
+        before: |world| {
+            lose_outcome(world);
+            world.faults(PlatformFaults { lose_replies: 2, ..Default::default() });
+            assert!(world.settle(true).starts_with("taken"));
+            world.faults(PlatformFaults::default());
+        },
+        told: "RS406 may_have_run",
+    },
+    Story {
+        name: "nothing to settle",
+        before: |world| assert_eq!(world.settle(false), "RS702"),
+        told: "won",
     },
     Story {
         name: "answer too large for the log",
--- a/crates/roseshored/tests/path.rs
+++ b/crates/roseshored/tests/path.rs
@@ -158,6 +158,35 @@
     path.stop();
 }
 
+/// Operators look at keys and settle them over the interface of the daemon.
+#[test]
+fn operators_settle_a_key() {
+    let path = Path::start();
+    path.apply();
+    path.wait();
+    let key = "plate/8&1";
+    let show = || {
+        let query = "organisation=acme&service=verdicts&key=plate%2F8%261";
+        let got = Caller::new(path.addr()).get(&format!("/v1/admin/keys?{query}"));
+        got.json()["state"]["state"].as_str().map(str::to_owned)
+    };
+    let settle = |ran: bool, note: &str| {
+        let body = format!(
+            r#"{{"organisation":"acme","service":"verdicts","key":"{key}","ran":{ran},"note":"{note}","operator":"op"}}"#
+        );
+        post(path.addr(), "/v1/admin/keys/settle", "", &body)
+    };
+    assert_eq!(show().as_deref(), Some("free"));
+    assert_eq!(settle(true, "").status, 400, "without a note");
+    assert_eq!(settle(false, "looked").json()["code"], "CommandInvalid", "nothing to free");
+    assert_eq!(settle(true, "looked").json()["outcome"], "taken");
+    assert_eq!(show().as_deref(), Some("ran"));
+    let headers = format!("idempotency-key: {key}\r\n");
+    let repeat = post(path.addr(), CHAT, &headers, &chat("verdicts", false));
+    assert_eq!((repeat.status, repeat.refusal().as_str()), (410, "RS406 may_have_run"));
+    path.stop();
+}
+
 /// A daemon's process is stopped again and again with streams in flight; none is cut off.
 #[test]
 fn restarts_cut_nothing() {
