--- a/crates/roseshore_bench/src/capacity/states.rs
+++ b/crates/roseshore_bench/src/capacity/states.rs
@@ -365,7 +365,7 @@
     };
     let lines = |count: usize| -> Vec<String> {
         let pair = |key: usize| {
-            let claim = Act::Claim { owner: owner.clone(), digest: 7 };
+            let claim = Act::Claim { owner: owner.clone(), digest: 7, left: 0 };
             let outcome = Outcome { verdict: Verdict::Answered, ..Outcome::unknown() };
             let end = Act::Outcome { digest: 7, outcome, whole: true };
             [line(key, claim), line(key, end)]
