Advisory work is never dropped silently; not found is an answer

Cause: `advisory` was declared and read by nothing. A refused or lost request of such a service looked like everybody's; one refused at the door (host leaving, full, bad header) was in no ledger at all. A lookup's "not found" has the verdict of an answer and was logged as refused (E202), and without E204 when it was late; ledger and account already counted it as answered.

Ruled out: a record in the log for each such end (a flood of refusals would take the rate that claims need); reading every refused request's service (only advisory services are looked for, at the door).

Change: each advisory request that ends without a whole answer in time logs one E205 and counts as `missed` in account and `roseshore_advisory_missed_total`; its refusals always say when to come back where this attempt did not run. `roseshore account` shows advisory services first.

Seen failing first (scratch edits), each in `every_kind_of_end_is_told`: without the look at the door, without the event, without Retry-After, with E202 for not found, with late answers taken for whole; without the mark and the order `operators_settle_a_key_and_see_the_account` and `advisory_services_come_first_in_the_account`. All pass now.

Not proved: E204 of a late "not found" (no test reaches it).

--- a/crates/roseshore/src/show.rs
+++ b/crates/roseshore/src/show.rs
@@ -7,7 +7,7 @@
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
 use roseshore_wire::admin::{KeyReport, KeyState, Outcome, Report, Settle, Settled, Status};
-use roseshore_wire::query::{Origin, Reply, Rows};
+use roseshore_wire::query::{AccountRow, Origin, Reply, Rows};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::fmt::Write as _;
@@ -138,27 +138,36 @@
                 [origin(&it.origin), more.to_vec()].concat()
             }),
         ),
-        Rows::Account(rows) => table(
-            &[
-                "week",
-                "service",
-                "organisation",
-                "answered",
-                "late",
-                "repeated",
-                "refused",
-                "unsettled",
-            ],
-            rows.iter().map(|it| {
-                let counts = [it.answered, it.late, it.repeated, it.refused, it.unsettled];
-                let mut cells = vec![date(it.week_ms), it.service.clone(), it.organisation.clone()];
-                cells.extend(counts.iter().map(u64::to_string));
-                cells
-            }),
-        ),
+        Rows::Account(rows) => account(rows),
     }
 }
 
+/// Advisory services first; a `*` marks them.
+fn account(rows: &[AccountRow]) -> Table {
+    let heads = [
+        "week",
+        "service",
+        "organisation",
+        "answered",
+        "late",
+        "repeated",
+        "refused",
+        "unsettled",
+        "missed",
+    ];
+    let mut rows: Vec<&AccountRow> = rows.iter().collect();
+    rows.sort_by_key(|it| !it.advisory);
+    let cells = |it: &AccountRow| {
+        let mark = if it.advisory { "*" } else { "" };
+        let service = format!("{}{mark}", it.service);
+        let counts = [it.answered, it.late, it.repeated, it.refused, it.unsettled, it.missed];
+        let mut cells = vec![date(it.week_ms), service, it.organisation.clone()];
+        cells.extend(counts.iter().map(u64::to_string));
+        cells
+    };
+    table(&heads, rows.into_iter().map(cells))
+}
+
 /// What is known of a key.
 pub(crate) fn key(report: &KeyReport) -> String {
     let by =
--- a/crates/roseshore/tests/cli.rs
+++ b/crates/roseshore/tests/cli.rs
@@ -33,6 +33,9 @@
     "unasked":["lan-2"]}"#;
 const ACCOUNT: &str = r#"{"rows":{"account":[{"week_ms":1782691200000,"service":"advisories","organisation":"mirrors",
     "answered":9,"late":2,"repeated":1,"refused":0,"unsettled":0}]}}"#;
+const ADVISORY: &str = r#"{"rows":{"account":[{"week_ms":1782691200000,"service":"a-notes","organisation":"mirrors",
+    "answered":9,"late":2,"repeated":1,"refused":0,"unsettled":0},{"week_ms":1782691200000,"service":"z-advisories",
+    "organisation":"mirrors","answered":9,"late":2,"repeated":1,"refused":0,"unsettled":0,"missed":4,"advisory":true}]}}"#;
 const TRACE: &str = r#"{"request":"q1","spans":{"name":"request","start_us":0,"took_us":4000,"children":[
     {"name":"admit","start_us":10,"took_us":20,"children":[{"name":"wait","start_us":11,"took_us":null}]},
     {"name":"stage","start_us":40,"took_us":3900,"fields":["target=e0"]}]}}"#;
@@ -142,3 +145,12 @@
         assert_eq!(done.exit as u8, case.exit, "{}: {}", case.name, done.out);
     }
 }
+
+#[test]
+fn advisory_services_come_first_in_the_account() {
+    let matches =
+        roseshore::cli::command().try_get_matches_from(["roseshore", "account", "--week"]);
+    let done = roseshore::run(&matches.expect("a command"), &Canned(Some(ADVISORY)));
+    let places = ["missed", "z-advisories*", "a-notes"].map(|it| done.out.find(it));
+    assert!(places[0].is_some() && places.is_sorted(), "{places:?}: {}", done.out);
+}
--- a/crates/roseshore_bench/src/capacity/states.rs
+++ b/crates/roseshore_bench/src/capacity/states.rs
@@ -414,6 +414,7 @@
         repeated: false,
         left: false,
         resumed: 0,
+        missed: false,
     }
 }
 
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -58,6 +58,7 @@
     RequestRefused = 202, Info, "a request was refused";
     CallerLeft = 203, Info, "a caller left before its answer was whole";
     AnswerLate = 204, Warn, "an answer was given after its deadline";
+    AdvisoryMissed = 205, Warn, "an advisory request ended without a whole answer in time";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_core/src/ledger/account.rs
+++ b/crates/roseshore_core/src/ledger/account.rs
@@ -35,6 +35,9 @@
     pub refused: u64,
     /// Requests of which the caller was told that they may have run.
     pub unsettled: u64,
+    /// Advisory requests that ended without a whole answer in time, however they ended.
+    #[serde(default)]
+    pub missed: u64,
 }
 
 impl Counts {
@@ -47,6 +50,7 @@
             Verdict::MayHaveRun => counts.unsettled = 1,
         }
         counts.repeated = u64::from(ended.repeated);
+        counts.missed = u64::from(ended.missed);
         counts
     }
 
@@ -56,11 +60,12 @@
         self.repeated += other.repeated;
         self.refused += other.refused;
         self.unsettled += other.unsettled;
+        self.missed += other.missed;
     }
 
     /// How much a row matters to who reads the account.
     fn weight(&self) -> u64 {
-        self.late + self.repeated + self.unsettled
+        self.late + self.repeated + self.unsettled + self.missed
     }
 }
 
--- a/crates/roseshore_core/src/ledger/book.rs
+++ b/crates/roseshore_core/src/ledger/book.rs
@@ -42,7 +42,7 @@
     pub late: Duration,
     /// What the caller was told.
     pub verdict: Verdict,
-    /// Why it was refused, if it was.
+    /// Why it was refused, if it was, or that the answer is "not found".
     pub code: Option<Code>,
     /// Whether a recorded answer was given again.
     pub repeated: bool,
@@ -50,6 +50,8 @@
     pub left: bool,
     /// Re-routes it took.
     pub resumed: u32,
+    /// Whether it is advisory work that ended without a whole answer in time.
+    pub missed: bool,
 }
 
 impl Ended {
--- a/crates/roseshore_core/tests/ledger.rs
+++ b/crates/roseshore_core/tests/ledger.rs
@@ -21,6 +21,7 @@
         repeated: false,
         left: false,
         resumed: 0,
+        missed: false,
     }
 }
 
@@ -56,6 +57,20 @@
             refused: 0,
             counts: Counts { late: 1, repeated: 1, ..none },
         },
+        Case {
+            name: "not found is an answer",
+            ended: Ended { code: Some(Code::NotFound), ..ended("r", Verdict::Answered, 0) },
+            late: 0,
+            refused: 0,
+            counts: Counts { answered: 1, ..none },
+        },
+        Case {
+            name: "missed advisory work",
+            ended: Ended { missed: true, left: true, ..ended("r", Verdict::Answered, 0) },
+            late: 0,
+            refused: 0,
+            counts: Counts { answered: 1, missed: 1, ..none },
+        },
         Case {
             name: "refused",
             ended: ended("r", Verdict::NotRun, 0),
--- a/crates/roseshore_ports/src/inside.rs
+++ b/crates/roseshore_ports/src/inside.rs
@@ -241,7 +241,7 @@
     pub ask: Ask,
     /// What the caller was told.
     pub verdict: Verdict,
-    /// The refusal's code, if it was refused.
+    /// The code of a refusal, or of the answer that a name is not found.
     pub code: Option<Code>,
     /// Whether it was a recorded answer given again.
     pub repeated: bool,
@@ -253,6 +253,16 @@
     pub first: Option<Instant>,
     /// Re-routes it took.
     pub resumed: u32,
+    /// Whether its service's work must not be dropped silently.
+    pub advisory: bool,
+}
+
+impl End {
+    /// Whether it is advisory work that ended without a whole answer in time.
+    pub fn missed(&self) -> bool {
+        let in_time = self.ended <= self.ask.deadline && !self.left;
+        self.advisory && !(self.verdict == Verdict::Answered && in_time)
+    }
 }
 
 /// The record of running and ended requests.
--- a/crates/roseshore_wire/src/query.rs
+++ b/crates/roseshore_wire/src/query.rs
@@ -147,4 +147,10 @@
     pub refused: u64,
     /// Requests of which the caller was told that they may have run.
     pub unsettled: u64,
+    /// Advisory requests that ended without a whole answer in time, however they ended.
+    #[serde(default)]
+    pub missed: u64,
+    /// Whether the service is declared advisory now.
+    #[serde(default)]
+    pub advisory: bool,
 }
--- a/crates/roseshored/src/front/exchange.rs
+++ b/crates/roseshored/src/front/exchange.rs
@@ -52,7 +52,10 @@
     pub idempotent: Option<bool>,
     /// When the first token or byte was sent.
     pub first: Option<Instant>,
+    /// Whether its service's work must not be dropped silently.
+    pub advisory: bool,
     keyed: bool,
+    request: Option<&'a Request>,
 }
 
 impl<'a> Exchange<'a> {
@@ -60,7 +63,7 @@
     pub fn new(
         site: &'a Site,
         stream: TcpStream,
-        request: Option<&Request>,
+        request: Option<&'a Request>,
         last: bool,
     ) -> Exchange<'a> {
         let header = |name| request.and_then(|it| it.header(name));
@@ -80,7 +83,9 @@
             consulted: false,
             idempotent: None,
             first: None,
+            advisory: false,
             keyed: header("idempotency-key").is_some(),
+            request,
         }
     }
 
@@ -109,6 +114,7 @@
 
     /// Ends the request with a refusal.
     pub fn refuse(&mut self, refusal: Refusal) {
+        self.look_whose();
         let settled = self.settle(refusal);
         let body = self.error(&settled);
         if self.reply.streaming() {
@@ -118,7 +124,9 @@
             self.reply.send(&response);
         }
         let Settled { refusal, .. } = settled;
-        if !self.reply.broken {
+        // "Not found" is an answer in the form of a refusal.
+        let answered = refusal.verdict == Verdict::Answered;
+        if !self.reply.broken && !answered {
             event!(
                 Event::RequestRefused,
                 "request={} code={} verdict={} {}",
@@ -131,6 +139,16 @@
         self.end(refusal.verdict, Some(refusal.code), Finish::default());
     }
 
+    /// A request that was refused before it was read may be advisory work.
+    fn look_whose(&mut self) {
+        let (None, Some(request)) = (&self.ask, self.request) else { return };
+        self.ask = serve::advisory::ask(self.site, request, &self.id);
+        if let Some(ask) = &self.ask {
+            self.advisory = true;
+            self.site.app.ledger.begun(ask);
+        }
+    }
+
     /// Whether the connection must be closed.
     pub fn closes(&self) -> bool {
         self.reply.close
@@ -147,7 +165,8 @@
         if self.keyed && !self.consulted && may_repeat(refusal.code) {
             refusal.verdict = refusal.verdict.join(Verdict::MayHaveRun);
         }
-        if refusal.retry_after.is_none() && comes_back(refusal.code) {
+        let comes_back = comes_back(refusal.code) || self.advisory && attempt == Verdict::NotRun;
+        if refusal.retry_after.is_none() && comes_back {
             refusal.retry_after = Some(AWAY + rand::rng().random_range(Duration::ZERO..AWAY));
         }
         Settled { refusal, attempt }
@@ -204,13 +223,17 @@
             metrics::histogram!("roseshore_first_seconds").record(first - ask.arrived);
         }
         metrics::histogram!("roseshore_request_seconds").record(now - ask.arrived);
-        if code.is_none() && now > ask.deadline {
+        if verdict == Verdict::Answered && now > ask.deadline {
             event!(Event::AnswerLate, "request={} service={}", self.id, ask.service);
         }
         event!(Event::RequestEnded, "request={} verdict={}", self.id, verdict.name());
         let Finish { repeated, resumed } = finish;
         let first = self.first;
-        let end = End { ask, verdict, code, repeated, left, ended: now, first, resumed };
+        let advisory = self.advisory;
+        let end = End { ask, verdict, code, repeated, left, ended: now, first, resumed, advisory };
+        if end.missed() {
+            tell_missed(&end);
+        }
         self.site.app.ledger.ended(&end);
     }
 }
@@ -236,6 +259,27 @@
     }
 }
 
+/// Says that advisory work ended without a whole answer in time.
+fn tell_missed(end: &End) {
+    let Ask { request, organisation, service, .. } = &end.ask;
+    let verdict = end.verdict.name();
+    let code = end.code.map(|it| it.to_string()).unwrap_or_default();
+    let late = end.ended.saturating_duration_since(end.ask.deadline).as_millis();
+    event!(
+        Event::AdvisoryMissed,
+        "request={request} organisation={organisation} service={service} verdict={verdict} \
+         code={code} late_ms={late} left={}",
+        end.left
+    );
+    metrics::counter!(
+        "roseshore_advisory_missed_total",
+        "service" => service.clone(),
+        "verdict" => verdict,
+        "code" => code
+    )
+    .increment(1);
+}
+
 fn internal(text: &str) -> Refusal {
     Refusal::not_run(Code::Internal, text)
 }
--- a/crates/roseshored/src/ledger.rs
+++ b/crates/roseshored/src/ledger.rs
@@ -63,6 +63,7 @@
             repeated: end.repeated,
             left: end.left,
             resumed: end.resumed,
+            missed: end.missed(),
         };
         self.account.ended(&ended);
         self.book.lock().ended(ended);
--- a/crates/roseshored/src/ledger/account.rs
+++ b/crates/roseshored/src/ledger/account.rs
@@ -204,5 +204,7 @@
         repeated: row.counts.repeated,
         refused: row.counts.refused,
         unsettled: row.counts.unsettled,
+        missed: row.counts.missed,
+        advisory: false,
     }
 }
--- a/crates/roseshored/src/operators.rs
+++ b/crates/roseshored/src/operators.rs
@@ -11,7 +11,7 @@
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Keys, Member, MemberState, Members, Queries};
 use roseshore_wire::admin::{Config, Daemon, Drained, Outcome, Problem, Report, Status, Versioned};
-use roseshore_wire::query::Query;
+use roseshore_wire::query::{Query, Rows};
 use serde::Serialize;
 use std::sync::Arc;
 
@@ -170,11 +170,26 @@
             Err(err) => return problem(Code::BadRequest, format!("no query: {err}")),
         };
         match &self.queries {
-            Some(queries) => answer(200, &queries.ask(&query)),
+            Some(queries) => {
+                let mut reply = queries.ask(&query);
+                self.mark(&mut reply.rows);
+                answer(200, &reply)
+            }
             None => problem(Code::UnknownPath, "this daemon keeps no rows about requests"),
         }
     }
 
+    /// Marks rows of services that are declared advisory.
+    fn mark(&self, rows: &mut Rows) {
+        let Rows::Account(rows) = rows else { return };
+        self.fleets.inspect(|state| {
+            let services = &state.fleet().services;
+            for row in rows {
+                row.advisory = services.get(&row.service).is_some_and(|it| it.advisory);
+            }
+        });
+    }
+
     fn drain(&self) -> Answer {
         self.drain.start();
         answer(200, &Drained { host: self.members.own().host })
--- a/crates/roseshored/src/serve.rs
+++ b/crates/roseshored/src/serve.rs
@@ -4,6 +4,7 @@
 //! a configuration, can the body be read, are service, adapter and organisation declared, is there
 //! room, is the key free - and only then is a target given anything.
 
+pub mod advisory;
 mod asking;
 mod models;
 mod record;
--- a/crates/roseshored/src/serve/asking.rs
+++ b/crates/roseshored/src/serve/asking.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// The priority of a request that names none.
-const PRIORITY: u8 = 4;
+pub(super) const PRIORITY: u8 = 4;
 /// The highest priority.
 const MAX_PRIORITY: u8 = 9;
 /// The longest deadline that a caller may ask for.
@@ -41,6 +41,7 @@
         exchange: &mut Exchange<'_>,
     ) -> Result<Ask, Refusal> {
         exchange.idempotent = Some(self.declared.idempotent);
+        exchange.advisory = self.declared.advisory;
         let organisation = organisation(request, self.fleet)?;
         let limit = deadline(request)?.unwrap_or(self.declared.deadline);
         let ask = Ask {
@@ -65,7 +66,7 @@
 }
 
 /// The customer: its own header, or what stock clients of model interfaces send.
-fn organisation(request: &Request, fleet: &Fleet) -> Result<OrganisationId, Refusal> {
+pub(super) fn organisation(request: &Request, fleet: &Fleet) -> Result<OrganisationId, Refusal> {
     let bearer = || request.header("authorization")?.strip_prefix("Bearer ");
     let named = request
         .header("x-organisation")
--- a/crates/roseshored/src/serve/models.rs
+++ b/crates/roseshored/src/serve/models.rs
@@ -196,7 +196,7 @@
 }
 
 /// `service:adapter`.
-fn split(model: &str) -> (&str, Option<&str>) {
+pub(super) fn split(model: &str) -> (&str, Option<&str>) {
     match model.split_once(':') {
         Some((service, adapter)) => (service, Some(adapter)),
         None => (model, None),
--- a/crates/roseshored/tests/path.rs
+++ b/crates/roseshored/tests/path.rs
@@ -32,6 +32,7 @@
 kind = "model"
 model = "m"
 idempotent = false
+advisory = true
 [organisations.acme]
 [targets]
 "#;
@@ -160,7 +161,7 @@
 
 /// Operators look at keys and settle them over the interface of the daemon.
 #[test]
-fn operators_settle_a_key() {
+fn operators_settle_a_key_and_see_the_account() {
     let path = Path::start();
     path.apply();
     path.wait();
@@ -184,6 +185,19 @@
     let headers = format!("idempotency-key: {key}\r\n");
     let repeat = post(path.addr(), CHAT, &headers, &chat("verdicts", false));
     assert_eq!((repeat.status, repeat.refusal().as_str()), (410, "RS406 may_have_run"));
+    // The request ends in the ledger after its caller has the answer.
+    let limit = Instant::now() + PATIENCE;
+    loop {
+        let query = r#"{"topic":"account","filter":{}}"#;
+        let rows = post(path.addr(), "/v1/admin/query", "", query).json();
+        let told = |row: &serde_json::Value| {
+            row["service"] == "verdicts" && row["missed"] == 1 && row["advisory"] == true
+        };
+        if rows["rows"]["account"].as_array().expect("rows").iter().any(told) {
+            break;
+        }
+        assert!(Instant::now() < limit, "{rows}");
+    }
     path.stop();
 }
 
--- a/crates/roseshored/tests/support/fakes.rs
+++ b/crates/roseshored/tests/support/fakes.rs
@@ -10,7 +10,7 @@
 use roseshore_ports::inside::*;
 use roseshore_ports::outside::*;
 use roseshore_wire::engine::*;
-use roseshore_wire::service::ServiceLoad;
+use roseshore_wire::service::{Missing, ServiceLoad};
 use roseshored::Running;
 use roseshored::app::{App, Drain};
 use roseshored::settings::Settings;
@@ -35,6 +35,15 @@
 kind = "model"
 model = "m"
 idempotent = false
+[services.advice]
+kind = "model"
+model = "m"
+idempotent = false
+advisory = true
+[services.bulletins]
+kind = "lookup"
+sources = ["one"]
+advisory = true
 [services.cards]
 kind = "lookup"
 sources = ["one"]
@@ -42,6 +51,12 @@
 kind = "plain"
 idempotent = false
 [organisations.acme]
+[targets.r1]
+kind = "service"
+host = "h"
+data_centre = "a"
+addr = "127.0.0.1:9"
+serves = "bulletins/one"
 [targets.t1]
 kind = "engine"
 host = "h"
@@ -149,6 +164,8 @@
     /// Wins, but may not dispatch any more.
     Lapse,
     Settled(Outcome),
+    /// Settled, but told after the deadline.
+    Late(Outcome),
     Refuse(Refusal),
 }
 
@@ -159,11 +176,17 @@
 }
 
 impl Claims for FakeClaims {
-    fn begin(&self, key: &Key, _digest: u64, _deadline: Instant) -> Begin {
+    fn begin(&self, key: &Key, _digest: u64, deadline: Instant) -> Begin {
         self.calls.lock().push(format!("begin {key}"));
         match self.key.lock().clone() {
             Key1::Win | Key1::Lapse => Begin::Won(Claim { key: key.clone(), offset: 7 }),
             Key1::Settled(outcome) => Begin::Settled(outcome),
+            Key1::Late(outcome) => {
+                while Instant::now() <= deadline {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                Begin::Settled(outcome)
+            }
             Key1::Refuse(refusal) => Begin::Refused(refusal),
         }
     }
@@ -298,7 +321,7 @@
     fn observed(&self, _target: &TargetId, _took: Duration) {}
 }
 
-/// Targets that cannot be reached.
+/// Targets that cannot be reached, except for one that holds nothing of the name `missing`.
 pub struct Absent;
 
 fn absent<T>() -> Called<T> {
@@ -309,10 +332,16 @@
     fn lookup(
         &self,
         _addr: SocketAddr,
-        _source: &str,
-        _name: &str,
+        source: &str,
+        name: &str,
         _hop: &Hop,
     ) -> Called<ServiceReply> {
+        if name == "missing" {
+            let (source, missing) = (source.to_owned(), name.to_owned());
+            let body = serde_json::to_vec(&Missing { missing, source }).expect("plain data");
+            let content = "application/json".to_owned();
+            return Ok(ServiceReply { status: 404, content, body, replayed: false });
+        }
         absent()
     }
 
