Retry budgets belong to a daemon, not to the process

Change: `Budgets`, one for each daemon, handed in through `App` and the parts of an answer.

Seen failing first, with the map in a static again: `a_budget_is_its_daemons_own`. Left: the threads and pace of answers' hands, and what lookups share, are still statics.

--- a/crates/roseshore_bench/src/answer.rs
+++ b/crates/roseshore_bench/src/answer.rs
@@ -228,7 +228,7 @@
             rules.pace.prefill = Duration::from_secs(20);
         }
         let engine = Arc::new(EngineClient::new());
-        let parts = Parts { router: router.clone(), engine, rules };
+        let parts = Parts { router: router.clone(), engine, budgets: Arc::default(), rules };
         let leave = leave.map(|at| (at, router));
         let mut listener = Listener { leave, ..Listener::default() };
         let whole = run_over(&parts, &ask(tokens), question(prompt, tokens), &mut listener);
@@ -295,7 +295,8 @@
     let rows = RANGES.into_iter().enumerate().map(|s| vec![stage(s)]).collect();
     let first = Duration::from_secs(1);
     let router = Arc::new(FirstFree { rows, first, seen: Mutex::default() });
-    let parts = Parts { router, engine: Arc::new(Flood), rules: Rules::default() };
+    let parts =
+        Parts { router, engine: Arc::new(Flood), budgets: Arc::default(), rules: Rules::default() };
     let mut listener = Listener::default();
     let whole = run_over(&parts, &ask(count), question(1, count), &mut listener);
     assert_eq!(whole.expect("a whole answer").count, count);
--- a/crates/roseshored/src/answer.rs
+++ b/crates/roseshored/src/answer.rs
@@ -11,6 +11,7 @@
 mod pool;
 
 use crate::app::App;
+use crate::budgets::Budgets;
 use roseshore_core::answer::Rules;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Router};
@@ -78,8 +79,8 @@
 /// # Errors
 /// [`Verdict::NotRun`] only when no target took the answer.
 pub fn run(app: &App, ask: &Ask, prompt: AnswerAsk, sink: &mut dyn Sink) -> Result<Whole, Refusal> {
-    let parts =
-        Parts { router: app.router.clone(), engine: app.engine.clone(), rules: Rules::default() };
+    let (router, engine) = (app.router.clone(), app.engine.clone());
+    let parts = Parts { router, engine, budgets: app.budgets.clone(), rules: Rules::default() };
     run_over(&parts, ask, prompt, sink)
 }
 
@@ -90,6 +91,8 @@
     pub router: Arc<dyn Router>,
     /// Model engines.
     pub engine: Arc<dyn Engine>,
+    /// What services may spend on retries.
+    pub budgets: Arc<Budgets>,
     /// Bounds.
     pub rules: Rules,
 }
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -183,7 +183,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Route { paid: true, .. } if !hands::pay(&self.ask.service) => {
+            Action::Route { paid: true, .. } if !self.parts.budgets.spend(&self.ask.service) => {
                 let why = "the retry budget is spent; come back later";
                 self.feed(Input::Denied(Refusal::not_run(Code::RetryBudget, why)));
             }
@@ -210,7 +210,7 @@
             Action::Failed(target) => self.parts.router.failed(&target),
             Action::Note(what, text) => event!(what, "request={} {text}", self.ask.request),
             Action::Finish(finish) => {
-                hands::earn(&self.ask.service);
+                self.parts.budgets.earn(&self.ask.service);
                 self.end = Some(Ok(finish));
             }
             Action::Refuse(refusal) => self.end = Some(Err(refusal)),
--- a/crates/roseshored/src/answer/hands.rs
+++ b/crates/roseshored/src/answer/hands.rs
@@ -5,10 +5,8 @@
 use roseshore_core::answer::{Failure, Health, Input, Move};
 use roseshore_core::cost::Rates;
 use roseshore_core::prelude::*;
-use roseshore_core::retry::Budget;
 use roseshore_ports::outside::{CallError, Called, Engine, StreamItem};
 use roseshore_wire::engine::{Cancel, Generate, KvExport, Stage};
-use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
 
@@ -20,20 +18,17 @@
 /// How long a cancel may take.
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 
-/// Threads are the process's, and so are what its links were seen to take and what its services may
-/// spend on retries.
+/// Threads are the process's, and so is what its links were seen to take.
 static SHARED: LazyLock<Shared> = LazyLock::new(|| Shared {
     opens: Pool::new("answer-open", OPENS),
     controls: Pool::new("answer-control", CONTROLS),
     rates: Mutex::new(Rates::default()),
-    budgets: Mutex::default(),
 });
 
 struct Shared {
     opens: Pool,
     controls: Pool,
     rates: Mutex<Rates>,
-    budgets: Mutex<FxHashMap<ServiceId, Budget>>,
 }
 
 /// What a call reports to the answer's driver.
@@ -58,21 +53,6 @@
     SHARED.rates.lock().clone()
 }
 
-/// Whether a service may pay for one more retry; if so, it has.
-pub(super) fn pay(service: &ServiceId) -> bool {
-    let mut budgets = SHARED.budgets.lock();
-    budgets.entry(service.clone()).or_default().spend(Instant::now())
-}
-
-/// A service answered whole.
-pub(super) fn earn(service: &ServiceId) {
-    let mut budgets = SHARED.budgets.lock();
-    match budgets.get_mut(service) {
-        Some(budget) => budget.earn(),
-        None => budgets.entry(service.clone()).or_default().earn(),
-    }
-}
-
 /// The hands of one answer.
 pub(super) struct Hands {
     engine: Arc<dyn Engine>,
--- a/crates/roseshored/src/app.rs
+++ b/crates/roseshored/src/app.rs
@@ -1,5 +1,6 @@
 //! The parts of a running daemon.
 
+use crate::budgets::Budgets;
 use roseshore_ports::inside::{Claims, Fleets, Gate, Ledger, MemberState, Members, Router};
 use roseshore_ports::outside::{Engine, Services};
 use std::sync::Arc;
@@ -24,6 +25,8 @@
     pub engine: Arc<dyn Engine>,
     /// Plain and lookup services.
     pub services: Arc<dyn Services>,
+    /// What services may spend on retries.
+    pub budgets: Arc<Budgets>,
     /// Whether this daemon takes no new work.
     pub drain: Arc<Drain>,
 }
--- a/crates/roseshored/src/calls.rs
+++ b/crates/roseshored/src/calls.rs
@@ -7,22 +7,15 @@
 
 use crate::app::App;
 use crate::claims::Won;
-use parking_lot::Mutex;
 use roseshore_core::prelude::*;
-use roseshore_core::retry::Budget;
 use roseshore_ports::inside::{Ask, Begin, Outcome, Replica};
 use roseshore_ports::outside::{CallError, Hop, ServiceReply};
-use rustc_hash::FxHashMap;
-use std::sync::LazyLock;
 
 /// Replicas that one call is offered to at most.
 const ATTEMPTS: usize = 4;
 /// When callers are told to come back where the target does not say.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// The retry budgets of this process, by service.
-static BUDGETS: LazyLock<Mutex<FxHashMap<ServiceId, Budget>>> = LazyLock::new(Mutex::default);
-
 /// The end of a call that ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallEnd {
@@ -136,17 +129,11 @@
     }
 
     fn may_retry(&self, verdict: Verdict) -> bool {
-        if !verdict.may_retry(self.idempotent) {
-            return false;
-        }
-        let mut budgets = BUDGETS.lock();
-        budgets.entry(self.ask.service.clone()).or_default().spend(Instant::now())
+        verdict.may_retry(self.idempotent) && self.app.budgets.spend(&self.ask.service)
     }
 
     fn answer(self, reply: ServiceReply) -> CallEnd {
-        if let Some(budget) = BUDGETS.lock().get_mut(&self.ask.service) {
-            budget.earn();
-        }
+        self.app.budgets.earn(&self.ask.service);
         if let Some(won) = self.won {
             let (status, content) = (reply.status, reply.content.clone());
             let body = reply.body.clone();
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod app;
+pub mod budgets;
 pub mod calls;
 pub mod claims;
 pub mod drain;
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -183,6 +183,7 @@
             members,
             engine: ground.outside.engine,
             services: ground.outside.services,
+            budgets: Arc::default(),
             drain: ground.drain,
         };
         Ok(Parts {
--- a/crates/roseshored/tests/answer/bed.rs
+++ b/crates/roseshored/tests/answer/bed.rs
@@ -94,7 +94,7 @@
         let pace = PaceRules { open: Duration::from_millis(800), ..PaceRules::default() };
         let rules = Rules { pace, attempts: 6, ..Rules::default() };
         let engine = Arc::new(EngineClient::new());
-        let parts = Parts { router: router.clone(), engine, rules };
+        let parts = Parts { router: router.clone(), engine, budgets: Arc::default(), rules };
         let service = engines[0][0].addr().to_string();
         Bed { service, engines, router, parts, asked: AtomicU32::new(1) }
     }
--- a/crates/roseshored/tests/calls.rs
+++ b/crates/roseshored/tests/calls.rs
@@ -211,6 +211,23 @@
     }
 }
 
+/// Two daemons in one process do not spend each other's budget.
+#[test]
+fn a_budget_is_its_daemons_own() {
+    let attempts = |calls: usize| {
+        let script = Mutex::new(VecDeque::from(vec![Does::Loses; 3 * calls]));
+        let replicas = Arc::new(Replicas { script, keys: Mutex::default() });
+        let claims = Arc::new(FakeClaims { key: Mutex::new(Key1::Win), calls: Mutex::default() });
+        let app = app("shared", true, claims, replicas.clone());
+        for _ in 0..calls {
+            calls::run(&app, &ask("shared"), b"", None, 7, None).expect_err("every reply is lost");
+        }
+        replicas.keys.lock().len()
+    };
+    assert!(attempts(50) < 150, "the budget of the first one is spent");
+    assert_eq!(attempts(1), 3, "the second one has a full one");
+}
+
 #[test]
 fn a_call_past_its_deadline_is_not_sent() {
     let claims = Arc::new(FakeClaims { key: Mutex::new(Key1::Win), calls: Mutex::default() });
@@ -246,6 +263,7 @@
         members: Arc::new(Alone::new(&fakes::settings(&[]))),
         engine: Arc::new(FakeEngine { play: Mutex::new(Play::Whole(1)), opened: Mutex::default() }),
         services,
+        budgets: Arc::default(),
         drain: Arc::new(Drain::default()),
     }
 }
--- a/crates/roseshored/tests/rollout.rs
+++ b/crates/roseshored/tests/rollout.rs
@@ -101,7 +101,12 @@
         old.faults().set(case.faults);
         let router = Changing { old: Mutex::new(Some(old.stage())), new: new.stage() };
         let engine = Arc::new(EngineClient::new());
-        let parts = Parts { router: Arc::new(router), engine, rules: Rules::default() };
+        let parts = Parts {
+            router: Arc::new(router),
+            engine,
+            budgets: Arc::default(),
+            rules: Rules::default(),
+        };
         let prompt = vec!["review".to_owned(), "plate".to_owned()];
         let work = AnswerAsk {
             model: "m".into(),
--- a/crates/roseshored/tests/support/fakes.rs
+++ b/crates/roseshored/tests/support/fakes.rs
@@ -442,6 +442,7 @@
         members: Arc::new(Alone::new(&settings)),
         engine: engine.clone(),
         services: Arc::new(Absent),
+        budgets: Arc::default(),
         drain: drain.clone(),
     };
     let running = roseshored::start(&settings, app, None).expect("start");
