Kept connections hold 16 KiB buffers in place of 128 KiB

Cause: a polled target cost a daemon 0.28 to 0.30 MB, since each kept connection holds two of the library's buffers of 128 KiB. Ruled out: the tables of routing (1.1 KB a target) and of the fold (0.8 KB). Change: 16 KiB for each; report and heads of replies are below 1 KiB, longer bodies come in parts. Measured (scripts/capacity.sh, polling, one daemon at rest, resident): 10, 20, 40, 80 targets: 12.6, 15.2, 20.8, 33.2 MB before; 9.2, 9.5, 10.5, 12.2 MB after. Slope 0.30 to 0.044 MB a target. Processor time did not change (23.0 and 23.8% of a core at 80 targets), so buffers are not the cause of its growth; by its source the library's pool counts positions of all kept connections anew for each call, which is a square of their number.

--- a/crates/roseshore_adapters/src/agent.rs
+++ b/crates/roseshore_adapters/src/agent.rs
@@ -18,6 +18,10 @@
 };
 use ureq::{Agent, Error};
 
+/// Bytes of each of the two buffers that a connection holds for as long as it is kept. With the
+/// library's 128 KiB they were nearly all the memory that a polled target costs.
+const BUFFER: usize = 16 << 10;
+
 /// How many connections are kept without use, and how long.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Kept {
@@ -41,6 +45,8 @@
         .max_idle_connections(kept.all)
         .max_idle_connections_per_host(kept.each)
         .max_idle_age(kept.age)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .build();
     Agent::with_parts(config, Dial, NumericResolver)
 }
