Spare engines take the layers that are lost or in most demand

Targets held what was declared, whatever was lost or in demand. An engine declared with neither a model nor layers, which was left alone before, is spare now: `order::placement` gives it one range of layers of its data centre, and the giver brings it there within its bounds (whole chains, answers in flight, the weight store's rate). No field was added; fleets whose engines all name their layers see no change.

Refusals are not counted as demand, and the bounds are not measured.

--- a/crates/roseshore_core/src/fleet.rs
+++ b/crates/roseshore_core/src/fleet.rs
@@ -128,7 +128,8 @@
     /// The service source it serves, for [`TargetKind::Service`]: `service` or `service/source`.
     #[serde(default)]
     pub serves: Option<String>,
-    /// The model it should hold, for [`TargetKind::Engine`]; placement may order another.
+    /// The model it should hold, for [`TargetKind::Engine`]; one without model and layers is spare,
+    /// see [`crate::order::placement`].
     #[serde(default)]
     pub model: Option<ModelId>,
     /// The layers it should hold, first and one past the last.
--- a/crates/roseshore_core/src/order.rs
+++ b/crates/roseshore_core/src/order.rs
@@ -4,9 +4,10 @@
 //! ([`lease`]); the lease record's offset is the fencing number that every order carries. What a
 //! target should hold comes from the declared fleet ([`desired`]), and [`giver`] decides which
 //! orders go out now, so that a change keeps a whole chain in service and stays within the
-//! weight store's rate. [`rollout`] says which version new answers use meanwhile.
+//! weight store's rate. [`rollout`] says which version new answers use meanwhile, and [`placement`] what spare engines should hold.
 
 pub mod desired;
 pub mod giver;
 pub mod lease;
+pub mod placement;
 pub mod rollout;
--- a/crates/roseshore_core/src/order/giver.rs
+++ b/crates/roseshore_core/src/order/giver.rs
@@ -33,6 +33,10 @@
     pub serves: bool,
     /// Answers that it works on.
     pub running: u32,
+    /// Answers that wait there.
+    pub queue: u32,
+    /// Steps that run at once.
+    pub slots: u32,
 }
 
 impl Seen {
--- a/crates/roseshore_core/tests/giver.rs
+++ b/crates/roseshore_core/tests/giver.rs
@@ -28,6 +28,8 @@
         loading: false,
         serves: true,
         running: 0,
+        queue: 0,
+        slots: 8,
     }
 }
 
--- a/crates/roseshored/src/orders.rs
+++ b/crates/roseshored/src/orders.rs
@@ -9,9 +9,10 @@
 use crate::event;
 use crate::stream::{Met, read_on};
 use parking_lot::Mutex;
-use roseshore_core::order::desired::desired;
+use roseshore_core::order::desired::{desired, spares};
 use roseshore_core::order::giver::{Due, Giver, GiverBounds, Seen, Step, Store};
 use roseshore_core::order::lease::{LeaseRecord, LeaseTimes, Leaser};
+use roseshore_core::order::placement::{Placement, PlacementBounds};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Fleets, Members, Report, ReportContent, Reports};
 use roseshore_ports::outside::{CallError, Engine, Log, WeightStore};
@@ -34,6 +35,8 @@
     pub lease: LeaseTimes,
     /// Those of the choice of orders.
     pub giver: GiverBounds,
+    /// Those of the placement of spare engines.
+    pub placement: PlacementBounds,
     /// A report older than this says nothing about what a target holds.
     pub fresh: Duration,
     /// How long a target has to answer an order; the lease's margin covers it.
@@ -45,6 +48,7 @@
         OrderTimes {
             lease: LeaseTimes::default(),
             giver: GiverBounds::default(),
+            placement: PlacementBounds::default(),
             fresh: Duration::from_secs(3),
             flight: Duration::from_secs(1),
         }
@@ -77,6 +81,8 @@
     data_centre: DataCentreId,
     leaser: Arc<Mutex<Leaser>>,
     giver: Giver,
+    bounds: PlacementBounds,
+    placement: Placement,
     fresh: Duration,
     holding: bool,
     sender: Sender,
@@ -93,6 +99,8 @@
             stream: format!("orders-{}", own.data_centre),
             data_centre: own.data_centre,
             giver: Giver::new(times.giver),
+            bounds: times.placement,
+            placement: Placement::new(times.placement),
             fresh: times.fresh,
             holding: false,
             parts,
@@ -166,7 +174,11 @@
             (false, Some(fence)) => {
                 event!(Event::LeaseTaken, "stream={} fence={fence}", self.stream);
             }
-            (true, None) => event!(Event::LeaseLost, "stream={}", self.stream),
+            (true, None) => {
+                event!(Event::LeaseLost, "stream={}", self.stream);
+                // Another holder may move spares meanwhile.
+                self.placement = Placement::new(self.bounds);
+            }
             _ => {}
         }
         self.holding = fence.is_some();
@@ -186,8 +198,11 @@
 
     fn give(&mut self) {
         let Some(fleet) = self.parts.fleets.current() else { return };
-        let wants = desired(&fleet.fleet, &self.data_centre);
+        let mut wants = desired(&fleet.fleet, &self.data_centre);
         let seen = seen(&self.parts.reports.newest(), Instant::now(), self.fresh);
+        let spares = spares(&fleet.fleet, &self.data_centre);
+        let placed = self.placement.place(Instant::now(), &wants, &spares, &seen);
+        wants.extend(placed);
         let store = self.parts.weights.weights().ok();
         let store = store.map(|s| Store { rate: s.rate, backlog: s.backlog });
         let now = Instant::now();
@@ -230,6 +245,8 @@
         loading: holding.loading,
         serves: holding.role == Role::Both,
         running: load.running,
+        queue: load.queue,
+        slots: load.slots,
     })
 }
 
--- a/crates/roseshored/tests/orders.rs
+++ b/crates/roseshored/tests/orders.rs
@@ -278,3 +278,28 @@
         fences.len() >= 4
     });
 }
+
+/// A spare engine takes the layers of which every declared engine is lost, and keeps to them.
+#[test]
+fn a_spare_takes_lost_layers() {
+    let mut bed = Bed::start(true);
+    let mut daemons = [bed.daemon("h0", long())];
+    wait("the lease", || {
+        rounds(&mut daemons);
+        daemons[0].orders.fence().is_some()
+    });
+    bed.engines[1].stop();
+    (0..30).for_each(|_| rounds(&mut daemons));
+    assert_eq!(bed.spare.stats().orders, 0, "the other chain has these layers");
+    bed.engines[3].stop();
+    wait("the spare's load", || {
+        rounds(&mut daemons);
+        holds(&bed.spare, "v1") && bed.spare.holding().layers == (2, 4)
+    });
+    declare(&daemons, &bed, "v2");
+    wait("the change of the spare with its model", || {
+        rounds(&mut daemons);
+        holds(&bed.spare, "v2")
+    });
+    assert_eq!(bed.spare.stats().loads, 2);
+}
--- a/crates/roseshored/tests/orders/bed.rs
+++ b/crates/roseshored/tests/orders/bed.rs
@@ -6,6 +6,7 @@
 use roseshore_core::fleet::TargetKind;
 use roseshore_core::order::giver::GiverBounds;
 use roseshore_core::order::lease::LeaseTimes;
+use roseshore_core::order::placement::PlacementBounds;
 use roseshore_core::prelude::*;
 use roseshore_fakes::engine::{EngineFake, EngineSettings};
 use roseshore_fakes::platform::{PlatformFake, PlatformSettings};
@@ -27,12 +28,14 @@
 pub(crate) const LAYERS: Layer = 4;
 const RANGES: [(Layer, Layer); 2] = [(0, 2), (2, 4)];
 const CHAINS: usize = 2;
+const SPARE: &str = "spare";
 
 pub(crate) fn times(ttl: Duration) -> OrderTimes {
     let lease = LeaseTimes { ttl, renew: ttl * 2 / 3, margin: ttl / 4, settle: ttl / 8 };
     let soon = Duration::from_millis(100);
     let giver = GiverBounds { again: soon, quiet: soon, ..GiverBounds::default() };
-    OrderTimes { lease, giver, ..OrderTimes::default() }
+    let placement = PlacementBounds { hold: soon, ..PlacementBounds::default() };
+    OrderTimes { lease, giver, placement, ..OrderTimes::default() }
 }
 
 /// One daemon's view of the configuration.
@@ -183,6 +186,8 @@
 pub(crate) struct Bed {
     pub(crate) platform: PlatformFake,
     pub(crate) engines: Vec<EngineFake>,
+    /// An engine that is declared with neither a model nor layers.
+    pub(crate) spare: EngineFake,
     checks: bool,
 }
 
@@ -202,7 +207,9 @@
             };
             EngineFake::start(settings).expect("starts")
         };
-        Bed { platform, engines: (0..CHAINS * 2).map(engine).collect(), checks }
+        let spare = EngineSettings { target: SPARE.into(), ..EngineSettings::default() };
+        let spare = EngineFake::start(spare).expect("starts");
+        Bed { platform, engines: (0..CHAINS * 2).map(engine).collect(), spare, checks }
     }
 
     fn fleet(&self, version: &str) -> Arc<Fleet> {
@@ -216,21 +223,30 @@
         fleet.models.insert("m".into(), model);
         for (at, engine) in self.engines.iter().enumerate() {
             let target = Target {
-                kind: TargetKind::Engine,
-                host: format!("host-{at}"),
-                data_centre: "north".into(),
-                addr: engine.addr(),
-                serves: None,
                 model: Some("m".into()),
                 layers: Some(RANGES[at % 2]),
-                accelerator: None,
-                checks_fence: self.checks,
+                ..self.target(engine)
             };
             fleet.targets.insert(name(at), target);
         }
+        fleet.targets.insert(SPARE.into(), self.target(&self.spare));
         Arc::new(fleet)
     }
 
+    fn target(&self, engine: &EngineFake) -> Target {
+        Target {
+            kind: TargetKind::Engine,
+            host: "host".into(),
+            data_centre: "north".into(),
+            addr: engine.addr(),
+            serves: None,
+            model: None,
+            layers: None,
+            accelerator: None,
+            checks_fence: self.checks,
+        }
+    }
+
     /// A daemon that sees version `v1` in force and itself first.
     pub(crate) fn daemon(&self, host: &str, times: OrderTimes) -> Daemon {
         let platform = || Arc::new(HttpPlatform::new(self.platform.addr(), Duration::from_secs(1)));
@@ -240,6 +256,7 @@
         let order = Mutex::new(vec![host.to_owned()]);
         let ranks = Arc::new(Ranks { own: host.into(), order });
         let addrs = self.engines.iter().enumerate().map(|(at, e)| (name(at), e.addr()));
+        let addrs = addrs.chain([(SPARE.to_owned(), self.spare.addr())]);
         let parts = OrderParts {
             log: platform(),
             engine: gate.clone(),
