Late orders in the contract test are counted as they are in hand

One of the runs of the whole suite failed at `a_late_order_of_a_paused_ holder` ("two refusals" in vain): on a busy machine the holder had given an order twice before it was paused, as it should, so there were more than two refusals.

--- a/crates/roseshored/tests/orders.rs
+++ b/crates/roseshored/tests/orders.rs
@@ -170,11 +170,13 @@
             bed.all("v3")
         });
         let successor = bed.engines[0].holding().fence;
+        let hand = *first.gate.waiting.lock();
         first.gate.shut(false);
         wait("the late orders", || *first.gate.waiting.lock() == 0);
         let late = || bed.engines[..2].iter().any(|e| e.holding().version.as_deref() != Some("v3"));
         if case.checks {
-            wait("two refusals", || first.gate.refused.lock().as_slice() == [412, 412]);
+            // Orders are repeated, so that there may be more of them than targets.
+            wait("a refusal of each", || *first.gate.refused.lock() == vec![412; hand]);
             assert!(bed.all("v3"), "{name}: nothing has changed");
             assert_eq!(bed.engines[0].holding().fence, successor, "{name}");
         } else {
