Standard names for admission, capacity, digests and progress

Cause: some names were metaphors that a newcomer has to look up. Renamed mechanically, without a change of behaviour: - `Door` is `AdmissionDriver`, as the other drivers are called; `Room` and `Rooms` are `Capacity` and `CapacitySource`; `Turn` is `Decision`; `share::Heard`, `Words` and `Meter` are `PeerDemand`, `PeerDemands` and `DemandMeter`. Metrics `roseshore_door_*` are `roseshore_admission_*`. - `Hearsay` is `MemberDigest`: the entries of the digest between data centres. - `Word` (how far a daemon has folded) is `Progress`; the reader's `Turn` is `Transition`. - `Hands` (calls on behalf of an answer) is `Calls`; `Meter` there is `PaceMeter`.

Tests change in names only.

Run: core, and gate, members, fleets, answer, routing, loads of the daemon pass.

--- a/crates/roseshore_bench/src/capacity/states.rs
+++ b/crates/roseshore_bench/src/capacity/states.rs
@@ -7,7 +7,7 @@
 use super::{ACCELERATORS, CENTRES, DAEMONS, ORGANISATIONS, REPLICAS, Series, usage};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use roseshore_core::admit::{Admission, Arrival, Entry, Room};
+use roseshore_core::admit::{Admission, Arrival, Capacity, Entry};
 use roseshore_core::config::{
     Change, Command, FORMAT, Judged, Object, ObjectKey, Outcome as Folding, State,
 };
@@ -471,7 +471,7 @@
     }
     let door = |n: usize| {
         let mut door = Admission::default();
-        door.fit("chat", Room { slots: 1e6, busy: 0.0 });
+        door.fit("chat", Capacity { slots: 1e6, busy: 0.0 });
         for id in &ids[..n] {
             arrive(&mut door, &fleet, id, now);
         }
--- a/crates/roseshore_core/examples/route_compare.rs
+++ b/crates/roseshore_core/examples/route_compare.rs
@@ -1,12 +1,12 @@
 //! Compares ways to choose a chain, by their decisions only: targets are queues in virtual time.
 //!
 //! Today's size: 30 engines in three data centres, three pieces of twelve layers, three kinds of
-//! accelerators, 8 daemons that share late reports. Every way stands behind the same door. Figures
+//! accelerators, 8 daemons that share late reports. Every way stands behind the same admission. Figures
 //! of one seeded run each; `cargo run --release -p roseshore_core --example route_compare`.
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use roseshore_core::admit::{Admission, Arrival, Entry, Pass, Turn};
+use roseshore_core::admit::{Admission, Arrival, Decision, Entry, Pass};
 use roseshore_core::fleet::{DataCentre, ServiceKind, TargetKind};
 use roseshore_core::load::{Content, EngineState, Index, Ticket};
 use roseshore_core::prelude::*;
@@ -83,7 +83,7 @@
     engines: Vec<Engine>,
     jobs: Vec<Job>,
     routers: Vec<Router>,
-    doors: Vec<Admission>,
+    admissions: Vec<Admission>,
     waits: Vec<HashMap<u64, usize>>,
     fleet: Fleet,
     random: SmallRng,
@@ -158,7 +158,7 @@
             engines,
             jobs: Vec::new(),
             routers,
-            doors: (0..DAEMONS).map(|_| Admission::default()).collect(),
+            admissions: (0..DAEMONS).map(|_| Admission::default()).collect(),
             waits: vec![HashMap::new(); DAEMONS],
             fleet,
             random: SmallRng::seed_from_u64(99),
@@ -322,11 +322,11 @@
         }
         let router = self.router(daemon);
         self.routers[router].end(&ticket, self.now);
-        let turns = self.doors[daemon].leave(pass, self.now, 0.5);
+        let turns = self.admissions[daemon].leave(pass, self.now, 0.5);
         self.turns(daemon, turns);
     }
 
-    fn turns(&mut self, daemon: usize, turns: Vec<Turn>) {
+    fn turns(&mut self, daemon: usize, turns: Vec<Decision>) {
         for turn in turns {
             let job = self.waits[daemon].remove(&turn.waiter).unwrap();
             if let Ok(pass) = turn.end {
@@ -363,7 +363,7 @@
             priority: 4,
             cost: tokens,
         };
-        match self.doors[daemon].arrive(&self.fleet, &who, self.now, 0.5) {
+        match self.admissions[daemon].arrive(&self.fleet, &who, self.now, 0.5) {
             Entry::In(pass) => self.begin(job, pass),
             Entry::Out(_) => {}
             Entry::Wait(waits) => {
@@ -389,12 +389,12 @@
             avoid: &[],
         };
         for daemon in 0..DAEMONS {
-            self.doors[daemon].tick(DAEMONS, self.now);
+            self.admissions[daemon].tick(DAEMONS, self.now);
             let router = self.router(daemon);
-            if let Some(room) = self.routers[router].chain_room(&need, self.now) {
-                self.doors[daemon].fit("s", room);
+            if let Some(room) = self.routers[router].chain_capacity(&need, self.now) {
+                self.admissions[daemon].fit("s", room);
             }
-            let turns = self.doors[daemon].advance("s", self.now, 0.5);
+            let turns = self.admissions[daemon].advance("s", self.now, 0.5);
             self.turns(daemon, turns);
         }
     }
@@ -416,7 +416,7 @@
                 Event::Poll => self.poll(),
                 Event::Deliver(depths) => self.report(&depths, time),
                 Event::GiveUp(daemon, waiter) => {
-                    if self.doors[daemon].give_up(waiter, 0.5).is_some() {
+                    if self.admissions[daemon].give_up(waiter, 0.5).is_some() {
                         self.waits[daemon].remove(&waiter);
                     }
                 }
--- a/crates/roseshore_core/examples/route_cost.rs
+++ b/crates/roseshore_core/examples/route_cost.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use roseshore_core::admit::{Admission, Arrival, Entry, Room};
+use roseshore_core::admit::{Admission, Arrival, Capacity, Entry};
 use roseshore_core::fleet::{DataCentre, ServiceKind, TargetKind};
 use roseshore_core::load::{Content, EngineState, Index};
 use roseshore_core::prelude::*;
@@ -114,7 +114,7 @@
     let mut random = SmallRng::seed_from_u64(3);
     let ids: Vec<String> =
         (0..2000).map(|_| format!("o{}", random.random_range(0..33_000))).collect();
-    door.fit("lookup", Room { slots: 64.0, busy: 0.0 });
+    door.fit("lookup", Capacity { slots: 64.0, busy: 0.0 });
     time(ROUNDS, |round| {
         let who = Arrival {
             organisation: &ids[round % ids.len()],
--- a/crates/roseshore_core/src/admit.rs
+++ b/crates/roseshore_core/src/admit.rs
@@ -16,7 +16,7 @@
 use bucket::Bucket;
 use line::{Joined, Line};
 use rustc_hash::FxHashMap;
-use share::{Demand, Demands, Heard, Meter};
+use share::{Demand, DemandMeter, Demands, PeerDemand};
 
 /// The place of an active organisation.
 pub type OrgIndex = u32;
@@ -32,7 +32,7 @@
 /// Organisations in a summary for other daemons.
 const TOP: usize = 32;
 
-/// A request at the door.
+/// A request that asks for admission.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival<'a> {
     /// The customer.
@@ -74,22 +74,22 @@
     pub waiter: Waiter,
     /// When to give up at the latest.
     pub until: Instant,
-    /// Another that had to make room for it.
-    pub displaced: Option<Turn>,
+    /// Another that was displaced by it.
+    pub displaced: Option<Decision>,
 }
 
 /// The end of a wait.
 #[derive(Debug, PartialEq)]
-pub struct Turn {
+pub struct Decision {
     /// Who waited.
     pub waiter: Waiter,
     /// Its place, or why it gets none.
     pub end: Result<Pass, Refusal>,
 }
 
-/// The room behind a service, as the targets report it.
+/// The capacity of a service, as the targets report it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Room {
+pub struct Capacity {
     /// Requests that all its targets serve at once.
     pub slots: f64,
     /// Requests there now, of all daemons.
@@ -101,12 +101,12 @@
     id: OrganisationId,
     limits: Organisation,
     bucket: Bucket,
-    meter: Meter,
+    meter: DemandMeter,
     part: f64,
     inside: u32,
 }
 
-/// The door of one daemon.
+/// Admission at one daemon.
 #[derive(Debug)]
 pub struct Admission {
     names: FxHashMap<OrganisationId, OrgIndex>,
@@ -114,7 +114,7 @@
     free: Vec<OrgIndex>,
     lines: FxHashMap<ServiceId, Line>,
     waiting: FxHashMap<Waiter, ServiceId>,
-    heard: share::Words,
+    heard: share::PeerDemands,
     daemons: usize,
     next: Waiter,
 }
@@ -127,7 +127,7 @@
             free: Vec::new(),
             lines: FxHashMap::default(),
             waiting: FxHashMap::default(),
-            heard: share::Words::default(),
+            heard: share::PeerDemands::default(),
             daemons: 1,
             next: 0,
         }
@@ -196,16 +196,16 @@
         Entry::Wait(Waits { waiter: item.waiter, until, displaced })
     }
 
-    fn displace(&mut self, service: &str, item: &fair::Item, spread: f64) -> Turn {
+    fn displace(&mut self, service: &str, item: &fair::Item, spread: f64) -> Decision {
         self.waiting.remove(&item.waiter);
         self.outside(item.org);
         let line = self.lines.get(service);
         let wait = line.map_or(Duration::ZERO, |l| l.wait(item));
-        Turn { waiter: item.waiter, end: Err(queue_full(service, wait, spread)) }
+        Decision { waiter: item.waiter, end: Err(queue_full(service, wait, spread)) }
     }
 
     /// Takes a place back and says who may come in now.
-    pub fn leave(&mut self, pass: Pass, now: Instant, spread: f64) -> Vec<Turn> {
+    pub fn leave(&mut self, pass: Pass, now: Instant, spread: f64) -> Vec<Decision> {
         self.outside(pass.org);
         if let Some(line) = self.lines.get_mut(&pass.service) {
             line.left(pass.org, pass.cost, now.saturating_duration_since(pass.begun));
@@ -224,12 +224,12 @@
     }
 
     /// Lets in whom the limit of a service allows.
-    pub fn advance(&mut self, service: &str, now: Instant, spread: f64) -> Vec<Turn> {
+    pub fn advance(&mut self, service: &str, now: Instant, spread: f64) -> Vec<Decision> {
         let mut turns = Vec::new();
         while let Some(item) = self.lines.get_mut(service).and_then(Line::call_next) {
             self.waiting.remove(&item.waiter);
             let end = self.seat(service, &item, now, spread);
-            turns.push(Turn { waiter: item.waiter, end });
+            turns.push(Decision { waiter: item.waiter, end });
         }
         turns
     }
@@ -259,11 +259,11 @@
         self.lines.keys()
     }
 
-    /// Fits a service's limit to the room that its targets report.
-    pub fn fit(&mut self, service: &str, room: Room) {
+    /// Fits a service's limit to the capacity that its targets report.
+    pub fn fit(&mut self, service: &str, capacity: Capacity) {
         let daemons = self.daemons as f64;
         if let Some(line) = self.lines.get_mut(service) {
-            line.fit(room, daemons);
+            line.fit(capacity, daemons);
         }
     }
 
@@ -298,7 +298,7 @@
 
     /// Takes another daemon's demand.
     pub fn heard(&mut self, host: &HostId, demands: &Demands, now: Instant) {
-        self.heard.insert(host.clone(), Heard::new(demands, now));
+        self.heard.insert(host.clone(), PeerDemand::new(demands, now));
     }
 
     /// Organisations that state is kept for.
@@ -318,7 +318,7 @@
         let limits = fleet.organisations.get(id)?.clone();
         let part = share::part(0.0, id, &self.heard, self.daemons);
         let bucket = Bucket::full_of(limits.burst * part, now);
-        let meter = Meter::new(now);
+        let meter = DemandMeter::new(now);
         let org = Org { id: id.to_owned(), limits, bucket, meter, part, inside: 0 };
         let index = self.free.pop().unwrap_or(self.orgs.len() as OrgIndex);
         if index as usize == self.orgs.len() {
--- a/crates/roseshore_core/src/admit/limit.rs
+++ b/crates/roseshore_core/src/admit/limit.rs
@@ -5,7 +5,7 @@
 //! the targets have room takes more, a little at a time; all give way when the targets fill up. That
 //! is additive increase and multiplicative decrease, under which unequal parts converge.
 
-use super::Room;
+use super::Capacity;
 
 /// The limit before any target has reported.
 const UNKNOWN: f64 = 256.0;
@@ -37,21 +37,21 @@
         self.value as usize
     }
 
-    /// Fits it to the room reported, divided among `daemons`; `waiters` says whether any wait here.
-    pub fn fit(&mut self, room: Room, daemons: f64, waiters: bool) {
-        if room.slots <= 0.0 {
+    /// Fits it to the capacity reported, divided among `daemons`; `waiters` says whether any wait here.
+    pub fn fit(&mut self, capacity: Capacity, daemons: f64, waiters: bool) {
+        if capacity.slots <= 0.0 {
             return;
         }
-        let equal = (room.slots * SLACK / daemons).max(1.0);
+        let equal = (capacity.slots * SLACK / daemons).max(1.0);
         if !self.known {
             self.known = true;
             self.value = equal;
         }
-        if room.busy > room.slots * FULL {
+        if capacity.busy > capacity.slots * FULL {
             self.value *= BACK;
         } else if waiters {
             self.value += (equal * GROWTH).max(1.0);
         }
-        self.value = self.value.clamp((equal / 2.0).max(1.0), (room.slots * FULL).max(1.0));
+        self.value = self.value.clamp((equal / 2.0).max(1.0), (capacity.slots * FULL).max(1.0));
     }
 }
--- a/crates/roseshore_core/src/admit/line.rs
+++ b/crates/roseshore_core/src/admit/line.rs
@@ -2,7 +2,7 @@
 
 use super::fair::{FairQueue, Item};
 use super::limit::Limit;
-use super::{OrgIndex, Room, Waiter};
+use super::{Capacity, OrgIndex, Waiter};
 use rustc_hash::FxHashMap;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 const RATE: f64 = 0.05;
 
 /// The part of requests that take no longer than the time inside that a deadline is held against.
-/// A mean would let a few slow targets shut the door to all.
+/// A mean would let a few slow targets lock all out.
 const QUICK: f64 = 0.3;
 
 /// One place in so many is kept free of organisations that have their share already.
@@ -25,7 +25,7 @@
 pub enum Joined {
     /// It is in at once.
     In,
-    /// It waits, until this time at most; another may have had to make room.
+    /// It waits, until this time at most; another may have been displaced.
     Waits(Instant, Option<Item>),
     /// It could not make its deadline; the predicted wait.
     Late(Duration),
@@ -167,9 +167,9 @@
         self.pass(self.queue.all(item) + item.cost)
     }
 
-    /// Fits the limit to the room of the targets.
-    pub fn fit(&mut self, room: Room, daemons: f64) {
-        self.limit.fit(room, daemons, !self.queue.is_empty());
+    /// Fits the limit to the capacity of the targets.
+    pub fn fit(&mut self, capacity: Capacity, daemons: f64) {
+        self.limit.fit(capacity, daemons, !self.queue.is_empty());
     }
 
     /// Whether nobody is inside or waits.
--- a/crates/roseshore_core/src/admit/share.rs
+++ b/crates/roseshore_core/src/admit/share.rs
@@ -2,14 +2,14 @@
 //!
 //! A limit holds for the whole system, but nobody counts centrally. Each daemon takes the part that
 //! its own demand has in the demand it has heard of. A daemon that was not heard of counts as if
-//! it had the same demand as this one, so that without any word each takes an equal part.
+//! it had the same demand as this one, so that without any report each takes an equal part.
 
 use crate::ids::*;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// How long another daemon's word counts.
+/// How long another daemon's demand counts.
 const FRESH: Duration = Duration::from_secs(5);
 /// Time constant of the measured demand.
 const MEMORY: Duration = Duration::from_secs(5);
@@ -35,21 +35,21 @@
 }
 
 /// What each other daemon said last.
-pub type Words = FxHashMap<HostId, Heard>;
+pub type PeerDemands = FxHashMap<HostId, PeerDemand>;
 
 /// What another daemon said.
 #[derive(Clone, Debug)]
-pub struct Heard {
+pub struct PeerDemand {
     rates: FxHashMap<OrganisationId, f64>,
     at: Instant,
 }
 
-impl Heard {
-    /// Its word at `now`.
-    pub fn new(demands: &Demands, now: Instant) -> Heard {
+impl PeerDemand {
+    /// Its demand at `now`.
+    pub fn new(demands: &Demands, now: Instant) -> PeerDemand {
         let rates = demands.organisations.iter();
         let rates = rates.map(|d| (d.organisation.clone(), f64::from(d.rate))).collect();
-        Heard { rates, at: now }
+        PeerDemand { rates, at: now }
     }
 
     /// Whether it still counts.
@@ -60,15 +60,15 @@
 
 /// Measures the requests a second of one organisation.
 #[derive(Clone, Copy, Debug)]
-pub struct Meter {
+pub struct DemandMeter {
     rate: f64,
     last: Instant,
 }
 
-impl Meter {
+impl DemandMeter {
     /// No demand yet.
-    pub fn new(now: Instant) -> Meter {
-        Meter { rate: 0.0, last: now }
+    pub fn new(now: Instant) -> DemandMeter {
+        DemandMeter { rate: 0.0, last: now }
     }
 
     /// One more request.
@@ -90,7 +90,7 @@
 }
 
 /// The part of an organisation's limits that this daemon may give out.
-pub fn part(own: f64, id: &str, heard: &Words, daemons: usize) -> f64 {
+pub fn part(own: f64, id: &str, heard: &PeerDemands, daemons: usize) -> f64 {
     let own = own + FLOOR;
     let known = heard.len().min(daemons.saturating_sub(1));
     let others: f64 = heard.values().map(|h| FLOOR + h.rates.get(id).copied().unwrap_or(0.0)).sum();
--- a/crates/roseshore_core/src/answer/meter.rs
+++ b/crates/roseshore_core/src/answer/meter.rs
@@ -7,15 +7,15 @@
 
 /// The gaps between tokens of one route.
 #[derive(Debug, Default)]
-pub struct Meter {
+pub struct PaceMeter {
     since: Option<Instant>,
     gaps: u32,
 }
 
-impl Meter {
+impl PaceMeter {
     /// Begins anew: another route, or a wait that was not the chain's.
     pub fn reset(&mut self) {
-        *self = Meter::default();
+        *self = PaceMeter::default();
     }
 
     /// Counts a token that came at `now`; the pace, once enough of them have come.
@@ -29,7 +29,7 @@
             return None;
         }
         let pace = now.saturating_duration_since(since) / self.gaps;
-        *self = Meter { since: Some(now), gaps: 0 };
+        *self = PaceMeter { since: Some(now), gaps: 0 };
         Some(pace)
     }
 }
--- a/crates/roseshore_core/src/config.rs
+++ b/crates/roseshore_core/src/config.rs
@@ -19,10 +19,10 @@
 
 pub use check::{Fault, MAX_CHANGES, MAX_ID, View, check_fleet};
 pub use command::{Change, Command, FORMAT, Kind, Object, ObjectKey};
-pub use confirm::{Spread, Word, spread};
+pub use confirm::{Progress, Spread, spread};
 pub use follower::{Follower, MAX_WAITING};
 pub use keeper::{Keep, Keeper, KeeperLimits};
-pub use reader::{Act, Peer, Puller, Reader, ReaderLimits, Turn, diverged};
+pub use reader::{Act, Peer, Puller, Reader, ReaderLimits, Transition, diverged};
 pub use snapshot::{Assembly, PART, Snapshot, SnapshotError, Tail};
 pub use state::{Author, Folded, Judged, Meta, Outcome, Reason, State, WINDOW, record_digest};
 pub use submit::{Settled, Step, Submit, Tried};
--- a/crates/roseshore_core/src/config/confirm.rs
+++ b/crates/roseshore_core/src/config/confirm.rs
@@ -3,9 +3,9 @@
 use crate::ids::*;
 use std::collections::BTreeMap;
 
-/// A daemon's word on how far it has folded.
+/// How far a daemon has folded the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Word {
+pub struct Progress {
     /// Where it is.
     pub data_centre: DataCentreId,
     /// One past the last record that it has folded.
@@ -21,19 +21,19 @@
     pub unconfirmed: Vec<DataCentreId>,
 }
 
-/// Sorts data centres by the words of their daemons on the command at `version`.
+/// Sorts data centres by the progress of their daemons on the command at `version`.
 pub fn spread<'a>(
     version: Offset,
     declared: impl IntoIterator<Item = &'a DataCentreId>,
-    words: &[Word],
+    progress: &[Progress],
 ) -> Spread {
     let mut seen: BTreeMap<&DataCentreId, Option<bool>> = BTreeMap::new();
     for id in declared {
         seen.insert(id, None);
     }
-    for word in words {
-        let all = seen.entry(&word.data_centre).or_default();
-        *all = Some(all.unwrap_or(true) && word.offset > version);
+    for one in progress {
+        let all = seen.entry(&one.data_centre).or_default();
+        *all = Some(all.unwrap_or(true) && one.offset > version);
     }
     let mut out = Spread::default();
     for (id, all) in seen {
--- a/crates/roseshore_core/src/config/reader.rs
+++ b/crates/roseshore_core/src/config/reader.rs
@@ -51,7 +51,7 @@
 
 /// A change worth an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
+pub enum Transition {
     /// The log stopped answering.
     Lost,
     /// The log answers again.
@@ -85,20 +85,20 @@
     }
 
     /// The log answered; with `more`, records are left to be read at once.
-    pub fn answered(&mut self, now: Instant, more: bool) -> Option<Turn> {
+    pub fn answered(&mut self, now: Instant, more: bool) -> Option<Transition> {
         let back = self.failures > 0;
         self.failures = 0;
         self.answered = true;
         self.due = if more { now } else { now + self.limits.backstop };
-        back.then_some(Turn::Back)
+        back.then_some(Transition::Back)
     }
 
     /// The log did not answer; `spread` in 0..1 keeps daemons from coming back together.
-    pub fn failed(&mut self, now: Instant, spread: f64) -> Option<Turn> {
+    pub fn failed(&mut self, now: Instant, spread: f64) -> Option<Transition> {
         let doubled = self.limits.pause * 2u32.saturating_pow(self.failures.min(16));
         self.failures += 1;
         self.due = now + doubled.min(self.limits.most).mul_f64(0.5 + spread / 2.0);
-        (self.failures == 1).then_some(Turn::Lost)
+        (self.failures == 1).then_some(Transition::Lost)
     }
 
     /// Whether the log answered the last time.
--- a/crates/roseshore_core/src/membership.rs
+++ b/crates/roseshore_core/src/membership.rs
@@ -17,7 +17,7 @@
 mod speakers;
 
 pub use hosts::{HostTable, Listed};
-pub use member::{Change, Hearsay, Heartbeat, Ignored, Member, MemberState};
+pub use member::{Change, Heartbeat, Ignored, Member, MemberDigest, MemberState};
 pub use rank::{Order, ranked, weight};
 pub use settings::Settings;
 pub use speakers::{Call, Speakers};
@@ -102,10 +102,10 @@
         Ok(self.refresh_one(&host, now))
     }
 
-    /// Takes what the speaker of another data centre says of its daemons.
+    /// Takes the digest of another data centre.
     ///
-    /// Word of own data centre's daemons is ignored: they are heard of directly or not at all.
-    pub fn told(&mut self, notes: Vec<Hearsay>, now: Instant) -> Vec<Change> {
+    /// Entries about own data centre are ignored: they are heard of directly or not at all.
+    pub fn told(&mut self, notes: Vec<MemberDigest>, now: Instant) -> Vec<Change> {
         self.wake(now);
         for note in notes {
             if note.beat.data_centre == self.own.data_centre {
@@ -239,9 +239,9 @@
         now < self.settled || now.saturating_duration_since(self.ticked) > self.settings.pause
     }
 
-    /// What is said to other data centres: the last heartbeats of own data centre, with ages.
-    pub fn hearsay(&self, now: Instant) -> Vec<Hearsay> {
-        let mut notes = vec![Hearsay { beat: self.own.clone(), age_ms: 0 }];
+    /// The digest for other data centres: the last heartbeats of own data centre, with ages.
+    pub fn digest(&self, now: Instant) -> Vec<MemberDigest> {
+        let mut notes = vec![MemberDigest { beat: self.own.clone(), age_ms: 0 }];
         notes[0].beat.leaving = self.leaving(&self.own.host);
         for daemon in self.daemons.values().filter(|d| self.near(d)) {
             let Some(beat) = &daemon.beat else { continue };
@@ -249,7 +249,7 @@
                 continue;
             }
             let age_ms = now.saturating_duration_since(daemon.heard).as_millis() as u32;
-            notes.push(Hearsay { beat: beat.clone(), age_ms });
+            notes.push(MemberDigest { beat: beat.clone(), age_ms });
         }
         notes
     }
--- a/crates/roseshore_core/src/membership/member.rs
+++ b/crates/roseshore_core/src/membership/member.rs
@@ -91,11 +91,11 @@
     }
 }
 
-/// What another data centre's speaker says of one of its daemons.
+/// One daemon of another data centre, in a digest.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hearsay {
+pub struct MemberDigest {
     /// The last heartbeat.
     pub beat: Heartbeat,
-    /// Its age when the speaker wrote, milliseconds.
+    /// Its age when the digest was written, milliseconds.
     pub age_ms: u32,
 }
--- a/crates/roseshore_core/src/route.rs
+++ b/crates/roseshore_core/src/route.rs
@@ -6,16 +6,16 @@
 //! random keeps daemons that share the same late reports from running to the same target. What was
 //! not drawn can only cost time: when the drawn ones leave a hole, all are looked at.
 
+pub mod capacity;
 pub mod chain;
 pub mod cost;
 pub mod links;
 pub mod pool;
 pub mod prefix;
 pub mod replica;
-pub mod room;
 pub mod weighted;
 
-use crate::admit::Room;
+use crate::admit::Capacity;
 use crate::fleet::TargetKind;
 use crate::load::{Change, Content, Index, Loads, Ticket, Zone};
 use crate::order::rollout::{Piece, Pieces};
@@ -242,19 +242,19 @@
         pieces
     }
 
-    /// The room of the narrowest layer of a model's engines.
-    pub fn chain_room(&mut self, need: &ChainNeed<'_>, now: Instant) -> Option<Room> {
+    /// The capacity of the narrowest layer of a model's engines.
+    pub fn chain_capacity(&mut self, need: &ChainNeed<'_>, now: Instant) -> Option<Capacity> {
         let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
         let tiers = self.pools.get(&place, need);
         let work = Work { prompt: need.prompt, expected: need.expected };
-        room::of_chains(&self.loads, need, tiers.life.predict(work), now)
+        capacity::of_chains(&self.loads, need, tiers.life.predict(work), now)
     }
 
-    /// The room of the replicas of a service source.
-    pub fn replica_room(&mut self, serves: &str, now: Instant) -> Option<Room> {
+    /// The capacity of the replicas of a service source.
+    pub fn replica_capacity(&mut self, serves: &str, now: Instant) -> Option<Capacity> {
         let place = Place { loads: &self.loads, links: &self.links, own: self.own, now };
         let list = self.replicas.get(&place, serves);
-        room::of_replicas(&self.loads, list, now)
+        capacity::of_replicas(&self.loads, list, now)
     }
 
     /// The prompt will be cached along the chain; not waiting for the event keeps it there.
--- a/crates/roseshore_core/tests/admit.rs
+++ b/crates/roseshore_core/tests/admit.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::admit::share::{self, Demand, Demands};
-use roseshore_core::admit::{Admission, Arrival, Entry, Pass, Room, Waiter};
+use roseshore_core::admit::{Admission, Arrival, Capacity, Entry, Pass, Waiter};
 use roseshore_core::fleet::ServiceKind;
 use roseshore_core::prelude::*;
 use std::cmp::Reverse;
@@ -29,7 +29,7 @@
     Arrival { organisation, service: "s", deadline, priority, cost: 1 }
 }
 
-/// A door whose line has `slots` places and whose requests take 100 ms.
+/// Admission whose line has `slots` places and whose requests take 100 ms.
 fn door(fleet: &Fleet, slots: f64, now: Instant) -> Admission {
     let mut door = Admission::default();
     door.tick(1, now);
@@ -39,7 +39,7 @@
         panic!("the first is let in")
     };
     door.leave(pass, now, 0.0);
-    door.fit("s", Room { slots: slots / 1.25, busy: 0.0 });
+    door.fit("s", Capacity { slots: slots / 1.25, busy: 0.0 });
     door
 }
 
@@ -346,14 +346,17 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let words: share::Words = (0..)
+        let peers: share::PeerDemands = (0..)
             .zip(case.heard)
             .map(|(i, &rate)| {
                 let demand = Demand { organisation: "a".into(), rate };
-                (format!("h{i}"), share::Heard::new(&Demands { organisations: vec![demand] }, now))
+                (
+                    format!("h{i}"),
+                    share::PeerDemand::new(&Demands { organisations: vec![demand] }, now),
+                )
             })
             .collect();
-        let part = share::part(10.0, "a", &words, case.daemons);
+        let part = share::part(10.0, "a", &peers, case.daemons);
         assert!((part - case.part).abs() < 0.02, "{}: {part}", case.name);
     }
 }
--- a/crates/roseshore_core/tests/config_submit.rs
+++ b/crates/roseshore_core/tests/config_submit.rs
@@ -198,8 +198,8 @@
     ];
     for case in cases {
         let declared = ["a".to_owned(), "b".to_owned()];
-        let word = |it: &(&str, Offset)| Word { data_centre: it.0.into(), offset: it.1 };
-        let words: Vec<Word> = case.words.iter().map(word).collect();
+        let word = |it: &(&str, Offset)| Progress { data_centre: it.0.into(), offset: it.1 };
+        let words: Vec<Progress> = case.words.iter().map(word).collect();
         let got = spread(5, &declared, &words);
         assert_eq!(got.in_force, case.in_force, "{}", case.name);
         assert_eq!(got.unconfirmed, case.unconfirmed, "{}", case.name);
@@ -237,7 +237,7 @@
         }
         for failure in 0..case.failures {
             let turn = reader.failed(start, 0.5);
-            assert_eq!(turn, (failure == 0).then_some(Turn::Lost), "{}", case.name);
+            assert_eq!(turn, (failure == 0).then_some(Transition::Lost), "{}", case.name);
         }
         let act = reader.next(start + Duration::from_millis(case.since_ms), case.rank);
         let got = match act {
@@ -246,7 +246,7 @@
         };
         assert_eq!(got, case.want, "{}", case.name);
         let back = reader.answered(start, true);
-        assert_eq!(back, (case.failures > 0).then_some(Turn::Back), "{}", case.name);
+        assert_eq!(back, (case.failures > 0).then_some(Transition::Back), "{}", case.name);
     }
 }
 
--- a/crates/roseshore_core/tests/membership.rs
+++ b/crates/roseshore_core/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::membership::{
-    Hearsay, Heartbeat, Ignored, Listed, MemberState, Membership, Settings, Speakers, ranked,
+    Heartbeat, Ignored, Listed, MemberDigest, MemberState, Membership, Settings, Speakers, ranked,
 };
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -195,7 +195,7 @@
         ],
     },
     Case {
-        name: "far hearsay counts from its age",
+        name: "a far digest counts from its age",
         steps: &[List(1, &[(50, false)]), Told(1, 5900), Pass(200), Is(50, Suspect)],
     },
 ];
@@ -222,7 +222,7 @@
             }
             Told(sequence, age_ms) => {
                 let beat = beat(50, 1, sequence, false);
-                view.told(vec![Hearsay { beat, age_ms }], now);
+                view.told(vec![MemberDigest { beat, age_ms }], now);
             }
             List(version, hosts) => {
                 let hosts = hosts.iter().map(|(n, leaving)| listed(*n, *leaving)).collect();
--- a/crates/roseshore_core/tests/meter.rs
+++ b/crates/roseshore_core/tests/meter.rs
@@ -1,6 +1,6 @@
 //! The pace of a chain: averaged over gaps, without the wait for the first token.
 
-use roseshore_core::answer::meter::Meter;
+use roseshore_core::answer::meter::PaceMeter;
 use roseshore_core::prelude::*;
 
 struct Case {
@@ -33,7 +33,7 @@
     ];
     for case in cases {
         let start = Instant::now();
-        let mut meter = Meter::default();
+        let mut meter = PaceMeter::default();
         let mut paces = Vec::new();
         for token in case.tokens {
             match token {
--- a/crates/roseshore_wire/src/peer.rs
+++ b/crates/roseshore_wire/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::engine::Load;
 use crate::service::ServiceLoad;
-pub use roseshore_core::membership::{Hearsay, Heartbeat};
+pub use roseshore_core::membership::{Heartbeat, MemberDigest};
 use roseshore_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -76,7 +76,7 @@
     /// The data centre that it is about.
     pub data_centre: DataCentreId,
     /// Its daemons.
-    pub members: Vec<Hearsay>,
+    pub members: Vec<MemberDigest>,
     /// Its load by model.
     pub summaries: Vec<Summary>,
 }
--- a/crates/roseshored/examples/membership_cost.rs
+++ b/crates/roseshored/examples/membership_cost.rs
@@ -188,7 +188,7 @@
     };
     let digest = Digest {
         data_centre: "korangi-00".into(),
-        members: view.hearsay(now),
+        members: view.digest(now),
         summaries: (0..MODELS).map(summary).collect(),
     };
     let ask = Ask::Digests { digests: vec![digest], speaker: true };
--- a/crates/roseshored/src/answer.rs
+++ b/crates/roseshored/src/answer.rs
@@ -6,8 +6,8 @@
 //! Decisions are [`roseshore_core::answer::Answer`]'s. Its driver runs in the caller's thread and
 //! never waits for a target: whatever may be held up by a frozen one runs in a bounded pool.
 
+mod calls;
 mod driver;
-mod hands;
 mod pool;
 
 use crate::app::App;
--- a/crates/roseshored/src/answer/hands.rs
+++ b/crates/roseshored/src/answer/calls.rs
@@ -53,15 +53,15 @@
     SHARED.rates.lock().clone()
 }
 
-/// The hands of one answer.
-pub(super) struct Hands {
+/// The calls of one answer.
+pub(super) struct Calls {
     engine: Arc<dyn Engine>,
     post: flume::Sender<Report>,
 }
 
-impl Hands {
-    pub(super) fn new(engine: Arc<dyn Engine>, post: flume::Sender<Report>) -> Hands {
-        Hands { engine, post }
+impl Calls {
+    pub(super) fn new(engine: Arc<dyn Engine>, post: flume::Sender<Report>) -> Calls {
+        Calls { engine, post }
     }
 
     /// Opens a stream.
@@ -113,7 +113,7 @@
                 };
                 let _ = post.send(Report::Input(Input::Probed(epoch, target, health)));
             });
-            // Without a thread there is no result, which blames nobody.
+            // Without a thread there is no result, so no stage is blamed.
             let _ = SHARED.controls.run(job);
         }
     }
--- a/crates/roseshored/src/answer/driver.rs
+++ b/crates/roseshored/src/answer/driver.rs
@@ -1,12 +1,12 @@
 //! The loop that turns streams and calls into events of the answer's machine, and its actions into
 //! calls.
 
-use super::hands::{self, Hands, Moves, Report};
+use super::calls::{self, Calls, Moves, Report};
 
 use super::{AnswerAsk, CallerLeft, Parts, Sink, Whole};
 use crate::event;
 use flume::{Receiver, RecvError, Selector};
-use roseshore_core::answer::meter::Meter;
+use roseshore_core::answer::meter::PaceMeter;
 use roseshore_core::answer::{Action, Answer, Finish, Input, Job, Line, Route, Rules};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Need, Permit};
@@ -31,12 +31,12 @@
     machine: Answer,
     actions: Vec<Action>,
     spare: Vec<Action>,
-    hands: Hands,
+    calls: Calls,
     reports: Receiver<Report>,
     stream: Option<(Epoch, Receiver<StreamItem>)>,
     permit: Option<Permit>,
     prefixes: Vec<(u32, u64)>,
-    meter: Meter,
+    meter: PaceMeter,
     look: Instant,
     left: bool,
     end: Option<Result<Finish, Refusal>>,
@@ -61,7 +61,7 @@
         let now = Instant::now();
         let (post, reports) = flume::unbounded();
         let mut actions = Vec::with_capacity(8);
-        let rules = Rules { rates: hands::rates(), ..parts.rules.clone() };
+        let rules = Rules { rates: calls::rates(), ..parts.rules.clone() };
         let machine = Answer::start(job(ask, &prompt), rules, now, &mut actions);
         let span = tracing::info_span!("answer", request = %ask.request);
         Driver {
@@ -71,12 +71,12 @@
             machine,
             actions,
             spare: Vec::with_capacity(8),
-            hands: Hands::new(parts.engine.clone(), post),
+            calls: Calls::new(parts.engine.clone(), post),
             reports,
             stream: None,
             permit: None,
             prefixes: prefixes(&prompt.prompt),
-            meter: Meter::default(),
+            meter: PaceMeter::default(),
             prompt,
             look: now + LEAVE_CHECK,
             left: false,
@@ -151,7 +151,7 @@
             StreamItem::Output(output) => self.feed(input(output)),
             StreamItem::Ended(end) => {
                 self.stream = None;
-                let failure = end.err().map(|e| hands::failure(&e));
+                let failure = end.err().map(|e| calls::failure(&e));
                 self.feed(Input::Ended(epoch, failure));
             }
         }
@@ -197,15 +197,15 @@
             Action::Deliver(position) => self.deliver(position),
             Action::Cancel { stage, epoch, keep } => {
                 let cancel = Cancel { answer: self.ask.request.clone(), epoch, keep_kv: keep };
-                self.hands.cancel(stage.addr, cancel);
+                self.calls.cancel(stage.addr, cancel);
             }
             Action::Probe { epoch, limit } => {
-                self.hands.probe(epoch, self.machine.stages(), limit);
+                self.calls.probe(epoch, self.machine.stages(), limit);
             }
             Action::Move { epoch, moves, limit } => {
                 let tokens = (self.prompt.prompt.len() + self.machine.tokens().len()) as u32;
                 let answer = self.ask.request.clone();
-                self.hands.bring(Moves { answer, epoch, list: moves, limit, tokens });
+                self.calls.bring(Moves { answer, epoch, list: moves, limit, tokens });
             }
             Action::Failed(target) => self.parts.router.failed(&target),
             Action::Note(what, text) => event!(what, "request={} {text}", self.ask.request),
@@ -288,7 +288,7 @@
             priority: self.ask.priority,
             trace: self.prompt.trace.clone(),
         };
-        self.hands.open(addr, generate, self.ask.deadline);
+        self.calls.open(addr, generate, self.ask.deadline);
     }
 
     fn deliver(&mut self, position: Position) {
--- a/crates/roseshored/src/fleets/loops.rs
+++ b/crates/roseshored/src/fleets/loops.rs
@@ -4,7 +4,7 @@
 use super::source::Reach;
 use crate::event;
 use roseshore_core::config::{
-    Act, Keep, Keeper, Peer, Puller, Reader, SNAPSHOTS, Snapshot, Tail, Turn, diverged,
+    Act, Keep, Keeper, Peer, Puller, Reader, SNAPSHOTS, Snapshot, Tail, Transition, diverged,
 };
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
@@ -73,7 +73,7 @@
                 turn
             }
         };
-        if turn == Some(Turn::Back) {
+        if turn == Some(Transition::Back) {
             event!(Event::LogBack, "stream=config");
         }
         self.healthy.store(reader.healthy(), Ordering::SeqCst);
--- a/crates/roseshored/src/fleets/submit.rs
+++ b/crates/roseshored/src/fleets/submit.rs
@@ -2,7 +2,7 @@
 
 use super::FleetDriver;
 use roseshore_core::config::{
-    Command, Settled, Spread, Step, Submit, Tried, Word, record_digest, spread,
+    Command, Progress, Settled, Spread, Step, Submit, Tried, record_digest, spread,
 };
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{MemberState, Members};
@@ -52,20 +52,20 @@
         }
     }
 
-    /// Where the command at `version` is in force, by the words of all daemons.
+    /// Where the command at `version` is in force, by the progress of all daemons.
     pub fn spread(&self, members: &dyn Members, version: Offset) -> Spread {
         let own = members.own();
-        let mut words: Vec<Word> = members
+        let mut progress: Vec<Progress> = members
             .all()
             .into_iter()
             .filter(|it| it.host != own.host && it.state != MemberState::Gone)
-            .map(|it| Word { data_centre: it.data_centre, offset: it.offset })
+            .map(|it| Progress { data_centre: it.data_centre, offset: it.offset })
             .collect();
         let (offset, declared) = self.inspect(|it| {
             (it.offset(), it.fleet().data_centres.keys().cloned().collect::<Vec<_>>())
         });
-        words.push(Word { data_centre: own.data_centre, offset });
-        spread(version, &declared, &words)
+        progress.push(Progress { data_centre: own.data_centre, offset });
+        spread(version, &declared, &progress)
     }
 
     /// Waits until a command is in force everywhere, or `until`.
--- a/crates/roseshored/src/gate.rs
+++ b/crates/roseshored/src/gate.rs
@@ -1,14 +1,14 @@
 //! The driver of admission.
 //!
 //! A request without a queue passes under one short lock. One that has to wait gets a channel of its
-//! own, on which its turn or its refusal comes; its thread sleeps until then, or until its deadline
-//! can no longer be made. The door has no thread: limits are renewed by whoever comes first after
+//! own, on which its admission or refusal comes; its thread sleeps until then, or until its deadline
+//! can no longer be made. It has no thread of its own: limits are renewed by whoever comes first after
 //! [`TICK`].
 
 use flume::{Receiver, Sender};
 use parking_lot::Mutex;
 use roseshore_core::admit::share::Demands;
-use roseshore_core::admit::{Admission, Arrival, Entry, Pass, Room, Turn, Waiter};
+use roseshore_core::admit::{Admission, Arrival, Capacity, Decision, Entry, Pass, Waiter};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Fleets, Gate, Members, Permit};
 use rustc_hash::FxHashMap;
@@ -19,17 +19,17 @@
 /// When a caller should come back to a host that has no configuration yet.
 const NO_CONFIGURATION: Duration = Duration::from_secs(2);
 
-/// Says how much room the targets of a service have.
-pub trait Rooms: Send + Sync {
-    /// The room by the newest reports; `None` when no target reported.
-    fn room(&self, service: &ServiceId) -> Option<Room>;
+/// Says the capacity of the targets of a service.
+pub trait CapacitySource: Send + Sync {
+    /// The capacity by the newest reports; `None` when no target reported.
+    fn capacity(&self, service: &ServiceId) -> Option<Capacity>;
 }
 
-/// The daemon's door.
-pub struct Door {
+/// Admission for the services of the configuration in force.
+pub struct AdmissionDriver {
     fleets: Arc<dyn Fleets>,
     members: Arc<dyn Members>,
-    rooms: Arc<dyn Rooms>,
+    capacities: Arc<dyn CapacitySource>,
     state: Arc<Mutex<State>>,
 }
 
@@ -41,18 +41,23 @@
     ticked: Instant,
 }
 
-impl Door {
-    /// A door for the services of the configuration in force.
-    pub fn new(fleets: Arc<dyn Fleets>, members: Arc<dyn Members>, rooms: Arc<dyn Rooms>) -> Door {
+impl AdmissionDriver {
+    /// Admission for the services of the configuration in force.
+    pub fn new(
+        fleets: Arc<dyn Fleets>,
+        members: Arc<dyn Members>,
+        capacities: Arc<dyn CapacitySource>,
+    ) -> AdmissionDriver {
         let state = State {
             admission: Admission::default(),
             waiters: FxHashMap::default(),
             offset: None,
             ticked: Instant::now(),
         };
-        let door = Door { fleets, members, rooms, state: Arc::new(Mutex::new(state)) };
-        door.renew(Instant::now());
-        door
+        let driver =
+            AdmissionDriver { fleets, members, capacities, state: Arc::new(Mutex::new(state)) };
+        driver.renew(Instant::now());
+        driver
     }
 
     /// What this daemon tells the others about its demand.
@@ -83,7 +88,7 @@
         self.state.lock().admission.counts(service)
     }
 
-    /// Renews the limits by the daemons and the room there are now.
+    /// Renews the limits by the daemons and the capacity that there is now.
     pub fn renew(&self, now: Instant) {
         let daemons = self.members.all().len();
         let mut state = self.state.lock();
@@ -91,9 +96,9 @@
         let services: Vec<ServiceId> = state.admission.services().cloned().collect();
         drop(state);
         for service in services {
-            let Some(room) = self.rooms.room(&service) else { continue };
+            let Some(capacity) = self.capacities.capacity(&service) else { continue };
             let mut state = self.state.lock();
-            state.admission.fit(&service, room);
+            state.admission.fit(&service, capacity);
             let turns = state.admission.advance(&service, now, rand::random());
             state.tell(turns);
             report(&service, state.admission.counts(&service));
@@ -161,7 +166,7 @@
 }
 
 impl State {
-    fn tell(&mut self, turns: impl IntoIterator<Item = Turn>) {
+    fn tell(&mut self, turns: impl IntoIterator<Item = Decision>) {
         for turn in turns {
             if let Some(waiter) = self.waiters.remove(&turn.waiter) {
                 // The receiver lives until it has its turn or has given up under the lock.
@@ -171,7 +176,7 @@
     }
 }
 
-impl Gate for Door {
+impl Gate for AdmissionDriver {
     fn enter(&self, ask: &Ask) -> Result<Permit, Refusal> {
         let Some(force) = self.fleets.current() else { return Err(no_configuration()) };
         self.renew_at_times(Instant::now());
@@ -181,7 +186,7 @@
         };
         if let Err(refusal) = &end {
             let code = refusal.code.to_string();
-            metrics::counter!("roseshore_door_refusals_total", "code" => code).increment(1);
+            metrics::counter!("roseshore_admission_refusals_total", "code" => code).increment(1);
         }
         end.map(|pass| self.permit(pass))
     }
@@ -189,8 +194,9 @@
 
 fn report(service: &ServiceId, counts: (usize, usize)) {
     let (inside, waiting) = counts;
-    metrics::gauge!("roseshore_door_inside", "service" => service.clone()).set(inside as f64);
-    metrics::gauge!("roseshore_door_waiting", "service" => service.clone()).set(waiting as f64);
+    metrics::gauge!("roseshore_admission_inside", "service" => service.clone()).set(inside as f64);
+    metrics::gauge!("roseshore_admission_waiting", "service" => service.clone())
+        .set(waiting as f64);
 }
 
 fn no_configuration() -> Refusal {
@@ -199,5 +205,5 @@
 }
 
 fn lost_turn() -> Refusal {
-    Refusal::not_run(Code::Internal, "a turn at the door was lost; ask again").after(TICK)
+    Refusal::not_run(Code::Internal, "a turn in the queue was lost; ask again").after(TICK)
 }
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -6,7 +6,7 @@
 use crate::app::Drain;
 use crate::event;
 use parking_lot::Mutex;
-use roseshore_core::membership::{Change, Hearsay, Heartbeat, Listed, Membership, Settings};
+use roseshore_core::membership::{Change, Heartbeat, Listed, MemberDigest, Membership, Settings};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Fleets, Member, MemberState, Members};
 use roseshore_ports::outside::{Datagrams, HostList, Received};
@@ -150,13 +150,13 @@
         self.view.lock().far()
     }
 
-    /// What is said to other data centres.
-    pub fn hearsay(&self) -> Vec<Hearsay> {
-        self.view.lock().hearsay(Instant::now())
+    /// The digest for other data centres.
+    pub fn digest(&self) -> Vec<MemberDigest> {
+        self.view.lock().digest(Instant::now())
     }
 
-    /// Takes what another data centre's speaker says.
-    pub fn take_hearsay(&self, notes: Vec<Hearsay>) {
+    /// Takes the digest of another data centre.
+    pub fn take_digest(&self, notes: Vec<MemberDigest>) {
         let changes = self.view.lock().told(notes, Instant::now());
         self.report(&changes);
     }
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -10,7 +10,7 @@
 use crate::claims::{ClaimsConfig, ClaimsDriver};
 use crate::event;
 use crate::fleets::{FleetDriver, FleetSettings};
-use crate::gate::Door;
+use crate::gate::AdmissionDriver;
 use crate::ledger::account::Account;
 use crate::ledger::{Asker, LedgerDriver};
 use crate::loads::caches::CacheReader;
@@ -175,7 +175,7 @@
         };
         let (fleets, members) = (ground.fleets, ground.members);
         let app = App {
-            gate: Arc::new(Door::new(fleets.clone(), members.clone(), routing.clone())),
+            gate: Arc::new(AdmissionDriver::new(fleets.clone(), members.clone(), routing.clone())),
             router: routing,
             fleets,
             claims: claims.clone(),
--- a/crates/roseshored/src/peers.rs
+++ b/crates/roseshored/src/peers.rs
@@ -141,7 +141,7 @@
     fn take(&self, digests: &[Digest], told: Instant) {
         for digest in digests {
             let data_centre = digest.data_centre.clone();
-            self.members.take_hearsay(digest.members.clone());
+            self.members.take_digest(digest.members.clone());
             self.speakers.lock().heard(&data_centre, told);
             let summaries = digest.summaries.clone();
             let load = FarLoad { data_centre: data_centre.clone(), told, summaries };
@@ -168,7 +168,7 @@
     fn digest(&self) -> Digest {
         Digest {
             data_centre: self.members.own().data_centre,
-            members: self.members.hearsay(),
+            members: self.members.digest(),
             summaries: summarise(&self.reports.newest(), Instant::now()),
         }
     }
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -3,11 +3,11 @@
 //! One lock around [`Router`]: a decision takes microseconds. It follows the configuration in force
 //! and asks the members whether a chosen host is leaving before a choice is given out.
 
-use crate::gate::Rooms;
+use crate::gate::CapacitySource;
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use roseshore_core::admit::Room;
+use roseshore_core::admit::Capacity;
 use roseshore_core::load::{Content, EngineState, Index, ServiceState};
 use roseshore_core::order::rollout::Rollout;
 use roseshore_core::prelude::*;
@@ -23,7 +23,7 @@
 
 /// How often hosts that were leaving are asked about again.
 const RECHECK: Duration = Duration::from_millis(500);
-/// The tokens of prompt and answer for which the room of a model's targets is worked out.
+/// The tokens of prompt and answer for which the capacity of a model's targets is worked out.
 const TYPICAL: (u32, u32) = (200, 100);
 /// When a caller without a route should come back.
 const NO_ROUTE: Duration = Duration::from_secs(1);
@@ -256,20 +256,20 @@
     }
 }
 
-impl Rooms for Routing {
-    fn room(&self, service: &ServiceId) -> Option<Room> {
+impl CapacitySource for Routing {
+    fn capacity(&self, service: &ServiceId) -> Option<Capacity> {
         let force = self.fleets.current()?;
         let declared = force.fleet.services.get(service)?;
         let now = Instant::now();
         let Some(id) = &declared.model else {
             let mut state = self.state.lock();
-            let mut room = |serves: &str| state.router.replica_room(serves, now);
+            let mut capacity = |serves: &str| state.router.replica_capacity(serves, now);
             if declared.sources.is_empty() {
-                return room(service);
+                return capacity(service);
             }
             let sources = declared.sources.iter();
-            let rooms = sources.filter_map(|source| room(&format!("{service}/{source}")));
-            return rooms.min_by(|a, b| a.slots.total_cmp(&b.slots));
+            let capacities = sources.filter_map(|source| capacity(&format!("{service}/{source}")));
+            return capacities.min_by(|a, b| a.slots.total_cmp(&b.slots));
         };
         let model = force.fleet.models.get(id)?;
         let version = self.version(id)?;
@@ -283,7 +283,7 @@
             expected: TYPICAL.1,
             avoid: &[],
         };
-        self.state.lock().router.chain_room(&need, now)
+        self.state.lock().router.chain_capacity(&need, now)
     }
 }
 
--- a/crates/roseshored/tests/gate.rs
+++ b/crates/roseshored/tests/gate.rs
@@ -1,14 +1,14 @@
-//! The door's driver: threads wait for their turn, and every one of them gets an end.
+//! The driver of admission: threads wait for their turn, and every one of them gets an end.
 
 #[path = "support/hosts.rs"]
 mod hosts;
 
 use hosts::Hosts;
-use roseshore_core::admit::Room;
+use roseshore_core::admit::Capacity;
 use roseshore_core::fleet::ServiceKind;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Ask, Fleets, Gate, InForce, Permit};
-use roseshored::gate::{Door, Rooms};
+use roseshored::gate::{AdmissionDriver, CapacitySource};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -25,9 +25,9 @@
 /// Four slots that are overcrowded, so that a limit never grows.
 struct Four;
 
-impl Rooms for Four {
-    fn room(&self, _: &ServiceId) -> Option<Room> {
-        Some(Room { slots: 4.0, busy: 100.0 })
+impl CapacitySource for Four {
+    fn capacity(&self, _: &ServiceId) -> Option<Capacity> {
+        Some(Capacity { slots: 4.0, busy: 100.0 })
     }
 }
 
@@ -60,12 +60,16 @@
     }
 }
 
-fn door(fleet: Option<Arc<Fleet>>) -> Arc<Door> {
-    Arc::new(Door::new(Arc::new(Fixed(fleet)), Arc::new(Hosts::default()), Arc::new(Four)))
+fn door(fleet: Option<Arc<Fleet>>) -> Arc<AdmissionDriver> {
+    Arc::new(AdmissionDriver::new(
+        Arc::new(Fixed(fleet)),
+        Arc::new(Hosts::default()),
+        Arc::new(Four),
+    ))
 }
 
-/// Fills the door, so that the next one has to wait.
-fn fill(door: &Door) -> Vec<Permit> {
+/// Fills the service, so that the next one has to wait.
+fn fill(door: &AdmissionDriver) -> Vec<Permit> {
     // The first renewal after a line exists fits its limit to the room.
     let mut permits = vec![door.enter(&ask(LONG)).unwrap()];
     door.renew(Instant::now());
@@ -90,7 +94,7 @@
         while door.counts("s").1 < 40 && begun.elapsed() < LONG / 3 {
             std::thread::yield_now();
         }
-        assert_eq!(done.load(Ordering::SeqCst), 0, "nobody passes a full door");
+        assert_eq!(done.load(Ordering::SeqCst), 0, "none is admitted beyond the limit");
         drop(permits);
     });
     assert_eq!((done.load(Ordering::SeqCst), door.counts("s")), (40, (0, 0)));
