PROOFS.md lists what is not proved, held against the pages

A list kept by hand was ruled out: it goes stale with the next page. Who changes a `not proved` cell pastes the rows anew.

--- a/crates/roseshore_bench/src/bin/proofs.rs
+++ b/crates/roseshore_bench/src/bin/proofs.rs
@@ -1,6 +1,6 @@
 //! Prints the matrix of proofs with the verdicts of a run; `scripts/proofs.sh` calls it.
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use roseshore_bench::proofs::{self, Proof, Seen};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,13 +19,22 @@
             Arg::new("results")
                 .long("results")
                 .value_parser(value_parser!(PathBuf))
-                .required(true)
+                .required_unless_present("gaps")
                 .help("Output of the test run"),
         )
+        .arg(
+            Arg::new("gaps")
+                .long("gaps")
+                .action(ArgAction::SetTrue)
+                .help("Print only the table of what is not proved, as docs/PROOFS.md has it"),
+        )
         .get_matches();
     let pages: &PathBuf = matches.get_one("pages").expect("has a default");
-    let results: &PathBuf = matches.get_one("results").expect("is required");
-    match print(pages, results) {
+    let outcome = match matches.get_one::<PathBuf>("results") {
+        Some(results) if !matches.get_flag("gaps") => print(pages, results),
+        _ => print_gaps(pages),
+    };
+    match outcome {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(err) => {
@@ -35,6 +44,12 @@
     }
 }
 
+/// Prints the table of what is not proved.
+fn print_gaps(pages: &std::path::Path) -> std::io::Result<bool> {
+    proofs::gaps(&proofs::read(pages)?).iter().for_each(|line| println!("{line}"));
+    Ok(true)
+}
+
 /// Prints the matrix; `false` when a test named in it failed or did not run.
 fn print(pages: &std::path::Path, results: &std::path::Path) -> std::io::Result<bool> {
     let results = proofs::results(&std::fs::read_to_string(results)?);
--- a/crates/roseshore_bench/src/proofs.rs
+++ b/crates/roseshore_bench/src/proofs.rs
@@ -122,6 +122,20 @@
     Ok(all)
 }
 
+/// One line of a table for each row that nothing proves, in order of promise and page.
+pub fn gaps(rows: &[Row]) -> Vec<String> {
+    let mut missing: Vec<(&str, &str, String)> = rows.iter().filter_map(gap).collect();
+    missing.sort_by_key(|(promise, page, _)| (*promise, *page));
+    missing.into_iter().map(|(_, _, line)| line).collect()
+}
+
+fn gap(row: &Row) -> Option<(&str, &str, String)> {
+    let Row { page, promise, fault, step, proof } = row;
+    let Proof::Missing(why) = proof else { return None };
+    let line = format!("| {promise} | {fault} | {step} | {why} | [{page}](proofs/{page}.md) |");
+    Some((promise, page, line))
+}
+
 /// What is wrong with a row's names, held against the sources under `crates`; empty when nothing is.
 pub fn faults(row: &Row, crates: &Path) -> Vec<String> {
     match &row.proof {
--- a/crates/roseshore_bench/tests/proofs.rs
+++ b/crates/roseshore_bench/tests/proofs.rs
@@ -13,6 +13,16 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+#[test]
+fn the_list_of_what_is_not_proved_is_whole() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let page = std::fs::read_to_string(docs.join("PROOFS.md")).expect("the page can be read");
+    let (_, list) = page.split_once("## Not proved").expect("the page has the list");
+    let listed: Vec<&str> = list.lines().filter(|line| line.starts_with("| P")).skip(1).collect();
+    let rows = proofs::read(&docs.join("proofs")).expect("the pages can be read");
+    assert_eq!(listed, proofs::gaps(&rows), "paste what `proofs --gaps` prints");
+}
+
 struct Case {
     name: &'static str,
     cell: &'static str,
