Comments in the field's terms

Cause: some comments personified parts ("its own word", "nobody waits", "within a moment") where a heartbeat, a reply or an empty queue is meant.

--- a/crates/roseshore_adapters/src/engine/stream.rs
+++ b/crates/roseshore_adapters/src/engine/stream.rs
@@ -14,7 +14,7 @@
 use std::thread;
 use ureq::Agent;
 
-/// How often the watcher looks for streams that nobody receives any more.
+/// How often the watcher looks for streams whose receiver is gone.
 const WATCH_EVERY: Duration = Duration::from_millis(50);
 /// Items that wait for the receiver before the reader does, and with it the engine.
 const AHEAD: usize = 256;
@@ -89,7 +89,7 @@
     Err(refusal.err().unwrap_or_else(|| CallError::Garbled("no stream".to_owned())))
 }
 
-/// Hands lines on until the stream ends, which is told in any case.
+/// Forwards lines until the stream ends; the end itself is always forwarded.
 fn read(body: impl Read, items: &flume::Sender<StreamItem>) {
     let mut lines = BufReader::new(body);
     let mut whole = false;
--- a/crates/roseshore_bench/src/bin/proofs.rs
+++ b/crates/roseshore_bench/src/bin/proofs.rs
@@ -46,7 +46,9 @@
 
 /// Prints the table of what is not proved.
 fn print_gaps(pages: &std::path::Path) -> std::io::Result<bool> {
-    proofs::gaps(&proofs::read(pages)?).iter().for_each(|line| println!("{line}"));
+    for line in proofs::gaps(&proofs::read(pages)?) {
+        println!("{line}");
+    }
     Ok(true)
 }
 
--- a/crates/roseshore_core/src/admit/bucket.rs
+++ b/crates/roseshore_core/src/admit/bucket.rs
@@ -4,7 +4,7 @@
 
 /// One request's worth.
 const ONE: f64 = 1.0;
-/// The wait that is told when nothing is ever allowed.
+/// The wait reported when the rate allows nothing.
 const NEVER: Duration = Duration::from_hours(1);
 
 /// Tokens of one organisation at one daemon.
--- a/crates/roseshore_core/src/admit/fair.rs
+++ b/crates/roseshore_core/src/admit/fair.rs
@@ -1,4 +1,4 @@
-//! Turns between organisations by their shares.
+//! Start-time fair queueing between organisations by their shares.
 //!
 //! Start-time fair queueing: an organisation's next request carries a virtual start time that moves
 //! on by cost over share with each turn, and the smallest goes next. Within an organisation, a level
@@ -62,7 +62,7 @@
         self.places.len()
     }
 
-    /// Whether nobody waits.
+    /// Whether the queue is empty.
     pub fn is_empty(&self) -> bool {
         self.places.is_empty()
     }
--- a/crates/roseshore_core/src/admit/line.rs
+++ b/crates/roseshore_core/src/admit/line.rs
@@ -92,7 +92,7 @@
 impl Line {
     /// Lets a request in, has it wait, or turns it away.
     pub fn join(&mut self, mut item: Item, now: Instant) -> Joined {
-        // With nobody inside, nothing would be learned any more: one may always try.
+        // Without a request in work the estimate would never be renewed, so one is always admitted.
         let service =
             if self.inside.count == 0 { Duration::ZERO } else { span(self.quick * item.cost) };
         let Some(latest) = item.latest.checked_sub(service).filter(|latest| *latest > now) else {
@@ -172,7 +172,7 @@
         self.limit.fit(capacity, daemons, !self.queue.is_empty());
     }
 
-    /// Whether nobody is inside or waits.
+    /// Whether no request is in work or waits.
     pub fn idle(&self) -> bool {
         self.inside.count == 0 && self.queue.is_empty()
     }
--- a/crates/roseshore_core/src/answer/machine.rs
+++ b/crates/roseshore_core/src/answer/machine.rs
@@ -36,7 +36,7 @@
     pub routes: u32,
     /// What moving KV caches takes.
     pub rates: Rates,
-    /// When to come back after a refusal for which nobody named a time.
+    /// When to come back after a refusal without a time of its own.
     pub after: Duration,
 }
 
--- a/crates/roseshore_core/src/config/submit.rs
+++ b/crates/roseshore_core/src/config/submit.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// What a remembered verdict says to whoever sent a record, the `same` as the remembered or not.
+/// What a remembered verdict says to the sender of a record, the `same` as the remembered or not.
 pub(super) fn settle(id: &str, offset: Offset, same: bool, judged: &Judged) -> Settled {
     if !same {
         let message = format!(
--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -64,7 +64,7 @@
     pub incarnation: Incarnation,
     /// The load figures reported last.
     pub figures: Figures,
-    /// Whether it is being taken away, by its own word.
+    /// Whether its own report says that it is leaving.
     pub closing: bool,
     /// Whether its host is being taken away.
     pub leaving: bool,
--- a/crates/roseshore_core/src/membership.rs
+++ b/crates/roseshore_core/src/membership.rs
@@ -296,7 +296,7 @@
                 return Err(Ignored::Repeat);
             }
         }
-        // Before the first word, `heard` is only the time since which it is known.
+        // Before the first heartbeat, `heard` is only the time since which it is known.
         let known = daemon.beat.as_ref().map(|_| daemon.heard);
         daemon.heard = known.map_or(heard, |known| known.max(heard)).min(now);
         daemon.peer = peer;
--- a/crates/roseshore_core/src/membership/member.rs
+++ b/crates/roseshore_core/src/membership/member.rs
@@ -30,7 +30,7 @@
     Alive,
     /// Not heard of lately; still counted among the daemons.
     Suspect,
-    /// Takes no new work, by its own word or the host list's.
+    /// Takes no new work, by its own heartbeat or the host list.
     Leaving,
     /// No longer counted.
     Gone,
--- a/crates/roseshore_core/src/membership/settings.rs
+++ b/crates/roseshore_core/src/membership/settings.rs
@@ -23,7 +23,7 @@
     pub pause: Duration,
     /// How long after a start or a pause the view is not relied on.
     pub settle: Duration,
-    /// How long incarnations and leaving hosts are remembered after the last word of them.
+    /// How long incarnations and leaving hosts are remembered after they were last heard of or listed.
     pub remember: Duration,
 }
 
--- a/crates/roseshore_core/src/membership/speakers.rs
+++ b/crates/roseshore_core/src/membership/speakers.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
-/// Periods without word after which the larger name begins too.
+/// Periods of silence after which the larger name begins too.
 const PATIENCE: u32 = 2;
 
 /// The state of one daemon's talks.
--- a/crates/roseshore_core/src/verdict.rs
+++ b/crates/roseshore_core/src/verdict.rs
@@ -66,7 +66,7 @@
         Refusal { verdict: Verdict::NotRun, code, message: message.into(), retry_after: None }
     }
 
-    /// A refusal of a request of which nobody knows whether it ran.
+    /// A refusal of a request that may have run.
     pub fn may_have_run(code: Code, message: impl Into<String>) -> Refusal {
         Refusal { verdict: Verdict::MayHaveRun, code, message: message.into(), retry_after: None }
     }
--- a/crates/roseshore_harness/src/lib.rs
+++ b/crates/roseshore_harness/src/lib.rs
@@ -1,8 +1,9 @@
 //! A small system of separate processes, started and broken.
 //!
 //! For the demo, the load tool and tests of failures: [`process`] starts one program and sends it
-//! signals, [`world`] starts a platform, targets and daemons for a declared fleet, and [`caller`]
-//! speaks to daemons as callers do, and [`fleets`] has small declared fleets. It starts processes and therefore is no part of the product.
+//! signals, [`world`] starts a platform, targets and daemons for a declared fleet, [`caller`] speaks to
+//! daemons as callers do, [`fleets`] has small declared fleets, and [`recovery`] measures the time
+//! from a fault to the next right answer. It starts processes, and so is no part of the product.
 
 pub mod caller;
 pub mod demo;
--- a/crates/roseshore_wire/src/admin.rs
+++ b/crates/roseshore_wire/src/admin.rs
@@ -103,7 +103,7 @@
     pub digest: String,
 }
 
-/// A daemon's word that it takes no new work.
+/// A daemon's confirmation that it takes no new work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Drained {
     /// The daemon.
--- a/crates/roseshore_wire/src/peer.rs
+++ b/crates/roseshore_wire/src/peer.rs
@@ -14,7 +14,7 @@
 pub enum Datagram {
     /// A daemon lives, and what the targets that it polls said.
     Beat {
-        /// The daemon's word of itself.
+        /// The daemon's own heartbeat.
         heartbeat: Heartbeat,
         /// Reports polled since the last one, as many as fit.
         notes: Vec<LoadNote>,
@@ -70,7 +70,7 @@
     },
 }
 
-/// What one data centre tells another.
+/// The state of one data centre, for another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The data centre that it is about.
--- a/crates/roseshore_wire/src/service.rs
+++ b/crates/roseshore_wire/src/service.rs
@@ -21,16 +21,16 @@
 /// The header with the W3C trace context.
 pub const TRACEPARENT: &str = "traceparent";
 
-/// A source's word that it does not hold a name.
+/// A source's reply that it does not hold a name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Missing {
-    /// The source that says so.
+    /// The source that replied.
     pub source: String,
     /// The name asked for.
     pub missing: String,
 }
 
-/// A replica's word that a call was not begun.
+/// A replica's reply that a call was not begun.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unstarted {
     /// Always true.
--- a/crates/roseshored/src/loads.rs
+++ b/crates/roseshored/src/loads.rs
@@ -44,7 +44,7 @@
     pub settings: Settings,
 }
 
-/// The running driver; it ends within a moment when dropped.
+/// The running driver; its threads end soon after it is dropped.
 pub struct LoadDriver {
     stopped: Arc<AtomicBool>,
 }
--- a/crates/roseshored/src/loads/notes.rs
+++ b/crates/roseshored/src/loads/notes.rs
@@ -45,7 +45,7 @@
         whole(target, content)
     }
 
-    /// Sends every report whole again, as somebody joined.
+    /// Sends every report whole again, as a daemon joined.
     pub fn reset(&mut self) {
         self.sent.clear();
     }
--- a/crates/roseshored/src/lookups/said.rs
+++ b/crates/roseshored/src/lookups/said.rs
@@ -14,7 +14,7 @@
 /// Reads a reply to the question for `name` at `source`.
 ///
 /// A `404` counts only with the body that names both; one of a web server on the way, or for
-/// another source, is no word of the source.
+/// another source, is no reply of the source.
 pub fn said(called: Called<ServiceReply>, source: &str, name: &str) -> Said<Found> {
     let reply = match called {
         Ok(reply) => reply,
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -108,7 +108,7 @@
         Ok(driver)
     }
 
-    /// Ends the threads within a moment.
+    /// Ends the threads, without waiting for them.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
--- a/crates/roseshored/src/peers.rs
+++ b/crates/roseshored/src/peers.rs
@@ -2,7 +2,7 @@
 //!
 //! [`roseshore_core::membership::Speakers`] decides who speaks with whom; this driver carries the
 //! digests and passes what was learned on to the own data centre. Nothing else waits for its
-//! thread, so a data centre that is cut off holds up nobody.
+//! thread, so a data centre that is cut off delays no other part.
 
 mod summary;
 
@@ -90,7 +90,7 @@
         Ok(driver)
     }
 
-    /// Ends the threads within a moment.
+    /// Ends the threads, without waiting for them.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
