--- a/crates/roseshore_wire/src/peer.rs
+++ b/crates/roseshore_wire/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::engine::Load;
 use crate::service::ServiceLoad;
-pub use roseshore_core::membership::{Hearsay, Heartbeat};
+pub use roseshore_core::membership::{Heartbeat, MemberDigest};
 use roseshore_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
 pub enum Datagram {
     /// A daemon lives, and what the targets that it polls said.
     Beat {
-        /// The daemon's word of itself.
+        /// The daemon's own heartbeat.
         heartbeat: Heartbeat,
         /// Reports polled since the last one, as many as fit.
         notes: Vec<LoadNote>,
@@ -70,13 +70,13 @@
     },
 }
 
-/// What one data centre tells another.
+/// The state of one data centre, for another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The data centre that it is about.
     pub data_centre: DataCentreId,
     /// Its daemons.
-    pub members: Vec<Hearsay>,
+    pub members: Vec<MemberDigest>,
     /// Its load by model.
     pub summaries: Vec<Summary>,
 }
--- a/crates/roseshored/src/peers.rs
+++ b/crates/roseshored/src/peers.rs
@@ -2,7 +2,7 @@
 //!
 //! [`roseshore_core::membership::Speakers`] decides who speaks with whom; this driver carries the
 //! digests and passes what was learned on to the own data centre. Nothing else waits for its
-//! thread, so a data centre that is cut off holds up nobody.
+//! thread, so a data centre that is cut off delays no other part.
 
 mod summary;
 
@@ -90,7 +90,7 @@
         Ok(driver)
     }
 
-    /// Ends the threads within a moment.
+    /// Ends the threads, without waiting for them.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
@@ -141,7 +141,7 @@
     fn take(&self, digests: &[Digest], told: Instant) {
         for digest in digests {
             let data_centre = digest.data_centre.clone();
-            self.members.take_hearsay(digest.members.clone());
+            self.members.take_digest(digest.members.clone());
             self.speakers.lock().heard(&data_centre, told);
             let summaries = digest.summaries.clone();
             let load = FarLoad { data_centre: data_centre.clone(), told, summaries };
@@ -168,7 +168,7 @@
     fn digest(&self) -> Digest {
         Digest {
             data_centre: self.members.own().data_centre,
-            members: self.members.hearsay(),
+            members: self.members.digest(),
             summaries: summarise(&self.reports.newest(), Instant::now()),
         }
     }
