--- a/crates/roseshore_bench/src/capacity/states.rs
+++ b/crates/roseshore_bench/src/capacity/states.rs
@@ -365,7 +365,7 @@
     };
     let lines = |count: usize| -> Vec<String> {
         let pair = |key: usize| {
-            let claim = Act::Claim { owner: owner.clone(), digest: 7 };
+            let claim = Act::Claim { owner: owner.clone(), digest: 7, left: 0 };
             let outcome = Outcome { verdict: Verdict::Answered, ..Outcome::unknown() };
             let end = Act::Outcome { digest: 7, outcome, whole: true };
             [line(key, claim), line(key, end)]
@@ -414,6 +414,7 @@
         repeated: false,
         left: false,
         resumed: 0,
+        missed: false,
     }
 }
 
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -58,6 +58,7 @@
     RequestRefused = 202, Info, "a request was refused";
     CallerLeft = 203, Info, "a caller left before its answer was whole";
     AnswerLate = 204, Warn, "an answer was given after its deadline";
+    AdvisoryMissed = 205, Warn, "an advisory request ended without a whole answer in time";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
@@ -66,6 +67,7 @@
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
     KeyAbandoned = 403, Warn, "a claim was given up before dispatch";
     KeyUnsettled = 404, Error, "whether a key ran is not known";
+    KeySettled = 405, Warn, "an operator's word settled a key";
     ConfigApplied = 501, Info, "a configuration is in force";
     ConfigRejected = 502, Warn, "a command was rejected";
     LogLost = 503, Warn, "the log service cannot be reached";
--- a/crates/roseshored/src/parts.rs
+++ b/crates/roseshored/src/parts.rs
@@ -170,6 +170,7 @@
             fleets: ground.configuration,
             members: ground.members.clone(),
             queries: Some(books.asker),
+            keys: claims.clone(),
             drain: ground.drain.clone(),
         };
         let (fleets, members) = (ground.fleets, ground.members);
@@ -182,6 +183,7 @@
             members,
             engine: ground.outside.engine,
             services: ground.outside.services,
+            budgets: Arc::default(),
             drain: ground.drain,
         };
         Ok(Parts {
