--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Measures the slopes of docs/CAPACITY.md, then runs the examples of the parts; about six minutes.
+# Measures the slopes of docs/CAPACITY.md, then runs the examples of the parts.
 set -eu
 cd "$(dirname "$0")/.."
 cargo build --release --workspace --bins --examples
