E604 is emitted from the host list, whether or not work comes

Change: the members' driver compares the list's leaving targets before and after and emits E604 for each new one.

--- a/crates/roseshore_core/src/membership.rs
+++ b/crates/roseshore_core/src/membership.rs
@@ -145,6 +145,11 @@
         self.refresh(now)
     }
 
+    /// The hosts without a daemon that are being taken away.
+    pub fn leaving_targets(&self) -> BTreeSet<HostId> {
+        self.hosts.leaving_targets()
+    }
+
     /// Lets time pass; called several times in a [`Settings::pause`].
     pub fn tick(&mut self, now: Instant) -> Vec<Change> {
         self.wake(now);
--- a/crates/roseshore_core/src/membership/hosts.rs
+++ b/crates/roseshore_core/src/membership/hosts.rs
@@ -79,6 +79,12 @@
         self.leaving.contains(host)
     }
 
+    /// The hosts without a daemon that the list says, or last said, are leaving.
+    pub fn leaving_targets(&self) -> BTreeSet<HostId> {
+        let target = |host: &&HostId| self.hosts.get(*host).is_none_or(|h| h.peer.is_none());
+        self.leaving.iter().filter(target).cloned().collect()
+    }
+
     /// Where the daemon on a host hears peers.
     pub fn peer(&self, host: &HostId) -> Option<SocketAddr> {
         self.hosts.get(host)?.peer
--- a/crates/roseshored/src/members.rs
+++ b/crates/roseshored/src/members.rs
@@ -258,7 +258,14 @@
             peer: h.peer,
             leaving: h.state == HostState::Leaving,
         });
-        let changes = self.view.lock().listed(list.version, hosts.collect(), Instant::now());
+        let mut view = self.view.lock();
+        let before = view.leaving_targets();
+        let changes = view.listed(list.version, hosts.collect(), Instant::now());
+        let leaving = view.leaving_targets();
+        drop(view);
+        for host in leaving.difference(&before) {
+            event!(Event::TargetLeft, "host={host} state=leaving");
+        }
         self.report(&changes);
     }
 
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -3,7 +3,6 @@
 //! One lock around [`Router`]: a decision takes microseconds. It follows the configuration in force
 //! and asks the members whether a chosen host is leaving before a choice is given out.
 
-use crate::event;
 use crate::gate::CapacitySource;
 use parking_lot::Mutex;
 use rand::SeedableRng;
@@ -142,7 +141,6 @@
         if self.router.loads().row(row).host == *host && !self.leaving.contains(&row) {
             self.router.set_leaving(row, true);
             self.leaving.push(row);
-            event!(Event::TargetLeft, "host={host}");
         }
     }
 
