The rule of what is polled in full is a setting of the decision

Change: polling::Settings::full; that test runs with a bound its fleet exceeds (as strict as before), a new one with a bound that it does not.

--- a/crates/roseshore_core/src/polling.rs
+++ b/crates/roseshore_core/src/polling.rs
@@ -36,6 +36,9 @@
     pub inflight: usize,
     /// A poll of which nothing was heard for so long is no longer under way.
     pub abandon: Duration,
+    /// The most declared targets of a fleet that every data centre polls in full, so that it can
+    /// use the others' when its own are lost; in a larger one it polls its own only.
+    pub full: usize,
 }
 
 impl Default for Settings {
@@ -50,6 +53,7 @@
             recheck: Duration::from_millis(50),
             inflight: 16,
             abandon: Duration::from_secs(2),
+            full: 256,
         }
     }
 }
--- a/crates/roseshored/src/loads.rs
+++ b/crates/roseshored/src/loads.rs
@@ -21,9 +21,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::{io, thread};
 
-/// The most declared targets of a fleet that every data centre polls in full, so that it can use
-/// the others' when its own are lost; a larger fleet's data centres know their own targets only.
-const ALL_TARGETS: usize = 256;
 /// How often the decision is asked what is due.
 const TICK: Duration = Duration::from_millis(20);
 /// How long a target may take to report.
@@ -72,13 +69,14 @@
             thread::Builder::new().name(name).spawn(move || worker.run())?;
         }
         let told = parts.members.told();
-        let period = parts.settings.period;
+        let (period, full) = (parts.settings.period, parts.settings.full);
         let driver = Driver {
             polling: Polling::new(parts.settings),
             members: parts.members,
             fleets: parts.fleets,
             reports: parts.reports,
             period,
+            full,
             offset: None,
             targets: BTreeMap::new(),
             packer: Packer::default(),
@@ -146,6 +144,7 @@
     fleets: Arc<dyn Fleets>,
     reports: Arc<dyn Reports>,
     period: Duration,
+    full: usize,
     offset: Option<Offset>,
     targets: BTreeMap<TargetId, Job>,
     packer: Packer,
@@ -183,7 +182,7 @@
         }
         self.offset = Some(force.offset);
         let own = self.members.own().data_centre;
-        let all = force.fleet.targets.len() <= ALL_TARGETS;
+        let all = force.fleet.targets.len() <= self.full;
         let polled = force.fleet.targets.iter().filter(|(_, t)| all || t.data_centre == own);
         let job =
             |id: &TargetId, t: &Target| Job { target: id.clone(), kind: t.kind, addr: t.addr };
--- a/crates/roseshored/tests/loads.rs
+++ b/crates/roseshored/tests/loads.rs
@@ -8,6 +8,7 @@
 use cluster::*;
 use parking_lot::Mutex;
 use roseshore_core::fleet::TargetKind;
+use roseshore_core::polling::Settings;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Fleets, InForce, Report, ReportContent};
 use roseshore_ports::outside::{
@@ -127,6 +128,11 @@
 }
 
 fn poll(daemon: &Daemon, site: &Arc<Site>) -> (LoadDriver, Arc<Taken>) {
+    poll_full(daemon, site, TARGETS)
+}
+
+/// Polls a fleet of at most `full` targets in full.
+fn poll_full(daemon: &Daemon, site: &Arc<Site>, full: usize) -> (LoadDriver, Arc<Taken>) {
     let taken = Arc::new(Taken::default());
     let parts = loads::Parts {
         members: daemon.driver.clone(),
@@ -134,7 +140,7 @@
         engine: Arc::new(Targets(site.clone())),
         services: Arc::new(Targets(site.clone())),
         reports: taken.clone(),
-        settings: roseshore_core::polling::Settings::default(),
+        settings: Settings { full, ..Settings::default() },
     };
     (LoadDriver::start(parts).expect("threads"), taken)
 }
@@ -321,3 +327,12 @@
         assert!(got.iter().all(|s| s.age_ms == 70), "{}", case.name);
     }
 }
+
+#[test]
+fn a_small_fleet_is_polled_in_full() {
+    let (_list, daemons) = cluster();
+    let site = Arc::new(Site::default());
+    let loads: Vec<_> = daemons.iter().map(|d| poll_full(d, &site, TARGETS + 1)).collect();
+    let far = format!("t{TARGETS}");
+    wait("the target elsewhere", || loads.iter().all(|(_, t)| t.queue(&far) == Some(0)));
+}
