Claims: an outage of the log leaves no pace behind

Found by the process test a_key_outlives_a_lost_log: keyed work was refused (RS502) for half a second and more after the log was back. Cause: the wait between appends doubled with every append that failed, for an outage as for 429, up to 500 ms, and fell by a tenth for each taken one. After an outage the pending append, the next claim and its outcome each waited some 400 to 500 ms, and a single lost append outran the attempts' patience of 500 ms. Ruled out: reads (250 ms), the door (a platform frozen without keyed work in the outage recovered in 7 ms). Change: 429 alone moves the pace; failed appends have a wait of their own, 10 ms doubling to 250 ms, gone with the first taken append.

--- a/crates/roseshore_core/src/once/batch.rs
+++ b/crates/roseshore_core/src/once/batch.rs
@@ -2,7 +2,8 @@
 //!
 //! The log takes a few hundred appends a second for everybody, so one append carries whatever came
 //! while the last one was under way or paced. An idle partition appends at once; the pace doubles
-//! when the log is over its rate and falls slowly when it is not. Every record may stand in the
+//! when the log is over its rate and falls slowly when it is not. A log that is out says nothing of
+//! its rate, so that retries have a wait of their own, which ends with the outage. Every record may stand in the
 //! log twice without harm, so an append whose reply was lost is sent again, claims excepted that
 //! were seen or given up meanwhile.
 
@@ -18,6 +19,8 @@
 const MIN_PACE: Duration = Duration::from_millis(5);
 /// The longest.
 const MAX_PACE: Duration = Duration::from_millis(500);
+/// The longest time from a failed append to the next; two of them fit the patience of attempts.
+const MAX_RETRY: Duration = Duration::from_millis(250);
 
 /// The records that wait for the log.
 #[derive(Debug)]
@@ -25,6 +28,7 @@
     queue: VecDeque<Waiting>,
     flight: Vec<Waiting>,
     pace: Duration,
+    retry: Duration,
     due: Option<Instant>,
     together: usize,
 }
@@ -59,7 +63,8 @@
     /// Nothing to append; at most `together` records go into one append.
     pub fn new(together: usize) -> Batch {
         let (queue, flight) = Default::default();
-        Batch { queue, flight, pace: MIN_PACE, due: None, together: together.max(1) }
+        let (pace, retry) = (MIN_PACE, MIN_PACE);
+        Batch { queue, flight, pace, retry, due: None, together: together.max(1) }
     }
 
     /// Adds a record.
@@ -121,13 +126,22 @@
     /// itself, the log has taken.
     pub fn appended(&mut self, how: Appended, now: Instant) -> Vec<Nonce> {
         let flight = std::mem::take(&mut self.flight);
-        if how == Appended::Done {
-            self.pace = (self.pace * 9 / 10).max(MIN_PACE);
-            let taken = flight.iter().filter(|waiting| !waiting.claim);
-            return taken.map(|waiting| waiting.nonce).collect();
+        match how {
+            Appended::Done => {
+                self.pace = (self.pace * 9 / 10).max(MIN_PACE);
+                self.retry = MIN_PACE;
+                let taken = flight.iter().filter(|waiting| !waiting.claim);
+                return taken.map(|waiting| waiting.nonce).collect();
+            }
+            Appended::Busy => {
+                self.pace = (self.pace * 2).min(MAX_PACE);
+                self.retry = MIN_PACE;
+            }
+            Appended::Unreached | Appended::Lost => {
+                self.retry = (self.retry * 2).min(MAX_RETRY);
+            }
         }
-        self.pace = (self.pace * 2).min(MAX_PACE);
-        self.due = Some(now + self.pace);
+        self.due = Some(now + self.pace.max(self.retry));
         for mut waiting in flight.into_iter().rev().filter(|waiting| !waiting.recalled) {
             waiting.unsure |= how == Appended::Lost;
             self.queue.push_front(waiting);
--- a/crates/roseshore_harness/src/recovery/control.rs
+++ b/crates/roseshore_harness/src/recovery/control.rs
@@ -37,16 +37,16 @@
     let (mut out, mut frozen) = (Vec::new(), Vec::new());
     for _ in 0..repeats {
         world.fault(world.log, &json!({ "log_out": true }))?;
-        thread::sleep(OUT);
+        sit_out(&mut keyed);
         world.fault(world.log, &json!({}))?;
         out.push(taken(&mut keyed));
         world.platform.freeze();
-        thread::sleep(OUT);
+        sit_out(&mut keyed);
         world.platform.thaw();
         frozen.push(taken(&mut keyed));
     }
     let (first, again) = doubled(&world, repeats);
-    let bound = "next read after a failed one";
+    let bound = "retry of reads and appends, 500 ms of patience";
     Ok(vec![
         Row::new("log service out, back: keyed work taken", bound, out).beside(plain),
         Row::new("platform frozen, thawed: keyed work taken", bound, frozen).beside(plain),
@@ -55,6 +55,15 @@
     ])
 }
 
+/// Callers go on asking while the log is out, so that claims wait for it.
+fn sit_out(keyed: &mut impl FnMut() -> Option<Duration>) {
+    let begun = Instant::now();
+    while begun.elapsed() < OUT {
+        keyed();
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 fn taken(keyed: &mut impl FnMut() -> Option<Duration>) -> Duration {
     let begun = Instant::now();
     wait_until(|| keyed().is_some());
