--- a/crates/roseshore_harness/src/lib.rs
+++ b/crates/roseshore_harness/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod fleets;
 pub mod process;
 pub mod recovery;
+pub mod relay;
 pub mod world;
--- a/crates/roseshore_harness/src/world.rs
+++ b/crates/roseshore_harness/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::{Caller, Chat, Marks};
 use crate::process::{Process, ProcessError, free_port, wait_until};
+use crate::relay::Relay;
 use roseshore_core::config::{Change, Command, FORMAT, Object, ObjectKey};
 use roseshore_core::fleet::{ServiceKind, TargetKind};
 use roseshore_core::prelude::*;
@@ -55,6 +56,8 @@
     pub services: Vec<String>,
     /// Further flags of every daemon.
     pub flags: Vec<String>,
+    /// Data centres whose daemons reach the platform through a relay that can be cut.
+    pub relayed: Vec<DataCentreId>,
 }
 
 impl Plan {
@@ -97,6 +100,8 @@
     pub platform: Process,
     /// Where the platform listens.
     pub log: SocketAddr,
+    /// The ways to the platform that can be cut.
+    pub relays: BTreeMap<DataCentreId, Relay>,
     /// The targets.
     pub targets: BTreeMap<TargetId, Process>,
     /// The daemons, by data centre and number.
@@ -125,7 +130,13 @@
             targets.insert(id.clone(), process);
         }
         let caller = Caller::default();
-        let mut world = World { plan, platform, log, targets, daemons: Vec::new(), caller };
+        let mut relays = BTreeMap::new();
+        for data_centre in &plan.relayed {
+            let relay = Relay::start(log)
+                .map_err(|err| ProcessError::NotReady(format!("the relay: {err}")))?;
+            relays.insert(data_centre.clone(), relay);
+        }
+        let mut world = World { plan, platform, log, relays, targets, daemons: Vec::new(), caller };
         let centres: Vec<DataCentreId> = world.plan.fleet.data_centres.keys().cloned().collect();
         for data_centre in centres {
             for number in 0..world.plan.daemons {
@@ -162,12 +173,13 @@
     pub fn start_daemon(&self, data_centre: &str, host: &str) -> Result<Daemon, ProcessError> {
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let peer = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let log = self.relays.get(data_centre).map_or(self.log, Relay::addr);
         let mut args = flags(&[
             ("host", host),
             ("data-centre", data_centre),
             ("listen", &addr.to_string()),
             ("peer", &peer.to_string()),
-            ("log", &self.log.to_string()),
+            ("log", &log.to_string()),
         ]);
         args.extend(self.plan.flags.iter().cloned());
         let process = Process::start("roseshored", &args)?;
@@ -285,6 +297,23 @@
         self.caller.post(addr, "/_fault", faults).map(drop)
     }
 
+    /// How often the calls with a key ran, over all replicas of plain services.
+    ///
+    /// # Errors
+    /// When a replica does not answer.
+    pub fn ran(&self, key: &str) -> Result<u64, ProcessError> {
+        let mut count = 0;
+        let services = self.plan.fleet.targets.values().filter(|t| t.kind == TargetKind::Service);
+        for target in services {
+            let ran = self.caller.get(target.addr, "/_ran")?;
+            let keys = ran["keys"].as_object().cloned().unwrap_or_default();
+            // Daemons join a key with its organisation and service.
+            let counts = keys.iter().filter(|(k, _)| k.contains(key)).map(|(_, n)| n.as_u64());
+            count += counts.flatten().sum::<u64>();
+        }
+        Ok(count)
+    }
+
     /// Where a target listens.
     pub fn addr(&self, target: &str) -> Option<SocketAddr> {
         self.plan.fleet.targets.get(target).map(|t| t.addr)
--- /dev/null
+++ b/crates/roseshore_harness/tests/once.rs
@@ -0,0 +1,290 @@
+//! Work that may run once, with separate processes: the log lost around each step of a key, its
+//! claimant frozen or killed, its stages lost.
+
+use roseshore_harness::caller::{Chat, Got, Marks};
+use roseshore_harness::fleets::{self, CUSTOMER, NOTE, Shape, VERDICT};
+use roseshore_harness::process::wait_until;
+use roseshore_harness::world::{Plan, World};
+use serde_json::{Value, json};
+use std::thread;
+use std::time::Duration;
+
+/// How long a caller gives a call that meets a fault.
+const DEADLINE: u64 = 1_500;
+
+fn world(shape: Shape, daemons: usize) -> World {
+    let fleet = fleets::fleet(shape);
+    World::serving(Plan { fleet, daemons, ..Plan::default() }).expect("the system starts")
+}
+
+fn ran(world: &World, key: &str) -> u64 {
+    world.ran(key).expect("the replicas answer")
+}
+
+fn call(world: &World, daemon: usize, key: &str) -> Got {
+    let marks = Marks { deadline: Some(DEADLINE), ..Marks::of(CUSTOMER).keyed(key) };
+    let got = world.caller.call(world.daemons[daemon].addr, NOTE, "note", &marks);
+    assert!(got.status == 200 || got.verdict.is_some(), "{key}: no word at all: {got:?}");
+    // No other attempt is under way wherever this is asked.
+    let false_word = got.verdict.as_deref() == Some("not_run") && ran(world, key) > 0;
+    assert!(!false_word, "{key}: it ran: {got:?}");
+    got
+}
+
+/// Switches the faults of every replica of the plain service.
+fn services(world: &World, faults: &Value) {
+    let targets = world.plan.fleet.targets.values();
+    for target in targets.filter(|t| t.serves.as_deref() == Some(NOTE)) {
+        world.fault(target.addr, faults).expect("the replica answers");
+    }
+}
+
+/// Sees every daemon come to the one recorded answer of a key that ran once.
+fn settles(world: &World, key: &str, told: &[Got]) {
+    let mut texts: Vec<String> =
+        told.iter().filter(|got| got.status == 200).map(|got| got.text.clone()).collect();
+    for daemon in 0..world.daemons.len() {
+        let mut last = Got::default();
+        let answered = wait_until(|| {
+            last = call(world, daemon, key);
+            texts.extend((last.status == 200).then(|| last.text.clone()));
+            last.status == 200
+        });
+        assert!(answered, "{key}: no answer at daemon {daemon}: {last:?}");
+    }
+    assert!(texts.iter().all(|text| *text == texts[0]), "{key}: {texts:?}");
+    assert_eq!(ran(world, key), 1, "{key}");
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Step {
+    Claim,
+    UnderWay,
+    Answered,
+}
+
+#[derive(Clone, Copy)]
+enum Loss {
+    Frozen,
+    Faults { log_out: bool, appends_out: bool, reads_out: bool, lose_replies: u32 },
+}
+
+const NONE: Loss =
+    Loss::Faults { log_out: false, appends_out: false, reads_out: false, lose_replies: 0 };
+const OUT: Loss =
+    Loss::Faults { log_out: true, appends_out: false, reads_out: false, lose_replies: 0 };
+const APPENDS: Loss =
+    Loss::Faults { log_out: false, appends_out: true, reads_out: false, lose_replies: 0 };
+const READS: Loss =
+    Loss::Faults { log_out: false, appends_out: false, reads_out: true, lose_replies: 0 };
+const REPLY: Loss =
+    Loss::Faults { log_out: false, appends_out: false, reads_out: false, lose_replies: 1 };
+/// A lost reply, after which nothing can be read.
+const BOTH: Loss =
+    Loss::Faults { log_out: false, appends_out: false, reads_out: true, lose_replies: 1 };
+
+impl Loss {
+    fn begin(self, world: &World) {
+        let Loss::Faults { log_out, appends_out, reads_out, lose_replies } = self else {
+            return world.platform.freeze();
+        };
+        let faults = json!({
+            "log_out": log_out, "appends_out": appends_out, "reads_out": reads_out,
+            "lose_replies": lose_replies, "lose_stream": "claims",
+        });
+        world.fault(world.log, &faults).expect("the platform answers");
+    }
+
+    fn end(self, world: &World) {
+        match self {
+            Loss::Frozen => world.platform.thaw(),
+            Loss::Faults { .. } => NONE.begin(world),
+        }
+    }
+}
+
+struct Case {
+    name: &'static str,
+    step: Step,
+    loss: Loss,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "platform frozen before the claim", step: Step::Claim, loss: Loss::Frozen },
+    Case { name: "log out before the claim", step: Step::Claim, loss: OUT },
+    Case { name: "appends out before the claim", step: Step::Claim, loss: APPENDS },
+    Case { name: "reads out before the claim", step: Step::Claim, loss: READS },
+    Case { name: "reply to the claim lost", step: Step::Claim, loss: REPLY },
+    Case { name: "reply to the claim lost, reads out", step: Step::Claim, loss: BOTH },
+    Case { name: "platform frozen after dispatch", step: Step::UnderWay, loss: Loss::Frozen },
+    Case { name: "log out after dispatch", step: Step::UnderWay, loss: OUT },
+    Case { name: "appends out after dispatch", step: Step::UnderWay, loss: APPENDS },
+    Case { name: "reads out after dispatch", step: Step::UnderWay, loss: READS },
+    Case { name: "reply to the outcome lost", step: Step::UnderWay, loss: REPLY },
+    Case { name: "reply to the outcome lost, reads out", step: Step::UnderWay, loss: BOTH },
+    Case { name: "platform frozen after the answer", step: Step::Answered, loss: Loss::Frozen },
+    Case { name: "log out after the answer", step: Step::Answered, loss: OUT },
+];
+
+#[test]
+fn a_key_outlives_a_lost_log() {
+    let world = world(Shape { centres: 2, ..Shape::default() }, 1);
+    for case in CASES {
+        let key = case.name.replace([' ', ','], "-");
+        let slow = if case.step == Step::UnderWay { 300 } else { 0 };
+        services(&world, &json!({ "slow_ms": slow }));
+        let first = thread::scope(|scope| {
+            if case.step == Step::Claim {
+                case.loss.begin(&world);
+            }
+            let first = scope.spawn(|| call(&world, 0, &key));
+            match case.step {
+                Step::Claim => {}
+                Step::UnderWay => {
+                    assert!(wait_until(|| ran(&world, &key) == 1 || first.is_finished()), "{key}");
+                    case.loss.begin(&world);
+                }
+                Step::Answered => {
+                    assert!(wait_until(|| first.is_finished()), "{key}");
+                    case.loss.begin(&world);
+                }
+            }
+            first.join().expect("no panic")
+        });
+        if case.step != Step::Claim {
+            assert_eq!(first.status, 200, "{}: {first:?}", case.name);
+        }
+        let told = [first, call(&world, 0, &key), call(&world, 1, &key)];
+        case.loss.end(&world);
+        settles(&world, &key, &told);
+        // A daemon that has not heard of the log's return refuses, which the next case must not meet.
+        for daemon in 0..world.daemons.len() {
+            let fresh = format!("back-{daemon}-{key}");
+            let back = wait_until(|| call(&world, daemon, &fresh).status == 200);
+            assert!(back, "{}: keyed work goes on", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_claimant_that_wakes_late_does_not_dispatch() {
+    const ROUNDS: usize = 3;
+    let world = world(Shape::default(), 2);
+    for round in 0..ROUNDS {
+        let key = format!("asleep-{round}");
+        // The claim is taken, and cannot be read back until the claimant sleeps.
+        READS.begin(&world);
+        let first = thread::scope(|scope| {
+            let first = scope.spawn(|| call(&world, 0, &key));
+            thread::sleep(Duration::from_millis(150));
+            world.daemons[0].process.freeze();
+            NONE.begin(&world);
+            let other = call(&world, 1, &key);
+            thread::sleep(Duration::from_millis(DEADLINE));
+            world.daemons[0].process.thaw();
+            let first = first.join().expect("no panic");
+            // The other one may have run it only if the claim never came to the log.
+            assert!(other.status == 200 || ran(&world, &key) == 0, "{first:?} {other:?}");
+            first
+        });
+        assert!(first.status != 200 || first.replayed, "dispatched late: {first:?}");
+        settles(&world, &key, &[first]);
+    }
+}
+
+#[test]
+fn a_claimant_that_sleeps_after_dispatch_is_not_run_over() {
+    let world = world(Shape::default(), 2);
+    services(&world, &json!({ "slow_ms": 400 }));
+    let key = "asleep-under-way";
+    thread::scope(|scope| {
+        let first = scope.spawn(|| call(&world, 0, key));
+        assert!(wait_until(|| ran(&world, key) == 1), "dispatched");
+        world.daemons[0].process.freeze();
+        let other = call(&world, 1, key);
+        assert_eq!(other.verdict.as_deref(), Some("may_have_run"), "{other:?}");
+        thread::sleep(Duration::from_millis(DEADLINE));
+        world.daemons[0].process.thaw();
+        first.join().expect("no panic");
+    });
+    for daemon in 0..2 {
+        let mut last = Got::default();
+        let ended = wait_until(|| {
+            last = call(&world, daemon, key);
+            last.status == 200 || last.code.as_deref() == Some("RS402")
+        });
+        assert!(ended, "daemon {daemon} comes to no end: {last:?}");
+    }
+    assert_eq!(ran(&world, key), 1);
+}
+
+/// Answers begun by all first stages.
+fn opened(world: &World) -> u64 {
+    let firsts = world.plan.fleet.targets.values().filter(|t| t.layers.is_some_and(|l| l.0 == 0));
+    let counts = firsts.map(|t| world.caller.get(t.addr, "/_stats").expect("answers"));
+    counts.map(|stats| stats["opened"].as_u64().unwrap_or(0)).sum()
+}
+
+#[test]
+fn an_unrepeatable_answer_is_recorded_once() {
+    const CHAINS: usize = 3;
+    let shape = Shape { chains: CHAINS, stages: 2, mixed: true, ..Shape::default() };
+    let world = world(shape, 2);
+    let chat = Chat { service: VERDICT, prompt: "was it safe", tokens: 20 };
+    for (number, name) in ["no fault", "stage killed"].into_iter().enumerate() {
+        if name == "stage killed" {
+            for chain in 0..CHAINS - 1 {
+                let addr = world.addr(&format!("north-{chain}-1")).expect("declared");
+                world.fault(addr, &json!({ "die_after": 5 })).expect("answers");
+            }
+        }
+        let marks = Marks::of(CUSTOMER).keyed(&format!("verdict-{number}"));
+        let before = opened(&world);
+        let answers = thread::scope(|scope| {
+            let ask = |addr| world.caller.answer(addr, &chat, &marks);
+            let asks: Vec<_> =
+                world.daemons.iter().map(|d| scope.spawn(move || ask(d.addr))).collect();
+            asks.into_iter().map(|ask| ask.join().expect("no panic")).collect::<Vec<_>>()
+        });
+        let right = |got: &Got| got.status == 200 && got.joined() == fleets::text(&chat);
+        assert!(answers.iter().any(|got| right(got) && !got.replayed), "{name}: {answers:?}");
+        let busy = |got: &Got| got.code.as_deref() == Some("RS401");
+        assert!(answers.iter().all(|got| right(got) || busy(got)), "{name}: {answers:?}");
+        assert_eq!(answers.iter().filter(|got| right(got) && !got.replayed).count(), 1, "{name}");
+        if name == "no fault" {
+            assert_eq!(opened(&world), before + 1, "{name}");
+        }
+        for daemon in &world.daemons {
+            let again = world.caller.stream(daemon.addr, &chat, &marks, |_| ());
+            assert!(again.whole && right(&again) && again.replayed, "{name}: {again:?}");
+        }
+    }
+}
+
+#[test]
+fn an_entry_host_that_dies_under_a_stream_leaves_a_cut_answer() {
+    const AFTER: usize = 5;
+    for (name, service) in [("plain", fleets::CHAT), ("keyed", VERDICT)] {
+        let mut world = world(Shape::default(), 2);
+        let chat = Chat { service, prompt: "tell me all", tokens: 60 };
+        let marks = Marks::of(CUSTOMER).keyed("cut-off");
+        let (caller, addr) = (world.caller.clone(), world.daemons[0].addr);
+        let cut = caller.stream(addr, &chat, &marks, |count| {
+            if count == AFTER {
+                world.daemons[0].process.kill();
+            }
+        });
+        assert!(!cut.whole && cut.status == 200, "{name}: a cut answer looks whole: {cut:?}");
+        assert!(fleets::text(&chat).starts_with(&cut.joined()), "{name}: {cut:?}");
+        let before = opened(&world);
+        let marks = Marks { deadline: Some(DEADLINE), ..marks };
+        let again = caller.answer(world.daemons[1].addr, &chat, &marks);
+        if service == VERDICT {
+            // Nobody knows its end; that is said, and it is not begun again.
+            assert_eq!(again.verdict.as_deref(), Some("may_have_run"), "{name}: {again:?}");
+            assert_eq!(opened(&world), before, "{name}");
+        } else {
+            assert!(again.status == 200 && again.joined() == fleets::text(&chat), "{again:?}");
+        }
+    }
+}
