--- a/crates/roseshore_harness/src/recovery/streams.rs
+++ b/crates/roseshore_harness/src/recovery/streams.rs
@@ -129,7 +129,7 @@
             struck = Some((strike(world, case.loss, &target), target));
         }
     });
-    check(&got, &chat)?;
+    check(world, &got, &chat)?;
     let (at, target) = struck.ok_or_else(|| missed(case.name))?;
     mend(world, case.loss, &target)?;
     // Tokens that were under way still come; the longest gap after the fault is the pause.
@@ -161,7 +161,7 @@
         let (got, first) = stream.join().unwrap_or_default();
         (got, first, struck)
     });
-    check(&got, &chat)?;
+    check(world, &got, &chat)?;
     let (at, target) = struck.ok_or_else(|| missed(case.name))?;
     mend(world, case.loss, &target)?;
     let first = first.ok_or_else(|| missed(case.name))?;
@@ -182,15 +182,19 @@
             faults(json!({}));
         }
     });
-    check(&got, &chat)?;
+    check(world, &got, &chat)?;
     got.gaps.get(AFTER - 1).copied().ok_or_else(|| missed("stream cut"))
 }
 
-fn check(got: &Got, chat: &Chat<'_>) -> Result<(), ProcessError> {
+fn check(world: &World, got: &Got, chat: &Chat<'_>) -> Result<(), ProcessError> {
     if got.whole && got.joined() == fleets::text(chat) {
         return Ok(());
     }
-    Err(ProcessError::Call(format!("an answer was not whole or not right: {got:?}")))
+    let id = got.request.clone().unwrap_or_default();
+    let fate = world.caller.get(world.daemons[0].addr, &format!("/v1/requests/{id}"));
+    let trace = world.caller.get(world.daemons[0].addr, &format!("/v1/trace/{id}"));
+    let text = format!("an answer was not whole or not right: {got:?} {fate:?} {trace:?}");
+    Err(ProcessError::Call(text))
 }
 
 fn missed(case: &str) -> ProcessError {
