--- a/crates/roseshore_harness/src/world.rs
+++ b/crates/roseshore_harness/src/world.rs
@@ -108,6 +108,8 @@
     pub daemons: Vec<Daemon>,
     /// Speaks to all of them.
     pub caller: Caller,
+    /// The last life that a restarted engine was given.
+    lives: u64,
 }
 
 impl World {
@@ -136,7 +138,8 @@
                 .map_err(|err| ProcessError::NotReady(format!("the relay: {err}")))?;
             relays.insert(data_centre.clone(), relay);
         }
-        let mut world = World { plan, platform, log, relays, targets, daemons: Vec::new(), caller };
+        let mut world =
+            World { plan, platform, log, relays, targets, daemons: Vec::new(), caller, lives: 1 };
         let centres: Vec<DataCentreId> = world.plan.fleet.data_centres.keys().cloned().collect();
         for data_centre in centres {
             for number in 0..world.plan.daemons {
@@ -187,14 +190,17 @@
         Ok(Daemon { host, data_centre, addr, peer, process })
     }
 
-    /// Starts a target that has ended again, at its old address.
+    /// Starts a target that has ended again, at its old address and with a new life.
     ///
     /// # Errors
     /// When it is not declared, not built or does not come to serve.
     pub fn restart(&mut self, target: &str) -> Result<(), ProcessError> {
         let declared = self.plan.fleet.targets.get(target);
         let declared = declared.ok_or_else(|| ProcessError::NotReady(target.to_owned()))?;
-        let (process, _) = start_target(&self.plan, target, declared, self.log)?;
+        self.lives += 1;
+        let mut plan = self.plan.clone();
+        plan.engines.extend(flags(&[("incarnation", &self.lives.to_string())]));
+        let (process, _) = start_target(&plan, target, declared, self.log)?;
         self.targets.insert(target.to_owned(), process);
         Ok(())
     }
