Harness: counting runs and the expected text stand once

Cause: the demo and the process tests each counted runs by key, and each worked out the text of an answer, beside World::ran and fleets::text. Change: one of each; no assertion changed (ran() == n reads World::ran).

--- a/crates/roseshore_harness/src/demo.rs
+++ b/crates/roseshore_harness/src/demo.rs
@@ -5,13 +5,12 @@
 //! not from an earlier answer of the system.
 
 use crate::caller::{Caller, Chat, Got, Marks};
+use crate::fleets;
 use crate::process::{self, ProcessError};
 use crate::world::{Plan, World};
 use roseshore_core::declare::{Source, parse};
 use roseshore_core::fleet::{ServiceKind, TargetKind};
 use roseshore_core::prelude::*;
-use roseshore_fakes::engine::text::expected;
-use serde_json::Value;
 use std::io::{BufRead, stdin};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -93,10 +92,7 @@
     }
 
     fn text(&self, chat: &Chat<'_>) -> String {
-        // The front puts a token for the role before a message's words.
-        let words = chat.prompt.split_whitespace().map(str::to_owned);
-        let prompt: Vec<String> = std::iter::once("<user>".to_owned()).chain(words).collect();
-        expected(&self.model, &self.version, None, &prompt, chat.tokens).concat()
+        fleets::text_of(&self.model, &self.version, chat)
     }
 }
 
@@ -177,18 +173,12 @@
             calls.into_iter().filter_map(|call| call.join().ok()).collect()
         });
         let again = call(self.daemon(1));
-        let ran = self.ran(&service, "demo-note");
+        let ran = self.world.ran("demo-note").unwrap_or(0);
         let same = got.iter().all(|g| g.status == 200 && g.text == again.text);
         self.check("a doubled call gets one answer", same && again.replayed, &line(&again));
         self.check("and ran once", ran == 1, &format!("{ran} runs over all replicas"));
     }
 
-    fn ran(&self, service: &str, key: &str) -> u64 {
-        let targets = self.world.plan.fleet.targets.values();
-        let replicas = targets.filter(|t| t.serves.as_deref() == Some(service));
-        replicas.map(|t| runs(&self.world.caller, t.addr, key)).sum()
-    }
-
     fn stage_lost(&mut self) {
         let service = self.cast.answers.clone();
         let chat = Chat { service: &service, prompt: "summarise the advisory", tokens: LONG };
@@ -262,13 +252,6 @@
     caller.get(engine, "/v1/load").is_ok_and(|load| load["running"].as_u64().unwrap_or(0) > 0)
 }
 
-fn runs(caller: &Caller, replica: SocketAddr, key: &str) -> u64 {
-    let ran: Value = caller.get(replica, "/_ran").unwrap_or_default();
-    let keys = ran["keys"].as_object().cloned().unwrap_or_default();
-    // Daemons join a key with its organisation and service.
-    keys.iter().filter(|(k, _)| k.contains(key)).filter_map(|(_, n)| n.as_u64()).sum()
-}
-
 fn line(got: &Got) -> String {
     let code = got.code.as_deref().unwrap_or("no code");
     format!("status {}, {code}, {:.1} ms", got.status, got.took.as_secs_f64() * 1e3)
--- a/crates/roseshore_harness/src/fleets.rs
+++ b/crates/roseshore_harness/src/fleets.rs
@@ -78,10 +78,15 @@
 
 /// The text that a whole answer of [`MODEL`] has.
 pub fn text(chat: &Chat<'_>) -> String {
+    text_of(MODEL, VERSION, chat)
+}
+
+/// The text that a whole answer of a model has.
+pub fn text_of(model: &str, version: &str, chat: &Chat<'_>) -> String {
     // The front puts a token for the role before a message's words.
     let words = chat.prompt.split_whitespace().map(str::to_owned);
     let prompt: Vec<String> = std::iter::once("<user>".to_owned()).chain(words).collect();
-    expected(MODEL, VERSION, None, &prompt, chat.tokens).concat()
+    expected(model, version, None, &prompt, chat.tokens).concat()
 }
 
 fn add_services(fleet: &mut Fleet) {
--- a/crates/roseshore_harness/tests/faults.rs
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -5,7 +5,7 @@
 use roseshore_harness::fleets::{self, CARDS, CHAT, CUSTOMER, NOTE, Shape};
 use roseshore_harness::process::wait_until;
 use roseshore_harness::world::{Plan, World};
-use serde_json::{Value, json};
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
@@ -20,20 +20,6 @@
     World::serving(Plan { fleet, daemons, ..Plan::default() }).expect("the system starts")
 }
 
-/// How often the unrepeatable service ran, over all its replicas.
-fn ran(world: &World, key: &str) -> u64 {
-    let replicas = world.plan.fleet.targets.iter();
-    let notes = replicas.filter(|(_, t)| t.serves.as_deref() == Some(NOTE));
-    notes.map(|(_, t)| counted(world, t.addr, key)).sum()
-}
-
-fn counted(world: &World, addr: SocketAddr, key: &str) -> u64 {
-    let ran: Value = world.caller.get(addr, "/_ran").expect("the replica answers");
-    let keys = ran["keys"].as_object().cloned().unwrap_or_default();
-    // Daemons join a key with its organisation and service.
-    keys.iter().filter(|(k, _)| k.contains(key)).filter_map(|(_, n)| n.as_u64()).sum()
-}
-
 /// Sends the same keyed call to every daemon at once.
 fn everywhere(world: &World, key: &str) -> Vec<Got> {
     let marks = Marks::of(CUSTOMER).keyed(key);
@@ -55,11 +41,11 @@
         for got in everywhere(&world, &key) {
             assert!(got.status == 200 || got.code.as_deref() == Some("RS401"), "{got:?}");
         }
-        assert_eq!(ran(&world, &key), 1, "{key}");
+        assert_eq!(world.ran(&key).expect("the replicas answer"), 1, "{key}");
         let again = everywhere(&world, &key);
         assert!(again.iter().all(|got| got.status == 200 && got.replayed), "{again:?}");
         assert!(again.iter().all(|got| got.text == again[0].text), "{again:?}");
-        assert_eq!(ran(&world, &key), 1, "{key}");
+        assert_eq!(world.ran(&key).expect("the replicas answer"), 1, "{key}");
     }
 }
 
@@ -80,7 +66,7 @@
         assert!(again.status == 200 && again.replayed && again.text == got.text, "{again:?}");
     }
     assert_eq!(world.daemons[0].addr, addr);
-    assert_eq!(ran(&world, "first"), 1);
+    assert_eq!(world.ran("first").expect("the replicas answer"), 1);
 }
 
 #[test]
@@ -101,13 +87,13 @@
     assert!(refused.status >= 400, "{refused:?}");
     assert!(refused.retry_after.is_some(), "{refused:?}");
     world.platform.thaw();
-    assert_eq!(ran(&world, "out"), 0, "the refused attempt never runs");
+    assert_eq!(world.ran("out").expect("the replicas answer"), 0, "the refused attempt never runs");
     let answered = wait_until(|| {
         let got = world.caller.call(addr, NOTE, "note", &Marks::of(CUSTOMER).keyed("back"));
         got.status == 200
     });
     assert!(answered, "keyed work goes on with the platform");
-    assert_eq!(ran(&world, "back"), 1);
+    assert_eq!(world.ran("back").expect("the replicas answer"), 1);
 }
 
 #[test]
