Process tests: two checks that could not fail are gone

Cause: reading the change again, two assertions of the process tests compared a value with itself: the number of addresses taken at the start, and the address of the daemon just put in place. Change: the first is replaced by a stricter one, a whole and right answer from every daemon after the last restart; the second, in a test whose loop already asks that daemon, is dropped.

--- a/crates/roseshore_harness/tests/faults.rs
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -57,7 +57,6 @@
     assert_eq!(got.status, 200, "{got:?}");
     world.daemons[0].process.kill();
     let fresh = world.start_daemon("north", "north-9").expect("starts");
-    let addr = fresh.addr;
     world.daemons[0] = fresh;
     world.list_hosts().expect("listed");
     world.ready().expect("ready");
@@ -65,7 +64,6 @@
         let again = world.caller.call(daemon.addr, NOTE, "note", &marks);
         assert!(again.status == 200 && again.replayed && again.text == got.text, "{again:?}");
     }
-    assert_eq!(world.daemons[0].addr, addr);
     assert_eq!(world.ran("first").expect("the replicas answer"), 1);
 }
 
@@ -111,7 +109,6 @@
 fn a_planned_stop_cuts_nothing() {
     const ROUNDS: usize = 6;
     let mut world = world(Shape { chains: 3, ..Shape::default() }, 2);
-    let addrs: Vec<SocketAddr> = world.daemons.iter().map(|d| d.addr).collect();
     let stop = AtomicBool::new(false);
     let whole = AtomicUsize::new(0);
     for round in 0..ROUNDS {
@@ -138,7 +135,11 @@
         world.list_hosts().expect("listed");
         world.ready().expect("ready");
     }
-    assert_eq!(addrs.len(), 2);
+    let chat = Chat { service: CHAT, prompt: "after all restarts", tokens: 4 };
+    for daemon in &world.daemons {
+        let got = world.caller.stream(daemon.addr, &chat, &Marks::of(CUSTOMER), |_| ());
+        assert!(got.whole && got.joined() == fleets::text(&chat), "{got:?}");
+    }
 }
 
 /// Streams answers until told to stop; returns those that were neither whole nor truly refused.
