--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -93,6 +93,7 @@
     TargetListed = 608, Info, "a target is listed, or its record changed";
     TargetLapsed = 609, Info, "a target dropped out of the list after an outage of the store";
     RecordSkipped = 610, Warn, "a record of the list of targets cannot be read";
+    DatagramSkipped = 611, Warn, "a datagram cannot be read or sent";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod currency;
 pub mod fate;
 pub mod path;
+pub mod peers;
 pub mod plan;
 pub mod progress;
 pub mod routes;
@@ -19,6 +20,7 @@
 pub use currency::Currency;
 pub use fate::{Fault, Next, Standing};
 pub use path::{Hop, Part, PathNeed};
+pub use peers::Peers;
 pub use routes::{
     CallKind, EngineSpec, Kind, Limits, OrganisationSpec, Route, ServiceSpec, Share, Snapshot,
 };
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -2,21 +2,26 @@
 //!
 //! Every layer runs exactly once and in order: a path is a row of parts whose ranges join from
 //! layer 0 to the last. A part may be any piece of what an engine holds, so the shortest path is
-//! searched over the borders of all ranges. A path stays inside one data centre where that is
-//! possible, since activations are large and links between data centres are shared.
+//! searched over the borders of all ranges. A path stays inside one data centre: activations are
+//! large, and links between data centres are shared and dear.
 
 use crate::prelude::*;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 /// Handing a token on inside a data centre, ms: a measured path of five parts took about 1 ms more
 /// a step for each part than its steps alone.
 const HOP_MS: f64 = 0.6;
-/// Handing a token on to another data centre, ms: one way of today's sites, and the shared pipe.
-const FAR_HOP_MS: f64 = 6.0;
-/// Time that a path costs which begins in another data centre, ms.
-const FAR_START_MS: f64 = 150.0;
+/// How much dearer a part's time is when its cache is full: what is nearly full is left to those
+/// that have nothing else. The fourth power keeps it small up to half full.
+const CROWD: f64 = 12.0;
+/// A path of the own data centre that is less full than this is taken without looking further.
+const SPILL: f64 = 0.6;
+/// Another data centre's path is taken when it is less full by this factor: it costs bytes between
+/// data centres, and a cut would part the caller from it.
+const FAR_FILL: f64 = 1.25;
 /// Time that a part without room for the whole answer costs, ms.
 const FULL_MS: f64 = 4_000.0;
 /// Time that a part costs which failed of late, ms: the last resort.
@@ -50,6 +55,8 @@
     pub read_ms: f64,
     /// Free KV cache, tokens times layers.
     pub free: f64,
+    /// All KV cache beside its layers, tokens times layers.
+    pub room: f64,
     /// Whether it has not failed of late.
     pub sound: bool,
 }
@@ -80,6 +87,10 @@
     pub token_ms: f64,
     /// Whether every part has room for the whole answer and failed nowhere of late.
     pub roomy: bool,
+    /// The fullest part's cache with this request, as a share.
+    pub fill: f64,
+    /// Whether it lies in the own data centre.
+    pub near: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -89,26 +100,27 @@
     from: Layer,
 }
 
-/// Chooses the path of least predicted time: inside the own data centre, else inside another, else
-/// over all of them.
+/// Chooses the path of least cost: each lies inside one data centre, and another data centre's is
+/// taken when the own has none, has no room, or is that much more crowded.
 pub fn choose(parts: &[Part], need: &PathNeed<'_>, random: &mut SmallRng) -> Option<Path> {
     let jitter: Vec<f64> = parts.iter().map(|_| 1.0 + JITTER * random.random::<f64>()).collect();
     let near = within(parts, need, &jitter, |p| p.near);
-    if near.as_ref().is_some_and(|path| path.roomy) {
+    if near.as_ref().is_some_and(|path| path.roomy && path.fill < SPILL) {
         return near;
     }
     let mut others: Vec<&str> =
         parts.iter().filter(|p| !p.near).map(|p| p.data_centre.as_str()).collect();
     others.sort_unstable();
     others.dedup();
-    let far = others.into_iter().filter_map(|dc| {
-        let path = within(parts, need, &jitter, |p| p.data_centre == dc)?;
-        path.roomy.then_some(path)
-    });
-    let cost = |p: &Path| p.first_ms + p.token_ms * need.answer;
-    far.min_by(|a, b| cost(a).total_cmp(&cost(b)))
-        .or(near)
-        .or_else(|| within(parts, need, &jitter, |_| true))
+    let far = others
+        .into_iter()
+        .filter_map(|dc| within(parts, need, &jitter, |p| p.data_centre == dc));
+    let order = |p: &Path| {
+        let fill = p.fill * if p.near { 1.0 } else { FAR_FILL };
+        (!p.roomy, !p.near && !p.roomy, fill)
+    };
+    let later = |a: &Path, b: &Path| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal);
+    near.into_iter().chain(far).min_by(later)
 }
 
 fn within(
@@ -135,8 +147,7 @@
             if first > from || last <= from {
                 continue;
             }
-            let previous = reached.map(|b| &parts[b.part]);
-            let joint = joint_ms(part, previous);
+            let joint = if from == 0 { 0.0 } else { HOP_MS };
             for to in from + 1..=last {
                 if !border[to] {
                     continue;
@@ -153,21 +164,13 @@
     Some(unroll(parts, need, &best))
 }
 
-/// Time to hand one token on to a part.
-fn joint_ms(part: &Part, previous: Option<&Part>) -> f64 {
-    match previous {
-        Some(p) if p.data_centre != part.data_centre => FAR_HOP_MS,
-        Some(_) => HOP_MS,
-        None if part.near => 0.0,
-        None => FAR_START_MS / 100.0,
-    }
-}
-
 fn piece_ms(part: &Part, need: &PathNeed<'_>, layers: usize) -> f64 {
     let layers = layers as f64;
     let work = layers * (need.prompt * part.read_ms + need.answer * part.token_ms);
-    let full = (need.prompt + need.answer) * layers > part.free;
-    work + if full { FULL_MS } else { 0.0 } + if part.sound { 0.0 } else { UNSOUND_MS }
+    let taken = (need.prompt + need.answer) * layers;
+    let full = taken > part.free;
+    let fill = ((part.room - part.free + taken) / part.room.max(1.0)).clamp(0.0, 1.0);
+    work * (1.0 + CROWD * fill.powi(4)) + if full { FULL_MS } else { 0.0 } + if part.sound { 0.0 } else { UNSOUND_MS }
 }
 
 fn unroll(parts: &[Part], need: &PathNeed<'_>, best: &[Option<Best>]) -> Path {
@@ -179,17 +182,25 @@
     }
     pieces.reverse();
     let pieces = join_repeats(pieces);
-    let mut path = Path { hops: Vec::new(), first_ms: 0.0, token_ms: 0.0, roomy: true };
-    let mut previous = None;
+    let mut path = Path {
+        hops: Vec::new(),
+        first_ms: 0.0,
+        token_ms: 0.0,
+        roomy: true,
+        fill: 0.0,
+        near: true,
+    };
     for (index, layers) in pieces {
         let part = &parts[index];
         let width = f64::from(layers.1 - layers.0);
-        let joint = joint_ms(part, previous);
+        let joint = if layers.0 == 0 { 0.0 } else { HOP_MS };
         path.token_ms += width * part.token_ms + joint;
         path.first_ms += width * (need.prompt * part.read_ms + part.token_ms) + joint;
-        path.roomy &= (need.prompt + need.answer) * width <= part.free && part.sound;
+        let taken = (need.prompt + need.answer) * width;
+        path.roomy &= taken <= part.free && part.sound;
+        path.fill = path.fill.max((part.room - part.free + taken) / part.room.max(1.0));
+        path.near &= part.near;
         path.hops.push((part.id.clone(), part.addr, Hop { layers }));
-        previous = Some(part);
     }
     path
 }
--- a/crates/roseshore_core/src/gateway/settings.rs
+++ b/crates/roseshore_core/src/gateway/settings.rs
@@ -58,6 +58,10 @@
     pub store: SocketAddr,
     /// The bounds.
     pub bounds: Bounds,
+    /// Where this host hears others; without it, it stays alone.
+    pub peer: Option<SocketAddr>,
+    /// Where some others hear.
+    pub seeds: Vec<SocketAddr>,
     /// Descriptors this process may use.
     pub sockets: Option<usize>,
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -6,17 +6,17 @@
 //! have lapsed for no fault of the target, and it stays for the time in which it would come back.
 
 use super::path::{Part, PathNeed};
+use super::peers::{ListMark, LoadNote, TargetMark, mark};
 use super::routes::EngineSpec;
 use crate::load::health::Health;
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// After the store is back, live targets are listed again within about two seconds, as the
 /// operators promise; a little less keeps the drain bound.
 const RELIST: Duration = Duration::from_millis(1900);
-/// Hosts of one data centre that send to the same targets; today's sites have two or three.
-const SHARING: f64 = 3.0;
 /// Weight of a new sample of a target's slowness.
 const LEARN: f64 = 0.15;
 /// Slowness without new samples is forgotten over this time.
@@ -63,6 +63,11 @@
     pub held: f64,
     /// When it dropped out of the list.
     missing: Option<Instant>,
+    /// Whether another target answered at its address.
+    replaced: bool,
+    mark: TargetMark,
+    /// What other hosts have there.
+    others: LoadNote,
     health: Health,
     load: Option<(f64, Instant)>,
     slow: f64,
@@ -72,10 +77,13 @@
 impl Target {
     fn new(record: TargetRecord, now: Instant) -> Target {
         Target {
+            mark: mark(&record.id),
+            others: LoadNote::default(),
             record,
             own: 0,
             held: 0.0,
             missing: None,
+            replaced: false,
             health: Health::default(),
             load: None,
             slow: 1.0,
@@ -83,14 +91,24 @@
         }
     }
 
-    /// Whether the list allows new work.
+    /// Whether new work may go there by what the list and the target itself say.
     pub fn open(&self) -> bool {
-        !self.record.draining
+        !self.record.draining && !self.replaced
     }
 
     /// Whether own experience allows new work, too.
     pub fn sound(&self, now: Instant) -> bool {
-        self.health.usable(now, self.own)
+        !self.others.down && self.health.usable(now, self.own)
+    }
+
+    /// Requests in flight of all hosts.
+    pub fn busy(&self) -> f64 {
+        f64::from(self.own) + f64::from(self.others.own)
+    }
+
+    /// KV cache that all hosts' requests take, tokens times layers.
+    pub fn taken(&self) -> f64 {
+        self.held + f64::from(self.others.held) * 1000.0
     }
 
     /// How many times longer it takes than its figures say.
@@ -120,6 +138,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     all: BTreeMap<TargetId, Target>,
+    /// Of what is listed; kept, as it is asked for with every heartbeat.
+    digest: u64,
 }
 
 impl Targets {
@@ -129,22 +149,26 @@
             known.missing = None;
             let changed = known.record != record;
             known.record = record;
+            self.refresh_digest();
             return changed;
         }
         self.all.insert(record.id.clone(), Target::new(record, now));
+        self.refresh_digest();
         true
     }
 
     /// A target dropped out of the list; returns whether it was known.
     pub fn drop(&mut self, id: &str, absence: Absence, now: Instant) -> bool {
-        match absence {
+        let known = match absence {
             Absence::Left => self.all.remove(id).is_some(),
             Absence::Lapsed => {
                 let Some(target) = self.all.get_mut(id) else { return false };
                 target.missing.get_or_insert(now);
                 true
             }
-        }
+        };
+        self.refresh_digest();
+        known
     }
 
     /// Takes the whole list at once; returns the ids that dropped out.
@@ -239,10 +263,39 @@
     /// Another target answers at its address.
     pub fn replaced(&mut self, id: &str) {
         if let Some(target) = self.all.get_mut(id) {
-            target.record.draining = true;
+            target.replaced = true;
+        }
+    }
+
+    /// What other hosts have at the targets.
+    pub fn others(&mut self, loads: &HashMap<TargetMark, LoadNote>) {
+        for target in self.all.values_mut() {
+            target.others = loads.get(&target.mark).copied().unwrap_or_default();
         }
     }
 
+    /// What this host has at the targets, for the others.
+    pub fn notes(&self) -> Vec<LoadNote> {
+        let note = |t: &Target| LoadNote {
+            target: t.mark,
+            own: t.own.min(u32::from(u16::MAX)) as u16,
+            held: (t.held / 1000.0) as u32,
+            down: t.health.suspect(),
+        };
+        self.all.values().map(note).filter(|n| n.own > 0 || n.down).collect()
+    }
+
+    fn refresh_digest(&mut self) {
+        let listed = self.all.values().filter(|t| t.missing.is_none());
+        self.digest = listed.fold(0, |sum, t| sum ^ digest_of(&t.record));
+    }
+
+    /// How far the list was read, for the others.
+    /// The digest is the same wherever the same was read.
+    pub fn list_mark(&self, next: Offset) -> ListMark {
+        ListMark { next, digest: self.digest }
+    }
+
     /// A target told its load.
     pub fn loaded(&mut self, id: &str, running: u32, waiting: u32, now: Instant) {
         if let Some(target) = self.all.get_mut(id) {
@@ -273,7 +326,7 @@
             let told = t.load.filter(|(_, at)| {
                 now.saturating_duration_since(*at) < Duration::from_millis(500)
             });
-            let busy = told.map_or(0.0, |(n, _)| n).max(f64::from(t.own));
+            let busy = told.map_or(0.0, |(n, _)| n).max(t.busy());
             let far = if t.record.data_centre == near { 0.0 } else { 0.5 };
             (busy + far) / f64::from(t.record.slots.max(1)) * t.slowness(now)
         };
@@ -299,7 +352,7 @@
         let kind = spec.kind(t.record.kind.as_deref())?;
         let share = 1.0 / f64::from(spec.layers);
         let slow = t.slowness(now);
-        let busy = f64::from(t.own) * SHARING;
+        let busy = t.busy();
         let context = spec.context_ms * (spec.prompt + spec.answer);
         let step = spec.step_ms + (spec.per_seq_ms + context) * (busy + 1.0);
         let width = layers.1 - layers.0;
@@ -312,8 +365,15 @@
             layers,
             token_ms: step * kind.pace * share * slow,
             read_ms: kind.read * share * slow / spec.read_per_ms,
-            free: room - t.held * SHARING,
+            free: room - t.taken(),
+            room,
             sound: t.sound(now),
         })
     }
 }
+
+fn digest_of(record: &TargetRecord) -> u64 {
+    let layers = record.holding.map_or((0, 0), |h| h.layers);
+    let text = format!("{} {} {} {layers:?}", record.id, record.addr, record.draining);
+    xxh3_64(text.as_bytes())
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod exchange;
 mod following;
+mod peering;
 mod placing;
 mod probes;
 mod sends;
@@ -19,9 +20,10 @@
 use following::Following;
 use metrics_exporter_prometheus::PrometheusHandle;
 use placing::Placing;
+use rand::RngExt;
 use rand::rngs::SmallRng;
 use roseshore_core::gateway::progress::Progress;
-use roseshore_core::gateway::{Allowance, Currency, EntrySettings, Snapshot, Targets};
+use roseshore_core::gateway::{Allowance, Currency, EntrySettings, Peers, Snapshot, Targets};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{EntryPlatform, WireError};
 use std::cmp::Reverse;
@@ -90,6 +92,7 @@
     snapshot: Option<Arc<Snapshot>>,
     currency: Currency,
     targets: Targets,
+    peers: Peers,
     progress: Progress,
     allowances: HashMap<ServiceId, Allowance>,
     following: Following,
@@ -133,7 +136,13 @@
             }
             None => None,
         };
-        let random: SmallRng = rand::make_rng();
+        if let Some(peer) = settings.peer {
+            settings.peer = Some(net.hear(peer)?);
+        }
+        let mut random: SmallRng = rand::make_rng();
+        let own = settings.peer.unwrap_or(settings.callers);
+        let centre = &settings.data_centre;
+        let peers = Peers::new(own, centre, random.random(), &settings.seeds, now);
         let placing = Placing::new(&settings.host);
         let mut entry = Entry {
             currency: Currency::new(settings.bounds.revoke),
@@ -152,6 +161,7 @@
             calls: Slab::default(),
             snapshot: None,
             targets: Targets::default(),
+            peers,
             progress: Progress::default(),
             allowances: HashMap::new(),
             following: Following::default(),
@@ -194,6 +204,7 @@
             self.now = Instant::now();
             for notice in notices.drain(..) {
                 match notice {
+                    Notice::Door(Door::Peers) => self.hear(),
                     Notice::Door(door) => self.accept(door),
                     Notice::Socket(key) => self.socket_changed(key),
                 }
@@ -245,6 +256,7 @@
         self.place();
         self.drop_idle();
         self.judge_ready();
+        self.beat();
     }
 
     fn socket_changed(&mut self, key: Key) {
@@ -272,7 +284,7 @@
             let role = match door {
                 Door::Callers => Role::Caller(Caller::new(self.now)),
                 Door::Probes => Role::Probe,
-                Door::Metrics => Role::Metrics,
+                Door::Metrics | Door::Peers => Role::Metrics,
             };
             let caller = matches!(role, Role::Caller(_));
             self.roles.insert(key, role);
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -9,6 +9,7 @@
 use super::{Entry, note};
 use rand::RngExt;
 use roseshore_core::gateway::TargetRecord;
+use roseshore_core::gateway::peers::ListMark;
 use roseshore_core::gateway::targets::Absence;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, Page, Reading, StoreFault, Stream};
@@ -17,8 +18,18 @@
 /// How long a read of the configuration waits for a change: each read has a price, and the lease on
 /// the configuration must outlast two of them.
 const CONFIG_WAIT: Duration = Duration::from_millis(1500);
-/// Between reads of the list of targets: well within the bound for leaving targets.
+/// Between reads of the list of targets by the first host of a data centre: well within the bound
+/// for leaving targets. Its neighbours compare digests with it and read when those differ.
 const TARGETS_EVERY: Duration = Duration::from_millis(800);
+/// A neighbour reads for itself when nothing has confirmed its list for so long, and so on down
+/// the order of hosts.
+const TARGETS_LATER: Duration = Duration::from_millis(400);
+/// The same for the configuration: the first host waits for changes all the time.
+const CONFIG_LATER: Duration = Duration::from_millis(1200);
+/// Places in the order of hosts beyond which it makes no difference.
+const LAST_PLACE: usize = 3;
+/// A neighbour's list that differs is read at most this often.
+const DIFFERS_EVERY: Duration = Duration::from_millis(250);
 /// The longest time for a reply beyond what was asked to be waited: a store that is slowed
 /// eightyfold answers in a third of a second.
 const REPLY_TIME: Duration = Duration::from_millis(900);
@@ -53,6 +64,8 @@
     targets: Follow,
     lost: Option<Instant>,
     lapse: Option<Instant>,
+    /// When the own list was last known to be the store's.
+    confirmed: Option<Instant>,
 }
 
 impl Following {
@@ -74,10 +87,14 @@
 
     fn follow_one(&mut self, stream: Stream) {
         let (now, store) = (self.now, self.settings.store);
+        let confirmed = self.confirmed(stream);
         let follow = self.following.stream(stream);
         if follow.busy || follow.due.is_some_and(|due| now < due) {
             return;
         }
+        if confirmed && follow.next.is_some() {
+            return;
+        }
         follow.busy = true;
         let wait = if stream == Stream::Config { CONFIG_WAIT } else { Duration::ZERO };
         match follow.next {
@@ -93,6 +110,63 @@
         }
     }
 
+    /// Whether neighbours have confirmed a stream lately enough for this host's place among them.
+    fn confirmed(&self, stream: Stream) -> bool {
+        let place = self.peers.place(self.now).min(LAST_PLACE) as u32;
+        if place == 0 {
+            return false;
+        }
+        match stream {
+            Stream::Config => {
+                let most = CONFIG_WAIT + CONFIG_LATER.mul_f64(0.5 * f64::from(place));
+                self.currency.age(self.now).is_some_and(|age| age < most)
+            }
+            Stream::Targets => {
+                let most = TARGETS_EVERY + TARGETS_LATER * place;
+                let at = self.following.confirmed;
+                at.is_some_and(|at| self.now.saturating_duration_since(at) < most)
+            }
+        }
+    }
+
+    /// A neighbour has a newer configuration.
+    pub(super) fn read_config_now(&mut self) {
+        let follow = &mut self.following.config;
+        if follow.busy || follow.due.is_some() {
+            return;
+        }
+        let Some(from) = follow.next else { return };
+        follow.busy = true;
+        let request = self.platform.read(Stream::Config, from, CONFIG_WAIT);
+        let purpose = Purpose::Read(Stream::Config, CONFIG_WAIT);
+        self.call(purpose, self.settings.store, &request, CONFIG_WAIT + REPLY_TIME);
+    }
+
+    /// How far the list of targets was read here.
+    pub(super) fn list_mark(&self) -> ListMark {
+        self.targets.list_mark(self.following.targets.next.unwrap_or(0))
+    }
+
+    /// Compares the own list with a neighbour's that has read further.
+    pub(super) fn compare_list(&mut self, theirs: ListMark) {
+        let now = self.now;
+        let own = self.list_mark();
+        if theirs.next <= own.next || self.following.targets.next.is_none() {
+            return;
+        }
+        if theirs.digest == own.digest {
+            self.following.targets.next = Some(theirs.next);
+            self.following.confirmed = Some(now);
+            return;
+        }
+        let follow = &mut self.following.targets;
+        if !follow.busy && follow.fails == 0 {
+            let soon = now + DIFFERS_EVERY;
+            follow.due = Some(follow.due.map_or(soon, |due| due.min(soon)));
+            self.following.confirmed = None;
+        }
+    }
+
     pub(super) fn newest_came(
         &mut self,
         stream: Stream,
@@ -135,6 +209,7 @@
                 let lost = self.targets.replace(records, absence, now);
                 note!(self, TargetListed, "targets={count} dropped={}", lost.len());
                 self.following.targets.due = Some(now + TARGETS_EVERY);
+                self.following.confirmed = Some(sent);
             }
         }
     }
@@ -168,6 +243,7 @@
         follow.next = Some(next);
         if stream == Stream::Targets && caught_up {
             follow.due = Some(now + TARGETS_EVERY);
+            self.following.confirmed = Some(sent);
         }
         match stream {
             Stream::Config => {
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -0,0 +1,60 @@
+//! Heartbeats between hosts: loads, failures, and what each has read of the store.
+
+use super::{Entry, note};
+use roseshore_core::gateway::peers::{Beat, Own};
+use roseshore_core::prelude::*;
+use roseshore_wire::frame::{self, MAX_DATAGRAM};
+
+impl Entry {
+    /// Takes the heartbeats that came.
+    pub(super) fn hear(&mut self) {
+        while let Some((from, bytes)) = self.net.datagram() {
+            let beat: Beat = match frame::decode(bytes) {
+                Ok(beat) => beat,
+                Err(err) => {
+                    let why = err.to_string();
+                    note!(self, DatagramSkipped, "from={from} why={why:?}");
+                    continue;
+                }
+            };
+            let (now, config, list) = (self.now, beat.config, beat.list);
+            let Some(heard) = self.peers.hear(from, beat, now) else { continue };
+            if heard.joined {
+                note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
+            }
+            let known = self.snapshot.as_ref().map_or(0, |s| s.version());
+            if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
+                self.currency.prove(proven);
+            }
+            if config > known {
+                self.read_config_now();
+            }
+            if heard.near {
+                self.compare_list(list);
+            }
+        }
+        let loads = self.peers.loads(self.now);
+        self.targets.others(&loads);
+    }
+
+    /// Sends the heartbeats that are due.
+    pub(super) fn beat(&mut self) {
+        let age = self.currency.age(self.now);
+        let own = Own {
+            leaving: self.stopping.is_some(),
+            config: self.snapshot.as_ref().map_or(0, |s| s.version()),
+            proven: age.and_then(|age| self.now.checked_sub(age)),
+            list: self.list_mark(),
+            loads: self.targets.notes(),
+        };
+        for (to, beat) in self.peers.due(&own, self.now) {
+            match frame::encode(&beat, MAX_DATAGRAM) {
+                Ok(bytes) => self.net.send_datagram(to, &bytes),
+                Err(err) => {
+                    let why = err.to_string();
+                    note!(self, DatagramSkipped, "to={to} why={why:?}");
+                }
+            }
+        }
+    }
+}
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -1,7 +1,7 @@
 //! Sockets that are ready or not: buffers around them, nothing decided.
 
 use crate::slab::{Key, Slab};
-use mio::net::{TcpListener, TcpStream};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
@@ -25,9 +25,11 @@
     Probes,
     /// Metrics.
     Metrics,
+    /// Other hosts' datagrams.
+    Peers,
 }
 
-const DOORS: [Door; 3] = [Door::Callers, Door::Probes, Door::Metrics];
+const DOORS: [Door; 4] = [Door::Callers, Door::Probes, Door::Metrics, Door::Peers];
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +80,7 @@
     events: Events,
     sockets: Slab<Socket>,
     doors: Vec<(Door, TcpListener)>,
+    datagrams: Option<UdpSocket>,
     most: usize,
     scratch: Vec<u8>,
 }
@@ -90,7 +93,7 @@
     pub fn new(most: usize) -> io::Result<Net> {
         let (poll, events) = (Poll::new()?, Events::with_capacity(EVENTS));
         let (sockets, doors, scratch) = (Slab::default(), Vec::new(), vec![0; READ]);
-        Ok(Net { poll, events, sockets, doors, most, scratch })
+        Ok(Net { poll, events, sockets, doors, datagrams: None, most, scratch })
     }
 
     /// Listens.
@@ -115,6 +118,40 @@
         Ok(bound)
     }
 
+    /// Hears datagrams.
+    ///
+    /// # Errors
+    /// When the address cannot be had.
+    pub fn hear(&mut self, addr: SocketAddr) -> io::Result<SocketAddr> {
+        let mut socket = UdpSocket::bind(addr)?;
+        let token = Token(usize::MAX - Door::Peers as usize);
+        self.poll.registry().register(&mut socket, token, Interest::READABLE)?;
+        let bound = socket.local_addr()?;
+        self.datagrams = Some(socket);
+        Ok(bound)
+    }
+
+    /// Takes a datagram that came.
+    pub fn datagram(&mut self) -> Option<(SocketAddr, &[u8])> {
+        let socket = self.datagrams.as_ref()?;
+        loop {
+            match socket.recv_from(&mut self.scratch) {
+                Ok((count, from)) => return Some((from, &self.scratch[..count])),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return None,
+                // An earlier datagram met a closed port; this one is read next.
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Sends a datagram; it may be lost.
+    pub fn send_datagram(&mut self, to: SocketAddr, bytes: &[u8]) {
+        let Some(socket) = &self.datagrams else { return };
+        if socket.send_to(bytes, to).is_err() {
+            metrics::counter!("roseshore_datagrams_unsent_total").increment(1);
+        }
+    }
+
     /// Stops listening.
     pub fn shut(&mut self, door: Door) {
         self.doors.retain(|(d, _)| *d != door);
