Dead targets are found by knocks, and holes in the layers are dealt out

Change: targets that brought nothing since a stream fell silent are knocked at (a connection opened and closed); what runs through a dead one moves at once, and other hosts hear of it. A hole is dealt out to its neighbours and to empty engines; hosts act in the order of their addresses. A refusal for want of targets says to come back when a hole is usually filled.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -11,7 +11,6 @@
 pub mod path;
 pub mod peers;
 pub mod plan;
-pub mod progress;
 pub mod routes;
 pub mod settings;
 pub mod targets;
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -212,6 +212,11 @@
         Some(Heard { joined, proven, near })
     }
 
+    /// Makes the next heartbeats to the own data centre due at once.
+    pub fn hurry(&mut self) {
+        self.peers.values_mut().filter(|p| p.near).for_each(|p| p.told = None);
+    }
+
     /// The heartbeats that are due, with their hearers.
     pub fn due(&mut self, own: &Own, now: Instant) -> Vec<(SocketAddr, Beat)> {
         self.peers.retain(|_, peer| {
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -4,10 +4,11 @@
 //! So a fresh data centre gets few whole copies of the model, each over engines that together leave
 //! every part the same room: the largest number of tokens `t` for which the engines, each holding
 //! as many layers as fit beside the cache of `t` tokens, still hold all layers. Two disjoint copies
-//! are wanted, so that no loss of one engine takes the last holder of a layer.
+//! are wanted where they leave enough, so that no loss of one engine takes the last holder of a layer.
 //!
-//! Later, moves are few: an empty engine takes the range where the least room is, and a hole that
-//! no empty engine can fill is filled by an engine whose layers others hold, too.
+//! Later, moves are few: a hole is dealt out to its neighbours and to empty engines, so that it is
+//! soon filled, and an empty engine that is not needed for that takes the range where the least
+//! room is.
 
 use super::routes::{EngineSpec, Kind};
 use crate::prelude::*;
@@ -18,6 +19,9 @@
 const COPY_LEAST: f64 = 70_000.0;
 /// Room that an engine that joins later should leave, tokens.
 const JOIN_ROOM: f64 = 35_000.0;
+/// Room that engines which fill a hole should keep, tokens, the best first: the least is that of
+/// two of the largest requests.
+const REPAIR_ROOMS: [f64; 3] = [40_000.0, 18_000.0, 6_000.0];
 /// Steps of the search for the room of a copy.
 const SEARCH_STEPS: u32 = 24;
 /// Handing a token on, ms; as in the choice of paths.
@@ -44,6 +48,17 @@
     }
     let mut known = members.to_vec();
     let mut wanted = Vec::new();
+    while let Some(hole) = first_hole(spec, &known) {
+        let moves = repair(spec, &known, hole);
+        if moves.is_empty() {
+            break;
+        }
+        for (index, layers) in moves {
+            known[index].layers = Some(layers);
+            wanted.retain(|(id, _)| *id != known[index].id);
+            wanted.push((known[index].id.clone(), layers));
+        }
+    }
     for index in 0..known.len() {
         if known[index].layers.is_none() {
             let range = thinnest(spec, &known, index);
@@ -51,10 +66,6 @@
             wanted.extend(range.map(|r| (known[index].id.clone(), r)));
         }
     }
-    if let Some((index, range)) = fill_hole(spec, &known) {
-        wanted.retain(|(id, _)| *id != known[index].id);
-        wanted.push((known[index].id.clone(), range));
-    }
     wanted
 }
 
@@ -231,12 +242,77 @@
     Some((from, from + width))
 }
 
-/// An engine to move onto the first hole: one whose layers all have other holders, and of those the
+/// The first run of layers that nobody holds.
+fn first_hole(spec: &EngineSpec, members: &[Member]) -> Option<(Layer, Layer)> {
+    let all = rooms(spec, members, members.len());
+    let from = all.iter().position(|room| *room <= 0.0)?;
+    let width = all[from..].iter().position(|room| *room > 0.0).unwrap_or(all.len() - from);
+    Some((from as Layer, (from + width) as Layer))
+}
+
+/// Who fills a hole, and what each holds then. The time until it is filled counts most, and that
+/// grows with the layers that one engine has to load: so it is dealt out to the neighbours, who
+/// hold on to what they have, and to empty engines, each by what it can take.
+fn repair(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Vec<(usize, (Layer, Layer))> {
+    for least in REPAIR_ROOMS {
+        let moves = repair_with(spec, members, hole, least);
+        if !moves.is_empty() {
+            return moves;
+        }
+    }
+    move_spare(spec, members, hole).into_iter().collect()
+}
+
+fn repair_with(
+    spec: &EngineSpec,
+    members: &[Member],
+    hole: (Layer, Layer),
+    least: f64,
+) -> Vec<(usize, (Layer, Layer))> {
+    let more = |index: usize| -> Layer {
+        let Some(kind) = spec.kind(Some(&members[index].kind)) else { return 0 };
+        let held = members[index].layers.map_or(0, |(from, to)| to - from);
+        layers_at(spec, kind, least).saturating_sub(held)
+    };
+    let able = |test: &dyn Fn((Layer, Layer)) -> bool| {
+        let held = (0..members.len()).filter(|&i| members[i].layers.is_some_and(test));
+        held.max_by_key(|&i| more(i)).filter(|&i| more(i) > 0)
+    };
+    let left = able(&|(_, to)| to == hole.0);
+    let right = able(&|(from, _)| from == hole.1);
+    let empty = (0..members.len()).filter(|&i| members[i].layers.is_none() && more(i) > 0);
+    let takers: Vec<usize> = left.into_iter().chain(empty).chain(right).collect();
+    let total: u32 = takers.iter().map(|&i| u32::from(more(i))).sum();
+    let width = u32::from(hole.1 - hole.0);
+    if total < width {
+        return Vec::new();
+    }
+    let mut moves = Vec::new();
+    let (mut from, mut before) = (hole.0, 0);
+    for &index in &takers {
+        before += u32::from(more(index));
+        let to = hole.0 + (width * before / total) as Layer;
+        if to > from {
+            let held = members[index].layers;
+            let range = match held {
+                Some((first, _)) if Some(index) == left => (first, to),
+                Some((_, last)) => (from, last),
+                None => (from, to),
+            };
+            moves.push((index, range));
+            from = to;
+        }
+    }
+    moves
+}
+
+/// The last resort: an engine whose layers all have other holders moves onto the hole; of those the
 /// one whose layers have most room elsewhere.
-fn fill_hole(spec: &EngineSpec, members: &[Member]) -> Option<(usize, (Layer, Layer))> {
-    let none = members.len();
-    let all = rooms(spec, members, none);
-    let hole = all.iter().position(|room| *room <= 0.0)? as Layer;
+fn move_spare(
+    spec: &EngineSpec,
+    members: &[Member],
+    hole: (Layer, Layer),
+) -> Option<(usize, (Layer, Layer))> {
     let spare = |index: usize| -> Option<f64> {
         let (from, to) = members[index].layers?;
         let others = rooms(spec, members, index);
@@ -247,6 +323,6 @@
     let (index, _) = spares.max_by(|a, b| a.1.total_cmp(&b.1))?;
     let kind = spec.kind(Some(&members[index].kind))?;
     let width = join_width(spec, kind);
-    let from = hole.min(spec.layers - width);
+    let from = hole.0.min(spec.layers - width);
     Some((index, (from, from + width)))
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -72,6 +72,10 @@
     load: Option<(f64, Instant)>,
     slow: f64,
     slow_at: Instant,
+    /// When something last came through it.
+    progress: Option<Instant>,
+    /// Since when it has not answered knocks.
+    dead: Option<Instant>,
 }
 
 impl Target {
@@ -88,6 +92,8 @@
             load: None,
             slow: 1.0,
             slow_at: now,
+            progress: None,
+            dead: None,
         }
     }
 
@@ -98,7 +104,12 @@
 
     /// Whether own experience allows new work, too.
     pub fn sound(&self, now: Instant) -> bool {
-        !self.others.down && self.health.usable(now, self.own)
+        !self.down() && self.health.usable(now, self.own)
+    }
+
+    /// Whether it answers nobody's knocks.
+    pub fn down(&self) -> bool {
+        self.dead.is_some() || self.others.down
     }
 
     /// Requests in flight of all hosts.
@@ -260,6 +271,43 @@
         before && !target.health.suspect()
     }
 
+    /// Something came through these targets.
+    pub fn progressed<'a>(&mut self, path: impl Iterator<Item = &'a TargetId>, now: Instant) {
+        for id in path {
+            if let Some(target) = self.all.get_mut(id) {
+                target.progress = Some(now);
+                target.dead = None;
+            }
+        }
+    }
+
+    /// The targets of a silent path that nothing has come through since `since`. A silent stream
+    /// does not say which of its targets is at fault, but other streams show which are not.
+    pub fn suspects(&self, path: &[TargetId], since: Instant) -> Vec<TargetId> {
+        let quiet = |id: &&TargetId| {
+            self.all.get(*id).is_none_or(|t| t.progress.is_none_or(|at| at <= since))
+        };
+        path.iter().filter(quiet).cloned().collect()
+    }
+
+    /// It does not answer knocks; returns whether that is news.
+    pub fn died(&mut self, id: &str, now: Instant) -> bool {
+        let Some(target) = self.all.get_mut(id) else { return false };
+        let news = target.dead.is_none();
+        target.dead.get_or_insert(now);
+        news
+    }
+
+    /// It answered a knock; returns whether that is news.
+    pub fn answered(&mut self, id: &str) -> bool {
+        self.all.get_mut(id).is_some_and(|t| t.dead.take().is_some())
+    }
+
+    /// The targets that this host holds for dead.
+    pub fn dead(&self) -> Vec<TargetId> {
+        self.all.values().filter(|t| t.dead.is_some()).map(|t| t.record.id.clone()).collect()
+    }
+
     /// Another target answers at its address.
     pub fn replaced(&mut self, id: &str) {
         if let Some(target) = self.all.get_mut(id) {
@@ -280,7 +328,7 @@
             target: t.mark,
             own: t.own.min(u32::from(u16::MAX)) as u16,
             held: (t.held / 1000.0) as u32,
-            down: t.health.suspect(),
+            down: t.dead.is_some(),
         };
         self.all.values().map(note).filter(|n| n.own > 0 || n.down).collect()
     }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod exchange;
 mod following;
+mod knocking;
 mod peering;
 mod placing;
 mod probes;
@@ -18,11 +19,11 @@
 use calls::Call;
 use exchange::Exchange;
 use following::Following;
+use knocking::Knocks;
 use metrics_exporter_prometheus::PrometheusHandle;
 use placing::Placing;
 use rand::RngExt;
 use rand::rngs::SmallRng;
-use roseshore_core::gateway::progress::Progress;
 use roseshore_core::gateway::{Allowance, Currency, EntrySettings, Peers, Snapshot, Targets};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{EntryPlatform, WireError};
@@ -63,6 +64,7 @@
     Metrics,
     Target(Key),
     Call(Key),
+    Knock(TargetId),
     Idle(SocketAddr),
 }
 
@@ -72,6 +74,7 @@
     Exchange(Key),
     Call(Key),
     Caller(Key),
+    Knock(Key),
 }
 
 /// An entry host.
@@ -93,7 +96,7 @@
     currency: Currency,
     targets: Targets,
     peers: Peers,
-    progress: Progress,
+    knocks: Knocks,
     allowances: HashMap<ServiceId, Allowance>,
     following: Following,
     placing: Placing,
@@ -143,7 +146,6 @@
         let own = settings.peer.unwrap_or(settings.callers);
         let centre = &settings.data_centre;
         let peers = Peers::new(own, centre, random.random(), &settings.seeds, now);
-        let placing = Placing::new(&settings.host);
         let mut entry = Entry {
             currency: Currency::new(settings.bounds.revoke),
             settings,
@@ -162,10 +164,10 @@
             snapshot: None,
             targets: Targets::default(),
             peers,
-            progress: Progress::default(),
+            knocks: Knocks::default(),
             allowances: HashMap::new(),
             following: Following::default(),
-            placing,
+            placing: Placing::default(),
             random,
             now,
             ticked: now,
@@ -242,6 +244,7 @@
                 Timer::Exchange(key) => self.check_exchange(key),
                 Timer::Call(key) => self.check_call(key),
                 Timer::Caller(key) => self.check_caller(key),
+                Timer::Knock(key) => self.check_knock(key),
             }
         }
     }
@@ -250,10 +253,10 @@
         self.obey_signals();
         for id in self.targets.tick(self.now) {
             note!(self, TargetLeft, "target={id} state=missing");
-            self.progress.forget(&id);
         }
         self.follow();
         self.place();
+        self.knock_at_dead();
         self.drop_idle();
         self.judge_ready();
         self.beat();
@@ -271,6 +274,7 @@
                 let call = *call;
                 self.pump_call(call);
             }
+            Some(Role::Knock(_)) => self.knocked(key),
             Some(Role::Idle(addr)) => {
                 let addr = *addr;
                 self.check_idle(key, addr);
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -277,7 +277,7 @@
             exchange.out.first.get_or_insert(now);
             exchange.out.latest = Some(now);
             send.latest = now;
-            self.progress.note(send.path.iter().map(|(id, ..)| id), now);
+            self.targets.progressed(send.path.iter().map(|(id, ..)| id), now);
             let mut out = Vec::with_capacity(taken.bytes.len() + 16);
             http::put_chunk(&mut out, &taken.bytes);
             self.net.send(caller, &out);
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -15,11 +15,12 @@
 use super::probes::millis;
 use super::sends::Send;
 
-/// When to come back after a refusal, before it is spread.
-pub(super) const COME_BACK: Duration = Duration::from_millis(500);
-/// When to come back while this host knows too little to serve: by then the balancer has turned
-/// to others.
-const COME_BACK_LATER: Duration = Duration::from_millis(1000);
+/// When to come back after a refusal that another host may not give, before it is spread: a caller
+/// comes back on a new connection, which reaches another host.
+pub(super) const COME_BACK: Duration = Duration::from_millis(300);
+/// When to come back while targets are missing or full: a hole in the layers is found and filled in
+/// two to three seconds, and by then the answers that fill the caches are done.
+const COME_BACK_LATER: Duration = Duration::from_millis(2400);
 /// The shortest time in which another send makes sense.
 const LEAST: Duration = Duration::from_millis(60);
 /// How long a caller waits when it does not say.
@@ -132,7 +133,7 @@
     ) -> Result<Exchange, Refusal> {
         let Some(snapshot) = self.snapshot.clone() else {
             let refusal = Refusal::not_run(Code::NoConfiguration, "no configuration yet");
-            return Err(refusal.after(self.spread(COME_BACK_LATER)));
+            return Err(refusal.after(self.spread(COME_BACK)));
         };
         let host = http::field(&head.fields, "host").unwrap_or("");
         let route = snapshot.route(host, &head.path).cloned();
@@ -181,7 +182,7 @@
 
     fn unconfirmed(&mut self) -> Refusal {
         let text = "the configuration cannot be confirmed";
-        Refusal::not_run(Code::ConfigUnconfirmed, text).after(self.spread(COME_BACK_LATER))
+        Refusal::not_run(Code::ConfigUnconfirmed, text).after(self.spread(COME_BACK))
     }
 
     /// A time to come back, spread so that callers do not come back together.
@@ -208,7 +209,7 @@
                 self.close(caller);
                 return;
             }
-            End::NotRun => Refusal::not_run(code, why).after(self.spread(COME_BACK)),
+            End::NotRun => Refusal::not_run(code, why).after(self.spread(COME_BACK_LATER)),
             End::Unknown => Refusal::may_have_run(code, why),
         };
         metrics::counter!("roseshore_refused_total", "code" => code.to_string()).increment(1);
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -301,7 +301,6 @@
         match absence {
             Absence::Left => {
                 note!(self, TargetLeft, "target={id} state=dropped");
-                self.progress.forget(&id.to_owned());
             }
             Absence::Lapsed => note!(self, TargetLapsed, "target={id}"),
         }
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -37,6 +37,12 @@
         self.targets.others(&loads);
     }
 
+    /// Tells the own data centre at once.
+    pub(super) fn beat_now(&mut self) {
+        self.peers.hurry();
+        self.beat();
+    }
+
     /// Sends the heartbeats that are due.
     pub(super) fn beat(&mut self) {
         let age = self.currency.age(self.now);
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -7,20 +7,20 @@
 use super::calls::{CallFault, Purpose};
 use super::{Entry, note};
 use roseshore_core::gateway::plan::{Member, plan};
+use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::CallReply;
 use std::collections::{BTreeSet, HashMap};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// How often the plan is compared with the list.
-const COMPARE: Duration = Duration::from_millis(400);
+const COMPARE: Duration = Duration::from_millis(200);
 /// The list must have stood still for so long before a first plan is made: at a start, targets
 /// were seen to enter it over three seconds, with pauses below one.
 const SETTLE: Duration = Duration::from_millis(1200);
 /// Hosts of a data centre act one after the other, so far apart.
-const APART: Duration = Duration::from_millis(700);
-/// Places in that order.
-const PLACES: u64 = 4;
+const APART: Duration = Duration::from_millis(600);
+/// Places in that order that make a difference.
+const LAST_PLACE: usize = 4;
 /// A target that has begun an order is listed with it by then: the longest load of all layers
 /// that a kind can hold, and two heartbeats.
 const BEGUN: Duration = Duration::from_secs(9);
@@ -30,9 +30,8 @@
 const CALL_TIME: Duration = Duration::from_millis(700);
 
 /// What this host has done and is waiting for.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Placing {
-    delay: Duration,
     compared: Option<Instant>,
     members: BTreeSet<TargetId>,
     changed: Option<Instant>,
@@ -43,21 +42,6 @@
     asked: HashMap<TargetId, (Layer, Layer)>,
 }
 
-impl Placing {
-    pub(super) fn new(host: &str) -> Placing {
-        let place = xxh3_64(host.as_bytes()) % PLACES;
-        Placing {
-            delay: APART * place as u32,
-            compared: None,
-            members: BTreeSet::new(),
-            changed: None,
-            wanted: None,
-            pending: HashMap::new(),
-            asked: HashMap::new(),
-        }
-    }
-}
-
 impl Entry {
     /// Compares plan and list, and asks targets that differ for a report.
     pub(super) fn place(&mut self) {
@@ -79,9 +63,10 @@
                 self.placing.changed = Some(now);
             }
             self.placing.members.extend(ids);
+            let first = members.iter().all(|m| m.layers.is_none());
             let settled =
                 self.placing.changed.is_some_and(|at| now.saturating_duration_since(at) >= SETTLE);
-            if !settled {
+            if first && !settled {
                 continue;
             }
             for (id, layers) in plan(spec, &members) {
@@ -97,8 +82,9 @@
     /// The engines of the own data centre, with what they hold or have begun to load.
     fn members(&self, service: &str) -> Vec<Member> {
         let near = &self.settings.data_centre;
-        let all = self.targets.of(service).filter(|t| t.open() && t.record.data_centre == *near);
-        let member = |t: &roseshore_core::gateway::targets::Target| {
+        let live = |t: &&Target| t.open() && !t.down() && t.record.data_centre == *near;
+        let all = self.targets.of(service).filter(live);
+        let member = |t: &Target| {
             let pending = self.placing.pending.get(&t.record.id).map(|(layers, _)| *layers);
             Some(Member {
                 id: t.record.id.clone(),
@@ -112,7 +98,8 @@
     fn want(&mut self, id: &str, layers: (Layer, Layer)) {
         let now = self.now;
         let since = *self.placing.wanted.get_or_insert(now);
-        let wait = now < since + self.placing.delay;
+        let place = self.peers.place(now).min(LAST_PLACE) as u32;
+        let wait = now < since + APART * place;
         if wait || self.placing.asked.contains_key(id) {
             return;
         }
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -13,13 +13,15 @@
 
 /// For a connection to come up; a millisecond between data centres, and one lost packet.
 const CONNECT: Duration = Duration::from_millis(250);
-/// Silence before the first event after which another path is tried: the engines read the largest
-/// prompt in a fifth of it, and a caller leaves after two seconds.
-const FIRST_SILENT: Duration = Duration::from_millis(850);
-/// Silence between events after which another path is tried, at least.
-const NEXT_SILENT: Duration = Duration::from_millis(400);
-/// The same as a multiple of the predicted time between events.
-const NEXT_SILENT_STEPS: f64 = 8.0;
+/// Silence before the first event after which the path's targets are knocked at, and after which
+/// another path is tried: engines read the largest prompt in a fifth of a second, and a caller
+/// leaves after two.
+const FIRST_SILENT: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1000));
+/// The same between events, at least.
+const NEXT_SILENT: (Duration, Duration) = (Duration::from_millis(170), Duration::from_millis(700));
+/// The same as multiples of the predicted time between events.
+const NEXT_SILENT_STEPS: (f64, f64) = (3.5, 10.0);
 /// Silence of a plain service after which a request that may be repeated goes elsewhere.
 const PLAIN_SILENT: Duration = Duration::from_millis(420);
 /// Tokens of an event where the engines do not say.
@@ -193,29 +195,43 @@
             }
             return self.arm(send.sent + CONNECT, Timer::Exchange(key));
         }
-        let Some(limit) = silence_limit(exchange) else { return };
-        let at = send.latest + limit;
-        if now < at {
-            return self.arm(at.min(exchange.until), Timer::Exchange(key));
+        let Some((doubt, give_up)) = silence_limits(exchange) else { return };
+        let silence = now.saturating_duration_since(send.latest);
+        let (latest, until) = (send.latest, exchange.until);
+        if silence < doubt {
+            return self.arm((latest + doubt).min(until), Timer::Exchange(key));
+        }
+        let suspects = self.targets.suspects(&send.targets(), latest);
+        if silence < give_up {
+            self.arm((latest + give_up).min(until), Timer::Exchange(key));
+            for suspect in suspects {
+                self.knock(&suspect);
+            }
+            return;
         }
         self.silent(key);
     }
 
-    /// A target has been silent for too long: go elsewhere if that is allowed, else go on waiting.
+    /// A target has been silent for too long: go elsewhere if there is a way, else go on waiting.
     fn silent(&mut self, key: Key) {
         let now = self.now;
-        let Some(exchange) = self.exchanges.get(key) else { return };
-        let standing = exchange.standing(now);
-        let Some(send) = &exchange.send else { return };
-        let mut after = standing;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let mut after = exchange.standing(now);
         after.verdict = after.verdict.join(Verdict::MayHaveRun);
         if fate::next(&after) != Next::Again {
             return;
         }
-        let path = send.targets();
-        let suspects = self.progress.suspects(&path, send.latest);
-        let suspects: Vec<TargetId> = suspects.into_iter().cloned().collect();
-        self.failed_by(key, Fault::Silent, suspects);
+        // None of them is known to be at fault, so none is held to be: only this request avoids
+        // them.
+        let Some(path) = exchange.send.as_ref().map(Send::targets) else { return };
+        let known = exchange.avoid.len();
+        exchange.avoid.extend(path);
+        if self.choose(key).is_some_and(|choice| choice.roomy) {
+            return self.failed_by(key, Fault::Silent, Vec::new());
+        }
+        if let Some(exchange) = self.exchanges.get_mut(key) {
+            exchange.avoid.truncate(known);
+        }
     }
 
     /// A send failed; `culprit` is the target at fault if it is not the one it was sent to.
@@ -228,7 +244,7 @@
         self.failed_by(key, fault, vec![culprit]);
     }
 
-    fn failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
+    pub(super) fn failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
@@ -250,6 +266,7 @@
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         note!(self, SendFailed, "{text}");
         for culprit in &culprits {
+            self.knock(culprit);
             if self.targets.failed(culprit, now) {
                 note!(self, TargetLost, "target={culprit} fault={}", fault.name());
             }
@@ -301,16 +318,18 @@
     if most > 0.0 { guess.min(most) } else { guess }
 }
 
-/// How long a target may be silent; `None` where nothing else could be done.
-fn silence_limit(exchange: &Exchange) -> Option<Duration> {
+/// How long a target may be silent before it is doubted, and before it is given up; `None` where
+/// nothing else could be done.
+fn silence_limits(exchange: &Exchange) -> Option<(Duration, Duration)> {
     let send = exchange.send.as_ref()?;
     match exchange.route.kind {
         CallKind::Unrepeatable | CallKind::Stream { resumable: false } => None,
-        CallKind::Idempotent => Some(PLAIN_SILENT),
+        CallKind::Idempotent => Some((PLAIN_SILENT / 2, PLAIN_SILENT)),
         CallKind::Stream { resumable: true } if send.latest == send.sent => Some(FIRST_SILENT),
         CallKind::Stream { resumable: true } => {
             let step = Duration::from_secs_f64(send.token_ms * EVENT_TOKENS / 1000.0);
-            Some(NEXT_SILENT.max(step.mul_f64(NEXT_SILENT_STEPS)))
+            let doubt = NEXT_SILENT.0.max(step.mul_f64(NEXT_SILENT_STEPS.0));
+            Some((doubt, NEXT_SILENT.1.max(step.mul_f64(NEXT_SILENT_STEPS.1))))
         }
     }
 }
