The plan weighs how long steps get when many requests run

Cause: one copy over all engines was preferred for its room, but each running request lengthens every step, most on slow engines: a path with seven l4 took six seconds an answer at 160 requests, and its cache filled all the same. Change: of all splits by kind, the one whose copies carry most requests a second at a working fill, with steps as long as they are then.

--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -1,10 +1,11 @@
 //! Which layers each engine of a data centre should hold.
 //!
-//! KV memory binds, not arithmetic: an engine that is filled with layers has no room for requests.
-//! So a fresh data centre gets few whole copies of the model, each over engines that together leave
-//! every part the same room: the largest number of tokens `t` for which the engines, each holding
-//! as many layers as fit beside the cache of `t` tokens, still hold all layers. Two disjoint copies
-//! are wanted where they leave enough, so that no loss of one engine takes the last holder of a layer.
+//! KV memory binds first: an engine that is filled with layers has no room for requests. So a fresh
+//! data centre gets few whole copies of the model, each over engines that together leave every part
+//! the same room: the largest number of tokens `t` for which the engines, each holding as many
+//! layers as fit beside the cache of `t` tokens, still hold all layers. But every request that runs
+//! makes each step longer, most on slow engines, so one copy over all of them may carry less than
+//! two over few: of all splits by kind, the one that carries most requests a second is taken.
 //!
 //! Later, moves are few: a hole is dealt out to its neighbours and to empty engines, so that it is
 //! soon filled, and an empty engine that is not needed for that takes the range where the least
@@ -13,10 +14,10 @@
 use super::routes::{EngineSpec, Kind};
 use crate::prelude::*;
 
-/// Room that each of two copies must leave, tokens: some 70 requests of a thousand tokens at once.
-/// With less, a copy fills up and engines preempt requests (measured: two copies of 64,000 and
-/// 36,000 tokens collapsed at 25 requests a second, one of 255,000 did not).
-const COPY_LEAST: f64 = 70_000.0;
+/// Room that each copy must leave, tokens; four of the largest requests.
+const COPY_LEAST: f64 = 12_000.0;
+/// Part of the room that is used when a copy is as busy as it should be.
+const WORKING_FILL: f64 = 0.8;
 /// Room that an engine that joins later should leave, tokens.
 const JOIN_ROOM: f64 = 35_000.0;
 /// Room that engines which fill a hole should keep, tokens, the best first: the least is that of
@@ -106,21 +107,39 @@
         }
     }
     let mut taken = vec![0; counts.len()];
-    let mut best: Option<(f64, Vec<usize>)> = None;
+    let mut best = (rate(spec, group), None);
     loop {
         let (a, b) = deal(group, &counts, &taken);
         let rooms = (room(spec, &a), room(spec, &b));
         if rooms.0 >= least && rooms.1 >= least {
-            let rate = rooms.0 / token_ms(spec, &a) + rooms.1 / token_ms(spec, &b);
-            if best.as_ref().is_none_or(|(most, _)| rate > *most) {
-                best = Some((rate, taken.clone()));
+            let both = rate(spec, &a) + rate(spec, &b);
+            if both > best.0 {
+                best = (both, Some(taken.clone()));
             }
         }
         if !advance(&mut taken, &counts) {
             break;
         }
     }
-    best.map(|(_, taken)| deal(group, &counts, &taken))
+    best.1.map(|taken| deal(group, &counts, &taken))
+}
+
+/// Requests a second that a copy can carry. As many run at once as its cache has room for; each of
+/// them makes every step longer, so more room is worth less on slow engines.
+fn rate(spec: &EngineSpec, group: &Group<'_>) -> f64 {
+    let held = spec.prompt + 0.5 * spec.answer;
+    let running = WORKING_FILL * room(spec, group) / held.max(1.0);
+    let step = spec.step_ms + running * (spec.per_seq_ms + spec.context_ms * held);
+    let mut token = 0.0;
+    let mut read = 0.0;
+    for (id, layers) in tile(spec, group) {
+        let Some((_, kind)) = group.iter().find(|(m, _)| m.id == id) else { continue };
+        let share = f64::from(layers.1 - layers.0) / f64::from(spec.layers);
+        token += share * step * kind.pace + HOP_MS;
+        read += share * spec.prompt / spec.read_per_ms * kind.read;
+    }
+    let life = read + spec.answer * token;
+    if life > 0.0 { 1000.0 * running / life } else { 0.0 }
 }
 
 fn advance(taken: &mut [usize], counts: &[(&str, usize)]) -> bool {
@@ -173,16 +192,6 @@
     low
 }
 
-/// Time of a token through a copy.
-fn token_ms(spec: &EngineSpec, group: &Group<'_>) -> f64 {
-    let ranges = tile(spec, group);
-    let time = |id: &TargetId, layers: (Layer, Layer)| {
-        let pace = group.iter().find(|(m, _)| m.id == *id).map_or(1.0, |(_, k)| k.pace);
-        f64::from(layers.1 - layers.0) / f64::from(spec.layers) * spec.step_ms * pace + HOP_MS
-    };
-    ranges.iter().map(|(id, layers)| time(id, *layers)).sum()
-}
-
 /// Lays the layers over the engines of one copy; surplus is taken from the slowest.
 fn tile(spec: &EngineSpec, group: &Group<'_>) -> Vec<Placement> {
     let tokens = room(spec, group);
