Requests wait a moment for room; hosts share one allowance of repeats

Change: a request waits under a quarter of its objective for room, a stream that has begun 1.3 s; hosts tell each other requests and repeats, so that the whole of the operators' allowance is used; the bound on targets counts targets, not sends; narrow layers are widened after a repair.

--- a/crates/roseshore_core/src/gateway/allowance.rs
+++ b/crates/roseshore_core/src/gateway/allowance.rs
@@ -1,18 +1,29 @@
 //! How many sends may be repeated.
 //!
-//! The operators bound the repeated sends of all hosts together: a ratio of the requests in a
-//! window and a slack. A host does not know the others' requests, so it keeps to the ratio of its
-//! own and to a small part of the slack; the sum then holds without a word between hosts.
+//! The operators bound the repeated sends of all hosts together, for each service: a ratio of the
+//! requests in a window, and a slack. Hosts tell each other what they have counted. What is left
+//! is dealt out evenly for the time that such a word takes, so that hosts which all repeat at the
+//! same moment stay within the bound together.
 
 use crate::prelude::*;
 use std::collections::VecDeque;
 
-/// Part of the slack that one host may use: hosts of the largest site that was announced, twice.
-const SLACK_SHARE: f64 = 1.0 / 40.0;
-/// Part of the ratio that is used; the rest covers requests that windows cut apart.
-const RATIO_SHARE: f64 = 0.8;
+/// Part of the bound that is used; the rest covers words that are late and windows that are cut
+/// in another place.
+const SHARE: f64 = 0.8;
+/// The time within which hosts hear of each other's repeats.
+const WORD: Duration = Duration::from_millis(500);
 
-/// Requests and repeated sends of one service within the window.
+/// Requests and repeated sends within the window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counted {
+    /// Requests.
+    pub requests: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+}
+
+/// What one host has counted for one service.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     ratio: f64,
@@ -20,14 +31,15 @@
     window: Duration,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
+    others: Counted,
+    hosts: usize,
 }
 
 impl Allowance {
-    /// An allowance of `ratio` repeats a request and `slack` for all hosts, in each `window`.
+    /// An allowance of `ratio` repeats a request and `slack`, for all hosts, in each `window`.
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Allowance {
         let (requests, repeats) = (VecDeque::new(), VecDeque::new());
-        let (ratio, slack) = (ratio * RATIO_SHARE, slack * SLACK_SHARE);
-        Allowance { ratio, slack, window, requests, repeats }
+        Allowance { ratio, slack, window, requests, repeats, others: Counted::default(), hosts: 1 }
     }
 
     /// A request came.
@@ -36,11 +48,28 @@
         self.requests.push_back(now);
     }
 
+    /// What the other hosts have counted, and how many hosts there are or were of late, this one
+    /// included: one that is out of touch may still repeat.
+    pub fn others(&mut self, counted: Counted, hosts: usize) {
+        self.others = counted;
+        self.hosts = hosts.max(1);
+    }
+
+    /// What this host has counted.
+    pub fn counted(&mut self, now: Instant) -> Counted {
+        self.forget(now);
+        Counted { requests: self.requests.len() as u32, repeats: self.repeats.len() as u32 }
+    }
+
     /// Whether one more send may be repeated; if so, it is counted.
     pub fn repeat(&mut self, now: Instant) -> bool {
         self.forget(now);
-        let most = self.slack + self.ratio * self.requests.len() as f64;
-        let allowed = (self.repeats.len() as f64) + 1.0 <= most;
+        let requests = self.requests.len() as f64 + f64::from(self.others.requests);
+        let word = |at: &&Instant| now.saturating_duration_since(**at) < WORD;
+        let recent = self.repeats.iter().rev().take_while(word).count();
+        let known = (self.repeats.len() - recent) as f64 + f64::from(self.others.repeats);
+        let left = SHARE * (self.ratio * requests + self.slack) - known;
+        let allowed = recent as f64 + 1.0 <= left / self.hosts as f64;
         if allowed {
             self.repeats.push_back(now);
         }
--- a/crates/roseshore_core/src/gateway/fate.rs
+++ b/crates/roseshore_core/src/gateway/fate.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Sends of one request, whatever else allows more: each costs its target work.
+pub const MOST_SENDS: u32 = 4;
+
 /// Where a request stands when a send fails.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
@@ -58,8 +61,6 @@
     pub verdict: Verdict,
     /// Sends so far.
     pub sends: u32,
-    /// Sends allowed.
-    pub limit: u32,
     /// Time left.
     pub left: Duration,
     /// The shortest time in which another send makes sense.
@@ -100,6 +101,6 @@
 /// What follows a fault.
 pub fn next(standing: &Standing) -> Next {
     let may = standing.verdict.may_retry(standing.idempotent);
-    let room = standing.sends < standing.limit && standing.left >= standing.least;
+    let room = standing.sends < MOST_SENDS && standing.left >= standing.least;
     if may && room { Next::Again } else { Next::End(end(standing)) }
 }
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -17,6 +17,8 @@
 /// How much dearer a part's time is when its cache is full: what is nearly full is left to those
 /// that have nothing else. The fourth power keeps it small up to half full.
 const CROWD: f64 = 12.0;
+/// Part of a cache that is given out beyond its size.
+const OVERCOMMIT: f64 = 0.05;
 /// A path of the own data centre that is less full than this is taken without looking further.
 const SPILL: f64 = 0.6;
 /// Another data centre's path is taken when it is less full by this factor: it costs bytes between
@@ -74,6 +76,20 @@
     pub near: &'a str,
     /// Targets not to use.
     pub avoid: &'a [TargetId],
+    /// The only targets that a path may begin at, if that is bound.
+    pub starts: Option<&'a [TargetId]>,
+}
+
+impl PathNeed<'_> {
+    fn may_start(&self, part: &Part) -> bool {
+        self.starts.is_none_or(|starts| starts.contains(&part.id))
+    }
+
+    /// Whether a part has room for so many layers of the request. Requests are counted with their
+    /// whole answers, though on average half of each is written yet, so a little more fits.
+    fn fits(&self, part: &Part, layers: f64) -> bool {
+        (self.prompt + self.answer) * layers <= part.free + OVERCOMMIT * part.room
+    }
 }
 
 /// A chosen path.
@@ -144,7 +160,7 @@
         let base = reached.map_or(0.0, |b| b.cost);
         for (index, part) in parts.iter().enumerate().filter(|(_, p)| allowed(p)) {
             let (first, last) = (usize::from(part.layers.0), usize::from(part.layers.1).min(end));
-            if first > from || last <= from {
+            if first > from || last <= from || (from == 0 && !need.may_start(part)) {
                 continue;
             }
             let joint = if from == 0 { 0.0 } else { HOP_MS };
@@ -168,7 +184,7 @@
     let layers = layers as f64;
     let work = layers * (need.prompt * part.read_ms + need.answer * part.token_ms);
     let taken = (need.prompt + need.answer) * layers;
-    let full = taken > part.free;
+    let full = !need.fits(part, layers);
     let fill = ((part.room - part.free + taken) / part.room.max(1.0)).clamp(0.0, 1.0);
     work * (1.0 + CROWD * fill.powi(4)) + if full { FULL_MS } else { 0.0 } + if part.sound { 0.0 } else { UNSOUND_MS }
 }
@@ -197,7 +213,7 @@
         path.token_ms += width * part.token_ms + joint;
         path.first_ms += width * (need.prompt * part.read_ms + part.token_ms) + joint;
         let taken = (need.prompt + need.answer) * width;
-        path.roomy &= taken <= part.free && part.sound;
+        path.roomy &= need.fits(part, width) && part.sound;
         path.fill = path.fill.max((part.room - part.free + taken) / part.room.max(1.0));
         path.near &= part.near;
         path.hops.push((part.id.clone(), part.addr, Hop { layers }));
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 //! of freshness is counted on the hearer's own clock: the sender names the last heartbeat that it
 //! heard from the hearer, and how long after that its proof was made.
 
+use super::allowance::Counted;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -30,6 +31,8 @@
 const FAR_GONE: Duration = Duration::from_millis(2500);
 /// Silence after which an address is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(60);
+/// What a silent host had counted still counts for so long.
+const COUNTED: Duration = Duration::from_secs(10);
 /// Addresses that a heartbeat names.
 const NAMED: usize = 4;
 /// Targets that a heartbeat tells of; more do not fit a datagram.
@@ -56,6 +59,17 @@
     pub down: bool,
 }
 
+/// What a host has counted of a service's requests and repeated sends in the window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CountNote {
+    /// The mark of the service.
+    pub service: TargetMark,
+    /// Requests.
+    pub requests: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+}
+
 /// How far a host has read the list of targets, and what it came to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListMark {
@@ -95,6 +109,8 @@
     pub list: ListMark,
     /// What it has in flight.
     pub loads: Vec<LoadNote>,
+    /// What it has counted.
+    pub counts: Vec<CountNote>,
     /// Some hosts that it knows.
     pub named: Vec<SocketAddr>,
 }
@@ -113,6 +129,7 @@
     config: u64,
     list: ListMark,
     loads: HashMap<TargetMark, LoadNote>,
+    counts: Vec<CountNote>,
 }
 
 /// What a heartbeat brought.
@@ -139,6 +156,8 @@
     pub list: ListMark,
     /// What it has in flight.
     pub loads: Vec<LoadNote>,
+    /// What it has counted.
+    pub counts: Vec<CountNote>,
 }
 
 /// All other hosts.
@@ -200,6 +219,7 @@
         peer.leaving = beat.leaving;
         peer.config = beat.config;
         peer.list = beat.list;
+        peer.counts = beat.counts;
         peer.loads = beat.loads.into_iter().map(|note| (note.target, note)).collect();
         let proven = beat.echo.and_then(|echo| {
             let sent = begun.checked_add(Duration::from_millis(echo.sent))?;
@@ -274,6 +294,7 @@
             config: own.config,
             list: own.list,
             loads,
+            counts: own.counts.clone(),
             named,
         }
     }
@@ -292,6 +313,23 @@
         sums
     }
 
+    /// What the other hosts have counted for a service, by their last word.
+    pub fn counted(&self, service: TargetMark, now: Instant) -> Counted {
+        let recent = |p: &&Peer| {
+            p.heard.is_some_and(|heard| now.saturating_duration_since(heard) < COUNTED)
+        };
+        let notes = self.peers.values().filter(recent).flat_map(|p| &p.counts);
+        notes.filter(|n| n.service == service).fold(Counted::default(), |sum, n| Counted {
+            requests: sum.requests + n.requests,
+            repeats: sum.repeats + n.repeats,
+        })
+    }
+
+    /// Hosts that live or lived of late, this one included.
+    pub fn hosts(&self) -> usize {
+        1 + self.peers.values().filter(|p| p.heard.is_some()).count()
+    }
+
     /// Hosts of the own data centre that live, this one left out.
     pub fn near(&self, now: Instant) -> usize {
         self.peers.values().filter(|p| p.near && p.alive(now)).count()
@@ -331,6 +369,7 @@
             config: 0,
             list: ListMark::default(),
             loads: HashMap::new(),
+            counts: Vec::new(),
         }
     }
 
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -23,6 +23,10 @@
 /// Room that engines which fill a hole should keep, tokens, the best first: the least is that of
 /// two of the largest requests.
 const REPAIR_ROOMS: [f64; 3] = [40_000.0, 18_000.0, 6_000.0];
+/// Below this room of its narrowest layer, tokens, a data centre is worth an order and a load.
+const WIDEN_BELOW: f64 = 55_000.0;
+/// And only if that room grows by this factor.
+const WIDEN_GAIN: f64 = 1.3;
 /// Steps of the search for the room of a copy.
 const SEARCH_STEPS: u32 = 24;
 /// Handing a token on, ms; as in the choice of paths.
@@ -67,9 +71,48 @@
             wanted.extend(range.map(|r| (known[index].id.clone(), r)));
         }
     }
+    if wanted.is_empty() {
+        wanted.extend(widen(spec, &known).map(|(index, layers)| (known[index].id.clone(), layers)));
+    }
     wanted
 }
 
+/// One engine that should hold more, where the room of some layers is far below what it could be:
+/// after a hole was filled, its neighbours are narrow.
+fn widen(spec: &EngineSpec, members: &[Member]) -> Option<(usize, (Layer, Layer))> {
+    let least = |members: &[Member]| {
+        let rooms = rooms(spec, members, members.len());
+        rooms.iter().copied().reduce(f64::min).unwrap_or(0.0)
+    };
+    let now = least(members);
+    if now >= WIDEN_BELOW {
+        return None;
+    }
+    let rooms = rooms(spec, members, members.len());
+    let narrow = |layer: usize| rooms[layer] <= now * WIDEN_GAIN;
+    let first = (0..rooms.len()).find(|&l| narrow(l))?;
+    let last = (first..rooms.len()).find(|&l| !narrow(l)).unwrap_or(rooms.len());
+    let (first, last) = (first as Layer, last as Layer);
+    let mut best: Option<(f64, usize, (Layer, Layer))> = None;
+    for (index, member) in members.iter().enumerate() {
+        let Some((from, to)) = member.layers else { continue };
+        let rightwards = (to >= first && to < last).then(|| to + 1..=last);
+        let leftwards = (from > first && from <= last).then(|| first..=from - 1);
+        let right = rightwards.into_iter().flatten().map(|end| (from, end));
+        let left = leftwards.into_iter().flatten().map(|begin| (begin, to));
+        for range in right.chain(left) {
+            let mut changed = members.to_vec();
+            changed[index].layers = Some(range);
+            let then = least(&changed);
+            let more = best.is_none_or(|(most, ..)| then > most);
+            if then >= now * WIDEN_GAIN && more {
+                best = Some((then, index, range));
+            }
+        }
+    }
+    best.map(|(_, index, range)| (index, range))
+}
+
 /// Engines that together hold one copy, with their kinds.
 type Group<'a> = Vec<(&'a Member, &'a Kind)>;
 
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -42,6 +42,10 @@
     pub(super) sends: u32,
     pub(super) verdict: Verdict,
     pub(super) avoid: Vec<TargetId>,
+    /// The targets it was sent to; the operators bound their number.
+    pub(super) sent_to: Vec<TargetId>,
+    /// Since when it waits for a target with room.
+    pub(super) held: Option<Instant>,
     pub(super) send: Option<Send>,
     pub(super) out: Out,
 }
@@ -71,7 +75,6 @@
             begun: self.out.begun,
             verdict: self.verdict,
             sends: self.sends,
-            limit: self.route.attempts,
             left: self.until.saturating_duration_since(now),
             least: LEAST,
         }
@@ -163,6 +166,8 @@
             sends: 0,
             verdict: Verdict::NotRun,
             avoid: Vec::new(),
+            sent_to: Vec::new(),
+            held: None,
             send: None,
             out: Out { last: asked.last_event, ..Out::default() },
             asked,
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -1,7 +1,8 @@
 //! Heartbeats between hosts: loads, failures, and what each has read of the store.
 
 use super::{Entry, note};
-use roseshore_core::gateway::peers::{Beat, Own};
+use roseshore_core::gateway::Allowance;
+use roseshore_core::gateway::peers::{Beat, CountNote, Own, mark};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
 
@@ -35,6 +36,20 @@
         }
         let loads = self.peers.loads(self.now);
         self.targets.others(&loads);
+        let hosts = self.peers.hosts();
+        for (service, allowance) in &mut self.allowances {
+            allowance.others(self.peers.counted(mark(service), self.now), hosts);
+        }
+    }
+
+    fn counts(&mut self) -> Vec<CountNote> {
+        let now = self.now;
+        let note = |(service, allowance): (&ServiceId, &mut Allowance)| {
+            let counted = allowance.counted(now);
+            let (requests, repeats) = (counted.requests, counted.repeats);
+            CountNote { service: mark(service), requests, repeats }
+        };
+        self.allowances.iter_mut().map(note).collect()
     }
 
     /// Tells the own data centre at once.
@@ -52,6 +67,7 @@
             proven: age.and_then(|age| self.now.checked_sub(age)),
             list: self.list_mark(),
             loads: self.targets.notes(),
+            counts: self.counts(),
         };
         for (to, beat) in self.peers.due(&own, self.now) {
             match frame::encode(&beat, MAX_DATAGRAM) {
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -24,6 +24,13 @@
 const NEXT_SILENT_STEPS: (f64, f64) = (3.5, 10.0);
 /// Silence of a plain service after which a request that may be repeated goes elsewhere.
 const PLAIN_SILENT: Duration = Duration::from_millis(420);
+/// How long a request that has not begun is kept for want of room, at most a quarter of its
+/// route's objective: a refusal after that is late.
+const HOLD_FRESH: Duration = Duration::from_millis(80);
+/// How long a stream that has begun is kept: its caller leaves after two seconds of silence.
+const HOLD_BEGUN: Duration = Duration::from_millis(1300);
+/// How often a kept request looks for room.
+const HOLD_STEP: Duration = Duration::from_millis(35);
 /// Tokens of an event where the engines do not say.
 const EVENT_TOKENS: f64 = 3.0;
 
@@ -80,8 +87,8 @@
 impl Entry {
     /// Sends a request to the best target there is, or ends it.
     pub(super) fn dispatch(&mut self, key: Key) {
-        let Some(choice) = self.choose(key) else {
-            return self.end_without(key, Code::NoTarget, "no target takes the request");
+        let Some(choice) = self.choose(key).filter(|choice| choice.roomy) else {
+            return self.hold(key);
         };
         let fresh = self.exchanges.get(key).is_some_and(|e| !e.route.kind.idempotent());
         let (socket, kept) = match self.connection(choice.addr, fresh) {
@@ -93,6 +100,10 @@
         };
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         exchange.sends += 1;
+        exchange.held = None;
+        if !exchange.sent_to.contains(&choice.target) {
+            exchange.sent_to.push(choice.target.clone());
+        }
         let left = exchange.until.saturating_duration_since(self.now);
         let wire_path: Vec<(SocketAddr, Hop)> =
             choice.path.iter().map(|(_, addr, hop)| (*addr, *hop)).collect();
@@ -145,10 +156,30 @@
         self.arm(self.now + CONNECT, Timer::Exchange(key));
     }
 
+    /// Keeps a request until a target has room; a stream that has begun for longer, since breaking
+    /// it off helps nobody.
+    fn hold(&mut self, key: Key) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let since = *exchange.held.get_or_insert(now);
+        let quarter = exchange.route.objective / 4;
+        let most = if exchange.out.begun { HOLD_BEGUN } else { quarter.min(HOLD_FRESH) };
+        let engine = exchange.service.engine.is_some();
+        if !engine || now.saturating_duration_since(since) >= most {
+            return self.end_without(key, Code::NoTarget, "no target takes the request");
+        }
+        self.arm(now + HOLD_STEP, Timer::Exchange(key));
+    }
+
     fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
         let (now, near) = (self.now, self.settings.data_centre.as_str());
+        let bound = exchange.sent_to.len() >= exchange.route.attempts as usize;
+        let starts = bound.then_some(exchange.sent_to.as_slice());
         let Some(spec) = exchange.service.engine.as_ref() else {
+            if bound {
+                return None;
+            }
             let target = self.targets.plain(&exchange.service.name, near, &exchange.avoid, now);
             let record = &target?.record;
             let held = vec![(record.id.clone(), 0.0)];
@@ -166,6 +197,7 @@
             answer: (expected - written).max(EVENT_TOKENS),
             near,
             avoid: &exchange.avoid,
+            starts,
         };
         let parts = self.targets.parts(&exchange.service.name, spec, &need, now);
         let path = path::choose(&parts, &need, &mut self.random)?;
@@ -187,7 +219,9 @@
         if now >= exchange.until {
             return self.end_without(key, Code::TargetSilent, "the time for the request is over");
         }
-        let Some(send) = &exchange.send else { return };
+        let Some(send) = &exchange.send else {
+            return self.dispatch(key);
+        };
         let up = self.net.get(send.socket).is_some_and(|s| s.connected);
         if !up {
             if now >= send.sent + CONNECT {
