Requests are counted with the part of their answers that is written

Cause: a request's whole answer was held against the caches from its first token, so hosts saw no room while a tenth of it was free. Change: prompt and six tenths of the expected answer.

--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -17,8 +17,8 @@
 /// How much dearer a part's time is when its cache is full: what is nearly full is left to those
 /// that have nothing else. The fourth power keeps it small up to half full.
 const CROWD: f64 = 12.0;
-/// Part of a cache that is given out beyond its size.
-const OVERCOMMIT: f64 = 0.05;
+/// Part of an answer that counts as written.
+const WRITTEN: f64 = 0.6;
 /// A path of the own data centre that is less full than this is taken without looking further.
 const SPILL: f64 = 0.6;
 /// Another data centre's path is taken when it is less full by this factor: it costs bytes between
@@ -85,10 +85,15 @@
         self.starts.is_none_or(|starts| starts.contains(&part.id))
     }
 
-    /// Whether a part has room for so many layers of the request. Requests are counted with their
-    /// whole answers, though on average half of each is written yet, so a little more fits.
+    /// KV cache of the request, tokens: its prompt and as much of its answer as is written on
+    /// average while it runs, with a little to spare.
+    pub fn tokens(&self) -> f64 {
+        self.prompt + WRITTEN * self.answer
+    }
+
+    /// Whether a part has room for so many layers of the request.
     fn fits(&self, part: &Part, layers: f64) -> bool {
-        (self.prompt + self.answer) * layers <= part.free + OVERCOMMIT * part.room
+        self.tokens() * layers <= part.free
     }
 }
 
@@ -128,9 +133,8 @@
         parts.iter().filter(|p| !p.near).map(|p| p.data_centre.as_str()).collect();
     others.sort_unstable();
     others.dedup();
-    let far = others
-        .into_iter()
-        .filter_map(|dc| within(parts, need, &jitter, |p| p.data_centre == dc));
+    let far =
+        others.into_iter().filter_map(|dc| within(parts, need, &jitter, |p| p.data_centre == dc));
     let order = |p: &Path| {
         let fill = p.fill * if p.near { 1.0 } else { FAR_FILL };
         (!p.roomy, !p.near && !p.roomy, fill)
@@ -183,10 +187,12 @@
 fn piece_ms(part: &Part, need: &PathNeed<'_>, layers: usize) -> f64 {
     let layers = layers as f64;
     let work = layers * (need.prompt * part.read_ms + need.answer * part.token_ms);
-    let taken = (need.prompt + need.answer) * layers;
+    let taken = need.tokens() * layers;
     let full = !need.fits(part, layers);
     let fill = ((part.room - part.free + taken) / part.room.max(1.0)).clamp(0.0, 1.0);
-    work * (1.0 + CROWD * fill.powi(4)) + if full { FULL_MS } else { 0.0 } + if part.sound { 0.0 } else { UNSOUND_MS }
+    work * (1.0 + CROWD * fill.powi(4))
+        + if full { FULL_MS } else { 0.0 }
+        + if part.sound { 0.0 } else { UNSOUND_MS }
 }
 
 fn unroll(parts: &[Part], need: &PathNeed<'_>, best: &[Option<Best>]) -> Path {
@@ -198,21 +204,15 @@
     }
     pieces.reverse();
     let pieces = join_repeats(pieces);
-    let mut path = Path {
-        hops: Vec::new(),
-        first_ms: 0.0,
-        token_ms: 0.0,
-        roomy: true,
-        fill: 0.0,
-        near: true,
-    };
+    let mut path =
+        Path { hops: Vec::new(), first_ms: 0.0, token_ms: 0.0, roomy: true, fill: 0.0, near: true };
     for (index, layers) in pieces {
         let part = &parts[index];
         let width = f64::from(layers.1 - layers.0);
         let joint = if layers.0 == 0 { 0.0 } else { HOP_MS };
         path.token_ms += width * part.token_ms + joint;
         path.first_ms += width * (need.prompt * part.read_ms + part.token_ms) + joint;
-        let taken = (need.prompt + need.answer) * width;
+        let taken = need.tokens() * width;
         path.roomy &= need.fits(part, width) && part.sound;
         path.fill = path.fill.max((part.room - part.free + taken) / part.room.max(1.0));
         path.near &= part.near;
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -182,8 +182,15 @@
         now: Instant,
     ) -> Peers {
         let data_centre = data_centre.to_owned();
-        let mut peers =
-            Peers { addr, data_centre, life, begun: now, sequence: 0, peers: BTreeMap::new(), next_named: 0 };
+        let mut peers = Peers {
+            addr,
+            data_centre,
+            life,
+            begun: now,
+            sequence: 0,
+            peers: BTreeMap::new(),
+            next_named: 0,
+        };
         for seed in seeds {
             peers.learn(*seed, now);
         }
@@ -315,9 +322,8 @@
 
     /// What the other hosts have counted for a service, by their last word.
     pub fn counted(&self, service: TargetMark, now: Instant) -> Counted {
-        let recent = |p: &&Peer| {
-            p.heard.is_some_and(|heard| now.saturating_duration_since(heard) < COUNTED)
-        };
+        let recent =
+            |p: &&Peer| p.heard.is_some_and(|heard| now.saturating_duration_since(heard) < COUNTED);
         let notes = self.peers.values().filter(recent).flat_map(|p| &p.counts);
         notes.filter(|n| n.service == service).fold(Counted::default(), |sum, n| Counted {
             requests: sum.requests + n.requests,
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -305,7 +305,11 @@
 /// Who fills a hole, and what each holds then. The time until it is filled counts most, and that
 /// grows with the layers that one engine has to load: so it is dealt out to the neighbours, who
 /// hold on to what they have, and to empty engines, each by what it can take.
-fn repair(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Vec<(usize, (Layer, Layer))> {
+fn repair(
+    spec: &EngineSpec,
+    members: &[Member],
+    hole: (Layer, Layer),
+) -> Vec<(usize, (Layer, Layer))> {
     for least in REPAIR_ROOMS {
         let moves = repair_with(spec, members, hole, least);
         if !moves.is_empty() {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -352,7 +352,12 @@
     }
 
     /// An answer took `ratio` times the predicted time over these targets.
-    pub fn paced<'a>(&mut self, path: impl Iterator<Item = &'a TargetId>, ratio: f64, now: Instant) {
+    pub fn paced<'a>(
+        &mut self,
+        path: impl Iterator<Item = &'a TargetId>,
+        ratio: f64,
+        now: Instant,
+    ) {
         for id in path {
             if let Some(target) = self.all.get_mut(id) {
                 target.learn(ratio, now);
@@ -371,9 +376,9 @@
     ) -> Option<&'a Target> {
         let open = || self.of(service).filter(|t| t.open() && !avoid.contains(&t.record.id));
         let cost = |t: &Target| {
-            let told = t.load.filter(|(_, at)| {
-                now.saturating_duration_since(*at) < Duration::from_millis(500)
-            });
+            let told = t
+                .load
+                .filter(|(_, at)| now.saturating_duration_since(*at) < Duration::from_millis(500));
             let busy = told.map_or(0.0, |(n, _)| n).max(t.busy());
             let far = if t.record.data_centre == near { 0.0 } else { 0.5 };
             (busy + far) / f64::from(t.record.slots.max(1)) * t.slowness(now)
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -168,7 +168,13 @@
             Err(refused) => {
                 let fields = refusal_fields(&refused.refusal, refused.attempt.as_deref());
                 let text = refused.refusal.message.clone();
-                self.answer_caller(key, refused.refusal.code.status(), &fields, text.as_bytes(), keep);
+                self.answer_caller(
+                    key,
+                    refused.refusal.code.status(),
+                    &fields,
+                    text.as_bytes(),
+                    keep,
+                );
                 self.after_answer(key, keep);
             }
         }
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -119,7 +119,8 @@
         let head = &exchange.head;
         http::put_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
         out.extend_from_slice(&exchange.body);
-        let hops = choice.path.iter().map(|(id, _, h)| format!("{id}={}-{}", h.layers.0, h.layers.1));
+        let hops =
+            choice.path.iter().map(|(id, _, h)| format!("{id}={}-{}", h.layers.0, h.layers.1));
         let text = format!(
             "request={} send={} target={} path={} first_ms={:.0} token_ms={:.1} roomy={} \
              prompt={} expected={:.0} left_ms={}",
@@ -201,10 +202,11 @@
         };
         let parts = self.targets.parts(&exchange.service.name, spec, &need, now);
         let path = path::choose(&parts, &need, &mut self.random)?;
-        let tokens = need.prompt + need.answer;
-        let held = path.hops.iter().map(|(id, _, hop)| {
-            (id.clone(), tokens * f64::from(hop.layers.1 - hop.layers.0))
-        });
+        let tokens = need.tokens();
+        let held = path
+            .hops
+            .iter()
+            .map(|(id, _, hop)| (id.clone(), tokens * f64::from(hop.layers.1 - hop.layers.0)));
         let held = held.collect();
         let (target, addr, _) = path.hops.first().cloned()?;
         let (first_ms, token_ms, roomy) = (path.first_ms, path.token_ms, path.roomy);
--- a/crates/roseshore_relay/src/entry/stopping.rs
+++ b/crates/roseshore_relay/src/entry/stopping.rs
@@ -55,8 +55,7 @@
     /// The allowance of a service.
     pub(super) fn allowance(&mut self, service: &str) -> &mut Allowance {
         let bounds = &self.settings.bounds;
-        let fresh =
-            || Allowance::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
+        let fresh = || Allowance::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         self.allowances.entry(service.to_owned()).or_insert_with(fresh)
     }
 
--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -128,13 +128,8 @@
     let (Some(method), Some(path)) = (request.method, request.path) else {
         return Err(HttpError::Malformed);
     };
-    let head = RequestHead {
-        method: method.to_owned(),
-        path: path.to_owned(),
-        fields,
-        framing,
-        keep,
-    };
+    let head =
+        RequestHead { method: method.to_owned(), path: path.to_owned(), fields, framing, keep };
     buffer.drain(..used);
     Ok(Some(head))
 }
