No plan holds more layers than fit

Change: widening needs a whole copy, and weighs only ranges that fit; borders move in two steps, an engine giving up only what others hold; a hole that its neighbours cannot fill retiles the data centre in its present order.

--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -54,7 +54,10 @@
     let mut known = members.to_vec();
     let mut wanted = Vec::new();
     while let Some(hole) = first_hole(spec, &known) {
-        let moves = repair(spec, &known, hole);
+        let mut moves = repair(spec, &known, hole);
+        if moves.is_empty() {
+            moves = retile(spec, &known);
+        }
         if moves.is_empty() {
             break;
         }
@@ -77,40 +80,72 @@
     wanted
 }
 
-/// One engine that should hold more, where the room of some layers is far below what it could be:
-/// after a hole was filled, its neighbours are narrow.
+/// One engine that should hold more, or less, where the room of some layers is far below what it
+/// could be: after a hole was filled, its neighbours are narrow. An engine gives up layers only
+/// when others hold them already, so a border moves in two steps.
 fn widen(spec: &EngineSpec, members: &[Member]) -> Option<(usize, (Layer, Layer))> {
-    let least = |members: &[Member]| {
-        let rooms = rooms(spec, members, members.len());
-        rooms.iter().copied().reduce(f64::min).unwrap_or(0.0)
-    };
-    let now = least(members);
-    if now >= WIDEN_BELOW {
+    let rooms = rooms(spec, members, members.len());
+    let now = rooms.iter().copied().reduce(f64::min).unwrap_or(0.0);
+    if now <= 0.0 || now >= WIDEN_BELOW {
         return None;
     }
+    let first = rooms.iter().position(|room| *room <= now * WIDEN_GAIN)?;
+    let width = rooms[first..].iter().position(|room| *room > now * WIDEN_GAIN);
+    let narrow = (first as Layer, width.map_or(spec.layers, |w| (first + w) as Layer));
+    let mut best: Option<(f64, (usize, (Layer, Layer)))> = None;
+    for (index, layers, more) in changes(members, narrow) {
+        let mut changed = members.to_vec();
+        for (at, range) in std::iter::once((index, layers)).chain(more) {
+            changed[at].layers = Some(range);
+        }
+        let then = least_room(spec, &changed);
+        if then >= now * WIDEN_GAIN && best.is_none_or(|(most, _)| then > most) {
+            best = Some((then, (index, layers)));
+        }
+    }
+    best.map(|(_, change)| change)
+}
+
+/// The room of the narrowest layer; none when an engine would hold more than it can.
+fn least_room(spec: &EngineSpec, members: &[Member]) -> f64 {
+    let fits = |m: &Member| {
+        let most = spec.kind(Some(&m.kind)).map_or(0, |k| layers_at(spec, k, REPAIR_ROOMS[2]));
+        m.layers.is_none_or(|(from, to)| to - from <= most)
+    };
+    if !members.iter().all(fits) {
+        return 0.0;
+    }
     let rooms = rooms(spec, members, members.len());
-    let narrow = |layer: usize| rooms[layer] <= now * WIDEN_GAIN;
-    let first = (0..rooms.len()).find(|&l| narrow(l))?;
-    let last = (first..rooms.len()).find(|&l| !narrow(l)).unwrap_or(rooms.len());
-    let (first, last) = (first as Layer, last as Layer);
-    let mut best: Option<(f64, usize, (Layer, Layer))> = None;
-    for (index, member) in members.iter().enumerate() {
-        let Some((from, to)) = member.layers else { continue };
-        let rightwards = (to >= first && to < last).then(|| to + 1..=last);
-        let leftwards = (from > first && from <= last).then(|| first..=from - 1);
-        let right = rightwards.into_iter().flatten().map(|end| (from, end));
-        let left = leftwards.into_iter().flatten().map(|begin| (begin, to));
-        for range in right.chain(left) {
-            let mut changed = members.to_vec();
-            changed[index].layers = Some(range);
-            let then = least(&changed);
-            let more = best.is_none_or(|(most, ..)| then > most);
-            if then >= now * WIDEN_GAIN && more {
-                best = Some((then, index, range));
+    rooms.iter().copied().reduce(f64::min).unwrap_or(0.0)
+}
+
+/// An engine, the range it would hold, and the engine that would give the same layers up later.
+type Shift = (usize, (Layer, Layer), Option<(usize, (Layer, Layer))>);
+
+/// The changes around a narrow run of layers that are worth a look.
+fn changes(members: &[Member], narrow: (Layer, Layer)) -> Vec<Shift> {
+    let held: Vec<(usize, (Layer, Layer))> =
+        members.iter().enumerate().filter_map(|(i, m)| Some((i, m.layers?))).collect();
+    let mut all = Vec::new();
+    for &(index, (from, to)) in &held {
+        let grown = (to + 1..=narrow.1).filter(|_| to >= narrow.0).map(|end| (from, end));
+        let grown = grown.chain((narrow.0..from).filter(|_| from <= narrow.1).map(|b| (b, to)));
+        for range in grown {
+            all.push((index, range, None));
+            for &(other, (first, last)) in held.iter().filter(|(other, _)| *other != index) {
+                if range.1 > to && first <= to && range.1 < last {
+                    all.push((index, range, Some((other, (range.1, last)))));
+                }
+                if range.0 < from && last >= from && first < range.0 {
+                    all.push((index, range, Some((other, (first, range.0)))));
+                }
             }
         }
+        all.extend(
+            (from + 1..to).flat_map(|cut| [(index, (cut, to), None), (index, (from, cut), None)]),
+        );
     }
-    best.map(|(_, index, range)| (index, range))
+    all
 }
 
 /// Engines that together hold one copy, with their kinds.
@@ -302,6 +337,21 @@
     Some((from as Layer, (from + width) as Layer))
 }
 
+/// One copy over all engines in their present order, for a hole that its neighbours cannot fill:
+/// every border moves a little. Nothing serves while a hole is there, so nothing is lost by it.
+fn retile(spec: &EngineSpec, members: &[Member]) -> Vec<(usize, (Layer, Layer))> {
+    let mut order: Vec<&Member> = members.iter().collect();
+    order.sort_by_key(|m| (m.layers.map_or((spec.layers, 0), |l| l), m.id.clone()));
+    let group: Group<'_> =
+        order.into_iter().filter_map(|m| Some((m, spec.kind(Some(&m.kind))?))).collect();
+    let tiles = tile(spec, &group).into_iter();
+    let moves = tiles.filter_map(|(id, layers)| {
+        let index = members.iter().position(|m| m.id == id)?;
+        (members[index].layers != Some(layers)).then_some((index, layers))
+    });
+    moves.collect()
+}
+
 /// Who fills a hole, and what each holds then. The time until it is filled counts most, and that
 /// grows with the layers that one engine has to load: so it is dealt out to the neighbours, who
 /// hold on to what they have, and to empty engines, each by what it can take.
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -0,0 +1,12 @@
+//! The decisions of an entry host.
+
+mod gateway {
+    mod allowance;
+    mod fate;
+    mod figures;
+    mod path;
+    mod peers;
+    mod plan;
+    mod routes;
+    mod targets;
+}
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -0,0 +1,142 @@
+//! What hosts tell each other.
+
+use proptest::prelude::*;
+use roseshore_core::gateway::peers::{Beat, ListMark, LoadNote, Own, Peers, mark};
+use roseshore_core::prelude::*;
+use std::net::SocketAddr;
+
+fn addr(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 7000))
+}
+
+fn peers(n: u8, centre: &str, seeds: &[SocketAddr], now: Instant) -> Peers {
+    Peers::new(addr(n), centre, u64::from(n), seeds, now)
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn own() -> Own {
+    Own { config: 1, ..Own::default() }
+}
+
+/// The heartbeat that one of them sends to an address, if one is due.
+fn sent(from: &mut Peers, to: u8, own: &Own, now: Instant) -> Option<Beat> {
+    from.due(own, now).into_iter().find(|(hearer, _)| *hearer == addr(to)).map(|(_, beat)| beat)
+}
+
+#[test]
+fn hosts_find_each_other_over_seeds() {
+    let now = Instant::now();
+    let mut hosts: Vec<Peers> = (1..=4).map(|n| peers(n, "north", &[addr(1)], now)).collect();
+    for round in 0..40 {
+        let at = now + ms(50 * round);
+        for from in 0..4_u8 {
+            let due = hosts[usize::from(from)].due(&own(), at);
+            for (to, beat) in due {
+                let hearer = (1..=4).find(|n| addr(*n) == to).expect("a known address");
+                hosts[usize::from(hearer) - 1].hear(addr(from + 1), beat, at);
+            }
+        }
+    }
+    let end = now + ms(50 * 40);
+    let places: Vec<usize> = hosts.iter().map(|h| h.place(end)).collect();
+    assert_eq!(places, [0, 1, 2, 3]);
+    assert!(hosts.iter().all(|h| h.hosts() == 4 && h.near(end) == 3));
+}
+
+#[test]
+fn a_silent_host_no_longer_counts() {
+    let now = Instant::now();
+    let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "north", &[addr(1)], now));
+    let loads = vec![LoadNote { target: mark("t"), own: 3, held: 7, down: true }];
+    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a knock at the seed");
+    assert!(a.hear(addr(2), beat.clone(), now).expect("news").joined);
+    let note = a.loads(now)[&mark("t")];
+    assert_eq!((note.own, note.held, note.down), (3, 7, true));
+    assert_eq!(a.hear(addr(2), beat, now), None, "a repeat is no news");
+    let later = now + ms(5000);
+    assert!(a.loads(later).is_empty());
+    assert_eq!(a.near(later), 0);
+    assert_eq!(a.hosts(), 2, "what it may still repeat counts on");
+}
+
+#[test]
+fn the_first_host_that_stays_comes_first() {
+    let now = Instant::now();
+    let mut b = peers(2, "north", &[addr(1)], now);
+    let mut a = peers(1, "north", &[addr(2)], now);
+    let beat = sent(&mut a, 2, &own(), now).expect("a knock");
+    b.hear(addr(1), beat, now);
+    assert_eq!(b.place(now), 1);
+    let leaving = Own { leaving: true, ..own() };
+    let beat = sent(&mut a, 2, &leaving, now + ms(1100)).expect("a knock");
+    b.hear(addr(1), beat, now + ms(1100));
+    assert_eq!(b.place(now + ms(1100)), 0);
+}
+
+#[test]
+fn a_far_host_s_word_that_a_target_is_down_does_not_count() {
+    let now = Instant::now();
+    let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "south", &[addr(1)], now));
+    let loads = vec![LoadNote { target: mark("t"), own: 1, held: 0, down: true }];
+    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a knock");
+    assert!(!a.hear(addr(2), beat, now).expect("news").near);
+    assert!(!a.loads(now)[&mark("t")].down, "it may only be cut off from the target");
+}
+
+#[test]
+fn a_heartbeat_fits_a_datagram() {
+    let now = Instant::now();
+    let mut a = peers(1, "a-data-centre-with-a-long-name", &[], now);
+    for n in 2..200 {
+        let mut other = peers(n, "north", &[addr(1)], now);
+        let beat = sent(&mut other, 1, &own(), now).expect("a knock");
+        a.hear(addr(n), beat, now);
+    }
+    let note = |n: u32| LoadNote { target: u32::MAX - n, own: 200, held: 50_000, down: n % 2 == 0 };
+    let loads = (0..500).map(note).collect();
+    let list = ListMark { next: u64::MAX, digest: u64::MAX };
+    let own = Own { loads, list, proven: Some(now), ..own() };
+    let beat = sent(&mut a, 2, &own, now + ms(5000)).expect("a heartbeat");
+    let size = beat.loads.len() * 12 + beat.named.len() * 8 + 140;
+    assert!(size <= 1400, "{size}");
+}
+
+proptest! {
+    /// However late heartbeats come, a proof is never taken for newer than it was.
+    #[test]
+    fn a_proof_is_never_younger_than_it_was(
+        steps in proptest::collection::vec((1_u64..400, 0_u64..6000, any::<bool>()), 1..40),
+    ) {
+        let start = Instant::now();
+        let mut a = peers(1, "north", &[addr(2)], start);
+        let mut b = peers(2, "north", &[addr(1)], start + ms(37));
+        let mut now = start + ms(40);
+        let mut proven = None;
+        let mut flying: Vec<(Instant, bool, Beat, Option<Instant>)> = Vec::new();
+        for (pause, delay, proves) in steps {
+            now += ms(pause);
+            if proves {
+                proven = Some(now);
+            }
+            let told = Own { proven, ..own() };
+            if let Some(beat) = sent(&mut b, 1, &told, now) {
+                flying.push((now + ms(delay), true, beat, proven));
+            }
+            if let Some(beat) = sent(&mut a, 2, &own(), now) {
+                flying.push((now + ms(delay / 3), false, beat, None));
+            }
+            let (here, still): (Vec<_>, Vec<_>) = flying.into_iter().partition(|f| f.0 <= now);
+            flying = still;
+            for (_, to_a, beat, truth) in here {
+                let heard = if to_a { a.hear(addr(2), beat, now) } else { b.hear(addr(1), beat, now) };
+                if let (true, Some(claimed)) = (to_a, heard.and_then(|h| h.proven)) {
+                    let truth = truth.expect("a claim has a proof behind it");
+                    prop_assert!(claimed <= truth, "claimed {:?} after the proof", claimed - truth);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/plan.rs
@@ -0,0 +1,206 @@
+//! Which layers engines hold.
+
+use super::figures::spec;
+use proptest::prelude::*;
+use roseshore_core::gateway::plan::{Member, Placement, plan};
+use roseshore_core::prelude::*;
+
+const KINDS: [&str; 3] = ["large", "middle", "small"];
+
+fn members(counts: [usize; 3]) -> Vec<Member> {
+    let one = |kind: &str, i: usize| Member {
+        id: format!("{kind}-{i:02}"),
+        kind: kind.to_owned(),
+        layers: None,
+    };
+    let all = KINDS.iter().zip(counts);
+    all.flat_map(|(kind, count)| (0..count).map(move |i| one(kind, i))).collect()
+}
+
+fn apply(members: &mut [Member], placements: &[Placement]) {
+    for (id, layers) in placements {
+        let member = members.iter_mut().find(|m| m.id == *id).expect("a known engine");
+        member.layers = Some(*layers);
+    }
+}
+
+/// How many hold each layer.
+fn holders(members: &[Member]) -> Vec<usize> {
+    let held = |layer: Layer| {
+        let holds = |m: &&Member| m.layers.is_some_and(|(from, to)| from <= layer && layer < to);
+        members.iter().filter(holds).count()
+    };
+    (0..spec().layers).map(held).collect()
+}
+
+fn fit(members: &[Member]) -> bool {
+    members.iter().all(|m| {
+        let size = spec().kind(Some(&m.kind)).expect("a known kind").size_mb;
+        m.layers.is_none_or(|(from, to)| {
+            from < to && to <= 80 && f64::from(to - from) * spec().layer_mb < size
+        })
+    })
+}
+
+struct Case {
+    name: &'static str,
+    counts: [usize; 3],
+    /// Whole copies that the fresh plan has.
+    copies: usize,
+}
+
+#[test]
+fn a_fresh_data_centre_gets_whole_copies() {
+    let cases = [
+        Case { name: "one large, three middle, eight small", counts: [1, 3, 8], copies: 2 },
+        Case { name: "one large, six middle, five small", counts: [1, 6, 5], copies: 2 },
+        Case { name: "two large, two middle, five small", counts: [2, 2, 5], copies: 1 },
+        Case { name: "just one copy", counts: [2, 1, 0], copies: 1 },
+        Case { name: "too few", counts: [1, 0, 2], copies: 0 },
+        Case { name: "none", counts: [0, 0, 0], copies: 0 },
+    ];
+    for case in cases {
+        let mut all = members(case.counts);
+        let placements = plan(&spec(), &all);
+        apply(&mut all, &placements);
+        assert!(fit(&all), "{}: {all:?}", case.name);
+        let least = holders(&all).into_iter().min().unwrap_or(0);
+        assert_eq!(least, case.copies, "{}: {placements:?}", case.name);
+    }
+}
+
+#[test]
+fn a_placement_that_is_there_is_left_alone() {
+    let mut all = members([1, 3, 8]);
+    let placements = plan(&spec(), &all);
+    apply(&mut all, &placements);
+    assert_eq!(plan(&spec(), &all), Vec::new());
+}
+
+#[test]
+fn every_host_works_out_the_same() {
+    let all = members([2, 2, 5]);
+    let mut turned = all.clone();
+    turned.reverse();
+    let sorted = |mut p: Vec<Placement>| {
+        p.sort();
+        p
+    };
+    assert_eq!(sorted(plan(&spec(), &all)), sorted(plan(&spec(), &turned)));
+}
+
+#[test]
+fn a_hole_that_its_neighbours_cannot_fill_moves_every_border() {
+    let mut all = members([1, 3, 0]);
+    let placements = plan(&spec(), &all);
+    apply(&mut all, &placements);
+    all.pop().expect("the last middle one");
+    let moves = plan(&spec(), &all);
+    apply(&mut all, &moves);
+    assert!(fit(&all), "{moves:?}");
+    assert_eq!(holders(&all).into_iter().min(), Some(1), "{moves:?}");
+}
+
+#[test]
+fn a_hole_is_dealt_out_and_nobody_gives_up_what_it_holds() {
+    let held =
+        |id: &str, kind: &str, layers| Member { id: id.to_owned(), kind: kind.to_owned(), layers };
+    // The engine that held 36 to 52 is gone, and an empty one is there.
+    let mut all = vec![
+        held("l-0", "large", Some((0, 20))),
+        held("l-1", "large", Some((20, 36))),
+        held("m-0", "middle", Some((52, 62))),
+        held("m-1", "middle", Some((62, 72))),
+        held("m-2", "middle", Some((72, 80))),
+        held("s-0", "small", None),
+    ];
+    let before = all.clone();
+    let moves = plan(&spec(), &all);
+    apply(&mut all, &moves);
+    assert!(fit(&all), "{moves:?}");
+    assert_eq!(holders(&all).into_iter().min(), Some(1), "{moves:?}");
+    for (old, new) in before.iter().zip(&all) {
+        let (Some(old), Some(new)) = (old.layers, new.layers) else { continue };
+        assert!(new.0 <= old.0 && old.1 <= new.1, "{moves:?}");
+    }
+}
+
+#[test]
+fn an_empty_engine_goes_where_room_is_least() {
+    let mut all = members([1, 3, 0]);
+    let placements = plan(&spec(), &all);
+    apply(&mut all, &placements);
+    all.extend(members([0, 0, 1]));
+    let moves = plan(&spec(), &all);
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    assert_eq!(moves[0].0, "small-00");
+    apply(&mut all, &moves);
+    assert!(fit(&all), "{moves:?}");
+}
+
+#[test]
+fn a_narrow_place_is_widened() {
+    // After a repair one small engine holds ten layers of an otherwise roomy copy.
+    let held = |id: &str, kind: &str, layers| Member {
+        id: id.to_owned(),
+        kind: kind.to_owned(),
+        layers: Some(layers),
+    };
+    let all = vec![
+        held("l-0", "large", (0, 19)),
+        held("l-1", "large", (19, 38)),
+        held("m-0", "middle", (38, 49)),
+        held("m-1", "middle", (49, 60)),
+        held("s-0", "small", (60, 65)),
+        held("s-1", "small", (65, 70)),
+        held("s-2", "small", (70, 80)),
+    ];
+    let mut all = all;
+    let mut orders = 0;
+    loop {
+        let moves = plan(&spec(), &all);
+        apply(&mut all, &moves);
+        assert!(fit(&all), "{moves:?}");
+        assert_eq!(holders(&all).into_iter().min(), Some(1), "no layer is ever without holder");
+        if moves.is_empty() {
+            break;
+        }
+        orders += moves.len();
+        assert!(orders < 8, "it comes to an end");
+    }
+    let widest = all.iter().filter(|m| m.kind == "small").filter_map(|m| m.layers);
+    let widest = widest.map(|(from, to)| to - from).max();
+    assert!(widest < Some(10), "{all:?}");
+}
+
+proptest! {
+    #[test]
+    fn plans_fit_and_leave_no_hole_that_could_be_filled(
+        large in 0_usize..4, middle in 0_usize..8, small in 0_usize..10,
+        lost in proptest::collection::vec(0_usize..22, 0..4),
+    ) {
+        let mut all = members([large, middle, small]);
+        let placements = plan(&spec(), &all);
+        apply(&mut all, &placements);
+        prop_assert!(fit(&all), "{placements:?}");
+        let whole = holders(&all).into_iter().min() > Some(0);
+        for place in lost {
+            if place < all.len() {
+                all.remove(place);
+            }
+        }
+        for _ in 0..4 {
+            let moves = plan(&spec(), &all);
+            apply(&mut all, &moves);
+            prop_assert!(fit(&all), "{moves:?}");
+        }
+        // What is left could hold the model twice over: then it holds it once at least.
+        let layers = |m: &Member| {
+            (spec().kind(Some(&m.kind)).expect("known").size_mb / spec().layer_mb) as usize
+        };
+        let able: usize = all.iter().map(layers).sum();
+        if whole && able >= 240 {
+            prop_assert!(holders(&all).into_iter().min() > Some(0), "{all:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/routes.rs
@@ -0,0 +1,111 @@
+//! Routes, keys, and the lease on the configuration.
+
+use roseshore_core::gateway::routes::Denied;
+use roseshore_core::gateway::{
+    CallKind, Currency, Limits, OrganisationSpec, Route, ServiceSpec, Share, Snapshot,
+};
+use roseshore_core::prelude::*;
+
+fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 0,
+        services: vec![
+            Share { service: "a".to_owned(), weight: 90.0 },
+            Share { service: "b".to_owned(), weight: 10.0 },
+        ],
+        attempts: 2,
+        anonymous,
+        pause: None,
+    }
+}
+
+fn snapshot() -> Snapshot {
+    let routes = vec![
+        route("root", "shop.example", "/", true),
+        route("api", "shop.example", "/api/", false),
+        route("deep", "shop.example", "/api/v2/", false),
+        route("other", "else.example", "/api/", false),
+    ];
+    let service =
+        |name: &str| ServiceSpec { name: name.to_owned(), connections: None, engine: None };
+    let acme = OrganisationSpec {
+        name: "acme".to_owned(),
+        keys: vec!["k-1".to_owned(), "k-2".to_owned()],
+        priority: None,
+    };
+    Snapshot::new(3, routes, vec![service("a"), service("b")], vec![acme], Limits::default())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Result<&'static str, Denied>,
+    }
+    let cases = [
+        Case { host: "shop.example", path: "/x", route: Ok("root") },
+        Case { host: "shop.example", path: "/api/x", route: Ok("api") },
+        Case { host: "shop.example", path: "/api/v2/x?y=/z/", route: Ok("deep") },
+        Case { host: "shop.example", path: "/api?/v2/", route: Ok("root") },
+        Case { host: "SHOP.example:8080", path: "/api/v2/", route: Ok("deep") },
+        Case { host: "else.example", path: "/x", route: Err(Denied::NoRoute) },
+        Case { host: "none.example", path: "/api/", route: Err(Denied::NoRoute) },
+        Case { host: "", path: "/", route: Err(Denied::NoRoute) },
+    ];
+    let snapshot = snapshot();
+    for case in cases {
+        let found = snapshot.route(case.host, case.path).map(|r| r.name.as_str());
+        assert_eq!(found, case.route, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn keys_belong_to_organisations() {
+    let snapshot = snapshot();
+    let open = snapshot.route("shop.example", "/x").expect("a route").clone();
+    let closed = snapshot.route("shop.example", "/api/").expect("a route").clone();
+    assert!(snapshot.authorise(&open, None).expect("allowed").is_none());
+    let found = snapshot.authorise(&closed, Some("k-2")).expect("allowed");
+    assert_eq!(found.map(|o| o.name.as_str()), Some("acme"));
+    for key in [None, Some(""), Some("k-3")] {
+        assert_eq!(snapshot.authorise(&closed, key).map(|_| ()), Err(Denied::BadKey), "{key:?}");
+    }
+}
+
+#[test]
+fn a_request_s_service_is_drawn_by_weight_and_stays_the_same() {
+    let route = route("r", "h", "/", true);
+    let drawn = |n: u32| route.service(&format!("attempt-{n}")).expect("a service").clone();
+    let to_b = (0..2000).filter(|n| drawn(*n) == "b").count();
+    assert!((120..280).contains(&to_b), "{to_b} of 2000 for a tenth");
+    assert!((0..100).all(|n| drawn(n) == drawn(n)));
+    let mut none = route.clone();
+    none.services.clear();
+    assert_eq!(none.service("x"), None);
+}
+
+#[test]
+fn a_configuration_is_held_on_a_lease() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut lease = Currency::new(Duration::from_secs(5));
+    assert!(!lease.current(at(0)), "nothing is proven yet");
+    lease.prove(at(1000));
+    assert!(lease.current(at(5000)));
+    assert!(!lease.current(at(5300)), "a margin is kept for requests on their way");
+    lease.prove(at(500));
+    assert_eq!(
+        lease.age(at(2000)),
+        Some(Duration::from_millis(1000)),
+        "older proofs change nothing"
+    );
+    lease.prove(at(6000));
+    assert!(lease.current(at(6100)));
+}
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -0,0 +1,161 @@
+//! What is known of the targets.
+
+use roseshore_core::gateway::peers::{LoadNote, mark};
+use roseshore_core::gateway::targets::Absence;
+use roseshore_core::gateway::{TargetRecord, Targets};
+use roseshore_core::prelude::*;
+use std::collections::HashMap;
+
+fn record(id: &str, centre: &str) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        service: "plain".to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: centre.to_owned(),
+        slots: 6,
+        draining: false,
+        kind: None,
+        holding: None,
+    }
+}
+
+fn two(now: Instant) -> Targets {
+    let mut targets = Targets::default();
+    targets.put(record("a", "north"), now);
+    targets.put(record("b", "south"), now);
+    targets
+}
+
+fn chosen(targets: &Targets, near: &str, avoid: &[TargetId], now: Instant) -> Option<String> {
+    targets.plain("plain", near, avoid, now).map(|t| t.record.id.clone())
+}
+
+/// Something that happens to target `a`, and who is chosen then.
+struct Case {
+    name: &'static str,
+    happens: fn(&mut Targets, Instant),
+    chosen: &'static str,
+}
+
+#[test]
+fn what_is_known_of_a_target_decides_whether_it_gets_work() {
+    let cases = [
+        Case { name: "nothing", happens: |_, _| (), chosen: "a" },
+        Case {
+            name: "it drains",
+            happens: |t, now| {
+                t.put(TargetRecord { draining: true, ..record("a", "north") }, now);
+            },
+            chosen: "b",
+        },
+        Case {
+            name: "it left",
+            happens: |t, now| assert!(t.drop("a", Absence::Left, now)),
+            chosen: "b",
+        },
+        Case {
+            name: "its entry lapsed",
+            happens: |t, now| assert!(t.drop("a", Absence::Lapsed, now)),
+            chosen: "a",
+        },
+        Case { name: "another has its address", happens: |t, _| t.replaced("a"), chosen: "b" },
+        Case { name: "it failed", happens: |t, now| assert!(t.failed("a", now)), chosen: "b" },
+        Case { name: "it is dead", happens: |t, now| assert!(t.died("a", now)), chosen: "b" },
+        Case {
+            name: "it answers again",
+            happens: |t, now| {
+                t.died("a", now);
+                t.answered("a");
+            },
+            chosen: "a",
+        },
+        Case {
+            name: "it is dead for a neighbour",
+            happens: |t, _| {
+                let note = LoadNote { target: mark("a"), down: true, ..LoadNote::default() };
+                t.others(&HashMap::from([(mark("a"), note)]));
+            },
+            chosen: "b",
+        },
+        Case {
+            name: "it is busy",
+            happens: |t, _| (0..4).for_each(|_| t.begin("a", 0.0)),
+            chosen: "b",
+        },
+        Case {
+            name: "others keep it busy",
+            happens: |t, _| {
+                let note = LoadNote { target: mark("a"), own: 4, ..LoadNote::default() };
+                t.others(&HashMap::from([(mark("a"), note)]));
+            },
+            chosen: "b",
+        },
+        Case {
+            name: "it says that it is busy",
+            happens: |t, now| t.loaded("a", 6, 2, now),
+            chosen: "b",
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut targets = two(now);
+        (case.happens)(&mut targets, now);
+        let found = chosen(&targets, "north", &[], now);
+        assert_eq!(found.as_deref(), Some(case.chosen), "{}", case.name);
+    }
+}
+
+#[test]
+fn when_all_have_failed_the_least_loaded_still_gets_work() {
+    let now = Instant::now();
+    let mut targets = two(now);
+    targets.failed("a", now);
+    targets.failed("b", now);
+    assert_eq!(chosen(&targets, "north", &[], now).as_deref(), Some("a"));
+    assert_eq!(chosen(&targets, "north", &["a".to_owned()], now).as_deref(), Some("b"));
+    assert_eq!(chosen(&targets, "north", &["a".to_owned(), "b".to_owned()], now), None);
+}
+
+#[test]
+fn a_lapsed_entry_that_does_not_come_back_is_gone() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let mut targets = two(now);
+    targets.drop("a", Absence::Lapsed, at(0));
+    targets.drop("b", Absence::Lapsed, at(0));
+    targets.put(record("b", "south"), at(1500));
+    assert!(targets.tick(at(1800)).is_empty());
+    assert_eq!(targets.tick(at(1950)), ["a".to_owned()]);
+    assert_eq!(chosen(&targets, "north", &[], at(1950)).as_deref(), Some("b"));
+}
+
+#[test]
+fn a_digest_tells_lists_apart() {
+    let now = Instant::now();
+    let (mut left, mut right) = (two(now), Targets::default());
+    right.put(record("b", "south"), now);
+    right.put(record("a", "north"), now);
+    assert_eq!(left.list_mark(5).digest, right.list_mark(9).digest);
+    left.put(TargetRecord { draining: true, ..record("a", "north") }, now);
+    assert_ne!(left.list_mark(5).digest, right.list_mark(9).digest);
+    right.replaced("a");
+    right.failed("b", now);
+    let mut same = two(now);
+    same.put(record("a", "north"), now);
+    assert_eq!(same.list_mark(0).digest, right.list_mark(0).digest, "own experience is no list");
+}
+
+#[test]
+fn a_silent_path_points_at_those_that_brought_nothing() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let mut targets = two(now);
+    targets.put(record("c", "north"), now);
+    let ids: Vec<TargetId> = ["a", "b", "c"].map(str::to_owned).to_vec();
+    targets.progressed(ids.iter(), at(100));
+    targets.progressed([ids[1].clone()].iter(), at(300));
+    assert_eq!(targets.suspects(&ids, at(100)), ["a".to_owned(), "c".to_owned()]);
+    targets.died("a", at(310));
+    targets.progressed([ids[0].clone()].iter(), at(320));
+    assert!(targets.dead().is_empty(), "what brings something is alive");
+}
--- a/crates/roseshore_core/tests/route.rs
+++ b/crates/roseshore_core/tests/route.rs
@@ -324,3 +324,63 @@
         assert_eq!(router.replica("s/two", &[], now), None, "{}", case.name);
     }
 }
+
+/// Whether a target that left and came back is chosen again, by what is asked meanwhile.
+struct BackCase {
+    name: &'static str,
+    /// Whether each request has a prompt of its own.
+    distinct: bool,
+    /// Requests that are in flight at a time.
+    at_once: usize,
+    used: bool,
+}
+
+#[test]
+fn a_target_that_came_back_is_used_again() {
+    // The cached prefix keeps one prompt that is asked for one at a time where it is; anything
+    // else finds the target that came back.
+    let cases = [
+        BackCase { name: "one prompt, one at a time", distinct: false, at_once: 1, used: false },
+        BackCase { name: "one prompt, many at once", distinct: false, at_once: 12, used: true },
+        BackCase { name: "many prompts, one at a time", distinct: true, at_once: 1, used: true },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let stay = engine("stay", "near", (0, 12), Good);
+        let back = engine("back", "near", (0, 12), Good);
+        let mut router = router(&[stay, back], 3, start);
+        let row = router.loads().find("back").expect("declared");
+        let mut tickets = std::collections::VecDeque::new();
+        let mut used = false;
+        for step in 0..2000_u64 {
+            let now = start + Duration::from_millis(10 * step);
+            router.set_leaving(row, step < 100);
+            // Reports come once a second, as polls do.
+            if step % 100 == 0 {
+                for engine in [stay, back] {
+                    router.report(engine.id, now, Content::Engine(report(&engine)));
+                }
+            }
+            let hash = if case.distinct { step } else { 0 };
+            let need = ChainNeed {
+                model: "m",
+                version: "v2",
+                layers: LAYERS,
+                adapter: Some("a"),
+                prefixes: &[(64, hash)],
+                prompt: 64,
+                expected: 2,
+                avoid: &[],
+            };
+            let chain = router.chain(&need, now).expect("one stays");
+            let rows: Vec<_> = chain.stages.iter().map(|s| s.row).collect();
+            used |= step >= 100 && rows.contains(&row);
+            tickets.push_back(router.begin(&rows, now));
+            if tickets.len() >= case.at_once {
+                let ticket = tickets.pop_front().expect("in flight");
+                router.end(&ticket, now);
+            }
+        }
+        assert_eq!(used, case.used, "{}", case.name);
+    }
+}
--- a/crates/roseshore_harness/tests/faults.rs
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -167,9 +167,13 @@
 fn a_leaving_target_gets_no_new_work() {
     let world = world(Shape { chains: 2, ..Shape::default() }, 2);
     let marks = Marks::of(CUSTOMER);
-    let chat = Chat { service: CHAT, prompt: "work", tokens: 2 };
+    // A prompt that was asked for before goes where it is cached as long as there is room, so each
+    // request has its own: then nothing but the load decides.
+    let asked = AtomicUsize::new(0);
     let send = || {
         for daemon in &world.daemons {
+            let prompt = format!("work-{}", asked.fetch_add(1, Ordering::Relaxed));
+            let chat = Chat { service: CHAT, prompt: &prompt, tokens: 2 };
             let got = world.caller.answer(daemon.addr, &chat, &marks);
             assert_eq!(got.status, 200, "{got:?}");
         }
