--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -189,8 +189,8 @@
     let work = layers * (need.prompt * part.read_ms + need.answer * part.token_ms);
     let taken = need.tokens() * layers;
     let full = !need.fits(part, layers);
-    let fill = ((part.room - part.free + taken) / part.room.max(1.0)).clamp(0.0, 1.0);
-    work * (1.0 + CROWD * fill.powi(4))
+    let share = ((part.room - part.free + taken) / part.room.max(1.0)).clamp(0.0, 1.0);
+    work * (1.0 + CROWD * share.powi(4))
         + if full { FULL_MS } else { 0.0 }
         + if part.sound { 0.0 } else { UNSOUND_MS }
 }
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -24,13 +24,13 @@
 /// Between heartbeats to hosts of other data centres: bytes between data centres are dear.
 const FAR: Duration = Duration::from_millis(400);
 /// Between heartbeats to addresses that have not been heard of.
-const KNOCK: Duration = Duration::from_millis(1000);
+const KNOCK: Duration = Duration::from_secs(1);
 /// Silence after which a host no longer counts.
 const GONE: Duration = Duration::from_millis(1200);
 /// Silence of a host of another data centre after which it no longer counts.
 const FAR_GONE: Duration = Duration::from_millis(2500);
 /// Silence after which an address is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 /// What a silent host had counted still counts for so long.
 const COUNTED: Duration = Duration::from_secs(10);
 /// Addresses that a heartbeat names.
@@ -168,7 +168,7 @@
     life: u64,
     begun: Instant,
     sequence: u64,
-    peers: BTreeMap<SocketAddr, Peer>,
+    all: BTreeMap<SocketAddr, Peer>,
     next_named: usize,
 }
 
@@ -188,7 +188,7 @@
             life,
             begun: now,
             sequence: 0,
-            peers: BTreeMap::new(),
+            all: BTreeMap::new(),
             next_named: 0,
         };
         for seed in seeds {
@@ -201,7 +201,7 @@
         if addr == self.addr {
             return;
         }
-        self.peers.entry(addr).or_insert_with(|| Peer::unknown(now));
+        self.all.entry(addr).or_insert_with(|| Peer::unknown(now));
     }
 
     /// Takes a heartbeat; `None` for one that is no news.
@@ -212,7 +212,7 @@
         }
         let near = beat.data_centre == self.data_centre;
         let begun = self.begun;
-        let peer = self.peers.get_mut(&from)?;
+        let peer = self.all.get_mut(&from)?;
         let stale = beat.life == peer.life && beat.sequence <= peer.sequence;
         if stale {
             return None;
@@ -241,18 +241,18 @@
 
     /// Makes the next heartbeats to the own data centre due at once.
     pub fn hurry(&mut self) {
-        self.peers.values_mut().filter(|p| p.near).for_each(|p| p.told = None);
+        self.all.values_mut().filter(|p| p.near).for_each(|p| p.told = None);
     }
 
     /// The heartbeats that are due, with their hearers.
     pub fn due(&mut self, own: &Own, now: Instant) -> Vec<(SocketAddr, Beat)> {
-        self.peers.retain(|_, peer| {
+        self.all.retain(|_, peer| {
             let last = peer.heard.unwrap_or(peer.known);
             now.saturating_duration_since(last) < FORGOTTEN
         });
         let near = NEAR.max(NEAR_EACH * self.near(now) as u32);
         let due: Vec<SocketAddr> = self
-            .peers
+            .all
             .iter()
             .filter(|(_, peer)| {
                 let period = match (peer.alive(now), peer.near) {
@@ -270,7 +270,7 @@
     fn beat(&mut self, to: SocketAddr, own: &Own, now: Instant) -> Beat {
         self.sequence += 1;
         let alive: Vec<SocketAddr> =
-            self.peers.iter().filter(|(_, p)| p.alive(now)).map(|(addr, _)| *addr).collect();
+            self.all.iter().filter(|(_, p)| p.alive(now)).map(|(addr, _)| *addr).collect();
         let mut named = Vec::new();
         for step in 0..NAMED.min(alive.len()) {
             named.push(alive[(self.next_named + step) % alive.len()]);
@@ -281,7 +281,7 @@
         loads.truncate(TOLD);
         let sent = now.saturating_duration_since(self.begun).as_millis() as u64;
         let mut echo = None;
-        if let Some(peer) = self.peers.get_mut(&to) {
+        if let Some(peer) = self.all.get_mut(&to) {
             peer.told = Some(now);
             echo = peer.heard.zip(own.proven).map(|(heard, proven)| {
                 let after = proven.saturating_duration_since(heard).as_millis() as i64;
@@ -309,7 +309,7 @@
     /// What the other hosts have in flight at each target, and whether it failed one of them.
     pub fn loads(&self, now: Instant) -> HashMap<TargetMark, LoadNote> {
         let mut sums: HashMap<TargetMark, LoadNote> = HashMap::new();
-        for peer in self.peers.values().filter(|p| p.alive(now)) {
+        for peer in self.all.values().filter(|p| p.alive(now)) {
             for note in peer.loads.values() {
                 let sum = sums.entry(note.target).or_default();
                 sum.own = sum.own.saturating_add(note.own);
@@ -324,7 +324,7 @@
     pub fn counted(&self, service: TargetMark, now: Instant) -> Counted {
         let recent =
             |p: &&Peer| p.heard.is_some_and(|heard| now.saturating_duration_since(heard) < COUNTED);
-        let notes = self.peers.values().filter(recent).flat_map(|p| &p.counts);
+        let notes = self.all.values().filter(recent).flat_map(|p| &p.counts);
         notes.filter(|n| n.service == service).fold(Counted::default(), |sum, n| Counted {
             requests: sum.requests + n.requests,
             repeats: sum.repeats + n.repeats,
@@ -333,17 +333,17 @@
 
     /// Hosts that live or lived of late, this one included.
     pub fn hosts(&self) -> usize {
-        1 + self.peers.values().filter(|p| p.heard.is_some()).count()
+        1 + self.all.values().filter(|p| p.heard.is_some()).count()
     }
 
     /// Hosts of the own data centre that live, this one left out.
     pub fn near(&self, now: Instant) -> usize {
-        self.peers.values().filter(|p| p.near && p.alive(now)).count()
+        self.all.values().filter(|p| p.near && p.alive(now)).count()
     }
 
     /// This host's place among those of its data centre that live and stay; 0 is the first.
     pub fn place(&self, now: Instant) -> usize {
-        let before = self.peers.iter().filter(|(addr, p)| {
+        let before = self.all.iter().filter(|(addr, p)| {
             p.near && p.alive(now) && !p.leaving && p.config > 0 && **addr < self.addr
         });
         before.count()
@@ -351,13 +351,13 @@
 
     /// The newest version of the configuration that any living host has.
     pub fn newest_config(&self, now: Instant) -> u64 {
-        let alive = self.peers.values().filter(|p| p.alive(now));
+        let alive = self.all.values().filter(|p| p.alive(now));
         alive.map(|p| p.config).max().unwrap_or(0)
     }
 
     /// What the living hosts of the data centre have read of the list of targets.
     pub fn lists(&self, now: Instant) -> impl Iterator<Item = ListMark> {
-        self.peers.values().filter(move |p| p.near && p.alive(now)).map(|p| p.list)
+        self.all.values().filter(move |p| p.near && p.alive(now)).map(|p| p.list)
     }
 }
 
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -83,7 +83,7 @@
 /// One engine that should hold more, or less, where the room of some layers is far below what it
 /// could be: after a hole was filled, its neighbours are narrow. An engine gives up layers only
 /// when others hold them already, so a border moves in two steps.
-fn widen(spec: &EngineSpec, members: &[Member]) -> Option<(usize, (Layer, Layer))> {
+fn widen(spec: &EngineSpec, members: &[Member]) -> Option<Move> {
     let rooms = rooms(spec, members, members.len());
     let now = rooms.iter().copied().reduce(f64::min).unwrap_or(0.0);
     if now <= 0.0 || now >= WIDEN_BELOW {
@@ -92,7 +92,7 @@
     let first = rooms.iter().position(|room| *room <= now * WIDEN_GAIN)?;
     let width = rooms[first..].iter().position(|room| *room > now * WIDEN_GAIN);
     let narrow = (first as Layer, width.map_or(spec.layers, |w| (first + w) as Layer));
-    let mut best: Option<(f64, (usize, (Layer, Layer)))> = None;
+    let mut best: Option<(f64, Move)> = None;
     for (index, layers, more) in changes(members, narrow) {
         let mut changed = members.to_vec();
         for (at, range) in std::iter::once((index, layers)).chain(more) {
@@ -119,8 +119,10 @@
     rooms.iter().copied().reduce(f64::min).unwrap_or(0.0)
 }
 
-/// An engine, the range it would hold, and the engine that would give the same layers up later.
-type Shift = (usize, (Layer, Layer), Option<(usize, (Layer, Layer))>);
+/// The place of an engine and the range it would hold.
+type Move = (usize, (Layer, Layer));
+/// A move, and that of the engine which would give the same layers up later.
+type Shift = (usize, (Layer, Layer), Option<Move>);
 
 /// The changes around a narrow run of layers that are worth a look.
 fn changes(members: &[Member], narrow: (Layer, Layer)) -> Vec<Shift> {
@@ -339,7 +341,7 @@
 
 /// One copy over all engines in their present order, for a hole that its neighbours cannot fill:
 /// every border moves a little. Nothing serves while a hole is there, so nothing is lost by it.
-fn retile(spec: &EngineSpec, members: &[Member]) -> Vec<(usize, (Layer, Layer))> {
+fn retile(spec: &EngineSpec, members: &[Member]) -> Vec<Move> {
     let mut order: Vec<&Member> = members.iter().collect();
     order.sort_by_key(|m| (m.layers.map_or((spec.layers, 0), |l| l), m.id.clone()));
     let group: Group<'_> =
@@ -355,11 +357,7 @@
 /// Who fills a hole, and what each holds then. The time until it is filled counts most, and that
 /// grows with the layers that one engine has to load: so it is dealt out to the neighbours, who
 /// hold on to what they have, and to empty engines, each by what it can take.
-fn repair(
-    spec: &EngineSpec,
-    members: &[Member],
-    hole: (Layer, Layer),
-) -> Vec<(usize, (Layer, Layer))> {
+fn repair(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Vec<Move> {
     for least in REPAIR_ROOMS {
         let moves = repair_with(spec, members, hole, least);
         if !moves.is_empty() {
@@ -374,7 +372,7 @@
     members: &[Member],
     hole: (Layer, Layer),
     least: f64,
-) -> Vec<(usize, (Layer, Layer))> {
+) -> Vec<Move> {
     let more = |index: usize| -> Layer {
         let Some(kind) = spec.kind(Some(&members[index].kind)) else { return 0 };
         let held = members[index].layers.map_or(0, |(from, to)| to - from);
@@ -401,8 +399,8 @@
         if to > from {
             let held = members[index].layers;
             let range = match held {
-                Some((first, _)) if Some(index) == left => (first, to),
-                Some((_, last)) => (from, last),
+                Some((begin, _)) if Some(index) == left => (begin, to),
+                Some((_, end)) => (from, end),
                 None => (from, to),
             };
             moves.push((index, range));
@@ -414,11 +412,7 @@
 
 /// The last resort: an engine whose layers all have other holders moves onto the hole; of those the
 /// one whose layers have most room elsewhere.
-fn move_spare(
-    spec: &EngineSpec,
-    members: &[Member],
-    hole: (Layer, Layer),
-) -> Option<(usize, (Layer, Layer))> {
+fn move_spare(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Option<Move> {
     let spare = |index: usize| -> Option<f64> {
         let (from, to) = members[index].layers?;
         let others = rooms(spec, members, index);
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -95,7 +95,12 @@
         let beat = sent(&mut other, 1, &own(), now).expect("a knock");
         a.hear(addr(n), beat, now);
     }
-    let note = |n: u32| LoadNote { target: u32::MAX - n, own: 200, held: 50_000, down: n % 2 == 0 };
+    let note = |n: u32| LoadNote {
+        target: u32::MAX - n,
+        own: 200,
+        held: 50_000,
+        down: n.is_multiple_of(2),
+    };
     let loads = (0..500).map(note).collect();
     let list = ListMark { next: u64::MAX, digest: u64::MAX };
     let own = Own { loads, list, proven: Some(now), ..own() };
--- a/crates/roseshore_core/tests/gateway/routes.rs
+++ b/crates/roseshore_core/tests/gateway/routes.rs
@@ -101,11 +101,7 @@
     assert!(lease.current(at(5000)));
     assert!(!lease.current(at(5300)), "a margin is kept for requests on their way");
     lease.prove(at(500));
-    assert_eq!(
-        lease.age(at(2000)),
-        Some(Duration::from_millis(1000)),
-        "older proofs change nothing"
-    );
+    assert_eq!(lease.age(at(2000)), Some(Duration::from_secs(1)), "older proofs change nothing");
     lease.prove(at(6000));
     assert!(lease.current(at(6100)));
 }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -55,6 +55,8 @@
     pub stop: Arc<AtomicBool>,
     /// Set by the reload signal.
     pub reload: Arc<AtomicBool>,
+    /// Whether no log lines are written; for tests that run many hosts in one process.
+    pub quiet: bool,
 }
 
 /// What a connection is used for.
@@ -126,7 +128,7 @@
     /// # Errors
     /// When an address cannot be had.
     pub fn new(start: Start) -> io::Result<Entry> {
-        let Start { mut settings, reread, platform, metrics, stop, reload } = start;
+        let Start { mut settings, reread, platform, metrics, stop, reload, quiet } = start;
         let now = Instant::now();
         let sockets = settings.sockets.unwrap_or(USUAL_DESCRIPTORS);
         let mut net = Net::new(sockets.saturating_sub(SPARE_DESCRIPTORS).max(64))?;
@@ -155,7 +157,7 @@
             stop,
             reload,
             net,
-            journal: Journal::new(now),
+            journal: Journal::new(now, quiet),
             timers: BinaryHeap::new(),
             roles: HashMap::new(),
             idle: HashMap::new(),
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -248,10 +248,7 @@
     }
 
     fn take_events(&mut self, key: Key) -> Step {
-        let came = match self.take_bytes(key) {
-            None => return Step::Over,
-            Some(came) => came,
-        };
+        let Some(came) = self.take_bytes(key) else { return Step::Over };
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Over };
         let Some(send) = exchange.send.as_mut() else { return Step::Over };
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -84,8 +84,7 @@
                     call.head = Some(head);
                 }
                 Ok(None) if socket.ended.is_none() => return,
-                Ok(None) => return self.end_call(key, Some(CallFault::Broken)),
-                Err(_) => return self.end_call(key, Some(CallFault::Broken)),
+                Ok(None) | Err(_) => return self.end_call(key, Some(CallFault::Broken)),
             }
         }
         let taken = call.decoder.take(&mut socket.input, &mut call.body);
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -97,16 +97,13 @@
         }
         follow.busy = true;
         let wait = if stream == Stream::Config { CONFIG_WAIT } else { Duration::ZERO };
-        match follow.next {
-            Some(from) => {
-                let request = self.platform.read(stream, from, wait);
-                self.call(Purpose::Read(stream, wait), store, &request, wait + REPLY_TIME);
-            }
-            None => {
-                let since = follow.pages.as_ref().and_then(|p| p.since.clone());
-                let request = self.platform.newest(stream, since.as_deref());
-                self.call(Purpose::Newest(stream), store, &request, REPLY_TIME);
-            }
+        if let Some(from) = follow.next {
+            let request = self.platform.read(stream, from, wait);
+            self.call(Purpose::Read(stream, wait), store, &request, wait + REPLY_TIME);
+        } else {
+            let since = follow.pages.as_ref().and_then(|p| p.since.clone());
+            let request = self.platform.newest(stream, since.as_deref());
+            self.call(Purpose::Newest(stream), store, &request, REPLY_TIME);
         }
     }
 
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -16,8 +16,7 @@
 /// Silence before the first event after which the path's targets are knocked at, and after which
 /// another path is tried: engines read the largest prompt in a fifth of a second, and a caller
 /// leaves after two.
-const FIRST_SILENT: (Duration, Duration) =
-    (Duration::from_millis(300), Duration::from_millis(1000));
+const FIRST_SILENT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
 /// The same between events, at least.
 const NEXT_SILENT: (Duration, Duration) = (Duration::from_millis(170), Duration::from_millis(700));
 /// The same as multiples of the predicted time between events.
--- a/crates/roseshore_relay/src/journal.rs
+++ b/crates/roseshore_relay/src/journal.rs
@@ -26,16 +26,21 @@
     dropped: u64,
     credit: f64,
     refilled: Instant,
+    quiet: bool,
 }
 
 impl Journal {
-    /// An empty journal of a process that began at `now`.
-    pub fn new(now: Instant) -> Journal {
-        Journal { begun: now, buffer: Vec::new(), dropped: 0, credit: BURST, refilled: now }
+    /// An empty journal of a process that began at `now`; a quiet one keeps nothing.
+    pub fn new(now: Instant, quiet: bool) -> Journal {
+        let (buffer, dropped, credit) = (Vec::new(), 0, BURST);
+        Journal { begun: now, buffer, dropped, credit, refilled: now, quiet }
     }
 
     /// Adds a line.
     pub fn line(&mut self, now: Instant, event: Event, text: Arguments<'_>) {
+        if self.quiet {
+            return;
+        }
         let since = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         self.credit = (self.credit + since * RATE).min(BURST);
--- /dev/null
+++ b/crates/roseshore_relay/tests/http.rs
@@ -0,0 +1,235 @@
+//! Heads, framing and events as bytes.
+
+use roseshore_relay::events::take_whole;
+use roseshore_relay::http::{Decoder, Framing, HttpError, take_answer, take_request};
+
+const MOST: usize = 400;
+
+struct HeadCase {
+    name: &'static str,
+    bytes: &'static str,
+    framing: Result<Option<Framing>, HttpError>,
+}
+
+#[test]
+fn a_request_s_length_is_never_ambiguous() {
+    let cases = [
+        HeadCase {
+            name: "no body",
+            bytes: "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+            framing: Ok(Some(Framing::Length(0))),
+        },
+        HeadCase {
+            name: "a length",
+            bytes: "POST / HTTP/1.1\r\ncontent-LENGTH: 12\r\n\r\n",
+            framing: Ok(Some(Framing::Length(12))),
+        },
+        HeadCase {
+            name: "chunks",
+            bytes: "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n",
+            framing: Ok(Some(Framing::Chunked)),
+        },
+        HeadCase { name: "not whole", bytes: "POST / HTTP/1.1\r\nHost: a\r\n", framing: Ok(None) },
+        HeadCase {
+            name: "both",
+            bytes: "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            framing: Err(HttpError::Ambiguous),
+        },
+        HeadCase {
+            name: "two lengths",
+            bytes: "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
+            framing: Err(HttpError::Ambiguous),
+        },
+        HeadCase {
+            name: "another coding",
+            bytes: "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+            framing: Err(HttpError::Ambiguous),
+        },
+        HeadCase {
+            name: "a signed length",
+            bytes: "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+            framing: Err(HttpError::Malformed),
+        },
+        HeadCase {
+            name: "two values in one field",
+            bytes: "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n",
+            framing: Err(HttpError::Malformed),
+        },
+        HeadCase {
+            name: "no HTTP",
+            bytes: "\u{16}\u{3}\u{1} hello\r\n\r\n",
+            framing: Err(HttpError::Malformed),
+        },
+    ];
+    for case in cases {
+        let mut buffer = case.bytes.as_bytes().to_vec();
+        let got = take_request(&mut buffer, MOST).map(|head| head.map(|h| h.framing));
+        assert_eq!(got, case.framing, "{}", case.name);
+    }
+    let mut long = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(MOST)).into_bytes();
+    assert_eq!(take_request(&mut long, MOST), Err(HttpError::HeadTooLarge));
+}
+
+#[test]
+fn an_interim_answer_is_passed_over() {
+    let bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let mut buffer = bytes.as_bytes().to_vec();
+    let head = take_answer(&mut buffer, MOST).expect("well formed").expect("whole");
+    assert_eq!((head.status, head.framing, head.keep), (200, Framing::Length(2), true));
+    assert_eq!(buffer, b"ok");
+}
+
+#[test]
+fn only_an_answer_with_its_length_leaves_a_connection_to_use_again() {
+    for (bytes, keep) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: Close\r\n\r\n", false),
+        ("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n", false),
+    ] {
+        let mut buffer = bytes.as_bytes().to_vec();
+        let head = take_answer(&mut buffer, MOST).expect("well formed").expect("whole");
+        assert_eq!(head.keep, keep, "{bytes:?}");
+    }
+}
+
+struct BodyCase {
+    name: &'static str,
+    framing: Framing,
+    bytes: &'static str,
+    /// The body, whether it is whole, and what is left; `None` when the framing is broken.
+    got: Option<(&'static str, bool, &'static str)>,
+}
+
+#[test]
+fn a_body_ends_where_its_framing_says() {
+    let cases = [
+        BodyCase {
+            name: "length",
+            framing: Framing::Length(3),
+            bytes: "abcdef",
+            got: Some(("abc", true, "def")),
+        },
+        BodyCase {
+            name: "length, short",
+            framing: Framing::Length(9),
+            bytes: "abc",
+            got: Some(("abc", false, "")),
+        },
+        BodyCase {
+            name: "chunks",
+            framing: Framing::Chunked,
+            bytes: "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nt: u\r\n\r\nrest",
+            got: Some(("abcde", true, "rest")),
+        },
+        BodyCase {
+            name: "chunks, no end",
+            framing: Framing::Chunked,
+            bytes: "3\r\nabc\r\n",
+            got: Some(("abc", false, "")),
+        },
+        BodyCase {
+            name: "a chunk that is longer than it says",
+            framing: Framing::Chunked,
+            bytes: "3\r\nabcd\r\n0\r\n\r\n",
+            got: None,
+        },
+        BodyCase { name: "no size", framing: Framing::Chunked, bytes: "xyz\r\n", got: None },
+        BodyCase {
+            name: "a signed size",
+            framing: Framing::Chunked,
+            bytes: "+3\r\nabc",
+            got: None,
+        },
+        BodyCase {
+            name: "a bare newline",
+            framing: Framing::Chunked,
+            bytes: "3\nabc\r\n",
+            got: None,
+        },
+        BodyCase {
+            name: "close",
+            framing: Framing::Close,
+            bytes: "abc",
+            got: Some(("abc", false, "")),
+        },
+    ];
+    for case in cases {
+        // However the bytes are cut on their way, the result is the same.
+        for step in [1, 2, 5, case.bytes.len()] {
+            let (mut input, mut body) = (Vec::new(), Vec::new());
+            let mut decoder = Decoder::new(case.framing);
+            let parts = case.bytes.as_bytes().chunks(step);
+            let taken: Result<Vec<()>, HttpError> = parts
+                .map(|part| {
+                    input.extend_from_slice(part);
+                    decoder.take(&mut input, &mut body)
+                })
+                .collect();
+            let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+            let got = taken.ok().map(|_| (text(&body), decoder.done(), text(&input)));
+            let wanted = case.got.map(|(b, done, left)| (b.to_owned(), done, left.to_owned()));
+            assert_eq!(got, wanted, "{} in steps of {step}", case.name);
+        }
+    }
+}
+
+struct EventCase {
+    name: &'static str,
+    bytes: &'static str,
+    after: Option<u64>,
+    passed: &'static str,
+    last: Option<u64>,
+    gap: bool,
+    left: &'static str,
+}
+
+#[test]
+fn only_whole_events_that_are_new_are_passed_on() {
+    let cases = [
+        EventCase {
+            name: "two and a half",
+            bytes: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda",
+            after: None,
+            passed: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            last: Some(2),
+            gap: false,
+            left: "id: 3\nda",
+        },
+        EventCase {
+            name: "seen before",
+            bytes: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            after: Some(1),
+            passed: "id: 2\ndata: b\n\n",
+            last: Some(2),
+            gap: false,
+            left: "",
+        },
+        EventCase {
+            name: "one is missing",
+            bytes: "id: 4\ndata: a\n\n",
+            after: Some(2),
+            passed: "id: 4\ndata: a\n\n",
+            last: Some(4),
+            gap: true,
+            left: "",
+        },
+        EventCase {
+            name: "without an id",
+            bytes: "data: a\n\n",
+            after: Some(2),
+            passed: "data: a\n\n",
+            last: Some(2),
+            gap: false,
+            left: "",
+        },
+    ];
+    for case in cases {
+        let mut buffer = case.bytes.as_bytes().to_vec();
+        let taken = take_whole(&mut buffer, case.after);
+        assert_eq!(String::from_utf8_lossy(&taken.bytes), case.passed, "{}", case.name);
+        assert_eq!((taken.last, taken.gap), (case.last, case.gap), "{}", case.name);
+        assert_eq!(String::from_utf8_lossy(&buffer), case.left, "{}", case.name);
+    }
+}
--- a/crates/roseshored/src/entry.rs
+++ b/crates/roseshored/src/entry.rs
@@ -109,7 +109,9 @@
     let metrics = port.map(|port| (SocketAddr::new(settings.callers.ip(), port), handle));
     let reread = Box::new(move || read_boot(&path));
     let platform = Box::new(Platform);
-    let mut entry = Entry::new(Start { settings, reread, platform, metrics, stop, reload })?;
+    let quiet = false;
+    let start = Start { settings, reread, platform, metrics, stop, reload, quiet };
+    let mut entry = Entry::new(start)?;
     Ok(entry.run()?)
 }
 
