--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -6,7 +6,8 @@
 
 use super::calls::{CallFault, Purpose};
 use super::{Entry, note};
-use roseshore_core::gateway::plan::{Member, plan};
+use roseshore_core::gateway::EngineSpec;
+use roseshore_core::gateway::plan::{Member, Placement, plan};
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::CallReply;
@@ -40,6 +41,8 @@
     pending: HashMap<TargetId, ((Layer, Layer), Instant)>,
     /// Targets asked for a report, with the range meant for them.
     asked: HashMap<TargetId, (Layer, Layer)>,
+    /// The last plan of each service, and the engines it was made for.
+    planned: HashMap<ServiceId, (Vec<Member>, Vec<Placement>)>,
 }
 
 impl Entry {
@@ -69,7 +72,7 @@
             if first && !settled {
                 continue;
             }
-            for (id, layers) in plan(spec, &members) {
+            for (id, layers) in self.planned(&service.name, spec, members) {
                 differs = true;
                 self.want(&id, layers);
             }
@@ -79,6 +82,18 @@
         }
     }
 
+    /// The plan, worked out anew only when the engines differ from last time.
+    fn planned(&mut self, service: &str, spec: &EngineSpec, members: Vec<Member>) -> Vec<Placement> {
+        if let Some((last, placements)) = self.placing.planned.get(service)
+            && *last == members
+        {
+            return placements.clone();
+        }
+        let placements = plan(spec, &members);
+        self.placing.planned.insert(service.to_owned(), (members, placements.clone()));
+        placements
+    }
+
     /// The engines of the own data centre, with what they hold or have begun to load.
     fn members(&self, service: &str) -> Vec<Member> {
         let near = &self.settings.data_centre;
