Fewer reads of the store, and a histogram of the way through a host

Change: the first host of a data centre waits two seconds for configurations and reads the list each second; roseshore_pass_on_seconds.

--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -278,6 +278,8 @@
             let mut out = Vec::with_capacity(taken.bytes.len() + 16);
             http::put_chunk(&mut out, &taken.bytes);
             self.net.send(caller, &out);
+            // From the notice that bytes are there to the socket that they leave by.
+            metrics::histogram!("roseshore_pass_on_seconds").record(now.elapsed().as_secs_f64());
             if first {
                 self.arm(now, Timer::Exchange(key));
             }
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -17,19 +17,19 @@
 
 /// How long a read of the configuration waits for a change: each read has a price, and the lease on
 /// the configuration must outlast two of them.
-const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+const CONFIG_WAIT: Duration = Duration::from_secs(2);
 /// Between reads of the list of targets by the first host of a data centre: well within the bound
 /// for leaving targets. Its neighbours compare digests with it and read when those differ.
-const TARGETS_EVERY: Duration = Duration::from_millis(800);
+const TARGETS_EVERY: Duration = Duration::from_secs(1);
 /// A neighbour reads for itself when nothing has confirmed its list for so long, and so on down
 /// the order of hosts.
 const TARGETS_LATER: Duration = Duration::from_millis(400);
 /// The same for the configuration: the first host waits for changes all the time.
-const CONFIG_LATER: Duration = Duration::from_millis(1200);
+const CONFIG_LATER: Duration = Duration::from_millis(800);
 /// Places in the order of hosts beyond which it makes no difference.
 const LAST_PLACE: usize = 3;
 /// A neighbour's list that differs is read at most this often.
-const DIFFERS_EVERY: Duration = Duration::from_millis(250);
+const DIFFERS_EVERY: Duration = Duration::from_millis(350);
 /// The longest time for a reply beyond what was asked to be waited: a store that is slowed
 /// eightyfold answers in a third of a second.
 const REPLY_TIME: Duration = Duration::from_millis(900);
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -9,7 +9,7 @@
 const MAX_HEAD: usize = 8 << 10;
 /// Without a proof that the configuration is current for so long, callers with keys are better
 /// served elsewhere: one read and its timeout beyond the usual.
-const DOUBT: Duration = Duration::from_millis(2800);
+const DOUBT: Duration = Duration::from_secs(3);
 
 impl Entry {
     /// Answers probes and requests for metrics.
