A target that could not be reached costs no attempt

Change: a send that never left the host does not count towards the targets of a request; the tokens of an event come from the engines' figures (they were taken to be 3).

--- a/crates/roseshore_adapters/src/agent.rs
+++ b/crates/roseshore_adapters/src/agent.rs
@@ -4,7 +4,7 @@
 //! connection, so that "not reached" is certain and is not guessed from the kind of the error. The
 //! resolver takes the address as it is: with a timeout in force, the library's own starts a thread
 //! for each request, kept connections and IP numbers included; that was the larger part of a
-//! lookup's cost (`docs/design/platform.md`).
+//! lookup's cost (`docs/design/services.md`).
 
 use quick_error::quick_error;
 use roseshore_core::prelude::*;
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -99,6 +99,8 @@
     pub context_ms: f64,
     /// Prompt tokens read in a ms, over all layers.
     pub read_per_ms: f64,
+    /// Tokens of an event.
+    pub stride: f64,
     /// Mean tokens of a prompt.
     pub prompt: f64,
     /// Mean tokens of an answer.
--- a/crates/roseshore_core/tests/gateway/figures.rs
+++ b/crates/roseshore_core/tests/gateway/figures.rs
@@ -19,6 +19,7 @@
         per_seq_ms: 0.007_14,
         context_ms: 0.009_56 / 1000.0,
         read_per_ms: 105.0,
+        stride: 3.0,
         prompt: 774.0,
         answer: 200.0,
         kinds: vec![
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -83,7 +83,12 @@
     }
 
     /// The plan, worked out anew only when the engines differ from last time.
-    fn planned(&mut self, service: &str, spec: &EngineSpec, members: Vec<Member>) -> Vec<Placement> {
+    fn planned(
+        &mut self,
+        service: &str,
+        spec: &EngineSpec,
+        members: Vec<Member>,
+    ) -> Vec<Placement> {
         if let Some((last, placements)) = self.placing.planned.get(service)
             && *last == members
         {
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -30,8 +30,6 @@
 const HOLD_BEGUN: Duration = Duration::from_millis(1300);
 /// How often a kept request looks for room.
 const HOLD_STEP: Duration = Duration::from_millis(35);
-/// Tokens of an event where the engines do not say.
-const EVENT_TOKENS: f64 = 3.0;
 
 /// A send that is on its way.
 pub(super) struct Send {
@@ -189,12 +187,12 @@
             let expected = 0.0;
             return Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected });
         };
-        let written = f64::from(exchange.out.events) * EVENT_TOKENS;
+        let written = f64::from(exchange.out.events) * spec.stride;
         let expected = expected_tokens(exchange, spec.answer);
         let need = PathNeed {
             layers: spec.layers,
             prompt: f64::from(exchange.asked.prompt) + written,
-            answer: (expected - written).max(EVENT_TOKENS),
+            answer: (expected - written).max(spec.stride),
             near,
             avoid: &exchange.avoid,
             starts,
@@ -298,6 +296,10 @@
             culprits.join(","),
         );
         exchange.avoid.extend(culprits.iter().cloned());
+        if fault == Fault::NotSent {
+            let target = send.target.clone();
+            exchange.sent_to.retain(|sent| *sent != target);
+        }
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         note!(self, SendFailed, "{text}");
         for culprit in &culprits {
@@ -362,7 +364,8 @@
         CallKind::Idempotent => Some((PLAIN_SILENT / 2, PLAIN_SILENT)),
         CallKind::Stream { resumable: true } if send.latest == send.sent => Some(FIRST_SILENT),
         CallKind::Stream { resumable: true } => {
-            let step = Duration::from_secs_f64(send.token_ms * EVENT_TOKENS / 1000.0);
+            let stride = exchange.service.engine.as_ref().map_or(1.0, |e| e.stride);
+            let step = Duration::from_secs_f64(send.token_ms * stride / 1000.0);
             let doubt = NEXT_SILENT.0.max(step.mul_f64(NEXT_SILENT_STEPS.0));
             Some((doubt, NEXT_SILENT.1.max(step.mul_f64(NEXT_SILENT_STEPS.1))))
         }
