A newer configuration is read at once, also when a read hangs

Cause: a read that waits for changes was sent into a store that was out of reach; it hung for its whole wait after the store was back, while neighbours' proofs made up for it as far as they could and named a newer version. Change: no read waits while the store is out of reach; a neighbour's newer version makes a read due at once and gives up the one under way. Also: a host asks an engine whether its load is done and tells the others, instead of waiting for the list; joiners are as wide as leaves the narrowest layer most; lines name the fullest target.

--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -110,6 +110,8 @@
     pub roomy: bool,
     /// The fullest part's cache with this request, as a share.
     pub fill: f64,
+    /// The target whose cache that is.
+    pub fullest: TargetId,
     /// Whether it lies in the own data centre.
     pub near: bool,
 }
@@ -204,8 +206,15 @@
     }
     pieces.reverse();
     let pieces = join_repeats(pieces);
-    let mut path =
-        Path { hops: Vec::new(), first_ms: 0.0, token_ms: 0.0, roomy: true, fill: 0.0, near: true };
+    let mut path = Path {
+        hops: Vec::new(),
+        first_ms: 0.0,
+        token_ms: 0.0,
+        roomy: true,
+        fill: 0.0,
+        fullest: TargetId::new(),
+        near: true,
+    };
     for (index, layers) in pieces {
         let part = &parts[index];
         let width = f64::from(layers.1 - layers.0);
@@ -214,7 +223,11 @@
         path.first_ms += width * (need.prompt * part.read_ms + part.token_ms) + joint;
         let taken = need.tokens() * width;
         path.roomy &= need.fits(part, width) && part.sound;
-        path.fill = path.fill.max((part.room - part.free + taken) / part.room.max(1.0));
+        let fill = (part.room - part.free + taken) / part.room.max(1.0);
+        if fill > path.fill {
+            path.fill = fill;
+            path.fullest.clone_from(&part.id);
+        }
         path.near &= part.near;
         path.hops.push((part.id.clone(), part.addr, Hop { layers }));
     }
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -59,6 +59,15 @@
     pub down: bool,
 }
 
+/// The layers that a target holds by its own report, which the list will say later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldNote {
+    /// The target.
+    pub target: TargetMark,
+    /// First layer and one past the last.
+    pub layers: (Layer, Layer),
+}
+
 /// What a host has counted of a service's requests and repeated sends in the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CountNote {
@@ -111,6 +120,8 @@
     pub loads: Vec<LoadNote>,
     /// What it has counted.
     pub counts: Vec<CountNote>,
+    /// What it has learned of targets' layers.
+    pub holds: Vec<HoldNote>,
     /// Some hosts that it knows.
     pub named: Vec<SocketAddr>,
 }
@@ -158,6 +169,8 @@
     pub loads: Vec<LoadNote>,
     /// What it has counted.
     pub counts: Vec<CountNote>,
+    /// What it has learned of targets' layers.
+    pub holds: Vec<HoldNote>,
 }
 
 /// All other hosts.
@@ -302,6 +315,7 @@
             list: own.list,
             loads,
             counts: own.counts.clone(),
+            holds: own.holds.clone(),
             named,
         }
     }
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -18,13 +18,14 @@
 const COPY_LEAST: f64 = 12_000.0;
 /// Part of the room that is used when a copy is as busy as it should be.
 const WORKING_FILL: f64 = 0.8;
-/// Room that an engine that joins later should leave, tokens.
-const JOIN_ROOM: f64 = 35_000.0;
+/// Rooms that an engine which joins later may keep, tokens, the widest range first.
+const JOIN_ROOMS: [f64; 4] = [35_000.0, 70_000.0, 110_000.0, 160_000.0];
 /// Room that engines which fill a hole should keep, tokens, the best first: the least is that of
 /// two of the largest requests.
 const REPAIR_ROOMS: [f64; 3] = [40_000.0, 18_000.0, 6_000.0];
-/// Below this room of its narrowest layer, tokens, a data centre is worth an order and a load.
-const WIDEN_BELOW: f64 = 55_000.0;
+/// Below this room of its narrowest layer, tokens, a data centre is worth an order and a load: with
+/// 56,000 one of today's refused an eighth of its requests for ten seconds.
+const WIDEN_BELOW: f64 = 150_000.0;
 /// And only if that room grows by this factor.
 const WIDEN_GAIN: f64 = 1.3;
 /// Steps of the search for the room of a copy.
@@ -312,23 +313,33 @@
     rooms
 }
 
-/// Layers that an engine which joins later should hold.
-fn join_width(spec: &EngineSpec, kind: &Kind) -> Layer {
-    layers_at(spec, kind, JOIN_ROOM).max(1).min(spec.layers)
+/// Layers that an engine which joins later holds when it keeps so much room.
+fn join_width(spec: &EngineSpec, kind: &Kind, room: f64) -> Layer {
+    layers_at(spec, kind, room).max(1).min(spec.layers)
 }
 
-/// The range of an engine where the least room is.
+/// The range of an engine where the least room is: wide or narrow, whichever leaves the narrowest
+/// layer most.
 fn thinnest(spec: &EngineSpec, members: &[Member], index: usize) -> Option<(Layer, Layer)> {
     let kind = spec.kind(Some(&members[index].kind))?;
-    let width = join_width(spec, kind);
     let rooms = rooms(spec, members, index);
-    let gain = |from: Layer| -> f64 {
-        let range = usize::from(from)..usize::from(from + width);
-        rooms[range].iter().map(|room| 1.0 / (room + 1.0)).sum()
-    };
-    let starts = 0..=spec.layers - width;
-    let from = starts.max_by(|a, b| gain(*a).total_cmp(&gain(*b)).then(b.cmp(a)))?;
-    Some((from, from + width))
+    let mut best: Option<(f64, (Layer, Layer))> = None;
+    for room in JOIN_ROOMS {
+        let width = join_width(spec, kind, room);
+        let gain = |from: Layer| -> f64 {
+            let range = usize::from(from)..usize::from(from + width);
+            rooms[range].iter().map(|room| 1.0 / (room + 1.0)).sum()
+        };
+        let starts = 0..=spec.layers - width;
+        let from = starts.max_by(|a, b| gain(*a).total_cmp(&gain(*b)).then(b.cmp(a)))?;
+        let mut joined = members.to_vec();
+        joined[index].layers = Some((from, from + width));
+        let least = least_room(spec, &joined);
+        if best.is_none_or(|(most, _)| least > most) {
+            best = Some((least, (from, from + width)));
+        }
+    }
+    best.map(|(_, range)| range)
 }
 
 /// The first run of layers that nobody holds.
@@ -422,7 +433,7 @@
     let spares = (0..members.len()).filter_map(|i| Some((i, spare(i)?)));
     let (index, _) = spares.max_by(|a, b| a.1.total_cmp(&b.1))?;
     let kind = spec.kind(Some(&members[index].kind))?;
-    let width = join_width(spec, kind);
+    let width = join_width(spec, kind, JOIN_ROOMS[0]);
     let from = hole.0.min(spec.layers - width);
     Some((index, (from, from + width)))
 }
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -101,6 +101,8 @@
     pub read_per_ms: f64,
     /// Tokens of an event.
     pub stride: f64,
+    /// Time to load all layers.
+    pub load: Duration,
     /// Mean tokens of a prompt.
     pub prompt: f64,
     /// Mean tokens of an answer.
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -72,6 +72,8 @@
     load: Option<(f64, Instant)>,
     slow: f64,
     slow_at: Instant,
+    /// What it holds by its own report, where the list does not say so yet.
+    learned: Option<Holding>,
     /// When something last came through it.
     progress: Option<Instant>,
     /// Since when it has not answered knocks.
@@ -92,6 +94,7 @@
             load: None,
             slow: 1.0,
             slow_at: now,
+            learned: None,
             progress: None,
             dead: None,
         }
@@ -122,6 +125,11 @@
         self.held + f64::from(self.others.held) * 1000.0
     }
 
+    /// The layers it holds.
+    pub fn holding(&self) -> Option<Holding> {
+        self.learned.or(self.record.holding)
+    }
+
     /// How many times longer it takes than its figures say.
     pub fn slowness(&self, now: Instant) -> f64 {
         let idle = now.saturating_duration_since(self.slow_at).as_secs_f64();
@@ -159,6 +167,9 @@
         if let Some(known) = self.all.get_mut(&record.id) {
             known.missing = None;
             let changed = known.record != record;
+            if known.record.holding != record.holding {
+                known.learned = None;
+            }
             known.record = record;
             self.refresh_digest();
             return changed;
@@ -315,6 +326,14 @@
         }
     }
 
+    /// A target holds layers by its own report.
+    pub fn learned(&mut self, target: TargetMark, layers: (Layer, Layer)) {
+        let found = self.all.values_mut().find(|t| t.mark == target);
+        if let Some(target) = found.filter(|t| t.record.holding != Some(Holding { layers })) {
+            target.learned = Some(Holding { layers });
+        }
+    }
+
     /// What other hosts have at the targets.
     pub fn others(&mut self, loads: &HashMap<TargetMark, LoadNote>) {
         for target in self.all.values_mut() {
@@ -401,7 +420,7 @@
     }
 
     fn part(t: &Target, spec: &EngineSpec, need: &PathNeed<'_>, now: Instant) -> Option<Part> {
-        let layers = t.record.holding?.layers;
+        let layers = t.holding()?.layers;
         let kind = spec.kind(t.record.kind.as_deref())?;
         let share = 1.0 / f64::from(spec.layers);
         let slow = t.slowness(now);
--- a/crates/roseshore_core/tests/gateway/figures.rs
+++ b/crates/roseshore_core/tests/gateway/figures.rs
@@ -20,6 +20,7 @@
         context_ms: 0.009_56 / 1000.0,
         read_per_ms: 105.0,
         stride: 3.0,
+        load: std::time::Duration::from_secs(14),
         prompt: 774.0,
         answer: 200.0,
         kinds: vec![
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -73,6 +73,17 @@
         self.arm(self.now + timeout, Timer::Call(key));
     }
 
+    /// Gives up the calls of a purpose, without a word to whoever made them.
+    pub(super) fn abandon(&mut self, which: impl Fn(&Purpose) -> bool) {
+        for key in self.calls.keys() {
+            if self.calls.get(key).is_some_and(|call| which(&call.purpose))
+                && let Some(call) = self.calls.remove(key)
+            {
+                self.close(call.socket);
+            }
+        }
+    }
+
     /// The reply may have come.
     pub(super) fn pump_call(&mut self, key: Key) {
         let Some(call) = self.calls.get_mut(key) else { return };
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -28,6 +28,8 @@
 const CONFIG_LATER: Duration = Duration::from_millis(800);
 /// Places in the order of hosts beyond which it makes no difference.
 const LAST_PLACE: usize = 3;
+/// Neighbours' newer configurations make a read due at most this often.
+const HURRY_EVERY: Duration = Duration::from_millis(400);
 /// A neighbour's list that differs is read at most this often.
 const DIFFERS_EVERY: Duration = Duration::from_millis(350);
 /// The longest time for a reply beyond what was asked to be waited: a store that is slowed
@@ -64,11 +66,22 @@
     targets: Follow,
     lost: Option<Instant>,
     lapse: Option<Instant>,
+    /// When a neighbour's newer configuration last made a read due.
+    hurried: Option<Instant>,
     /// When the own list was last known to be the store's.
     confirmed: Option<Instant>,
 }
 
 impl Following {
+    /// How long a read waits for records; not at all while the store is out of reach, as a read
+    /// that hangs would outlast the outage.
+    fn wait(&self, stream: Stream) -> Duration {
+        match stream {
+            Stream::Config if self.lost.is_none() => CONFIG_WAIT,
+            Stream::Config | Stream::Targets => Duration::ZERO,
+        }
+    }
+
     fn stream(&mut self, stream: Stream) -> &mut Follow {
         match stream {
             Stream::Config => &mut self.config,
@@ -88,6 +101,7 @@
     fn follow_one(&mut self, stream: Stream) {
         let (now, store) = (self.now, self.settings.store);
         let confirmed = self.confirmed(stream);
+        let wait = self.following.wait(stream);
         let follow = self.following.stream(stream);
         if follow.busy || follow.due.is_some_and(|due| now < due) {
             return;
@@ -96,7 +110,6 @@
             return;
         }
         follow.busy = true;
-        let wait = if stream == Stream::Config { CONFIG_WAIT } else { Duration::ZERO };
         if let Some(from) = follow.next {
             let request = self.platform.read(stream, from, wait);
             self.call(Purpose::Read(stream, wait), store, &request, wait + REPLY_TIME);
@@ -126,17 +139,21 @@
         }
     }
 
-    /// A neighbour has a newer configuration.
+    /// A neighbour has a newer configuration: it is read at once, also if a read is under way,
+    /// which may hang.
     pub(super) fn read_config_now(&mut self) {
-        let follow = &mut self.following.config;
-        if follow.busy || follow.due.is_some() {
+        let now = self.now;
+        let hurried = self.following.hurried;
+        if hurried.is_some_and(|at| now.saturating_duration_since(at) < HURRY_EVERY) {
             return;
         }
-        let Some(from) = follow.next else { return };
-        follow.busy = true;
-        let request = self.platform.read(Stream::Config, from, CONFIG_WAIT);
-        let purpose = Purpose::Read(Stream::Config, CONFIG_WAIT);
-        self.call(purpose, self.settings.store, &request, CONFIG_WAIT + REPLY_TIME);
+        let Some(from) = self.following.config.next else { return };
+        self.following.hurried = Some(now);
+        self.abandon(|purpose| matches!(purpose, Purpose::Read(Stream::Config, _)));
+        self.following.config.busy = true;
+        let request = self.platform.read(Stream::Config, from, Duration::ZERO);
+        let purpose = Purpose::Read(Stream::Config, Duration::ZERO);
+        self.call(purpose, self.settings.store, &request, REPLY_TIME);
     }
 
     /// How far the list of targets was read here.
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -19,10 +19,14 @@
                 }
             };
             let (now, config, list) = (self.now, beat.config, beat.list);
+            let holds = beat.holds.clone();
             let Some(heard) = self.peers.hear(from, beat, now) else { continue };
             if heard.joined {
                 note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
             }
+            for hold in holds {
+                self.targets.learned(hold.target, hold.layers);
+            }
             let known = self.snapshot.as_ref().map_or(0, |s| s.version());
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
                 self.currency.prove(proven);
@@ -68,6 +72,7 @@
             list: self.list_mark(),
             loads: self.targets.notes(),
             counts: self.counts(),
+            holds: self.holds(),
         };
         for (to, beat) in self.peers.due(&own, self.now) {
             match frame::encode(&beat, MAX_DATAGRAM) {
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -7,6 +7,7 @@
 use super::calls::{CallFault, Purpose};
 use super::{Entry, note};
 use roseshore_core::gateway::EngineSpec;
+use roseshore_core::gateway::peers::{HoldNote, mark};
 use roseshore_core::gateway::plan::{Member, Placement, plan};
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
@@ -27,6 +28,13 @@
 const BEGUN: Duration = Duration::from_secs(9);
 /// When to look again at a target that is busy, refused or did not answer.
 const AGAIN: Duration = Duration::from_millis(1800);
+/// What a target reports of itself is some hundred milliseconds old.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Between questions whether a load is done, and how many there are at most.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+const ASKS: u32 = 8;
+/// Other hosts are told for so long; the list says it by then.
+const LEARNED: Duration = Duration::from_secs(4);
 /// For a report or an order.
 const CALL_TIME: Duration = Duration::from_millis(700);
 
@@ -41,10 +49,22 @@
     pending: HashMap<TargetId, ((Layer, Layer), Instant)>,
     /// Targets asked for a report, with the range meant for them.
     asked: HashMap<TargetId, (Layer, Layer)>,
+    /// Orders that were begun: what is to be held, and when to ask whether it is.
+    begun: HashMap<TargetId, Begun>,
+    /// What was learned that way, and when.
+    learned: Vec<(HoldNote, Instant)>,
     /// The last plan of each service, and the engines it was made for.
     planned: HashMap<ServiceId, (Vec<Member>, Vec<Placement>)>,
 }
 
+/// An order that was begun.
+#[derive(Clone, Copy, Debug)]
+struct Begun {
+    layers: (Layer, Layer),
+    ask: Instant,
+    asked: u32,
+}
+
 impl Entry {
     /// Compares plan and list, and asks targets that differ for a report.
     pub(super) fn place(&mut self) {
@@ -55,6 +75,8 @@
         }
         self.placing.compared = Some(now);
         self.placing.pending.retain(|_, (_, until)| now < *until);
+        self.placing.learned.retain(|(_, at)| now.saturating_duration_since(*at) < LEARNED);
+        self.ask_begun();
         let Some(snapshot) = self.snapshot.clone() else { return };
         let services: Vec<_> = snapshot.engines().cloned().collect();
         let mut differs = false;
@@ -109,7 +131,7 @@
             Some(Member {
                 id: t.record.id.clone(),
                 kind: t.record.kind.clone()?,
-                layers: pending.or(t.record.holding.map(|h| h.layers)),
+                layers: pending.or(t.holding().map(|h| h.layers)),
             })
         };
         all.filter_map(member).collect()
@@ -131,9 +153,70 @@
         self.call(Purpose::Report(id.to_owned()), addr, &request, CALL_TIME);
     }
 
+    /// How long a target needs to load what it does not hold yet.
+    fn load_time(&self, id: &str, layers: (Layer, Layer)) -> Duration {
+        let target = self.targets.get(id);
+        let service = target.and_then(|t| self.snapshot.as_ref()?.service(&t.record.service));
+        let Some(spec) = service.and_then(|s| s.engine.as_ref()) else { return BEGUN };
+        let held = target.and_then(Target::holding).map_or((0, 0), |h| h.layers);
+        let kept = layers.1.min(held.1).saturating_sub(layers.0.max(held.0));
+        let fresh = f64::from(layers.1 - layers.0 - kept) / f64::from(spec.layers);
+        spec.load.mul_f64(fresh) + REPORT_LAG
+    }
+
+    /// Asks targets whose load should be done: the list says so a second or two later.
+    fn ask_begun(&mut self) {
+        let now = self.now;
+        let due: Vec<TargetId> = self
+            .placing
+            .begun
+            .iter()
+            .filter(|(_, begun)| begun.ask <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let Some(begun) = self.placing.begun.get_mut(&id) else { continue };
+            begun.ask = now + ASK_AGAIN;
+            begun.asked += 1;
+            let over = begun.asked > ASKS;
+            let Some(target) = self.targets.get(&id).filter(|_| !over) else {
+                self.placing.begun.remove(&id);
+                continue;
+            };
+            let addr = target.record.addr;
+            let request = self.platform.report();
+            self.call(Purpose::Report(id), addr, &request, CALL_TIME);
+        }
+    }
+
+    fn check_begun(
+        &mut self,
+        id: &str,
+        layers: (Layer, Layer),
+        busy: bool,
+        held: Option<(Layer, Layer)>,
+    ) {
+        if busy || held != Some(layers) {
+            return;
+        }
+        self.placing.begun.remove(id);
+        let note = HoldNote { target: mark(id), layers };
+        self.targets.learned(note.target, layers);
+        self.placing.learned.push((note, self.now));
+        note!(self, TargetListed, "target={id} layers={}-{} by=report", layers.0, layers.1);
+        self.beat_now();
+    }
+
+    /// What was learned of targets' layers, for the other hosts.
+    pub(super) fn holds(&self) -> Vec<HoldNote> {
+        self.placing.learned.iter().map(|(note, _)| *note).collect()
+    }
+
     pub(super) fn report_came(&mut self, id: &str, reply: Result<CallReply, CallFault>) {
-        let Some(layers) = self.placing.asked.remove(id) else { return };
         let now = self.now;
+        let begun = self.placing.begun.get(id).map(|b| b.layers);
+        let asked = self.placing.asked.remove(id);
+        let Some(layers) = asked.or(begun) else { return };
         let report = match reply {
             Ok(reply) => self.platform.report_reply(&reply).map_err(|err| err.to_string()),
             Err(fault) => Err(format!("{fault:?}")),
@@ -142,11 +225,16 @@
             Ok(report) => report,
             Err(why) => {
                 note!(self, ReportFailed, "target={id} why={why:?}");
-                self.placing.pending.insert(id.to_owned(), (layers, now + AGAIN));
+                if asked.is_some() {
+                    self.placing.pending.insert(id.to_owned(), (layers, now + AGAIN));
+                }
                 return;
             }
         };
         let held = report.holding.map(|h| h.layers);
+        if asked.is_none() {
+            return self.check_begun(id, layers, report.busy, held);
+        }
         if report.busy || held == Some(layers) {
             self.placing.pending.insert(id.to_owned(), (layers, now + AGAIN));
             return;
@@ -174,6 +262,9 @@
     ) {
         let begun = matches!(&reply, Ok(r) if r.status == 202 || r.status == 200);
         if begun {
+            let ask = self.now + self.load_time(id, layers);
+            let begun = Begun { layers, ask, asked: 0 };
+            self.placing.begun.insert(id.to_owned(), begun);
             return;
         }
         let why = match reply {
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -79,13 +79,16 @@
     roomy: bool,
     /// Tokens expected to be written.
     expected: f64,
+    /// The fullest part's cache, as a share, and whose it is.
+    fill: (f64, TargetId),
 }
 
 impl Entry {
     /// Sends a request to the best target there is, or ends it.
     pub(super) fn dispatch(&mut self, key: Key) {
-        let Some(choice) = self.choose(key).filter(|choice| choice.roomy) else {
-            return self.hold(key);
+        let choice = match self.choose(key) {
+            Some(choice) if choice.roomy => choice,
+            other => return self.hold(key, other),
         };
         let fresh = self.exchanges.get(key).is_some_and(|e| !e.route.kind.idempotent());
         let (socket, kept) = match self.connection(choice.addr, fresh) {
@@ -120,7 +123,7 @@
             choice.path.iter().map(|(id, _, h)| format!("{id}={}-{}", h.layers.0, h.layers.1));
         let text = format!(
             "request={} send={} target={} path={} first_ms={:.0} token_ms={:.1} roomy={} \
-             prompt={} expected={:.0} left_ms={}",
+             prompt={} expected={:.0} fill={:.2} fullest={} left_ms={}",
             exchange.asked.attempt,
             exchange.sends,
             choice.target,
@@ -130,6 +133,8 @@
             choice.roomy,
             exchange.asked.prompt,
             choice.expected,
+            choice.fill.0,
+            choice.fill.1,
             left.as_millis(),
         );
         for (target, held) in &choice.held {
@@ -156,7 +161,7 @@
 
     /// Keeps a request until a target has room; a stream that has begun for longer, since breaking
     /// it off helps nobody.
-    fn hold(&mut self, key: Key) {
+    fn hold(&mut self, key: Key, best: Option<Choice>) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let since = *exchange.held.get_or_insert(now);
@@ -164,7 +169,11 @@
         let most = if exchange.out.begun { HOLD_BEGUN } else { quarter.min(HOLD_FRESH) };
         let engine = exchange.service.engine.is_some();
         if !engine || now.saturating_duration_since(since) >= most {
-            return self.end_without(key, Code::NoTarget, "no target takes the request");
+            let why = best.map_or("no target takes the request".to_owned(), |choice| {
+                let (fill, fullest) = choice.fill;
+                format!("no room: target `{fullest}` would be {fill:.2} full")
+            });
+            return self.end_without(key, Code::NoTarget, &why);
         }
         self.arm(now + HOLD_STEP, Timer::Exchange(key));
     }
@@ -184,8 +193,10 @@
             let (target, addr) = (record.id.clone(), record.addr);
             let path = Vec::new();
             let (first_ms, token_ms, roomy) = (0.0, 0.0, true);
-            let expected = 0.0;
-            return Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected });
+            let (expected, fill) = (0.0, (0.0, TargetId::new()));
+            let choice =
+                Choice { target, addr, path, held, first_ms, token_ms, roomy, expected, fill };
+            return Some(choice);
         };
         let written = f64::from(exchange.out.events) * spec.stride;
         let expected = expected_tokens(exchange, spec.answer);
@@ -207,8 +218,9 @@
         let held = held.collect();
         let (target, addr, _) = path.hops.first().cloned()?;
         let (first_ms, token_ms, roomy) = (path.first_ms, path.token_ms, path.roomy);
-        let (path, expected) = (path.hops, need.answer);
-        Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected })
+        let (fill, expected) = ((path.fill, path.fullest), need.answer);
+        let path = path.hops;
+        Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected, fill })
     }
 
     /// Looks whether a request's time is over or its target has been silent for too long.
