--- /dev/null
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -0,0 +1,156 @@
+//! What the decisions of an entry host cost, by the number of engines of a data centre:
+//! `cargo run --release -p roseshore_core --example gateway_cost`.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use roseshore_core::gateway::path::{PathNeed, choose};
+use roseshore_core::gateway::peers::{Own, Peers};
+use roseshore_core::gateway::plan::{Member, plan};
+use roseshore_core::gateway::{EngineSpec, Holding, Kind, TargetRecord, Targets};
+use roseshore_core::prelude::*;
+use std::net::SocketAddr;
+
+/// Engines of a data centre: today's, the grown sites', the letter's as engines and as accelerators.
+const ENGINES: [usize; 6] = [12, 29, 45, 91, 180, 368];
+/// Hosts that a host hears of.
+const HOSTS: [u16; 5] = [8, 30, 85, 200, 390];
+/// Layers of the model.
+const LAYERS: Layer = 80;
+
+fn spec() -> EngineSpec {
+    let kind =
+        |name: &str, size_mb, pace, read| Kind { name: name.to_owned(), size_mb, pace, read };
+    EngineSpec {
+        slots: 192,
+        layers: LAYERS,
+        layer_mb: 1750.0,
+        kv_bytes: 918_000.0,
+        step_ms: 1.02,
+        per_seq_ms: 0.007_14,
+        context_ms: 0.009_56 / 1000.0,
+        read_per_ms: 105.0,
+        stride: 3.0,
+        load: Duration::from_secs(14),
+        prompt: 774.0,
+        answer: 200.0,
+        kinds: vec![
+            kind("a100", 72_000.0, 2.4, 3.2),
+            kind("l40s", 43_200.0, 5.6, 2.7),
+            kind("l4", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// Kinds in the proportions of today's sites.
+fn members(count: usize) -> Vec<Member> {
+    let kind = |i: usize| match i % 12 {
+        0 => "a100",
+        1..=4 => "l40s",
+        _ => "l4",
+    };
+    let one = |i: usize| Member { id: format!("i-{i:04}"), kind: kind(i).to_owned(), layers: None };
+    (0..count).map(one).collect()
+}
+
+/// Median of a few runs, microseconds.
+fn micros(runs: usize, mut run: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..runs)
+        .map(|_| {
+            let start = Instant::now();
+            run();
+            start.elapsed().as_secs_f64() * 1e6
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[runs / 2]
+}
+
+fn main() {
+    let spec = spec();
+    println!("engines  fresh plan us  plan after a loss us  path us  parts of it");
+    for count in ENGINES {
+        let mut all = members(count);
+        let runs = if count > 100 { 3 } else { 9 };
+        let fresh = micros(runs, || drop(std::hint::black_box(plan(&spec, &all))));
+        for (id, layers) in plan(&spec, &all) {
+            if let Some(member) = all.iter_mut().find(|m| m.id == id) {
+                member.layers = Some(layers);
+            }
+        }
+        let mut lost = all.clone();
+        lost.remove(0);
+        let again = micros(runs, || drop(std::hint::black_box(plan(&spec, &lost))));
+        let (path, hops) = path(&spec, &all);
+        println!("{count:7}  {fresh:13.0}  {again:20.0}  {path:7.1}  {hops}");
+    }
+    println!("hosts  heartbeats due us  heard us");
+    for hosts in HOSTS {
+        let (due, heard) = beats(hosts);
+        println!("{hosts:5}  {due:17.1}  {heard:8.2}");
+    }
+}
+
+fn path(spec: &EngineSpec, members: &[Member]) -> (f64, usize) {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    for (i, member) in members.iter().enumerate() {
+        let record = TargetRecord {
+            id: member.id.clone(),
+            service: "models".to_owned(),
+            addr: SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 80)),
+            data_centre: "north".to_owned(),
+            slots: 192,
+            draining: false,
+            kind: Some(member.kind.clone()),
+            holding: member.layers.map(|layers| Holding { layers }),
+        };
+        targets.put(record, now);
+    }
+    let need = PathNeed {
+        layers: LAYERS,
+        prompt: 774.0,
+        answer: 200.0,
+        near: "north",
+        avoid: &[],
+        starts: None,
+    };
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut hops = 0;
+    let time = micros(201, || {
+        let parts = targets.parts("models", spec, &need, now);
+        hops = choose(&parts, &need, &mut random).map_or(0, |p| p.hops.len());
+    });
+    (time, hops)
+}
+
+fn beats(hosts: u16) -> (f64, f64) {
+    let now = Instant::now();
+    let addr = |n: u16| SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7000));
+    let mut own = Peers::new(addr(0), "north", 1, &[], now);
+    let told = Own { config: 1, ..Own::default() };
+    for n in 1..hosts {
+        let centre = if n % 22 == 0 { "north" } else { "south" };
+        let mut other = Peers::new(addr(n), centre, u64::from(n), &[addr(0)], now);
+        for (_, beat) in other.due(&told, now) {
+            own.hear(addr(n), beat, now);
+        }
+    }
+    let mut at = now;
+    let due = micros(21, || {
+        at += Duration::from_millis(100);
+        std::hint::black_box(own.due(&told, at));
+    });
+    let mut other = Peers::new(addr(1), "north", 1, &[addr(0)], now);
+    let mut heard = Vec::new();
+    for _ in 0..50 {
+        at += Duration::from_secs(1);
+        let beats: Vec<_> = other.due(&told, at).into_iter().map(|(_, beat)| beat).collect();
+        heard.push(micros(1, || {
+            for beat in beats.clone() {
+                own.hear(addr(1), beat, at);
+            }
+        }));
+    }
+    heard.sort_by(f64::total_cmp);
+    (due, heard[heard.len() / 2])
+}
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -28,6 +28,8 @@
 const WIDEN_BELOW: f64 = 150_000.0;
 /// And only if that room grows by this factor.
 const WIDEN_GAIN: f64 = 1.3;
+/// Splits of a group in two that are looked at; with more, engines are dealt by the handful.
+const SPLITS: f64 = 4096.0;
 /// Steps of the search for the room of a copy.
 const SEARCH_STEPS: u32 = 24;
 /// Handing a token on, ms; as in the choice of paths.
@@ -187,6 +189,9 @@
             _ => counts.push((&kind.name, 1)),
         }
     }
+    let most = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
+    let choices = SPLITS.powf(1.0 / counts.len().max(1) as f64).floor();
+    let step = ((most as f64 / choices).ceil() as usize).max(1);
     let mut taken = vec![0; counts.len()];
     let mut best = (rate(spec, group), None);
     loop {
@@ -198,7 +203,7 @@
                 best = (both, Some(taken.clone()));
             }
         }
-        if !advance(&mut taken, &counts) {
+        if !advance(&mut taken, &counts, step) {
             break;
         }
     }
@@ -223,10 +228,10 @@
     if life > 0.0 { 1000.0 * running / life } else { 0.0 }
 }
 
-fn advance(taken: &mut [usize], counts: &[(&str, usize)]) -> bool {
+fn advance(taken: &mut [usize], counts: &[(&str, usize)], step: usize) -> bool {
     for (count, (_, most)) in taken.iter_mut().zip(counts) {
         if *count < *most {
-            *count += 1;
+            *count = (*count + step).min(*most);
             return true;
         }
         *count = 0;
