Engines that would only lengthen steps stay out of copies; orders are told

Two hosts placed at the same time, and one that knew half of the orders saw holes that were being filled. Change: the second part of a split need not be a copy, its engines join later; hosts tell each other what they ordered.

--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -36,7 +36,7 @@
 /// Addresses that a heartbeat names.
 const NAMED: usize = 4;
 /// Targets that a heartbeat tells of; more do not fit a datagram.
-const TOLD: usize = 90;
+const TOLD: usize = 70;
 
 /// A target in a heartbeat.
 pub type TargetMark = u32;
@@ -59,13 +59,16 @@
     pub down: bool,
 }
 
-/// The layers that a target holds by its own report, which the list will say later.
+/// The layers that a target holds by its own report, or was ordered to hold; the list says so
+/// later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldNote {
     /// The target.
     pub target: TargetMark,
     /// First layer and one past the last.
     pub layers: (Layer, Layer),
+    /// Whether it holds them; else it was ordered to.
+    pub done: bool,
 }
 
 /// What a host has counted of a service's requests and repeated sends in the window.
@@ -120,7 +123,7 @@
     pub loads: Vec<LoadNote>,
     /// What it has counted.
     pub counts: Vec<CountNote>,
-    /// What it has learned of targets' layers.
+    /// What it has ordered, and learned, of targets' layers.
     pub holds: Vec<HoldNote>,
     /// Some hosts that it knows.
     pub named: Vec<SocketAddr>,
@@ -169,7 +172,7 @@
     pub loads: Vec<LoadNote>,
     /// What it has counted.
     pub counts: Vec<CountNote>,
-    /// What it has learned of targets' layers.
+    /// What it has ordered, and learned, of targets' layers.
     pub holds: Vec<HoldNote>,
 }
 
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -176,7 +176,9 @@
     copies
 }
 
-/// The split in two that serves most, by how many engines of each kind go to the first.
+/// The split in two that serves most, by how many engines of each kind go to the first. The second
+/// part need not be a copy: engines that would only make every step longer stay empty at first and
+/// then strengthen what is there.
 fn best_split<'a>(
     spec: &EngineSpec,
     group: &Group<'a>,
@@ -196,12 +198,12 @@
     let mut best = (rate(spec, group), None);
     loop {
         let (a, b) = deal(group, &counts, &taken);
-        let rooms = (room(spec, &a), room(spec, &b));
-        if rooms.0 >= least && rooms.1 >= least {
-            let both = rate(spec, &a) + rate(spec, &b);
-            if both > best.0 {
-                best = (both, Some(taken.clone()));
-            }
+        let carried = |part: &Group<'_>| {
+            if room(spec, part) >= least { rate(spec, part) } else { 0.0 }
+        };
+        let both = carried(&a) + carried(&b);
+        if both > best.0 {
+            best = (both, Some(taken.clone()));
         }
         if !advance(&mut taken, &counts, step) {
             break;
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -234,6 +234,11 @@
         self.all.values().find(|t| t.record.addr == addr).map(|t| &t.record.id)
     }
 
+    /// The id of the target with a mark.
+    pub fn marked(&self, mark: TargetMark) -> Option<&TargetId> {
+        self.all.values().find(|t| t.mark == mark).map(|t| &t.record.id)
+    }
+
     /// How many are known.
     pub fn len(&self) -> usize {
         self.all.len()
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -25,7 +25,7 @@
                 note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
             }
             for hold in holds {
-                self.targets.learned(hold.target, hold.layers);
+                self.take_hold(hold);
             }
             let known = self.snapshot.as_ref().map_or(0, |s| s.version());
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -33,6 +33,10 @@
 /// Between questions whether a load is done, and how many there are at most.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
 const ASKS: u32 = 8;
+/// What another host ordered is believed for so long after each word of it.
+const ORDERED: Duration = Duration::from_millis(1200);
+/// Orders and loads that a heartbeat tells of; more do not fit a datagram beside the rest.
+const TOLD: usize = 24;
 /// Other hosts are told for so long; the list says it by then.
 const LEARNED: Duration = Duration::from_secs(4);
 /// For a report or an order.
@@ -200,16 +204,31 @@
             return;
         }
         self.placing.begun.remove(id);
-        let note = HoldNote { target: mark(id), layers };
+        let note = HoldNote { target: mark(id), layers, done: true };
         self.targets.learned(note.target, layers);
         self.placing.learned.push((note, self.now));
         note!(self, TargetListed, "target={id} layers={}-{} by=report", layers.0, layers.1);
         self.beat_now();
     }
 
-    /// What was learned of targets' layers, for the other hosts.
+    /// What was ordered, and learned, of targets' layers, for the other hosts.
     pub(super) fn holds(&self) -> Vec<HoldNote> {
-        self.placing.learned.iter().map(|(note, _)| *note).collect()
+        let begun = self.placing.begun.iter();
+        let ordered =
+            begun.map(|(id, b)| HoldNote { target: mark(id), layers: b.layers, done: false });
+        let learned = self.placing.learned.iter().map(|(note, _)| *note);
+        learned.chain(ordered).take(TOLD).collect()
+    }
+
+    /// Another host ordered layers, or learned that they are held.
+    pub(super) fn take_hold(&mut self, hold: HoldNote) {
+        if hold.done {
+            return self.targets.learned(hold.target, hold.layers);
+        }
+        let Some(id) = self.targets.marked(hold.target).cloned() else { return };
+        if !self.placing.begun.contains_key(&id) {
+            self.placing.pending.insert(id, (hold.layers, self.now + ORDERED));
+        }
     }
 
     pub(super) fn report_came(&mut self, id: &str, reply: Result<CallReply, CallFault>) {
@@ -251,6 +270,9 @@
             report.orders
         );
         self.placing.pending.insert(id.to_owned(), (layers, now + BEGUN));
+        let ask = now + self.load_time(id, layers);
+        self.placing.begun.insert(id.to_owned(), Begun { layers, ask, asked: 0 });
+        self.beat_now();
         self.call(Purpose::Place(id.to_owned(), layers), addr, &request, CALL_TIME);
     }
 
@@ -262,11 +284,9 @@
     ) {
         let begun = matches!(&reply, Ok(r) if r.status == 202 || r.status == 200);
         if begun {
-            let ask = self.now + self.load_time(id, layers);
-            let begun = Begun { layers, ask, asked: 0 };
-            self.placing.begun.insert(id.to_owned(), begun);
             return;
         }
+        self.placing.begun.remove(id);
         let why = match reply {
             Ok(reply) => format!("status {}", reply.status),
             Err(fault) => format!("{fault:?}"),
