A leaving host takes no new streams that it may not finish

Change: 0.7 s after the stop signal streams are refused as not run, to come back at once on a new connection, which reaches another host.

--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -21,6 +21,11 @@
 /// When to come back while targets are missing or full: a hole in the layers is found and filled in
 /// two to three seconds, and by then the answers that fill the caches are done.
 const COME_BACK_LATER: Duration = Duration::from_millis(2400);
+/// When to come back from a host that is leaving: at once, but not all in the same moment.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(60);
+/// After the stop signal, streams are taken for so long: an answer takes up to six seconds on a
+/// busy path, and the grace is eight.
+const LAST_STREAMS: Duration = Duration::from_millis(700);
 /// The shortest time in which another send makes sense.
 const LEAST: Duration = Duration::from_millis(60);
 /// How long a caller waits when it does not say.
@@ -147,6 +152,11 @@
         if organisation.is_some() && !self.currency.current(self.now) {
             return Err(self.unconfirmed());
         }
+        let stopping = self.stopping.map(|at| self.now.saturating_duration_since(at));
+        if route.kind.stream() && stopping.is_some_and(|since| since >= LAST_STREAMS) {
+            let refusal = Refusal::not_run(Code::Draining, "this host is leaving");
+            return Err(refusal.after(self.spread(COME_BACK_ELSEWHERE)));
+        }
         let service = route.service(&asked.attempt).and_then(|name| snapshot.service(name));
         let Some(service) = service.cloned() else {
             let text = format!("route `{}` has no service", route.name);
