--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -83,6 +83,39 @@
     fill: (f64, TargetId),
 }
 
+impl Choice {
+    /// A target of a plain service.
+    fn plain(target: TargetId, addr: SocketAddr) -> Choice {
+        Choice {
+            held: vec![(target.clone(), 0.0)],
+            target,
+            addr,
+            path: Vec::new(),
+            first_ms: 0.0,
+            token_ms: 0.0,
+            roomy: true,
+            expected: 0.0,
+            fill: (0.0, TargetId::new()),
+        }
+    }
+
+    /// What a log line says of it.
+    fn line(&self) -> String {
+        let hops = self.path.iter();
+        let hops = hops.map(|(id, _, hop)| format!("{id}={}-{}", hop.layers.0, hop.layers.1));
+        format!(
+            "target={} path={} first_ms={:.0} token_ms={:.1} expected={:.0} fill={:.2} fullest={}",
+            self.target,
+            hops.collect::<Vec<_>>().join(","),
+            self.first_ms,
+            self.token_ms,
+            self.expected,
+            self.fill.0,
+            self.fill.1,
+        )
+    }
+}
+
 impl Entry {
     /// Sends a request to the best target there is, or ends it.
     pub(super) fn dispatch(&mut self, key: Key) {
@@ -119,22 +152,12 @@
         let head = &exchange.head;
         http::put_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
         out.extend_from_slice(&exchange.body);
-        let hops =
-            choice.path.iter().map(|(id, _, h)| format!("{id}={}-{}", h.layers.0, h.layers.1));
         let text = format!(
-            "request={} send={} target={} path={} first_ms={:.0} token_ms={:.1} roomy={} \
-             prompt={} expected={:.0} fill={:.2} fullest={} left_ms={}",
+            "request={} send={} {} prompt={} left_ms={}",
             exchange.asked.attempt,
             exchange.sends,
-            choice.target,
-            hops.collect::<Vec<_>>().join(","),
-            choice.first_ms,
-            choice.token_ms,
-            choice.roomy,
+            choice.line(),
             exchange.asked.prompt,
-            choice.expected,
-            choice.fill.0,
-            choice.fill.1,
             left.as_millis(),
         );
         for (target, held) in &choice.held {
@@ -178,6 +201,7 @@
         self.arm(now + HOLD_STEP, Timer::Exchange(key));
     }
 
+    /// The best target or path for a request as it stands; it may lack room.
     fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
         let (now, near) = (self.now, self.settings.data_centre.as_str());
@@ -189,14 +213,7 @@
             }
             let target = self.targets.plain(&exchange.service.name, near, &exchange.avoid, now);
             let record = &target?.record;
-            let held = vec![(record.id.clone(), 0.0)];
-            let (target, addr) = (record.id.clone(), record.addr);
-            let path = Vec::new();
-            let (first_ms, token_ms, roomy) = (0.0, 0.0, true);
-            let (expected, fill) = (0.0, (0.0, TargetId::new()));
-            let choice =
-                Choice { target, addr, path, held, first_ms, token_ms, roomy, expected, fill };
-            return Some(choice);
+            return Some(Choice::plain(record.id.clone(), record.addr));
         };
         let written = f64::from(exchange.out.events) * spec.stride;
         let expected = expected_tokens(exchange, spec.answer);
@@ -289,6 +306,7 @@
         self.failed_by(key, fault, vec![culprit]);
     }
 
+    /// A send failed by these targets, or by none that is known.
     pub(super) fn failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
@@ -324,6 +342,7 @@
         self.follow_fault(key, fault);
     }
 
+    /// Sends a request again or ends it.
     fn follow_fault(&mut self, key: Key, fault: Fault) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
