A host that knows its configuration to be old refuses

Change: after 0.7 s of knowing a newer version without having it, requests are refused as not run and the host is not ready.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -107,6 +107,8 @@
     ticked: Instant,
     ready: bool,
     suspended: bool,
+    /// Since when a neighbour has had a newer configuration.
+    outdated: Option<Instant>,
     stopping: Option<Instant>,
     reread_at: Instant,
 }
@@ -175,6 +177,7 @@
             ticked: now,
             ready: false,
             suspended: true,
+            outdated: None,
             stopping: None,
             reread_at: now,
         };
@@ -260,6 +263,7 @@
         self.place();
         self.knock_at_dead();
         self.drop_idle();
+        self.judge_age();
         self.judge_ready();
         self.beat();
     }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -149,7 +149,7 @@
         let organisation = snapshot.authorise(&route, asked.key.as_deref());
         let organisation = organisation.map_err(|denied| self.denied(denied))?;
         let organisation = organisation.map(|o| o.name.clone());
-        if organisation.is_some() && !self.currency.current(self.now) {
+        if self.outdated() || (organisation.is_some() && !self.current()) {
             return Err(self.unconfirmed());
         }
         let stopping = self.stopping.map(|at| self.now.saturating_duration_since(at));
@@ -186,7 +186,7 @@
 
     /// A denial is only final while the configuration is known to be the newest.
     fn denied(&mut self, denied: Denied) -> Refusal {
-        if !self.currency.current(self.now) {
+        if !self.current() {
             return self.unconfirmed();
         }
         match denied {
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -11,6 +11,10 @@
 /// served elsewhere: one read and its timeout beyond the usual.
 const DOUBT: Duration = Duration::from_secs(3);
 
+/// A neighbour's newer configuration is read within some milliseconds where the store answers; the
+/// operators' bound is two seconds.
+const OUTDATED: Duration = Duration::from_millis(700);
+
 impl Entry {
     /// Answers probes and requests for metrics.
     pub(super) fn pump_probe(&mut self, key: Key) {
@@ -47,12 +51,30 @@
         }
     }
 
+    /// Notes whether a neighbour has a newer configuration.
+    pub(super) fn judge_age(&mut self) {
+        let known = self.snapshot.as_ref().map_or(0, |s| s.version());
+        let newer = self.peers.newest_config(self.now) > known;
+        self.outdated = if newer { self.outdated.or(Some(self.now)) } else { None };
+    }
+
+    /// Whether the configuration at hand is known to be old: a neighbour has had a newer one for
+    /// longer than it takes to read it.
+    pub(super) fn outdated(&self) -> bool {
+        self.outdated.is_some_and(|at| self.now.saturating_duration_since(at) >= OUTDATED)
+    }
+
+    /// Whether the configuration may be taken for the newest.
+    pub(super) fn current(&self) -> bool {
+        self.currency.current(self.now) && !self.outdated()
+    }
+
     /// Decides whether callers should come here.
     pub(super) fn judge_ready(&mut self) {
         let age = self.currency.age(self.now);
         let known = self.snapshot.is_some() && !self.targets.is_empty();
         let fresh = age.is_some_and(|age| age < DOUBT);
-        let ready = known && fresh && self.stopping.is_none();
+        let ready = known && fresh && !self.outdated() && self.stopping.is_none();
         if ready != self.ready {
             self.ready = ready;
             let (age, stopping) = (millis(age), self.stopping.is_some());
@@ -64,7 +86,7 @@
                 self.targets.len()
             );
         }
-        let suspended = !self.currency.current(self.now);
+        let suspended = !self.current();
         if suspended != self.suspended {
             self.suspended = suspended;
             let age = millis(age);
