Liveness checks, failures: the field's words for what had words of our own

Cause: 'knock', 'bury' and 'fate' are metaphors that a newcomer has to learn. Change: renamed to liveness check, mark_dead and failure, in code, log fields and pages; no behaviour changed.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,12 +2,13 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`fate`] what follows a failed send, [`allowance`] how many sends may be
-//! repeated, and [`currency`] whether the configuration is still known to be the newest.
+//! a request runs through, [`failure`] what follows a failed send, [`allowance`] how many sends may
+//! be repeated, [`peers`] what hosts tell each other, and [`currency`] whether the configuration is
+//! still known to be the newest.
 
 pub mod allowance;
 pub mod currency;
-pub mod fate;
+pub mod failure;
 pub mod path;
 pub mod peers;
 pub mod plan;
@@ -17,7 +18,7 @@
 
 pub use allowance::Allowance;
 pub use currency::Currency;
-pub use fate::{Fault, Next, Standing};
+pub use failure::{Fault, Next, Standing};
 pub use path::{Hop, Part, PathNeed};
 pub use peers::Peers;
 pub use routes::{
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -24,7 +24,7 @@
 /// Between heartbeats to hosts of other data centres: bytes between data centres are dear.
 const FAR: Duration = Duration::from_millis(400);
 /// Between heartbeats to addresses that have not been heard of.
-const KNOCK: Duration = Duration::from_secs(1);
+const CONTACT: Duration = Duration::from_secs(1);
 /// Silence after which a host no longer counts.
 const GONE: Duration = Duration::from_millis(1200);
 /// Silence of a host of another data centre after which it no longer counts.
@@ -256,7 +256,7 @@
     }
 
     /// Makes the next heartbeats to the own data centre due at once.
-    pub fn hurry(&mut self) {
+    pub fn make_due(&mut self) {
         self.all.values_mut().filter(|p| p.near).for_each(|p| p.told = None);
     }
 
@@ -272,7 +272,7 @@
             .iter()
             .filter(|(_, peer)| {
                 let period = match (peer.alive(now), peer.near) {
-                    (false, _) => KNOCK,
+                    (false, _) => CONTACT,
                     (true, true) => near,
                     (true, false) => FAR,
                 };
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -76,7 +76,7 @@
     learned: Option<Holding>,
     /// When something last came through it.
     progress: Option<Instant>,
-    /// Since when it has not answered knocks.
+    /// Since when it has not answered liveness checks.
     dead: Option<Instant>,
 }
 
@@ -110,7 +110,7 @@
         !self.down() && self.health.usable(now, self.own)
     }
 
-    /// Whether it answers nobody's knocks.
+    /// Whether it answers nobody's liveness checks.
     pub fn down(&self) -> bool {
         self.dead.is_some() || self.others.down
     }
@@ -306,7 +306,7 @@
         path.iter().filter(quiet).cloned().collect()
     }
 
-    /// It does not answer knocks; returns whether that is news.
+    /// It does not answer liveness checks; returns whether that is news.
     pub fn died(&mut self, id: &str, now: Instant) -> bool {
         let Some(target) = self.all.get_mut(id) else { return false };
         let news = target.dead.is_none();
@@ -314,7 +314,7 @@
         news
     }
 
-    /// It answered a knock; returns whether that is news.
+    /// It answered a liveness check; returns whether that is news.
     pub fn answered(&mut self, id: &str) -> bool {
         self.all.get_mut(id).is_some_and(|t| t.dead.take().is_some())
     }
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 mod gateway {
     mod allowance;
-    mod fate;
+    mod failure;
     mod figures;
     mod path;
     mod peers;
--- a/crates/roseshore_core/tests/gateway/fate.rs
+++ b/crates/roseshore_core/tests/gateway/failure.rs
@@ -1,6 +1,6 @@
 //! What follows a failed send.
 
-use roseshore_core::gateway::fate::{End, Fault, MOST_SENDS, Next, Standing, next};
+use roseshore_core::gateway::failure::{End, Fault, MOST_SENDS, Next, Standing, next};
 use roseshore_core::prelude::*;
 
 struct Case {
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -51,7 +51,7 @@
     let now = Instant::now();
     let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "north", &[addr(1)], now));
     let loads = vec![LoadNote { target: mark("t"), own: 3, held: 7, down: true }];
-    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a knock at the seed");
+    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a first contact");
     assert!(a.hear(addr(2), beat.clone(), now).expect("news").joined);
     let note = a.loads(now)[&mark("t")];
     assert_eq!((note.own, note.held, note.down), (3, 7, true));
@@ -67,11 +67,11 @@
     let now = Instant::now();
     let mut b = peers(2, "north", &[addr(1)], now);
     let mut a = peers(1, "north", &[addr(2)], now);
-    let beat = sent(&mut a, 2, &own(), now).expect("a knock");
+    let beat = sent(&mut a, 2, &own(), now).expect("a first contact");
     b.hear(addr(1), beat, now);
     assert_eq!(b.place(now), 1);
     let leaving = Own { leaving: true, ..own() };
-    let beat = sent(&mut a, 2, &leaving, now + ms(1100)).expect("a knock");
+    let beat = sent(&mut a, 2, &leaving, now + ms(1100)).expect("a first contact");
     b.hear(addr(1), beat, now + ms(1100));
     assert_eq!(b.place(now + ms(1100)), 0);
 }
@@ -81,7 +81,7 @@
     let now = Instant::now();
     let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "south", &[addr(1)], now));
     let loads = vec![LoadNote { target: mark("t"), own: 1, held: 0, down: true }];
-    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a knock");
+    let beat = sent(&mut b, 1, &Own { loads, ..own() }, now).expect("a first contact");
     assert!(!a.hear(addr(2), beat, now).expect("news").near);
     assert!(!a.loads(now)[&mark("t")].down, "it may only be cut off from the target");
 }
@@ -92,7 +92,7 @@
     let mut a = peers(1, "a-data-centre-with-a-long-name", &[], now);
     for n in 2..200 {
         let mut other = peers(n, "north", &[addr(1)], now);
-        let beat = sent(&mut other, 1, &own(), now).expect("a knock");
+        let beat = sent(&mut other, 1, &own(), now).expect("a first contact");
         a.hear(addr(n), beat, now);
     }
     let note = |n: u32| LoadNote {
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -5,7 +5,7 @@
 mod calls;
 mod exchange;
 mod following;
-mod knocking;
+mod liveness;
 mod peering;
 mod placing;
 mod probes;
@@ -19,7 +19,7 @@
 use calls::Call;
 use exchange::Exchange;
 use following::Following;
-use knocking::Knocks;
+use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
 use placing::Placing;
 use rand::RngExt;
@@ -66,7 +66,7 @@
     Metrics,
     Target(Key),
     Call(Key),
-    Knock(TargetId),
+    Liveness(TargetId),
     Idle(SocketAddr),
 }
 
@@ -76,7 +76,7 @@
     Exchange(Key),
     Call(Key),
     Caller(Key),
-    Knock(Key),
+    Liveness(Key),
 }
 
 /// An entry host.
@@ -98,7 +98,7 @@
     currency: Currency,
     targets: Targets,
     peers: Peers,
-    knocks: Knocks,
+    liveness: Liveness,
     allowances: HashMap<ServiceId, Allowance>,
     following: Following,
     placing: Placing,
@@ -168,7 +168,7 @@
             snapshot: None,
             targets: Targets::default(),
             peers,
-            knocks: Knocks::default(),
+            liveness: Liveness::default(),
             allowances: HashMap::new(),
             following: Following::default(),
             placing: Placing::default(),
@@ -249,7 +249,7 @@
                 Timer::Exchange(key) => self.check_exchange(key),
                 Timer::Call(key) => self.check_call(key),
                 Timer::Caller(key) => self.check_caller(key),
-                Timer::Knock(key) => self.check_knock(key),
+                Timer::Liveness(key) => self.check_timed_out(key),
             }
         }
     }
@@ -261,7 +261,7 @@
         }
         self.follow();
         self.place();
-        self.knock_at_dead();
+        self.recheck_dead();
         self.drop_idle();
         self.judge_age();
         self.judge_ready();
@@ -280,7 +280,7 @@
                 let call = *call;
                 self.pump_call(call);
             }
-            Some(Role::Knock(_)) => self.knocked(key),
+            Some(Role::Liveness(_)) => self.check_changed(key),
             Some(Role::Idle(addr)) => {
                 let addr = *addr;
                 self.check_idle(key, addr);
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, RequestHead};
 use crate::slab::Key;
 use rand::RngExt;
-use roseshore_core::gateway::fate::{self, End};
+use roseshore_core::gateway::failure::{self, End};
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{Route, ServiceSpec, Standing};
 use roseshore_core::prelude::*;
@@ -208,9 +208,9 @@
     /// Ends a request without a success.
     pub(super) fn end_without(&mut self, key: Key, code: Code, why: &str) {
         let now = self.now;
-        self.doubt_send(key);
+        self.join_open_send(key);
         let Some(exchange) = self.exchanges.get(key) else { return };
-        let end = fate::end(&exchange.standing(now));
+        let end = failure::end(&exchange.standing(now));
         let (caller, keep) = (exchange.caller, exchange.head.keep);
         let attempt = exchange.asked.attempt.clone();
         let code = match end {
@@ -235,7 +235,7 @@
     }
 
     /// A send that is cut short may have run, unless its connection never came up.
-    fn doubt_send(&mut self, key: Key) {
+    fn join_open_send(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
         if self.net.get(send.socket).is_some_and(|s| s.connected) {
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -0,0 +1,135 @@
+//! Finds out which target of a silent path is dead.
+//!
+//! A connection is opened and closed again: a live target's machine takes it at once, a dead port
+//! resets it, a dark machine says nothing. That costs no slot and next to nothing, so it is done
+//! well before a stream is given up.
+
+use super::{Entry, Role, Timer, note};
+use crate::slab::Key;
+use roseshore_core::gateway::failure::{self, Fault, Next};
+use roseshore_core::prelude::*;
+use std::collections::HashMap;
+
+/// For an answer to a check: two milliseconds between data centres, and a busy host.
+const CHECK_TIME: Duration = Duration::from_millis(90);
+/// A target is checked this often at most.
+const EVERY: Duration = Duration::from_millis(200);
+/// A dead target is checked again after this time.
+const DEAD_EVERY: Duration = Duration::from_millis(500);
+/// Unanswered checks in a row that mean death: one packet may be lost.
+const UNANSWERED: u32 = 2;
+
+/// What is known of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Check {
+    last: Option<Instant>,
+    open: bool,
+    unanswered: u32,
+}
+
+/// The liveness checks of targets.
+#[derive(Debug, Default)]
+pub(super) struct Liveness {
+    checks: HashMap<TargetId, Check>,
+}
+
+impl Entry {
+    /// Checks whether a target lives, unless that was done just now.
+    pub(super) fn check_alive(&mut self, id: &str) {
+        let now = self.now;
+        let Some(target) = self.targets.get(id) else { return };
+        let addr = target.record.addr;
+        let check = self.liveness.checks.entry(id.to_owned()).or_default();
+        let again = check.last.is_none_or(|at| now.saturating_duration_since(at) >= EVERY);
+        if check.open || !(again || check.unanswered > 0) {
+            return;
+        }
+        check.last = Some(now);
+        match self.net.connect(addr) {
+            Ok(key) => {
+                check.open = true;
+                self.roles.insert(key, Role::Liveness(id.to_owned()));
+                self.arm(now + CHECK_TIME, Timer::Liveness(key));
+            }
+            Err(err) => note!(self, ReportFailed, "target={id} liveness=unsent why={err:?}"),
+        }
+    }
+
+    /// The connection of a check changed.
+    pub(super) fn check_changed(&mut self, key: Key) {
+        let Some(socket) = self.net.get(key) else { return };
+        let (up, ended) = (socket.connected, socket.ended.is_some());
+        if !up && !ended {
+            return;
+        }
+        let Some(id) = self.end_check(key) else { return };
+        if up {
+            if let Some(check) = self.liveness.checks.get_mut(&id) {
+                check.unanswered = 0;
+            }
+            if self.targets.answered(&id) {
+                note!(self, TargetBack, "target={id} by=liveness");
+            }
+            return;
+        }
+        self.mark_dead(&id, "reset");
+    }
+
+    /// The time of a check is over.
+    pub(super) fn check_timed_out(&mut self, key: Key) {
+        let Some(id) = self.end_check(key) else { return };
+        let Some(check) = self.liveness.checks.get_mut(&id) else { return };
+        check.unanswered += 1;
+        if check.unanswered >= UNANSWERED {
+            self.mark_dead(&id, "silent");
+        } else {
+            self.check_alive(&id);
+        }
+    }
+
+    fn end_check(&mut self, key: Key) -> Option<TargetId> {
+        let Some(Role::Liveness(id)) = self.roles.get(&key) else { return None };
+        let id = id.clone();
+        self.close(key);
+        if let Some(check) = self.liveness.checks.get_mut(&id) {
+            check.open = false;
+        }
+        Some(id)
+    }
+
+    /// A target is dead: what runs through it goes elsewhere.
+    fn mark_dead(&mut self, id: &str, why: &str) {
+        let now = self.now;
+        if self.targets.died(id, now) {
+            note!(self, TargetLost, "target={id} liveness={why}");
+            self.beat_now();
+        }
+        let through = |send: &super::sends::Send| {
+            send.target == id || send.path.iter().any(|(hop, ..)| hop == id)
+        };
+        for key in self.exchanges.keys() {
+            let Some(exchange) = self.exchanges.get(key) else { continue };
+            if !exchange.send.as_ref().is_some_and(through) {
+                continue;
+            }
+            let mut after = exchange.standing(now);
+            after.verdict = after.verdict.join(Verdict::MayHaveRun);
+            if failure::next(&after) == Next::Again {
+                self.failed_by(key, Fault::Silent, vec![id.to_owned()]);
+            }
+        }
+    }
+
+    /// Checks the dead again, and forgets those that are gone.
+    pub(super) fn recheck_dead(&mut self) {
+        let now = self.now;
+        let targets = &self.targets;
+        self.liveness.checks.retain(|id, check| check.open || targets.get(id).is_some());
+        for id in self.targets.dead() {
+            let last = self.liveness.checks.get(&id).and_then(|d| d.last);
+            if last.is_none_or(|at| now.saturating_duration_since(at) >= DEAD_EVERY) {
+                self.check_alive(&id);
+            }
+        }
+    }
+}
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -58,7 +58,7 @@
 
     /// Tells the own data centre at once.
     pub(super) fn beat_now(&mut self) {
-        self.peers.hurry();
+        self.peers.make_due();
         self.beat();
     }
 
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -4,7 +4,7 @@
 use super::{Entry, Role, Timer, note};
 use crate::http::{self, AnswerHead, Decoder};
 use crate::slab::Key;
-use roseshore_core::gateway::fate::{self, Fault, Next};
+use roseshore_core::gateway::failure::{self, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
 use roseshore_core::gateway::{CallKind, Hop};
 use roseshore_core::prelude::*;
@@ -13,7 +13,7 @@
 
 /// For a connection to come up; a millisecond between data centres, and one lost packet.
 const CONNECT: Duration = Duration::from_millis(250);
-/// Silence before the first event after which the path's targets are knocked at, and after which
+/// Silence before the first event after which the path's targets are checked for life, and after which
 /// another path is tried: engines read the largest prompt in a fifth of a second, and a caller
 /// leaves after two.
 const FIRST_SILENT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
@@ -267,7 +267,7 @@
         if silence < give_up {
             self.arm((latest + give_up).min(until), Timer::Exchange(key));
             for suspect in suspects {
-                self.knock(&suspect);
+                self.check_alive(&suspect);
             }
             return;
         }
@@ -280,7 +280,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let mut after = exchange.standing(now);
         after.verdict = after.verdict.join(Verdict::MayHaveRun);
-        if fate::next(&after) != Next::Again {
+        if failure::next(&after) != Next::Again {
             return;
         }
         // None of them is known to be at fault, so none is held to be: only this request avoids
@@ -333,7 +333,7 @@
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         note!(self, SendFailed, "{text}");
         for culprit in &culprits {
-            self.knock(culprit);
+            self.check_alive(culprit);
             if self.targets.failed(culprit, now) {
                 note!(self, TargetLost, "target={culprit} fault={}", fault.name());
             }
@@ -347,7 +347,7 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
         let service = exchange.service.name.clone();
-        if fate::next(&exchange.standing(now)) == Next::Again {
+        if failure::next(&exchange.standing(now)) == Next::Again {
             if self.allowance(&service).repeat(now) {
                 return self.dispatch(key);
             }
