What nothing calls is gone, and three checks stand once

Cause: a reading of the whole change. A probe's connection that closes after its last bytes is now forgotten, too. Assertions are as they were.

--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -104,7 +104,7 @@
             kind: Some(member.kind.clone()),
             holding: member.layers.map(|layers| Holding { layers }),
         };
-        targets.put(record, now);
+        targets.put(record);
     }
     let need = PathNeed {
         layers: LAYERS,
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -371,11 +371,6 @@
         let alive = self.all.values().filter(|p| p.alive(now));
         alive.map(|p| p.config).max().unwrap_or(0)
     }
-
-    /// What the living hosts of the data centre have read of the list of targets.
-    pub fn lists(&self, now: Instant) -> impl Iterator<Item = ListMark> {
-        self.all.values().filter(move |p| p.near && p.alive(now)).map(|p| p.list)
-    }
 }
 
 impl Peer {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -17,13 +17,6 @@
 /// After the store is back, live targets are listed again within about two seconds, as the
 /// operators promise; a little less keeps the drain bound.
 const RELIST: Duration = Duration::from_millis(1900);
-/// Weight of a new sample of a target's slowness.
-const LEARN: f64 = 0.15;
-/// Slowness without new samples is forgotten over this time.
-const FORGIVE: Duration = Duration::from_secs(8);
-/// Bounds of the slowness factor.
-const SLOWEST: f64 = 20.0;
-
 /// The layers an engine holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holding {
@@ -70,8 +63,6 @@
     others: LoadNote,
     health: Health,
     load: Option<(f64, Instant)>,
-    slow: f64,
-    slow_at: Instant,
     /// What it holds by its own report, where the list does not say so yet.
     learned: Option<Holding>,
     /// When something last came through it.
@@ -81,7 +72,7 @@
 }
 
 impl Target {
-    fn new(record: TargetRecord, now: Instant) -> Target {
+    fn new(record: TargetRecord) -> Target {
         Target {
             mark: mark(&record.id),
             others: LoadNote::default(),
@@ -92,8 +83,6 @@
             replaced: false,
             health: Health::default(),
             load: None,
-            slow: 1.0,
-            slow_at: now,
             learned: None,
             progress: None,
             dead: None,
@@ -129,19 +118,6 @@
     pub fn holding(&self) -> Option<Holding> {
         self.learned.or(self.record.holding)
     }
-
-    /// How many times longer it takes than its figures say.
-    pub fn slowness(&self, now: Instant) -> f64 {
-        let idle = now.saturating_duration_since(self.slow_at).as_secs_f64();
-        let kept = (1.0 - idle / FORGIVE.as_secs_f64()).max(0.0);
-        1.0 + (self.slow - 1.0) * kept
-    }
-
-    fn learn(&mut self, ratio: f64, now: Instant) {
-        let old = self.slowness(now);
-        self.slow = (old + LEARN * (ratio - old)).clamp(1.0, SLOWEST);
-        self.slow_at = now;
-    }
 }
 
 /// What follows from a target's absence in the list.
@@ -163,7 +139,7 @@
 
 impl Targets {
     /// Takes a record of the list; returns whether it changed anything that matters for work.
-    pub fn put(&mut self, record: TargetRecord, now: Instant) -> bool {
+    pub fn put(&mut self, record: TargetRecord) -> bool {
         if let Some(known) = self.all.get_mut(&record.id) {
             known.missing = None;
             let changed = known.record != record;
@@ -174,7 +150,7 @@
             self.refresh_digest();
             return changed;
         }
-        self.all.insert(record.id.clone(), Target::new(record, now));
+        self.all.insert(record.id.clone(), Target::new(record));
         self.refresh_digest();
         true
     }
@@ -206,7 +182,7 @@
             self.drop(id, absence, now);
         }
         for record in records {
-            self.put(record, now);
+            self.put(record);
         }
         lost
     }
@@ -375,20 +351,6 @@
         }
     }
 
-    /// An answer took `ratio` times the predicted time over these targets.
-    pub fn paced<'a>(
-        &mut self,
-        path: impl Iterator<Item = &'a TargetId>,
-        ratio: f64,
-        now: Instant,
-    ) {
-        for id in path {
-            if let Some(target) = self.all.get_mut(id) {
-                target.learn(ratio, now);
-            }
-        }
-    }
-
     /// The target of a plain service for a request: the least loaded sound one, own data centre
     /// first among equals. When all have failed of late, the least loaded of them.
     pub fn plain<'a>(
@@ -405,7 +367,7 @@
                 .filter(|(_, at)| now.saturating_duration_since(*at) < Duration::from_millis(500));
             let busy = told.map_or(0.0, |(n, _)| n).max(t.busy());
             let far = if t.record.data_centre == near { 0.0 } else { 0.5 };
-            (busy + far) / f64::from(t.record.slots.max(1)) * t.slowness(now)
+            (busy + far) / f64::from(t.record.slots.max(1))
         };
         let least = |a: &&Target, b: &&Target| cost(a).total_cmp(&cost(b));
         open().filter(|t| t.sound(now)).min_by(least).or_else(|| open().min_by(least))
@@ -428,7 +390,6 @@
         let layers = t.holding()?.layers;
         let kind = spec.kind(t.record.kind.as_deref())?;
         let share = 1.0 / f64::from(spec.layers);
-        let slow = t.slowness(now);
         let busy = t.busy();
         let context = spec.context_ms * (spec.prompt + spec.answer);
         let step = spec.step_ms + (spec.per_seq_ms + context) * (busy + 1.0);
@@ -440,8 +401,8 @@
             near: t.record.data_centre == need.near,
             data_centre: t.record.data_centre.clone(),
             layers,
-            token_ms: step * kind.pace * share * slow,
-            read_ms: kind.read * share * slow / spec.read_per_ms,
+            token_ms: step * kind.pace * share,
+            read_ms: kind.read * share / spec.read_per_ms,
             free: room - t.taken(),
             room,
             sound: t.sound(now),
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -19,10 +19,10 @@
     }
 }
 
-fn two(now: Instant) -> Targets {
+fn two() -> Targets {
     let mut targets = Targets::default();
-    targets.put(record("a", "north"), now);
-    targets.put(record("b", "south"), now);
+    targets.put(record("a", "north"));
+    targets.put(record("b", "south"));
     targets
 }
 
@@ -43,8 +43,8 @@
         Case { name: "nothing", happens: |_, _| (), chosen: "a" },
         Case {
             name: "it drains",
-            happens: |t, now| {
-                t.put(TargetRecord { draining: true, ..record("a", "north") }, now);
+            happens: |t, _| {
+                t.put(TargetRecord { draining: true, ..record("a", "north") });
             },
             chosen: "b",
         },
@@ -98,7 +98,7 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let mut targets = two(now);
+        let mut targets = two();
         (case.happens)(&mut targets, now);
         let found = chosen(&targets, "north", &[], now);
         assert_eq!(found.as_deref(), Some(case.chosen), "{}", case.name);
@@ -108,7 +108,7 @@
 #[test]
 fn when_all_have_failed_the_least_loaded_still_gets_work() {
     let now = Instant::now();
-    let mut targets = two(now);
+    let mut targets = two();
     targets.failed("a", now);
     targets.failed("b", now);
     assert_eq!(chosen(&targets, "north", &[], now).as_deref(), Some("a"));
@@ -120,10 +120,10 @@
 fn a_lapsed_entry_that_does_not_come_back_is_gone() {
     let now = Instant::now();
     let at = |ms: u64| now + Duration::from_millis(ms);
-    let mut targets = two(now);
+    let mut targets = two();
     targets.drop("a", Absence::Lapsed, at(0));
     targets.drop("b", Absence::Lapsed, at(0));
-    targets.put(record("b", "south"), at(1500));
+    targets.put(record("b", "south"));
     assert!(targets.tick(at(1800)).is_empty());
     assert_eq!(targets.tick(at(1950)), ["a".to_owned()]);
     assert_eq!(chosen(&targets, "north", &[], at(1950)).as_deref(), Some("b"));
@@ -132,16 +132,16 @@
 #[test]
 fn a_digest_tells_lists_apart() {
     let now = Instant::now();
-    let (mut left, mut right) = (two(now), Targets::default());
-    right.put(record("b", "south"), now);
-    right.put(record("a", "north"), now);
+    let (mut left, mut right) = (two(), Targets::default());
+    right.put(record("b", "south"));
+    right.put(record("a", "north"));
     assert_eq!(left.list_mark(5).digest, right.list_mark(9).digest);
-    left.put(TargetRecord { draining: true, ..record("a", "north") }, now);
+    left.put(TargetRecord { draining: true, ..record("a", "north") });
     assert_ne!(left.list_mark(5).digest, right.list_mark(9).digest);
     right.replaced("a");
     right.failed("b", now);
-    let mut same = two(now);
-    same.put(record("a", "north"), now);
+    let mut same = two();
+    same.put(record("a", "north"));
     assert_eq!(same.list_mark(0).digest, right.list_mark(0).digest, "own experience is no list");
 }
 
@@ -149,8 +149,8 @@
 fn a_silent_path_points_at_those_that_brought_nothing() {
     let now = Instant::now();
     let at = |ms: u64| now + Duration::from_millis(ms);
-    let mut targets = two(now);
-    targets.put(record("c", "north"), now);
+    let mut targets = two();
+    targets.put(record("c", "north"));
     let ids: Vec<TargetId> = ["a", "b", "c"].map(str::to_owned).to_vec();
     targets.progressed(ids.iter(), at(100));
     targets.progressed([ids[1].clone()].iter(), at(300));
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -310,11 +310,18 @@
         self.net.close(key);
     }
 
+    /// Closes a connection when all that was to be sent has left.
+    fn finish_socket(&mut self, key: Key) {
+        self.net.finish(key);
+        if self.net.get(key).is_none() {
+            self.roles.remove(&key);
+        }
+    }
+
     /// A kept connection to an address, or a new one; says whether it was kept.
     fn connection(&mut self, addr: SocketAddr, fresh: bool) -> io::Result<(Key, bool)> {
         while let Some((key, _)) = self.idle.get_mut(&addr).filter(|_| !fresh).and_then(Vec::pop) {
-            let clean = |s: &mut crate::net::Socket| s.ended.is_none() && s.input.is_empty();
-            if self.net.get(key).is_some_and(clean) {
+            if self.net.get(key).is_some_and(|s| s.quiet()) {
                 return Ok((key, true));
             }
             self.close(key);
@@ -331,8 +338,7 @@
 
     /// A kept connection that says something, or ends, is of no more use.
     fn check_idle(&mut self, key: Key, addr: SocketAddr) {
-        let quiet = |s: &mut crate::net::Socket| s.ended.is_none() && s.input.is_empty();
-        if !self.net.get(key).is_some_and(quiet) {
+        if !self.net.get(key).is_some_and(|s| s.quiet()) {
             if let Some(kept) = self.idle.get_mut(&addr) {
                 kept.retain(|(k, _)| *k != key);
             }
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -8,7 +8,7 @@
 use crate::events;
 use crate::http::{self, AnswerHead, Decoder, LAST_CHUNK, Sent};
 use crate::slab::Key;
-use roseshore_core::gateway::failure::{self, Fault, Next};
+use roseshore_core::gateway::Fault;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Answered;
 
@@ -163,9 +163,7 @@
         let Some(send) = exchange.send.as_mut() else { return Step::Over };
         let Phase::Body(head, _) = &send.phase else { return Step::Over };
         let head = head.clone();
-        let mut after = exchange.standing(now);
-        after.verdict = after.verdict.join(Verdict::MayHaveRun);
-        if head.status >= 500 && failure::next(&after) == Next::Again && self.has_other(key) {
+        if head.status >= 500 && exchange.may_move(now) && self.has_other(key) {
             self.failed(key, Fault::Failed, None);
             return Step::Over;
         }
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -208,10 +208,7 @@
             return;
         }
         caller.phase = Phase::Closing;
-        self.net.finish(key);
-        if self.net.get(key).is_none() {
-            self.roles.remove(&key);
-        }
+        self.finish_socket(key);
     }
 
     fn refuse_bytes(&mut self, key: Key, err: HttpError) {
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, RequestHead};
 use crate::slab::Key;
 use rand::RngExt;
-use roseshore_core::gateway::failure::{self, End};
+use roseshore_core::gateway::failure::{self, End, Next};
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{Route, ServiceSpec, Standing};
 use roseshore_core::prelude::*;
@@ -84,6 +84,13 @@
             least: LEAST,
         }
     }
+
+    /// Whether it may be sent elsewhere although the send under way may have run.
+    pub(super) fn may_move(&self, now: Instant) -> bool {
+        let mut after = self.standing(now);
+        after.verdict = after.verdict.join(Verdict::MayHaveRun);
+        failure::next(&after) == Next::Again
+    }
 }
 
 impl Entry {
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -302,7 +302,7 @@
             record.kind.as_deref().unwrap_or("-"),
             record.holding.map_or("-".to_owned(), |h| format!("{}-{}", h.layers.0, h.layers.1)),
         );
-        if self.targets.put(record, self.now) {
+        if self.targets.put(record) {
             note!(self, TargetListed, "{text}");
         }
     }
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -6,7 +6,7 @@
 
 use super::{Entry, Role, Timer, note};
 use crate::slab::Key;
-use roseshore_core::gateway::failure::{self, Fault, Next};
+use roseshore_core::gateway::Fault;
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 
@@ -112,9 +112,7 @@
             if !exchange.send.as_ref().is_some_and(through) {
                 continue;
             }
-            let mut after = exchange.standing(now);
-            after.verdict = after.verdict.join(Verdict::MayHaveRun);
-            if failure::next(&after) == Next::Again {
+            if exchange.may_move(now) {
                 self.failed_by(key, Fault::Silent, vec![id.to_owned()]);
             }
         }
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -18,7 +18,11 @@
 impl Entry {
     /// Answers probes and requests for metrics.
     pub(super) fn pump_probe(&mut self, key: Key) {
-        let Some(socket) = self.net.get(key) else { return };
+        let Some(socket) = self.net.get(key) else {
+            // It was closed when its last bytes had left.
+            self.roles.remove(&key);
+            return;
+        };
         let ended = socket.ended.is_some();
         let head = match http::take_request(&mut socket.input, MAX_HEAD) {
             Ok(Some(head)) => head,
@@ -44,10 +48,7 @@
         out.extend_from_slice(body.as_bytes());
         self.net.send(key, &out);
         if !keep {
-            self.net.finish(key);
-            if self.net.get(key).is_none() {
-                self.roles.remove(&key);
-            }
+            self.finish_socket(key);
         }
     }
 
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -278,9 +278,7 @@
     fn silent(&mut self, key: Key) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
-        let mut after = exchange.standing(now);
-        after.verdict = after.verdict.join(Verdict::MayHaveRun);
-        if failure::next(&after) != Next::Again {
+        if !exchange.may_move(now) {
             return;
         }
         // None of them is known to be at fault, so none is held to be: only this request avoids
@@ -370,8 +368,7 @@
         for (target, held) in &send.held {
             self.targets.end(target, *held);
         }
-        let clean = |s: &mut crate::net::Socket| s.ended.is_none() && s.input.is_empty();
-        if keep && self.net.get(send.socket).is_some_and(clean) {
+        if keep && self.net.get(send.socket).is_some_and(|s| s.quiet()) {
             self.keep(send.socket, send.addr);
         } else {
             self.close(send.socket);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -5,7 +5,7 @@
 use mio::{Events, Interest, Poll, Token};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Bytes read at a time.
 const READ: usize = 16 << 10;
@@ -61,8 +61,6 @@
     pub connected: bool,
     /// How it ended, if it did.
     pub ended: Option<Ended>,
-    /// When it was opened.
-    pub opened: Instant,
     closing: bool,
 }
 
@@ -71,6 +69,11 @@
     pub fn flushed(&self) -> bool {
         self.written == self.output.len()
     }
+
+    /// Whether it neither ended nor has said anything that was not taken.
+    pub fn quiet(&self) -> bool {
+        self.ended.is_none() && self.input.is_empty()
+    }
 }
 
 /// The poll and its sockets.
@@ -152,11 +155,6 @@
         }
     }
 
-    /// Stops listening.
-    pub fn shut(&mut self, door: Door) {
-        self.doors.retain(|(d, _)| *d != door);
-    }
-
     /// Waits for notices, at most so long.
     ///
     /// # Errors
@@ -222,7 +220,6 @@
             written: 0,
             connected,
             ended: None,
-            opened: Instant::now(),
             closing: false,
         };
         let key = self.sockets.add(socket);
@@ -244,16 +241,6 @@
         self.sockets.get_mut(key)
     }
 
-    /// Connections in all.
-    pub fn len(&self) -> usize {
-        self.sockets.len()
-    }
-
-    /// Whether there is no connection.
-    pub fn is_empty(&self) -> bool {
-        self.sockets.is_empty()
-    }
-
     /// Sends bytes, now or as soon as the peer takes them.
     pub fn send(&mut self, key: Key, bytes: &[u8]) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
