The last target's own failure is passed on as it is

Cause: a request that had reached as many targets as its route allows was judged by whether any other target stood by, not by whether one might still be asked. The second target's whole answer (a 500 of its own, with its seal) was thrown away, the next send found no target, and the caller got our 502 in its place. Ruled out: want of other targets (three stood by), the retry allowance. Change: has_other asks for the bound first; the bound stands once, as Exchange::at_bound. Test: answers::the_last_target_s_own_failure_is_passed_on_as_it_is, seen failing (502 instead of 500).

--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -171,10 +171,13 @@
         Step::Over
     }
 
-    /// Whether another target could be tried.
+    /// Whether another target could be tried, within the route's bound on targets.
     fn has_other(&self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get(key) else { return false };
         let Some(send) = &exchange.send else { return false };
+        if exchange.at_bound() {
+            return false;
+        }
         let mut avoid = exchange.avoid.clone();
         avoid.push(send.target.clone());
         let near = &self.settings.data_centre;
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Whether it was sent to as many targets as its route allows.
+    pub(super) fn at_bound(&self) -> bool {
+        self.sent_to.len() >= self.route.attempts as usize
+    }
+
     /// Whether it may be sent elsewhere although the send under way may have run.
     pub(super) fn may_move(&self, now: Instant) -> bool {
         let mut after = self.standing(now);
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -205,7 +205,7 @@
     fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
         let (now, near) = (self.now, self.settings.data_centre.as_str());
-        let bound = exchange.sent_to.len() >= exchange.route.attempts as usize;
+        let bound = exchange.at_bound();
         let starts = bound.then_some(exchange.sent_to.as_slice());
         let Some(spec) = exchange.service.engine.as_ref() else {
             if bound {
