Targets that die together are left with one send, and only sends are counted as repeats

Its engines were found dead one after another in the same turn of the loop, and after each the requests through it were sent again at once, mostly to the next dead one: up to three sends of one request within 0.2 ms, none of which reached a target. Each drew on the allowance of repeats, which was soon used up; then 51 streams broke off with 'no more sends may be repeated' (code RS205). Ruled out: an allowance too small (it was whole a moment before), requests of other services (the allowance is one a service). Change: targets found dead in a turn are collected, and requests leave all of them together (leave_fallen). The allowance is asked when a send leaves, not when one is wished for, and a send after one whose connection never came up is no repeat: nothing arrived. A refused check of a port on the own machine counts as a reset. No liveness check for a target that has just answered.

--- a/crates/roseshore_core/src/gateway/failure.rs
+++ b/crates/roseshore_core/src/gateway/failure.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Whether the target said something, so that it lives.
+    pub fn shows_life(self) -> bool {
+        matches!(self, Fault::Refused | Fault::Garbled | Fault::Failed)
+    }
+
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -217,6 +217,7 @@
                 }
             }
             self.fire_timers();
+            self.leave_fallen();
             if self.now.saturating_duration_since(self.ticked) >= TICK {
                 self.ticked = self.now;
                 self.tick();
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -46,6 +46,8 @@
     pub(super) until: Instant,
     pub(super) sends: u32,
     pub(super) verdict: Verdict,
+    /// Whether a send may have reached its target, so that the next one is a repeat.
+    pub(super) arrived: bool,
     pub(super) avoid: Vec<TargetId>,
     /// The targets it was sent to; the operators bound their number.
     pub(super) sent_to: Vec<TargetId>,
@@ -187,6 +189,7 @@
             until: self.now + wait,
             sends: 0,
             verdict: Verdict::NotRun,
+            arrived: false,
             avoid: Vec::new(),
             sent_to: Vec::new(),
             held: None,
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -4,11 +4,13 @@
 //! resets it, a dark machine says nothing. That costs no slot and next to nothing, so it is done
 //! well before a stream is given up.
 
+use super::sends::Send;
 use super::{Entry, Role, Timer, note};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 
 /// For an answer to a check: two milliseconds between data centres, and a busy host.
 const CHECK_TIME: Duration = Duration::from_millis(90);
@@ -31,6 +33,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Liveness {
     checks: HashMap<TargetId, Check>,
+    /// Targets found dead in this turn of the loop.
+    fallen: Vec<TargetId>,
 }
 
 impl Entry {
@@ -51,6 +55,7 @@
                 self.roles.insert(key, Role::Liveness(id.to_owned()));
                 self.arm(now + CHECK_TIME, Timer::Liveness(key));
             }
+            Err(err) if err.kind() == ErrorKind::ConnectionRefused => self.mark_dead(id, "reset"),
             Err(err) => note!(self, ReportFailed, "target={id} liveness=unsent why={err:?}"),
         }
     }
@@ -97,23 +102,31 @@
         Some(id)
     }
 
-    /// A target is dead: what runs through it goes elsewhere.
     fn mark_dead(&mut self, id: &str, why: &str) {
-        let now = self.now;
-        if self.targets.died(id, now) {
+        if self.targets.died(id, self.now) {
             note!(self, TargetLost, "target={id} liveness={why}");
             self.beat_now();
         }
-        let through = |send: &super::sends::Send| {
-            send.target == id || send.path.iter().any(|(hop, ..)| hop == id)
-        };
+        self.liveness.fallen.push(id.to_owned());
+    }
+
+    /// What runs through targets that were found dead goes elsewhere. All that fell in one turn are
+    /// known by then: when a data centre is cut off its targets fall together, and a request that
+    /// left each of them in turn would use the allowance of repeats up on the next dead one.
+    pub(super) fn leave_fallen(&mut self) {
+        let fallen = std::mem::take(&mut self.liveness.fallen);
+        if fallen.is_empty() {
+            return;
+        }
+        let now = self.now;
         for key in self.exchanges.keys() {
-            let Some(exchange) = self.exchanges.get(key) else { continue };
-            if !exchange.send.as_ref().is_some_and(through) {
+            let Some(exchange) = self.exchanges.get(key).filter(|e| e.may_move(now)) else {
                 continue;
-            }
-            if exchange.may_move(now) {
-                self.failed_by(key, Fault::Silent, vec![id.to_owned()]);
+            };
+            let Some(mut targets) = exchange.send.as_ref().map(Send::targets) else { continue };
+            targets.retain(|id| fallen.contains(id));
+            if !targets.is_empty() {
+                self.failed_by(key, Fault::Silent, targets);
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -123,6 +123,9 @@
             Some(choice) if choice.roomy => choice,
             other => return self.hold(key, other),
         };
+        if !self.may_repeat(key) {
+            return self.end_without(key, Code::RetryBudget, "no more sends may be repeated");
+        }
         let fresh = self.exchanges.get(key).is_some_and(|e| !e.route.kind.idempotent());
         let (socket, kept) = match self.connection(choice.addr, fresh) {
             Ok(connection) => connection,
@@ -182,6 +185,15 @@
         self.arm(self.now + CONNECT, Timer::Exchange(key));
     }
 
+    /// Whether the allowance permits a send, which is counted if it is a repeat. A send whose
+    /// connection never came up reached no target, so the next one is none.
+    fn may_repeat(&mut self, key: Key) -> bool {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get(key).filter(|e| e.arrived) else { return true };
+        let service = exchange.service.name.clone();
+        self.allowance(&service).repeat(now)
+    }
+
     /// Keeps a request until a target has room; a stream that has begun for longer, since breaking
     /// it off helps nobody.
     fn hold(&mut self, key: Key, best: Option<Choice>) {
@@ -311,6 +323,7 @@
         let Some(send) = &exchange.send else { return };
         exchange.verdict = exchange.verdict.join(fault.verdict());
         let waited = now.saturating_duration_since(send.sent).as_millis();
+        let first = send.target.clone();
         let path = send.targets().join(",");
         let text = format!(
             "request={} target={} path={path} fault={} verdict={} sends={} waited_ms={waited} \
@@ -325,13 +338,17 @@
         );
         exchange.avoid.extend(culprits.iter().cloned());
         if fault == Fault::NotSent {
-            let target = send.target.clone();
-            exchange.sent_to.retain(|sent| *sent != target);
+            exchange.sent_to.retain(|sent| *sent != first);
+        } else {
+            exchange.arrived = true;
         }
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         note!(self, SendFailed, "{text}");
         for culprit in &culprits {
-            self.check_alive(culprit);
+            // What the first target says of a later one does not show that that one lives.
+            if !(fault.shows_life() && *culprit == first) {
+                self.check_alive(culprit);
+            }
             if self.targets.failed(culprit, now) {
                 note!(self, TargetLost, "target={culprit} fault={}", fault.name());
             }
@@ -344,12 +361,8 @@
     fn follow_fault(&mut self, key: Key, fault: Fault) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
-        let service = exchange.service.name.clone();
         if failure::next(&exchange.standing(now)) == Next::Again {
-            if self.allowance(&service).repeat(now) {
-                return self.dispatch(key);
-            }
-            return self.end_without(key, Code::RetryBudget, "no more sends may be repeated");
+            return self.dispatch(key);
         }
         let (code, why) = match fault {
             Fault::NotSent => (Code::TargetUnreachable, "the target could not be reached"),
