An empty engine fills a hole that others must first clear themselves for

The plan moved a small engine (70-80) onto the hole 20-30; an engine that gives layers up begins to load only when the last answer through them is done, here some seconds. When the a100 was back, empty, at 27.7 s, the plan held the hole for filled and gave it a wide range (0-33) that took 5.8 s to load. Until 33.9 s the data centre had no whole copy, and when it was cut off at 33.5 s every stream that ran elsewhere was lost. Ruled out: slow loads (the a100's took what the figures say), orders refused (none). Change: a member carries the layers that can be counted on soon (plan::firm); holes in those are filled by empty engines and by neighbours that need not give anything up. New events E709 and E710 tell when a data centre's engines stop holding, or hold again, all layers. Tests: plan::an_empty_engine_fills_a_hole_that_another_has_to_clear_itself_for, seen failing (wide range of 33 layers); tables for firm and missing.

--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -48,7 +48,12 @@
         1..=4 => "l40s",
         _ => "l4",
     };
-    let one = |i: usize| Member { id: format!("i-{i:04}"), kind: kind(i).to_owned(), layers: None };
+    let one = |i: usize| Member {
+        id: format!("i-{i:04}"),
+        kind: kind(i).to_owned(),
+        layers: None,
+        firm: None,
+    };
     (0..count).map(one).collect()
 }
 
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -102,6 +102,8 @@
     VersionServes = 706, Info, "new answers use another version of a model";
     PlacementWanted = 707, Info, "a placement of layers differs from the plan";
     ReportFailed = 708, Warn, "a target gave no usable report";
+    LayersMissing = 709, Warn, "a data centre's engines hold no whole copy of the layers any more";
+    LayersWhole = 710, Info, "a data centre's engines hold a whole copy of the layers";
     SourceSilent = 801, Warn, "a lookup source did not answer";
     SourceConflict = 802, Warn, "sources of one name differ";
     AccountWritten = 901, Info, "a part of the weekly account was recorded";
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -44,8 +44,25 @@
     pub kind: String,
     /// The layers it holds or has begun to load.
     pub layers: Option<(Layer, Layer)>,
+    /// Those of them that can be counted on soon, as [`firm`] says.
+    pub firm: Option<(Layer, Layer)>,
 }
 
+/// The layers of an order to an engine that holds `held` which can be counted on soon: all of them,
+/// unless it has to give others up. Then it begins to load only when the last answer that runs
+/// through those is done, which may take as long as an answer, and what it keeps is left.
+pub fn firm(held: Option<(Layer, Layer)>, ordered: (Layer, Layer)) -> Option<(Layer, Layer)> {
+    let Some((from, to)) = held else { return Some(ordered) };
+    if ordered.0 <= from && to <= ordered.1 {
+        return Some(ordered);
+    }
+    let kept = (from.max(ordered.0), to.min(ordered.1));
+    (kept.0 < kept.1).then_some(kept)
+}
+
+/// A first layer and one past the last.
+pub type Layers = (Layer, Layer);
+
 /// An engine and the range it should hold.
 pub type Placement = (TargetId, (Layer, Layer));
 
@@ -70,6 +87,10 @@
             wanted.push((known[index].id.clone(), layers));
         }
     }
+    for (index, layers) in fill_at_once(spec, &known) {
+        known[index].layers = Some(layers);
+        wanted.push((known[index].id.clone(), layers));
+    }
     for index in 0..known.len() {
         if known[index].layers.is_none() {
             let range = thinnest(spec, &known, index);
@@ -83,6 +104,30 @@
     wanted
 }
 
+/// The first run of layers that no engine holds, by what each of them is said to hold.
+pub fn missing(spec: &EngineSpec, held: impl Iterator<Item = (Layer, Layer)>) -> Option<Layers> {
+    let mut ranges: Vec<Layers> = held.collect();
+    ranges.sort_unstable();
+    let reach = |end, (from, to): Layers| if from <= end { to.max(end) } else { end };
+    let end = ranges.iter().copied().fold(0, reach);
+    let next = ranges.iter().map(|(from, _)| *from).find(|from| *from > end);
+    (end < spec.layers).then(|| (end, next.unwrap_or(spec.layers)))
+}
+
+/// Moves that fill a hole which only engines that must first give layers up are to fill: an empty
+/// one, and its neighbours, begin to load at once.
+fn fill_at_once(spec: &EngineSpec, members: &[Member]) -> Vec<Move> {
+    let clearing = |m: &Member| m.layers != m.firm;
+    let counted = |&index: &usize| !clearing(&members[index]) || members[index].firm.is_some();
+    let places: Vec<usize> = (0..members.len()).filter(counted).collect();
+    let sure = |&index: &usize| Member { layers: members[index].firm, ..members[index].clone() };
+    let sure: Vec<Member> = places.iter().map(sure).collect();
+    let Some(hole) = first_hole(spec, &sure) else { return Vec::new() };
+    let moves = fill(spec, &sure, hole).into_iter();
+    let moves: Vec<Move> = moves.map(|(index, layers)| (places[index], layers)).collect();
+    if moves.iter().any(|(index, _)| clearing(&members[*index])) { Vec::new() } else { moves }
+}
+
 /// One engine that should hold more, or less, where the room of some layers is far below what it
 /// could be: after a hole was filled, its neighbours are narrow. An engine gives up layers only
 /// when others hold them already, so a border moves in two steps.
@@ -376,13 +421,14 @@
 /// grows with the layers that one engine has to load: so it is dealt out to the neighbours, who
 /// hold on to what they have, and to empty engines, each by what it can take.
 fn repair(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Vec<Move> {
-    for least in REPAIR_ROOMS {
-        let moves = repair_with(spec, members, hole, least);
-        if !moves.is_empty() {
-            return moves;
-        }
-    }
-    move_spare(spec, members, hole).into_iter().collect()
+    let moves = fill(spec, members, hole);
+    if moves.is_empty() { move_spare(spec, members, hole).into_iter().collect() } else { moves }
+}
+
+/// The moves that fill a hole without giving anything up; none where that cannot be done.
+fn fill(spec: &EngineSpec, members: &[Member], hole: (Layer, Layer)) -> Vec<Move> {
+    let moves = REPAIR_ROOMS.iter().map(|least| repair_with(spec, members, hole, *least));
+    moves.into_iter().find(|moves| !moves.is_empty()).unwrap_or_default()
 }
 
 fn repair_with(
--- a/crates/roseshore_core/tests/gateway/plan.rs
+++ b/crates/roseshore_core/tests/gateway/plan.rs
@@ -2,7 +2,7 @@
 
 use super::figures::spec;
 use proptest::prelude::*;
-use roseshore_core::gateway::plan::{Member, Placement, plan};
+use roseshore_core::gateway::plan::{Layers, Member, Placement, firm, missing, plan};
 use roseshore_core::prelude::*;
 
 const KINDS: [&str; 3] = ["large", "middle", "small"];
@@ -12,6 +12,7 @@
         id: format!("{kind}-{i:02}"),
         kind: kind.to_owned(),
         layers: None,
+        firm: None,
     };
     let all = KINDS.iter().zip(counts);
     all.flat_map(|(kind, count)| (0..count).map(move |i| one(kind, i))).collect()
@@ -21,9 +22,14 @@
     for (id, layers) in placements {
         let member = members.iter_mut().find(|m| m.id == *id).expect("a known engine");
         member.layers = Some(*layers);
+        member.firm = member.layers;
     }
 }
 
+fn engine(id: &str, kind: &str, layers: Option<(Layer, Layer)>) -> Member {
+    Member { id: id.to_owned(), kind: kind.to_owned(), layers, firm: layers }
+}
+
 /// How many hold each layer.
 fn holders(members: &[Member]) -> Vec<usize> {
     let held = |layer: Layer| {
@@ -103,16 +109,14 @@
 
 #[test]
 fn a_hole_is_dealt_out_and_nobody_gives_up_what_it_holds() {
-    let held =
-        |id: &str, kind: &str, layers| Member { id: id.to_owned(), kind: kind.to_owned(), layers };
     // The engine that held 36 to 52 is gone, and an empty one is there.
     let mut all = vec![
-        held("l-0", "large", Some((0, 20))),
-        held("l-1", "large", Some((20, 36))),
-        held("m-0", "middle", Some((52, 62))),
-        held("m-1", "middle", Some((62, 72))),
-        held("m-2", "middle", Some((72, 80))),
-        held("s-0", "small", None),
+        engine("l-0", "large", Some((0, 20))),
+        engine("l-1", "large", Some((20, 36))),
+        engine("m-0", "middle", Some((52, 62))),
+        engine("m-1", "middle", Some((62, 72))),
+        engine("m-2", "middle", Some((72, 80))),
+        engine("s-0", "small", None),
     ];
     let before = all.clone();
     let moves = plan(&spec(), &all);
@@ -125,6 +129,75 @@
     }
 }
 
+/// Ranges that are held, and the first gap.
+struct Gap {
+    held: &'static [Layers],
+    gap: Option<Layers>,
+}
+
+#[test]
+fn the_first_gap_in_the_layers_is_found() {
+    let cases = [
+        Gap { held: &[], gap: Some((0, 80)) },
+        Gap { held: &[(0, 80)], gap: None },
+        Gap { held: &[(40, 80), (0, 40)], gap: None },
+        Gap { held: &[(0, 50), (30, 60), (10, 20)], gap: Some((60, 80)) },
+        Gap { held: &[(5, 80)], gap: Some((0, 5)) },
+        Gap { held: &[(0, 20), (30, 50), (60, 80)], gap: Some((20, 30)) },
+    ];
+    for case in cases {
+        assert_eq!(missing(&spec(), case.held.iter().copied()), case.gap, "{:?}", case.held);
+    }
+}
+
+/// An order to an engine, and which layers can be counted on soon.
+struct Order {
+    held: Option<Layers>,
+    ordered: Layers,
+    soon: Option<Layers>,
+}
+
+#[test]
+fn what_is_given_up_holds_an_order_up() {
+    let cases = [
+        Order { held: None, ordered: (20, 30), soon: Some((20, 30)) },
+        Order { held: Some((20, 25)), ordered: (20, 30), soon: Some((20, 30)) },
+        Order { held: Some((20, 30)), ordered: (20, 30), soon: Some((20, 30)) },
+        Order { held: Some((15, 25)), ordered: (20, 30), soon: Some((20, 25)) },
+        Order { held: Some((70, 80)), ordered: (20, 30), soon: None },
+    ];
+    for case in cases {
+        assert_eq!(firm(case.held, case.ordered), case.soon, "{:?} {:?}", case.held, case.ordered);
+    }
+}
+
+#[test]
+fn an_empty_engine_fills_a_hole_that_another_has_to_clear_itself_for() {
+    let moved = Member { firm: None, ..engine("s-7", "small", Some((20, 30))) };
+    let mut all = vec![
+        engine("m-0", "middle", Some((0, 20))),
+        moved,
+        engine("m-1", "middle", Some((30, 50))),
+        engine("m-2", "middle", Some((50, 65))),
+        engine("m-3", "middle", Some((65, 80))),
+        engine("l-0", "large", None),
+    ];
+    let placements = plan(&spec(), &all);
+    let mut filled = all.clone();
+    filled.remove(1);
+    for member in &mut filled {
+        member.layers = member.firm;
+    }
+    apply(&mut filled, &placements);
+    assert_eq!(holders(&filled).into_iter().min(), Some(1), "{placements:?}");
+    let widest = placements.iter().map(|(_, (from, to))| to - from).max();
+    assert!(widest < Some(25), "what is asked for is soon loaded: {placements:?}");
+    // One that loads without giving anything up is waited for.
+    all[1].firm = all[1].layers;
+    let wide = plan(&spec(), &all);
+    assert!(wide.len() == 1 && wide[0].0 == "l-0" && wide != placements, "{wide:?}");
+}
+
 #[test]
 fn an_empty_engine_goes_where_room_is_least() {
     let mut all = members([1, 3, 0]);
@@ -141,11 +214,7 @@
 #[test]
 fn a_narrow_place_is_widened() {
     // After a repair one small engine holds ten layers of an otherwise roomy copy.
-    let held = |id: &str, kind: &str, layers| Member {
-        id: id.to_owned(),
-        kind: kind.to_owned(),
-        layers: Some(layers),
-    };
+    let held = |id: &str, kind: &str, layers| engine(id, kind, Some(layers));
     let all = vec![
         held("l-0", "large", (0, 19)),
         held("l-1", "large", (19, 38)),
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -8,7 +8,7 @@
 use super::{Entry, note};
 use roseshore_core::gateway::EngineSpec;
 use roseshore_core::gateway::peers::{HoldNote, mark};
-use roseshore_core::gateway::plan::{Member, Placement, plan};
+use roseshore_core::gateway::plan::{Layers, Member, Placement, firm, missing, plan};
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::CallReply;
@@ -49,18 +49,30 @@
     members: BTreeSet<TargetId>,
     changed: Option<Instant>,
     wanted: Option<Instant>,
-    /// Ranges that were ordered or seen to be ordered, believed until then.
-    pending: HashMap<TargetId, ((Layer, Layer), Instant)>,
+    /// What was ordered or seen to be ordered.
+    pending: HashMap<TargetId, Pending>,
     /// Targets asked for a report, with the range meant for them.
     asked: HashMap<TargetId, (Layer, Layer)>,
     /// Orders that were begun: what is to be held, and when to ask whether it is.
     begun: HashMap<TargetId, Begun>,
     /// What was learned that way, and when.
     learned: Vec<(HoldNote, Instant)>,
+    /// The first layers that no engine of the data centre holds, for each service.
+    missing: HashMap<ServiceId, Option<Layers>>,
     /// The last plan of each service, and the engines it was made for.
     planned: HashMap<ServiceId, (Vec<Member>, Vec<Placement>)>,
 }
 
+/// What a target was ordered to hold, by this host or another.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    layers: (Layer, Layer),
+    /// Those that can be counted on soon.
+    firm: Option<(Layer, Layer)>,
+    /// Believed until then; the list says it by that time.
+    until: Instant,
+}
+
 /// An order that was begun.
 #[derive(Clone, Copy, Debug)]
 struct Begun {
@@ -78,7 +90,7 @@
             return;
         }
         self.placing.compared = Some(now);
-        self.placing.pending.retain(|_, (_, until)| now < *until);
+        self.placing.pending.retain(|_, pending| now < pending.until);
         self.placing.learned.retain(|(_, at)| now.saturating_duration_since(*at) < LEARNED);
         self.ask_begun();
         let Some(snapshot) = self.snapshot.clone() else { return };
@@ -86,6 +98,7 @@
         let mut differs = false;
         for service in services {
             let Some(spec) = &service.engine else { continue };
+            self.judge_layers(&service.name, spec);
             let members = self.members(&service.name);
             let ids: BTreeSet<TargetId> = members.iter().map(|m| m.id.clone()).collect();
             if !ids.is_subset(&self.placing.members) {
@@ -108,6 +121,29 @@
         }
     }
 
+    /// Tells when the engines of the own data centre stop holding, or hold again, all layers.
+    fn judge_layers(&mut self, service: &str, spec: &EngineSpec) {
+        let held = self.live(service).filter_map(|t| Some(t.holding()?.layers));
+        let gap = missing(spec, held);
+        if self.placing.missing.get(service) == Some(&gap) {
+            return;
+        }
+        let engines = self.live(service).count();
+        if let Some((from, to)) = gap {
+            note!(self, LayersMissing, "service={service} engines={engines} layers={from}-{to}");
+        } else {
+            note!(self, LayersWhole, "service={service} engines={engines}");
+        }
+        self.placing.missing.insert(service.to_owned(), gap);
+    }
+
+    /// The engines of the own data centre that take work.
+    fn live<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
+        let near = &self.settings.data_centre;
+        let live = |t: &&Target| t.open() && !t.down() && t.record.data_centre == *near;
+        self.targets.of(service).filter(live)
+    }
+
     /// The plan, worked out anew only when the engines differ from last time.
     fn planned(
         &mut self,
@@ -127,18 +163,17 @@
 
     /// The engines of the own data centre, with what they hold or have begun to load.
     fn members(&self, service: &str) -> Vec<Member> {
-        let near = &self.settings.data_centre;
-        let live = |t: &&Target| t.open() && !t.down() && t.record.data_centre == *near;
-        let all = self.targets.of(service).filter(live);
         let member = |t: &Target| {
-            let pending = self.placing.pending.get(&t.record.id).map(|(layers, _)| *layers);
+            let held = t.holding().map(|h| h.layers);
+            let pending = self.placing.pending.get(&t.record.id);
             Some(Member {
                 id: t.record.id.clone(),
                 kind: t.record.kind.clone()?,
-                layers: pending.or(t.holding().map(|h| h.layers)),
+                layers: pending.map(|p| p.layers).or(held),
+                firm: pending.map_or(held, |p| p.firm),
             })
         };
-        all.filter_map(member).collect()
+        self.live(service).filter_map(member).collect()
     }
 
     fn want(&mut self, id: &str, layers: (Layer, Layer)) {
@@ -227,10 +262,20 @@
         }
         let Some(id) = self.targets.marked(hold.target).cloned() else { return };
         if !self.placing.begun.contains_key(&id) {
-            self.placing.pending.insert(id, (hold.layers, self.now + ORDERED));
+            self.believe(&id, hold.layers, ORDERED);
         }
     }
 
+    /// Holds a target for one that is to hold these layers, for a time. What it held when that was
+    /// first believed decides how much of it can be counted on.
+    fn believe(&mut self, id: &str, layers: (Layer, Layer), time: Duration) {
+        let until = self.now + time;
+        let known = self.placing.pending.get(id).filter(|p| p.layers == layers);
+        let held = self.targets.get(id).and_then(Target::holding).map(|h| h.layers);
+        let firm = known.map_or_else(|| firm(held, layers), |p| p.firm);
+        self.placing.pending.insert(id.to_owned(), Pending { layers, firm, until });
+    }
+
     pub(super) fn report_came(&mut self, id: &str, reply: Result<CallReply, CallFault>) {
         let now = self.now;
         let begun = self.placing.begun.get(id).map(|b| b.layers);
@@ -245,7 +290,7 @@
             Err(why) => {
                 note!(self, ReportFailed, "target={id} why={why:?}");
                 if asked.is_some() {
-                    self.placing.pending.insert(id.to_owned(), (layers, now + AGAIN));
+                    self.believe(id, layers, AGAIN);
                 }
                 return;
             }
@@ -255,7 +300,7 @@
             return self.check_begun(id, layers, report.busy, held);
         }
         if report.busy || held == Some(layers) {
-            self.placing.pending.insert(id.to_owned(), (layers, now + AGAIN));
+            self.believe(id, layers, AGAIN);
             return;
         }
         let Some(target) = self.targets.get(id) else { return };
@@ -269,7 +314,7 @@
             layers.1,
             report.orders
         );
-        self.placing.pending.insert(id.to_owned(), (layers, now + BEGUN));
+        self.believe(id, layers, BEGUN);
         let ask = now + self.load_time(id, layers);
         self.placing.begun.insert(id.to_owned(), Begun { layers, ask, asked: 0 });
         self.beat_now();
@@ -292,6 +337,6 @@
             Err(fault) => format!("{fault:?}"),
         };
         note!(self, OrderUnknown, "target={id} layers={}-{} why={why:?}", layers.0, layers.1);
-        self.placing.pending.insert(id.to_owned(), (layers, self.now + AGAIN));
+        self.believe(id, layers, AGAIN);
     }
 }
