One host reads the store for all; the others fetch copies from it

Heartbeats told how far a host had read, but offsets of the list stand still while nothing changes, so nothing confirmed a list that did not change and each host read it anew every 1.2 to 1.8 s. Change: gateway::copies and entry/copying: a host hands another the configuration and the list as it has read them, one frame each way over TCP at the address of the heartbeats. Heartbeats carry when the list was last proven, on the hearer's clock, as they did for the configuration. One host of the whole system reads; on its silence the next of each data centre does (reading_place). Records older than a copy are passed over. The first turn of the loop is a tick, so a host reads 100 ms sooner after its start.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -94,6 +94,7 @@
     TargetLapsed = 609, Info, "a target dropped out of the list after an outage of the store";
     RecordSkipped = 610, Warn, "a record of the list of targets cannot be read";
     DatagramSkipped = 611, Warn, "a datagram cannot be read or sent";
+    CopyFailed = 612, Warn, "another host's copy of the store's records could not be had or given";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -3,10 +3,11 @@
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
 //! a request runs through, [`failure`] what follows a failed send, [`allowance`] how many sends may
-//! be repeated, [`peers`] what hosts tell each other, and [`currency`] whether the configuration is
-//! still known to be the newest.
+//! be repeated, [`peers`] what hosts tell each other, [`copies`] what they hand each other of the
+//! store, and [`currency`] whether the configuration is still known to be the newest.
 
 pub mod allowance;
+pub mod copies;
 pub mod currency;
 pub mod failure;
 pub mod path;
@@ -17,6 +18,7 @@
 pub mod targets;
 
 pub use allowance::Allowance;
+pub use copies::Copies;
 pub use currency::Currency;
 pub use failure::{Fault, Next, Standing};
 pub use path::{Hop, Part, PathNeed};
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -91,13 +91,16 @@
     pub digest: u64,
 }
 
-/// A proof that a host's configuration was the newest, as a time that the hearer can place.
+/// When what a host has read was last proven to be what the store holds, as times that the hearer
+/// can place: from hearing its heartbeat, ms; negative when the proof is older than that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
     /// The hearer's time in its last heartbeat that was heard, ms.
     pub sent: u64,
-    /// From hearing that to the proof, ms; negative when the proof is older.
-    pub since: i64,
+    /// The proof of the configuration.
+    pub config: Option<i64>,
+    /// The proof of the list of targets.
+    pub list: Option<i64>,
 }
 
 /// A heartbeat.
@@ -153,6 +156,8 @@
     pub joined: bool,
     /// When the sender's configuration was proven, on the own clock.
     pub proven: Option<Instant>,
+    /// The same of its list of targets.
+    pub listed: Option<Instant>,
     /// Whether the sender is of the own data centre.
     pub near: bool,
 }
@@ -168,6 +173,8 @@
     pub proven: Option<Instant>,
     /// How far it has read the list of targets.
     pub list: ListMark,
+    /// When that was last proven to be all there is.
+    pub listed: Option<Instant>,
     /// What it has in flight.
     pub loads: Vec<LoadNote>,
     /// What it has counted.
@@ -244,20 +251,24 @@
         peer.list = beat.list;
         peer.counts = beat.counts;
         peer.loads = beat.loads.into_iter().map(|note| (note.target, note)).collect();
-        let proven = beat.echo.and_then(|echo| {
+        let placed = |echo: Echo, since: i64| {
             let sent = begun.checked_add(Duration::from_millis(echo.sent))?;
-            let since = Duration::from_millis(echo.since.unsigned_abs());
-            let proven =
-                if echo.since < 0 { sent.checked_sub(since)? } else { sent.checked_add(since)? };
+            let since_then = Duration::from_millis(since.unsigned_abs());
+            let proven = match since {
+                ..0 => sent.checked_sub(since_then)?,
+                _ => sent.checked_add(since_then)?,
+            };
             // No proof is newer than its telling.
             Some(proven.min(now))
-        });
-        Some(Heard { joined, proven, near })
+        };
+        let proven = beat.echo.and_then(|echo| placed(echo, echo.config?));
+        let listed = beat.echo.and_then(|echo| placed(echo, echo.list?));
+        Some(Heard { joined, proven, listed, near })
     }
 
-    /// Makes the next heartbeats to the own data centre due at once.
-    pub fn make_due(&mut self) {
-        self.all.values_mut().filter(|p| p.near).for_each(|p| p.told = None);
+    /// Makes the next heartbeats due at once: to the own data centre, or to all.
+    pub fn make_due(&mut self, all: bool) {
+        self.all.values_mut().filter(|p| all || p.near).for_each(|p| p.told = None);
     }
 
     /// The heartbeats that are due, with their hearers.
@@ -299,12 +310,15 @@
         let mut echo = None;
         if let Some(peer) = self.all.get_mut(&to) {
             peer.told = Some(now);
-            echo = peer.heard.zip(own.proven).map(|(heard, proven)| {
-                let after = proven.saturating_duration_since(heard).as_millis() as i64;
-                // An older proof is rounded up to the older side.
-                let before = heard.saturating_duration_since(proven).as_millis() as i64;
-                let since = if proven >= heard { after } else { -(before + 1) };
-                Echo { sent: peer.sent, since }
+            echo = peer.heard.map(|heard| {
+                let since = |proven: Instant| {
+                    let after = proven.saturating_duration_since(heard).as_millis() as i64;
+                    // An older proof is rounded up to the older side.
+                    let before = heard.saturating_duration_since(proven).as_millis() as i64;
+                    if proven >= heard { after } else { -(before + 1) }
+                };
+                let (config, list) = (own.proven.map(since), own.listed.map(since));
+                Echo { sent: peer.sent, config, list }
             });
         }
         Beat {
@@ -366,6 +380,14 @@
         before.count()
     }
 
+    /// This host's place in the order in which hosts read the store: one of the whole system reads,
+    /// and when it is silent the next one of each data centre does.
+    pub fn reading_place(&self, now: Instant) -> usize {
+        let stays = |p: &Peer| p.alive(now) && !p.leaving && p.config > 0;
+        let far = self.all.iter().any(|(addr, p)| !p.near && stays(p) && *addr < self.addr);
+        self.place(now) + usize::from(far)
+    }
+
     /// The newest version of the configuration that any living host has.
     pub fn newest_config(&self, now: Instant) -> u64 {
         let alive = self.all.values().filter(|p| p.alive(now));
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -10,19 +10,20 @@
 use super::routes::EngineSpec;
 use crate::load::health::Health;
 use crate::prelude::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The layers an engine holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// First layer and one past the last.
     pub layers: (Layer, Layer),
 }
 
 /// A target as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Its id, one a life.
     pub id: TargetId,
@@ -323,6 +324,12 @@
         self.all.values().map(note).filter(|n| n.own > 0 || n.down).collect()
     }
 
+    /// The records that are listed.
+    pub fn listed(&self) -> Vec<TargetRecord> {
+        let listed = self.all.values().filter(|t| t.missing.is_none());
+        listed.map(|t| t.record.clone()).collect()
+    }
+
     fn refresh_digest(&mut self) {
         let listed = self.all.values().filter(|t| t.missing.is_none());
         self.digest = listed.fold(0, |sum, t| sum ^ digest_of(&t.record));
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod calls;
+mod copying;
 mod exchange;
 mod following;
 mod liveness;
@@ -24,7 +25,10 @@
 use placing::Placing;
 use rand::RngExt;
 use rand::rngs::SmallRng;
-use roseshore_core::gateway::{Allowance, Currency, EntrySettings, Peers, Snapshot, Targets};
+use roseshore_core::gateway::copies::COPY_TIME;
+use roseshore_core::gateway::{
+    Allowance, Copies, Currency, EntrySettings, Peers, Snapshot, Targets,
+};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{EntryPlatform, WireError};
 use std::cmp::Reverse;
@@ -68,6 +72,10 @@
     Call(Key),
     Liveness(TargetId),
     Idle(SocketAddr),
+    /// A host that asks for a copy.
+    CopyAsker,
+    /// A host that was asked for a copy.
+    CopySource(SocketAddr),
 }
 
 /// What a timer is for.
@@ -77,6 +85,7 @@
     Call(Key),
     Caller(Key),
     Liveness(Key),
+    Copy(Key),
 }
 
 /// An entry host.
@@ -101,6 +110,7 @@
     liveness: Liveness,
     allowances: HashMap<ServiceId, Allowance>,
     following: Following,
+    copies: Copies,
     placing: Placing,
     random: SmallRng,
     now: Instant,
@@ -145,6 +155,7 @@
         };
         if let Some(peer) = settings.peer {
             settings.peer = Some(net.hear(peer)?);
+            net.listen(Door::Copies, peer)?;
         }
         let mut random: SmallRng = rand::make_rng();
         let own = settings.peer.unwrap_or(settings.callers);
@@ -171,10 +182,12 @@
             liveness: Liveness::default(),
             allowances: HashMap::new(),
             following: Following::default(),
+            copies: Copies::default(),
             placing: Placing::default(),
             random,
             now,
-            ticked: now,
+            // The first turn of the loop is a tick: nothing serves before the store was read.
+            ticked: now.checked_sub(TICK).unwrap_or(now),
             ready: false,
             suspended: true,
             outdated: None,
@@ -251,6 +264,7 @@
                 Timer::Call(key) => self.check_call(key),
                 Timer::Caller(key) => self.check_caller(key),
                 Timer::Liveness(key) => self.check_timed_out(key),
+                Timer::Copy(key) => self.copy_timed_out(key),
             }
         }
     }
@@ -282,6 +296,8 @@
                 self.pump_call(call);
             }
             Some(Role::Liveness(_)) => self.check_changed(key),
+            Some(Role::CopyAsker) => self.pump_asker(key),
+            Some(Role::CopySource(_)) => self.pump_source(key),
             Some(Role::Idle(addr)) => {
                 let addr = *addr;
                 self.check_idle(key, addr);
@@ -296,11 +312,14 @@
                 Door::Callers => Role::Caller(Caller::new(self.now)),
                 Door::Probes => Role::Probe,
                 Door::Metrics | Door::Peers => Role::Metrics,
+                Door::Copies => Role::CopyAsker,
             };
             let caller = matches!(role, Role::Caller(_));
             self.roles.insert(key, role);
             if caller {
                 self.watch_caller(key);
+            } else if door == Door::Copies {
+                self.arm(self.now + COPY_TIME, Timer::Copy(key));
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -15,8 +15,8 @@
 pub(super) enum Purpose {
     /// The newest records, page by page.
     Newest(Stream),
-    /// The next records; waits so long for one.
-    Read(Stream, Duration),
+    /// The records from an offset on; waits so long for one.
+    Read(Stream, Offset, Duration),
     /// A target's report.
     Report(TargetId),
     /// A placement order.
@@ -141,7 +141,7 @@
     fn called(&mut self, purpose: Purpose, sent: Instant, reply: Result<CallReply, CallFault>) {
         match purpose {
             Purpose::Newest(stream) => self.newest_came(stream, sent, reply),
-            Purpose::Read(stream, wait) => self.records_came(stream, sent, wait, reply),
+            Purpose::Read(stream, from, wait) => self.records_came(stream, sent, from, wait, reply),
             Purpose::Report(id) => self.report_came(&id, reply),
             Purpose::Place(id, layers) => self.place_came(&id, layers, reply),
         }
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/copying.rs
@@ -0,0 +1,113 @@
+//! Copies of what other hosts have read of the store: asked for, and given.
+
+use super::{Entry, Role, Timer, note};
+use crate::slab::Key;
+use roseshore_core::gateway::copies::{CopyRequest, StoreCopy};
+use roseshore_core::prelude::*;
+use roseshore_wire::frame;
+use std::net::SocketAddr;
+
+impl Entry {
+    /// Asks a host for what it has read beyond this one; whether it was asked.
+    pub(super) fn ask_copy(&mut self, from: SocketAddr) -> bool {
+        let Some(until) = self.copies.ask(self.now) else { return false };
+        let request = CopyRequest {
+            config: self.snapshot.as_ref().map_or(0, |s| s.version()),
+            list: self.list_mark().next,
+        };
+        let mut bytes = Vec::new();
+        let asked = frame::write(&mut bytes, &request).map_err(|err| err.to_string());
+        let socket = asked.and_then(|()| self.net.connect(from).map_err(|err| err.to_string()));
+        match socket {
+            Ok(socket) => {
+                self.roles.insert(socket, Role::CopySource(from));
+                self.net.send(socket, &bytes);
+                self.arm(until, Timer::Copy(socket));
+                true
+            }
+            Err(why) => {
+                self.copies.ended(false, self.now);
+                note!(self, CopyFailed, "host={from} why={why:?}");
+                false
+            }
+        }
+    }
+
+    /// The host that was asked said something, or its connection ended.
+    pub(super) fn pump_source(&mut self, key: Key) {
+        let Some(socket) = self.net.get(key) else { return };
+        let ended = socket.ended.is_some();
+        match frame::take::<StoreCopy>(&mut socket.input) {
+            Ok(Some(copy)) => {
+                self.close(key);
+                self.copies.ended(true, self.now);
+                self.take_copy(copy);
+            }
+            Ok(None) if !ended => {}
+            Ok(None) => self.copy_failed(key, "the connection ended"),
+            Err(err) => self.copy_failed(key, &err.to_string()),
+        }
+    }
+
+    /// The time for a copy, or for a host to say what it asks for, is over.
+    pub(super) fn copy_timed_out(&mut self, key: Key) {
+        match self.roles.get(&key) {
+            Some(Role::CopyAsker) => self.close(key),
+            _ => self.copy_failed(key, "no answer in time"),
+        }
+    }
+
+    /// A copy did not come: the store is read.
+    fn copy_failed(&mut self, key: Key, why: &str) {
+        let Some(Role::CopySource(from)) = self.roles.get(&key) else { return };
+        let from = *from;
+        self.close(key);
+        self.copies.ended(false, self.now);
+        note!(self, CopyFailed, "host={from} why={why:?}");
+        self.read_now();
+    }
+
+    fn take_copy(&mut self, copy: StoreCopy) {
+        if let Some(config) = copy.config {
+            self.take_config(config);
+        }
+        if let Some(list) = copy.list {
+            self.list_copied(list);
+        }
+        self.judge_ready();
+    }
+
+    /// A host asks for a copy.
+    pub(super) fn pump_asker(&mut self, key: Key) {
+        let Some(socket) = self.net.get(key) else {
+            // It was closed when its last bytes had left.
+            self.roles.remove(&key);
+            return;
+        };
+        let ended = socket.ended.is_some();
+        let request = match frame::take::<CopyRequest>(&mut socket.input) {
+            Ok(Some(request)) => request,
+            Ok(None) if !ended => return,
+            Ok(None) => return self.close(key),
+            Err(err) => {
+                let why = err.to_string();
+                note!(self, DatagramSkipped, "door=copies why={why:?}");
+                return self.close(key);
+            }
+        };
+        let version = self.snapshot.as_ref().map_or(0, |s| s.version());
+        let newer = version > request.config;
+        let copy = StoreCopy {
+            config: newer.then(|| self.following.config_bytes.clone()),
+            list: self.list_copy().filter(|list| list.next > request.list),
+        };
+        let mut bytes = Vec::new();
+        if let Err(err) = frame::write(&mut bytes, &copy) {
+            let why = err.to_string();
+            note!(self, CopyFailed, "asker=true why={why:?}");
+            return self.close(key);
+        }
+        self.net.send(key, &bytes);
+        self.finish_socket(key);
+    }
+}
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -2,30 +2,35 @@
 //!
 //! Each stream is read whole once (the newest record of each key) and then followed by offset.
 //! The configuration is waited for, so that a change is in force within a round trip; the list of
-//! targets changes all the time by heartbeats and is read at intervals.
+//! targets changes all the time by heartbeats and is read at intervals. One host reads for all:
+//! the others hear how far it has come, and fetch from it what they lack (`copying`).
 
 use super::calls::{CallFault, Purpose};
 use super::probes::millis;
 use super::{Entry, note};
 use rand::RngExt;
 use roseshore_core::gateway::TargetRecord;
+use roseshore_core::gateway::copies::ListCopy;
 use roseshore_core::gateway::peers::ListMark;
 use roseshore_core::gateway::targets::Absence;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, Page, Reading, StoreFault, Stream};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// How long a read of the configuration waits for a change: each read has a price, and the lease on
-/// the configuration must outlast two of them.
-const CONFIG_WAIT: Duration = Duration::from_secs(2);
-/// Between reads of the list of targets by the first host of a data centre: well within the bound
-/// for leaving targets. Its neighbours compare digests with it and read when those differ.
-const TARGETS_EVERY: Duration = Duration::from_secs(1);
-/// A neighbour reads for itself when nothing has confirmed its list for so long, and so on down
-/// the order of hosts.
-const TARGETS_LATER: Duration = Duration::from_millis(400);
-/// The same for the configuration: the first host waits for changes all the time.
-const CONFIG_LATER: Duration = Duration::from_millis(800);
+/// How long a read of the configuration waits for a change. Each read has a price; but a store that
+/// drops its history may leave a waiting read unanswered while changes are made, and a change has
+/// to be in force two seconds after it was made. One host reads for all, so with two seconds
+/// here hunt-b238-19 saw one in force after 2.1.
+const CONFIG_WAIT: Duration = Duration::from_millis(1100);
+/// Between reads of the list of targets by the first host: well within the bound for leaving
+/// targets. The others compare digests with it.
+const TARGETS_EVERY: Duration = Duration::from_millis(900);
+/// A host reads for itself when nothing has confirmed its list for so long, and so on down the
+/// order of hosts: the last of them within 1.8 s, and the bound for leaving targets is two.
+const TARGETS_LATER: Duration = Duration::from_millis(300);
+/// The same for the configuration, beyond the wait of the first host's reads.
+const CONFIG_LATER: Duration = Duration::from_millis(300);
 /// Places in the order of hosts beyond which it makes no difference.
 const LAST_PLACE: usize = 3;
 /// Neighbours' newer configurations make a read due at most this often.
@@ -70,8 +75,10 @@
     lapse: Option<Instant>,
     /// When a neighbour's newer configuration last made a read due.
     hurried: Option<Instant>,
-    /// When the own list was last known to be the store's.
-    confirmed: Option<Instant>,
+    /// The configuration in force as it stands in the store, for other hosts.
+    pub(super) config_bytes: Vec<u8>,
+    /// When the own list was last known to be the store's: when the read that showed it was sent.
+    pub(super) confirmed: Option<Instant>,
 }
 
 impl Following {
@@ -103,7 +110,10 @@
     fn follow_one(&mut self, stream: Stream) {
         let (now, store) = (self.now, self.settings.store);
         let confirmed = self.confirmed(stream);
-        let wait = self.following.wait(stream);
+        // A read that waits proves nothing until it is answered; what was long not proven is read
+        // at once.
+        let old = self.currency.age(now).is_none_or(|age| age > CONFIG_WAIT + CONFIG_LATER / 2);
+        let wait = if old { Duration::ZERO } else { self.following.wait(stream) };
         let follow = self.following.stream(stream);
         if follow.busy || follow.due.is_some_and(|due| now < due) {
             return;
@@ -114,7 +124,7 @@
         follow.busy = true;
         if let Some(from) = follow.next {
             let request = self.platform.read(stream, from, wait);
-            self.call(Purpose::Read(stream, wait), store, &request, wait + REPLY_TIME);
+            self.call(Purpose::Read(stream, from, wait), store, &request, wait + REPLY_TIME);
         } else {
             let since = follow.pages.as_ref().and_then(|p| p.since.clone());
             let request = self.platform.newest(stream, since.as_deref());
@@ -124,13 +134,13 @@
 
     /// Whether neighbours have confirmed a stream lately enough for this host's place among them.
     fn confirmed(&self, stream: Stream) -> bool {
-        let place = self.peers.place(self.now).min(LAST_PLACE) as u32;
+        let place = self.peers.reading_place(self.now).min(LAST_PLACE) as u32;
         if place == 0 {
             return false;
         }
         match stream {
             Stream::Config => {
-                let most = CONFIG_WAIT + CONFIG_LATER.mul_f64(0.5 * f64::from(place));
+                let most = CONFIG_WAIT + CONFIG_LATER * place;
                 self.currency.age(self.now).is_some_and(|age| age < most)
             }
             Stream::Targets => {
@@ -151,28 +161,49 @@
         }
         let Some(from) = self.following.config.next else { return };
         self.following.hurried = Some(now);
-        self.abandon(|purpose| matches!(purpose, Purpose::Read(Stream::Config, _)));
+        self.abandon(|purpose| matches!(purpose, Purpose::Read(Stream::Config, ..)));
         self.following.config.busy = true;
         let request = self.platform.read(Stream::Config, from, Duration::ZERO);
-        let purpose = Purpose::Read(Stream::Config, Duration::ZERO);
+        let purpose = Purpose::Read(Stream::Config, from, Duration::ZERO);
         self.call(purpose, self.settings.store, &request, REPLY_TIME);
     }
 
+    /// Reads both streams as soon as the store may be asked: no neighbour could help.
+    pub(super) fn read_now(&mut self) {
+        self.read_config_now();
+        let targets = &mut self.following.targets;
+        if !targets.busy && targets.fails == 0 {
+            targets.due = None;
+            self.following.confirmed = None;
+        }
+    }
+
     /// How far the list of targets was read here.
     pub(super) fn list_mark(&self) -> ListMark {
         self.targets.list_mark(self.following.targets.next.unwrap_or(0))
     }
 
-    /// Compares the own list with a neighbour's that has read further.
-    pub(super) fn compare_list(&mut self, theirs: ListMark) {
+    /// Compares the own list with that of a host that has read further.
+    pub(super) fn compare_list(
+        &mut self,
+        from: SocketAddr,
+        theirs: ListMark,
+        listed: Option<Instant>,
+    ) {
         let now = self.now;
         let own = self.list_mark();
-        if theirs.next <= own.next || self.following.targets.next.is_none() {
+        if theirs.next < own.next || self.following.targets.next.is_none() {
             return;
         }
         if theirs.digest == own.digest {
             self.following.targets.next = Some(theirs.next);
-            self.following.confirmed = Some(now);
+            self.following.confirmed = self.following.confirmed.max(listed);
+            return;
+        }
+        if theirs.next == own.next {
+            return;
+        }
+        if self.ask_copy(from) || self.copies.under_way() {
             return;
         }
         let follow = &mut self.following.targets;
@@ -208,6 +239,9 @@
             return;
         }
         let Some(pages) = follow.pages.take() else { return };
+        if follow.next.is_some_and(|next| next >= pages.end) {
+            return;
+        }
         follow.next = Some(pages.end);
         match stream {
             Stream::Config => {
@@ -234,12 +268,13 @@
         &mut self,
         stream: Stream,
         sent: Instant,
+        from: Offset,
         wait: Duration,
         reply: Result<CallReply, CallFault>,
     ) {
         let Some(reply) = self.store_replied(stream, reply) else { return };
         match self.platform.read_reply(&reply) {
-            Ok(reading) => self.reading_came(stream, sent, wait, reading),
+            Ok(reading) => self.reading_came(stream, sent, from, wait, reading),
             Err(StoreFault::Trimmed) => {
                 let follow = self.following.stream(stream);
                 follow.next = None;
@@ -249,17 +284,29 @@
         }
     }
 
-    fn reading_came(&mut self, stream: Stream, sent: Instant, wait: Duration, reading: Reading) {
+    fn reading_came(
+        &mut self,
+        stream: Stream,
+        sent: Instant,
+        from: Offset,
+        wait: Duration,
+        mut reading: Reading,
+    ) {
         self.store_served(stream);
         let now = self.now;
         let follow = self.following.stream(stream);
         let empty = reading.entries.is_empty();
-        let next = follow.next.unwrap_or(0) + reading.entries.len() as u64;
+        let known = follow.next.unwrap_or(0);
+        let next = known.max(from + reading.entries.len() as u64);
+        // While the read was under way a copy may have come that reaches further: what is older
+        // must not undo what is newer.
+        let old = known.saturating_sub(from) as usize;
+        reading.entries.drain(..old.min(reading.entries.len()));
         let caught_up = next >= reading.end;
         follow.next = Some(next);
         if stream == Stream::Targets && caught_up {
             follow.due = Some(now + TARGETS_EVERY);
-            self.following.confirmed = Some(sent);
+            self.following.confirmed = self.following.confirmed.max(Some(sent));
         }
         match stream {
             Stream::Config => {
@@ -269,6 +316,7 @@
                     let waited = empty && now.saturating_duration_since(sent) >= wait;
                     self.currency.prove(if waited { sent + wait } else { sent });
                     self.judge_ready();
+                    self.beat_now(true);
                 }
                 self.follow_one(stream);
             }
@@ -279,10 +327,38 @@
                         None => self.drop_record(&entry.key),
                     }
                 }
+                self.beat_now(true);
             }
         }
     }
 
+    /// A host's list of targets came, and how long it holds those that drop out for lapsed.
+    pub(super) fn list_copied(&mut self, copy: ListCopy) {
+        if copy.next <= self.following.targets.next.unwrap_or(0) {
+            return;
+        }
+        let lapse = self.now + Duration::from_millis(copy.lapse).min(LAPSE);
+        self.following.lapse = self.following.lapse.max((copy.lapse > 0).then_some(lapse));
+        let (absence, count) = (self.lapsed(), copy.records.len());
+        let lost = self.targets.replace(copy.records, absence);
+        self.following.targets.next = Some(copy.next);
+        self.following.targets.pages = None;
+        note!(self, TargetListed, "targets={count} dropped={} by=copy", lost.len());
+        for id in lost {
+            self.note_dropped(&id, absence);
+        }
+    }
+
+    /// The own list of targets, for a host that has not read as far.
+    pub(super) fn list_copy(&self) -> Option<ListCopy> {
+        let next = self.following.targets.next?;
+        let lapse = match self.absence() {
+            Absence::Left => 0,
+            Absence::Lapsed(until) => until.saturating_duration_since(self.now).as_millis() as u64,
+        };
+        Some(ListCopy { next, records: self.targets.listed(), lapse })
+    }
+
     fn record(&mut self, id: &str, value: &[u8]) -> Option<TargetRecord> {
         match self.platform.target(id, value) {
             Ok(record) => Some(record),
@@ -311,9 +387,12 @@
 
     fn drop_record(&mut self, id: &str) {
         let absence = self.absence();
-        if !self.targets.drop(id, absence) {
-            return;
+        if self.targets.drop(id, absence) {
+            self.note_dropped(id, absence);
         }
+    }
+
+    fn note_dropped(&mut self, id: &str, absence: Absence) {
         match absence {
             Absence::Left => {
                 note!(self, TargetLeft, "target={id} state=dropped");
@@ -322,17 +401,37 @@
         }
     }
 
+    /// What follows from an entry that is missing in a read of the store.
     fn absence(&self) -> Absence {
+        if self.outage() { Absence::Lapsed(self.now + LAPSE) } else { self.lapsed() }
+    }
+
+    /// What follows from an entry that is missing where the store was not away just now.
+    fn lapsed(&self) -> Absence {
         let lapse = self.following.lapse.filter(|until| self.now < *until);
-        let lost = self.following.lost.map(|_| self.now + LAPSE);
-        lapse.or(lost).map_or(Absence::Left, Absence::Lapsed)
+        lapse.map_or(Absence::Left, Absence::Lapsed)
+    }
+
+    /// Whether the store is out of reach, and not for this host alone: then heartbeats may lapse. As
+    /// long as other hosts confirm the list, the store serves them and the targets.
+    fn outage(&self) -> bool {
+        let confirmed = self.following.confirmed;
+        let alone = TARGETS_EVERY + TARGETS_LATER * LAST_PLACE as u32;
+        let old = confirmed.is_none_or(|at| self.now.saturating_duration_since(at) >= alone);
+        self.following.lost.is_some() && old
     }
 
     /// Puts the newest configuration of some records in force.
     fn take_configs(&mut self, entries: Vec<roseshore_ports::entry::Entry>) {
         let key = self.platform.config_key();
         let newest = entries.into_iter().rev().find(|e| e.key == key);
-        let Some(value) = newest.and_then(|e| e.value) else { return };
+        if let Some(value) = newest.and_then(|e| e.value) {
+            self.take_config(value);
+        }
+    }
+
+    /// Puts a configuration in force that is newer than the one at hand.
+    pub(super) fn take_config(&mut self, value: Vec<u8>) {
         let known = self.snapshot.as_ref().map(|s| s.version());
         match self.platform.config(&value) {
             Ok(fresh) if known.is_some_and(|v| fresh.version() <= v) => {}
@@ -346,6 +445,8 @@
                     "config_version={version} before={} bytes={bytes}",
                     known.unwrap_or(0)
                 );
+                self.following.config_bytes = value;
+                self.beat_now(true);
             }
             Err(err) => {
                 note!(self, ConfigSkipped, "kept_version={} why={err:?}", known.unwrap_or(0));
@@ -392,10 +493,13 @@
         let follow = self.following.stream(stream);
         follow.fails = 0;
         follow.due = None;
+        let outage = self.outage();
         if let Some(since) = self.following.lost.take() {
-            self.following.lapse = Some(now + LAPSE);
+            if outage {
+                self.following.lapse = Some(now + LAPSE);
+            }
             let out = now.saturating_duration_since(since).as_millis();
-            note!(self, LogBack, "stream={stream:?} out_ms={out}");
+            note!(self, LogBack, "stream={stream:?} out_ms={out} for_all={outage}");
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -105,7 +105,7 @@
     fn mark_dead(&mut self, id: &str, why: &str) {
         if self.targets.died(id, self.now) {
             note!(self, TargetLost, "target={id} liveness={why}");
-            self.beat_now();
+            self.beat_now(false);
         }
         self.liveness.fallen.push(id.to_owned());
     }
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -9,6 +9,7 @@
 impl Entry {
     /// Takes the heartbeats that came.
     pub(super) fn hear(&mut self) {
+        let mut joined = false;
         while let Some((from, bytes)) = self.net.datagram() {
             let beat: Beat = match frame::decode(bytes) {
                 Ok(beat) => beat,
@@ -31,16 +32,19 @@
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
                 self.currency.prove(proven);
             }
-            if config > known {
+            if config > known && !self.ask_copy(from) && !self.copies.under_way() {
                 self.read_config_now();
             }
-            if heard.near {
-                self.compare_list(list);
-            }
+            self.compare_list(from, list, heard.listed);
+            joined |= heard.joined;
         }
         let loads = self.peers.loads(self.now);
         self.targets.others(&loads);
         let hosts = self.peers.hosts();
+        if joined {
+            // Who is new hears at once what others have.
+            self.beat();
+        }
         for (service, allowance) in &mut self.allowances {
             allowance.others(self.peers.counted(mark(service), self.now), hosts);
         }
@@ -56,9 +60,9 @@
         self.allowances.iter_mut().map(note).collect()
     }
 
-    /// Tells the own data centre at once.
-    pub(super) fn beat_now(&mut self) {
-        self.peers.make_due();
+    /// Tells the own data centre, or all hosts, at once.
+    pub(super) fn beat_now(&mut self, all: bool) {
+        self.peers.make_due(all);
         self.beat();
     }
 
@@ -70,6 +74,7 @@
             config: self.snapshot.as_ref().map_or(0, |s| s.version()),
             proven: age.and_then(|age| self.now.checked_sub(age)),
             list: self.list_mark(),
+            listed: self.following.confirmed,
             loads: self.targets.notes(),
             counts: self.counts(),
             holds: self.holds(),
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -243,7 +243,7 @@
         self.targets.learned(note.target, layers);
         self.placing.learned.push((note, self.now));
         note!(self, TargetListed, "target={id} layers={}-{} by=report", layers.0, layers.1);
-        self.beat_now();
+        self.beat_now(false);
     }
 
     /// What was ordered, and learned, of targets' layers, for the other hosts.
@@ -317,7 +317,7 @@
         self.believe(id, layers, BEGUN);
         let ask = now + self.load_time(id, layers);
         self.placing.begun.insert(id.to_owned(), Begun { layers, ask, asked: 0 });
-        self.beat_now();
+        self.beat_now(false);
         self.call(Purpose::Place(id.to_owned(), layers), addr, &request, CALL_TIME);
     }
 
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -27,9 +27,11 @@
     Metrics,
     /// Other hosts' datagrams.
     Peers,
+    /// Other hosts that ask for copies.
+    Copies,
 }
 
-const DOORS: [Door; 4] = [Door::Callers, Door::Probes, Door::Metrics, Door::Peers];
+const DOORS: [Door; 5] = [Door::Callers, Door::Probes, Door::Metrics, Door::Peers, Door::Copies];
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/roseshore_wire/src/frame.rs
+++ b/crates/roseshore_wire/src/frame.rs
@@ -80,6 +80,22 @@
     Ok(())
 }
 
+/// Takes one frame out of bytes that came so far; `None` when more are needed.
+///
+/// # Errors
+/// When the length exceeds [`MAX_FRAME`], the version differs, or the content cannot be read.
+pub fn take<T: DeserializeOwned>(input: &mut Vec<u8>) -> Result<Option<T>, FrameError> {
+    let Some(len) = input.first_chunk::<4>() else { return Ok(None) };
+    let len = u32::from_be_bytes(*len) as usize;
+    if len > MAX_FRAME {
+        return Err(FrameError::Length(len));
+    }
+    let Some(bytes) = input.get(4..4 + len) else { return Ok(None) };
+    let message = decode(bytes)?;
+    input.drain(..4 + len);
+    Ok(Some(message))
+}
+
 /// Reads one frame.
 ///
 /// # Errors
