--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`failure`] what follows a failed send, [`allowance`] how many sends may
+//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry means, [`allowance`] how many sends may
 //! be repeated, [`peers`] what hosts tell each other, [`copies`] what they hand each other of the
 //! store, and [`currency`] whether the configuration is still known to be the newest.
 
@@ -10,6 +10,7 @@
 pub mod copies;
 pub mod currency;
 pub mod failure;
+pub mod outage;
 pub mod path;
 pub mod peers;
 pub mod plan;
@@ -21,6 +22,7 @@
 pub use copies::Copies;
 pub use currency::Currency;
 pub use failure::{Fault, Next, Standing};
+pub use outage::Outage;
 pub use path::{Hop, Part, PathNeed};
 pub use peers::Peers;
 pub use routes::{
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/outage.rs
@@ -0,0 +1,102 @@
+//! Whether an entry that is missing from the list of targets may be a live target's.
+//!
+//! Targets keep their entries by heartbeats to the store, so entries lapse while the store is away
+//! and are back soon after it. An outage for this host alone says nothing of that: as long as
+//! other hosts confirm the list, the store serves them, and the targets.
+
+use super::targets::Absence;
+use crate::prelude::*;
+
+/// After the store is back, dropped targets may be live ones whose heartbeats lapsed; those are
+/// listed again within two seconds, as the operators promise. Counted from the return and not from
+/// each drop, it never outlasts the drain bound of a target that really leaves.
+const LAPSE: Duration = Duration::from_millis(1900);
+/// Without a word from any host for so long, the store is away for all: the last of them reads for
+/// itself by then.
+const UNCONFIRMED: Duration = Duration::from_millis(1800);
+
+/// The store's absences as far as they concern the list of targets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    /// Since when the store has not answered this host.
+    lost: Option<Instant>,
+    /// Until when entries may still be missing by an outage that is over.
+    lapse: Option<Instant>,
+    /// When the read that last showed the list was sent, by this host or another.
+    confirmed: Option<Instant>,
+}
+
+/// The store answers again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Return {
+    /// Since when it had not answered this host.
+    pub since: Instant,
+    /// Whether it was away for all.
+    pub for_all: bool,
+}
+
+impl Outage {
+    /// The store did not answer; returns whether that is news.
+    pub fn failed(&mut self, now: Instant) -> bool {
+        let news = self.lost.is_none();
+        self.lost.get_or_insert(now);
+        news
+    }
+
+    /// The store answered; returns what ends with that, if it had been away.
+    pub fn served(&mut self, now: Instant) -> Option<Return> {
+        let for_all = self.for_all(now);
+        let since = self.lost.take()?;
+        if for_all {
+            self.lapse = Some(now + LAPSE);
+        }
+        Some(Return { since, for_all })
+    }
+
+    /// A read that was sent at `sent` showed the list at hand.
+    pub fn confirm(&mut self, sent: Option<Instant>) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// Another host holds missing entries for lapsed for so long.
+    pub fn told(&mut self, lapse: Duration, now: Instant) {
+        if lapse > Duration::ZERO {
+            self.lapse = self.lapse.max(Some(now + lapse.min(LAPSE)));
+        }
+    }
+
+    /// When the list at hand was last confirmed.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
+    /// Whether the store does not answer this host.
+    pub fn away(&self) -> bool {
+        self.lost.is_some()
+    }
+
+    /// What follows from an entry that is missing in a read of the store.
+    pub fn absence(&self, now: Instant) -> Absence {
+        if self.for_all(now) { Absence::Lapsed(now + LAPSE) } else { self.copied_absence(now) }
+    }
+
+    /// What follows from an entry that is missing in another host's copy: the store answered that
+    /// host, whatever this one met.
+    pub fn copied_absence(&self, now: Instant) -> Absence {
+        let lapse = self.lapse.filter(|until| now < *until);
+        lapse.map_or(Absence::Left, Absence::Lapsed)
+    }
+
+    /// How long missing entries are held for lapsed, for other hosts.
+    pub fn lapse_left(&self, now: Instant) -> Duration {
+        match self.absence(now) {
+            Absence::Left => Duration::ZERO,
+            Absence::Lapsed(until) => until.saturating_duration_since(now),
+        }
+    }
+
+    fn for_all(&self, now: Instant) -> bool {
+        let old = |at| now.saturating_duration_since(at) >= UNCONFIRMED;
+        self.lost.is_some() && self.confirmed.is_none_or(old)
+    }
+}
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -2,8 +2,10 @@
 
 mod gateway {
     mod allowance;
+    mod copies;
     mod failure;
     mod figures;
+    mod outage;
     mod path;
     mod peers;
     mod plan;
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -76,6 +76,41 @@
     assert_eq!(b.place(now + ms(1100)), 0);
 }
 
+#[test]
+fn one_host_of_the_system_reads_and_the_first_of_each_data_centre_comes_next() {
+    let now = Instant::now();
+    let seeds: Vec<SocketAddr> = (1..=4).map(addr).collect();
+    let centres = ["north", "north", "south", "south"];
+    let numbered = (1_u8..).zip(centres);
+    let mut hosts: Vec<Peers> = numbered.map(|(n, dc)| peers(n, dc, &seeds, now)).collect();
+    for from in 0..4_u8 {
+        for (to, beat) in hosts[usize::from(from)].due(&own(), now) {
+            let hearer = (0..4).find(|n| addr(n + 1) == to).expect("a known address");
+            hosts[usize::from(hearer)].hear(addr(from + 1), beat, now);
+        }
+    }
+    let places: Vec<usize> = hosts.iter().map(|h| h.reading_place(now)).collect();
+    assert_eq!(places, [0, 1, 1, 2]);
+    let later = now + ms(5000);
+    assert!(hosts.iter().all(|h| h.reading_place(later) == 0), "alone, each reads");
+}
+
+#[test]
+fn a_proof_is_placed_on_the_hearer_s_clock() {
+    let now = Instant::now();
+    let (mut a, mut b) = (peers(1, "north", &[addr(2)], now), peers(2, "north", &[addr(1)], now));
+    let beat = sent(&mut a, 2, &own(), now).expect("a first contact");
+    b.hear(addr(1), beat, now + ms(3));
+    // Proofs of 40 ms before and 20 ms after the heartbeat was heard; telling takes a second.
+    let told = Own { proven: Some(now + ms(23)), listed: now.checked_sub(ms(37)), ..own() };
+    let beat = sent(&mut b, 1, &told, now + ms(60)).expect("a first contact");
+    let heard = a.hear(addr(2), beat, now + ms(1060)).expect("news");
+    let (config, list) = (heard.proven.expect("told"), heard.listed.expect("told"));
+    assert!(config <= now + ms(23) && config >= now + ms(19), "no later than it was made");
+    assert!(list < now && list + ms(45) >= now, "no later than it was made");
+    assert!(heard.near);
+}
+
 #[test]
 fn a_far_host_s_word_that_a_target_is_down_does_not_count() {
     let now = Instant::now();
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -10,6 +10,7 @@
 mod peering;
 mod placing;
 mod probes;
+mod records;
 mod sends;
 mod stopping;
 
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -10,13 +10,11 @@
 use super::{Entry, note};
 use rand::RngExt;
 use roseshore_core::gateway::TargetRecord;
-use roseshore_core::gateway::copies::ListCopy;
+use roseshore_core::gateway::outage::{Outage, Return};
 use roseshore_core::gateway::peers::ListMark;
-use roseshore_core::gateway::targets::Absence;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, Page, Reading, StoreFault, Stream};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// How long a read of the configuration waits for a change. Each read has a price; but a store that
 /// drops its history may leave a waiting read unanswered while changes are made, and a change has
@@ -42,11 +40,6 @@
 const REPLY_TIME: Duration = Duration::from_millis(900);
 /// The first wait after a failed call, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
-/// After the store is back, dropped targets may be live ones whose heartbeats lapsed; those are
-/// listed again within two seconds, as the operators promise. Counted from the return and not from
-/// each drop, it never outlasts the drain bound of a target that really leaves.
-const LAPSE: Duration = Duration::from_millis(1900);
-
 /// One stream's state.
 #[derive(Debug, Default)]
 struct Follow {
@@ -71,14 +64,13 @@
 pub(super) struct Following {
     config: Follow,
     targets: Follow,
-    lost: Option<Instant>,
-    lapse: Option<Instant>,
+    pub(super) outage: Outage,
+    /// The list differs from a neighbour's, whose copy could not be had.
+    list_differs: bool,
     /// When a neighbour's newer configuration last made a read due.
     hurried: Option<Instant>,
     /// The configuration in force as it stands in the store, for other hosts.
     pub(super) config_bytes: Vec<u8>,
-    /// When the own list was last known to be the store's: when the read that showed it was sent.
-    pub(super) confirmed: Option<Instant>,
 }
 
 impl Following {
@@ -86,11 +78,23 @@
     /// that hangs would outlast the outage.
     fn wait(&self, stream: Stream) -> Duration {
         match stream {
-            Stream::Config if self.lost.is_none() => CONFIG_WAIT,
+            Stream::Config if !self.outage.away() => CONFIG_WAIT,
             Stream::Config | Stream::Targets => Duration::ZERO,
         }
     }
 
+    /// The offset of the list to read next; `None` before it was read.
+    pub(super) fn list_next(&self) -> Option<Offset> {
+        self.targets.next
+    }
+
+    /// The list at hand is now a copy that reaches to this offset.
+    pub(super) fn list_copied(&mut self, next: Offset) {
+        self.targets.next = Some(next);
+        self.targets.pages = None;
+        self.list_differs = false;
+    }
+
     fn stream(&mut self, stream: Stream) -> &mut Follow {
         match stream {
             Stream::Config => &mut self.config,
@@ -145,8 +149,9 @@
             }
             Stream::Targets => {
                 let most = TARGETS_EVERY + TARGETS_LATER * place;
-                let at = self.following.confirmed;
-                at.is_some_and(|at| self.now.saturating_duration_since(at) < most)
+                let at = self.following.outage.confirmed();
+                let recent = at.is_some_and(|at| self.now.saturating_duration_since(at) < most);
+                recent && !self.following.list_differs
             }
         }
     }
@@ -174,7 +179,7 @@
         let targets = &mut self.following.targets;
         if !targets.busy && targets.fails == 0 {
             targets.due = None;
-            self.following.confirmed = None;
+            self.following.list_differs = true;
         }
     }
 
@@ -197,7 +202,8 @@
         }
         if theirs.digest == own.digest {
             self.following.targets.next = Some(theirs.next);
-            self.following.confirmed = self.following.confirmed.max(listed);
+            self.following.outage.confirm(listed);
+            self.following.list_differs = false;
             return;
         }
         if theirs.next == own.next {
@@ -210,7 +216,7 @@
         if !follow.busy && follow.fails == 0 {
             let soon = now + DIFFERS_EVERY;
             follow.due = Some(follow.due.map_or(soon, |due| due.min(soon)));
-            self.following.confirmed = None;
+            self.following.list_differs = true;
         }
     }
 
@@ -254,12 +260,14 @@
                 let records = pages.entries.into_iter();
                 let records = records.filter_map(|e| self.record(&e.key, e.value?.as_slice()));
                 let records: Vec<TargetRecord> = records.collect();
-                let (absence, now) = (self.absence(), self.now);
+                let now = self.now;
+                let absence = self.following.outage.absence(now);
                 let count = records.len();
                 let lost = self.targets.replace(records, absence);
                 note!(self, TargetListed, "targets={count} dropped={}", lost.len());
                 self.following.targets.due = Some(now + TARGETS_EVERY);
-                self.following.confirmed = Some(sent);
+                self.following.outage.confirm(Some(sent));
+                self.following.list_differs = false;
             }
         }
     }
@@ -306,7 +314,8 @@
         follow.next = Some(next);
         if stream == Stream::Targets && caught_up {
             follow.due = Some(now + TARGETS_EVERY);
-            self.following.confirmed = self.following.confirmed.max(Some(sent));
+            self.following.outage.confirm(Some(sent));
+            self.following.list_differs = false;
         }
         match stream {
             Stream::Config => {
@@ -332,128 +341,6 @@
         }
     }
 
-    /// A host's list of targets came, and how long it holds those that drop out for lapsed.
-    pub(super) fn list_copied(&mut self, copy: ListCopy) {
-        if copy.next <= self.following.targets.next.unwrap_or(0) {
-            return;
-        }
-        let lapse = self.now + Duration::from_millis(copy.lapse).min(LAPSE);
-        self.following.lapse = self.following.lapse.max((copy.lapse > 0).then_some(lapse));
-        let (absence, count) = (self.lapsed(), copy.records.len());
-        let lost = self.targets.replace(copy.records, absence);
-        self.following.targets.next = Some(copy.next);
-        self.following.targets.pages = None;
-        note!(self, TargetListed, "targets={count} dropped={} by=copy", lost.len());
-        for id in lost {
-            self.note_dropped(&id, absence);
-        }
-    }
-
-    /// The own list of targets, for a host that has not read as far.
-    pub(super) fn list_copy(&self) -> Option<ListCopy> {
-        let next = self.following.targets.next?;
-        let lapse = match self.absence() {
-            Absence::Left => 0,
-            Absence::Lapsed(until) => until.saturating_duration_since(self.now).as_millis() as u64,
-        };
-        Some(ListCopy { next, records: self.targets.listed(), lapse })
-    }
-
-    fn record(&mut self, id: &str, value: &[u8]) -> Option<TargetRecord> {
-        match self.platform.target(id, value) {
-            Ok(record) => Some(record),
-            Err(err) => {
-                note!(self, RecordSkipped, "target={id} kept=old why={err:?}");
-                None
-            }
-        }
-    }
-
-    fn take_record(&mut self, id: &str, value: &[u8]) {
-        let Some(record) = self.record(id, value) else { return };
-        let text = format!(
-            "target={id} service={} addr={} data_centre={} draining={} kind={} layers={}",
-            record.service,
-            record.addr,
-            record.data_centre,
-            record.draining,
-            record.kind.as_deref().unwrap_or("-"),
-            record.holding.map_or("-".to_owned(), |h| format!("{}-{}", h.layers.0, h.layers.1)),
-        );
-        if self.targets.put(record) {
-            note!(self, TargetListed, "{text}");
-        }
-    }
-
-    fn drop_record(&mut self, id: &str) {
-        let absence = self.absence();
-        if self.targets.drop(id, absence) {
-            self.note_dropped(id, absence);
-        }
-    }
-
-    fn note_dropped(&mut self, id: &str, absence: Absence) {
-        match absence {
-            Absence::Left => {
-                note!(self, TargetLeft, "target={id} state=dropped");
-            }
-            Absence::Lapsed(_) => note!(self, TargetLapsed, "target={id}"),
-        }
-    }
-
-    /// What follows from an entry that is missing in a read of the store.
-    fn absence(&self) -> Absence {
-        if self.outage() { Absence::Lapsed(self.now + LAPSE) } else { self.lapsed() }
-    }
-
-    /// What follows from an entry that is missing where the store was not away just now.
-    fn lapsed(&self) -> Absence {
-        let lapse = self.following.lapse.filter(|until| self.now < *until);
-        lapse.map_or(Absence::Left, Absence::Lapsed)
-    }
-
-    /// Whether the store is out of reach, and not for this host alone: then heartbeats may lapse. As
-    /// long as other hosts confirm the list, the store serves them and the targets.
-    fn outage(&self) -> bool {
-        let confirmed = self.following.confirmed;
-        let alone = TARGETS_EVERY + TARGETS_LATER * LAST_PLACE as u32;
-        let old = confirmed.is_none_or(|at| self.now.saturating_duration_since(at) >= alone);
-        self.following.lost.is_some() && old
-    }
-
-    /// Puts the newest configuration of some records in force.
-    fn take_configs(&mut self, entries: Vec<roseshore_ports::entry::Entry>) {
-        let key = self.platform.config_key();
-        let newest = entries.into_iter().rev().find(|e| e.key == key);
-        if let Some(value) = newest.and_then(|e| e.value) {
-            self.take_config(value);
-        }
-    }
-
-    /// Puts a configuration in force that is newer than the one at hand.
-    pub(super) fn take_config(&mut self, value: Vec<u8>) {
-        let known = self.snapshot.as_ref().map(|s| s.version());
-        match self.platform.config(&value) {
-            Ok(fresh) if known.is_some_and(|v| fresh.version() <= v) => {}
-            Ok(fresh) => {
-                let version = fresh.version();
-                self.snapshot = Some(Arc::new(fresh));
-                let bytes = value.len();
-                note!(
-                    self,
-                    ConfigApplied,
-                    "config_version={version} before={} bytes={bytes}",
-                    known.unwrap_or(0)
-                );
-                self.following.config_bytes = value;
-                self.beat_now(true);
-            }
-            Err(err) => {
-                note!(self, ConfigSkipped, "kept_version={} why={err:?}", known.unwrap_or(0));
-            }
-        }
-    }
-
     fn store_replied(
         &mut self,
         stream: Stream,
@@ -481,8 +368,7 @@
         let wait = (BACKOFF.0 * (1 << follow.fails.min(4))).min(BACKOFF.1);
         follow.fails += 1;
         follow.due = Some(now + wait.mul_f64(spread));
-        if self.following.lost.is_none() {
-            self.following.lost = Some(now);
+        if self.following.outage.failed(now) {
             let age = millis(self.currency.age(now));
             note!(self, LogLost, "stream={stream:?} why={why:?} config_age_ms={age}");
         }
@@ -493,13 +379,9 @@
         let follow = self.following.stream(stream);
         follow.fails = 0;
         follow.due = None;
-        let outage = self.outage();
-        if let Some(since) = self.following.lost.take() {
-            if outage {
-                self.following.lapse = Some(now + LAPSE);
-            }
+        if let Some(Return { since, for_all }) = self.following.outage.served(now) {
             let out = now.saturating_duration_since(since).as_millis();
-            note!(self, LogBack, "stream={stream:?} out_ms={out} for_all={outage}");
+            note!(self, LogBack, "stream={stream:?} out_ms={out} for_all={for_all}");
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -74,7 +74,7 @@
             config: self.snapshot.as_ref().map_or(0, |s| s.version()),
             proven: age.and_then(|age| self.now.checked_sub(age)),
             list: self.list_mark(),
-            listed: self.following.confirmed,
+            listed: self.following.outage.confirmed(),
             loads: self.targets.notes(),
             counts: self.counts(),
             holds: self.holds(),
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -0,0 +1,110 @@
+//! What was read of the store becomes what this host believes: the configuration in force and the
+//! list of targets, whether it came from the store or as another host's copy.
+
+use super::{Entry, note};
+use roseshore_core::gateway::TargetRecord;
+use roseshore_core::gateway::copies::ListCopy;
+use roseshore_core::gateway::targets::Absence;
+use roseshore_core::prelude::*;
+use roseshore_ports::entry::Entry as Record;
+use std::sync::Arc;
+
+impl Entry {
+    /// A host's list of targets came, and how long it holds those that drop out for lapsed.
+    pub(super) fn list_copied(&mut self, copy: ListCopy) {
+        if copy.next <= self.following.list_next().unwrap_or(0) {
+            return;
+        }
+        self.following.outage.told(Duration::from_millis(copy.lapse), self.now);
+        let absence = self.following.outage.copied_absence(self.now);
+        let count = copy.records.len();
+        let lost = self.targets.replace(copy.records, absence);
+        self.following.list_copied(copy.next);
+        note!(self, TargetListed, "targets={count} dropped={} by=copy", lost.len());
+        for id in lost {
+            self.note_dropped(&id, absence);
+        }
+    }
+
+    /// The own list of targets, for a host that has not read as far.
+    pub(super) fn list_copy(&self) -> Option<ListCopy> {
+        let next = self.following.list_next()?;
+        let lapse = self.following.outage.lapse_left(self.now).as_millis() as u64;
+        Some(ListCopy { next, records: self.targets.listed(), lapse })
+    }
+
+    pub(super) fn record(&mut self, id: &str, value: &[u8]) -> Option<TargetRecord> {
+        match self.platform.target(id, value) {
+            Ok(record) => Some(record),
+            Err(err) => {
+                note!(self, RecordSkipped, "target={id} kept=old why={err:?}");
+                None
+            }
+        }
+    }
+
+    pub(super) fn take_record(&mut self, id: &str, value: &[u8]) {
+        let Some(record) = self.record(id, value) else { return };
+        let text = format!(
+            "target={id} service={} addr={} data_centre={} draining={} kind={} layers={}",
+            record.service,
+            record.addr,
+            record.data_centre,
+            record.draining,
+            record.kind.as_deref().unwrap_or("-"),
+            record.holding.map_or("-".to_owned(), |h| format!("{}-{}", h.layers.0, h.layers.1)),
+        );
+        if self.targets.put(record) {
+            note!(self, TargetListed, "{text}");
+        }
+    }
+
+    pub(super) fn drop_record(&mut self, id: &str) {
+        let absence = self.following.outage.absence(self.now);
+        if self.targets.drop(id, absence) {
+            self.note_dropped(id, absence);
+        }
+    }
+
+    fn note_dropped(&mut self, id: &str, absence: Absence) {
+        match absence {
+            Absence::Left => {
+                note!(self, TargetLeft, "target={id} state=dropped");
+            }
+            Absence::Lapsed(_) => note!(self, TargetLapsed, "target={id}"),
+        }
+    }
+
+    /// Puts the newest configuration of some records in force.
+    pub(super) fn take_configs(&mut self, entries: Vec<Record>) {
+        let key = self.platform.config_key();
+        let newest = entries.into_iter().rev().find(|e| e.key == key);
+        if let Some(value) = newest.and_then(|e| e.value) {
+            self.take_config(value);
+        }
+    }
+
+    /// Puts a configuration in force that is newer than the one at hand.
+    pub(super) fn take_config(&mut self, value: Vec<u8>) {
+        let known = self.snapshot.as_ref().map(|s| s.version());
+        match self.platform.config(&value) {
+            Ok(fresh) if known.is_some_and(|v| fresh.version() <= v) => {}
+            Ok(fresh) => {
+                let version = fresh.version();
+                self.snapshot = Some(Arc::new(fresh));
+                let bytes = value.len();
+                note!(
+                    self,
+                    ConfigApplied,
+                    "config_version={version} before={} bytes={bytes}",
+                    known.unwrap_or(0)
+                );
+                self.following.config_bytes = value;
+                self.beat_now(true);
+            }
+            Err(err) => {
+                note!(self, ConfigSkipped, "kept_version={} why={err:?}", known.unwrap_or(0));
+            }
+        }
+    }
+}
