A leaving host takes the streams that will end in time

Change: gateway::leaving predicts a stream's life from its guess and bound and the mean pace of streams that ended here, and compares it with what is left of the grace. Tests: gateway::leaving (table); hosts::a_stop_cuts_nothing_off now asks for a long stream, refused at once with a time to come back, and for a short one, served; before it waited until a stream of unknown length was refused, which no longer happens to a short one.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry means, [`allowance`] how many sends may
+//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry means, [`leaving`] what a host that stops still takes, [`allowance`] how many sends may
 //! be repeated, [`peers`] what hosts tell each other, [`copies`] what they hand each other of the
 //! store, and [`currency`] whether the configuration is still known to be the newest.
 
@@ -10,6 +10,7 @@
 pub mod copies;
 pub mod currency;
 pub mod failure;
+pub mod leaving;
 pub mod outage;
 pub mod path;
 pub mod peers;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -27,6 +27,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use roseshore_core::gateway::copies::COPY_TIME;
+use roseshore_core::gateway::leaving::Pace;
 use roseshore_core::gateway::{
     Allowance, Copies, Currency, EntrySettings, Peers, Snapshot, Targets,
 };
@@ -113,6 +114,7 @@
     following: Following,
     copies: Copies,
     placing: Placing,
+    pace: Pace,
     random: SmallRng,
     now: Instant,
     ticked: Instant,
@@ -185,6 +187,7 @@
             following: Following::default(),
             copies: Copies::default(),
             placing: Placing::default(),
+            pace: Pace::default(),
             random,
             now,
             // The first turn of the loop is a tick: nothing serves before the store was read.
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -23,9 +23,6 @@
 const COME_BACK_LATER: Duration = Duration::from_millis(2400);
 /// When to come back from a host that is leaving: at once, but not all in the same moment.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(60);
-/// After the stop signal, streams are taken for so long: an answer takes up to six seconds on a
-/// busy path, and the grace is eight.
-const LAST_STREAMS: Duration = Duration::from_millis(700);
 /// The shortest time in which another send makes sense.
 const LEAST: Duration = Duration::from_millis(60);
 /// How long a caller waits when it does not say.
@@ -166,16 +163,15 @@
         if self.outdated() || (organisation.is_some() && !self.current()) {
             return Err(self.unconfirmed());
         }
-        let stopping = self.stopping.map(|at| self.now.saturating_duration_since(at));
-        if route.kind.stream() && stopping.is_some_and(|since| since >= LAST_STREAMS) {
-            let refusal = Refusal::not_run(Code::Draining, "this host is leaving");
-            return Err(refusal.after(self.spread(COME_BACK_ELSEWHERE)));
-        }
         let service = route.service(&asked.attempt).and_then(|name| snapshot.service(name));
         let Some(service) = service.cloned() else {
             let text = format!("route `{}` has no service", route.name);
             return Err(Refusal::not_run(Code::NoTarget, text).after(self.spread(COME_BACK)));
         };
+        if route.kind.stream() && !self.ends_in_time(&asked, &service) {
+            let refusal = Refusal::not_run(Code::Draining, "this host is leaving");
+            return Err(refusal.after(self.spread(COME_BACK_ELSEWHERE)));
+        }
         let wait = asked.deadline.unwrap_or(USUAL_DEADLINE).min(route.timeout);
         Ok(Exchange {
             caller,
@@ -199,6 +195,14 @@
         })
     }
 
+    /// Whether a stream may be expected to end before this host does.
+    fn ends_in_time(&self, asked: &Asked, service: &ServiceSpec) -> bool {
+        let Some(left) = self.grace_left() else { return true };
+        let usual = service.engine.as_ref().map_or(0.0, |engine| engine.answer);
+        let guess = asked.hint.map_or(usual, f64::from);
+        self.pace.ends_within(guess, f64::from(asked.longest), left)
+    }
+
     /// A denial is only final while the configuration is known to be the newest.
     fn denied(&mut self, denied: Denied) -> Refusal {
         if !self.current() {
@@ -274,6 +278,11 @@
         let took = self.now.saturating_duration_since(exchange.begun);
         let first = exchange.out.first.map(|at| at.saturating_duration_since(exchange.begun));
         metrics::histogram!("roseshore_request_seconds").record(took.as_secs_f64());
+        if exchange.verdict == Verdict::Answered
+            && let Some(engine) = &exchange.service.engine
+        {
+            self.pace.ended(f64::from(exchange.out.events) * engine.stride, took);
+        }
         if let Some(first) = first {
             metrics::histogram!("roseshore_first_event_seconds").record(first.as_secs_f64());
         }
--- a/crates/roseshore_relay/src/entry/stopping.rs
+++ b/crates/roseshore_relay/src/entry/stopping.rs
@@ -59,11 +59,17 @@
         self.allowances.entry(service.to_owned()).or_insert_with(fresh)
     }
 
+    /// What is left until this host ends, if it was told to.
+    pub(super) fn grace_left(&self) -> Option<Duration> {
+        let since = self.now.saturating_duration_since(self.stopping?);
+        Some(self.settings.bounds.grace.saturating_sub(LAST).saturating_sub(since))
+    }
+
     /// Whether the process is to end now, and how many requests that cuts off.
     pub(super) fn ended(&mut self) -> Option<usize> {
         let since = self.now.saturating_duration_since(self.stopping?);
         let left = self.exchanges.len();
-        if since >= self.settings.bounds.grace.saturating_sub(LAST) {
+        if self.grace_left() == Some(Duration::ZERO) {
             return Some(left);
         }
         if since < LINGER {
