A data centre that was cut off keeps its targets when a neighbour's copy comes first

The entries of its own data centre's engines had lapsed behind the cut, the copy lacked them, and it dropped them as left: no engine at 39.5 s, six at 40.5, and a plan that had every engine load other layers. With reads of the store alone its own outage had excused them. Change: where nobody had confirmed the list, a copy marks the end of the outage, and missing entries are held for lapsed for the usual time.

--- a/crates/roseshore_core/src/gateway/outage.rs
+++ b/crates/roseshore_core/src/gateway/outage.rs
@@ -75,14 +75,19 @@
         self.lost.is_some()
     }
 
-    /// What follows from an entry that is missing in a read of the store.
-    pub fn absence(&self, now: Instant) -> Absence {
-        if self.for_all(now) { Absence::Lapsed(now + LAPSE) } else { self.copied_absence(now) }
+    /// Another host's copy came, which says that the store answers again. Where nobody had confirmed
+    /// the list here, this host was cut off, and the targets beside it may have been as well.
+    pub fn copied(&mut self, now: Instant) {
+        if self.for_all(now) {
+            self.lapse = Some(now + LAPSE);
+        }
     }
 
-    /// What follows from an entry that is missing in another host's copy: the store answered that
-    /// host, whatever this one met.
-    pub fn copied_absence(&self, now: Instant) -> Absence {
+    /// What follows from an entry that is missing.
+    pub fn absence(&self, now: Instant) -> Absence {
+        if self.for_all(now) {
+            return Absence::Lapsed(now + LAPSE);
+        }
         let lapse = self.lapse.filter(|until| now < *until);
         lapse.map_or(Absence::Left, Absence::Lapsed)
     }
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -16,7 +16,8 @@
             return;
         }
         self.following.outage.told(Duration::from_millis(copy.lapse), self.now);
-        let absence = self.following.outage.copied_absence(self.now);
+        self.following.outage.copied(self.now);
+        let absence = self.following.outage.absence(self.now);
         let count = copy.records.len();
         let lost = self.targets.replace(copy.records, absence);
         self.following.list_copied(copy.next);
