A host gives copies by the moment; those it turns away ask others or the store

Ruled out: the store (it answered the reader), heartbeats (all were heard). Change: a host gives 200 KB in 200 ms and answers others with nothing. Who is turned away reads a newer configuration in the store at once, and asks for a list again 60 ms later, from any host that has it by then; a host that got a list tells its data centre at once.

--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -4,6 +4,10 @@
 //! of that is nearer than the store, costs it nothing, and is to be had when the store is down
 //! or turns this host away. One copy is asked for at a time; after one that failed the store is
 //! read, as if there were no neighbours.
+//!
+//! Eighty hosts that hear the same heartbeat must not all ask its sender, whose link is narrow: each
+//! host gives so many bytes in a moment and turns the others away, who ask one of those that have
+//! a copy by then, or the store.
 
 use super::targets::TargetRecord;
 use crate::prelude::*;
@@ -14,6 +18,14 @@
 /// No copy is asked for so long after one that failed: the store is read in the meantime.
 const AFTER_FAILURE: Duration = Duration::from_secs(1);
 
+/// The moment in which gifts are counted.
+const MOMENT: Duration = Duration::from_millis(200);
+/// Bytes that a host gives in a moment: one megabyte a second, of which the narrowest links carry
+/// two and a half.
+const MOST_GIVEN: usize = 200_000;
+/// After being turned away, another host is asked no sooner.
+const TURNED_AWAY: Duration = Duration::from_millis(60);
+
 /// Asks a host for what it has read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyRequest {
@@ -44,20 +56,41 @@
     pub lapse: u64,
 }
 
-/// Whether a copy may be asked for.
+impl StoreCopy {
+    /// Whether the host gave nothing: it has nothing more, or has given enough in this moment.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none() && self.list.is_none()
+    }
+}
+
+/// Whether a copy may be asked for, and given.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Copies {
     /// When the one that is under way is given up.
     until: Option<Instant>,
-    failed: Option<Instant>,
+    /// No other is asked for until then.
+    pause: Option<Instant>,
+    /// The moment that gifts are counted in, and the bytes given.
+    moment: Option<Instant>,
+    given: usize,
+}
+
+/// What became of a copy that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It came.
+    Came,
+    /// The host gave none.
+    TurnedAway,
+    /// It did not come.
+    Failed,
 }
 
 impl Copies {
     /// Whether a copy may be asked for now; if so, it counts as under way. Returns when it is to be
     /// given up.
     pub fn ask(&mut self, now: Instant) -> Option<Instant> {
-        let lately = |at| now.saturating_duration_since(at) < AFTER_FAILURE;
-        if self.until.is_some() || self.failed.is_some_and(lately) {
+        if self.until.is_some() || self.pause.is_some_and(|until| now < until) {
             return None;
         }
         self.until = Some(now + COPY_TIME);
@@ -69,9 +102,28 @@
         self.until.is_some()
     }
 
-    /// The one under way came, or failed.
-    pub fn ended(&mut self, came: bool, now: Instant) {
+    /// The one under way came, or did not.
+    pub fn ended(&mut self, outcome: Outcome, now: Instant) {
         self.until = None;
-        self.failed = if came { None } else { Some(now) };
+        self.pause = match outcome {
+            Outcome::Came => None,
+            Outcome::TurnedAway => Some(now + TURNED_AWAY),
+            Outcome::Failed => Some(now + AFTER_FAILURE),
+        };
+    }
+
+    /// Whether a copy of so many bytes may be given; if so, it is counted. The first in a moment may
+    /// be of any size.
+    pub fn give(&mut self, bytes: usize, now: Instant) -> bool {
+        let over = |at| now.saturating_duration_since(at) >= MOMENT;
+        if self.moment.is_none_or(over) {
+            self.moment = Some(now);
+            self.given = 0;
+        }
+        let fits = self.given == 0 || self.given + bytes <= MOST_GIVEN;
+        if fits {
+            self.given += bytes;
+        }
+        fits
     }
 }
--- a/crates/roseshore_relay/src/entry/copying.rs
+++ b/crates/roseshore_relay/src/entry/copying.rs
@@ -2,7 +2,7 @@
 
 use super::{Entry, Role, Timer, note};
 use crate::slab::Key;
-use roseshore_core::gateway::copies::{CopyRequest, StoreCopy};
+use roseshore_core::gateway::copies::{CopyRequest, Outcome, StoreCopy};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame;
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
                 true
             }
             Err(why) => {
-                self.copies.ended(false, self.now);
+                self.copies.ended(Outcome::Failed, self.now);
                 note!(self, CopyFailed, "host={from} why={why:?}");
                 false
             }
@@ -40,7 +40,8 @@
         match frame::take::<StoreCopy>(&mut socket.input) {
             Ok(Some(copy)) => {
                 self.close(key);
-                self.copies.ended(true, self.now);
+                let given = if copy.is_empty() { Outcome::TurnedAway } else { Outcome::Came };
+                self.copies.ended(given, self.now);
                 self.take_copy(copy);
             }
             Ok(None) if !ended => {}
@@ -62,7 +63,7 @@
         let Some(Role::CopySource(from)) = self.roles.get(&key) else { return };
         let from = *from;
         self.close(key);
-        self.copies.ended(false, self.now);
+        self.copies.ended(Outcome::Failed, self.now);
         note!(self, CopyFailed, "host={from} why={why:?}");
         self.read_now();
     }
@@ -73,6 +74,11 @@
         }
         if let Some(list) = copy.list {
             self.list_copied(list);
+            // Those that were turned away ask here next.
+            self.beat_now(false);
+        }
+        if self.peers.newest_config(self.now) > self.snapshot.as_ref().map_or(0, |s| s.version()) {
+            self.read_config_now();
         }
         self.judge_ready();
     }
@@ -102,7 +108,12 @@
             list: self.list_copy().filter(|list| list.next > request.list),
         };
         let mut bytes = Vec::new();
-        if let Err(err) = frame::write(&mut bytes, &copy) {
+        let mut written = frame::write(&mut bytes, &copy);
+        if written.is_ok() && !copy.is_empty() && !self.copies.give(bytes.len(), self.now) {
+            bytes.clear();
+            written = frame::write(&mut bytes, &StoreCopy::default());
+        }
+        if let Err(err) = written {
             let why = err.to_string();
             note!(self, CopyFailed, "asker=true why={why:?}");
             return self.close(key);
