Nothing is sent to targets that are dark

Cause: when all replicas of a plain service had failed, the least loaded was tried, also when nothing had answered at its address for seconds. Change: a death is told apart: reset (a full replica resets, too, so it is still tried) or dark, which is not tried until a check is answered. Test: targets::nothing_is_sent_into_the_dark, seen failing.

--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -43,6 +43,25 @@
     pub holding: Option<Holding>,
 }
 
+/// How a target failed its liveness checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Death {
+    /// Its port resets connections: the process is gone, or takes no more of them.
+    Reset,
+    /// Nothing answers: its machine is dark, or a link to it is cut.
+    Dark,
+}
+
+impl Death {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Death::Reset => "reset",
+            Death::Dark => "silent",
+        }
+    }
+}
+
 /// A target and this host's own view of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -65,8 +84,8 @@
     learned: Option<Holding>,
     /// When something last came through it.
     progress: Option<Instant>,
-    /// Since when it has not answered liveness checks.
-    dead: Option<Instant>,
+    /// How it failed its last liveness checks, if it did.
+    dead: Option<Death>,
 }
 
 impl Target {
@@ -274,10 +293,10 @@
     }
 
     /// It does not answer liveness checks; returns whether that is news.
-    pub fn died(&mut self, id: &str, now: Instant) -> bool {
+    pub fn died(&mut self, id: &str, death: Death) -> bool {
         let Some(target) = self.all.get_mut(id) else { return false };
         let news = target.dead.is_none();
-        target.dead.get_or_insert(now);
+        target.dead = Some(death);
         news
     }
 
@@ -349,7 +368,8 @@
     }
 
     /// The target of a plain service for a request: the least loaded sound one, own data centre
-    /// first among equals. When all have failed of late, the least loaded of them.
+    /// first among equals. When all have failed of late, the least loaded of them; but nothing is
+    /// sent to one that is dark, since that would cost its caller the time of a connection.
     pub fn plain<'a>(
         &'a self,
         service: &'a str,
@@ -367,7 +387,8 @@
             (busy + far) / f64::from(t.record.slots.max(1))
         };
         let least = |a: &&Target, b: &&Target| cost(a).total_cmp(&cost(b));
-        open().filter(|t| t.sound(now)).min_by(least).or_else(|| open().min_by(least))
+        let lit = || open().filter(|t| t.dead != Some(Death::Dark));
+        open().filter(|t| t.sound(now)).min_by(least).or_else(|| lit().min_by(least))
     }
 
     /// The parts that a path through the layers may use.
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -1,7 +1,7 @@
 //! What is known of the targets.
 
 use roseshore_core::gateway::peers::{LoadNote, mark};
-use roseshore_core::gateway::targets::Absence;
+use roseshore_core::gateway::targets::{Absence, Death};
 use roseshore_core::gateway::{TargetRecord, Targets};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
@@ -56,11 +56,11 @@
         },
         Case { name: "another has its address", happens: |t, _| t.replaced("a"), chosen: "b" },
         Case { name: "it failed", happens: |t, now| assert!(t.failed("a", now)), chosen: "b" },
-        Case { name: "it is dead", happens: |t, now| assert!(t.died("a", now)), chosen: "b" },
+        Case { name: "it is dead", happens: |t, _| assert!(t.died("a", Death::Dark)), chosen: "b" },
         Case {
             name: "it answers again",
-            happens: |t, now| {
-                t.died("a", now);
+            happens: |t, _| {
+                t.died("a", Death::Reset);
                 t.answered("a");
             },
             chosen: "a",
@@ -112,6 +112,30 @@
     assert_eq!(chosen(&targets, "north", &["a".to_owned(), "b".to_owned()], now), None);
 }
 
+/// How both targets failed their checks, and whether one of them is tried all the same.
+struct Dead {
+    a: Death,
+    b: Death,
+    tried: Option<&'static str>,
+}
+
+#[test]
+fn nothing_is_sent_into_the_dark() {
+    let cases = [
+        Dead { a: Death::Reset, b: Death::Reset, tried: Some("a") },
+        Dead { a: Death::Dark, b: Death::Reset, tried: Some("b") },
+        Dead { a: Death::Dark, b: Death::Dark, tried: None },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut targets = two();
+        assert!(targets.died("a", case.a) && targets.died("b", case.b));
+        assert_eq!(chosen(&targets, "north", &[], now).as_deref(), case.tried, "{:?}", case.a);
+        targets.answered("b");
+        assert_eq!(chosen(&targets, "north", &[], now).as_deref(), Some("b"));
+    }
+}
+
 #[test]
 fn a_lapsed_entry_that_does_not_come_back_is_gone() {
     let now = Instant::now();
@@ -151,7 +175,7 @@
     targets.progressed(ids.iter(), at(100));
     targets.progressed([ids[1].clone()].iter(), at(300));
     assert_eq!(targets.suspects(&ids, at(100)), ["a".to_owned(), "c".to_owned()]);
-    targets.died("a", at(310));
+    targets.died("a", Death::Dark);
     targets.progressed([ids[0].clone()].iter(), at(320));
     assert!(targets.dead().is_empty(), "what brings something is alive");
 }
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -8,6 +8,7 @@
 use super::{Entry, Role, Timer, note};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
+use roseshore_core::gateway::targets::Death;
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -55,7 +56,9 @@
                 self.roles.insert(key, Role::Liveness(id.to_owned()));
                 self.arm(now + CHECK_TIME, Timer::Liveness(key));
             }
-            Err(err) if err.kind() == ErrorKind::ConnectionRefused => self.mark_dead(id, "reset"),
+            Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
+                self.mark_dead(id, Death::Reset);
+            }
             Err(err) => note!(self, ReportFailed, "target={id} liveness=unsent why={err:?}"),
         }
     }
@@ -77,7 +80,7 @@
             }
             return;
         }
-        self.mark_dead(&id, "reset");
+        self.mark_dead(&id, Death::Reset);
     }
 
     /// The time of a check is over.
@@ -86,7 +89,7 @@
         let Some(check) = self.liveness.checks.get_mut(&id) else { return };
         check.unanswered += 1;
         if check.unanswered >= UNANSWERED {
-            self.mark_dead(&id, "silent");
+            self.mark_dead(&id, Death::Dark);
         } else {
             self.check_alive(&id);
         }
@@ -102,9 +105,9 @@
         Some(id)
     }
 
-    fn mark_dead(&mut self, id: &str, why: &str) {
-        if self.targets.died(id, self.now) {
-            note!(self, TargetLost, "target={id} liveness={why}");
+    fn mark_dead(&mut self, id: &str, death: Death) {
+        if self.targets.died(id, death) {
+            note!(self, TargetLost, "target={id} liveness={}", death.name());
             self.beat_now(false);
         }
         self.liveness.fallen.push(id.to_owned());
