--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -13,7 +13,7 @@
 
 /// Handing a token on inside a data centre, ms: a measured path of five parts took about 1 ms more
 /// a step for each part than its steps alone.
-const HOP_MS: f64 = 0.6;
+pub(super) const HOP_MS: f64 = 0.6;
 /// How much dearer a part's time is when its cache is full: what is nearly full is left to those
 /// that have nothing else. The fourth power keeps it small up to half full.
 const CROWD: f64 = 12.0;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -12,6 +12,7 @@
 mod probes;
 mod records;
 mod sends;
+mod silence;
 mod stopping;
 
 use crate::journal::Journal;
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -52,7 +52,7 @@
     /// What was ordered or seen to be ordered.
     pending: HashMap<TargetId, Pending>,
     /// Targets asked for a report, with the range meant for them.
-    asked: HashMap<TargetId, (Layer, Layer)>,
+    asked: HashMap<TargetId, Layers>,
     /// Orders that were begun: what is to be held, and when to ask whether it is.
     begun: HashMap<TargetId, Begun>,
     /// What was learned that way, and when.
@@ -66,9 +66,9 @@
 /// What a target was ordered to hold, by this host or another.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
-    layers: (Layer, Layer),
+    layers: Layers,
     /// Those that can be counted on soon.
-    firm: Option<(Layer, Layer)>,
+    firm: Option<Layers>,
     /// Believed until then; the list says it by that time.
     until: Instant,
 }
@@ -76,7 +76,7 @@
 /// An order that was begun.
 #[derive(Clone, Copy, Debug)]
 struct Begun {
-    layers: (Layer, Layer),
+    layers: Layers,
     ask: Instant,
     asked: u32,
 }
@@ -176,7 +176,7 @@
         self.live(service).filter_map(member).collect()
     }
 
-    fn want(&mut self, id: &str, layers: (Layer, Layer)) {
+    fn want(&mut self, id: &str, layers: Layers) {
         let now = self.now;
         let since = *self.placing.wanted.get_or_insert(now);
         let place = self.peers.place(now).min(LAST_PLACE) as u32;
@@ -193,7 +193,7 @@
     }
 
     /// How long a target needs to load what it does not hold yet.
-    fn load_time(&self, id: &str, layers: (Layer, Layer)) -> Duration {
+    fn load_time(&self, id: &str, layers: Layers) -> Duration {
         let target = self.targets.get(id);
         let service = target.and_then(|t| self.snapshot.as_ref()?.service(&t.record.service));
         let Some(spec) = service.and_then(|s| s.engine.as_ref()) else { return BEGUN };
@@ -228,13 +228,7 @@
         }
     }
 
-    fn check_begun(
-        &mut self,
-        id: &str,
-        layers: (Layer, Layer),
-        busy: bool,
-        held: Option<(Layer, Layer)>,
-    ) {
+    fn check_begun(&mut self, id: &str, layers: Layers, busy: bool, held: Option<Layers>) {
         if busy || held != Some(layers) {
             return;
         }
@@ -268,7 +262,7 @@
 
     /// Holds a target for one that is to hold these layers, for a time. What it held when that was
     /// first believed decides how much of it can be counted on.
-    fn believe(&mut self, id: &str, layers: (Layer, Layer), time: Duration) {
+    fn believe(&mut self, id: &str, layers: Layers, time: Duration) {
         let until = self.now + time;
         let known = self.placing.pending.get(id).filter(|p| p.layers == layers);
         let held = self.targets.get(id).and_then(Target::holding).map(|h| h.layers);
@@ -324,7 +318,7 @@
     pub(super) fn place_came(
         &mut self,
         id: &str,
-        layers: (Layer, Layer),
+        layers: Layers,
         reply: Result<CallReply, CallFault>,
     ) {
         let begun = matches!(&reply, Ok(r) if r.status == 202 || r.status == 200);
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -4,25 +4,15 @@
 use super::{Entry, Role, Timer, note};
 use crate::http::{self, AnswerHead, Decoder};
 use crate::slab::Key;
+use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::failure::{self, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
-use roseshore_core::gateway::{CallKind, Hop};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Carried;
 use std::net::SocketAddr;
 
 /// For a connection to come up; a millisecond between data centres, and one lost packet.
-const CONNECT: Duration = Duration::from_millis(250);
-/// Silence before the first event after which the path's targets are checked for life, and after which
-/// another path is tried: engines read the largest prompt in a fifth of a second, and a caller
-/// leaves after two.
-const FIRST_SILENT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
-/// The same between events, at least.
-const NEXT_SILENT: (Duration, Duration) = (Duration::from_millis(170), Duration::from_millis(700));
-/// The same as multiples of the predicted time between events.
-const NEXT_SILENT_STEPS: (f64, f64) = (3.5, 10.0);
-/// Silence of a plain service after which a request that may be repeated goes elsewhere.
-const PLAIN_SILENT: Duration = Duration::from_millis(420);
+pub(super) const CONNECT: Duration = Duration::from_millis(250);
 /// How long a request that has not begun is kept for want of room, at most a quarter of its
 /// route's objective: a refusal after that is late.
 const HOLD_FRESH: Duration = Duration::from_millis(80);
@@ -69,14 +59,14 @@
 }
 
 /// Where a send goes.
-struct Choice {
+pub(super) struct Choice {
     target: TargetId,
     addr: SocketAddr,
     path: Vec<(TargetId, SocketAddr, Hop)>,
     held: Vec<(TargetId, f64)>,
     first_ms: f64,
     token_ms: f64,
-    roomy: bool,
+    pub(super) roomy: bool,
     /// Tokens expected to be written.
     expected: f64,
     /// The fullest part's cache, as a share, and whose it is.
@@ -214,7 +204,7 @@
     }
 
     /// The best target or path for a request as it stands; it may lack room.
-    fn choose(&mut self, key: Key) -> Option<Choice> {
+    pub(super) fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
         let (now, near) = (self.now, self.settings.data_centre.as_str());
         let bound = exchange.at_bound();
@@ -252,60 +242,6 @@
         Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected, fill })
     }
 
-    /// Looks whether a request's time is over or its target has been silent for too long.
-    pub(super) fn check_exchange(&mut self, key: Key) {
-        let now = self.now;
-        let Some(exchange) = self.exchanges.get(key) else { return };
-        if now >= exchange.until {
-            return self.end_without(key, Code::TargetSilent, "the time for the request is over");
-        }
-        let Some(send) = &exchange.send else {
-            return self.dispatch(key);
-        };
-        let up = self.net.get(send.socket).is_some_and(|s| s.connected);
-        if !up {
-            if now >= send.sent + CONNECT {
-                return self.failed(key, Fault::NotSent, None);
-            }
-            return self.arm(send.sent + CONNECT, Timer::Exchange(key));
-        }
-        let Some((doubt, give_up)) = silence_limits(exchange) else { return };
-        let silence = now.saturating_duration_since(send.latest);
-        let (latest, until) = (send.latest, exchange.until);
-        if silence < doubt {
-            return self.arm((latest + doubt).min(until), Timer::Exchange(key));
-        }
-        let suspects = self.targets.suspects(&send.targets(), latest);
-        if silence < give_up {
-            self.arm((latest + give_up).min(until), Timer::Exchange(key));
-            for suspect in suspects {
-                self.check_alive(&suspect);
-            }
-            return;
-        }
-        self.silent(key);
-    }
-
-    /// A target has been silent for too long: go elsewhere if there is a way, else go on waiting.
-    fn silent(&mut self, key: Key) {
-        let now = self.now;
-        let Some(exchange) = self.exchanges.get_mut(key) else { return };
-        if !exchange.may_move(now) {
-            return;
-        }
-        // None of them is known to be at fault, so none is held to be: only this request avoids
-        // them.
-        let Some(path) = exchange.send.as_ref().map(Send::targets) else { return };
-        let known = exchange.avoid.len();
-        exchange.avoid.extend(path);
-        if self.choose(key).is_some_and(|choice| choice.roomy) {
-            return self.failed_by(key, Fault::Silent, Vec::new());
-        }
-        if let Some(exchange) = self.exchanges.get_mut(key) {
-            exchange.avoid.truncate(known);
-        }
-    }
-
     /// A send failed; `culprit` is the target at fault if it is not the one it was sent to.
     pub(super) fn failed(&mut self, key: Key, fault: Fault, culprit: Option<SocketAddr>) {
         let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else { return };
@@ -395,20 +331,3 @@
     let most = f64::from(exchange.asked.longest);
     if most > 0.0 { guess.min(most) } else { guess }
 }
-
-/// How long a target may be silent before it is doubted, and before it is given up; `None` where
-/// nothing else could be done.
-fn silence_limits(exchange: &Exchange) -> Option<(Duration, Duration)> {
-    let send = exchange.send.as_ref()?;
-    match exchange.route.kind {
-        CallKind::Unrepeatable | CallKind::Stream { resumable: false } => None,
-        CallKind::Idempotent => Some((PLAIN_SILENT / 2, PLAIN_SILENT)),
-        CallKind::Stream { resumable: true } if send.latest == send.sent => Some(FIRST_SILENT),
-        CallKind::Stream { resumable: true } => {
-            let stride = exchange.service.engine.as_ref().map_or(1.0, |e| e.stride);
-            let step = Duration::from_secs_f64(send.token_ms * stride / 1000.0);
-            let doubt = NEXT_SILENT.0.max(step.mul_f64(NEXT_SILENT_STEPS.0));
-            Some((doubt, NEXT_SILENT.1.max(step.mul_f64(NEXT_SILENT_STEPS.1))))
-        }
-    }
-}
