No circles between serve and front/exchange, nor between ask and show

The front serves whatever stands behind it, by the trait front::exchange::Behind; serve implements it and names the front, not the other way round. Site, the daemon's parts as both see them, is a module of its own. completeness stands with the rows that it judges. No change of behaviour: the tests of roseshored and of the tool pass unchanged.

--- a/crates/roseshore/src/ask.rs
+++ b/crates/roseshore/src/ask.rs
@@ -8,7 +8,7 @@
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
 use roseshore_wire::admin::{Drained, Status};
-use roseshore_wire::query::{Filter, Query, Reply, Topic};
+use roseshore_wire::query::{Filter, Query, Topic};
 
 const LIMIT: Duration = Duration::from_secs(10);
 const WEEK: Duration = Duration::from_hours(7 * 24);
@@ -105,8 +105,3 @@
         Err(message) => Done::failed(Exit::Unreachable, &message),
     }
 }
-
-/// How complete an answer is.
-pub(crate) fn completeness(reply: &Reply) -> Exit {
-    if reply.unasked.is_empty() { Exit::Good } else { Exit::Partial }
-}
--- a/crates/roseshore/src/show.rs
+++ b/crates/roseshore/src/show.rs
@@ -1,6 +1,5 @@
 //! Tables and lines for people.
 
-use crate::ask::completeness;
 use crate::{Done, Exit};
 use comfy_table::{Table, presets};
 use roseshore_core::declare::Diff;
@@ -289,3 +288,8 @@
 fn date(ms: u64) -> String {
     time(ms).chars().take(10).collect()
 }
+
+/// How complete an answer is.
+fn completeness(reply: &Reply) -> Exit {
+    if reply.unasked.is_empty() { Exit::Good } else { Exit::Partial }
+}
--- a/crates/roseshored/src/drain.rs
+++ b/crates/roseshored/src/drain.rs
@@ -8,8 +8,9 @@
 use crate::event;
 use crate::front::Front;
 use crate::operators::Console;
-use crate::serve::Site;
+use crate::serve::Paths;
 use crate::settings::Settings;
+use crate::site::Site;
 use crate::spans;
 use flume::Receiver;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
@@ -44,7 +45,7 @@
 pub fn start(settings: &Settings, app: App, console: Option<Console>) -> io::Result<Running> {
     let drain = app.drain.clone();
     let site = Site { app, console, store: spans::install(settings.traces), metrics: recorder() };
-    let front = Front::start(settings, site)?;
+    let front = Front::start(settings, site, &Paths)?;
     let addr = front.addr();
     event!(
         Event::Started,
--- a/crates/roseshored/src/front.rs
+++ b/crates/roseshored/src/front.rs
@@ -11,9 +11,9 @@
 mod work;
 
 use crate::event;
-use crate::serve::Site;
 use crate::settings::Settings;
-use exchange::Exchange;
+use crate::site::Site;
+use exchange::{Behind, Exchange};
 use parking_lot::Mutex;
 use pool::Pool;
 use read::{Bounds, ReadEnd, Reader, Request};
@@ -44,6 +44,7 @@
 /// What all connections share.
 struct Shared {
     site: Site,
+    behind: &'static dyn Behind,
     bounds: Bounds,
     write: Duration,
     work: Work,
@@ -64,7 +65,11 @@
     ///
     /// # Errors
     /// When the address cannot be listened on.
-    pub fn start(settings: &Settings, site: Site) -> io::Result<Front> {
+    pub fn start(
+        settings: &Settings,
+        site: Site,
+        behind: &'static dyn Behind,
+    ) -> io::Result<Front> {
         let listener = listen(settings.listen)?;
         let addr = listener.local_addr()?;
         let bounds = Bounds {
@@ -74,6 +79,7 @@
         };
         let shared = Arc::new(Shared {
             site,
+            behind,
             bounds,
             write: settings.write_limit,
             work: Work::new(settings.requests),
@@ -209,8 +215,8 @@
     fn answer(&self, stream: &TcpStream, request: &Request) -> bool {
         let Ok(copy) = stream.try_clone() else { return true };
         let last = request.last || self.closing.load(Ordering::SeqCst);
-        let mut exchange = Exchange::new(&self.site, copy, Some(request), last);
-        if crate::serve::is_sight(request) {
+        let mut exchange = Exchange::new(&self.site, self.behind, copy, Some(request), last);
+        if self.behind.is_sight(request) {
             exchange.run(request);
         } else {
             match self.work.enter() {
@@ -223,7 +229,7 @@
 
     fn refuse(&self, stream: &TcpStream, head: Option<&Request>, refusal: Refusal) {
         if let Ok(copy) = stream.try_clone() {
-            Exchange::new(&self.site, copy, head, true).refuse(refusal);
+            Exchange::new(&self.site, self.behind, copy, head, true).refuse(refusal);
         }
     }
 
--- a/crates/roseshored/src/front/exchange.rs
+++ b/crates/roseshored/src/front/exchange.rs
@@ -6,7 +6,7 @@
 use crate::event;
 use crate::front::read::Request;
 use crate::front::reply::{Reply, Response};
-use crate::serve::{self, Site};
+use crate::site::Site;
 use crate::spans::{Trace, hex16};
 use rand::RngExt;
 use roseshore_core::prelude::*;
@@ -30,10 +30,26 @@
     pub resumed: u32,
 }
 
+/// What is behind the front.
+pub trait Behind: Sync {
+    /// Serves one request.
+    ///
+    /// # Errors
+    /// The refusal that ends it.
+    fn handle(&self, request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal>;
+
+    /// Whether a request only looks at the daemon; those are served while it is full or leaving.
+    fn is_sight(&self, request: &Request) -> bool;
+
+    /// Whose request it is, if it is one that must not be dropped silently.
+    fn advisory(&self, site: &Site, request: &Request, id: &RequestId) -> Option<Ask>;
+}
+
 /// One request on its way to its end.
 pub struct Exchange<'a> {
     /// The daemon's parts.
     pub site: &'a Site,
+    behind: &'a dyn Behind,
     /// The request's own id: the caller's, if it gave one, and a part that never occurs twice.
     pub id: RequestId,
     /// The id as the caller knows it.
@@ -62,6 +78,7 @@
     /// The exchange of a request, or of one whose head could not be read.
     pub fn new(
         site: &'a Site,
+        behind: &'a dyn Behind,
         stream: TcpStream,
         request: Option<&'a Request>,
         last: bool,
@@ -74,6 +91,7 @@
         let id = sane.map_or(nonce.clone(), |it| format!("{it}~{nonce}"));
         Exchange {
             site,
+            behind,
             given: sane.map_or(nonce, str::to_owned),
             id,
             trace: Trace::below(header("traceparent")),
@@ -97,8 +115,9 @@
             trace = self.trace.id(),
             path = request.path.as_str(),
         );
+        let behind = self.behind;
         let result =
-            span.in_scope(|| catch_unwind(AssertUnwindSafe(|| serve::handle(request, self))));
+            span.in_scope(|| catch_unwind(AssertUnwindSafe(|| behind.handle(request, self))));
         match result {
             Ok(Ok(finish)) if !self.reply.unsent() && !self.reply.streaming() => {
                 self.end(Verdict::Answered, None, finish);
@@ -142,7 +161,7 @@
     /// A request that was refused before it was read may be advisory work.
     fn look_whose(&mut self) {
         let (None, Some(request)) = (&self.ask, self.request) else { return };
-        self.ask = serve::advisory::ask(self.site, request, &self.id);
+        self.ask = self.behind.advisory(self.site, request, &self.id);
         if let Some(ask) = &self.ask {
             self.advisory = true;
             self.site.app.ledger.begun(ask);
--- a/crates/roseshored/src/lib.rs
+++ b/crates/roseshored/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod routing;
 pub mod serve;
 pub mod settings;
+pub mod site;
 pub mod spans;
 mod stream;
 
--- a/crates/roseshored/src/serve.rs
+++ b/crates/roseshored/src/serve.rs
@@ -4,35 +4,20 @@
 //! a configuration, can the body be read, are service, adapter and organisation declared, is there
 //! room, is the key free - and only then is a target given anything.
 
-pub mod advisory;
+mod advisory;
 mod asking;
 mod models;
 mod record;
 mod services;
 mod sight;
 
-use crate::app::App;
-use crate::front::exchange::{Exchange, Finish};
+use crate::front::exchange::{Behind, Exchange, Finish};
 use crate::front::read::Request;
-use crate::operators::Console;
-use crate::spans::Store;
-use metrics_exporter_prometheus::PrometheusHandle;
+use crate::site::Site;
 use roseshore_core::prelude::*;
+use roseshore_ports::inside::Ask;
 use tiny_http::Method;
 
-/// What the paths need of the daemon.
-#[derive(Clone)]
-pub struct Site {
-    /// The parts.
-    pub app: App,
-    /// What operators' calls touch; without it there are none.
-    pub console: Option<Console>,
-    /// The spans of the last requests.
-    pub store: &'static Store,
-    /// The metrics.
-    pub metrics: Option<PrometheusHandle>,
-}
-
 /// The path of chats.
 const CHAT: &str = "/v1/chat/completions";
 /// The path of completions of a text.
@@ -42,17 +27,30 @@
 /// The path below which services are called.
 const CALL: &str = "/v1/call/";
 
+/// The paths behind the front.
+pub struct Paths;
+
+impl Behind for Paths {
+    fn handle(&self, request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal> {
+        handle(request, exchange)
+    }
+
+    fn is_sight(&self, request: &Request) -> bool {
+        is_sight(request)
+    }
+
+    fn advisory(&self, site: &Site, request: &Request, id: &RequestId) -> Option<Ask> {
+        advisory::ask(site, request, id)
+    }
+}
+
 /// Whether a request only looks at the daemon; those are served while it is full or leaving.
-pub fn is_sight(request: &Request) -> bool {
+fn is_sight(request: &Request) -> bool {
     let work = [CHAT, TEXT, LOOKUP, CALL];
     !work.iter().any(|it| request.path.starts_with(it))
 }
 
-/// Serves one request.
-///
-/// # Errors
-/// The refusal that ends it.
-pub fn handle(request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal> {
+fn handle(request: &Request, exchange: &mut Exchange<'_>) -> Result<Finish, Refusal> {
     let path = request.path.as_str();
     if is_sight(request) {
         return sight::handle(request, exchange);
--- a/crates/roseshored/src/serve/advisory.rs
+++ b/crates/roseshored/src/serve/advisory.rs
@@ -5,7 +5,7 @@
 
 use super::{CALL, CHAT, LOOKUP, TEXT};
 use crate::front::read::Request;
-use crate::serve::Site;
+use crate::site::Site;
 use roseshore_core::ledger::account::OTHERS;
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::Ask;
@@ -19,7 +19,7 @@
 
 /// Whose request it is, if it names an advisory service; an organisation that is not declared is
 /// counted under [`OTHERS`].
-pub fn ask(site: &Site, request: &Request, id: &RequestId) -> Option<Ask> {
+pub(super) fn ask(site: &Site, request: &Request, id: &RequestId) -> Option<Ask> {
     let fleet = site.app.fleets.current()?.fleet;
     let service = service(request)?;
     let declared = fleet.services.get(&service).filter(|it| it.advisory)?;
--- /dev/null
+++ b/crates/roseshored/src/site.rs
@@ -0,0 +1,19 @@
+//! The daemon's parts as the front and the paths behind it see them.
+
+use crate::app::App;
+use crate::operators::Console;
+use crate::spans::Store;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// What the paths need of the daemon.
+#[derive(Clone)]
+pub struct Site {
+    /// The parts.
+    pub app: App,
+    /// What operators' calls touch; without it there are none.
+    pub console: Option<Console>,
+    /// The spans of the last requests.
+    pub store: &'static Store,
+    /// The metrics.
+    pub metrics: Option<PrometheusHandle>,
+}
