--- a/crates/roseshore_relay/src/entry/copying.rs
+++ b/crates/roseshore_relay/src/entry/copying.rs
@@ -11,10 +11,7 @@
     /// Asks a host for what it has read beyond this one; whether it was asked.
     pub(super) fn ask_copy(&mut self, from: SocketAddr) -> bool {
         let Some(until) = self.copies.ask(self.now) else { return false };
-        let request = CopyRequest {
-            config: self.snapshot.as_ref().map_or(0, |s| s.version()),
-            list: self.list_mark().next,
-        };
+        let request = CopyRequest { config: self.config_version(), list: self.list_mark().next };
         let mut bytes = Vec::new();
         let asked = frame::write(&mut bytes, &request).map_err(|err| err.to_string());
         let socket = asked.and_then(|()| self.net.connect(from).map_err(|err| err.to_string()));
@@ -77,7 +74,7 @@
             // Those that were turned away ask here next.
             self.beat_now(false);
         }
-        if self.peers.newest_config(self.now) > self.snapshot.as_ref().map_or(0, |s| s.version()) {
+        if self.peers.newest_config(self.now) > self.config_version() {
             self.read_config_now();
         }
         self.judge_ready();
@@ -101,7 +98,7 @@
                 return self.close(key);
             }
         };
-        let version = self.snapshot.as_ref().map_or(0, |s| s.version());
+        let version = self.config_version();
         let newer = version > request.config;
         let copy = StoreCopy {
             config: newer.then(|| self.following.config_bytes.clone()),
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -127,7 +127,7 @@
     }
 
     fn refused(&mut self, refusal: Refusal, attempt: Option<String>) -> Refused {
-        let version = self.snapshot.as_ref().map_or(0, |s| s.version());
+        let version = self.config_version();
         let age = millis(self.currency.age(self.now));
         note!(
             self,
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -28,7 +28,7 @@
             for hold in holds {
                 self.take_hold(hold);
             }
-            let known = self.snapshot.as_ref().map_or(0, |s| s.version());
+            let known = self.config_version();
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
                 self.currency.prove(proven);
             }
@@ -71,7 +71,7 @@
         let age = self.currency.age(self.now);
         let own = Own {
             leaving: self.stopping.is_some(),
-            config: self.snapshot.as_ref().map_or(0, |s| s.version()),
+            config: self.config_version(),
             proven: age.and_then(|age| self.now.checked_sub(age)),
             list: self.list_mark(),
             listed: self.following.outage.confirmed(),
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -54,7 +54,7 @@
 
     /// Notes whether a neighbour has a newer configuration.
     pub(super) fn judge_age(&mut self) {
-        let known = self.snapshot.as_ref().map_or(0, |s| s.version());
+        let known = self.config_version();
         let newer = self.peers.newest_config(self.now) > known;
         self.outdated = if newer { self.outdated.or(Some(self.now)) } else { None };
     }
@@ -79,7 +79,7 @@
         if ready != self.ready {
             self.ready = ready;
             let (age, stopping) = (millis(age), self.stopping.is_some());
-            let version = self.snapshot.as_ref().map_or(0, |s| s.version());
+            let version = self.config_version();
             note!(
                 self,
                 ReadyChanged,
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -10,6 +10,11 @@
 use std::sync::Arc;
 
 impl Entry {
+    /// The version of the configuration in force; 0 for none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.version())
+    }
+
     /// A host's list of targets came, and how long it holds those that drop out for lapsed.
     pub(super) fn list_copied(&mut self, copy: ListCopy) {
         if copy.next <= self.following.list_next().unwrap_or(0) {
@@ -87,24 +92,19 @@
 
     /// Puts a configuration in force that is newer than the one at hand.
     pub(super) fn take_config(&mut self, value: Vec<u8>) {
-        let known = self.snapshot.as_ref().map(|s| s.version());
+        let known = self.config_version();
         match self.platform.config(&value) {
-            Ok(fresh) if known.is_some_and(|v| fresh.version() <= v) => {}
+            Ok(fresh) if self.snapshot.is_some() && fresh.version() <= known => {}
             Ok(fresh) => {
                 let version = fresh.version();
                 self.snapshot = Some(Arc::new(fresh));
                 let bytes = value.len();
-                note!(
-                    self,
-                    ConfigApplied,
-                    "config_version={version} before={} bytes={bytes}",
-                    known.unwrap_or(0)
-                );
+                note!(self, ConfigApplied, "config_version={version} before={known} bytes={bytes}");
                 self.following.config_bytes = value;
                 self.beat_now(true);
             }
             Err(err) => {
-                note!(self, ConfigSkipped, "kept_version={} why={err:?}", known.unwrap_or(0));
+                note!(self, ConfigSkipped, "kept_version={known} why={err:?}");
             }
         }
     }
