A list that the asker has is not copied to find that out

Read once more: a host that is asked for a copy cloned all its records and only then saw that the asker had read as far. It looks at the offset first now. Behaviour as before; clippy and the tests of platform/ pass.

--- a/crates/roseshore_relay/src/entry/copying.rs
+++ b/crates/roseshore_relay/src/entry/copying.rs
@@ -98,11 +98,11 @@
                 return self.close(key);
             }
         };
-        let version = self.config_version();
-        let newer = version > request.config;
+        let newer = self.config_version() > request.config;
+        let further = self.following.list_next().is_some_and(|next| next > request.list);
         let copy = StoreCopy {
             config: newer.then(|| self.following.config_bytes.clone()),
-            list: self.list_copy().filter(|list| list.next > request.list),
+            list: further.then(|| self.list_copy()).flatten(),
         };
         let mut bytes = Vec::new();
         let mut written = frame::write(&mut bytes, &copy);
