What was learned of an engine's layers gives way to the newer word

Ruled out: leaked counts of own requests (0 to 2 open there). Change: a learned range is believed only as long as it is said, a report that agrees with the list clears it, an order clears what was learned before it. Test: tests/gateway/holdings.rs; its third to fifth case fail without the change.

--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -5,138 +5,18 @@
 //! out of the list is gone, unless the store was out of reach a moment ago: then heartbeats may
 //! have lapsed for no fault of the target, and it stays for the time in which it would come back.
 
+mod target;
+
 use super::path::{Part, PathNeed};
-use super::peers::{ListMark, LoadNote, TargetMark, mark};
+use super::peers::{ListMark, LoadNote, TargetMark};
 use super::routes::EngineSpec;
-use crate::load::health::Health;
 use crate::prelude::*;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use target::Learned;
+pub use target::{Death, Holding, Target, TargetRecord};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The layers an engine holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
-    /// First layer and one past the last.
-    pub layers: (Layer, Layer),
-}
-
-/// A target as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetRecord {
-    /// Its id, one a life.
-    pub id: TargetId,
-    /// The service it serves.
-    pub service: ServiceId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it takes no new work.
-    pub draining: bool,
-    /// The kind of its accelerator.
-    pub kind: Option<String>,
-    /// The layers it holds, if it is an engine that holds any.
-    pub holding: Option<Holding>,
-}
-
-/// How a target failed its liveness checks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Death {
-    /// Its port resets connections: the process is gone, or takes no more of them.
-    Reset,
-    /// Nothing answers: its machine is dark, or a link to it is cut.
-    Dark,
-}
-
-impl Death {
-    /// The name in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Death::Reset => "reset",
-            Death::Dark => "silent",
-        }
-    }
-}
-
-/// A target and this host's own view of it.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// The list's record.
-    pub record: TargetRecord,
-    /// Own requests in flight.
-    pub own: u32,
-    /// KV cache that own requests take, tokens times layers.
-    pub held: f64,
-    /// It dropped out of the list, and is kept until then.
-    missing: Option<Instant>,
-    /// Whether another target answered at its address.
-    replaced: bool,
-    mark: TargetMark,
-    /// What other hosts have there.
-    others: LoadNote,
-    health: Health,
-    load: Option<(f64, Instant)>,
-    /// What it holds by its own report, where the list does not say so yet.
-    learned: Option<Holding>,
-    /// When something last came through it.
-    progress: Option<Instant>,
-    /// How it failed its last liveness checks, if it did.
-    dead: Option<Death>,
-}
-
-impl Target {
-    fn new(record: TargetRecord) -> Target {
-        Target {
-            mark: mark(&record.id),
-            others: LoadNote::default(),
-            record,
-            own: 0,
-            held: 0.0,
-            missing: None,
-            replaced: false,
-            health: Health::default(),
-            load: None,
-            learned: None,
-            progress: None,
-            dead: None,
-        }
-    }
-
-    /// Whether new work may go there by what the list and the target itself say.
-    pub fn open(&self) -> bool {
-        !self.record.draining && !self.replaced
-    }
-
-    /// Whether own experience allows new work, too.
-    pub fn sound(&self, now: Instant) -> bool {
-        !self.down() && self.health.usable(now, self.own)
-    }
-
-    /// Whether it answers nobody's liveness checks.
-    pub fn down(&self) -> bool {
-        self.dead.is_some() || self.others.down
-    }
-
-    /// Requests in flight of all hosts.
-    pub fn busy(&self) -> f64 {
-        f64::from(self.own) + f64::from(self.others.own)
-    }
-
-    /// KV cache that all hosts' requests take, tokens times layers.
-    pub fn taken(&self) -> f64 {
-        self.held + f64::from(self.others.held) * 1000.0
-    }
-
-    /// The layers it holds.
-    pub fn holding(&self) -> Option<Holding> {
-        self.learned.or(self.record.holding)
-    }
-}
-
 /// What follows from a target's absence in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Absence {
@@ -201,6 +81,9 @@
 
     /// Lets time pass; returns the targets that have been missing for too long.
     pub fn tick(&mut self, now: Instant) -> Vec<TargetId> {
+        for target in self.all.values_mut() {
+            target.learned = target.learned.filter(|learned| now < learned.until);
+        }
         let late = |t: &Target| t.missing.is_some_and(|until| now >= until);
         let gone: Vec<_> =
             self.all.iter().filter(|(_, t)| late(t)).map(|(id, _)| id.clone()).collect();
@@ -317,12 +200,12 @@
         }
     }
 
-    /// A target holds layers by its own report.
-    pub fn learned(&mut self, target: TargetMark, layers: (Layer, Layer)) {
-        let found = self.all.values_mut().find(|t| t.mark == target);
-        if let Some(target) = found.filter(|t| t.record.holding != Some(Holding { layers })) {
-            target.learned = Some(Holding { layers });
-        }
+    /// A target holds layers by its own report, which is believed until then.
+    pub fn learned(&mut self, target: TargetMark, layers: (Layer, Layer), until: Instant) {
+        let Some(target) = self.all.values_mut().find(|t| t.mark == target) else { return };
+        let holding = Holding { layers };
+        let news = target.record.holding != Some(holding);
+        target.learned = news.then_some(Learned { holding, until });
     }
 
     /// What other hosts have at the targets.
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -0,0 +1,139 @@
+//! One target: its record in the platform's list, and this host's own view of it.
+
+use super::super::peers::{LoadNote, TargetMark, mark};
+use crate::load::health::Health;
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The layers an engine holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// First layer and one past the last.
+    pub layers: (Layer, Layer),
+}
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Its id, one a life.
+    pub id: TargetId,
+    /// The service it serves.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// The kind of its accelerator.
+    pub kind: Option<String>,
+    /// The layers it holds, if it is an engine that holds any.
+    pub holding: Option<Holding>,
+}
+
+/// What a target was said to hold. Without the bound, one word that came after a newer list was
+/// believed until the target's next change: the other hosts of a data centre then counted a part
+/// as narrower than it was, and refused for twenty seconds while one host served alone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Learned {
+    pub(super) holding: Holding,
+    /// Believed until then, unless it is said again.
+    pub(super) until: Instant,
+}
+
+/// How a target failed its liveness checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Death {
+    /// Its port resets connections: the process is gone, or takes no more of them.
+    Reset,
+    /// Nothing answers: its machine is dark, or a link to it is cut.
+    Dark,
+}
+
+impl Death {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Death::Reset => "reset",
+            Death::Dark => "silent",
+        }
+    }
+}
+
+/// A target and this host's own view of it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The list's record.
+    pub record: TargetRecord,
+    /// Own requests in flight.
+    pub own: u32,
+    /// KV cache that own requests take, tokens times layers.
+    pub held: f64,
+    /// It dropped out of the list, and is kept until then.
+    pub(super) missing: Option<Instant>,
+    /// Whether another target answered at its address.
+    pub(super) replaced: bool,
+    pub(super) mark: TargetMark,
+    /// What other hosts have there.
+    pub(super) others: LoadNote,
+    pub(super) health: Health,
+    pub(super) load: Option<(f64, Instant)>,
+    /// What it holds by its own report, where the list does not say so yet.
+    pub(super) learned: Option<Learned>,
+    /// When something last came through it.
+    pub(super) progress: Option<Instant>,
+    /// How it failed its last liveness checks, if it did.
+    pub(super) dead: Option<Death>,
+}
+
+impl Target {
+    pub(super) fn new(record: TargetRecord) -> Target {
+        Target {
+            mark: mark(&record.id),
+            others: LoadNote::default(),
+            record,
+            own: 0,
+            held: 0.0,
+            missing: None,
+            replaced: false,
+            health: Health::default(),
+            load: None,
+            learned: None,
+            progress: None,
+            dead: None,
+        }
+    }
+
+    /// Whether new work may go there by what the list and the target itself say.
+    pub fn open(&self) -> bool {
+        !self.record.draining && !self.replaced
+    }
+
+    /// Whether own experience allows new work, too.
+    pub fn sound(&self, now: Instant) -> bool {
+        !self.down() && self.health.usable(now, self.own)
+    }
+
+    /// Whether it answers nobody's liveness checks.
+    pub fn down(&self) -> bool {
+        self.dead.is_some() || self.others.down
+    }
+
+    /// Requests in flight of all hosts.
+    pub fn busy(&self) -> f64 {
+        f64::from(self.own) + f64::from(self.others.own)
+    }
+
+    /// KV cache that all hosts' requests take, tokens times layers.
+    pub fn taken(&self) -> f64 {
+        self.held + f64::from(self.others.held) * 1000.0
+    }
+
+    /// The layers it holds.
+    pub fn holding(&self) -> Option<Holding> {
+        self.learned.map(|l| l.holding).or(self.record.holding)
+    }
+}
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -5,6 +5,7 @@
     mod copies;
     mod failure;
     mod figures;
+    mod holdings;
     mod leaving;
     mod outage;
     mod path;
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -33,7 +33,7 @@
 /// Between questions whether a load is done, and how many there are at most.
 const ASK_AGAIN: Duration = Duration::from_millis(400);
 const ASKS: u32 = 8;
-/// What another host ordered is believed for so long after each word of it.
+/// What another host ordered, or learned, is believed for so long after each word of it.
 const ORDERED: Duration = Duration::from_millis(1200);
 /// Orders and loads that a heartbeat tells of; more do not fit a datagram beside the rest.
 const TOLD: usize = 24;
@@ -234,7 +234,8 @@
         }
         self.placing.begun.remove(id);
         let note = HoldNote { target: mark(id), layers, done: true };
-        self.targets.learned(note.target, layers);
+        self.targets.learned(note.target, layers, self.now + LEARNED);
+        self.placing.learned.retain(|(old, _)| old.target != note.target);
         self.placing.learned.push((note, self.now));
         note!(self, TargetListed, "target={id} layers={}-{} by=report", layers.0, layers.1);
         self.beat_now(false);
@@ -252,7 +253,7 @@
     /// Another host ordered layers, or learned that they are held.
     pub(super) fn take_hold(&mut self, hold: HoldNote) {
         if hold.done {
-            return self.targets.learned(hold.target, hold.layers);
+            return self.targets.learned(hold.target, hold.layers, self.now + ORDERED);
         }
         let Some(id) = self.targets.marked(hold.target).cloned() else { return };
         if !self.placing.begun.contains_key(&id) {
@@ -308,6 +309,7 @@
             layers.1,
             report.orders
         );
+        self.placing.learned.retain(|(note, _)| note.target != mark(id));
         self.believe(id, layers, BEGUN);
         let ask = now + self.load_time(id, layers);
         self.placing.begun.insert(id.to_owned(), Begun { layers, ask, asked: 0 });
