An engine that gives layers up has their room when what passes through is done

Change: while that lasts (until its report says so, 3 s at most) a part's room is that beside the weights it still keeps. Test: gateway::holdings::layers_that_are_given_up_take_room_until_what_passes_through_is_done.

--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -38,12 +38,7 @@
     /// Takes a record of the list; returns whether it changed anything that matters for work.
     pub fn put(&mut self, record: TargetRecord) -> bool {
         if let Some(known) = self.all.get_mut(&record.id) {
-            known.missing = None;
-            let changed = known.record != record;
-            if known.record.holding != record.holding {
-                known.learned = None;
-            }
-            known.record = record;
+            let changed = known.listed(record);
             self.refresh_digest();
             return changed;
         }
@@ -82,7 +77,7 @@
     /// Lets time pass; returns the targets that have been missing for too long.
     pub fn tick(&mut self, now: Instant) -> Vec<TargetId> {
         for target in self.all.values_mut() {
-            target.learned = target.learned.filter(|learned| now < learned.until);
+            target.tick(now);
         }
         let late = |t: &Target| t.missing.is_some_and(|until| now >= until);
         let gone: Vec<_> =
@@ -204,6 +199,7 @@
     pub fn learned(&mut self, target: TargetMark, layers: (Layer, Layer), until: Instant) {
         let Some(target) = self.all.values_mut().find(|t| t.mark == target) else { return };
         let holding = Holding { layers };
+        target.clearing = None;
         let news = target.record.holding != Some(holding);
         target.learned = news.then_some(Learned { holding, until });
     }
@@ -294,8 +290,8 @@
         let busy = t.busy();
         let context = spec.context_ms * (spec.prompt + spec.answer);
         let step = spec.step_ms + (spec.per_seq_ms + context) * (busy + 1.0);
-        let width = layers.1 - layers.0;
-        let room = spec.room(kind.size_mb, width) * f64::from(width);
+        let weights = t.weights();
+        let room = spec.room(kind.size_mb, weights) * f64::from(weights);
         Some(Part {
             id: t.record.id.clone(),
             addr: t.record.addr,
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -6,6 +6,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// How long an engine takes at most to be done with what passes through layers that it gives up:
+/// an answer of usual length takes 2 to 4 s on loaded engines.
+const CLEAR_TIME: Duration = Duration::from_secs(3);
+
 /// The layers an engine holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -44,6 +48,17 @@
     pub(super) until: Instant,
 }
 
+/// An engine that gives layers up keeps their weights until what passes through them is done, and
+/// has no more room before. Counted as free at once, that room made engines turn away requests
+/// which their hosts took them to have room for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clearing {
+    /// Layers whose weights it still keeps.
+    pub(super) width: Layer,
+    /// Done by then; known from the first tick on.
+    pub(super) until: Option<Instant>,
+}
+
 /// How a target failed its liveness checks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Death {
@@ -87,6 +102,7 @@
     pub(super) progress: Option<Instant>,
     /// How it failed its last liveness checks, if it did.
     pub(super) dead: Option<Death>,
+    pub(super) clearing: Option<Clearing>,
 }
 
 impl Target {
@@ -104,6 +120,7 @@
             learned: None,
             progress: None,
             dead: None,
+            clearing: None,
         }
     }
 
@@ -132,6 +149,45 @@
         self.held + f64::from(self.others.held) * 1000.0
     }
 
+    /// Takes a record of the list; returns whether it changed anything that matters for work.
+    pub(super) fn listed(&mut self, record: TargetRecord) -> bool {
+        self.missing = None;
+        if self.record.holding != record.holding {
+            self.clear_from(self.holding(), record.holding);
+            self.learned = None;
+        }
+        let changed = self.record != record;
+        self.record = record;
+        changed
+    }
+
+    /// Notes that layers are given up, if they are.
+    fn clear_from(&mut self, old: Option<Holding>, new: Option<Holding>) {
+        let (Some(old), Some(new)) = (old, new) else { return };
+        let (old, new) = (old.layers, new.layers);
+        if old.0 < new.0 || new.1 < old.1 {
+            let width = old.1.max(new.1) - old.0.min(new.0);
+            self.clearing = Some(Clearing { width, until: None });
+        }
+    }
+
+    /// Lets time pass for what is believed for a while only.
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.learned = self.learned.filter(|learned| now < learned.until);
+        if let Some(clearing) = &mut self.clearing {
+            let until = *clearing.until.get_or_insert(now + CLEAR_TIME);
+            if now >= until {
+                self.clearing = None;
+            }
+        }
+    }
+
+    /// Layers whose weights take of its memory.
+    pub fn weights(&self) -> Layer {
+        let held = self.holding().map_or(0, |h| h.layers.1 - h.layers.0);
+        self.clearing.map_or(held, |clearing| clearing.width.max(held))
+    }
+
     /// The layers it holds.
     pub fn holding(&self) -> Option<Holding> {
         self.learned.map(|l| l.holding).or(self.record.holding)
--- a/crates/roseshore_core/tests/gateway/holdings.rs
+++ b/crates/roseshore_core/tests/gateway/holdings.rs
@@ -1,5 +1,7 @@
 //! Which layers a target is taken to hold, by the list and by what hosts learned.
 
+use super::figures::spec;
+use roseshore_core::gateway::PathNeed;
 use roseshore_core::gateway::peers::mark;
 use roseshore_core::gateway::targets::Holding;
 use roseshore_core::gateway::{TargetRecord, Targets};
@@ -82,3 +84,33 @@
         assert_eq!(holding.map(|h| h.layers), Some(case.holds), "{}", case.name);
     }
 }
+
+#[test]
+fn layers_that_are_given_up_take_room_until_what_passes_through_is_done() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    let room = |targets: &Targets| {
+        let need = PathNeed {
+            layers: 80,
+            prompt: 700.0,
+            answer: 200.0,
+            near: "north",
+            avoid: &[],
+            starts: None,
+        };
+        let parts = targets.parts("engines", &spec(), &need, now);
+        parts.first().map_or(0, |part| part.room as u64)
+    };
+    targets.put(listed((70, 80)));
+    let wide = room(&targets);
+    targets.put(listed((75, 80)));
+    targets.tick(now);
+    assert!(room(&targets) <= wide, "the weights of ten layers are there");
+    targets.tick(now + Duration::from_secs(4));
+    let narrow = room(&targets);
+    assert!(narrow > wide, "{narrow} over {wide}");
+    targets.put(listed((70, 80)));
+    targets.put(listed((75, 80)));
+    targets.learned(mark("a"), (75, 80), now + Duration::from_secs(5));
+    assert_eq!(room(&targets), narrow, "its own report says that it is done");
+}
