One host of a data centre gives its orders, to targets that hold what it took them to hold

An order was sent although the report before it showed another range than the plan was made from. Change: plan::giving decides: steps to a better placement are the first living host's alone, repairs wait 1.5 s a place (0.6 before; longer than the 1.2 s after which a silent host is gone), and a report that shows other layers than assumed is learned and planned from anew. The kept plan is made anew when the host's place changes. Tests: gateway::giving, two tables.

--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -12,6 +12,7 @@
 //! room is.
 
 mod copies;
+pub mod giving;
 mod improve;
 mod repair;
 mod value;
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/plan/giving.rs
@@ -0,0 +1,60 @@
+//! Who gives the orders of a data centre, and when an order is sent.
+//!
+//! The first living host gives them. The others work out the same repairs from the same list, and
+//! wait in case the first one cannot act. Two hosts with views of their own that both take steps
+//! undo each other's: a layer then had no holder for 12 s, though nothing was lost.
+
+use super::Layers;
+use crate::prelude::*;
+
+/// Hosts of a data centre repair holes one after the other, so far apart: longer than it takes to
+/// find that the host before is gone.
+const APART: Duration = Duration::from_millis(1500);
+/// Places in that order that make a difference.
+const LAST_PLACE: u32 = 4;
+
+/// What an order is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Layers without a holder, or an engine without layers.
+    Repair,
+    /// A placement that carries more; nothing is broken.
+    Step,
+}
+
+/// Whether a host gives the orders that it has wanted for so long; `place` is its own among the
+/// living hosts of its data centre, 0 the first.
+pub fn may_order(need: Need, place: usize, waited: Duration) -> bool {
+    match need {
+        Need::Step => place == 0,
+        Need::Repair => {
+            let place = u32::try_from(place).unwrap_or(LAST_PLACE).min(LAST_PLACE);
+            waited >= APART * place
+        }
+    }
+}
+
+/// What a target's report leads to before an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reported {
+    /// It is under an order, or holds the range already.
+    Underway,
+    /// It holds other layers than the plan was made from, which is made anew.
+    Other(Layers),
+    /// The order is sent.
+    Order,
+}
+
+/// Judges a report: what the target holds, against what is wanted and what it was taken to hold.
+pub fn judge(
+    busy: bool,
+    held: Option<Layers>,
+    wanted: Layers,
+    assumed: Option<Layers>,
+) -> Reported {
+    match held {
+        _ if busy || held == Some(wanted) => Reported::Underway,
+        Some(held) if assumed != Some(held) => Reported::Other(held),
+        _ => Reported::Order,
+    }
+}
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -5,6 +5,7 @@
     mod copies;
     mod failure;
     mod figures;
+    mod giving;
     mod holdings;
     mod leaving;
     mod outage;
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/giving.rs
@@ -0,0 +1,60 @@
+//! Who gives orders, and when one is sent.
+
+use roseshore_core::gateway::plan::Layers;
+use roseshore_core::gateway::plan::giving::{Need, Reported, judge, may_order};
+use roseshore_core::prelude::*;
+
+struct Turn {
+    need: Need,
+    place: usize,
+    waited_ms: u64,
+    orders: bool,
+}
+
+#[test]
+fn one_host_takes_steps_and_the_others_only_repair_late() {
+    let cases = [
+        Turn { need: Need::Repair, place: 0, waited_ms: 0, orders: true },
+        Turn { need: Need::Repair, place: 1, waited_ms: 1_200, orders: false },
+        Turn { need: Need::Repair, place: 1, waited_ms: 1_500, orders: true },
+        Turn { need: Need::Repair, place: 2, waited_ms: 1_600, orders: false },
+        Turn { need: Need::Repair, place: 90, waited_ms: 6_000, orders: true },
+        Turn { need: Need::Step, place: 0, waited_ms: 0, orders: true },
+        Turn { need: Need::Step, place: 1, waited_ms: 60_000, orders: false },
+    ];
+    for case in cases {
+        let orders = may_order(case.need, case.place, Duration::from_millis(case.waited_ms));
+        assert_eq!(orders, case.orders, "{:?} {}", case.need, case.place);
+    }
+}
+
+struct Report {
+    busy: bool,
+    held: Option<Layers>,
+    assumed: Option<Layers>,
+    leads: Reported,
+}
+
+#[test]
+fn an_order_is_sent_to_a_target_that_holds_what_the_plan_took_it_to_hold() {
+    let wanted = (30, 60);
+    let old = Some((32, 60));
+    let cases = [
+        Report { busy: false, held: old, assumed: old, leads: Reported::Order },
+        Report { busy: false, held: None, assumed: None, leads: Reported::Order },
+        Report { busy: false, held: None, assumed: old, leads: Reported::Order },
+        Report { busy: true, held: old, assumed: old, leads: Reported::Underway },
+        Report { busy: false, held: Some(wanted), assumed: old, leads: Reported::Underway },
+        Report {
+            busy: false,
+            held: Some((31, 60)),
+            assumed: old,
+            leads: Reported::Other((31, 60)),
+        },
+        Report { busy: false, held: old, assumed: None, leads: Reported::Other((32, 60)) },
+    ];
+    for case in cases {
+        let leads = judge(case.busy, case.held, wanted, case.assumed);
+        assert_eq!(leads, case.leads, "{:?} {:?}", case.held, case.assumed);
+    }
+}
--- a/crates/roseshore_core/tests/gateway/plan.rs
+++ b/crates/roseshore_core/tests/gateway/plan.rs
@@ -336,6 +336,8 @@
 }
 
 proptest! {
+    // A case plays up to 60 steps.
+    #![proptest_config(ProptestConfig::with_cases(24))]
     #[test]
     fn steps_keep_a_whole_copy_and_end(
         large in 1_usize..3, middle in 2_usize..8, small in 2_usize..8, lost in 0_usize..12,
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -1,13 +1,15 @@
 //! Gives the engines of the own data centre the layers that the plan wants.
 //!
-//! Every host of a data centre works out the same plan from the same list, and each waits a time of
-//! its own before it acts; the others then see that the order has begun. Should two act at once,
-//! the target takes one order only: each order names how many it must have taken before.
+//! The first living host of a data centre gives the orders. The others work out the same repairs from
+//! the same list, and each waits a time of its own before it acts, in case the first one cannot; steps
+//! that only make a placement better are the first one's alone. Should two act at once, the target
+//! takes one order only: each order names how many it must have taken before.
 
 use super::calls::{CallFault, Purpose};
 use super::{Entry, note};
 use roseshore_core::gateway::EngineSpec;
 use roseshore_core::gateway::peers::{HoldNote, mark};
+use roseshore_core::gateway::plan::giving::{Need, Reported, judge, may_order};
 use roseshore_core::gateway::plan::{
     Layers, Member, Placement, common, firm, missing, next_step, plan,
 };
@@ -21,10 +23,6 @@
 /// The list must have stood still for so long before a first plan is made: at a start, targets
 /// were seen to enter it over three seconds, with pauses below one.
 const SETTLE: Duration = Duration::from_millis(1200);
-/// Hosts of a data centre act one after the other, so far apart.
-const APART: Duration = Duration::from_millis(600);
-/// Places in that order that make a difference.
-const LAST_PLACE: usize = 4;
 /// A target that has begun an order is listed with it by then: the longest load of all layers
 /// that a kind can hold, and two heartbeats.
 const BEGUN: Duration = Duration::from_secs(9);
@@ -53,16 +51,16 @@
     wanted: Option<Instant>,
     /// What was ordered or seen to be ordered.
     pending: HashMap<TargetId, Pending>,
-    /// Targets asked for a report, with the range meant for them.
-    asked: HashMap<TargetId, Layers>,
+    /// Targets asked for a report, and why.
+    asked: HashMap<TargetId, Asked>,
     /// Orders that were begun: what is to be held, and when to ask whether it is.
     begun: HashMap<TargetId, Begun>,
     /// What was learned that way, and when.
     learned: Vec<(HoldNote, Instant)>,
     /// The first layers that no engine of the data centre holds, for each service.
     missing: HashMap<ServiceId, Option<Layers>>,
-    /// The last plan of each service, and the engines it was made for.
-    planned: HashMap<ServiceId, (Vec<Member>, Vec<Placement>)>,
+    /// The last plan of each service.
+    planned: HashMap<ServiceId, Planned>,
 }
 
 /// What a target was ordered to hold, by this host or another.
@@ -75,6 +73,24 @@
     until: Instant,
 }
 
+/// A plan and what it was made from.
+#[derive(Debug)]
+struct Planned {
+    members: Vec<Member>,
+    /// Whether it may hold a step.
+    step: bool,
+    placements: Vec<Placement>,
+}
+
+/// A report that is waited for before an order.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// The range meant for the target.
+    layers: Layers,
+    /// What it was taken to hold when that was planned.
+    assumed: Option<Layers>,
+}
+
 /// An order that was begun.
 #[derive(Clone, Copy, Debug)]
 struct Begun {
@@ -153,16 +169,17 @@
         spec: &EngineSpec,
         members: Vec<Member>,
     ) -> Vec<Placement> {
-        if let Some((last, placements)) = self.placing.planned.get(service)
-            && *last == members
-        {
-            return placements.clone();
+        let step = may_order(Need::Step, self.peers.place(self.now), Duration::ZERO);
+        let known = self.placing.planned.get(service);
+        if let Some(last) = known.filter(|p| p.members == members && p.step == step) {
+            return last.placements.clone();
         }
         let mut placements = plan(spec, &members);
-        if placements.is_empty() {
+        if placements.is_empty() && step {
             placements.extend(next_step(spec, &members));
         }
-        self.placing.planned.insert(service.to_owned(), (members, placements.clone()));
+        let planned = Planned { members, step, placements: placements.clone() };
+        self.placing.planned.insert(service.to_owned(), planned);
         placements
     }
 
@@ -185,15 +202,16 @@
     fn want(&mut self, id: &str, layers: Layers) {
         let now = self.now;
         let since = *self.placing.wanted.get_or_insert(now);
-        let place = self.peers.place(now).min(LAST_PLACE) as u32;
-        let wait = now < since + APART * place;
-        if wait || self.placing.asked.contains_key(id) {
+        let waited = now.saturating_duration_since(since);
+        let due = may_order(Need::Repair, self.peers.place(now), waited);
+        if !due || self.placing.asked.contains_key(id) {
             return;
         }
         let Some(target) = self.targets.get(id) else { return };
         let addr = target.record.addr;
+        let assumed = target.holding().map(|h| h.layers);
         note!(self, PlacementWanted, "target={id} layers={}-{}", layers.0, layers.1);
-        self.placing.asked.insert(id.to_owned(), layers);
+        self.placing.asked.insert(id.to_owned(), Asked { layers, assumed });
         let request = self.platform.report();
         self.call(Purpose::Report(id.to_owned()), addr, &request, CALL_TIME);
     }
@@ -281,7 +299,7 @@
         let now = self.now;
         let begun = self.placing.begun.get(id).map(|b| b.layers);
         let asked = self.placing.asked.remove(id);
-        let Some(layers) = asked.or(begun) else { return };
+        let Some(layers) = asked.map(|a| a.layers).or(begun) else { return };
         let report = match reply {
             Ok(reply) => self.platform.report_reply(&reply).map_err(|err| err.to_string()),
             Err(fault) => Err(format!("{fault:?}")),
@@ -297,12 +315,15 @@
             }
         };
         let held = report.holding.map(|h| h.layers);
-        if asked.is_none() {
+        let Some(Asked { assumed, .. }) = asked else {
             return self.check_begun(id, layers, report.busy, held);
-        }
-        if report.busy || held == Some(layers) {
-            self.believe(id, layers, AGAIN);
-            return;
+        };
+        match judge(report.busy, held, layers, assumed) {
+            Reported::Order => {}
+            Reported::Underway => return self.believe(id, layers, AGAIN),
+            Reported::Other(held) => {
+                return self.targets.learned(mark(id), held, now + LEARNED);
+            }
         }
         let Some(target) = self.targets.get(id) else { return };
         let addr = target.record.addr;
