--- a/crates/roseshore_core/src/gateway/plan/improve.rs
+++ b/crates/roseshore_core/src/gateway/plan/improve.rs
@@ -25,26 +25,17 @@
 
 /// The step that carries most, if one pays.
 pub(super) fn improve(spec: &EngineSpec, members: &[Member]) -> Option<Move> {
+    // A configuration with fewer layers may come before the engines' new ranges.
+    let known = |m: &Member| [m.layers, m.ready].iter().flatten().all(|(_, to)| *to <= spec.layers);
+    if !members.iter().all(known) {
+        return None;
+    }
     let mut scale = Scale::new(spec, members);
     let now = scale.carried();
     if now <= 0.0 {
         return None;
     }
-    let holders = ready_holders(spec, members);
-    let cuts = cuts(spec, members);
-    let settled = |index: &usize| members[*index].layers == members[*index].ready;
-    let steps = (0..members.len()).filter(settled).flat_map(|index| {
-        ranges(spec, members, index, &cuts).into_iter().map(move |range| (index, range))
-    });
-    let narrow = scale.narrow(NARROW);
-    let useful = |&(index, range): &Move| {
-        let held = members[index].layers.unwrap_or((0, 0));
-        let touches = narrow[usize::from(range.0.min(held.0))..usize::from(range.1.max(held.1))]
-            .iter()
-            .any(|narrow| *narrow);
-        touches && whole_meanwhile(&holders, &members[index], range)
-    };
-    let steps: Vec<Move> = steps.filter(useful).collect();
+    let steps = steps(spec, members, &scale.narrow(NARROW));
     let stride = (steps.len() * members.len()).div_ceil(LOOKS).max(1);
     let mut best: Option<(f64, Move)> = None;
     for &step in steps.iter().skip(turn(members) % stride).step_by(stride) {
@@ -56,6 +47,25 @@
     best.filter(|(then, _)| *then >= now * GAIN).map(|(_, step)| step)
 }
 
+/// The steps of engines that are under no order which touch a narrow layer and leave none without
+/// a holder.
+fn steps(spec: &EngineSpec, members: &[Member], narrow: &[bool]) -> Vec<Move> {
+    let holders = ready_holders(spec, members);
+    let cuts = cuts(spec, members);
+    let mut all = Vec::new();
+    for (index, member) in members.iter().enumerate() {
+        let Some(held) = member.layers.filter(|_| member.layers == member.ready) else { continue };
+        for range in ranges(spec, member, &cuts) {
+            let touched = usize::from(range.0.min(held.0))..usize::from(range.1.max(held.1));
+            let useful = narrow[touched].iter().any(|narrow| *narrow);
+            if useful && whole_meanwhile(&holders, member, range) {
+                all.push((index, range));
+            }
+        }
+    }
+    all
+}
+
 /// What is carried after a step, or after the best step of another that it allows.
 fn value_of(scale: &mut Scale<'_>, members: &[Member], (index, range): Move) -> f64 {
     scale.set(index, Some(range));
@@ -103,9 +113,9 @@
 
 /// The ranges that are worth a look for an engine: its own with one end moved, and others that
 /// begin or end where ranges do.
-fn ranges(spec: &EngineSpec, members: &[Member], index: usize, cuts: &[Layer]) -> Vec<Layers> {
-    let Some(kind) = spec.kind(Some(&members[index].kind)) else { return Vec::new() };
-    let Some((from, to)) = members[index].layers else { return Vec::new() };
+fn ranges(spec: &EngineSpec, member: &Member, cuts: &[Layer]) -> Vec<Layers> {
+    let Some(kind) = spec.kind(Some(&member.kind)) else { return Vec::new() };
+    let Some((from, to)) = member.layers else { return Vec::new() };
     let most = join_width(spec, kind, LEAST);
     let mut all: Vec<Layers> = Vec::new();
     all.extend((0..to).map(|begin| (begin, to)));
--- a/crates/roseshore_core/tests/gateway/plan.rs
+++ b/crates/roseshore_core/tests/gateway/plan.rs
@@ -335,6 +335,17 @@
     assert!(share > 0.8, "{share:.2}");
 }
 
+#[test]
+fn no_step_is_taken_while_engines_hold_layers_that_the_model_has_not() {
+    let all = [
+        engine("l-0", "large", Some((0, 38))),
+        engine("l-1", "large", Some((38, 76))),
+        engine("m-0", "middle", Some((76, 96))),
+        engine("m-1", "middle", Some((60, 80))),
+    ];
+    assert_eq!(next_step(&spec(), &all), None);
+}
+
 proptest! {
     // A case plays up to 60 steps.
     #![proptest_config(ProptestConfig::with_cases(24))]
