The types of a send stand in a file of their own

entry::sends and entry::exchange used each other; Send and Phase lie in entry::send now, which uses neither.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -11,6 +11,7 @@
 mod placing;
 mod probes;
 mod records;
+mod send;
 mod sends;
 mod silence;
 mod stopping;
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -3,7 +3,7 @@
 //! A plain answer is passed on once it is whole, so a caller never sees part of one. A stream is
 //! passed on by whole events as they come; if its target dies, another goes on after the last one.
 
-use super::sends::Phase;
+use super::send::Phase;
 use super::{Entry, Timer, note, orderly};
 use crate::events;
 use crate::http::{self, AnswerHead, Decoder, LAST_CHUNK, Sent};
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -13,7 +13,7 @@
 
 use super::callers::refusal_fields;
 use super::probes::millis;
-use super::sends::Send;
+use super::send::Send;
 
 /// When to come back after a refusal that another host may not give, before it is spread: a caller
 /// comes back on a new connection, which reaches another host.
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/send.rs
@@ -0,0 +1,44 @@
+//! A request on its way to a target, and how far its answer has come.
+
+use crate::http::{AnswerHead, Decoder};
+use crate::slab::Key;
+use roseshore_core::gateway::Hop;
+use roseshore_core::prelude::*;
+use std::net::SocketAddr;
+
+/// A send that is on its way.
+pub(super) struct Send {
+    pub(super) socket: Key,
+    pub(super) target: TargetId,
+    pub(super) addr: SocketAddr,
+    pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
+    /// KV cache counted for each target.
+    pub(super) held: Vec<(TargetId, f64)>,
+    pub(super) sent: Instant,
+    /// When something last came.
+    pub(super) latest: Instant,
+    pub(super) phase: Phase,
+    /// The body, or what of it has not been passed on.
+    pub(super) body: Vec<u8>,
+    /// Predicted time between tokens, ms.
+    pub(super) token_ms: f64,
+    pub(super) kept: bool,
+}
+
+/// How far an answer has come.
+pub(super) enum Phase {
+    Head,
+    /// An answer to something else, to be passed over.
+    Surplus(Decoder),
+    Body(AnswerHead, Decoder),
+}
+
+impl Send {
+    /// All targets that take part.
+    pub(super) fn targets(&self) -> Vec<TargetId> {
+        if self.path.is_empty() {
+            return vec![self.target.clone()];
+        }
+        self.path.iter().map(|(id, ..)| id.clone()).collect()
+    }
+}
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -1,8 +1,9 @@
 //! Sends a request to a target, and decides what follows when that brings no answer.
 
 use super::exchange::Exchange;
+use super::send::{Phase, Send};
 use super::{Entry, Role, Timer, note};
-use crate::http::{self, AnswerHead, Decoder};
+use crate::http;
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::failure::{self, Fault, Next};
@@ -21,43 +22,6 @@
 /// How often a kept request looks for room.
 const HOLD_STEP: Duration = Duration::from_millis(35);
 
-/// A send that is on its way.
-pub(super) struct Send {
-    pub(super) socket: Key,
-    pub(super) target: TargetId,
-    pub(super) addr: SocketAddr,
-    pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
-    /// KV cache counted for each target.
-    pub(super) held: Vec<(TargetId, f64)>,
-    pub(super) sent: Instant,
-    /// When something last came.
-    pub(super) latest: Instant,
-    pub(super) phase: Phase,
-    /// The body, or what of it has not been passed on.
-    pub(super) body: Vec<u8>,
-    /// Predicted time between tokens, ms.
-    pub(super) token_ms: f64,
-    pub(super) kept: bool,
-}
-
-/// How far an answer has come.
-pub(super) enum Phase {
-    Head,
-    /// An answer to something else, to be passed over.
-    Surplus(Decoder),
-    Body(AnswerHead, Decoder),
-}
-
-impl Send {
-    /// All targets that take part.
-    pub(super) fn targets(&self) -> Vec<TargetId> {
-        if self.path.is_empty() {
-            return vec![self.target.clone()];
-        }
-        self.path.iter().map(|(id, ..)| id.clone()).collect()
-    }
-}
-
 /// Where a send goes.
 pub(super) struct Choice {
     target: TargetId,
--- a/crates/roseshore_relay/src/entry/silence.rs
+++ b/crates/roseshore_relay/src/entry/silence.rs
@@ -1,7 +1,8 @@
 //! Targets that say nothing: when they are doubted, and when a request goes elsewhere.
 
 use super::exchange::Exchange;
-use super::sends::{CONNECT, Send};
+use super::send::Send;
+use super::sends::CONNECT;
 use super::{Entry, Timer};
 use crate::slab::Key;
 use roseshore_core::gateway::{CallKind, Fault};
