The placement that steps are sought from is called a layout

Read once more as a newcomer: Scale in plan::value is Layout, and says what it sums up; a field without a word has one. No change of behaviour.

--- a/crates/roseshore_core/src/gateway/plan/improve.rs
+++ b/crates/roseshore_core/src/gateway/plan/improve.rs
@@ -6,7 +6,7 @@
 //! moves in two steps. Every state that steps lead to is a start for the next, so that a loss or an
 //! order that went astray on the way costs nothing but a new look.
 
-use super::value::Scale;
+use super::value::Layout;
 use super::{JOIN_ROOMS, Layers, Member, Move, join_width};
 use crate::gateway::routes::EngineSpec;
 use crate::prelude::*;
@@ -30,16 +30,16 @@
     if !members.iter().all(known) {
         return None;
     }
-    let mut scale = Scale::new(spec, members);
-    let now = scale.carried();
+    let mut layout = Layout::new(spec, members);
+    let now = layout.carried();
     if now <= 0.0 {
         return None;
     }
-    let steps = steps(spec, members, &scale.narrow(NARROW));
+    let steps = steps(spec, members, &layout.narrow(NARROW));
     let stride = (steps.len() * members.len()).div_ceil(LOOKS).max(1);
     let mut best: Option<(f64, Move)> = None;
     for &step in steps.iter().skip(turn(members) % stride).step_by(stride) {
-        let value = value_of(&mut scale, members, step);
+        let value = value_of(&mut layout, members, step);
         if best.is_none_or(|(most, _)| value > most) {
             best = Some((value, step));
         }
@@ -67,15 +67,15 @@
 }
 
 /// What is carried after a step, or after the best step of another that it allows.
-fn value_of(scale: &mut Scale<'_>, members: &[Member], (index, range): Move) -> f64 {
-    scale.set(index, Some(range));
-    let mut best = scale.carried();
+fn value_of(layout: &mut Layout<'_>, members: &[Member], (index, range): Move) -> f64 {
+    layout.set(index, Some(range));
+    let mut best = layout.carried();
     for (other, rest) in follow_ups(members, index, range) {
-        scale.set(other, Some(rest));
-        best = best.max(scale.carried());
-        scale.set(other, members[other].layers);
+        layout.set(other, Some(rest));
+        best = best.max(layout.carried());
+        layout.set(other, members[other].layers);
     }
-    scale.set(index, members[index].layers);
+    layout.set(index, members[index].layers);
     best
 }
 
--- a/crates/roseshore_core/src/gateway/plan/value.rs
+++ b/crates/roseshore_core/src/gateway/plan/value.rs
@@ -40,7 +40,7 @@
     if life > 0.0 { 1000.0 * running / life } else { 0.0 }
 }
 
-/// An engine of a placement that is weighed.
+/// An engine and what it holds.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Holder {
     /// What it holds.
@@ -58,9 +58,10 @@
     }
 }
 
-/// A placement, kept so that a change of one engine is weighed without adding all up again.
+/// All engines with what they hold, summed up so that a change of one of them is valued without
+/// adding all up again.
 #[derive(Clone, Debug)]
-pub(super) struct Scale<'a> {
+pub(super) struct Layout<'a> {
     spec: &'a EngineSpec,
     holders: Vec<Option<Holder>>,
     /// Room of each layer over its holders, tokens.
@@ -69,10 +70,10 @@
     inverse: Vec<f64>,
 }
 
-impl<'a> Scale<'a> {
-    pub(super) fn new(spec: &'a EngineSpec, members: &[Member]) -> Scale<'a> {
+impl<'a> Layout<'a> {
+    pub(super) fn new(spec: &'a EngineSpec, members: &[Member]) -> Layout<'a> {
         let layers = usize::from(spec.layers);
-        let mut scale = Scale {
+        let mut layout = Layout {
             spec,
             holders: vec![None; members.len()],
             rooms: vec![0.0; layers],
@@ -80,10 +81,10 @@
         };
         for (index, member) in members.iter().enumerate() {
             let holder = Holder::new(spec, member);
-            scale.holders[index] = holder.map(|h| Holder { layers: None, ..h });
-            scale.set(index, holder.and_then(|h| h.layers));
+            layout.holders[index] = holder.map(|h| Holder { layers: None, ..h });
+            layout.set(index, holder.and_then(|h| h.layers));
         }
-        scale
+        layout
     }
 
     /// Lets an engine hold other layers.
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -102,6 +102,7 @@
     pub(super) progress: Option<Instant>,
     /// How it failed its last liveness checks, if it did.
     pub(super) dead: Option<Death>,
+    /// Layers that it is giving up.
     pub(super) clearing: Option<Clearing>,
 }
 
