The store is asked by fewer hosts: at a start, and while it is away

Change: a host that has begun listens 80 ms, and where the whole system starts for the first time until its place in the order of hosts, before it reads; one question shows whether the store is back; hosts that are not among the first to read ask each 2.5 s; hosts that the store does not answer come last in the order. Each question is logged with its reason (E512). A copied configuration is not read again.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -83,6 +83,7 @@
     SnapshotBad = 509, Error, "a snapshot of the configuration cannot be used";
     KeysSuspended = 510, Warn, "keys are not honoured: the configuration may be old";
     KeysHonoured = 511, Info, "keys are honoured again";
+    StoreAsked = 512, Debug, "the store was asked for records, and why";
     HostSuspected = 601, Info, "a daemon is suspected";
     HostGone = 602, Warn, "a daemon is gone";
     HostJoined = 603, Info, "a daemon joined";
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -32,6 +32,8 @@
 const STANDBY: usize = 12;
 /// Of these, and of hosts of other data centres, those that one heartbeat names.
 const NAMED: usize = 4;
+/// A host that has begun tries its seeds often for so long: they may begin a little later.
+const SEEKING: Duration = Duration::from_secs(3);
 /// Hosts of each other data centre worth naming: its speakers.
 const FAR_FIRST: usize = 3;
 
@@ -114,6 +116,7 @@
     begun: Instant,
     sequence: u64,
     leaving: bool,
+    reading: bool,
     /// Whether it spoke for its data centre when it last told others.
     speaking: bool,
     hurry: Hurry,
@@ -176,6 +179,7 @@
             begun: now,
             sequence: 0,
             leaving: false,
+            reading: true,
             speaking: true,
             hurry: Hurry::No,
             all: seeds.iter().filter(|seed| **seed != addr).map(seed).collect(),
@@ -239,6 +243,7 @@
     /// The heartbeats that are due, with their hearers.
     pub fn due(&mut self, own: &Own, now: Instant) -> Vec<(SocketAddr, Beat)> {
         self.leaving = own.leaving;
+        self.reading = own.reading;
         self.speaking = self.speaks(now);
         self.all.retain(|_, peer| !peer.forgotten(now));
         let due = self.due_hearers(now);
@@ -278,7 +283,7 @@
         match to {
             Relation::Speaker | Relation::Listener => self.hurry >= Hurry::Near,
             Relation::FarSpeaker => self.hurry == Hurry::All,
-            Relation::Asker | Relation::Contact | Relation::Seed => false,
+            Relation::Asker | Relation::Sought | Relation::Contact | Relation::Seed => false,
         }
     }
 
@@ -309,6 +314,7 @@
             return Some(Relation::Contact);
         }
         match (peer.seed, around.heard) {
+            (true, false) if now < self.begun + SEEKING => Some(Relation::Sought),
             (true, false) => Some(Relation::Contact),
             (true, true) if speaks => Some(Relation::Seed),
             _ => None,
@@ -392,7 +398,7 @@
         let others = round.ranked.keys().filter(|mark| centre != Some(**mark));
         let far: Vec<Named> = others.flat_map(|mark| first(mark, FAR_FIRST)).collect();
         let most = match as_what {
-            Relation::Asker | Relation::Contact | Relation::Seed => STANDBY,
+            Relation::Asker | Relation::Sought | Relation::Contact | Relation::Seed => STANDBY,
             Relation::Speaker | Relation::Listener | Relation::FarSpeaker => NAMED,
         };
         self.next_named = self.next_named.wrapping_add(1);
@@ -550,16 +556,32 @@
     }
 
     /// This host's place in the order in which hosts read the store: one of the whole system reads,
-    /// and when it is silent the next one of each data centre does. A host that the store does not
-    /// answer is passed over.
+    /// and when it is silent the next one of each data centre does. Hosts that the store does not
+    /// answer come last.
     pub fn reading_place(&self, now: Instant) -> usize {
-        let reads = |p: &Peer| p.config > 0 && p.reading;
+        let own = (!self.reading, self.rank());
+        let before = |p: &Peer, near: bool| {
+            let known = p.alive(near, now);
+            let stays = !p.leaving && p.sound(near, now) && (!known || p.config > 0);
+            stays && (known && !p.reading, p.rank()) < own
+        };
+        let near = self.all.values().filter(|p| p.centre == Some(self.centre));
+        let far = self.all.values().filter(|p| p.centre.is_some_and(|c| c != self.centre));
+        let far = far.filter(|p| before(p, false)).count();
+        near.filter(|p| before(p, true)).count() + far.min(1)
+    }
+
+    /// This host's place in that order when nobody has read anything yet.
+    pub fn starting_place(&self, now: Instant) -> usize {
         let own = self.rank();
-        let far = self.all.values().any(|p| {
-            let far = p.centre.is_some_and(|centre| centre != self.centre) && p.rank() < own;
-            far && !p.leaving && p.sound(false, now) && (!p.alive(false, now) || reads(p))
-        });
-        self.near_before(now, reads) + usize::from(far)
+        let first = |p: &&Peer| p.centre.is_some_and(|c| c != self.centre) && p.rank() < own;
+        let far = self.all.values().filter(first).any(|p| p.sound(false, now));
+        self.near_before(now, |_| true) + usize::from(far)
+    }
+
+    /// Whether there is no other host to hear of.
+    pub fn alone(&self) -> bool {
+        self.all.is_empty()
     }
 
     /// The newest version of the configuration that any living host has.
--- a/crates/roseshore_core/src/gateway/peers/audience.rs
+++ b/crates/roseshore_core/src/gateway/peers/audience.rs
@@ -34,6 +34,8 @@
 const FAR: Duration = Duration::from_millis(400);
 /// Between heartbeats to hosts that are not heard, or have only asked who is there.
 const CONTACT: Duration = Duration::from_secs(1);
+/// The same for a host that has just begun.
+const SEEK: Duration = Duration::from_millis(250);
 /// Between heartbeats to a seed that is not needed: two halves of a system that know nothing of
 /// each other meet there.
 const SEED_AGAIN: Duration = Duration::from_secs(5);
@@ -49,6 +51,8 @@
     FarSpeaker,
     /// One that asked who is there.
     Asker,
+    /// A seed, to a host that has just begun.
+    Sought,
     /// One that may know others, and is needed since too few are heard.
     Contact,
     /// A seed that is not needed now.
@@ -66,6 +70,7 @@
                 each.saturating_mul(hosts).clamp(least, NEAR_MOST)
             }
             Relation::FarSpeaker => FAR,
+            Relation::Sought => SEEK,
             Relation::Asker | Relation::Contact => CONTACT,
             Relation::Seed => SEED_AGAIN,
         }
--- a/crates/roseshore_core/src/gateway/settings.rs
+++ b/crates/roseshore_core/src/gateway/settings.rs
@@ -62,6 +62,8 @@
     pub peer: Option<SocketAddr>,
     /// Where some others hear.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Processor share of this host, thousandths of a core; 0 when it is not told.
     pub capacity: u16,
     /// Descriptors this process may use.
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -182,3 +182,47 @@
         }
     }
 }
+
+/// Which of three hosts of a data centre the store does not answer, and their places.
+struct Away {
+    name: &'static str,
+    reading: [bool; 3],
+    places: [usize; 3],
+}
+
+#[test]
+fn hosts_that_the_store_does_not_answer_read_last() {
+    let cases = [
+        Away { name: "none", reading: [true, true, true], places: [0, 1, 2] },
+        Away { name: "the first", reading: [false, true, true], places: [2, 0, 1] },
+        Away { name: "two", reading: [false, false, true], places: [1, 2, 0] },
+        Away { name: "all", reading: [false, false, false], places: [0, 1, 2] },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let seeds: Vec<SocketAddr> = (1..=3).map(addr).collect();
+        let mut hosts: Vec<Peers> = (1..=3).map(|n| peers(n, "north", &seeds, now)).collect();
+        for from in 0..3_u8 {
+            let own = Own { reading: case.reading[usize::from(from)], ..own() };
+            for (to, beat) in hosts[usize::from(from)].due(&own, now) {
+                let hearer = (0..3).find(|n| addr(n + 1) == to).expect("a known address");
+                hosts[usize::from(hearer)].hear(addr(from + 1), beat, now);
+            }
+        }
+        let places: Vec<usize> = hosts.iter().map(|h| h.reading_place(now)).collect();
+        assert_eq!(places, case.places, "{}", case.name);
+    }
+}
+
+#[test]
+fn the_ablest_hosts_come_first() {
+    let now = Instant::now();
+    let mut small = peers(1, "north", &[addr(2)], now).with_capacity(120);
+    let mut large = peers(2, "north", &[addr(1)], now).with_capacity(500);
+    let beat = sent(&mut small, 2, &own(), now).expect("a first contact");
+    large.hear(addr(1), beat, now);
+    let beat = sent(&mut large, 1, &own(), now).expect("a first contact");
+    small.hear(addr(2), beat, now);
+    assert_eq!((large.place(now), small.place(now)), (0, 1));
+    assert_eq!((large.reading_place(now), small.reading_place(now)), (0, 1));
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -123,6 +123,7 @@
     pace: Pace,
     shortage: Shortage,
     random: SmallRng,
+    begun: Instant,
     now: Instant,
     ticked: Instant,
     ready: bool,
@@ -200,6 +201,7 @@
             pace: Pace::default(),
             shortage: Shortage::default(),
             random,
+            begun: now,
             now,
             // The first turn of the loop is a tick: nothing serves before the store was read.
             ticked: now.checked_sub(TICK).unwrap_or(now),
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -40,6 +40,23 @@
 const REPLY_TIME: Duration = Duration::from_millis(900);
 /// The first wait after a failed call, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
+/// The first wait of a host that is not among the first to read: those try all the while, and tell
+/// it when the store is back. With every host trying each 0.9 s, 23 hosts called a store that was
+/// down for eight seconds 478 times.
+const AWAY_AGAIN: Duration = Duration::from_millis(2500);
+/// A host that has begun listens for so long before it reads the store: who lives answers within
+/// some milliseconds, and has a copy.
+const LISTEN: Duration = Duration::from_millis(80);
+/// The same where the whole system starts for the first time, since all begin within 0.3 s; and so
+/// much longer for each place in the order of hosts.
+const LISTEN_FIRST: Duration = Duration::from_millis(600);
+const FIRST_LATER: Duration = Duration::from_millis(500);
+
+/// How long a host that has begun waits for another one's copy.
+fn listening(first: bool, place: usize) -> Duration {
+    if first { LISTEN_FIRST + FIRST_LATER * place.min(LAST_PLACE) as u32 } else { LISTEN }
+}
+
 /// One stream's state.
 #[derive(Debug, Default)]
 struct Follow {
@@ -112,19 +129,41 @@
     }
 
     fn follow_one(&mut self, stream: Stream) {
-        let (now, store) = (self.now, self.settings.store);
-        let confirmed = self.confirmed(stream);
+        let now = self.now;
         // A read that waits proves nothing until it is answered; what was long not proven is read
         // at once.
         let old = self.currency.age(now).is_none_or(|age| age > CONFIG_WAIT + CONFIG_LATER / 2);
         let wait = if old { Duration::ZERO } else { self.following.wait(stream) };
+        let known = match stream {
+            Stream::Config => self.snapshot.is_some(),
+            Stream::Targets => self.following.targets.next.is_some(),
+        };
         let follow = self.following.stream(stream);
         if follow.busy || follow.due.is_some_and(|due| now < due) {
             return;
         }
-        if confirmed && follow.next.is_some() {
+        if stream == Stream::Targets && known && self.following.outage.away() {
+            // One question shows whether the store is back.
             return;
         }
+        if known && self.confirmed(stream) || !known && self.listens() {
+            return;
+        }
+        self.ask_store(stream, wait);
+    }
+
+    /// Whether this host has just begun and may soon hear of one that has read the store.
+    fn listens(&self) -> bool {
+        let since = self.now.saturating_duration_since(self.begun);
+        let first = self.settings.first_start;
+        let place = if first { self.peers.starting_place(self.now) } else { 0 };
+        !self.peers.alone() && since < listening(first, place)
+    }
+
+    fn ask_store(&mut self, stream: Stream, wait: Duration) {
+        self.note_asked(stream);
+        let store = self.settings.store;
+        let follow = self.following.stream(stream);
         follow.busy = true;
         if let Some(from) = follow.next {
             let request = self.platform.read(stream, from, wait);
@@ -136,6 +175,23 @@
         }
     }
 
+    /// Says why the store is asked: for the first time, as the first in the order of hosts, or since
+    /// no other host's word is late enough.
+    fn note_asked(&mut self, stream: Stream) {
+        let now = self.now;
+        let place = self.peers.reading_place(now);
+        let config = millis(self.currency.age(now));
+        let confirmed = self.following.outage.confirmed();
+        let list = millis(confirmed.map(|at| now.saturating_duration_since(at)));
+        let differs = self.following.list_differs;
+        let failed = self.following.stream(stream).fails;
+        note!(
+            self,
+            StoreAsked,
+            "stream={stream:?} place={place} config_age_ms={config} list_age_ms={list} differs={differs} failed={failed}"
+        );
+    }
+
     /// Whether neighbours have confirmed a stream lately enough for this host's place among them.
     fn confirmed(&self, stream: Stream) -> bool {
         let place = self.peers.reading_place(self.now).min(LAST_PLACE) as u32;
@@ -164,13 +220,12 @@
         if hurried.is_some_and(|at| now.saturating_duration_since(at) < HURRY_EVERY) {
             return;
         }
-        let Some(from) = self.following.config.next else { return };
         self.following.hurried = Some(now);
-        self.abandon(|purpose| matches!(purpose, Purpose::Read(Stream::Config, ..)));
-        self.following.config.busy = true;
-        let request = self.platform.read(Stream::Config, from, Duration::ZERO);
-        let purpose = Purpose::Read(Stream::Config, from, Duration::ZERO);
-        self.call(purpose, self.settings.store, &request, REPLY_TIME);
+        let reads = |purpose: &Purpose| {
+            matches!(purpose, Purpose::Read(Stream::Config, ..) | Purpose::Newest(Stream::Config))
+        };
+        self.abandon(reads);
+        self.ask_store(Stream::Config, Duration::ZERO);
     }
 
     /// Reads both streams as soon as the store may be asked: no neighbour could help.
@@ -364,8 +419,10 @@
     fn store_failed(&mut self, stream: Stream, why: &str) {
         let now = self.now;
         let spread = 0.75 + 0.5 * self.random.random::<f64>();
+        let place = self.peers.reading_place(now);
         let follow = self.following.stream(stream);
         let wait = (BACKOFF.0 * (1 << follow.fails.min(4))).min(BACKOFF.1);
+        let wait = if place < LAST_PLACE { wait } else { wait.max(AWAY_AGAIN) };
         follow.fails += 1;
         follow.due = Some(now + wait.mul_f64(spread));
         if self.following.outage.failed(now) {
@@ -376,11 +433,13 @@
 
     fn store_served(&mut self, stream: Stream) {
         let now = self.now;
-        let follow = self.following.stream(stream);
-        follow.fails = 0;
-        follow.due = None;
+        for follow in [&mut self.following.config, &mut self.following.targets] {
+            follow.fails = 0;
+        }
+        self.following.stream(stream).due = None;
         if let Some(Return { since, for_all }) = self.following.outage.served(now) {
             let out = now.saturating_duration_since(since).as_millis();
+            self.following.targets.due = None;
             note!(self, LogBack, "stream={stream:?} out_ms={out} for_all={for_all}");
         }
     }
