When a host asks the store is a decision of its own, with its tests

Cause: the times by which a host waits for others' word stood beside the calls in `following`, where no test reached them.

Change: `gateway::reading` holds them; `following` keeps the calls.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,9 +2,11 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry means, [`leaving`] what a host that stops still takes, [`allowance`] how many sends may
-//! be repeated, [`peers`] what hosts tell each other, [`copies`] what they hand each other of the
-//! store, and [`currency`] whether the configuration is still known to be the newest.
+//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry
+//! means, [`leaving`] what a host that stops still takes, [`allowance`] how many sends may be
+//! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
+//! [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
+//! known to be the newest.
 
 pub mod allowance;
 pub mod copies;
@@ -15,6 +17,7 @@
 pub mod path;
 pub mod peers;
 pub mod plan;
+pub mod reading;
 pub mod routes;
 pub mod settings;
 pub mod shortage;
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/reading.rs
@@ -0,0 +1,65 @@
+//! When a host asks the store, and when it leaves that to others.
+//!
+//! One host reads for all and the others hear how far it has come. Each of them has a place in the
+//! order of hosts, and reads for itself only when the word of those before it is late. While the
+//! store is away the first few try, and the others wait to hear of it.
+
+use crate::prelude::*;
+
+/// How long a read of the configuration waits for a change. Each read has a price; but a store that
+/// drops its history may leave a waiting read unanswered while changes are made, and a change has
+/// to be in force two seconds after it was made. One host reads for all, so with two seconds
+/// here one was seen in force after 2.1.
+pub const CONFIG_WAIT: Duration = Duration::from_millis(1100);
+/// Between reads of the list of targets by the first host: well within the bound for leaving
+/// targets. The others compare digests with it.
+pub const TARGETS_EVERY: Duration = Duration::from_millis(900);
+/// A host reads for itself when nothing has confirmed its list, or its configuration, for so much
+/// longer with each place; the last of them within 1.8 s, and the bound for leaving targets is two.
+const LATER: Duration = Duration::from_millis(300);
+/// Places in the order of hosts beyond which it makes no difference.
+const LAST_PLACE: usize = 3;
+/// The first wait after a failed call, and the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
+/// The shortest wait of a host that is not among the first to read: those try all the while, and
+/// tell it when the store is back. With every host trying each 0.9 s, 23 hosts called a store that
+/// was down for eight seconds 478 times.
+const AWAY_AGAIN: Duration = Duration::from_millis(2500);
+/// A host that has begun listens for so long before it reads the store: who lives answers within
+/// some milliseconds, and has a copy.
+const LISTEN: Duration = Duration::from_millis(80);
+/// The same where the whole system starts for the first time, since all begin within 0.3 s; and so
+/// much longer for each place in the order of hosts. With every host reading for itself, 23 hosts
+/// made 105 calls in their first seconds.
+const LISTEN_FIRST: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(500));
+
+fn steps(place: usize) -> u32 {
+    place.min(LAST_PLACE) as u32
+}
+
+/// How old the proof of a configuration may be before the host at a place reads for itself; `None`
+/// for the first one, which always does.
+pub fn config_patience(place: usize) -> Option<Duration> {
+    (place > 0).then(|| CONFIG_WAIT + LATER * steps(place))
+}
+
+/// The same for the list of targets.
+pub fn list_patience(place: usize) -> Option<Duration> {
+    (place > 0).then(|| TARGETS_EVERY + LATER * steps(place))
+}
+
+/// The age of a proof from which on a read must not wait for a change: it proves nothing until it is
+/// answered.
+pub const NO_WAIT: Duration = Duration::from_millis(1250);
+
+/// The wait after so many failed calls, this one left out.
+pub fn backoff(failed: u32, place: usize) -> Duration {
+    let usual = (BACKOFF.0 * (1 << failed.min(4))).min(BACKOFF.1);
+    if place < LAST_PLACE { usual } else { usual.max(AWAY_AGAIN) }
+}
+
+/// How long a host that has begun waits for another one's copy; `first` where the whole system
+/// starts for the first time.
+pub fn listening(first: bool, place: usize) -> Duration {
+    if first { LISTEN_FIRST.0 + LISTEN_FIRST.1 * steps(place) } else { LISTEN }
+}
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -13,6 +13,7 @@
     mod peers;
     mod plan;
     mod pressure;
+    mod reading;
     mod routes;
     mod shortage;
     mod targets;
--- a/crates/roseshore_core/tests/gateway/copies.rs
+++ b/crates/roseshore_core/tests/gateway/copies.rs
@@ -1,8 +1,9 @@
 //! When a host asks another for a copy of what it has read.
 
 use roseshore_core::gateway::Copies;
-use roseshore_core::gateway::copies::{COPY_TIME, Outcome};
+use roseshore_core::gateway::copies::{COPY_TIME, Extent, Outcome};
 use roseshore_core::prelude::*;
+use std::net::SocketAddr;
 
 /// What happened to the copy that was asked for at first, and when the next may be asked for.
 struct Case {
@@ -62,3 +63,50 @@
         }
     }
 }
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8], 7000))
+}
+
+/// When the last of sixty hosts has a copy of so many bytes that three have at first, ms; the three
+/// are the only ones that the others hear. Links carry 20 Mbit/s.
+fn spread(bytes: usize, sent_on: bool) -> u64 {
+    const HOSTS: usize = 60;
+    let begun = Instant::now();
+    let extent = Extent { config: 2, list: 9 };
+    let mut copies = vec![Copies::default(); HOSTS];
+    // When each has it, and whom it asks next, and when.
+    let mut has: Vec<Option<u64>> = (0..HOSTS).map(|n| (n < 3).then_some(0)).collect();
+    let mut asks: Vec<(u64, usize)> = (0..HOSTS).map(|n| (0, n % 3)).collect();
+    let way = (bytes * 8 / 20_000) as u64 + 1;
+    for at in 0..60_000 {
+        let now = begun + Duration::from_millis(at);
+        for n in 0..HOSTS {
+            let (due, from) = asks[n];
+            if has[n].is_some() || due > at {
+                continue;
+            }
+            let known = has[from].is_some_and(|since| since <= at);
+            if known && copies[from].give(bytes, now) {
+                copies[from].given_to(addr(n), extent);
+                has[n] = Some(at + way);
+                continue;
+            }
+            let other = copies[from].owner(extent, addr(n)).filter(|_| known && sent_on);
+            let other = other.and_then(|owner| (0..HOSTS).find(|n| addr(*n) == owner));
+            asks[n] = other.map_or((at + 60, n % 3), |owner| (at + 2, owner));
+        }
+        if has.iter().all(|since| since.is_some_and(|since| since <= at)) {
+            return at;
+        }
+    }
+    u64::MAX
+}
+
+#[test]
+fn a_copy_spreads_over_those_that_have_it() {
+    // A list of 195 targets, and a configuration of 1,400 routes: without and with hosts that are sent
+    // on to those that have it, ms.
+    assert_eq!((spread(17_000, false), spread(17_000, true)), (247, 71));
+    assert_eq!((spread(250_000, false), spread(250_000, true)), (4_421, 869));
+}
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -12,25 +12,11 @@
 use roseshore_core::gateway::TargetRecord;
 use roseshore_core::gateway::outage::{Outage, Return};
 use roseshore_core::gateway::peers::ListMark;
+use roseshore_core::gateway::reading::{self, CONFIG_WAIT, TARGETS_EVERY};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, Page, Reading, StoreFault, Stream};
 use std::net::SocketAddr;
 
-/// How long a read of the configuration waits for a change. Each read has a price; but a store that
-/// drops its history may leave a waiting read unanswered while changes are made, and a change has
-/// to be in force two seconds after it was made. One host reads for all, so with two seconds
-/// here hunt-b238-19 saw one in force after 2.1.
-const CONFIG_WAIT: Duration = Duration::from_millis(1100);
-/// Between reads of the list of targets by the first host: well within the bound for leaving
-/// targets. The others compare digests with it.
-const TARGETS_EVERY: Duration = Duration::from_millis(900);
-/// A host reads for itself when nothing has confirmed its list for so long, and so on down the
-/// order of hosts: the last of them within 1.8 s, and the bound for leaving targets is two.
-const TARGETS_LATER: Duration = Duration::from_millis(300);
-/// The same for the configuration, beyond the wait of the first host's reads.
-const CONFIG_LATER: Duration = Duration::from_millis(300);
-/// Places in the order of hosts beyond which it makes no difference.
-const LAST_PLACE: usize = 3;
 /// Neighbours' newer configurations make a read due at most this often.
 const HURRY_EVERY: Duration = Duration::from_millis(400);
 /// A neighbour's list that differs is read at most this often.
@@ -38,25 +24,6 @@
 /// The longest time for a reply beyond what was asked to be waited: a store that is slowed
 /// eightyfold answers in a third of a second.
 const REPLY_TIME: Duration = Duration::from_millis(900);
-/// The first wait after a failed call, and the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
-/// The first wait of a host that is not among the first to read: those try all the while, and tell
-/// it when the store is back. With every host trying each 0.9 s, 23 hosts called a store that was
-/// down for eight seconds 478 times.
-const AWAY_AGAIN: Duration = Duration::from_millis(2500);
-/// A host that has begun listens for so long before it reads the store: who lives answers within
-/// some milliseconds, and has a copy.
-const LISTEN: Duration = Duration::from_millis(80);
-/// The same where the whole system starts for the first time, since all begin within 0.3 s; and so
-/// much longer for each place in the order of hosts.
-const LISTEN_FIRST: Duration = Duration::from_millis(600);
-const FIRST_LATER: Duration = Duration::from_millis(500);
-
-/// How long a host that has begun waits for another one's copy.
-fn listening(first: bool, place: usize) -> Duration {
-    if first { LISTEN_FIRST + FIRST_LATER * place.min(LAST_PLACE) as u32 } else { LISTEN }
-}
-
 /// One stream's state.
 #[derive(Debug, Default)]
 struct Follow {
@@ -132,7 +99,7 @@
         let now = self.now;
         // A read that waits proves nothing until it is answered; what was long not proven is read
         // at once.
-        let old = self.currency.age(now).is_none_or(|age| age > CONFIG_WAIT + CONFIG_LATER / 2);
+        let old = self.currency.age(now).is_none_or(|age| age > reading::NO_WAIT);
         let wait = if old { Duration::ZERO } else { self.following.wait(stream) };
         let known = match stream {
             Stream::Config => self.snapshot.is_some(),
@@ -157,7 +124,7 @@
         let since = self.now.saturating_duration_since(self.begun);
         let first = self.settings.first_start;
         let place = if first { self.peers.starting_place(self.now) } else { 0 };
-        !self.peers.alone() && since < listening(first, place)
+        !self.peers.alone() && since < reading::listening(first, place)
     }
 
     fn ask_store(&mut self, stream: Stream, wait: Duration) {
@@ -181,8 +148,7 @@
         let now = self.now;
         let place = self.peers.reading_place(now);
         let config = millis(self.currency.age(now));
-        let confirmed = self.following.outage.confirmed();
-        let list = millis(confirmed.map(|at| now.saturating_duration_since(at)));
+        let list = millis(self.list_age());
         let differs = self.following.list_differs;
         let failed = self.following.stream(stream).fails;
         note!(
@@ -194,22 +160,19 @@
 
     /// Whether neighbours have confirmed a stream lately enough for this host's place among them.
     fn confirmed(&self, stream: Stream) -> bool {
-        let place = self.peers.reading_place(self.now).min(LAST_PLACE) as u32;
-        if place == 0 {
-            return false;
-        }
-        match stream {
-            Stream::Config => {
-                let most = CONFIG_WAIT + CONFIG_LATER * place;
-                self.currency.age(self.now).is_some_and(|age| age < most)
-            }
-            Stream::Targets => {
-                let most = TARGETS_EVERY + TARGETS_LATER * place;
-                let at = self.following.outage.confirmed();
-                let recent = at.is_some_and(|at| self.now.saturating_duration_since(at) < most);
-                recent && !self.following.list_differs
-            }
-        }
+        let place = self.peers.reading_place(self.now);
+        let (age, patience) = match stream {
+            Stream::Config => (self.currency.age(self.now), reading::config_patience(place)),
+            Stream::Targets if self.following.list_differs => return false,
+            Stream::Targets => (self.list_age(), reading::list_patience(place)),
+        };
+        age.zip(patience).is_some_and(|(age, most)| age < most)
+    }
+
+    /// Time since the list at hand was last confirmed, by this host or another.
+    fn list_age(&self) -> Option<Duration> {
+        let confirmed = self.following.outage.confirmed();
+        confirmed.map(|at| self.now.saturating_duration_since(at))
     }
 
     /// A neighbour has a newer configuration: it is read at once, also if a read is under way,
@@ -421,8 +384,7 @@
         let spread = 0.75 + 0.5 * self.random.random::<f64>();
         let place = self.peers.reading_place(now);
         let follow = self.following.stream(stream);
-        let wait = (BACKOFF.0 * (1 << follow.fails.min(4))).min(BACKOFF.1);
-        let wait = if place < LAST_PLACE { wait } else { wait.max(AWAY_AGAIN) };
+        let wait = reading::backoff(follow.fails, place);
         follow.fails += 1;
         follow.due = Some(now + wait.mul_f64(spread));
         if self.following.outage.failed(now) {
