--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -123,8 +123,7 @@
     }
 
     /// Whether a copy is soon to be had: one is under way, or a host that has one gives no more for
-    /// a moment. Hosts that read the store in that moment made 23 hosts read a new configuration 19
-    /// times.
+    /// a moment. As hosts read the store in that moment, fourteen of 23 read one new configuration.
     pub fn expected(&self, now: Instant) -> bool {
         self.under_way() || (self.turned_away && self.pause.is_some_and(|until| now < until))
     }
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -2,10 +2,10 @@
 //!
 //! Each host tells others several times a second what it has in flight at each target, which
 //! targets failed it, and how much of the store it has read. So a choice sees the load of all
-//! hosts, and one host's reads of the store serve its neighbours. Who tells whom is decided in
-//! [`audience`], and what in
-//! `telling`; `order` says which hosts speak, read and give orders; this module keeps who is there, and
-//! what they said.
+//! hosts, and one host's reads of the store serve its neighbours.
+//!
+//! [`audience`] says to whom a host tells how often, `telling` what, `order` which hosts speak, read
+//! the store and give orders, `view` what the others have. This module keeps who is there.
 //!
 //! Nothing here has to arrive. A heartbeat that is late must not pass for a fresh one, so a proof
 //! of freshness is counted on the hearer's own clock: the sender names the last heartbeat that it
--- a/crates/roseshore_core/src/gateway/peers/audience.rs
+++ b/crates/roseshore_core/src/gateway/peers/audience.rs
@@ -19,8 +19,8 @@
 const ASKED_ALONE: usize = 8;
 /// Between heartbeats to a host of the own data centre, at least.
 const NEAR: Duration = Duration::from_millis(100);
-/// Added for each of them, so that a speaker sends 250 heartbeats a second at most: 2 ms of
-/// processor time a second on the slowest hosts for sending, and as much for hearing.
+/// Added for each of them, so that a speaker of up to a hundred hosts sends them 250 heartbeats
+/// a second: with those that it hears, 0.012 of a core more than a host that does not speak.
 const NEAR_EACH: Duration = Duration::from_millis(4);
 /// Added for each of them where each tells every other.
 const MESH_EACH: Duration = Duration::from_millis(10);
--- a/crates/roseshore_core/src/gateway/peers/order.rs
+++ b/crates/roseshore_core/src/gateway/peers/order.rs
@@ -1,7 +1,7 @@
 //! The order of hosts: who speaks, who reads the store, who gives orders.
 //!
-//! Nobody is elected. Each host works its place out from the hosts that it hears or that others name, so
-//! two may take the same place for a while, or none.
+//! Nobody is elected. Each host works its place out from the hosts that it hears or that others name,
+//! so two may take the same place for a while, or none.
 
 use super::message::{CentreMark, Named};
 use super::peer::{Peer, Rank, rank};
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -24,8 +24,8 @@
 const COUNTED: Duration = Duration::from_secs(10);
 
 /// The order in which hosts speak, read the store and give orders: the ablest first, by address
-/// among equals. A speaker of 60 hosts takes and sends some 500 heartbeats a second, which is
-/// a tenth of a small host's processor and a fortieth of a large one's.
+/// among equals. On a calm day with 295 hosts the busiest, which spoke for 60, took 0.017 of a core, the
+/// mean was 0.005: a seventh of the smallest hosts' share, and a thirtieth of the largest ones'.
 pub(super) type Rank = (Reverse<u16>, SocketAddr);
 
 /// The rank of a host.
@@ -175,7 +175,7 @@
     }
 
     /// Whether what it counted still counts.
-    pub(super) fn counts(&self, now: Instant) -> bool {
+    pub(super) fn still_counts(&self, now: Instant) -> bool {
         self.silent_for(COUNTED, now) == Some(false)
     }
 
--- a/crates/roseshore_core/src/gateway/peers/telling.rs
+++ b/crates/roseshore_core/src/gateway/peers/telling.rs
@@ -1,4 +1,8 @@
 //! Makes the heartbeats that are due.
+//!
+//! What a heartbeat tells depends on its hearer: a host that hears all others gets the sender's own
+//! loads, one that hears only speakers the sums of all hosts but itself, and a speaker of another data
+//! centre the sums of this one.
 
 use super::audience::{self, Relation};
 use super::message::{Beat, CentreMark, Echo, Named, Scope};
@@ -151,12 +155,18 @@
         Round { own, near, others, ranked: self.ranked(now) }
     }
 
-    fn beat(&mut self, to: SocketAddr, as_what: Relation, round: &Round<'_>, now: Instant) -> Beat {
+    fn beat(
+        &mut self,
+        to: SocketAddr,
+        relation: Relation,
+        round: &Round<'_>,
+        now: Instant,
+    ) -> Beat {
         self.sequence += 1;
         let own = round.own;
         let sent = now.saturating_duration_since(self.begun).as_millis() as u64;
         let centre = self.all.get(&to).and_then(|peer| peer.centre);
-        let named = self.names(to, centre, as_what, round);
+        let named = self.names(to, centre, relation, round);
         let mut beat = Beat {
             centre: self.centre,
             capacity: self.capacity,
@@ -167,7 +177,7 @@
             leaving: own.leaving,
             reading: own.reading,
             speaks: self.speaking,
-            asks: as_what.asks(),
+            asks: relation.asks(),
             config: own.config,
             list: own.list,
             scope: Scope::Own,
@@ -178,9 +188,9 @@
             named,
         };
         let Some(peer) = self.all.get_mut(&to) else { return beat };
-        peer.told(as_what.asks(), now);
+        peer.told(relation.asks(), now);
         beat.echo = peer.heard.map(|heard| own.echo(peer.sent, heard));
-        let mut sums = match as_what {
+        let mut sums = match relation {
             Relation::Listener if peer.scope == Scope::Own => round.others.without(peer),
             Relation::Listener => round.others.clone(),
             Relation::FarSpeaker => round.near.clone(),
@@ -193,7 +203,7 @@
         sums.add_loads(&own.loads, true);
         sums.add_counts(&own.counts);
         let hosts = u16::try_from(sums.hosts + 1).unwrap_or(u16::MAX);
-        beat.scope = match as_what {
+        beat.scope = match relation {
             Relation::FarSpeaker => Scope::Centre(hosts),
             _ => Scope::Others(hosts),
         };
@@ -210,7 +220,7 @@
         &mut self,
         to: SocketAddr,
         centre: Option<CentreMark>,
-        as_what: Relation,
+        relation: Relation,
         round: &Round<'_>,
     ) -> Vec<Named> {
         let first = |mark: &CentreMark, most: usize| {
@@ -220,7 +230,7 @@
         let own = centre.map(|mark| first(&mark, STANDBY)).unwrap_or_default();
         let others = round.ranked.keys().filter(|mark| centre != Some(**mark));
         let far: Vec<Named> = others.flat_map(|mark| first(mark, FAR_FIRST)).collect();
-        let most = match as_what {
+        let most = match relation {
             Relation::Asker | Relation::Sought | Relation::Contact | Relation::Seed => STANDBY,
             Relation::Speaker | Relation::Listener | Relation::FarSpeaker => NAMED,
         };
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -35,7 +35,7 @@
                 sums.hosts += 1;
                 sums.add_loads(&peer.loads, true);
             }
-            if peer.counts(now) {
+            if peer.still_counts(now) {
                 sums.add_counts(&peer.counts);
             }
         }
@@ -45,7 +45,7 @@
     /// Adds other data centres: of each, the word of the speaker that hears most of it.
     pub(super) fn add_far(&self, sums: &mut Sums, now: Instant) {
         let mut best: BTreeMap<CentreMark, (u16, &Peer)> = BTreeMap::new();
-        for peer in self.all.values().filter(|p| p.counts(now)) {
+        for peer in self.all.values().filter(|p| p.still_counts(now)) {
             let Some(centre) = peer.centre.filter(|c| *c != self.centre) else { continue };
             let hosts = match peer.scope {
                 Scope::Centre(hosts) => hosts,
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -10,8 +10,8 @@
 /// heartbeats a second, and what each changes matters to a choice only with the others.
 const VIEW_EVERY: Duration = Duration::from_millis(20);
 
-/// A newer configuration that no copy has brought for so long is read: a copy of 250 kB reaches sixty
-/// hosts in 0.9 s, most of them in half of it, and refusals begin at 0.7 s.
+/// A newer configuration that no copy has brought for so long is read: refusals begin at 0.7 s, and
+/// a copy of 250 kB reaches the last of sixty hosts in 0.9 s.
 const COPY_PATIENCE: Duration = Duration::from_millis(500);
 
 impl Entry {
