A request is as old as the time in which nobody looked, and one whose caller left is not sent on

A host that stood still took a request's time to begin when it looked, and looked at the caller's end only after sending. Change: gateway::look says when what a busy loop finds may have come; a request's time runs from then, one whose time is over is refused as not run, one whose caller's connection has ended is not sent on.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -3,7 +3,8 @@
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
 //! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry
-//! means, [`leaving`] what a host that stops still takes, [`allowance`] how many sends may be
+//! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
+//! came, [`allowance`] how many sends may be
 //! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
 //! [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
 //! known to be the newest.
@@ -13,6 +14,7 @@
 pub mod currency;
 pub mod failure;
 pub mod leaving;
+pub mod look;
 pub mod outage;
 pub mod path;
 pub mod peers;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -8,6 +8,7 @@
     mod giving;
     mod holdings;
     mod leaving;
+    mod look;
     mod outage;
     mod path;
     mod peers;
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/look.rs
@@ -0,0 +1,28 @@
+//! When what a busy host looks at may have come.
+
+use roseshore_core::gateway::look::Look;
+use roseshore_core::prelude::*;
+
+/// A look, in milliseconds after the one before.
+struct Case {
+    name: &'static str,
+    began: u64,
+    ended: u64,
+    earliest: u64,
+}
+
+#[test]
+fn a_request_is_as_old_as_the_time_in_which_nobody_looked() {
+    let cases = [
+        Case { name: "idle until it came", began: 1, ended: 80, earliest: 80 },
+        Case { name: "busy for two seconds", began: 2_000, ended: 2_000, earliest: 0 },
+        Case { name: "busy, then idle", began: 2_000, ended: 2_040, earliest: 2_040 },
+        Case { name: "a short turn", began: 2, ended: 2, earliest: 0 },
+    ];
+    let before = Instant::now();
+    let at = |ms: u64| before + Duration::from_millis(ms);
+    for case in cases {
+        let look = Look { before, began: at(case.began), ended: at(case.ended) };
+        assert_eq!(look.earliest(), at(case.earliest), "{}", case.name);
+    }
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -30,6 +30,7 @@
 use rand::rngs::SmallRng;
 use roseshore_core::gateway::copies::COPY_TIME;
 use roseshore_core::gateway::leaving::Pace;
+use roseshore_core::gateway::look::Look;
 use roseshore_core::gateway::{
     Allowance, Copies, Currency, EntrySettings, Peers, Shortage, Snapshot, Targets,
 };
@@ -125,6 +126,8 @@
     random: SmallRng,
     begun: Instant,
     now: Instant,
+    /// The earliest moment at which what is looked at in this turn may have come.
+    came: Instant,
     ticked: Instant,
     ready: bool,
     suspended: bool,
@@ -203,6 +206,7 @@
             random,
             begun: now,
             now,
+            came: now,
             // The first turn of the loop is a tick: nothing serves before the store was read.
             ticked: now.checked_sub(TICK).unwrap_or(now),
             ready: false,
@@ -236,9 +240,11 @@
     pub fn run(&mut self) -> io::Result<usize> {
         let mut notices = Vec::new();
         loop {
-            let wait = self.next_timer().saturating_duration_since(Instant::now());
+            let began = Instant::now();
+            let wait = self.next_timer().saturating_duration_since(began);
             self.net.wait(wait, &mut notices)?;
-            self.now = Instant::now();
+            let look = Look { before: self.now, began, ended: Instant::now() };
+            (self.now, self.came) = (look.ended, look.earliest());
             for notice in notices.drain(..) {
                 match notice {
                     Notice::Door(Door::Peers) => self.hear(),
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -128,6 +128,11 @@
                         }
                         return;
                     }
+                    if ended {
+                        // Its caller left while this host was busy: nothing is sent on for it.
+                        note!(self, CallerLeft, "request=- events=0 held_ms=0");
+                        return self.close(key);
+                    }
                     self.whole_request(key);
                 }
             }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -169,7 +169,11 @@
             let refusal = Refusal::not_run(Code::Draining, "this host is leaving");
             return Err(refusal.after(self.spread(COME_BACK_ELSEWHERE)));
         }
-        let wait = asked.deadline.unwrap_or(USUAL_DEADLINE).min(route.timeout);
+        let until = self.came + asked.deadline.unwrap_or(USUAL_DEADLINE).min(route.timeout);
+        if until <= self.now {
+            let text = "the request's time was over before this host looked at it";
+            return Err(Refusal::not_run(Code::TooLate, text).after(self.spread(COME_BACK)));
+        }
         Ok(Exchange {
             caller,
             head,
@@ -178,8 +182,8 @@
             service,
             organisation,
             version: snapshot.version(),
-            begun: self.now,
-            until: self.now + wait,
+            begun: self.came,
+            until,
             sends: 0,
             verdict: Verdict::NotRun,
             arrived: false,
