Where requests begin: the first engine's slots count; what engines report of their pace

Change: a path's beginning costs by the slots taken, ten may wait, more is no room; a placement is worth no more than the slots of its first engines carry, and the pressure for steps counts them. Test: tests/gateway/starts plays 66 requests/s on 192 slots: 936 of 1,320 first events late before, 0 after with a second engine; with one engine alone 0 late and 138 refused.

--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -6,14 +6,14 @@
 use roseshore_core::gateway::path::{PathNeed, choose};
 use roseshore_core::gateway::peers::{LoadNote, Own, Peers, mark};
 use roseshore_core::gateway::plan::{Member, next_step, plan};
-use roseshore_core::gateway::targets::Absence;
+use roseshore_core::gateway::targets::{Absence, Claim};
 use roseshore_core::gateway::{EngineSpec, Holding, Kind, TargetRecord, Targets};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Engines of a data centre: today's, the grown sites', the letter's as engines and as accelerators.
-const ENGINES: [usize; 6] = [12, 29, 45, 91, 180, 368];
+/// Engines of a data centre: today's, the grown sites', and those of sizes ahead.
+const ENGINES: [usize; 7] = [12, 29, 45, 91, 180, 368, 1000];
 /// Hosts that a host hears of.
 const HOSTS: [u16; 5] = [8, 30, 85, 200, 390];
 /// Targets of all data centres together that a list holds.
@@ -169,7 +169,7 @@
     let told: HashMap<_, _> = records.iter().step_by(3).map(note).collect();
     let loads = micros(51, || targets.others(&told));
     for record in records.iter().step_by(30) {
-        targets.begin(&record.id, 1000.0);
+        targets.begin(&Claim { target: record.id.clone(), held: 1000.0 });
     }
     let notes = micros(51, || drop(std::hint::black_box(targets.notes())));
     let need = need();
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`failure`] what follows a failed send, [`outage`] what a missing entry
+//! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`outage`] what a missing entry
 //! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
 //! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
@@ -16,6 +16,7 @@
 pub mod leaving;
 pub mod look;
 pub mod outage;
+pub mod paces;
 pub mod path;
 pub mod peers;
 pub mod plan;
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -17,6 +17,16 @@
 /// How much dearer a part's time is when its cache is full: what is nearly full is left to those
 /// that have nothing else. The fourth power keeps it small up to half full.
 const CROWD: f64 = 12.0;
+/// The first engine of a path takes so many requests at once, from its first to its last token. Time that it
+/// costs to begin at one whose slots are all taken, ms, falling with the fourth power: where an equal
+/// engine holds the first layers too, that is taken well before.
+const START_MS: f64 = 600.0;
+/// What each request costs that waits there for another one to end, ms: of 192 answers of three seconds one
+/// ends each 16 ms.
+const WAIT_MS: f64 = 16.0;
+/// Requests that may wait there. With 30 to 50 at the one engine that held the first layers, all of 60
+/// streams a second had their first event after 0.45 to 0.8 s, where 0.05 s was predicted.
+const MOST_WAITING: f64 = 10.0;
 /// Part of an answer that counts as written.
 const WRITTEN: f64 = 0.6;
 /// A path of the own data centre that is less full than this is taken without looking further.
@@ -55,6 +65,10 @@
     pub token_ms: f64,
     /// Time to read a token of a prompt through a layer, ms.
     pub read_ms: f64,
+    /// Requests in flight there of all hosts.
+    pub busy: f64,
+    /// Requests that it takes at once as the first of a path.
+    pub slots: f64,
     /// Free KV cache, tokens times layers.
     pub free: f64,
     /// All KV cache beside its layers, tokens times layers.
@@ -63,6 +77,24 @@
     pub sound: bool,
 }
 
+impl Part {
+    /// The share of its slots that are taken with one more request.
+    fn started(&self) -> f64 {
+        (self.busy + 1.0) / self.slots.max(1.0)
+    }
+
+    /// Requests that would wait there for another one to end.
+    fn waiting(&self) -> f64 {
+        (self.busy + 1.0 - self.slots).max(0.0)
+    }
+
+    /// What it costs to begin there, ms.
+    fn start_ms(&self) -> f64 {
+        let full = if self.waiting() > MOST_WAITING { FULL_MS } else { 0.0 };
+        START_MS * self.started().powi(4) + self.waiting() * WAIT_MS + full
+    }
+}
+
 /// What a request needs of its path.
 #[derive(Clone, Copy, Debug)]
 pub struct PathNeed<'a> {
@@ -175,7 +207,8 @@
                     continue;
                 }
                 let piece = piece_ms(part, need, to - from) * jitter[index];
-                let cost = base + piece + joint * need.answer;
+                let start = if from == 0 { part.start_ms() } else { 0.0 };
+                let cost = base + piece + start + joint * need.answer;
                 if best[to].is_none_or(|b| cost < b.cost) {
                     best[to] = Some(Best { cost, part: index, from: from as Layer });
                 }
@@ -223,7 +256,12 @@
         path.first_ms += width * (need.prompt * part.read_ms + part.token_ms) + joint;
         let taken = need.tokens() * width;
         path.roomy &= need.fits(part, width) && part.sound;
-        let fill = (part.room - part.free + taken) / part.room.max(1.0);
+        let mut fill = (part.room - part.free + taken) / part.room.max(1.0);
+        if layers.0 == 0 {
+            path.first_ms += part.waiting() * WAIT_MS;
+            path.roomy &= part.waiting() <= MOST_WAITING;
+            fill = fill.max(part.started());
+        }
         if fill > path.fill {
             path.fill = fill;
             path.fullest.clone_from(&part.id);
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -20,6 +20,7 @@
 mod telling;
 mod view;
 
+use super::paces::PaceNote;
 use crate::prelude::*;
 pub use message::{
     Beat, CentreMark, CountNote, Echo, HoldNote, ListMark, LoadNote, Named, Scope, TargetMark,
@@ -65,6 +66,8 @@
     pub counts: Vec<CountNote>,
     /// What it has ordered, and learned, of targets' layers.
     pub holds: Vec<HoldNote>,
+    /// What engines reported of their pace.
+    pub paces: Vec<PaceNote>,
 }
 
 impl Default for Own {
@@ -79,6 +82,7 @@
             loads: Vec::new(),
             counts: Vec::new(),
             holds: Vec::new(),
+            paces: Vec::new(),
         }
     }
 }
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -1,5 +1,6 @@
 //! The heartbeat: what one host tells another of itself, and of those that it speaks for.
 
+use crate::gateway::paces::PaceNote;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -138,6 +139,8 @@
     pub counts: Vec<CountNote>,
     /// What the sender has ordered, and learned, of targets' layers.
     pub holds: Vec<HoldNote>,
+    /// What engines reported of their pace.
+    pub paces: Vec<PaceNote>,
     /// Some hosts that the sender hears.
     pub named: Vec<Named>,
 }
--- a/crates/roseshore_core/src/gateway/peers/telling.rs
+++ b/crates/roseshore_core/src/gateway/peers/telling.rs
@@ -185,6 +185,7 @@
             far: Vec::new(),
             counts: Vec::new(),
             holds: own.holds.clone(),
+            paces: own.paces.clone(),
             named,
         };
         let Some(peer) = self.all.get_mut(&to) else { return beat };
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -170,8 +170,8 @@
         let range = (from, from + width);
         let added = spec.room(kind.size_mb, width).max(1.0);
         let inside = |layer: usize| (usize::from(range.0)..usize::from(range.1)).contains(&layer);
-        let with = |(layer, room): (usize, &f64)| room + if inside(layer) { added } else { 0.0 };
-        let narrowest = rooms.iter().enumerate().map(with).reduce(f64::min).unwrap_or(0.0);
+        let joined = |(layer, room): (usize, &f64)| room + if inside(layer) { added } else { 0.0 };
+        let narrowest = rooms.iter().enumerate().map(joined).reduce(f64::min).unwrap_or(0.0);
         let sound = fits && self::fits(spec, &members[index], Some(range));
         let least = if sound { narrowest } else { 0.0 };
         if best.is_none_or(|(most, _)| least > most) {
--- a/crates/roseshore_core/src/gateway/plan/copies.rs
+++ b/crates/roseshore_core/src/gateway/plan/copies.rs
@@ -98,7 +98,7 @@
         let work = Work { share, visits: 1.0, pace: run.kind.pace, read: run.kind.read };
         std::iter::repeat_n(work, run.engines)
     });
-    value::rate(spec, room(spec, counts), work)
+    value::rate(spec, room(spec, counts), 1, work)
 }
 
 fn advance(taken: &mut [usize], counts: &[Count<'_>], step: usize) -> bool {
--- a/crates/roseshore_core/src/gateway/plan/value.rs
+++ b/crates/roseshore_core/src/gateway/plan/value.rs
@@ -23,12 +23,18 @@
     pub(super) read: f64,
 }
 
-/// Requests a second, when each of them may take so much room, tokens, and is worked on like this.
-/// As many run at once as there is room for; each of them makes every step longer, so more room is
-/// worth less on slow engines.
-pub(super) fn rate(spec: &EngineSpec, room: f64, work: impl Iterator<Item = Work>) -> f64 {
+/// Requests a second, when each of them may take so much room, tokens, so many engines hold the first
+/// layers, and each request is worked on like this. As many run at once as there is room for, and as
+/// those engines take; each of them makes every step longer, so more room is worth less on slow engines.
+pub(super) fn rate(
+    spec: &EngineSpec,
+    room: f64,
+    firsts: usize,
+    work: impl Iterator<Item = Work>,
+) -> f64 {
     let held = spec.prompt + 0.5 * spec.answer;
-    let running = WORKING_FILL * room / held.max(1.0);
+    let starts = firsts as f64 * f64::from(spec.slots);
+    let running = WORKING_FILL * (room / held.max(1.0)).min(starts);
     let added = spec.per_seq_ms + spec.context_ms * held;
     let (mut token, mut read) = (0.0, 0.0);
     for part in work {
@@ -115,13 +121,27 @@
             sum += inverse.powi(SHARPNESS);
         }
         let width = (sum / self.rooms.len().max(1) as f64).powf(-1.0 / f64::from(SHARPNESS));
-        rate(self.spec, width, self.holders.iter().flatten().filter_map(|h| self.work(h)))
+        let work = self.holders.iter().flatten().filter_map(|h| self.work(h));
+        rate(self.spec, width, self.firsts(), work)
     }
 
-    /// Which layers have less than this multiple of the narrowest one's room.
+    /// Engines that hold the first layers.
+    fn firsts(&self) -> usize {
+        let first = |h: &&Holder| h.layers.is_some_and(|(from, to)| from == 0 && to > 0);
+        self.holders.iter().flatten().filter(first).count()
+    }
+
+    /// Which layers have less than this multiple of the narrowest one's room. The first one is narrow too
+    /// where the slots of its holders bind before room does.
     pub(super) fn narrow(&self, multiple: f64) -> Vec<bool> {
         let least = self.rooms.iter().copied().fold(f64::INFINITY, f64::min);
-        self.rooms.iter().map(|room| *room < least * multiple).collect()
+        let mut narrow: Vec<bool> = self.rooms.iter().map(|r| *r < least * multiple).collect();
+        let held = self.spec.prompt + 0.5 * self.spec.answer;
+        let starts = self.firsts() as f64 * f64::from(self.spec.slots) * held;
+        if let Some(first) = narrow.first_mut().filter(|_| starts < least * multiple) {
+            *first = true;
+        }
+        narrow
     }
 
     fn work(&self, holder: &Holder) -> Option<Work> {
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -25,6 +25,15 @@
         matches!(self, CallKind::Idempotent | CallKind::Stream { resumable: true })
     }
 
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            CallKind::Idempotent => "idempotent",
+            CallKind::Unrepeatable => "unrepeatable",
+            CallKind::Stream { .. } => "stream",
+        }
+    }
+
     /// Whether its answer is a series of events.
     pub fn stream(self) -> bool {
         matches!(self, CallKind::Stream { .. })
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -11,14 +11,16 @@
 
 mod target;
 
+use super::paces::{Pace, PaceNote};
 use super::path::{Part, PathNeed};
 use super::peers::{ListMark, LoadNote, TargetMark};
 use super::plan::pressure::{Taken, fullest};
 use super::routes::EngineSpec;
 use crate::prelude::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use target::Learned;
-pub use target::{Death, Holding, Target, TargetRecord};
+pub use target::{Claim, Death, Holding, Target, TargetRecord};
 
 /// What follows from a target's absence in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,19 +165,19 @@
         self.all.values().filter(move |t| t.record.service == service)
     }
 
-    /// A request with this much KV cache, tokens times layers, goes to a target.
-    pub fn begin(&mut self, id: &str, held: f64) {
-        if let Some(target) = self.all.get_mut(id) {
+    /// A request goes to a target.
+    pub fn begin(&mut self, claim: &Claim) {
+        if let Some(target) = self.all.get_mut(&claim.target) {
             target.own += 1;
-            target.held += held;
+            target.held += claim.held;
         }
     }
 
     /// It ended.
-    pub fn end(&mut self, id: &str, held: f64) {
-        if let Some(target) = self.all.get_mut(id) {
+    pub fn end(&mut self, claim: &Claim) {
+        if let Some(target) = self.all.get_mut(&claim.target) {
             target.own = target.own.saturating_sub(1);
-            target.held = (target.held - held).max(0.0);
+            target.held = (target.held - claim.held).max(0.0);
         }
     }
 
@@ -290,6 +292,23 @@
         ListMark { next, digest: self.digest }
     }
 
+    /// A target reported its pace, here or to another host; the latest word counts.
+    pub fn paced(&mut self, target: TargetMark, pace: Pace) {
+        let known = self.marks.get(&target).and_then(|id| self.all.get_mut(id));
+        if let Some(target) = known.filter(|t| pace.newer(t.pace)) {
+            target.pace = Some(pace);
+        }
+    }
+
+    /// The paces that differ from what is published, for the other hosts: the slowest of so many.
+    pub fn pace_notes(&self, most: usize, now: Instant) -> Vec<PaceNote> {
+        let note = |t: &Target| t.pace?.note(t.mark, now);
+        let mut notes: Vec<PaceNote> = self.all.values().filter_map(note).collect();
+        notes.sort_unstable_by_key(|note| (Reverse(note.pace), note.target));
+        notes.truncate(most);
+        notes
+    }
+
     /// A target told its load.
     pub fn loaded(&mut self, id: &str, running: u32, waiting: u32, now: Instant) {
         if let Some(target) = self.all.get_mut(id) {
@@ -334,7 +353,8 @@
         all.filter_map(|t| Self::part(t, spec, need, now)).collect()
     }
 
-    /// How full the fullest layer of a data centre's engines is, as a share of its room.
+    /// How full the fullest layer of a data centre's engines is, as a share of its room, or the first
+    /// layers' engines, as a share of their slots.
     pub fn fullest(&self, service: &str, spec: &EngineSpec, centre: &str) -> f64 {
         let near = self.of(service).filter(|t| t.open() && t.record.data_centre == centre);
         let taken = near.filter_map(|t| {
@@ -342,7 +362,21 @@
             let room = Self::room(t, spec)?;
             Some(Taken { layers, room, taken: t.taken() })
         });
-        fullest(spec.layers, taken)
+        fullest(spec.layers, taken).max(self.started(service, centre))
+    }
+
+    /// The share of the slots that are taken at the engines which requests may begin at.
+    fn started(&self, service: &str, centre: &str) -> f64 {
+        let first = |t: &&Target| {
+            t.open()
+                && t.record.data_centre == centre
+                && t.holding().is_some_and(|h| h.layers.0 == 0)
+        };
+        let (taken, slots) = self
+            .of(service)
+            .filter(first)
+            .fold((0.0, 0.0), |sum, t| (sum.0 + t.busy(), sum.1 + f64::from(t.record.slots)));
+        if slots > 0.0 { taken / slots } else { 0.0 }
     }
 
     /// KV cache of an engine beside its layers, tokens times layers.
@@ -360,14 +394,18 @@
         let context = spec.context_ms * (spec.prompt + spec.answer);
         let step = spec.step_ms + (spec.per_seq_ms + context) * (busy + 1.0);
         let room = Self::room(t, spec)?;
+        let slowness = t.slowness(now);
+        let read_ms = slowness * kind.read * share / spec.read_per_ms;
         Some(Part {
             id: t.record.id.clone(),
             addr: t.record.addr,
             near: t.record.data_centre == need.near,
             data_centre: t.record.data_centre.clone(),
             layers,
-            token_ms: step * kind.pace * share,
-            read_ms: kind.read * share / spec.read_per_ms,
+            token_ms: slowness * step * kind.pace * share,
+            read_ms,
+            busy,
+            slots: f64::from(t.record.slots),
             free: room - t.taken(),
             room,
             sound: t.sound(now),
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -1,5 +1,6 @@
 //! One target: its record in the platform's list, and this host's own view of it.
 
+use super::super::paces::Pace;
 use super::super::peers::{LoadNote, TargetMark, target_mark};
 use crate::load::health::Health;
 use crate::prelude::*;
@@ -82,6 +83,15 @@
     }
 }
 
+/// What a request takes of one target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    /// The target.
+    pub target: TargetId,
+    /// KV cache, tokens times layers.
+    pub held: f64,
+}
+
 /// A target and this host's own view of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -102,6 +112,8 @@
     pub(super) others: LoadNote,
     pub(super) health: Health,
     pub(super) load: Option<(f64, Instant)>,
+    /// How fast it runs.
+    pub(super) pace: Option<Pace>,
     /// What it holds by its own report, where the list does not say so yet.
     pub(super) learned: Option<Learned>,
     /// When something last came through it.
@@ -125,6 +137,7 @@
             replaced: false,
             health: Health::default(),
             load: None,
+            pace: None,
             learned: None,
             progress: None,
             dead: None,
@@ -168,6 +181,11 @@
         Target { own: self.own, held: self.held, ..Target::new(record) }
     }
 
+    /// How many times slower it runs than published.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        self.pace.map_or(1.0, |pace| pace.factor(now))
+    }
+
     /// Takes a record of the same life; returns whether it changed anything that matters for work.
     pub(super) fn listed(&mut self, record: TargetRecord) -> bool {
         self.missing = None;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -17,5 +17,6 @@
     mod reading;
     mod routes;
     mod shortage;
+    mod starts;
     mod targets;
 }
--- a/crates/roseshore_core/tests/gateway/path.rs
+++ b/crates/roseshore_core/tests/gateway/path.rs
@@ -15,6 +15,8 @@
         layers,
         token_ms: 0.02,
         read_ms: 0.0001,
+        busy: 0.0,
+        slots: 192.0,
         free,
         room: 1e6,
         sound: true,
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other.
 
 use proptest::prelude::*;
+use roseshore_core::gateway::paces::PaceNote;
 use roseshore_core::gateway::peers::{Beat, HoldNote, ListMark, LoadNote, Own, Peers, mark};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -139,10 +140,15 @@
     let loads = (0..500).map(note).collect();
     let list = ListMark { next: u64::MAX, digest: u64::MAX };
     // As many as the placing part tells of.
-    let holds = (0..24).map(|n| HoldNote { target: n, layers: (300, 400), done: true }).collect();
-    let own = Own { loads, list, holds, proven: Some(now), ..own() };
+    let holds = (0..16).map(|n| HoldNote { target: n, layers: (300, 400), done: true }).collect();
+    let paces = (0..12).map(|n| PaceNote { target: u32::MAX - n, pace: 6400, age: 2999 }).collect();
+    let own = Own { loads, list, holds, paces, proven: Some(now), ..own() };
     let beat = sent(&mut a, 2, &own, now + ms(5000)).expect("a heartbeat");
-    let size = beat.loads.len() * 12 + beat.holds.len() * 11 + beat.named.len() * 8 + 140;
+    let size = beat.loads.len() * 12
+        + beat.holds.len() * 11
+        + beat.named.len() * 8
+        + beat.paces.len() * 9
+        + 140;
     assert!(size <= 1400, "{size}");
 }
 
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/starts.rs
@@ -0,0 +1,130 @@
+//! Requests that begin: what callers get where the slots of one engine are fewer than the answers that run.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use roseshore_core::gateway::path::{Part, PathNeed, choose};
+
+/// Hosts that send, in turn, and how late each hears what the others have in flight, s.
+const HOSTS: usize = 20;
+const WORD: f64 = 0.3;
+/// Requests a second, and seconds of them.
+const RATE: f64 = 66.0;
+const SECONDS: f64 = 20.0;
+/// How long an answer runs, s: 138 tokens of 23 ms.
+const LIFE: f64 = 3.2;
+/// Slots of an engine.
+const SLOTS: usize = 192;
+/// The time within which the first event should come, s.
+const AIM: f64 = 0.5;
+
+/// A request at the engine where it began.
+struct Sent {
+    host: usize,
+    engine: usize,
+    at: f64,
+    /// When its first event comes and when it ends.
+    first: f64,
+    end: f64,
+}
+
+struct Load {
+    name: &'static str,
+    /// How much slower each engine that holds the first layers writes than the fastest.
+    engines: &'static [f64],
+    /// Whether the hosts count who began where.
+    counted: bool,
+    /// First events that are late, and requests that are turned away.
+    late: usize,
+    refused: usize,
+}
+
+/// What a host takes an engine to have in flight.
+fn known(sent: &[Sent], host: usize, engine: usize, now: f64) -> usize {
+    let lag = |s: &Sent| if s.host == host { 0.0 } else { WORD };
+    let runs = |s: &&Sent| s.engine == engine && s.at + lag(s) <= now && s.end + lag(s) > now;
+    sent.iter().filter(runs).count()
+}
+
+/// When a slot is free for one more.
+fn free_at(sent: &[Sent], engine: usize, now: f64) -> f64 {
+    let mut ends: Vec<f64> =
+        sent.iter().filter(|s| s.engine == engine && s.end > now).map(|s| s.end).collect();
+    ends.sort_by(f64::total_cmp);
+    if ends.len() < SLOTS { now } else { ends[ends.len() - SLOTS] }
+}
+
+/// Plays a load; first events that are late, and requests that no engine had room for.
+fn play(load: &Load) -> (usize, usize) {
+    let (mut sent, mut refused) = (Vec::new(), 0);
+    let mut random = SmallRng::seed_from_u64(3);
+    let need = PathNeed {
+        layers: 80,
+        prompt: 760.0,
+        answer: 138.0,
+        near: "north",
+        avoid: &[],
+        starts: None,
+    };
+    for n in 0..(RATE * SECONDS) as usize {
+        let (host, now) = (n % HOSTS, n as f64 / RATE);
+        let part = |name: &str, layers, token_ms, busy: usize| Part {
+            id: name.to_owned(),
+            addr: "10.0.0.1:80".parse().expect("an address"),
+            near: true,
+            data_centre: "north".to_owned(),
+            layers,
+            token_ms,
+            read_ms: 0.0001,
+            busy: busy as f64,
+            slots: SLOTS as f64,
+            free: 9e6,
+            room: 9e6,
+            sound: true,
+        };
+        let busy = |engine| if load.counted { known(&sent, host, engine, now) } else { 0 };
+        let firsts = load.engines.iter().enumerate();
+        let mut parts: Vec<Part> =
+            firsts.map(|(e, slow)| part(&e.to_string(), (0, 10), 0.05 * slow, busy(e))).collect();
+        parts.push(part("rest", (10, 80), 0.3, 0));
+        let path = choose(&parts, &need, &mut random).expect("a path");
+        if !path.roomy {
+            refused += 1;
+            continue;
+        }
+        let engine: usize = path.hops[0].0.parse().expect("one of the first");
+        let first = free_at(&sent, engine, now) + 0.05;
+        sent.push(Sent { host, engine, at: now, first, end: first + LIFE });
+    }
+    (sent.iter().filter(|s| s.first - s.at > AIM).count(), refused)
+}
+
+#[test]
+fn requests_begin_where_slots_are_free() {
+    let cases = [
+        Load {
+            name: "a fast engine and a slow one, not counted",
+            engines: &[1.0, 5.0],
+            counted: false,
+            late: 936,
+            refused: 0,
+        },
+        Load {
+            name: "a fast engine and a slow one",
+            engines: &[1.0, 5.0],
+            counted: true,
+            late: 0,
+            refused: 0,
+        },
+        Load {
+            name: "one engine, not counted",
+            engines: &[1.0],
+            counted: false,
+            late: 936,
+            refused: 0,
+        },
+        Load { name: "one engine", engines: &[1.0], counted: true, late: 0, refused: 138 },
+    ];
+    for load in cases {
+        assert_eq!(play(&load), (load.late, load.refused), "{}", load.name);
+    }
+}
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::peers::{LoadNote, mark, target_mark};
-use roseshore_core::gateway::targets::{Absence, Death, News, Target};
+use roseshore_core::gateway::targets::{Absence, Claim, Death, News, Target};
 use roseshore_core::gateway::{Holding, TargetRecord, Targets};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
@@ -28,6 +28,10 @@
     targets
 }
 
+fn claim(target: &str, held: f64) -> Claim {
+    Claim { target: target.to_owned(), held }
+}
+
 fn chosen(targets: &Targets, near: &str, avoid: &[TargetId], now: Instant) -> Option<String> {
     targets.plain("plain", near, avoid, now).map(|t| t.record.id.clone())
 }
@@ -77,7 +81,7 @@
         },
         Case {
             name: "it is busy",
-            happens: |t, _| (0..4).for_each(|_| t.begin("a", 0.0)),
+            happens: |t, _| (0..4).for_each(|_| t.begin(&claim("a", 0.0))),
             chosen: "b",
         },
         Case {
@@ -289,11 +293,12 @@
 #[test]
 fn what_was_sent_to_a_former_life_still_ends() {
     let mut targets = two();
-    targets.begin("a", 500.0);
+    let claim = claim("a", 500.0);
+    targets.begin(&claim);
     targets.put(TargetRecord { life: 7, ..record("a", "north") });
     let own = |targets: &Targets| targets.get("a").map(|t| (t.own, t.held));
     assert_eq!(own(&targets), Some((1, 500.0)));
-    targets.end("a", 500.0);
+    targets.end(&claim);
     assert_eq!(own(&targets), Some((0, 0.0)));
 }
 
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -175,6 +175,8 @@
     pub busy: bool,
     /// The layers held.
     pub holding: Option<Holding>,
+    /// How many times slower it runs than published; below 1 when faster.
+    pub pace: f64,
     /// Requests running.
     pub running: u32,
     /// Requests waiting.
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod following;
 mod liveness;
+mod pacing;
 mod peering;
 mod placing;
 mod probes;
@@ -25,6 +26,7 @@
 use following::Following;
 use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
+use pacing::Pacing;
 use placing::Placing;
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -121,6 +123,7 @@
     following: Following,
     copies: Copies,
     placing: Placing,
+    pacing: Pacing,
     pace: Pace,
     shortage: Shortage,
     random: SmallRng,
@@ -201,6 +204,7 @@
             following: Following::default(),
             copies: Copies::default(),
             placing: Placing::default(),
+            pacing: Pacing::default(),
             pace: Pace::default(),
             shortage: Shortage::default(),
             random,
@@ -299,6 +303,7 @@
         }
         self.follow();
         self.place();
+        self.ask_paces();
         self.recheck_dead();
         self.drop_idle();
         self.judge_age();
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -19,6 +19,8 @@
     Read(Stream, Offset, Duration),
     /// A target's report.
     Report(TargetId),
+    /// The same, only to learn how fast it runs.
+    Pace(TargetId),
     /// A placement order.
     Place(TargetId, (Layer, Layer)),
 }
@@ -143,6 +145,7 @@
             Purpose::Newest(stream) => self.newest_came(stream, sent, reply),
             Purpose::Read(stream, from, wait) => self.records_came(stream, sent, from, wait, reply),
             Purpose::Report(id) => self.report_came(&id, reply),
+            Purpose::Pace(id) => self.pace_came(&id, reply),
             Purpose::Place(id, layers) => self.place_came(&id, layers, reply),
         }
     }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -291,10 +291,14 @@
             metrics::histogram!("roseshore_first_event_seconds").record(first.as_secs_f64());
         }
         let text = format!(
-            "request={} route={} organisation={} service={} config_version={} sends={} verdict={} \
-             code={code} events={} first_ms={} pause_ms={} took_ms={} why={why:?}",
+            "request={} route={} kind={} aim_ms={} pause_aim_ms={} organisation={} service={} \
+             config_version={} sends={} verdict={} code={code} events={} first_ms={} pause_ms={} \
+             took_ms={} why={why:?}",
             exchange.asked.attempt,
             exchange.route.name,
+            exchange.route.kind.name(),
+            exchange.route.objective.as_millis(),
+            exchange.route.pause.unwrap_or_default().as_millis(),
             exchange.organisation.as_deref().unwrap_or("-"),
             exchange.service.name,
             exchange.version,
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -2,6 +2,7 @@
 
 use super::{Entry, note};
 use roseshore_core::gateway::Allowance;
+use roseshore_core::gateway::paces::{Pace, PaceNote};
 use roseshore_core::gateway::peers::{Beat, CountNote, Own, mark};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
@@ -14,6 +15,9 @@
 /// a copy of 250 kB reaches the last of sixty hosts in 0.9 s.
 const COPY_PATIENCE: Duration = Duration::from_millis(500);
 
+/// Paces that a heartbeat tells of; more do not fit a datagram beside the rest.
+const PACES_TOLD: usize = 12;
+
 impl Entry {
     /// Takes the heartbeats that came.
     pub(super) fn hear(&mut self) {
@@ -28,7 +32,7 @@
                 }
             };
             let (now, config, list) = (self.now, beat.config, beat.list);
-            let holds = beat.holds.clone();
+            let (holds, paces) = (beat.holds.clone(), beat.paces.clone());
             let Some(heard) = self.peers.hear(from, beat, now) else { continue };
             if heard.joined {
                 note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
@@ -36,6 +40,11 @@
             for hold in holds {
                 self.take_hold(hold);
             }
+            for note in paces {
+                if let Some(pace) = Pace::heard(&note, now) {
+                    self.targets.paced(note.target, pace);
+                }
+            }
             let known = self.config_version();
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
                 self.currency.prove(proven);
@@ -73,6 +82,14 @@
         }
     }
 
+    /// What engines reported of their pace, from who speaks for others: these hear only their speakers.
+    fn paces(&self) -> Vec<PaceNote> {
+        if !self.peers.speaking() {
+            return Vec::new();
+        }
+        self.targets.pace_notes(PACES_TOLD, self.now)
+    }
+
     fn counts(&mut self) -> Vec<CountNote> {
         let now = self.now;
         let note = |(service, allowance): (&ServiceId, &mut Allowance)| {
@@ -102,6 +119,7 @@
             loads: self.targets.notes(),
             counts: self.counts(),
             holds: self.holds(),
+            paces: self.paces(),
         };
         let due = self.peers.due(&own, self.now);
         self.judge_speaking();
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -37,7 +37,7 @@
 /// What another host ordered, or learned, is believed for so long after each word of it.
 const ORDERED: Duration = Duration::from_millis(1200);
 /// Orders and loads that a heartbeat tells of; more do not fit a datagram beside the rest.
-const TOLD: usize = 24;
+const TOLD: usize = 16;
 /// Other hosts are told for so long; the list says it by then.
 const LEARNED: Duration = Duration::from_secs(4);
 /// Reports that are waited for at once: a data centre of 1,000 empty engines is asked in some seconds, and
@@ -167,7 +167,7 @@
     }
 
     /// The engines of the own data centre that take work.
-    fn live<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
+    pub(super) fn live<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
         let near = &self.settings.data_centre;
         let live = |t: &&Target| t.open() && !t.down() && t.record.data_centre == *near;
         self.targets.of(service).filter(live)
--- a/crates/roseshore_relay/src/entry/send.rs
+++ b/crates/roseshore_relay/src/entry/send.rs
@@ -3,6 +3,7 @@
 use crate::http::{AnswerHead, Decoder};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
+use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
@@ -12,8 +13,8 @@
     pub(super) target: TargetId,
     pub(super) addr: SocketAddr,
     pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
-    /// KV cache counted for each target.
-    pub(super) held: Vec<(TargetId, f64)>,
+    /// What is counted for each target.
+    pub(super) claims: Vec<Claim>,
     pub(super) sent: Instant,
     /// When something last came.
     pub(super) latest: Instant,
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -8,6 +8,7 @@
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::failure::{self, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
+use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Carried;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
     target: TargetId,
     addr: SocketAddr,
     path: Vec<(TargetId, SocketAddr, Hop)>,
-    held: Vec<(TargetId, f64)>,
+    claims: Vec<Claim>,
     first_ms: f64,
     token_ms: f64,
     pub(super) roomy: bool,
@@ -41,7 +42,7 @@
     /// A target of a plain service.
     fn plain(target: TargetId, addr: SocketAddr) -> Choice {
         Choice {
-            held: vec![(target.clone(), 0.0)],
+            claims: vec![Claim { target: target.clone(), held: 0.0 }],
             target,
             addr,
             path: Vec::new(),
@@ -117,15 +118,15 @@
             exchange.asked.prompt,
             left.as_millis(),
         );
-        for (target, held) in &choice.held {
-            self.targets.begin(target, *held);
+        for claim in &choice.claims {
+            self.targets.begin(claim);
         }
         exchange.send = Some(Send {
             socket,
             target: choice.target,
             addr: choice.addr,
             path: choice.path,
-            held: choice.held,
+            claims: choice.claims,
             sent: self.now,
             latest: self.now,
             phase: Phase::Head,
@@ -195,16 +196,16 @@
         let parts = self.targets.parts(&exchange.service.name, spec, &need, now);
         let path = path::choose(&parts, &need, &mut self.random)?;
         let tokens = need.tokens();
-        let held = path
-            .hops
-            .iter()
-            .map(|(id, _, hop)| (id.clone(), tokens * f64::from(hop.layers.1 - hop.layers.0)));
-        let held = held.collect();
+        let claim = |(id, _, hop): &(TargetId, SocketAddr, Hop)| {
+            let held = tokens * f64::from(hop.layers.1 - hop.layers.0);
+            Claim { target: id.clone(), held }
+        };
+        let claims = path.hops.iter().map(claim).collect();
         let (target, addr, _) = path.hops.first().cloned()?;
         let (first_ms, token_ms, roomy) = (path.first_ms, path.token_ms, path.roomy);
         let (fill, expected) = ((path.fill, path.fullest), need.answer);
         let path = path.hops;
-        Some(Choice { target, addr, path, held, first_ms, token_ms, roomy, expected, fill })
+        Some(Choice { target, addr, path, claims, first_ms, token_ms, roomy, expected, fill })
     }
 
     /// A send failed; `culprit` is the target at fault if it is not the one it was sent to.
@@ -278,8 +279,8 @@
     pub(super) fn drop_send(&mut self, key: Key, keep: bool) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.take() else { return };
-        for (target, held) in &send.held {
-            self.targets.end(target, *held);
+        for claim in &send.claims {
+            self.targets.end(claim);
         }
         if keep && self.net.get(send.socket).is_some_and(|s| s.quiet()) {
             self.keep(send.socket, send.addr);
