Log lines name what a request asks, beside its id

Cause: a caller that asks again has a new id, so the incident's logs cannot tell one request that ends engines from many that were there when engines ended. Change: a fingerprint (organisation, method, host name, path, body) in E201, E206 and E301; E206 says how many events had come. Nothing decides by it yet.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -7,12 +7,13 @@
 //! came, [`allowance`] how many sends may be
 //! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
 //! [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
-//! known to be the newest.
+//! known to be the newest, and [`fingerprint`] what makes two requests the same.
 
 pub mod allowance;
 pub mod copies;
 pub mod currency;
 pub mod failure;
+pub mod fingerprint;
 pub mod leaving;
 pub mod look;
 pub mod outage;
@@ -30,6 +31,7 @@
 pub use copies::Copies;
 pub use currency::Currency;
 pub use failure::{Fault, Next, Standing};
+pub use fingerprint::Fingerprint;
 pub use outage::Outage;
 pub use path::{Hop, Part, PathNeed};
 pub use peers::Peers;
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use roseshore_core::gateway::failure::{self, End, Next};
 use roseshore_core::gateway::routes::Denied;
-use roseshore_core::gateway::{Route, ServiceSpec, Standing};
+use roseshore_core::gateway::{Fingerprint, Route, ServiceSpec, Standing};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Asked;
 use std::sync::Arc;
@@ -34,6 +34,7 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) organisation: Option<OrganisationId>,
+    pub(super) fingerprint: Fingerprint,
     pub(super) version: u64,
     pub(super) begun: Instant,
     /// When the caller or the operator wants an end.
@@ -174,6 +175,7 @@
             let text = "the request's time was over before this host looked at it";
             return Err(Refusal::not_run(Code::TooLate, text).after(self.spread(COME_BACK)));
         }
+        let fingerprint = fingerprint(organisation.as_deref(), host, &head, &body);
         Ok(Exchange {
             caller,
             head,
@@ -181,6 +183,7 @@
             route,
             service,
             organisation,
+            fingerprint,
             version: snapshot.version(),
             begun: self.came,
             until,
@@ -293,10 +296,11 @@
             metrics::histogram!("roseshore_first_event_seconds").record(first.as_secs_f64());
         }
         let text = format!(
-            "request={} route={} kind={} aim_ms={} pause_aim_ms={} organisation={} service={} \
-             config_version={} sends={} verdict={} code={code} events={} first_ms={} pause_ms={} \
+            "request={} fingerprint={} route={} kind={} aim_ms={} pause_aim_ms={} organisation={} \
+             service={} config_version={} sends={} verdict={} code={code} events={} first_ms={} pause_ms={} \
              took_ms={} why={why:?}",
             exchange.asked.attempt,
+            exchange.fingerprint,
             exchange.route.name,
             exchange.route.kind.name(),
             exchange.route.objective.as_millis(),
@@ -314,3 +318,14 @@
         note!(self, RequestEnded, "{text}");
     }
 }
+
+/// The fingerprint of a request for a host's name.
+fn fingerprint(
+    organisation: Option<&str>,
+    host: &str,
+    head: &RequestHead,
+    body: &[u8],
+) -> Fingerprint {
+    let parts = [head.method.as_bytes(), host.as_bytes(), head.path.as_bytes(), body];
+    Fingerprint::of(organisation, &parts)
+}
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -112,8 +112,9 @@
         http::put_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
         out.extend_from_slice(&exchange.body);
         let text = format!(
-            "request={} send={} {} prompt={} left_ms={}",
+            "request={} fingerprint={} send={} {} prompt={} left_ms={}",
             exchange.asked.attempt,
+            exchange.fingerprint,
             exchange.sends,
             choice.line(),
             exchange.asked.prompt,
@@ -227,13 +228,15 @@
         let first = send.target.clone();
         let path = send.targets().join(",");
         let text = format!(
-            "request={} target={} path={path} fault={} verdict={} sends={} waited_ms={waited} \
-             kept={} status={} suspects={}",
+            "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
+             waited_ms={waited} events={} kept={} status={} suspects={}",
             exchange.asked.attempt,
+            exchange.fingerprint,
             send.target,
             fault.name(),
             exchange.verdict.name(),
             exchange.sends,
+            exchange.out.events,
             send.kept,
             send.status,
             culprits.join(","),
