Entry hosts read a clock that counts suspended time

Cause: a suspended machine's steady clock stands still, and std's Instant reads it: after six seconds asleep a host honoured a key by a proof that had run out, and gave requests under way their time anew. Change: the loop's time comes from a Clock handed in at the start, the system's being CLOCK_BOOTTIME (adapters/clock); what found a wait that was over far too late may have come at its beginning (Look). All that an entry host ages (proofs, heartbeats, windows, deadlines, leases) is worked out from the loop's time.

--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod agent;
 pub mod call;
+pub mod clock;
 pub mod engine;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/roseshore_ports/src/clock.rs
@@ -0,0 +1,9 @@
+//! Where a part of the daemon gets the time from.
+
+use std::time::Instant;
+
+/// A clock that never goes back, and runs on while the machine is suspended.
+pub trait Clock: Send {
+    /// The time now; only times of one clock may be compared.
+    fn now(&self) -> Instant;
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -39,6 +39,7 @@
     Allowance, Copies, Currency, EntrySettings, Fatal, Peers, Shortage, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
+use roseshore_ports::clock::Clock;
 use roseshore_ports::entry::{EntryPlatform, WireError};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -62,6 +63,8 @@
     pub reread: Box<dyn Fn() -> Result<EntrySettings, WireError>>,
     /// How the platform spells.
     pub platform: Box<dyn EntryPlatform>,
+    /// The time; it counts what the machine was suspended for.
+    pub clock: Box<dyn Clock>,
     /// Where metrics are served, and what renders them.
     pub metrics: Option<(SocketAddr, PrometheusHandle)>,
     /// Set by the stop signal.
@@ -102,6 +105,7 @@
     settings: EntrySettings,
     reread: Box<dyn Fn() -> Result<EntrySettings, WireError>>,
     platform: Box<dyn EntryPlatform>,
+    clock: Box<dyn Clock>,
     rendered: Option<PrometheusHandle>,
     stop: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
@@ -162,8 +166,8 @@
     /// # Errors
     /// When an address cannot be had.
     pub fn new(start: Start) -> io::Result<Entry> {
-        let Start { mut settings, reread, platform, metrics, stop, reload, quiet } = start;
-        let now = Instant::now();
+        let Start { mut settings, reread, platform, clock, metrics, stop, reload, quiet } = start;
+        let now = clock.now();
         let sockets = settings.sockets.unwrap_or(USUAL_DESCRIPTORS);
         let mut net = Net::new(sockets.saturating_sub(SPARE_DESCRIPTORS).max(64))?;
         settings.callers = net.listen(Door::Callers, settings.callers)?;
@@ -189,6 +193,7 @@
             settings,
             reread,
             platform,
+            clock,
             rendered,
             stop,
             reload,
@@ -251,10 +256,10 @@
     pub fn run(&mut self) -> io::Result<usize> {
         let mut notices = Vec::new();
         loop {
-            let began = Instant::now();
-            let wait = self.next_timer().saturating_duration_since(began);
-            self.net.wait(wait, &mut notices)?;
-            let look = Look { before: self.now, began, ended: Instant::now() };
+            let began = self.clock.now();
+            let asked = self.next_timer().saturating_duration_since(began);
+            self.net.wait(asked, &mut notices)?;
+            let look = Look { before: self.now, began, asked, ended: self.clock.now() };
             (self.now, self.came) = (look.ended, look.earliest());
             for notice in notices.drain(..) {
                 match notice {
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -289,7 +289,8 @@
             http::put_chunk(&mut out, &taken.bytes);
             self.net.send(caller, &out);
             // From the notice that bytes are there to the socket that they leave by.
-            metrics::histogram!("roseshore_pass_on_seconds").record(now.elapsed().as_secs_f64());
+            let passed = self.clock.now().saturating_duration_since(now);
+            metrics::histogram!("roseshore_pass_on_seconds").record(passed.as_secs_f64());
             if first {
                 self.arm(now, Timer::Exchange(key));
             }
--- a/crates/roseshored/src/entry.rs
+++ b/crates/roseshored/src/entry.rs
@@ -6,6 +6,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use quick_error::quick_error;
+use roseshore_adapters::clock::BootClock;
 use roseshore_platform::{BOOT_VARIABLE, Platform, read_boot};
 use roseshore_ports::entry::WireError;
 use roseshore_relay::entry::{Entry, Start};
@@ -109,8 +110,8 @@
     let metrics = port.map(|port| (SocketAddr::new(settings.callers.ip(), port), handle));
     let reread = Box::new(move || read_boot(&path));
     let platform = Box::new(Platform);
-    let quiet = false;
-    let start = Start { settings, reread, platform, metrics, stop, reload, quiet };
+    let (clock, quiet) = (Box::new(BootClock::new()), false);
+    let start = Start { settings, reread, platform, clock, metrics, stop, reload, quiet };
     let mut entry = Entry::new(start)?;
     Ok(entry.run()?)
 }
