Records of blocked requests lie in the store, for when all hosts are lost

Cause: hosts keep nothing, so after a loss of all hosts at once, or beyond a cut between data centres, a blocked request would end three more targets. Change: the host that reads the store for the others keeps a record of each blocked request there (a keyed stream of the router's own), reads them every two seconds, and drops those that lapsed or were cleared (core/gateway/fatal/record, entry/blocked). A failure there says nothing of the configuration or the list. Clock gives the time of day, too.

--- a/crates/roseshore_adapters/src/clock.rs
+++ b/crates/roseshore_adapters/src/clock.rs
@@ -6,7 +6,7 @@
 
 use roseshore_ports::clock::Clock;
 use rustix::time::{ClockId, clock_gettime};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Time since the machine was started, suspended time included.
 fn since_boot() -> Duration {
@@ -46,4 +46,8 @@
     fn now(&self) -> Instant {
         self.made + (self.read)().saturating_sub(self.made_at)
     }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
 }
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -66,6 +66,8 @@
     TargetEnded = 207, Warn, "a target ended while it ran a request";
     RequestBlocked = 208, Warn, "a request is held to end its targets, and refused";
     RequestCleared = 209, Info, "a request is no longer held to end its targets";
+    BlockedWritten = 210, Info, "records of blocked requests were written to the store, or dropped there";
+    BlockedFailed = 211, Warn, "records of blocked requests could not be read or written";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -11,9 +11,12 @@
 //! What is told is a set of ends, by target and life, which hosts join: none is counted twice, in whatever
 //! order words come, and a word that brings nothing new is not passed on.
 
+mod record;
+
 use super::fingerprint::Fingerprint;
 use super::peers::TargetMark;
 use crate::prelude::*;
+pub use record::{FatalRecord, Upkeep};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
@@ -88,13 +91,13 @@
 /// What a word changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// Nothing.
+    /// Nothing that matters.
     None,
     /// Another target has ended under the request; so many have now.
     Ended(usize),
     /// It is blocked from now on; so many targets have ended.
     Blocked(usize),
-    /// It is no longer held to end targets.
+    /// It was blocked, and is no longer held to end targets.
     Cleared,
 }
 
@@ -250,7 +253,6 @@
             (false, true) => Change::Blocked(case.ends.len()),
             (true, false) => Change::Cleared,
             _ if added > 0 => Change::Ended(case.ends.len()),
-            _ if cleared && case.ends.is_empty() => Change::Cleared,
             _ => Change::None,
         }
     }
--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -6,6 +6,7 @@
 use super::peers::mark;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3;
 
 /// A request by its caller, its path and its body. The organisation stands beside the digest, not only within
@@ -33,6 +34,21 @@
     }
 }
 
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoFingerprint;
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Fingerprint, NoFingerprint> {
+        let (organisation, digest) = text.split_at_checked(8).ok_or(NoFingerprint)?;
+        let organisation = u32::from_str_radix(organisation, 16).map_err(|_| NoFingerprint)?;
+        let digest = u64::from_str_radix(digest, 16).map_err(|_| NoFingerprint)?;
+        Ok(Fingerprint { organisation, digest })
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}{:016x}", self.organisation, self.digest)
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -268,3 +268,56 @@
     }
     assert_eq!(changes, 50);
 }
+
+#[test]
+fn a_fingerprint_is_read_as_it_is_written() {
+    let written = print("a").to_string();
+    assert_eq!(written.parse(), Ok(print("a")));
+    for wrong in ["", "12", "no fingerprint at all", "é1234567890"] {
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
+    }
+}
+
+/// What a host that reads the records finds, and what it does with them.
+struct RecordCase {
+    name: &'static str,
+    /// Seconds of the time of day between writing and reading, which may have been set back.
+    later: i64,
+    /// Whether the request ended whole at this host a moment ago.
+    whole: bool,
+    blocked: bool,
+}
+
+#[test]
+fn a_record_blocks_a_request_until_it_lapses_or_is_cleared() {
+    const WALL: u64 = 1_800_000_000_000;
+    let cases = [
+        RecordCase { name: "soon after", later: 9, whole: false, blocked: true },
+        RecordCase { name: "the clock was set back", later: -30, whole: false, blocked: true },
+        RecordCase { name: "ten minutes later", later: 601, whole: false, blocked: false },
+        RecordCase { name: "it is well now", later: 9, whole: true, blocked: false },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut writer = Fatal::new(start);
+        for target in 1..=3 {
+            writer.ended(print("a"), target, true, start);
+        }
+        writer.ended(print("b"), 1, true, start);
+        let upkeep = writer.upkeep(&[], WALL, start);
+        assert_eq!(upkeep.missing.len(), 1, "{}: only what is blocked", case.name);
+        let record = &upkeep.missing[0];
+        assert!(writer.upkeep(&[print("a")], WALL, start).missing.is_empty(), "{}", case.name);
+        // Another host, later.
+        let now = start + ms(700_000);
+        let mut reader = Fatal::new(now);
+        if case.whole {
+            reader.worked(print("a"), now);
+        }
+        let wall = WALL.saturating_add_signed(case.later * 1000);
+        reader.hear(&record.aged(wall), now);
+        assert_eq!(reader.blocked(print("a"), now).is_some(), case.blocked, "{}", case.name);
+        let outdated = reader.upkeep(&[print("a")], wall, now).outdated;
+        assert_eq!(outdated.is_empty(), case.blocked, "{}", case.name);
+    }
+}
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -214,6 +214,16 @@
     /// # Errors
     /// When it brought no records, and why.
     fn newest_reply(&self, reply: &CallReply) -> Result<Page, StoreFault>;
+    /// A read of the records of blocked requests, after the key `since`; its reply is read by
+    /// [`EntryPlatform::newest_reply`].
+    fn blocked(&self, since: Option<&str>) -> CallRequest;
+    /// Writes records of blocked requests; those without a value are dropped.
+    fn put_blocked(&self, records: &[Entry]) -> CallRequest;
+    /// Reads the reply to [`EntryPlatform::put_blocked`].
+    ///
+    /// # Errors
+    /// When the records may not have been written, and why.
+    fn put_reply(&self, reply: &CallReply) -> Result<(), StoreFault>;
     /// The key of the configuration in its stream.
     fn config_key(&self) -> &'static str;
     /// Reads a configuration.
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry host's process: its state, its loop and its timers.
 
 mod answers;
+mod blocked;
 mod callers;
 mod calls;
 mod copying;
@@ -21,6 +22,7 @@
 use crate::journal::Journal;
 use crate::net::{Door, Ended, Net, Notice};
 use crate::slab::{Key, Slab};
+use blocked::Blocked;
 use callers::Caller;
 use calls::Call;
 use exchange::Exchange;
@@ -135,6 +137,7 @@
     fatal: Fatal,
     /// Sends that broke off, until it is known whether their targets ended.
     broken: Vec<Broken>,
+    blocked: Blocked,
     random: SmallRng,
     begun: Instant,
     now: Instant,
@@ -219,6 +222,7 @@
             shortage: Shortage::default(),
             fatal: Fatal::new(now),
             broken: Vec::new(),
+            blocked: Blocked::default(),
             random,
             begun: now,
             now,
@@ -231,7 +235,7 @@
             stopping: None,
             reread_at: now,
         };
-        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let wall = entry.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let (host, centre) = (entry.settings.host.clone(), entry.settings.data_centre.clone());
         note!(
             entry,
@@ -315,6 +319,7 @@
             note!(self, TargetLeft, "target={id} state=missing");
         }
         self.follow();
+        self.follow_blocked();
         self.place();
         self.ask_paces();
         self.recheck_dead();
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -21,6 +21,10 @@
     Report(TargetId),
     /// The same, only to learn how fast it runs.
     Pace(TargetId),
+    /// The records of blocked requests.
+    Blocked,
+    /// Writes some of them.
+    PutBlocked,
     /// A placement order.
     Place(TargetId, (Layer, Layer)),
 }
@@ -146,6 +150,8 @@
             Purpose::Read(stream, from, wait) => self.records_came(stream, sent, from, wait, reply),
             Purpose::Report(id) => self.report_came(&id, reply),
             Purpose::Pace(id) => self.pace_came(&id, reply),
+            Purpose::Blocked => self.blocked_came(reply),
+            Purpose::PutBlocked => self.blocked_written(reply),
             Purpose::Place(id, layers) => self.place_came(&id, layers, reply),
         }
     }
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -108,10 +108,10 @@
         self.follow_change(*fingerprint, change, "own");
     }
 
-    /// Takes another host's word of a request that ends targets.
-    pub(super) fn hear_fatal(&mut self, note: &FatalNote) {
+    /// Takes another host's word of a request that ends targets, or a record's.
+    pub(super) fn hear_fatal(&mut self, note: &FatalNote, by: &str) {
         let change = self.fatal.hear(note, self.now);
-        self.follow_change(note.fingerprint, change, "heard");
+        self.follow_change(note.fingerprint, change, by);
     }
 
     /// A request ended whole, so it does not end its targets.
@@ -123,7 +123,10 @@
     fn follow_change(&mut self, fingerprint: Fingerprint, change: Change, by: &str) {
         match change {
             Change::None | Change::Ended(_) => {}
-            Change::Cleared => note!(self, RequestCleared, "fingerprint={fingerprint} by={by}"),
+            Change::Cleared => {
+                note!(self, RequestCleared, "fingerprint={fingerprint} by={by}");
+                self.blocked_changed();
+            }
             Change::Blocked(ends) => {
                 let blocked = self.fatal.count();
                 note!(
@@ -131,6 +134,7 @@
                     RequestBlocked,
                     "fingerprint={fingerprint} ends={ends} by={by} blocked={blocked}"
                 );
+                self.blocked_changed();
                 self.beat_now(true);
                 self.stop_blocked(fingerprint);
             }
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -47,7 +47,7 @@
                 }
             }
             for note in &fatal {
-                self.hear_fatal(note);
+                self.hear_fatal(note, "heard");
             }
             let known = self.config_version();
             if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
