Of two runs on one target that ended, the one that had hardly begun counts

Cause: hosts that saw different runs of one request on one target kept whichever word came first, so they could differ on whether it is blocked. Change: the ends are joined by target, early if any of them was.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -48,7 +48,8 @@
 const WELL_KEPT: Duration = Duration::from_secs(10);
 /// Whole answers that are remembered: some seconds of a busy host's.
 const WELL_MOST: usize = 1024;
-/// Requests that are remembered for ends; far more than are blocked at any time, 200 B each.
+/// Requests that are remembered for ends; far more than are blocked at any time; some 200 B each by
+/// their fields.
 const MOST: usize = 512;
 /// What is new is told with each heartbeat for so long: three steps of 0.2 s between hosts that hear only
 /// speakers, each lost once.
@@ -93,10 +94,10 @@
 pub enum Change {
     /// Nothing that matters.
     None,
-    /// Another target has ended under the request; so many have now.
-    Ended(usize),
-    /// It is blocked from now on; so many targets have ended.
-    Blocked(usize),
+    /// Another target has ended under the request.
+    Ended,
+    /// It is blocked from now on.
+    Blocked,
     /// It was blocked, and is no longer held to end targets.
     Cleared,
 }
@@ -130,17 +131,21 @@
         self.early() >= limits.early || self.ends.len() >= limits.all
     }
 
-    /// Takes an end that was not known; returns whether it counts.
+    /// Takes an end; returns whether it brought anything new. Of two runs on one target, the one that had
+    /// hardly begun counts.
     fn take(&mut self, end: End) -> bool {
-        let gap = |at: Instant| at.max(end.at).saturating_duration_since(at.min(end.at));
-        let same = |e: &End| e.target == end.target && gap(e.at) < SAME_END;
-        let known = self.ends.iter().any(same);
-        let before = self.well.is_some_and(|well| end.at <= well);
-        if known || before {
+        if self.well.is_some_and(|well| end.at <= well) {
             return false;
         }
-        self.ends.push(end);
-        true
+        let gap = |at: Instant| at.max(end.at).saturating_duration_since(at.min(end.at));
+        let same = |e: &&mut End| e.target == end.target && gap(e.at) < SAME_END;
+        let Some(known) = self.ends.iter_mut().find(same) else {
+            self.ends.push(end);
+            return true;
+        };
+        let news = end.early && !known.early;
+        known.early |= end.early;
+        news
     }
 
     /// Drops what was before a whole answer; returns whether that was anything.
@@ -250,9 +255,9 @@
             case.changed = now;
         }
         match (before, case.blocked(self.limits)) {
-            (false, true) => Change::Blocked(case.ends.len()),
+            (false, true) => Change::Blocked,
             (true, false) => Change::Cleared,
-            _ if added > 0 => Change::Ended(case.ends.len()),
+            _ if added > 0 => Change::Ended,
             _ => Change::None,
         }
     }
@@ -276,6 +281,11 @@
         Some(left).filter(|left| !left.is_zero())
     }
 
+    /// Targets that are known to have ended under a request since it last ended whole.
+    pub fn ends(&self, fingerprint: Fingerprint) -> usize {
+        self.cases.get(&fingerprint).map_or(0, |case| case.ends.len())
+    }
+
     /// Whether one more end would block a request.
     pub fn suspect(&self, fingerprint: Fingerprint) -> bool {
         let Limits { early, all } = self.limits;
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -103,7 +103,9 @@
         note!(
             self,
             TargetEnded,
-            "request={attempt} fingerprint={fingerprint} target={id} early={early} known_after_ms={after}"
+            "request={attempt} fingerprint={fingerprint} target={id} early={early} ends={} \
+             known_after_ms={after}",
+            self.fatal.ends(*fingerprint)
         );
         self.follow_change(*fingerprint, change, "own");
     }
@@ -122,12 +124,13 @@
 
     fn follow_change(&mut self, fingerprint: Fingerprint, change: Change, by: &str) {
         match change {
-            Change::None | Change::Ended(_) => {}
+            Change::None | Change::Ended => {}
             Change::Cleared => {
                 note!(self, RequestCleared, "fingerprint={fingerprint} by={by}");
                 self.blocked_changed();
             }
-            Change::Blocked(ends) => {
+            Change::Blocked => {
+                let ends = self.fatal.ends(fingerprint);
                 let blocked = self.fatal.count();
                 note!(
                     self,
