One reading of reports, one form of a word on layers, one question for nearness

Cause: pace_came and report_came read a report line by line alike; HoldNote spelt the fields of Word once more; eight places of peers/ compared data centres by hand. Change: Entry::read_report, HoldNote carries Word, Peers::is_near and is_far. No change of behaviour. Measured: tests of gateway (74) and platform passed.

--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -164,6 +164,16 @@
         Some(Heard { joined, proven, listed, near })
     }
 
+    /// Whether a host is of the own data centre.
+    fn is_near(&self, peer: &Peer) -> bool {
+        peer.centre == Some(self.centre)
+    }
+
+    /// Whether it is known to be of another one.
+    fn is_far(&self, peer: &Peer) -> bool {
+        peer.centre.is_some_and(|centre| centre != self.centre)
+    }
+
     fn learn(&mut self, named: &Named, now: Instant) {
         if named.addr == self.addr {
             return;
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::fatal::FatalNote;
 use crate::gateway::paces::PaceNote;
+use crate::gateway::targets::Word;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -42,15 +43,10 @@
 pub struct HoldNote {
     /// The target.
     pub target: TargetMark,
-    /// First layer and one past the last.
-    pub layers: (Layer, Layer),
+    /// Its layers.
+    pub word: Word,
     /// Whether it holds them; else it was ordered to.
     pub done: bool,
-    /// Which word of the target's layers this is since the list last changed; a later one has a higher
-    /// number.
-    pub word: u32,
-    /// The layers that the list names beside it.
-    pub listed: (Layer, Layer),
 }
 
 /// What a host has counted of a service's requests and repeated sends in the window.
--- a/crates/roseshore_core/src/gateway/peers/order.rs
+++ b/crates/roseshore_core/src/gateway/peers/order.rs
@@ -30,7 +30,7 @@
     /// The hosts of the own data centre that may be taken to live and stay, by rank, this one
     /// included.
     pub(super) fn ranked_near(&self, now: Instant) -> Vec<Rank> {
-        let near = self.all.values().filter(|p| p.centre == Some(self.centre));
+        let near = self.all.values().filter(|p| self.is_near(p));
         let stays = near.filter(|p| !p.leaving && p.sound(true, now));
         let mut ranks: Vec<Rank> = stays.map(Peer::rank).collect();
         if !self.leaving {
@@ -57,7 +57,7 @@
 
     /// Hosts of the own data centre that live, this one left out.
     pub fn near(&self, now: Instant) -> usize {
-        let near = |p: &&Peer| p.centre == Some(self.centre) && p.alive(true, now);
+        let near = |p: &&Peer| self.is_near(p) && p.alive(true, now);
         self.all.values().filter(near).count()
     }
 
@@ -71,7 +71,7 @@
     fn near_before(&self, now: Instant, counts: impl Fn(&Peer) -> bool) -> usize {
         let own = self.rank();
         let before = self.all.values().filter(|p| {
-            let near = p.centre == Some(self.centre) && p.rank() < own;
+            let near = self.is_near(p) && p.rank() < own;
             near && !p.leaving && p.sound(true, now) && (!p.alive(true, now) || counts(p))
         });
         before.count()
@@ -87,8 +87,8 @@
             let stays = !p.leaving && p.sound(near, now) && (!known || p.config > 0);
             stays && (known && !p.reading, p.rank()) < own
         };
-        let near = self.all.values().filter(|p| p.centre == Some(self.centre));
-        let far = self.all.values().filter(|p| p.centre.is_some_and(|c| c != self.centre));
+        let near = self.all.values().filter(|p| self.is_near(p));
+        let far = self.all.values().filter(|p| self.is_far(p));
         let far = far.filter(|p| before(p, false)).count();
         near.filter(|p| before(p, true)).count() + far.min(1)
     }
@@ -96,7 +96,7 @@
     /// This host's place in that order when nobody has read anything yet.
     pub fn starting_place(&self, now: Instant) -> usize {
         let own = self.rank();
-        let first = |p: &&Peer| p.centre.is_some_and(|c| c != self.centre) && p.rank() < own;
+        let first = |p: &&Peer| self.is_far(p) && p.rank() < own;
         let far = self.all.values().filter(first).any(|p| p.sound(false, now));
         self.near_before(now, |_| true) + usize::from(far)
     }
@@ -108,8 +108,7 @@
 
     /// The newest version of the configuration that any living host has.
     pub fn newest_config(&self, now: Instant) -> u64 {
-        let near = |p: &Peer| p.centre == Some(self.centre);
-        let alive = self.all.values().filter(|p| p.alive(near(p), now));
+        let alive = self.all.values().filter(|p| p.alive(self.is_near(p), now));
         alive.map(|p| p.config).max().unwrap_or(0)
     }
 }
--- a/crates/roseshore_core/src/gateway/peers/telling.rs
+++ b/crates/roseshore_core/src/gateway/peers/telling.rs
@@ -116,7 +116,7 @@
 
     /// What a host is to this one; `None` when there is nothing to tell it.
     fn relation(&self, peer: &Peer, around: &Around, now: Instant) -> Option<Relation> {
-        let near = peer.centre == Some(self.centre);
+        let near = self.is_near(peer);
         let speaks = self.speaking;
         let alive = peer.alive(near, now);
         if near && around.asked.contains(&peer.rank()) {
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -31,7 +31,7 @@
     /// Other hosts of the own data centre, as they told of themselves.
     pub(super) fn near_sums(&self, now: Instant) -> Sums {
         let mut sums = Sums::default();
-        let near = |p: &&Peer| p.centre == Some(self.centre) && p.scope == Scope::Own;
+        let near = |p: &&Peer| self.is_near(p) && p.scope == Scope::Own;
         for peer in self.all.values().filter(near) {
             if peer.alive(true, now) {
                 sums.hosts += 1;
@@ -78,7 +78,7 @@
             }
             _ => None,
         };
-        let near = self.all.values().filter(|p| p.centre == Some(self.centre));
+        let near = self.all.values().filter(|p| self.is_near(p));
         let words = near.filter_map(|p| Some((told(p)?, p)));
         let most = words.max_by(|(a, _), (b, _)| (a.0, b.1).cmp(&(b.0, a.1)));
         let Some(((hosts, _), peer)) = most.filter(|((hosts, _), _)| *hosts > heard.hosts) else {
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -63,7 +63,7 @@
 /// What was said of the layers that a target holds. Hosts pass such words on at once, so they are numbered: without
 /// an order, two hosts that had heard different words told each other theirs again and again, and
 /// spent 83 s of processor time in a day in place of 9.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Word {
     /// Grows with each word since the list last changed.
     pub number: u32,
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -5,6 +5,7 @@
 use roseshore_core::gateway::fatal::{EndNote, FatalNote, TOLD};
 use roseshore_core::gateway::paces::PaceNote;
 use roseshore_core::gateway::peers::{Beat, HoldNote, ListMark, LoadNote, Own, Peers, mark};
+use roseshore_core::gateway::targets::Word;
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
@@ -152,10 +153,8 @@
     let holds = (0..16)
         .map(|n| HoldNote {
             target: n,
-            layers: (300, 400),
+            word: Word { number: 300, layers: (300, 400), listed: (300, 400) },
             done: true,
-            word: 300,
-            listed: (300, 400),
         })
         .collect();
     let paces = (0..12).map(|n| PaceNote { target: u32::MAX - n, pace: 6400, age: 2999 }).collect();
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, AnswerHead, Decoder};
 use crate::slab::Key;
 use roseshore_core::prelude::*;
-use roseshore_ports::entry::{CallReply, CallRequest, Stream};
+use roseshore_ports::entry::{CallReply, CallRequest, Report, Stream};
 use std::net::SocketAddr;
 
 /// Bytes of a reply's head.
@@ -144,6 +144,15 @@
         self.called(call.purpose, call.sent, reply);
     }
 
+    /// What a target reported, or why it did not.
+    pub(super) fn read_report(
+        &self,
+        reply: Result<CallReply, CallFault>,
+    ) -> Result<Report, String> {
+        let reply = reply.map_err(|fault| format!("{fault:?}"))?;
+        self.platform.report_reply(&reply).map_err(|err| err.to_string())
+    }
+
     fn called(&mut self, purpose: Purpose, sent: Instant, reply: Result<CallReply, CallFault>) {
         match purpose {
             Purpose::Newest(stream) => self.newest_came(stream, sent, reply),
--- a/crates/roseshore_relay/src/entry/pacing.rs
+++ b/crates/roseshore_relay/src/entry/pacing.rs
@@ -61,11 +61,7 @@
 
     /// An engine reported its pace, or did not.
     pub(super) fn pace_came(&mut self, id: &str, reply: Result<CallReply, CallFault>) {
-        let report = match reply {
-            Ok(reply) => self.platform.report_reply(&reply).map_err(|err| err.to_string()),
-            Err(fault) => Err(format!("{fault:?}")),
-        };
-        let report = match report {
+        let report = match self.read_report(reply) {
             Ok(report) => report,
             Err(why) => return note!(self, ReportFailed, "target={id} pace=unknown why={why:?}"),
         };
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -289,11 +289,7 @@
         let begun = self.placing.begun.get(id).map(|b| b.layers);
         let asked = self.placing.asked.remove(id);
         let Some(layers) = asked.map(|a| a.layers).or(begun) else { return };
-        let report = match reply {
-            Ok(reply) => self.platform.report_reply(&reply).map_err(|err| err.to_string()),
-            Err(fault) => Err(format!("{fault:?}")),
-        };
-        let report = match report {
+        let report = match self.read_report(reply) {
             Ok(report) => report,
             Err(why) => {
                 note!(self, ReportFailed, "target={id} why={why:?}");
--- a/crates/roseshore_relay/src/entry/placing/holdings.rs
+++ b/crates/roseshore_relay/src/entry/placing/holdings.rs
@@ -20,8 +20,7 @@
         let Some(target) = self.targets.mark(id) else { return };
         let word = self.targets.next_word(target, layers);
         self.targets.learned(target, word, self.now + LEARNED);
-        let Word { number, listed, .. } = word;
-        self.tell_held(HoldNote { target, layers, done: true, word: number, listed });
+        self.tell_held(HoldNote { target, word, done: true });
     }
 
     fn tell_held(&mut self, note: HoldNote) {
@@ -49,7 +48,8 @@
         let ordered = begun.filter_map(|(id, b)| {
             let target = self.targets.mark(id)?;
             let listed = self.targets.get(id)?.record.listed();
-            Some(HoldNote { target, layers: b.layers, done: false, word: 0, listed })
+            let word = Word { number: 0, layers: b.layers, listed };
+            Some(HoldNote { target, word, done: false })
         });
         let learned = self.placing.learned.iter().map(|(note, _)| *note);
         learned.chain(ordered).take(TOLD).collect()
@@ -58,9 +58,7 @@
     /// Another host ordered layers, or learned that they are held.
     pub(in crate::entry) fn take_hold(&mut self, hold: HoldNote) {
         if hold.done {
-            let HoldNote { word: number, layers, listed, .. } = hold;
-            let word = Word { number, layers, listed };
-            let news = self.targets.learned(hold.target, word, self.now + ORDERED);
+            let news = self.targets.learned(hold.target, hold.word, self.now + ORDERED);
             if news && self.peers.speaking() {
                 // Hosts that are spoken to hear only their speakers.
                 self.tell_held(hold);
@@ -71,7 +69,7 @@
         self.placing.wanted = None;
         let Some(id) = self.targets.marked(hold.target).cloned() else { return };
         if !self.placing.begun.contains_key(&id) {
-            self.believe(&id, hold.layers, ORDERED);
+            self.believe(&id, hold.word.layers, ORDERED);
         }
     }
 }
