Log lines tell what a refusing target asks for, that it leaves, and which answer put a target back

Cause: the lines could not tell apart whether a target's asked-for rest goes unread or whether old answers undo the refusal. Change: the adapter decodes the time asked for and the word that a target leaves; E206 tells both, E606 the request by which a target is back and how long ago that was sent. No decision changes.

--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -162,6 +162,10 @@
     pub load: Option<(u32, u32, u32)>,
     /// Whether it bears the target's seal.
     pub sealed: bool,
+    /// Whether the target says that it leaves; true for the rest of its life.
+    pub leaving: bool,
+    /// For how long the target wants nothing from this host, where it says so.
+    pub rest: Option<Duration>,
 }
 
 /// What a target reports of itself, some time late.
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -3,6 +3,7 @@
 //! A plain answer is passed on once it is whole, so a caller never sees part of one. A stream is
 //! passed on by whole events as they come; if its target dies, another goes on after the last one.
 
+use super::probes::millis;
 use super::send::Phase;
 use super::{Entry, Timer, note, orderly};
 use crate::events;
@@ -67,8 +68,9 @@
                 return Step::Over;
             }
         };
-        send.status = head.status;
         let said = self.platform.answered(&head.fields);
+        send.status = head.status;
+        (send.rest, send.leaving) = (said.rest, said.leaving);
         if let Some((running, waiting, _)) = said.load {
             self.targets.loaded(&send.target, running, waiting, now);
         }
@@ -217,15 +219,21 @@
         }
         self.net.send(caller, &out);
         let fingerprint = exchange.fingerprint;
-        self.worked(&target);
+        self.worked(&target, key);
         self.ended_whole(fingerprint);
         self.finish(key, head.keep, head.status, "whole");
     }
 
-    fn worked(&mut self, target: &str) {
-        if self.targets.worked(target, self.now) {
-            note!(self, TargetBack, "target={target}");
+    /// A whole answer came from a target; `key` is the request's.
+    fn worked(&mut self, target: &str, key: Key) {
+        if !self.targets.worked(target, self.now) {
+            return;
         }
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let sent = exchange.send.as_ref().map(|send| self.now.saturating_duration_since(send.sent));
+        let (attempt, age) = (&exchange.asked.attempt, millis(sent));
+        let text = format!("target={target} by=answer request={attempt} sent_ms_ago={age}");
+        note!(self, TargetBack, "{text}");
     }
 
     /// Ends an exchange whose answer has been passed on.
@@ -328,7 +336,7 @@
         let targets = send.targets();
         self.net.send(caller, LAST_CHUNK);
         for target in &targets {
-            self.worked(target);
+            self.worked(target, key);
         }
         self.ended_whole(fingerprint);
         self.finish(key, keep, 200, "whole");
--- a/crates/roseshore_relay/src/entry/send.rs
+++ b/crates/roseshore_relay/src/entry/send.rs
@@ -31,6 +31,10 @@
     pub(super) kept: bool,
     /// The status of its answer; 0 before that.
     pub(super) status: u16,
+    /// What the target asked for beside it.
+    pub(super) rest: Option<Duration>,
+    /// Whether the target said that it leaves.
+    pub(super) leaving: bool,
 }
 
 /// How far an answer has come.
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -2,6 +2,7 @@
 
 use super::exchange::Exchange;
 use super::fatal::ENDS_TARGETS;
+use super::probes::millis;
 use super::send::{Phase, Send};
 use super::{Entry, Role, Timer, note};
 use crate::http;
@@ -144,6 +145,8 @@
             token_ms: choice.token_ms,
             kept,
             status: 0,
+            rest: None,
+            leaving: false,
         });
         self.roles.insert(socket, Role::Target(key));
         note!(self, RouteChosen, "{text}");
@@ -252,7 +255,7 @@
         let path = send.targets().join(",");
         let text = format!(
             "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
-             waited_ms={waited} events={} kept={} status={} suspects={}",
+             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} suspects={}",
             exchange.asked.attempt,
             exchange.fingerprint,
             send.target,
@@ -262,6 +265,8 @@
             exchange.out.events,
             send.kept,
             send.status,
+            millis(send.rest),
+            send.leaving,
             culprits.join(","),
         );
         exchange.avoid.extend(culprits.iter().cloned());
