What a target says that it takes holds for its life, on every way to it

Cause: a target's own word was read on one path for one purpose. The time that it asks for with a refusal was not decoded at all, and the refusal, taken for a failure like any other, was undone by the next whole answer that had begun before it; the word that it leaves was not known. Change: one place holds what targets say that they take (core/gateway/targets/intake.rs), by life and apart from the list's records; every answer passes through entry/heeding.rs, those to reports and orders too; Target::takes is asked by each choice of a target, the last resort among them, and before reports and orders. A refusal with 429 or 503 counts. When nothing can be chosen and targets rest, the request is refused at once (RS310, not run), and comes back at the latest when the first rest ends. The older mode reads fractions of seconds.

--- a/crates/roseshore_adapters/src/call.rs
+++ b/crates/roseshore_adapters/src/call.rs
@@ -7,6 +7,7 @@
 //! known not to have carried the request.
 
 use roseshore_core::prelude::*;
+use roseshore_core::retry;
 use roseshore_ports::outside::{CallError, Called};
 use serde::de::DeserializeOwned;
 use std::io::ErrorKind;
@@ -75,7 +76,7 @@
 }
 
 fn retry_after(reply: &minreq::Response) -> Option<Duration> {
-    header(reply, "retry-after")?.trim().parse().ok().map(Duration::from_secs)
+    retry::asked(header(reply, "retry-after")?)
 }
 
 fn failure(error: &minreq::Error) -> CallError {
--- a/crates/roseshore_adapters/src/engine/status.rs
+++ b/crates/roseshore_adapters/src/engine/status.rs
@@ -1,7 +1,7 @@
 //! What an HTTP status proves.
 
+use roseshore_core::retry;
 use roseshore_ports::outside::{CallError, Called};
-use std::time::Duration;
 
 /// What came back.
 pub(super) struct Reply {
@@ -30,7 +30,7 @@
     }
 
     fn refused(self) -> CallError {
-        let after = self.after.and_then(|text| text.trim().parse().ok()).map(Duration::from_secs);
+        let after = self.after.and_then(|text| retry::asked(&text));
         let body = String::from_utf8_lossy(&self.body).into_owned();
         CallError::Refused(self.status, after, body)
     }
--- a/crates/roseshore_adapters/tests/engine.rs
+++ b/crates/roseshore_adapters/tests/engine.rs
@@ -325,6 +325,14 @@
             kind: |e| *e == CallError::Refused(503, Some(Duration::from_secs(3)), String::new()),
             verdict: Verdict::NotRun,
         },
+        Case {
+            name: "full for a part of a second",
+            reply: Some(b"HTTP/1.1 503 No\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"),
+            kind: |e| {
+                *e == CallError::Refused(503, Some(Duration::from_millis(500)), String::new())
+            },
+            verdict: Verdict::NotRun,
+        },
     ];
     for case in cases {
         for (call, error) in calls(case.reply.map_or(SHORT, |_| LIMIT), || answers(case.reply)) {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -9,6 +9,7 @@
 //! for each record, the digest made a list of 1,000 targets cost 415 ms of a core and one of 3,000
 //! cost 3.4 s, so that hosts of 0.12 cores stood still for seconds whenever a list came.
 
+mod intake;
 mod list;
 mod target;
 
@@ -18,6 +19,8 @@
 use super::plan::pressure::{Taken, fullest};
 use super::routes::EngineSpec;
 use crate::prelude::*;
+use intake::Heard;
+pub use intake::Intake;
 use list::Gone;
 pub use list::{Absence, Changes, News, Replaced};
 use std::cmp::Reverse;
@@ -37,6 +40,8 @@
     next: Offset,
     /// What dropped out of the list of late.
     gone: Gone,
+    /// What targets said that they take, by their lives.
+    heard: HashMap<TargetMark, Heard>,
 }
 
 impl Targets {
@@ -234,7 +239,7 @@
         avoid: &[TargetId],
         now: Instant,
     ) -> Option<&'a Target> {
-        let open = || self.of(service).filter(|t| t.open() && !avoid.contains(&t.record.id));
+        let open = || self.of(service).filter(|t| t.takes(now) && !avoid.contains(&t.record.id));
         let cost = |t: &Target| {
             let told = t
                 .load
@@ -256,7 +261,7 @@
         need: &PathNeed<'_>,
         now: Instant,
     ) -> Vec<Part> {
-        let usable = |t: &&Target| t.open() && !need.avoid.contains(&t.record.id);
+        let usable = |t: &&Target| t.takes(now) && !need.avoid.contains(&t.record.id);
         let all = self.of(service).filter(usable);
         all.filter_map(|t| Self::part(t, spec, need, now)).collect()
     }
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -2,6 +2,7 @@
 
 use super::super::paces::Pace;
 use super::super::peers::{LoadNote, TargetMark, target_mark};
+use super::Intake;
 use crate::load::health::Health;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -153,6 +154,8 @@
     pub(super) dead: Option<Death>,
     /// Layers that it is giving up.
     pub(super) clearing: Option<Clearing>,
+    /// What it says that it takes.
+    pub(super) intake: Intake,
 }
 
 impl Target {
@@ -175,6 +178,7 @@
             progress: None,
             dead: None,
             clearing: None,
+            intake: Intake::default(),
         }
     }
 
@@ -185,7 +189,7 @@
 
     /// Whether new work may go there by what the list and the target itself say.
     pub fn open(&self) -> bool {
-        !self.record.draining && !self.replaced
+        !self.record.draining && !self.replaced && !self.intake.leaving
     }
 
     /// Whether own experience allows new work, too.
--- a/crates/roseshore_core/src/retry.rs
+++ b/crates/roseshore_core/src/retry.rs
@@ -3,7 +3,8 @@
 //! A fault must not multiply the load. A [`Budget`] therefore lets extra attempts grow only with
 //! successes: over any time, the extra attempts are at most the burst, plus the ratio of the
 //! successes, plus a trickle that keeps a quiet service able to retry at all. [`backoff`] spreads
-//! the attempts out, so that callers that failed together do not come back together.
+//! the attempts out, so that callers that failed together do not come back together. [`asked`] reads the wait
+//! that a refusal asks for.
 
 use crate::prelude::*;
 
@@ -72,3 +73,9 @@
     let bound = FIRST_WAIT.saturating_mul(factor).min(LONGEST_WAIT);
     bound.mul_f64(0.5 + 0.5 * unit_random.clamp(0.0, 1.0))
 }
+
+/// The wait that the text of a `Retry-After` field asks for: seconds, fractions included. A date, or what is
+/// no time, asks for none.
+pub fn asked(text: &str) -> Option<Duration> {
+    Duration::try_from_secs_f64(text.trim().parse().ok()?).ok()
+}
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -9,6 +9,7 @@
     mod figures;
     mod giving;
     mod holdings;
+    mod intake;
     mod leaving;
     mod look;
     mod outage;
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/intake.rs
@@ -0,0 +1,185 @@
+//! What targets say that they take.
+
+use roseshore_core::gateway::peers::target_mark;
+use roseshore_core::gateway::targets::Absence;
+use roseshore_core::gateway::{TargetRecord, Targets};
+use roseshore_core::prelude::*;
+
+fn record(id: &str, life: u64) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        life,
+        service: "plain".to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "north".to_owned(),
+        slots: 6,
+        draining: false,
+        kind: None,
+        holding: None,
+    }
+}
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What happens to target `a` in its first life, and from when on it may be used; `None` for never.
+struct Case {
+    name: &'static str,
+    happens: fn(&mut Targets, Instant),
+    used: Option<Duration>,
+}
+
+fn first() -> u32 {
+    target_mark("a", 1)
+}
+
+fn cases() -> Vec<Case> {
+    let case = |name, happens, used| Case { name, happens, used };
+    vec![
+        case("nothing", |_, _| (), Some(ms(0))),
+        case("rests", |t, now| _ = t.rests(first(), ms(3_000), now), Some(ms(3_000))),
+        case("no time at all", |t, now| _ = t.rests(first(), ms(0), now), Some(ms(0))),
+        case(
+            "a shorter rest after a longer one",
+            |t, now| {
+                assert_eq!(t.rests(first(), ms(3_000), now), Some(ms(3_000)));
+                assert_eq!(t.rests(first(), ms(500), now + ms(100)), None);
+            },
+            Some(ms(3_000)),
+        ),
+        case(
+            "a day",
+            |t, now| {
+                let day = Duration::from_hours(24);
+                assert_eq!(t.rests(first(), day, now), Some(Duration::from_hours(1)));
+            },
+            Some(Duration::from_hours(1)),
+        ),
+        case(
+            "an older answer ends whole",
+            |t, now| {
+                t.failed("a", now);
+                t.rests(first(), ms(3_000), now);
+                t.worked("a", now + ms(400));
+            },
+            Some(ms(3_000)),
+        ),
+        case(
+            "drops out and is back",
+            |t, now| {
+                t.rests(first(), ms(3_000), now);
+                t.drop("a", Absence::Left);
+                t.put(record("a", 1));
+            },
+            Some(ms(3_000)),
+        ),
+        case(
+            "another life",
+            |t, now| {
+                t.rests(first(), ms(3_000), now);
+                t.leaves(first(), now);
+                t.put(record("a", 2));
+            },
+            Some(ms(0)),
+        ),
+        case(
+            "leaves",
+            |t, now| {
+                assert!(t.leaves(first(), now));
+                assert!(!t.leaves(first(), now), "it has said so");
+            },
+            None,
+        ),
+        case(
+            "leaves, drops out and is back",
+            |t, now| {
+                t.leaves(first(), now);
+                t.drop("a", Absence::Left);
+                t.tick(now + ms(30_000));
+                t.put(record("a", 1));
+            },
+            None,
+        ),
+        case(
+            "leaves before it is listed",
+            |t, now| {
+                t.drop("a", Absence::Left);
+                t.leaves(first(), now);
+                t.put(record("a", 1));
+            },
+            None,
+        ),
+    ]
+}
+
+#[test]
+fn a_target_s_own_word_decides_from_when_on_it_is_used() {
+    let now = Instant::now();
+    for case in cases() {
+        let mut targets = Targets::default();
+        targets.put(record("a", 1));
+        (case.happens)(&mut targets, now);
+        let used = |at: Duration| targets.plain("plain", "north", &[], now + at).is_some();
+        let late = Duration::from_hours(30);
+        match case.used {
+            None => assert!(!used(ms(0)) && !used(late), "{}", case.name),
+            Some(from) => {
+                assert!(from.is_zero() || !used(from.saturating_sub(ms(1))), "{}", case.name);
+                assert!(used(from) && used(late), "{}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_shortest_rest_left_is_told_and_words_of_unknown_targets_are_forgotten() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    for id in ["a", "b", "c"] {
+        targets.put(record(id, 1));
+    }
+    assert_eq!(targets.rest_left("plain", now), None);
+    targets.rests(first(), ms(3_000), now);
+    targets.rests(target_mark("b", 1), ms(800), now);
+    assert_eq!(targets.rest_left("plain", now + ms(300)), Some(ms(500)));
+    assert_eq!(targets.rest_left("other", now), None);
+    assert_eq!(targets.rest_left("plain", now + ms(3_000)), None);
+    targets.leaves(target_mark("c", 1), now);
+    targets.drop("c", Absence::Left);
+    targets.tick(now + Duration::from_mins(2));
+    targets.put(record("c", 1));
+    let taken = targets.get("c").expect("listed").takes(now + Duration::from_mins(2));
+    assert!(taken, "the word of a target that was gone for so long is not kept");
+}
+
+/// Requests that one host sends to an engine in the three seconds for which it asked for rest, at fifteen new
+/// streams a second and with one of sixteen older answers ending each tenth of a second.
+fn sent_in_rest(heeded: bool) -> u32 {
+    let begun = Instant::now();
+    let mut targets = Targets::default();
+    targets.put(record("a", 1));
+    let mut sent = 0;
+    for step in 0..300_u64 {
+        let now = begun + ms(10 * step);
+        if step % 10 == 0 && step < 160 {
+            targets.worked("a", now);
+        }
+        let sound = targets.get("a").is_some_and(|t| t.takes(now) && t.sound(now));
+        if step % 7 == 0 && sound {
+            sent += u32::from(now > begun + ms(500));
+            targets.failed("a", now);
+            if heeded {
+                targets.rests(first(), ms(3_000), now);
+            }
+        }
+    }
+    sent
+}
+
+/// The operators allow two. Before: 7 requests in the time. After: none.
+#[test]
+fn an_engine_that_asks_for_rest_gets_nothing_in_that_time() {
+    assert!(sent_in_rest(false) > 2);
+    assert_eq!(sent_in_rest(true), 0);
+}
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -80,6 +80,8 @@
 pub struct CallReply {
     /// The status.
     pub status: u16,
+    /// The header fields.
+    pub fields: Vec<Field>,
     /// The body.
     pub body: Vec<u8>,
 }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod fatal;
 mod following;
+mod heeding;
 mod liveness;
 mod pacing;
 mod peering;
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -3,6 +3,7 @@
 //! A plain answer is passed on once it is whole, so a caller never sees part of one. A stream is
 //! passed on by whole events as they come; if its target dies, another goes on after the last one.
 
+use super::heeding::MISDIRECTED;
 use super::probes::millis;
 use super::send::Phase;
 use super::{Entry, Timer, note, orderly};
@@ -17,8 +18,6 @@
 const MAX_HEAD: usize = 32 << 10;
 /// Bytes of an answer that is not a stream.
 const MAX_BODY: usize = 16 << 20;
-/// The status by which a target says that another one was meant.
-const MISDIRECTED: u16 = 421;
 
 enum Step {
     /// More bytes are needed.
@@ -74,6 +73,9 @@
         if let Some((running, waiting, _)) = said.load {
             self.targets.loaded(&send.target, running, waiting, now);
         }
+        self.heed_answer(key, head.status, &said);
+        let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Over };
+        let Some(send) = exchange.send.as_mut() else { return Step::Over };
         if said.attempt.as_ref().is_some_and(|a| *a != exchange.asked.attempt) {
             send.phase = Phase::Surplus(Decoder::new(head.framing));
             return Step::Go;
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -134,7 +134,7 @@
                 } else {
                     self.close(call.socket);
                 }
-                Ok(CallReply { status: head.status, body: call.body })
+                Ok(CallReply { status: head.status, fields: head.fields, body: call.body })
             }
             (fault, _) => {
                 self.close(call.socket);
@@ -154,6 +154,11 @@
     }
 
     fn called(&mut self, purpose: Purpose, sent: Instant, reply: Result<CallReply, CallFault>) {
+        if let (Purpose::Report(id) | Purpose::Pace(id) | Purpose::Place(id, _), Ok(reply)) =
+            (&purpose, &reply)
+        {
+            self.heed_reply(id, reply);
+        }
         match purpose {
             Purpose::Newest(stream) => self.newest_came(stream, sent, reply),
             Purpose::Read(stream, from, wait) => self.records_came(stream, sent, from, wait, reply),
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -240,6 +240,7 @@
         let (caller, keep) = (exchange.caller, exchange.head.keep);
         let attempt = exchange.asked.attempt.clone();
         let engine = exchange.service.engine.is_some();
+        let rest = self.targets.rest_left(&exchange.service.name, now);
         let fingerprint = exchange.fingerprint;
         let code = match end {
             End::NotRun if code.status() != 503 => Code::NoTarget,
@@ -259,6 +260,11 @@
                     None if engine => self.shortage.refused(now),
                     None => COME_BACK,
                 };
+                let back = match rest {
+                    // Another host may not have been asked for it, so this is no lower bound.
+                    Some(left) if code == Code::TargetsRest => back.min(left),
+                    _ => back,
+                };
                 Refusal::not_run(code, why).after(self.spread(back))
             }
             End::Unknown => Refusal::may_have_run(code, why),
--- a/crates/roseshore_relay/src/entry/pacing.rs
+++ b/crates/roseshore_relay/src/entry/pacing.rs
@@ -45,7 +45,7 @@
         }
         for _ in 0..self.pacing.each {
             let Some(id) = self.pacing.queue.pop_front() else { break };
-            let Some(addr) = self.targets.get(&id).map(|t| t.record.addr) else { continue };
+            let Some(addr) = self.callable(&id) else { continue };
             let request = self.platform.report();
             self.call(Purpose::Pace(id), addr, &request, REPORT_TIME);
         }
--- a/crates/roseshore_relay/src/entry/placing.rs
+++ b/crates/roseshore_relay/src/entry/placing.rs
@@ -220,8 +220,8 @@
         if !due || asked.contains_key(id) || asked.len() >= MOST_ASKED {
             return;
         }
+        let Some(addr) = self.callable(id) else { return };
         let Some(target) = self.targets.get(id) else { return };
-        let addr = target.record.addr;
         let assumed = target.holding().map(|h| h.layers);
         note!(self, PlacementWanted, "target={id} layers={}-{}", layers.0, layers.1);
         self.placing.asked.insert(id.to_owned(), Asked { layers, assumed });
@@ -255,11 +255,11 @@
             begun.ask = now + ASK_AGAIN;
             begun.asked += 1;
             let over = begun.asked > ASKS;
-            let Some(target) = self.targets.get(&id).filter(|_| !over) else {
+            if over || self.targets.get(&id).is_none() {
                 self.placing.begun.remove(&id);
                 continue;
-            };
-            let addr = target.record.addr;
+            }
+            let Some(addr) = self.callable(&id) else { continue };
             let request = self.platform.report();
             self.call(Purpose::Report(id), addr, &request, CALL_TIME);
         }
@@ -308,8 +308,7 @@
             Reported::Underway => return self.believe(id, layers, AGAIN),
             Reported::Other(held) => return self.learn_held(id, held),
         }
-        let Some(target) = self.targets.get(id) else { return };
-        let addr = target.record.addr;
+        let Some(addr) = self.callable(id) else { return };
         let request = self.platform.place(layers, report.orders);
         note!(
             self,
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -187,6 +187,11 @@
         let fresh = HOLD_FRESH.min(exchange.route.objective / HOLD_PART);
         let most = if exchange.out.begun { HOLD_BEGUN } else { fresh };
         let engine = exchange.service.engine.is_some();
+        let service = &exchange.service.name;
+        if best.is_none() && !exchange.out.begun && self.targets.rest_left(service, now).is_some() {
+            // Nothing that is sent in the time that a request may be held reaches them.
+            return self.end_without(key, Code::TargetsRest, "the targets want a rest");
+        }
         if !engine || now.saturating_duration_since(since) >= most {
             let why = best.map_or("no target takes the request".to_owned(), |choice| {
                 let (fill, fullest) = choice.fill;
