What was read of the store is placed by era and offset, and a store that came back older is read anew

Cause: an offset alone was taken for what was read. A store that comes back from an older copy gives its offsets out again, so a host went on from its old one past what was written in its place, and took the older list for the newest. A reply of another era than its question is dropped, and both streams are read anew. The older list is merged: what is known of a life stays until the target writes again, what is missing is held for lapsed, what is gone stays gone. While the store holds an older configuration than the one in force, it proves nothing. New lines E513, E514.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -89,6 +89,8 @@
     KeysSuspended = 510, Warn, "keys are not honoured: the configuration may be old";
     KeysHonoured = 511, Info, "keys are honoured again";
     StoreAsked = 512, Debug, "the store was asked for records, and why";
+    StoreWentBack = 513, Warn, "the store came back from an older copy: what it holds is read anew";
+    ReplyDropped = 514, Warn, "a reply of the store is of another era than its question, and is dropped";
     HostSuspected = 601, Info, "a daemon is suspected";
     HostGone = 602, Warn, "a daemon is gone";
     HostJoined = 603, Info, "a daemon joined";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -6,7 +6,7 @@
 //! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
 //! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
-//! [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
+//! [`position`] how far they have read, [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
 //! known to be the newest, and [`fingerprint`] what makes two requests the same,
 //! and [`fatal`] which of them end their targets.
 
@@ -23,6 +23,7 @@
 pub mod path;
 pub mod peers;
 pub mod plan;
+pub mod position;
 pub mod reading;
 pub mod routes;
 pub mod settings;
@@ -38,6 +39,7 @@
 pub use outage::Outage;
 pub use path::{Hop, Part, PathNeed};
 pub use peers::Peers;
+pub use position::Position;
 pub use routes::{
     CallKind, EngineSpec, Kind, Limits, OrganisationSpec, Route, ServiceSpec, Share, Snapshot,
 };
--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -9,6 +9,7 @@
 //! host gives so many bytes in a moment and turns the others away, to one of those that it has given
 //! a copy. So a copy spreads as a tree, twice as wide with each step.
 
+use super::position::Position;
 use super::targets::Changes;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -32,8 +33,8 @@
 pub struct Extent {
     /// The version of the configuration that is known; 0 for none.
     pub config: u64,
-    /// The next offset of the list of targets; 0 before it was read.
-    pub list: Offset,
+    /// How far the list of targets is known; the default before it was read.
+    pub list: Position,
 }
 
 /// Asks a host for what it has read.
@@ -59,8 +60,8 @@
 /// The list of targets as a host has read it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListCopy {
-    /// The offset to read next.
-    pub next: Offset,
+    /// How far it was read.
+    pub next: Position,
     /// What changed since the asking host's list, or all that is listed. In a crowd of 300 hosts before
     /// 3,000 targets each change of one record had every host fetch 270 kB, which filled links of
     /// 20 Mbit/s.
--- a/crates/roseshore_core/src/gateway/outage.rs
+++ b/crates/roseshore_core/src/gateway/outage.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// The store came back from an older copy: entries that it lacks may be of live targets that write them
+    /// again.
+    pub fn went_back(&mut self, now: Instant) {
+        self.lapse = Some(now + LAPSE);
+    }
+
     /// What follows from an entry that is missing.
     pub fn absence(&self, now: Instant) -> Absence {
         if self.for_all(now) {
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::fatal::FatalNote;
 use crate::gateway::paces::PaceNote;
+use crate::gateway::position::Position;
 use crate::gateway::targets::Word;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -63,8 +64,8 @@
 /// How far a host has read the list of targets, and what it came to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListMark {
-    /// The next offset.
-    pub next: Offset,
+    /// How far that is.
+    pub next: Position,
     /// The digest of the list.
     pub digest: u64,
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -17,6 +17,7 @@
 use super::path::{Part, PathNeed};
 use super::peers::{LoadNote, TargetMark};
 use super::plan::pressure::{Taken, fullest};
+use super::position::Position;
 use super::routes::EngineSpec;
 use crate::prelude::*;
 use intake::Heard;
@@ -37,7 +38,7 @@
     /// Of what is listed.
     digest: u64,
     /// How far the list has been read.
-    next: Offset,
+    next: Position,
     /// What dropped out of the list of late.
     gone: Gone,
     /// What targets said that they take, by their lives.
--- a/crates/roseshore_core/src/gateway/targets/list.rs
+++ b/crates/roseshore_core/src/gateway/targets/list.rs
@@ -3,6 +3,7 @@
 use super::Targets;
 use super::target::{Target, TargetRecord};
 use crate::gateway::peers::ListMark;
+use crate::gateway::position::Position;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -39,13 +40,13 @@
 /// Targets that dropped out of the list, and how far it was read by then.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Gone {
-    ids: HashMap<TargetId, Offset>,
+    ids: HashMap<TargetId, Position>,
     /// What dropped out before that may have been forgotten.
-    known: Offset,
+    known: Position,
 }
 
 impl Gone {
-    fn add(&mut self, id: TargetId, next: Offset) {
+    fn add(&mut self, id: TargetId, next: Position) {
         self.ids.insert(id, next);
         if self.ids.len() > MOST_GONE {
             self.known = next;
@@ -150,6 +151,30 @@
         Replaced { lost, restarted }
     }
 
+    /// Takes the whole list of a store that came back from an older copy. What is known here of a target's life
+    /// is newer than the copy, so it stays until the target writes its entry again; what the copy lacks
+    /// may have been written after it; and what is known to be gone is no target again by being in it.
+    pub fn go_back(&mut self, records: Vec<TargetRecord>, absence: Absence) -> Replaced {
+        let listed: HashSet<&TargetId> = records.iter().map(|r| &r.id).collect();
+        let lost: Vec<_> = self.all.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in &lost {
+            self.drop(id, absence);
+        }
+        let mut restarted = Vec::new();
+        for record in records {
+            let known = self.all.get(&record.id).map(|t| &t.record);
+            if known.is_none() && self.gone.ids.contains_key(&record.id) {
+                continue;
+            }
+            let newest = known.filter(|known| known.life >= record.life).cloned().unwrap_or(record);
+            let id = newest.id.clone();
+            if self.put(newest) == News::Restarted {
+                restarted.push(id);
+            }
+        }
+        Replaced { lost, restarted }
+    }
+
     /// Lets time pass; returns the targets that have been missing for too long.
     pub fn tick(&mut self, now: Instant) -> Vec<TargetId> {
         for target in self.all.values_mut() {
@@ -166,13 +191,13 @@
     }
 
     /// The list has been read so far: what is taken from now on belongs to that.
-    pub fn reach(&mut self, next: Offset) {
+    pub fn reach(&mut self, next: Position) {
         self.next = self.next.max(next);
     }
 
     /// What changed since the list was read so far; all of it where that is not known any more.
-    pub fn since(&self, known: Offset) -> Changes {
-        if known == 0 || known < self.gone.known {
+    pub fn since(&self, known: Position) -> Changes {
+        if known == Position::default() || known < self.gone.known {
             return Changes { records: self.listed(), dropped: None };
         }
         let fresh = self.all.values().filter(|t| t.missing.is_none() && t.changed > known);
@@ -189,7 +214,7 @@
 
     /// How far the list was read, for the others.
     /// The digest is the same wherever the same was read.
-    pub fn list_mark(&self, next: Offset) -> ListMark {
+    pub fn list_mark(&self, next: Position) -> ListMark {
         ListMark { next, digest: self.digest }
     }
 }
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -2,6 +2,7 @@
 
 use super::super::paces::Pace;
 use super::super::peers::{LoadNote, TargetMark, target_mark};
+use super::super::position::Position;
 use super::Intake;
 use crate::load::health::Health;
 use crate::prelude::*;
@@ -137,7 +138,7 @@
     /// Of its record, while it is listed.
     digest: u64,
     /// How far the list was read when its record became what it is, at most.
-    pub(super) changed: Offset,
+    pub(super) changed: Position,
     /// What other hosts have there.
     pub(super) others: LoadNote,
     pub(super) health: Health,
@@ -163,7 +164,7 @@
         Target {
             mark: target_mark(&record.id, record.life),
             digest: digest_of(&record),
-            changed: 0,
+            changed: Position::default(),
             others: LoadNote::default(),
             word: Word::none(&record),
             record,
--- a/crates/roseshore_core/src/ids.rs
+++ b/crates/roseshore_core/src/ids.rs
@@ -29,6 +29,8 @@
 pub type CommandId = String;
 /// A place in a stream of the log service; grows by one per record.
 pub type Offset = u64;
+/// How often a store has come back from an older copy; 0 where it does not say.
+pub type Era = u64;
 /// The number of a route of one answer; grows with every re-route.
 pub type Epoch = u32;
 /// The number of a process's life; a restarted process has a higher one.
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -12,6 +12,7 @@
     mod intake;
     mod leaving;
     mod look;
+    mod older_store;
     mod outage;
     mod path;
     mod peers;
--- a/crates/roseshore_core/tests/gateway/copies.rs
+++ b/crates/roseshore_core/tests/gateway/copies.rs
@@ -2,12 +2,18 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::Copies;
+use roseshore_core::gateway::Position;
 use roseshore_core::gateway::copies::{COPY_TIME, Extent, Outcome};
 use roseshore_core::gateway::targets::Absence;
 use roseshore_core::gateway::{TargetRecord, Targets};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
+/// A place in the store's first era.
+fn at(next: Offset) -> Position {
+    Position { era: 0, next }
+}
+
 /// What happened to the copy that was asked for at first, and when the next may be asked for.
 struct Case {
     name: &'static str,
@@ -78,7 +84,7 @@
 fn spread(bytes: usize, sent_on: bool) -> u64 {
     const HOSTS: usize = 60;
     let begun = Instant::now();
-    let extent = Extent { config: 2, list: 9 };
+    let extent = Extent { config: 2, list: at(9) };
     let mut copies = vec![Copies::default(); HOSTS];
     // When each has it, and whom it asks next, and when.
     let mut has: Vec<Option<u64>> = (0..HOSTS).map(|n| (n < 3).then_some(0)).collect();
@@ -166,7 +172,7 @@
                 Step::Read(host, count) => {
                     let Reader { targets, next } = &mut hosts[host];
                     let end = (*next + count).min(log.len());
-                    targets.reach(end as Offset);
+                    targets.reach(at(end as Offset));
                     for (id, value) in &log[*next..end] {
                         match value {
                             Some(port) => drop(targets.put(named(*id, *port))),
@@ -177,15 +183,15 @@
                 }
                 Step::Copy(from, to) if hosts[from].next > hosts[to].next => {
                     let known = hosts[to].next as Offset;
-                    let (next, changes) = (hosts[from].next, hosts[from].targets.since(known));
+                    let (next, changes) = (hosts[from].next, hosts[from].targets.since(at(known)));
                     let targets = &mut hosts[to].targets;
-                    targets.reach(next as Offset);
+                    targets.reach(at(next as Offset));
                     match changes.dropped {
                         Some(lost) => targets.change(changes.records, lost, Absence::Left),
                         None => targets.replace(changes.records, Absence::Left),
                     };
                     hosts[to].next = next;
-                    let mark = |host: usize| hosts[host].targets.list_mark(0);
+                    let mark = |host: usize| hosts[host].targets.list_mark(at(0));
                     prop_assert_eq!(mark(to), mark(from));
                 }
                 Step::Copy(..) => {}
@@ -198,15 +204,15 @@
 #[test]
 fn a_change_is_handed_on_alone() {
     let mut giver = Targets::default();
-    giver.reach(3000);
+    giver.reach(at(3000));
     for id in 0..250 {
         giver.put(named(id, 0));
     }
-    giver.reach(3001);
+    giver.reach(at(3001));
     giver.put(named(7, 1));
     giver.drop("t-9", Absence::Left);
-    let changes = giver.since(3000);
+    let changes = giver.since(at(3000));
     assert_eq!(changes.records, [named(7, 1)]);
     assert_eq!(changes.dropped, Some(vec!["t-9".to_owned()]));
-    assert_eq!(giver.since(0).records.len(), 249, "who has nothing gets all");
+    assert_eq!(giver.since(at(0)).records.len(), 249, "who has nothing gets all");
 }
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/older_store.rs
@@ -0,0 +1,238 @@
+//! The lists of hosts whose store comes back from an older copy again and again.
+
+use proptest::prelude::*;
+use roseshore_core::gateway::targets::{Absence, Changes, News, Target};
+use roseshore_core::gateway::{Holding, Position, TargetRecord, Targets};
+use roseshore_core::prelude::*;
+use std::collections::BTreeMap;
+
+const HOSTS: usize = 4;
+const IDS: u8 = 8;
+
+fn named(id: u8, layers: Layer) -> TargetRecord {
+    TargetRecord {
+        id: format!("t-{id}"),
+        life: 1,
+        service: "plain".to_owned(),
+        addr: std::net::SocketAddr::from(([10, 0, 0, id], 80)),
+        data_centre: "north".to_owned(),
+        slots: 6,
+        draining: false,
+        kind: Some("big".to_owned()),
+        holding: Some(Holding { layers: (0, layers) }),
+    }
+}
+
+/// The store: what it holds, and what targets wrote last, whether it still holds that or not.
+#[derive(Default)]
+struct Store {
+    era: Era,
+    log: Vec<(u8, Option<Layer>)>,
+    truth: BTreeMap<u8, Layer>,
+}
+
+impl Store {
+    fn write(&mut self, id: u8, layers: Option<Layer>) {
+        self.log.push((id, layers));
+        match layers {
+            Some(layers) => _ = self.truth.insert(id, layers),
+            None => _ = self.truth.remove(&id),
+        }
+    }
+
+    fn go_back(&mut self, lost: usize) {
+        self.log.truncate(self.log.len().saturating_sub(lost));
+        self.era += 1;
+    }
+
+    /// Each live target writes its entry again, and the entries of others lapse.
+    fn write_again(&mut self) {
+        for id in 0..IDS {
+            let layers = self.truth.get(&id).copied();
+            self.write(id, layers);
+        }
+    }
+
+    fn newest(&self) -> Vec<TargetRecord> {
+        let newest: BTreeMap<u8, Option<Layer>> = self.log.iter().copied().collect();
+        newest.into_iter().filter_map(|(id, layers)| Some(named(id, layers?))).collect()
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    targets: Targets,
+    read: Option<Position>,
+}
+
+impl Host {
+    /// Reads so many records, or the whole list where it has none of this era.
+    fn read(&mut self, store: &Store, count: usize, absence: Absence) {
+        let end = store.log.len() as Offset;
+        let known = self.read.filter(|read| read.era == store.era);
+        let Some(known) = known else {
+            let next = Position { era: store.era, next: end };
+            self.targets.reach(next);
+            match self.read {
+                Some(_) => self.targets.go_back(store.newest(), absence),
+                None => self.targets.replace(store.newest(), absence),
+            };
+            self.read = Some(next);
+            return;
+        };
+        let next = Position { era: store.era, next: end.min(known.next + count as Offset) };
+        self.targets.reach(next);
+        for (id, layers) in &store.log[known.next as usize..next.next as usize] {
+            match layers {
+                Some(layers) => _ = self.targets.put(named(*id, *layers)),
+                None => _ = self.targets.drop(&format!("t-{id}"), absence),
+            }
+        }
+        self.read = Some(next);
+    }
+
+    /// Takes another's copy, as a host does.
+    fn copy(&mut self, from: &Host, absence: Absence) {
+        let known = self.read.unwrap_or_default();
+        let Some(next) = from.read.filter(|next| *next > known) else { return };
+        let Changes { records, dropped } = from.targets.since(known);
+        self.targets.reach(next);
+        match dropped {
+            Some(dropped) => self.targets.change(records, dropped, absence),
+            None if self.read.is_some() && known.era < next.era => {
+                self.targets.go_back(records, absence)
+            }
+            None => self.targets.replace(records, absence),
+        };
+        let same = |a: &Targets, b: &Targets| a.list_mark(next) == b.list_mark(next);
+        if same(&self.targets, &from.targets) {
+            self.read = Some(next);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8, Option<Layer>),
+    GoBack(usize),
+    Read(usize, usize),
+    Copy(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..IDS, proptest::option::weighted(0.7, 1..9 as Layer))
+            .prop_map(|(id, layers)| Step::Write(id, layers)),
+        1 => (0..6usize).prop_map(Step::GoBack),
+        3 => (0..HOSTS, 1..6usize).prop_map(|(host, count)| Step::Read(host, count)),
+        3 => (0..HOSTS, 0..HOSTS).prop_map(|(from, to)| Step::Copy(from, to)),
+    ]
+}
+
+proptest! {
+    /// Whatever was read, copied and lost before: once the targets have written again and what lapsed is over,
+    /// each host that reads on has the list that a host which has just begun reads.
+    #[test]
+    fn hosts_agree_on_what_was_written_again(steps in proptest::collection::vec(step(), 1..120)) {
+        let now = Instant::now();
+        let lapse = Absence::Lapsed(now + Duration::from_secs(2));
+        let mut store = Store::default();
+        let mut hosts: Vec<Host> = (0..HOSTS).map(|_| Host::default()).collect();
+        for step in steps {
+            match step {
+                Step::Write(id, layers) => store.write(id, layers),
+                Step::GoBack(lost) => store.go_back(lost),
+                Step::Read(host, count) => hosts[host].read(&store, count, lapse),
+                Step::Copy(from, to) if from != to => {
+                    let giver = std::mem::take(&mut hosts[from]);
+                    hosts[to].copy(&giver, lapse);
+                    hosts[from] = giver;
+                }
+                Step::Copy(..) => {}
+            }
+        }
+        for host in &mut hosts {
+            host.read(&store, usize::MAX >> 1, lapse);
+        }
+        store.write_again();
+        let mut fresh = Host::default();
+        fresh.read(&store, 0, lapse);
+        for host in &mut hosts {
+            host.read(&store, usize::MAX >> 1, lapse);
+            host.targets.tick(now + Duration::from_secs(3));
+            prop_assert_eq!(host.targets.listed(), fresh.targets.listed());
+            prop_assert_eq!(host.targets.list_mark(Position::default()),
+                fresh.targets.list_mark(Position::default()));
+        }
+    }
+}
+
+/// What the older copy says of target 1, beside what a host knows.
+struct Case {
+    name: &'static str,
+    known: fn(&mut Targets),
+    copy: Option<TargetRecord>,
+    /// Whether work goes there then, and up to which layer.
+    used: Option<Layer>,
+}
+
+#[test]
+fn what_is_known_of_a_life_is_newer_than_the_copy() {
+    let cases = [
+        Case { name: "unknown here", known: |_| (), copy: Some(named(1, 3)), used: Some(3) },
+        Case {
+            name: "other layers since",
+            known: |t| _ = t.put(named(1, 5)),
+            copy: Some(named(1, 3)),
+            used: Some(5),
+        },
+        Case {
+            name: "leaving since",
+            known: |t| _ = t.put(TargetRecord { draining: true, ..named(1, 3) }),
+            copy: Some(named(1, 3)),
+            used: None,
+        },
+        Case {
+            name: "another life since",
+            known: |t| _ = t.put(TargetRecord { life: 2, ..named(1, 5) }),
+            copy: Some(named(1, 3)),
+            used: Some(5),
+        },
+        Case {
+            name: "a life that was missed here",
+            known: |t| _ = t.put(named(1, 3)),
+            copy: Some(TargetRecord { life: 2, ..named(1, 5) }),
+            used: Some(5),
+        },
+        Case {
+            name: "gone since",
+            known: |t| {
+                t.put(named(1, 3));
+                t.drop("t-1", Absence::Left);
+            },
+            copy: Some(named(1, 3)),
+            used: None,
+        },
+        Case { name: "listed since", known: |t| _ = t.put(named(1, 4)), copy: None, used: Some(4) },
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let mut targets = Targets::default();
+        targets.reach(Position { era: 1, next: 40 });
+        targets.put(named(2, 1));
+        (case.known)(&mut targets);
+        targets.reach(Position { era: 2, next: 9 });
+        let copy: Vec<TargetRecord> = case.copy.into_iter().chain([named(2, 1)]).collect();
+        targets.go_back(copy, Absence::Lapsed(now + Duration::from_secs(2)));
+        let used = || {
+            let target = targets.get("t-1").filter(|t| t.takes(now))?;
+            target.holding().map(|held| held.layers.1)
+        };
+        assert_eq!(used(), case.used, "{}", case.name);
+        // Written again, it is what it says.
+        targets.reach(Position { era: 2, next: 10 });
+        assert_ne!(targets.put(TargetRecord { life: 3, ..named(1, 8) }), News::Same);
+        let written = targets.get("t-1").and_then(Target::holding).map(|held| held.layers.1);
+        assert_eq!(written, Some(8), "{}", case.name);
+    }
+}
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::Fingerprint;
+use roseshore_core::gateway::Position;
 use roseshore_core::gateway::fatal::{EndNote, FatalNote, TOLD};
 use roseshore_core::gateway::paces::PaceNote;
 use roseshore_core::gateway::peers::{Beat, HoldNote, ListMark, LoadNote, Own, Peers, mark};
@@ -148,7 +149,7 @@
         down: n.is_multiple_of(2),
     };
     let loads = (0..500).map(note).collect();
-    let list = ListMark { next: u64::MAX, digest: u64::MAX };
+    let list = ListMark { next: Position { era: u64::MAX, next: u64::MAX }, digest: u64::MAX };
     // As many as the placing part tells of.
     let holds = (0..16)
         .map(|n| HoldNote {
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use roseshore_core::gateway::peers::{LoadNote, mark, target_mark};
 use roseshore_core::gateway::targets::{Absence, Claim, Death, News, Target, Word};
-use roseshore_core::gateway::{Holding, TargetRecord, Targets};
+use roseshore_core::gateway::{Holding, Position, TargetRecord, Targets};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 
@@ -21,6 +21,10 @@
     }
 }
 
+fn at(next: Offset) -> Position {
+    Position { era: 0, next }
+}
+
 fn two() -> Targets {
     let mut targets = Targets::default();
     targets.put(record("a", "north"));
@@ -161,14 +165,18 @@
     let (mut left, mut right) = (two(), Targets::default());
     right.put(record("b", "south"));
     right.put(record("a", "north"));
-    assert_eq!(left.list_mark(5).digest, right.list_mark(9).digest);
+    assert_eq!(left.list_mark(at(5)).digest, right.list_mark(at(9)).digest);
     left.put(TargetRecord { draining: true, ..record("a", "north") });
-    assert_ne!(left.list_mark(5).digest, right.list_mark(9).digest);
+    assert_ne!(left.list_mark(at(5)).digest, right.list_mark(at(9)).digest);
     right.replaced("a");
     right.failed("b", now);
     let mut same = two();
     same.put(record("a", "north"));
-    assert_eq!(same.list_mark(0).digest, right.list_mark(0).digest, "own experience is no list");
+    assert_eq!(
+        same.list_mark(at(0)).digest,
+        right.list_mark(at(0)).digest,
+        "own experience is no list"
+    );
 }
 
 /// One change to the list of targets.
@@ -226,7 +234,7 @@
             for record in targets.listed() {
                 anew.put(record);
             }
-            prop_assert_eq!(targets.list_mark(0), anew.list_mark(0));
+            prop_assert_eq!(targets.list_mark(at(0)), anew.list_mark(at(0)));
             for id in (0..9).map(|id| numbered(id).id) {
                 let known = targets.get(&id).map(|t| &t.record.id);
                 prop_assert_eq!(targets.marked(mark(&id)), known);
@@ -350,7 +358,7 @@
 fn lists_of_two_lives_differ() {
     let (mut left, right) = (two(), two());
     left.put(TargetRecord { life: 7, ..record("a", "north") });
-    assert_ne!(left.list_mark(5).digest, right.list_mark(5).digest);
+    assert_ne!(left.list_mark(at(5)).digest, right.list_mark(at(5)).digest);
 }
 
 #[test]
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -5,7 +5,7 @@
 
 use quick_error::quick_error;
 use roseshore_core::gateway::{Holding, Hop, Snapshot, TargetRecord};
-use roseshore_core::ids::Incarnation;
+use roseshore_core::ids::{Era, Incarnation};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -206,6 +206,8 @@
     fn answered(&self, fields: &[Field]) -> Answered;
     /// The fields of an answer that go to the caller.
     fn returned(&self, fields: &[Field]) -> Vec<Field>;
+    /// The era that the store names in its reply, if it does.
+    fn era(&self, reply: &CallReply) -> Option<Era>;
     /// A read of a stream from an offset; waits for a record at most `wait`.
     fn read(&self, stream: Stream, from: u64, wait: Duration) -> CallRequest;
     /// Reads the reply to [`EntryPlatform::read`].
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -3,6 +3,7 @@
 use super::{Entry, Role, Timer};
 use crate::http::{self, AnswerHead, Decoder};
 use crate::slab::Key;
+use roseshore_core::gateway::Position;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, CallRequest, Report, Stream};
 use std::net::SocketAddr;
@@ -13,10 +14,10 @@
 /// What a call is for.
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
-    /// The newest records, page by page.
-    Newest(Stream),
-    /// The records from an offset on; waits so long for one.
-    Read(Stream, Offset, Duration),
+    /// The newest records, page by page; those after the first page belong to this era.
+    Newest(Stream, Option<Era>),
+    /// The records from a position on; waits so long for one.
+    Read(Stream, Position, Duration),
     /// A target's report.
     Report(TargetId),
     /// The same, only to learn how fast it runs.
@@ -160,7 +161,7 @@
             self.heed_reply(id, reply);
         }
         match purpose {
-            Purpose::Newest(stream) => self.newest_came(stream, sent, reply),
+            Purpose::Newest(stream, era) => self.newest_came(stream, sent, era, reply),
             Purpose::Read(stream, from, wait) => self.records_came(stream, sent, from, wait, reply),
             Purpose::Report(id) => self.report_came(&id, reply),
             Purpose::Pace(id) => self.pace_came(&id, reply),
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -9,10 +9,10 @@
 use super::probes::millis;
 use super::{Entry, note};
 use rand::RngExt;
-use roseshore_core::gateway::TargetRecord;
 use roseshore_core::gateway::outage::{Outage, Return};
 use roseshore_core::gateway::peers::ListMark;
 use roseshore_core::gateway::reading::{self, CONFIG_WAIT, TARGETS_EVERY};
+use roseshore_core::gateway::{Position, TargetRecord};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, Entry as Record, Page, Reading, StoreFault, Stream};
 use std::net::SocketAddr;
@@ -48,6 +48,12 @@
 pub(super) struct Following {
     config: Follow,
     targets: Follow,
+    /// The era of the store that the offsets to read next belong to.
+    era: Era,
+    /// How far the list at hand was read; none before it was.
+    list: Option<Position>,
+    /// The store holds an older configuration than the one in force, so it proves nothing.
+    config_behind: bool,
     pub(super) outage: Outage,
     /// The list differs from a neighbour's, whose copy could not be had.
     list_differs: bool,
@@ -71,14 +77,14 @@
         }
     }
 
-    /// The offset of the list to read next; `None` before it was read.
-    pub(super) fn list_next(&self) -> Option<Offset> {
-        self.targets.next
+    /// How far the list at hand was read; `None` before it was.
+    pub(super) fn list_next(&self) -> Option<Position> {
+        self.list
     }
 
-    /// The offset up to which changes of the list are known here; 0 when all of it is to be had anew.
-    pub(super) fn list_known(&self) -> Offset {
-        if self.list_missed { 0 } else { self.targets.next.unwrap_or(0) }
+    /// How far changes of the list are known here; the default when all of it is to be had anew.
+    pub(super) fn list_known(&self) -> Position {
+        if self.list_missed { Position::default() } else { self.list.unwrap_or_default() }
     }
 
     /// Some change of the list was missed.
@@ -86,12 +92,37 @@
         self.list_missed = true;
     }
 
-    /// The list at hand is now a copy that reaches to this offset.
-    pub(super) fn list_copied(&mut self, next: Offset) {
+    /// The list at hand is now a copy that reaches so far.
+    pub(super) fn list_copied(&mut self, next: Position) {
         self.list_missed = false;
-        self.targets.next = Some(next);
-        self.targets.pages = None;
         self.list_differs = false;
+        self.list_reached(next);
+    }
+
+    /// The list at hand is that of another host which has read so far.
+    fn list_reached(&mut self, next: Position) {
+        self.list = Some(next);
+        if next.era > self.era {
+            self.enter_era(next.era);
+        }
+        if next.era == self.era {
+            self.targets.next = Some(next.next);
+            self.targets.pages = None;
+        }
+    }
+
+    /// Offsets of an earlier era say nothing any more.
+    fn enter_era(&mut self, era: Era) {
+        self.era = era;
+        for follow in [&mut self.config, &mut self.targets] {
+            (follow.next, follow.pages, follow.due) = (None, None, None);
+        }
+    }
+
+    /// Whether nothing of the store was read yet.
+    fn untouched(&self) -> bool {
+        let fresh = |f: &Follow| f.next.is_none() && f.pages.is_none();
+        self.list.is_none() && fresh(&self.config) && fresh(&self.targets)
     }
 
     fn stream(&mut self, stream: Stream) -> &mut Follow {
@@ -118,7 +149,7 @@
         let wait = if old { Duration::ZERO } else { self.following.wait(stream) };
         let known = match stream {
             Stream::Config => self.snapshot.is_some(),
-            Stream::Targets => self.following.targets.next.is_some(),
+            Stream::Targets => self.following.list.is_some(),
         };
         let follow = self.following.stream(stream);
         if follow.busy || follow.due.is_some_and(|due| now < due) {
@@ -143,16 +174,18 @@
 
     fn ask_store(&mut self, stream: Stream, wait: Duration) {
         self.note_asked(stream);
-        let store = self.settings.store;
+        let (store, era) = (self.settings.store, self.following.era);
         let follow = self.following.stream(stream);
         follow.busy = true;
-        if let Some(from) = follow.next {
-            let request = self.platform.read(stream, from, wait);
-            self.call(Purpose::Read(stream, from, wait), store, &request, wait + REPLY_TIME);
+        if let Some(next) = follow.next {
+            let request = self.platform.read(stream, next, wait);
+            let purpose = Purpose::Read(stream, Position { era, next }, wait);
+            self.call(purpose, store, &request, wait + REPLY_TIME);
         } else {
             let since = follow.pages.as_ref().and_then(|p| p.since.clone());
             let request = self.platform.newest(stream, since.as_deref());
-            self.call(Purpose::Newest(stream), store, &request, REPLY_TIME);
+            let era = since.map(|_| era);
+            self.call(Purpose::Newest(stream, era), store, &request, REPLY_TIME);
         }
     }
 
@@ -207,7 +240,10 @@
         }
         self.following.hurried = Some(now);
         let reads = |purpose: &Purpose| {
-            matches!(purpose, Purpose::Read(Stream::Config, ..) | Purpose::Newest(Stream::Config))
+            matches!(
+                purpose,
+                Purpose::Read(Stream::Config, ..) | Purpose::Newest(Stream::Config, _)
+            )
         };
         self.abandon(reads);
         self.ask_store(Stream::Config, Duration::ZERO);
@@ -225,7 +261,7 @@
 
     /// How far the list of targets was read here.
     pub(super) fn list_mark(&self) -> ListMark {
-        self.targets.list_mark(self.following.targets.next.unwrap_or(0))
+        self.targets.list_mark(self.following.list.unwrap_or_default())
     }
 
     /// Compares the own list with that of a host that has read further.
@@ -237,9 +273,9 @@
     ) {
         let now = self.now;
         let own = self.list_mark();
-        if self.following.targets.next.is_none() {
+        if self.following.list.is_none() {
             // If it gives none, the store is read when the time for listening is over.
-            if theirs.next > 0 {
+            if theirs.next > Position::default() {
                 self.ask_copy(from);
             }
             return;
@@ -248,7 +284,7 @@
             return;
         }
         if theirs.digest == own.digest {
-            self.following.targets.next = Some(theirs.next);
+            self.following.list_reached(theirs.next);
             self.following.outage.confirm(listed);
             self.following.list_differs = false;
             return;
@@ -271,9 +307,10 @@
         &mut self,
         stream: Stream,
         sent: Instant,
+        era: Option<Era>,
         reply: Result<CallReply, CallFault>,
     ) {
-        let Some(reply) = self.store_replied(stream, reply) else { return };
+        let Some(reply) = self.store_replied(stream, era, reply) else { return };
         match self.platform.newest_reply(&reply) {
             Ok(page) => self.page_came(stream, sent, page),
             Err(fault) => self.store_refused(stream, &fault),
@@ -300,8 +337,9 @@
         follow.next = Some(pages.end);
         match stream {
             Stream::Config => {
-                self.take_configs(pages.entries.into_iter());
-                self.currency.prove(sent);
+                let newest = self.take_configs(pages.entries.into_iter());
+                self.judge_behind(newest);
+                self.prove_config(sent);
                 self.judge_ready();
                 self.follow_one(stream);
             }
@@ -310,9 +348,11 @@
                 let records = records.filter_map(|e| self.record(&e.key, e.value?.as_slice()));
                 let records: Vec<TargetRecord> = records.collect();
                 let now = self.now;
+                let next = Position { era: self.following.era, next: pages.end };
+                let back = self.following.list.is_some_and(|known| known.era < next.era);
                 let absence = self.following.outage.absence(now);
-                let next = self.following.targets.next.unwrap_or(0);
-                self.take_list(next, records, absence);
+                self.take_list(next, records, absence, back);
+                self.following.list = Some(next);
                 self.following.targets.due = Some(now + TARGETS_EVERY);
                 self.following.outage.confirm(Some(sent));
                 self.following.list_differs = false;
@@ -325,13 +365,13 @@
         &mut self,
         stream: Stream,
         sent: Instant,
-        from: Offset,
+        from: Position,
         wait: Duration,
         reply: Result<CallReply, CallFault>,
     ) {
-        let Some(reply) = self.store_replied(stream, reply) else { return };
+        let Some(reply) = self.store_replied(stream, Some(from.era), reply) else { return };
         match self.platform.read_reply(&reply) {
-            Ok(reading) => self.reading_came(stream, sent, from, wait, reading),
+            Ok(reading) => self.reading_came(stream, sent, from.next, wait, reading),
             Err(StoreFault::Trimmed) => {
                 let follow = self.following.stream(stream);
                 follow.next = None;
@@ -368,17 +408,22 @@
         }
         match stream {
             Stream::Config => {
-                self.take_configs(reading.entries.into_iter().flatten());
+                let newest = self.take_configs(reading.entries.into_iter().flatten());
+                if newest.is_some() {
+                    self.judge_behind(newest);
+                }
                 if caught_up {
                     // An empty answer says that nothing came during the whole wait.
                     let waited = empty && now.saturating_duration_since(sent) >= wait;
-                    self.currency.prove(if waited { sent + wait } else { sent });
+                    self.prove_config(if waited { sent + wait } else { sent });
                     self.judge_ready();
                     self.beat_now(true);
                 }
                 self.follow_one(stream);
             }
             Stream::Targets => {
+                let next = Position { era: self.following.era, next };
+                self.following.list = Some(next);
                 self.targets.reach(next);
                 for entry in reading.entries {
                     match entry {
@@ -395,12 +440,13 @@
     fn store_replied(
         &mut self,
         stream: Stream,
+        asked: Option<Era>,
         reply: Result<CallReply, CallFault>,
     ) -> Option<CallReply> {
         self.following.stream(stream).busy = false;
         metrics::counter!("roseshore_store_calls_total").increment(1);
         match reply {
-            Ok(reply) => Some(reply),
+            Ok(reply) => self.of_this_era(stream, asked, &reply).then_some(reply),
             Err(fault) => {
                 self.store_failed(stream, &format!("{fault:?}"));
                 None
@@ -408,6 +454,61 @@
         }
     }
 
+    /// Whether a reply is of the store's era, and so was its question where that names an offset or goes on after
+    /// a page. Another reply says nothing of what was asked for, whatever its status, and the stream is read anew.
+    fn of_this_era(&mut self, stream: Stream, asked: Option<Era>, reply: &CallReply) -> bool {
+        let known = self.following.era;
+        let era = self.platform.era(reply).unwrap_or(asked.unwrap_or(known));
+        if era > known && self.following.untouched() {
+            // The first word of it.
+            self.following.enter_era(era);
+            return true;
+        }
+        if era > known {
+            self.store_went_back(stream, era);
+            self.follow_one(stream);
+            return false;
+        }
+        if era == known && asked.is_none_or(|asked| asked == known) {
+            return true;
+        }
+        note!(self, ReplyDropped, "stream={stream:?} era={era} asked={asked:?} known={known}");
+        let place = self.peers.reading_place(self.now);
+        self.following.stream(stream).due = Some(self.now + reading::backoff(0, place));
+        false
+    }
+
+    fn store_went_back(&mut self, stream: Stream, era: Era) {
+        let (before, version) = (self.following.era, self.config_version());
+        let list = self.following.list.unwrap_or_default();
+        let text = format!(
+            "stream={stream:?} era={era} before={before} config_version={version} list_next={list}"
+        );
+        note!(self, StoreWentBack, "{text}");
+        self.following.enter_era(era);
+        self.following.outage.went_back(self.now);
+        self.blocked_changed();
+    }
+
+    /// Whether the store, whose newest configuration has this version, holds an older one than is in force: the
+    /// operator's last word is lost there, and the store proves nothing until it has come again.
+    fn judge_behind(&mut self, newest: Option<u64>) {
+        let version = self.config_version();
+        let behind = newest.unwrap_or(0) < version;
+        if behind && !self.following.config_behind {
+            let stored = newest.unwrap_or(0);
+            note!(self, ConfigSkipped, "kept_version={version} stored_version={stored} why=older");
+        }
+        self.following.config_behind = behind;
+    }
+
+    /// The configuration in force was the newest at this time, if the store holds it at all.
+    fn prove_config(&mut self, at: Instant) {
+        if !self.following.config_behind {
+            self.currency.prove(at);
+        }
+    }
+
     fn store_refused(&mut self, stream: Stream, fault: &StoreFault) {
         self.store_failed(stream, &fault.to_string());
     }
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -2,9 +2,9 @@
 //! list of targets, whether it came from the store or as another host's copy.
 
 use super::{Entry, note};
-use roseshore_core::gateway::TargetRecord;
 use roseshore_core::gateway::copies::ListCopy;
 use roseshore_core::gateway::targets::{Absence, Changes, News, Replaced};
+use roseshore_core::gateway::{Position, TargetRecord};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Entry as Record;
 use std::sync::Arc;
@@ -17,9 +17,12 @@
 
     /// A host's list of targets came, and how long it holds those that drop out for lapsed.
     pub(super) fn list_copied(&mut self, copy: ListCopy) {
-        if copy.next <= self.following.list_next().unwrap_or(0) {
+        let known = self.following.list_next();
+        if copy.next <= known.unwrap_or_default() {
             return;
         }
+        // A host that has just begun knows only what the older copy of the store holds.
+        let older = known.is_some_and(|known| known.era < copy.next.era);
         self.following.outage.told(Duration::from_millis(copy.lapse), self.now);
         self.following.outage.copied(self.now);
         let absence = self.following.outage.absence(self.now);
@@ -29,6 +32,7 @@
         let whole = dropped.is_none();
         let replaced = match dropped {
             Some(dropped) => self.targets.change(records, dropped, absence),
+            None if older => self.targets.go_back(records, absence),
             None => self.targets.replace(records, absence),
         };
         self.note_list(count, replaced, absence, if whole { "copy" } else { "changes" });
@@ -41,10 +45,21 @@
         }
     }
 
-    /// The list is this now, as the store told.
-    pub(super) fn take_list(&mut self, next: Offset, records: Vec<TargetRecord>, absence: Absence) {
+    /// The list is this now, as the store told; `back` where that came from an older copy than the list at
+    /// hand.
+    pub(super) fn take_list(
+        &mut self,
+        next: Position,
+        records: Vec<TargetRecord>,
+        absence: Absence,
+        back: bool,
+    ) {
         self.targets.reach(next);
         let count = records.len();
+        if back {
+            let replaced = self.targets.go_back(records, absence);
+            return self.note_list(count, replaced, absence, "older_store");
+        }
         let replaced = self.targets.replace(records, absence);
         self.note_list(count, replaced, absence, "store");
     }
@@ -74,7 +89,7 @@
     }
 
     /// The own list of targets, for a host that has read it so far.
-    pub(super) fn list_copy(&self, known: Offset) -> Option<ListCopy> {
+    pub(super) fn list_copy(&self, known: Position) -> Option<ListCopy> {
         let next = self.following.list_next()?;
         let lapse = self.following.outage.lapse_left(self.now).as_millis() as u64;
         let digest = self.targets.list_mark(next).digest;
@@ -140,20 +155,23 @@
         }
     }
 
-    /// Puts the newest configuration of some records in force.
-    pub(super) fn take_configs(&mut self, entries: impl DoubleEndedIterator<Item = Record>) {
+    /// Puts the newest configuration of some records in force; returns its version, if there is
+    /// one, or the one in force if it cannot be read.
+    pub(super) fn take_configs(
+        &mut self,
+        entries: impl DoubleEndedIterator<Item = Record>,
+    ) -> Option<u64> {
         let key = self.platform.config_key();
         let newest = entries.rev().find(|e| e.key == key);
-        if let Some(value) = newest.and_then(|e| e.value) {
-            self.take_config(value);
-        }
+        newest?.value.map(|value| self.take_config(value))
     }
 
-    /// Puts a configuration in force that is newer than the one at hand.
-    pub(super) fn take_config(&mut self, value: Vec<u8>) {
+    /// Puts a configuration in force that is newer than the one at hand; returns its version, or that of the one
+    /// at hand if it cannot be read.
+    pub(super) fn take_config(&mut self, value: Vec<u8>) -> u64 {
         let known = self.config_version();
         match self.platform.config(&value) {
-            Ok(fresh) if self.snapshot.is_some() && fresh.version() <= known => {}
+            Ok(fresh) if self.snapshot.is_some() && fresh.version() <= known => fresh.version(),
             Ok(fresh) => {
                 let version = fresh.version();
                 self.snapshot = Some(Arc::new(fresh));
@@ -162,9 +180,11 @@
                 self.following.config_bytes = value;
                 self.following.applied = Some(self.now);
                 self.beat_now(true);
+                version
             }
             Err(err) => {
                 note!(self, ConfigSkipped, "kept_version={known} why={err:?}");
+                known
             }
         }
     }
