--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -42,6 +42,7 @@
     Allowance, Copies, Currency, EntrySettings, Fatal, Peers, Shortage, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_ports::clock::Clock;
 use roseshore_ports::entry::{EntryPlatform, WireError};
 use std::cmp::Reverse;
@@ -236,7 +237,7 @@
             stopping: None,
             reread_at: now,
         };
-        let wall = entry.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let wall = wall::millis(entry.clock.wall());
         let (host, centre) = (entry.settings.host.clone(), entry.settings.data_centre.clone());
         note!(
             entry,
@@ -244,7 +245,7 @@
             "host={host} data_centre={centre} callers={} store={} wall_ms={}",
             entry.settings.callers,
             entry.settings.store,
-            wall.as_millis()
+            wall
         );
         Ok(entry)
     }
--- a/crates/roseshore_relay/src/entry/blocked.rs
+++ b/crates/roseshore_relay/src/entry/blocked.rs
@@ -2,19 +2,18 @@
 //!
 //! The host that reads the store for the others reads these, too, and writes what they lack.
 
-use super::calls::{CallFault, Purpose};
+use super::calls::{CallFault, Purpose, STORE_TIME};
 use super::{Entry, note};
 use roseshore_core::gateway::Fingerprint;
 use roseshore_core::gateway::fatal::{FatalRecord, Upkeep};
 use roseshore_core::prelude::*;
+use roseshore_core::wall;
 use roseshore_ports::entry::{CallReply, Entry as Record, StoreFault};
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
 
-/// Between reads. Two of three seconds in which all hosts have to know of a blocked request; a call each
-/// two seconds is a fifth of what the reader makes anyway.
+/// Between reads. Two of three seconds in which all hosts have to know of a blocked request; half a
+/// call a second stands beside two for the other streams, by the times between their reads.
 const EVERY: Duration = Duration::from_secs(2);
-/// For a reply, as for the store's other streams.
-const REPLY_TIME: Duration = Duration::from_millis(900);
 
 /// The records as far as they were read in this round.
 #[derive(Debug, Default)]
@@ -51,7 +50,7 @@
     fn ask_blocked(&mut self) {
         self.blocked.busy = true;
         let request = self.platform.blocked(self.blocked.since.as_deref());
-        self.call(Purpose::Blocked, self.settings.store, &request, REPLY_TIME);
+        self.call(Purpose::Blocked, self.settings.store, &request, STORE_TIME);
     }
 
     /// A page of the records came, or did not.
@@ -106,7 +105,7 @@
         note!(self, BlockedWritten, "written={} dropped={}", missing.len(), outdated.len());
         self.blocked.busy = true;
         let request = self.platform.put_blocked(&records);
-        self.call(Purpose::PutBlocked, self.settings.store, &request, REPLY_TIME);
+        self.call(Purpose::PutBlocked, self.settings.store, &request, STORE_TIME);
     }
 
     /// Records were written, or may not have been; the next round looks again.
@@ -137,7 +136,6 @@
 
     /// The time of day, Unix milliseconds.
     fn wall_ms(&self) -> u64 {
-        let since = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        since.unwrap_or_default().as_millis() as u64
+        wall::millis(self.clock.wall())
     }
 }
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -11,6 +11,10 @@
 /// Bytes of a reply's head.
 const MAX_HEAD: usize = 16 << 10;
 
+/// The longest time for a reply of the store beyond what it was asked to wait: one that is slowed eightyfold
+/// answers in a third of a second.
+pub(super) const STORE_TIME: Duration = Duration::from_millis(900);
+
 /// What a call is for.
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -5,7 +5,7 @@
 //! targets changes all the time by heartbeats and is read at intervals. One host reads for all:
 //! the others hear how far it has come, and fetch from it what they lack (`copying`).
 
-use super::calls::{CallFault, Purpose};
+use super::calls::{CallFault, Purpose, STORE_TIME};
 use super::probes::millis;
 use super::{Entry, note};
 use rand::RngExt;
@@ -21,9 +21,6 @@
 const HURRY_EVERY: Duration = Duration::from_millis(400);
 /// A neighbour's list that differs is read at most this often.
 const DIFFERS_EVERY: Duration = Duration::from_millis(350);
-/// The longest time for a reply beyond what was asked to be waited: a store that is slowed
-/// eightyfold answers in a third of a second.
-const REPLY_TIME: Duration = Duration::from_millis(900);
 /// One stream's state.
 #[derive(Debug, Default)]
 struct Follow {
@@ -180,12 +177,12 @@
         if let Some(next) = follow.next {
             let request = self.platform.read(stream, next, wait);
             let purpose = Purpose::Read(stream, Position { era, next }, wait);
-            self.call(purpose, store, &request, wait + REPLY_TIME);
+            self.call(purpose, store, &request, wait + STORE_TIME);
         } else {
             let since = follow.pages.as_ref().and_then(|p| p.since.clone());
             let request = self.platform.newest(stream, since.as_deref());
             let era = since.map(|_| era);
-            self.call(Purpose::Newest(stream, era), store, &request, REPLY_TIME);
+            self.call(Purpose::Newest(stream, era), store, &request, STORE_TIME);
         }
     }
 
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -23,7 +23,7 @@
     pub(super) fn hear(&mut self) {
         let mut joined = false;
         while let Some((from, bytes)) = self.net.datagram() {
-            let beat: Beat = match frame::decode(bytes) {
+            let mut beat: Beat = match frame::decode(bytes) {
                 Ok(beat) => beat,
                 Err(err) => {
                     let why = err.to_string();
@@ -32,8 +32,9 @@
                 }
             };
             let (now, config, list) = (self.now, beat.config, beat.list);
-            let (holds, paces) = (beat.holds.clone(), beat.paces.clone());
-            let fatal = beat.fatal.clone();
+            let holds = std::mem::take(&mut beat.holds);
+            let paces = std::mem::take(&mut beat.paces);
+            let fatal = std::mem::take(&mut beat.fatal);
             let Some(heard) = self.peers.hear(from, beat, now) else { continue };
             if heard.joined {
                 note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
