A copy of the list is made only where it may be given

Cause: each host that asks had a whole copy made before it was turned away; with 300 hosts that come back and ask several times, that is 25 ms of a small host's processor each. Measured in virtual time with links of 20 Mbit/s and the time to make and take a copy: calls 281 to 6, last host 3.8 to 3.0 s, middle one 2.6 to 2.1 (1,661 calls, 5.1 and 4.3 s with neither).

--- a/crates/roseshore_core/tests/gateway/returning.rs
+++ b/crates/roseshore_core/tests/gateway/returning.rs
@@ -23,9 +23,15 @@
 /// Of 3,000 targets, and of 195.
 const LARGE: List = List { pages: 6, page: 230_000, copy: 600_000 };
 const SMALL: List = List { pages: 1, page: 90_000, copy: 40_000 };
-/// What the store gives to all hosts together, and a host's link, bytes a millisecond.
+/// What the store gives to all hosts together, and the links of a small host and of a large one, bytes a
+/// millisecond.
 const STORE: u64 = 80_000;
-const LINK: u64 = 6_250;
+const LINK: (u64, u64) = (2_500, 25_000);
+/// The first hosts of each data centre are large.
+const LARGE_HOSTS: usize = 3 * CENTRES;
+/// To make a copy of 3,000 targets and to take one, ms of a small host and of a large one.
+const MAKE: (u64, u64) = (25, 6);
+const TAKE: (u64, u64) = (125, 30);
 /// For an answer of the store, beside its bytes, and for the longest that a host waits for one, ms.
 const ANSWER: u64 = 4;
 const REPLY: u64 = 900;
@@ -39,6 +45,8 @@
     Alone,
     /// Seeds go first, and copies are waited for.
     Seeds,
+    /// A copy is made only where it may be given.
+    Sparing,
 }
 
 enum Event {
@@ -47,6 +55,8 @@
     Asked(usize),
     /// A copy came, or another host's name, or neither.
     Came(bool, Option<SocketAddr>),
+    /// The copy that came was taken.
+    Taken,
     /// A page came, or did not in time.
     Page(bool),
 }
@@ -62,6 +72,8 @@
     due: u64,
     fails: u32,
     link: u64,
+    /// Until when its processor is busy.
+    work: u64,
 }
 
 struct World {
@@ -84,6 +96,11 @@
     (0..HOSTS).find(|n| self::addr(*n) == addr).expect("a host")
 }
 
+/// Of a small host, or of a large one.
+fn of(n: usize, pair: (u64, u64)) -> u64 {
+    if n < LARGE_HOSTS { pair.1 } else { pair.0 }
+}
+
 fn extent() -> Extent {
     Extent { config: 1, list: Position { era: 1, next: 3000 } }
 }
@@ -98,12 +115,28 @@
             let peers =
                 Peers::new(addr(n), &format!("centre-{}", n % CENTRES), n as u64, &seeds, at);
             let (copies, has, pages, busy) = (Copies::default(), None, 0, false);
-            Host { begins, peers, copies, has, pages, busy, due: begins, fails: 0, link: 0 }
+            Host {
+                begins,
+                peers,
+                copies,
+                has,
+                pages,
+                busy,
+                due: begins,
+                fails: 0,
+                link: 0,
+                work: 0,
+            }
         };
         let hosts = (0..HOSTS).map(host).collect();
         World { list, policy, begun, hosts, events: BTreeMap::new(), serial: 0, store: 0, calls: 0 }
     }
 
+    /// What it costs a host to handle a copy of the list, ms.
+    fn cost(&self, n: usize, cost: (u64, u64)) -> u64 {
+        of(n, cost) * self.list.copy as u64 / LARGE.copy as u64
+    }
+
     fn send(&mut self, at: u64, to: usize, event: Event) {
         self.serial += 1;
         self.events.insert((at, self.serial), (to, event));
@@ -141,7 +174,7 @@
         let since = Duration::from_millis(at - host.begins);
         let patience = match self.policy {
             Policy::Alone => listening(false, 0, false),
-            Policy::Seeds => {
+            Policy::Seeds | Policy::Sparing => {
                 let place = host.peers.starting_place(now);
                 let listed = host.peers.listed(now);
                 let expected = !listed.is_empty() && !host.copies.failed(now);
@@ -208,12 +241,23 @@
                     self.beat(at, n);
                 }
             }
+            Event::Asked(by) if self.hosts[n].work > at => {
+                let later = self.hosts[n].work;
+                self.send(later, n, Event::Asked(by));
+            }
             Event::Asked(by) => {
                 let copy = self.list.copy;
+                let (make, link) = (self.cost(n, MAKE), of(n, LINK));
                 let host = &mut self.hosts[n];
+                if host.has.is_some()
+                    && (self.policy != Policy::Sparing || host.copies.may_give(now))
+                {
+                    host.work = at + make;
+                }
+                let at = at.max(host.work);
                 if host.has.is_some() && host.copies.give(copy, now) {
                     host.copies.given_to(addr(by), extent());
-                    host.link = host.link.max(at) + copy as u64 / LINK;
+                    host.link = host.link.max(at) + copy as u64 / link;
                     let came = host.link + WAY;
                     return self.send(came, by, Event::Came(true, None));
                 }
@@ -223,8 +267,10 @@
             }
             Event::Came(true, _) => {
                 self.hosts[n].copies.ended(Outcome::Came, now);
-                self.got(at, n);
+                let took = self.cost(n, TAKE);
+                self.send(at + took, n, Event::Taken);
             }
+            Event::Taken => self.got(at, n),
             Event::Came(false, Some(other)) => {
                 self.hosts[n].copies.ended(Outcome::SentOn, now);
                 self.ask_copy(at, n, number(other));
@@ -261,21 +307,23 @@
     (world.calls, end, times[times.len() / 2])
 }
 
-/// The aim is 4 s for the last host. Before: 1,544 calls, 4.7 s, 3.9 s for the middle one. After: 6 calls, 1.9 s,
-/// 1.4 s.
+/// The aim is 4 s for the last host. Before: 1,661 calls, 5.1 s, 4.3 s for the middle one. After: 6 calls, 3.0 s,
+/// 2.1 s; where each that asks has a copy made, 281 calls, 3.8 s, 2.6 s.
 #[test]
 fn few_of_three_hundred_hosts_that_begin_again_read_the_store() {
-    let (before, after) = (returned(LARGE, Policy::Alone), returned(LARGE, Policy::Seeds));
+    let (before, after) = (returned(LARGE, Policy::Alone), returned(LARGE, Policy::Sparing));
     assert!(after.0 * 10 < before.0, "calls: {after:?}, {before:?} where each is the first");
     assert!(after.1 <= 4_000, "{after:?}");
     assert!(after.1 < before.1 && after.2 < before.2, "{after:?}, {before:?}");
+    let lavish = returned(LARGE, Policy::Seeds);
+    assert!(after.1 < lavish.1, "{after:?}, {lavish:?} where a copy is made for each that asks");
 }
 
-/// A small list is read as soon by each for itself. Before: 120 calls, 344 ms, 221 ms for the middle host. After: 1
-/// call, 357 ms, 238 ms.
+/// A small list is read as soon by each for itself. Before: 106 calls, 335 ms, 226 ms for the middle host. After: 1
+/// call, 384 ms, 249 ms.
 #[test]
 fn a_small_list_is_not_had_later() {
-    let (before, after) = (returned(SMALL, Policy::Alone), returned(SMALL, Policy::Seeds));
+    let (before, after) = (returned(SMALL, Policy::Alone), returned(SMALL, Policy::Sparing));
     assert!(after.0 < before.0, "calls: {after:?}, {before:?}");
     assert!(after.1 < before.1 + 100 && after.2 < before.2 + 100, "{after:?}, {before:?}");
 }
