--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -89,10 +89,9 @@
     pause: Option<Instant>,
     /// Whether that is since a host turned this one away.
     turned_away: bool,
-    /// The moment that gifts are counted in, the bytes given, and those of the last copy.
+    /// The moment that gifts are counted in, and the bytes given.
     moment: Option<Instant>,
     given: usize,
-    last: usize,
     /// What was given last, to whom, and who of them was named last.
     extent: Extent,
     owners: Vec<SocketAddr>,
@@ -134,11 +133,6 @@
         self.under_way() || (self.turned_away && self.pause.is_some_and(|until| now < until))
     }
 
-    /// Whether the last one did not come just now, so that the store is read in the meantime.
-    pub fn failed(&self, now: Instant) -> bool {
-        !self.turned_away && self.pause.is_some_and(|until| now < until)
-    }
-
     /// The one under way came, or did not.
     pub fn ended(&mut self, outcome: Outcome, now: Instant) {
         self.until = None;
@@ -150,30 +144,19 @@
         };
     }
 
-    /// Whether another copy like the last one may be given now. Asked before a copy is made: of a list of 3,000
-    /// targets that takes a host of 0.12 cores 25 ms, and each of 300 hosts asks several times.
-    pub fn may_give(&mut self, now: Instant) -> bool {
-        self.fits(self.last, now)
-    }
-
     /// Whether a copy of so many bytes may be given; if so, it is counted. The first in a moment may
     /// be of any size.
     pub fn give(&mut self, bytes: usize, now: Instant) -> bool {
-        self.last = bytes;
-        let fits = self.fits(bytes, now);
-        if fits {
-            self.given += bytes;
-        }
-        fits
-    }
-
-    fn fits(&mut self, bytes: usize, now: Instant) -> bool {
         let over = |at| now.saturating_duration_since(at) >= MOMENT;
         if self.moment.is_none_or(over) {
             self.moment = Some(now);
             self.given = 0;
         }
-        self.given == 0 || self.given + bytes <= MOST_GIVEN
+        let fits = self.given == 0 || self.given + bytes <= MOST_GIVEN;
+        if fits {
+            self.given += bytes;
+        }
+        fits
     }
 
     /// Remembers a host that was given a copy of so much.
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -102,8 +102,6 @@
     sequence: u64,
     leaving: bool,
     reading: bool,
-    /// Whether it is one of the hosts that all know from their settings.
-    seed: bool,
     /// Whether it spoke for its data centre when it last told others.
     speaking: bool,
     hurry: Hurry,
@@ -130,7 +128,6 @@
             sequence: 0,
             leaving: false,
             reading: true,
-            seed: seeds.contains(&addr),
             speaking: true,
             hurry: Hurry::No,
             all: seeds.iter().filter(|seed| **seed != addr).map(seed).collect(),
--- a/crates/roseshore_core/src/gateway/peers/order.rs
+++ b/crates/roseshore_core/src/gateway/peers/order.rs
@@ -6,10 +6,8 @@
 use super::message::{CentreMark, Named};
 use super::peer::{Peer, Rank, rank};
 use super::{Peers, audience};
-use crate::gateway::position::Position;
 use crate::prelude::*;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 impl Peers {
     /// Hosts that are heard, by data centre and rank.
@@ -95,21 +93,12 @@
         near.filter(|p| before(p, true)).count() + far.min(1)
     }
 
-    /// This host's place in that order when nobody has read anything yet. Seeds that have not been heard come
-    /// before it, but where it is one itself: all hosts know them, so of those that begin together a few go first.
+    /// This host's place in that order when nobody has read anything yet.
     pub fn starting_place(&self, now: Instant) -> usize {
         let own = self.rank();
         let first = |p: &&Peer| self.is_far(p) && p.rank() < own;
         let far = self.all.values().filter(first).any(|p| p.sound(false, now));
-        let unheard = self.all.values().filter(|p| p.seed && p.centre.is_none());
-        let seeds = unheard.filter(|p| !self.seed || p.addr < self.addr);
-        self.near_before(now, |_| true) + usize::from(far) + seeds.count()
-    }
-
-    /// The living hosts that have read the list of targets.
-    pub fn listed(&self, now: Instant) -> Vec<SocketAddr> {
-        let alive = self.all.values().filter(|p| p.alive(self.is_near(p), now));
-        alive.filter(|p| p.list.next > Position::default()).map(|p| p.addr).collect()
+        self.near_before(now, |_| true) + usize::from(far)
     }
 
     /// Whether there is no other host to hear of.
--- a/crates/roseshore_core/src/gateway/reading.rs
+++ b/crates/roseshore_core/src/gateway/reading.rs
@@ -33,11 +33,6 @@
 /// The same where the whole system starts for the first time, since all begin within 0.3 s.
 const LISTEN_FIRST: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(500));
 
-/// The same where a copy is to be had: a list of 3,000 targets, 600 kB, reaches the last of 300 hosts within it.
-/// Where those that waited for one read the store instead, 173 of 295 hosts that came back together did, and of a
-/// list of 3,000 targets each would take 1.4 MB of the 80 that the store gives a second.
-const LISTEN_COPY: Duration = Duration::from_secs(3);
-
 fn steps(place: usize) -> u32 {
     place.min(LAST_PLACE) as u32
 }
@@ -64,10 +59,8 @@
 }
 
 /// How long a host that has begun waits for another one's copy; `first` where the whole system
-/// starts for the first time, `expected` where another host has read the list,
-/// so that a copy is to be had.
-pub fn listening(first: bool, place: usize, expected: bool) -> Duration {
+/// starts for the first time.
+pub fn listening(first: bool, place: usize) -> Duration {
     let (least, each) = if first { LISTEN_FIRST } else { LISTEN };
-    let usual = least + each * steps(place);
-    if expected { usual.max(LISTEN_COPY) } else { usual }
+    least + each * steps(place)
 }
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -19,7 +19,6 @@
     mod plan;
     mod pressure;
     mod reading;
-    mod returning;
     mod routes;
     mod shortage;
     mod starts;
--- a/crates/roseshore_core/tests/gateway/reading.rs
+++ b/crates/roseshore_core/tests/gateway/reading.rs
@@ -49,10 +49,9 @@
         assert_eq!(list_patience(place), case.list.map(ms), "{place}");
         assert_eq!((backoff(0, place), backoff(4, place)), (ms(case.failed.0), ms(case.failed.1)));
         assert_eq!(
-            (listening(false, place, false), listening(true, place, false)),
+            (listening(false, place), listening(true, place)),
             (ms(case.start.0), ms(case.start.1))
         );
-        assert_eq!(listening(false, place, true), ms(3_000), "{place}: a copy is on its way");
     }
 }
 
--- a/crates/roseshore_relay/src/entry/copying.rs
+++ b/crates/roseshore_relay/src/entry/copying.rs
@@ -4,7 +4,7 @@
 use crate::slab::Key;
 use roseshore_core::gateway::copies::{COPY_TIME, CopyRequest, Extent, Outcome, StoreCopy};
 use roseshore_core::prelude::*;
-use roseshore_wire::frame::{self, FrameError};
+use roseshore_wire::frame;
 use std::net::SocketAddr;
 
 impl Entry {
@@ -120,47 +120,32 @@
                 return self.close(key);
             }
         };
-        let bytes = match self.reply_to(request) {
-            Ok(bytes) => bytes,
-            Err(err) => {
-                let why = err.to_string();
-                note!(self, CopyFailed, "asker=true why={why:?}");
-                return self.close(key);
-            }
-        };
-        self.net.send(key, &bytes);
-        self.finish_socket(key);
-    }
-
-    /// What a host that asks gets: a copy of what it lacks, or the name of another host that has it.
-    fn reply_to(&mut self, request: CopyRequest) -> Result<Vec<u8>, FrameError> {
-        let CopyRequest { from, known } = request;
         let extent = self.extent();
+        let CopyRequest { from, known } = request;
+        let newer = extent.config > known.config;
+        let further = self.following.list_next().is_some_and(|next| next > known.list);
+        let copy = StoreCopy {
+            config: newer.then(|| self.following.config_bytes.clone()),
+            list: further.then(|| self.list_copy(known.list)).flatten(),
+            instead: None,
+        };
         let mut bytes = Vec::new();
-        if self.copies.may_give(self.now) {
-            let copy = self.copy_beyond(known);
-            frame::write(&mut bytes, &copy)?;
-            if copy.is_empty() {
-                return Ok(bytes);
-            }
+        let mut written = frame::write(&mut bytes, &copy);
+        if written.is_ok() && !copy.is_empty() {
             if self.copies.give(bytes.len(), self.now) {
                 self.copies.given_to(from, extent);
-                return Ok(bytes);
+            } else {
+                let instead = self.copies.owner(extent, from);
+                bytes.clear();
+                written = frame::write(&mut bytes, &StoreCopy { instead, ..StoreCopy::default() });
             }
-            bytes.clear();
         }
-        let instead = self.copies.owner(extent, from);
-        frame::write(&mut bytes, &StoreCopy { instead, ..StoreCopy::default() })?;
-        Ok(bytes)
-    }
-
-    fn copy_beyond(&self, known: Extent) -> StoreCopy {
-        let newer = self.config_version() > known.config;
-        let further = self.following.list_next().is_some_and(|next| next > known.list);
-        StoreCopy {
-            config: newer.then(|| self.following.config_bytes.clone()),
-            list: further.then(|| self.list_copy(known.list)).flatten(),
-            instead: None,
+        if let Err(err) = written {
+            let why = err.to_string();
+            note!(self, CopyFailed, "asker=true why={why:?}");
+            return self.close(key);
         }
+        self.net.send(key, &bytes);
+        self.finish_socket(key);
     }
 }
--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -163,27 +163,10 @@
     }
 
     /// Whether this host has just begun and may soon hear of one that has read the store.
-    fn listens(&mut self) -> bool {
+    fn listens(&self) -> bool {
         let since = self.now.saturating_duration_since(self.begun);
         let place = self.peers.starting_place(self.now);
-        let expected = self.seeks_copy();
-        let patience = reading::listening(self.settings.first_start, place, expected);
-        !self.peers.alone() && since < patience
-    }
-
-    /// Whether a copy of the list is to be had: one of the hosts that have read it is asked, each time another
-    /// one. Where the next heartbeat was waited for, the last of 300 hosts that began together had a list of
-    /// 3,000 targets after 2.8 s in place of 1.9 (virtual time).
-    fn seeks_copy(&mut self) -> bool {
-        let listed = self.peers.listed(self.now);
-        if listed.is_empty() || self.copies.failed(self.now) {
-            return false;
-        }
-        if self.following.list.is_none() && !self.copies.under_way() {
-            let from = listed[self.random.random_range(0..listed.len())];
-            self.ask_copy(from);
-        }
-        true
+        !self.peers.alone() && since < reading::listening(self.settings.first_start, place)
     }
 
     fn ask_store(&mut self, stream: Stream, wait: Duration) {
