--- a/crates/roseshore_relay/src/entry/following.rs
+++ b/crates/roseshore_relay/src/entry/following.rs
@@ -5,11 +5,12 @@
 //! targets changes all the time by heartbeats and is read at intervals. One host reads for all:
 //! the others hear how far it has come, and fetch from it what they lack (`copying`).
 
+mod replies;
+
 use super::calls::{CallFault, Purpose, STORE_TIME};
 use super::probes::millis;
 use super::{Entry, note};
-use rand::RngExt;
-use roseshore_core::gateway::outage::{Outage, Return};
+use roseshore_core::gateway::outage::Outage;
 use roseshore_core::gateway::peers::ListMark;
 use roseshore_core::gateway::reading::{self, CONFIG_WAIT, TARGETS_EVERY};
 use roseshore_core::gateway::{Position, TargetRecord};
@@ -433,107 +434,4 @@
             }
         }
     }
-
-    fn store_replied(
-        &mut self,
-        stream: Stream,
-        asked: Option<Era>,
-        reply: Result<CallReply, CallFault>,
-    ) -> Option<CallReply> {
-        self.following.stream(stream).busy = false;
-        metrics::counter!("roseshore_store_calls_total").increment(1);
-        match reply {
-            Ok(reply) => self.of_this_era(stream, asked, &reply).then_some(reply),
-            Err(fault) => {
-                self.store_failed(stream, &format!("{fault:?}"));
-                None
-            }
-        }
-    }
-
-    /// Whether a reply is of the store's era, and so was its question where that names an offset or goes on after
-    /// a page. Another reply says nothing of what was asked for, whatever its status, and the stream is read anew.
-    fn of_this_era(&mut self, stream: Stream, asked: Option<Era>, reply: &CallReply) -> bool {
-        let known = self.following.era;
-        let era = self.platform.era(reply).unwrap_or(asked.unwrap_or(known));
-        if era > known && self.following.untouched() {
-            // The first word of it.
-            self.following.enter_era(era);
-            return true;
-        }
-        if era > known {
-            self.store_went_back(stream, era);
-            self.follow_one(stream);
-            return false;
-        }
-        if era == known && asked.is_none_or(|asked| asked == known) {
-            return true;
-        }
-        note!(self, ReplyDropped, "stream={stream:?} era={era} asked={asked:?} known={known}");
-        let place = self.peers.reading_place(self.now);
-        self.following.stream(stream).due = Some(self.now + reading::backoff(0, place));
-        false
-    }
-
-    fn store_went_back(&mut self, stream: Stream, era: Era) {
-        let (before, version) = (self.following.era, self.config_version());
-        let list = self.following.list.unwrap_or_default();
-        let text = format!(
-            "stream={stream:?} era={era} before={before} config_version={version} list_next={list}"
-        );
-        note!(self, StoreWentBack, "{text}");
-        self.following.enter_era(era);
-        self.following.outage.went_back(self.now);
-        self.blocked_changed();
-    }
-
-    /// Whether the store, whose newest configuration has this version, holds an older one than is in force: the
-    /// operator's last word is lost there, and the store proves nothing until it has come again.
-    fn judge_behind(&mut self, newest: Option<u64>) {
-        let version = self.config_version();
-        let behind = newest.unwrap_or(0) < version;
-        if behind && !self.following.config_behind {
-            let stored = newest.unwrap_or(0);
-            note!(self, ConfigSkipped, "kept_version={version} stored_version={stored} why=older");
-        }
-        self.following.config_behind = behind;
-    }
-
-    /// The configuration in force was the newest at this time, if the store holds it at all.
-    fn prove_config(&mut self, at: Instant) {
-        if !self.following.config_behind {
-            self.currency.prove(at);
-        }
-    }
-
-    fn store_refused(&mut self, stream: Stream, fault: &StoreFault) {
-        self.store_failed(stream, &fault.to_string());
-    }
-
-    fn store_failed(&mut self, stream: Stream, why: &str) {
-        let now = self.now;
-        let spread = 0.75 + 0.5 * self.random.random::<f64>();
-        let place = self.peers.reading_place(now);
-        let follow = self.following.stream(stream);
-        let wait = reading::backoff(follow.fails, place);
-        follow.fails += 1;
-        follow.due = Some(now + wait.mul_f64(spread));
-        if self.following.outage.failed(now) {
-            let age = millis(self.currency.age(now));
-            note!(self, LogLost, "stream={stream:?} why={why:?} config_age_ms={age}");
-        }
-    }
-
-    fn store_served(&mut self, stream: Stream) {
-        let now = self.now;
-        for follow in [&mut self.following.config, &mut self.following.targets] {
-            follow.fails = 0;
-        }
-        self.following.stream(stream).due = None;
-        if let Some(Return { since, for_all }) = self.following.outage.served(now) {
-            let out = now.saturating_duration_since(since).as_millis();
-            self.following.targets.due = None;
-            note!(self, LogBack, "stream={stream:?} out_ms={out} for_all={for_all}");
-        }
-    }
 }
