What a target names as its limit is decoded and logged; no decision changed

Cause of the change: nothing told whether a host had heard a limit, so that the hypotheses could not be told apart from the logs.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -106,6 +106,7 @@
     SpeakingChanged = 613, Info, "a daemon began or ended to speak for its data centre";
     PaceChanged = 614, Info, "an engine runs faster or slower than before";
     TargetRests = 615, Info, "a target wants nothing from this daemon for a while";
+    LimitNamed = 616, Info, "a target names the requests a second that it takes from all daemons, or ends to";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -5,7 +5,7 @@
 //! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`outage`] what a missing entry
 //! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
-//! repeated, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
+//! repeated, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
 //! [`position`] how far they have read, [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
 //! known to be the newest, and [`fingerprint`] what makes two requests the same,
 //! and [`fatal`] which of them end their targets.
@@ -17,6 +17,7 @@
 pub mod fatal;
 pub mod fingerprint;
 pub mod leaving;
+pub mod limits;
 pub mod look;
 pub mod outage;
 pub mod paces;
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -4,6 +4,7 @@
 //! readiness loop carries the bytes.
 
 use quick_error::quick_error;
+use roseshore_core::gateway::limits::Naming;
 use roseshore_core::gateway::{Holding, Hop, Snapshot, TargetRecord};
 use roseshore_core::ids::{Era, Incarnation};
 use std::net::SocketAddr;
@@ -152,7 +153,7 @@
 }
 
 /// What a target says of its answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answered {
     /// Proof that the request did not run.
     pub not_run: bool,
@@ -168,6 +169,8 @@
     pub leaving: bool,
     /// For how long the target wants nothing from this host, where it says so.
     pub rest: Option<Duration>,
+    /// What it says of the requests that the target takes from all hosts together.
+    pub limit: Naming,
 }
 
 /// What a target reports of itself, some time late.
