--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -188,6 +188,7 @@
         answer: 200.0,
         near: "north",
         avoid: &[],
+        shut: &[],
         starts: None,
     }
 }
--- a/crates/roseshore_core/src/code.rs
+++ b/crates/roseshore_core/src/code.rs
@@ -66,6 +66,7 @@
     TargetSilent = 308, 504, "the target did not answer in time";
     EndsTargets = 309, 503, "targets ended while they ran this request, so it is not sent to more of them";
     TargetsRest = 310, 503, "the targets that could take the request asked this daemon for a rest";
+    TargetsLimited = 311, 503, "the targets that could take the request take no more a second from all daemons";
     KeyInProgress = 401, 409, "the same key is being worked on";
     KeyUnknown = 402, 502, "whether this key ran is not known";
     KeyTooOld = 403, 422, "the key is older than the record of keys reaches";
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -107,6 +107,7 @@
     PaceChanged = 614, Info, "an engine runs faster or slower than before";
     TargetRests = 615, Info, "a target wants nothing from this daemon for a while";
     LimitNamed = 616, Info, "a target names the requests a second that it takes from all daemons, or ends to";
+    PermitRefused = 617, Debug, "a request was not sent to a target, which takes no more a second from all daemons";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/limits/issuer.rs
@@ -0,0 +1,86 @@
+//! Issues permits for the hosts of one data centre, from one token bucket for each limited target.
+//!
+//! A bucket holds no more than may be sent at once, so however many hosts ask in one moment, what they send stays
+//! within the limit. One that takes over begins with a single permit: what the host before it has issued of late
+//! is not known.
+
+use super::super::peers::{GrantNote, TargetMark};
+use super::share::{Share, Wants};
+use crate::prelude::*;
+use std::collections::HashMap;
+
+/// Part of a bucket that is added to one permit. While there is plenty, the next requests of a host need not ask;
+/// when permits are short, each is for a request that waits for it.
+const ADDED: f64 = 0.125;
+/// The longest and shortest time for which a host is told not to ask again. Within the shortest one another host's
+/// request takes the next permit.
+const WAITS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// How long a bucket is kept that nobody asks.
+const KEPT: Duration = Duration::from_mins(1);
+
+/// The permits for one target.
+#[derive(Clone, Debug)]
+struct Bucket {
+    level: f64,
+    filled: Instant,
+    wants: Wants,
+}
+
+/// The buckets of all limited targets.
+#[derive(Clone, Debug, Default)]
+pub struct Issuer {
+    buckets: HashMap<TargetMark, Bucket>,
+}
+
+impl Issuer {
+    /// A host asks for a permit. `share` says what may be issued where so much was asked for.
+    pub fn ask(
+        &mut self,
+        target: TargetMark,
+        number: u64,
+        now: Instant,
+        share: impl FnOnce(u16) -> Share,
+    ) -> GrantNote {
+        let fresh = || Bucket { level: 1.0, filled: now, wants: Wants::default() };
+        let bucket = self.buckets.entry(target).or_insert_with(fresh);
+        bucket.wants.add(now);
+        let share = share(bucket.wants.count(now));
+        bucket.fill(share, now);
+        let permits = bucket.issue();
+        let wait = if permits == 0 { bucket.next(share.rate) } else { Duration::ZERO };
+        GrantNote { target, number, permits, wait: wait.as_millis() as u16 }
+    }
+
+    /// What was asked for of late.
+    pub fn wanted(&self, target: TargetMark, now: Instant) -> u16 {
+        self.buckets.get(&target).map_or(0, |bucket| bucket.wants.count(now))
+    }
+
+    /// Forgets buckets that nobody asks.
+    pub fn forget(&mut self, now: Instant) {
+        self.buckets.retain(|_, b| now.saturating_duration_since(b.filled) < KEPT);
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, share: Share, now: Instant) {
+        let time = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.level = (self.level + share.rate * time).min(share.burst);
+        self.filled = now;
+    }
+
+    fn issue(&mut self) -> u16 {
+        if self.level < 1.0 {
+            return 0;
+        }
+        let issued = 1.0 + (self.level * ADDED).floor();
+        self.level -= issued;
+        issued as u16
+    }
+
+    /// The time until there is another permit.
+    fn next(&self, rate: f64) -> Duration {
+        let left = (1.0 - self.level).max(0.0) / rate;
+        Duration::try_from_secs_f64(left).unwrap_or(WAITS.1).clamp(WAITS.0, WAITS.1)
+    }
+}
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -108,13 +108,17 @@
     pub near: &'a str,
     /// Targets not to use.
     pub avoid: &'a [TargetId],
+    /// Targets that a path may not begin at: what they take from all hosts is spent. What comes through another
+    /// target is not counted there.
+    pub shut: &'a [TargetId],
     /// The only targets that a path may begin at, if that is bound.
     pub starts: Option<&'a [TargetId]>,
 }
 
 impl PathNeed<'_> {
     fn may_start(&self, part: &Part) -> bool {
-        self.starts.is_none_or(|starts| starts.contains(&part.id))
+        let bound = self.starts.is_none_or(|starts| starts.contains(&part.id));
+        bound && !self.shut.contains(&part.id)
     }
 
     /// KV cache of the request, tokens: its prompt and as much of its answer as is written on
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -24,8 +24,8 @@
 use super::paces::PaceNote;
 use crate::prelude::*;
 pub use message::{
-    Beat, CentreMark, CountNote, Echo, HoldNote, ListMark, LoadNote, Named, Scope, TargetMark,
-    mark, target_mark,
+    AskNote, Beat, CentreMark, CountNote, Datagram, Echo, GrantNote, HoldNote, LimitNote, ListMark,
+    LoadNote, Named, Scope, TargetMark, mark, target_mark,
 };
 use peer::Peer;
 use std::collections::BTreeMap;
@@ -71,6 +71,8 @@
     pub paces: Vec<PaceNote>,
     /// Requests that end targets.
     pub fatal: Vec<FatalNote>,
+    /// Limits that targets named.
+    pub limits: Vec<LimitNote>,
 }
 
 impl Default for Own {
@@ -87,6 +89,7 @@
             holds: Vec::new(),
             paces: Vec::new(),
             fatal: Vec::new(),
+            limits: Vec::new(),
         }
     }
 }
@@ -141,6 +144,11 @@
         Peers { capacity, ..self }
     }
 
+    /// Where this host hears the others.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Takes a heartbeat; `None` for one that is no news.
     pub fn hear(&mut self, from: SocketAddr, beat: Beat, now: Instant) -> Option<Heard> {
         for named in &beat.named {
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -1,4 +1,5 @@
-//! The heartbeat: what one host tells another of itself, and of those that it speaks for.
+//! What one host tells another: the heartbeat, of itself and of those that it speaks for, and what is asked between
+//! them.
 
 use crate::gateway::fatal::FatalNote;
 use crate::gateway::paces::PaceNote;
@@ -61,6 +62,56 @@
     pub repeats: u32,
 }
 
+/// What a target said of its limit, as one host or another heard it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNote {
+    /// The target.
+    pub target: TargetMark,
+    /// Requests a second that it takes from all hosts together, as last named.
+    pub limit: f32,
+    /// Whether it names none any more.
+    pub ended: bool,
+    /// How long ago that was, ms.
+    pub age: u32,
+    /// The host that heard it, and the number of the word there.
+    pub origin: (u32, u32),
+    /// What the hosts that the sender issues permits to have asked for of late.
+    pub wanted: u16,
+}
+
+/// A question for a permit to send to a target, to the host that issues them.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AskNote {
+    /// Comes back with the answer.
+    pub number: u64,
+    /// The target, and what is known of its limit.
+    pub limit: LimitNote,
+}
+
+/// The answer to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantNote {
+    /// The target.
+    pub target: TargetMark,
+    /// The number of the question.
+    pub number: u64,
+    /// Requests that may be sent; 0 for none.
+    pub permits: u16,
+    /// How long nothing more is to be asked for, ms.
+    pub wait: u16,
+}
+
+/// A datagram between hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A heartbeat.
+    Beat(Box<Beat>),
+    /// A question for a permit.
+    Ask(AskNote),
+    /// The answer to it.
+    Grant(GrantNote),
+}
+
 /// How far a host has read the list of targets, and what it came to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListMark {
@@ -146,6 +197,8 @@
     pub paces: Vec<PaceNote>,
     /// Requests that end targets.
     pub fatal: Vec<FatalNote>,
+    /// Limits that targets named.
+    pub limits: Vec<LimitNote>,
     /// Some hosts that the sender hears.
     pub named: Vec<Named>,
 }
--- a/crates/roseshore_core/src/gateway/peers/order.rs
+++ b/crates/roseshore_core/src/gateway/peers/order.rs
@@ -3,11 +3,12 @@
 //! Nobody is elected. Each host works its place out from the hosts that it hears or that others name,
 //! so two may take the same place for a while, or none.
 
-use super::message::{CentreMark, Named};
+use super::message::{CentreMark, Named, TargetMark};
 use super::peer::{Peer, Rank, rank};
 use super::{Peers, audience};
 use crate::prelude::*;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 impl Peers {
     /// Hosts that are heard, by data centre and rank.
@@ -66,6 +67,41 @@
         self.near_before(now, |p| p.config > 0)
     }
 
+    /// The host of the own data centre that issues permits: the first one that lives and stays. None while it
+    /// is only named, not heard.
+    pub fn issuer(&self, now: Instant) -> Option<SocketAddr> {
+        if self.place(now) == 0 {
+            return Some(self.addr);
+        }
+        let near = self.all.values().filter(|p| self.is_near(p) && p.rank() < self.rank());
+        let stays = near.filter(|p| !p.leaving && p.config > 0 && p.alive(true, now));
+        stays.min_by_key(|p| p.rank()).map(|p| p.addr)
+    }
+
+    /// The part of the hosts of the own data centre that are heard, of those that live or may: who is only cut
+    /// off may issue permits, too.
+    pub fn heard_part(&self, now: Instant) -> f64 {
+        let stays =
+            self.all.values().filter(|p| self.is_near(p) && p.heard.is_some() && !p.leaving);
+        let (mut known, mut alive) = (1.0, 1.0);
+        for peer in stays {
+            known += 1.0;
+            alive += f64::from(u8::from(peer.alive(true, now)));
+        }
+        alive / known
+    }
+
+    /// What each other data centre has been asked for a limited target: the most that one of its hosts told. A
+    /// silent one's last word counts while it is known.
+    pub fn wanted_elsewhere(&self, target: TargetMark) -> Vec<u16> {
+        let mut wanted: BTreeMap<CentreMark, u16> = BTreeMap::new();
+        for peer in self.all.values().filter(|p| p.heard.is_some() && self.is_far(p)) {
+            let most = wanted.entry(peer.centre.unwrap_or_default()).or_default();
+            *most = (*most).max(peer.wanted(target));
+        }
+        wanted.into_values().collect()
+    }
+
     /// Hosts of the own data centre that come before this one. Of those that are only named nothing
     /// else is known, so they count.
     fn near_before(&self, now: Instant, counts: impl Fn(&Peer) -> bool) -> usize {
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -1,6 +1,8 @@
 //! One other host, as far as heartbeats tell of it.
 
-use super::message::{Beat, CentreMark, CountNote, ListMark, LoadNote, Named, Scope, TargetMark};
+use super::message::{
+    Beat, CentreMark, CountNote, LimitNote, ListMark, LoadNote, Named, Scope, TargetMark,
+};
 use crate::prelude::*;
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -20,6 +22,8 @@
 /// What a speaker told of targets that only other data centres use is believed for so long; it tells
 /// of each several times in that time.
 const FAR_BELIEVED: Duration = Duration::from_millis(2500);
+/// What a host told of limits counts for so long before its last word; it tells of some in turn.
+const LIMITS_BELIEVED: Duration = Duration::from_millis(2500);
 /// What a silent host had counted still counts for so long.
 const COUNTED: Duration = Duration::from_secs(10);
 
@@ -64,6 +68,8 @@
     /// What it told of targets that only other data centres use, and when.
     far: HashMap<TargetMark, (LoadNote, Instant)>,
     pub(super) counts: Vec<CountNote>,
+    /// What was asked of it for limited targets, and when it told that.
+    wanted: HashMap<TargetMark, (u16, Instant)>,
 }
 
 impl Peer {
@@ -92,6 +98,7 @@
             loads: Vec::new(),
             far: HashMap::new(),
             counts: Vec::new(),
+            wanted: HashMap::new(),
         }
     }
 
@@ -120,6 +127,18 @@
         self.far.retain(|_, (_, at)| now.saturating_duration_since(*at) < FAR_BELIEVED);
         self.far.extend(beat.far.into_iter().map(|note| (note.target, (note, now))));
         self.counts = beat.counts;
+        self.take_wanted(&beat.limits, now);
+    }
+
+    fn take_wanted(&mut self, limits: &[LimitNote], now: Instant) {
+        self.wanted.retain(|_, (_, at)| now.saturating_duration_since(*at) < LIMITS_BELIEVED);
+        let asked = limits.iter().filter(|note| note.wanted > 0);
+        self.wanted.extend(asked.map(|note| (note.target, (note.wanted, now))));
+    }
+
+    /// What was asked of it for a limited target, by its last word.
+    pub(super) fn wanted(&self, target: TargetMark) -> u16 {
+        self.wanted.get(&target).map_or(0, |(wanted, _)| *wanted)
     }
 
     /// What it told of targets that only other data centres use.
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -10,6 +10,8 @@
 const TOLD: usize = 66;
 /// Targets whose place in a heartbeat a request that ends targets takes: 74 bytes at most, against 12.
 const FATAL_PLACE: usize = 7;
+/// The same of a limit: 30 bytes at most.
+const LIMIT_PLACE: usize = 3;
 /// Targets of them that only hosts of other data centres use: a few at a time, since there are
 /// several times as many, and they matter only when work is sent there.
 const FAR_TOLD: usize = 24;
@@ -131,9 +133,9 @@
     }
 }
 
-/// How many targets a heartbeat tells of beside so many requests that end targets.
-pub(super) fn told(fatal: usize) -> usize {
-    TOLD.saturating_sub(fatal * FATAL_PLACE)
+/// How many targets a heartbeat tells of beside so many requests that end targets, and so many limits.
+pub(super) fn told(fatal: usize, limits: usize) -> usize {
+    TOLD.saturating_sub(fatal * FATAL_PLACE + limits * LIMIT_PLACE)
 }
 
 /// The notes that matter most.
--- a/crates/roseshore_core/src/gateway/peers/telling.rs
+++ b/crates/roseshore_core/src/gateway/peers/telling.rs
@@ -187,9 +187,10 @@
             holds: own.holds.clone(),
             paces: own.paces.clone(),
             fatal: own.fatal.clone(),
+            limits: own.limits.clone(),
             named,
         };
-        let told = sums::told(beat.fatal.len());
+        let told = sums::told(beat.fatal.len(), beat.limits.len());
         let Some(peer) = self.all.get_mut(&to) else { return beat };
         peer.told(relation.asks(), now);
         beat.echo = peer.heard.map(|heard| own.echo(peer.sent, heard));
--- a/crates/roseshore_core/src/gateway/targets/intake.rs
+++ b/crates/roseshore_core/src/gateway/targets/intake.rs
@@ -18,14 +18,12 @@
 const KEPT: Duration = Duration::from_mins(1);
 
 /// What a target takes by its own word.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Intake {
     /// Whether it leaves; true until its life ends.
     pub leaving: bool,
     /// Until when it wants nothing from this host.
     pub rest: Option<Instant>,
-    /// Requests a second that it takes from all hosts together.
-    pub limit: Option<f64>,
 }
 
 impl Intake {
@@ -66,22 +64,6 @@
         Some(time)
     }
 
-    /// A target names its limit in an answer, or none; returns the limit that it named before if that is news.
-    pub fn limits(
-        &mut self,
-        mark: TargetMark,
-        named: Option<f64>,
-        now: Instant,
-    ) -> Option<Option<f64>> {
-        if named.is_none() && self.word_of(mark).limit.is_none() {
-            return None;
-        }
-        let intake = self.heard(mark, now);
-        let before = std::mem::replace(&mut intake.limit, named);
-        self.apply(mark);
-        (before != named).then_some(before)
-    }
-
     /// The shortest time after which a target of a service that rests takes work again; none where none rests.
     pub fn rest_left(&self, service: &str, now: Instant) -> Option<Duration> {
         let resting = self.of(service).filter(|t| t.open() && t.intake.rests(now));
@@ -115,8 +97,7 @@
         let marks = &self.marks;
         self.heard.retain(|mark, heard| {
             let late = now.saturating_duration_since(heard.at) >= KEPT;
-            let lasts = heard.intake.leaving || heard.intake.limit.is_some();
-            let known = marks.contains_key(mark) && lasts;
+            let known = marks.contains_key(mark) && heard.intake.leaving;
             known || heard.intake.rests(now) || !late
         });
     }
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -11,6 +11,8 @@
     mod holdings;
     mod intake;
     mod leaving;
+    mod limit_ways;
+    mod limits;
     mod look;
     mod older_store;
     mod outage;
--- a/crates/roseshore_core/tests/gateway/holdings.rs
+++ b/crates/roseshore_core/tests/gateway/holdings.rs
@@ -100,6 +100,7 @@
             answer: 200.0,
             near: "north",
             avoid: &[],
+            shut: &[],
             starts: None,
         };
         let parts = targets.parts("engines", &spec(), &need, now);
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/limits.rs
@@ -0,0 +1,221 @@
+//! Limits that targets name: which word is the newest, how data centres divide a limit, and what is issued.
+
+use proptest::prelude::*;
+use roseshore_core::gateway::limits::share::Claims;
+use roseshore_core::gateway::limits::{Change, Issuer, Limits, Permit, Share};
+use roseshore_core::gateway::peers::{GrantNote, LimitNote};
+use roseshore_core::prelude::*;
+
+const TARGET: u32 = 7;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What happens to a host that has heard nothing, and the limit that it keeps afterwards.
+struct Case {
+    name: &'static str,
+    happens: fn(&mut Limits, Instant),
+    kept: Option<f64>,
+}
+
+fn told(limit: f32, ended: bool, age: u32, origin: (u32, u32)) -> LimitNote {
+    LimitNote { target: TARGET, limit, ended, age, origin, wanted: 0 }
+}
+
+/// Each plays up to five seconds before the moment at which the limit is asked for.
+#[test]
+fn the_newest_word_of_a_target_counts() {
+    let case = |name, happens, kept| Case { name, happens, kept };
+    let cases = [
+        case("nothing", |_, _| (), None),
+        case("named", |l, t| _ = l.named(TARGET, 6.0, t), Some(6.0)),
+        case(
+            "a limit of nothing is tried now and then",
+            |l, t| _ = l.named(TARGET, 0.0, t),
+            Some(0.2),
+        ),
+        case(
+            "named anew, higher",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                l.named(TARGET, 8.0, t + ms(250));
+            },
+            Some(8.0),
+        ),
+        case(
+            "none in an answer to a request that was sent before",
+            |l, t| {
+                l.named(TARGET, 6.0, t + ms(100));
+                assert_eq!(l.unnamed(TARGET, t, t + ms(900)), None);
+            },
+            Some(6.0),
+        ),
+        case(
+            "none in an answer to a request that was sent after",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                let ended = Change { before: Some(6.0), after: None };
+                assert_eq!(l.unnamed(TARGET, t + ms(1), t + ms(20)), Some(ended));
+                // The load comes back step by step.
+                assert_eq!(l.rate(TARGET, t + ms(501)), Some(12.0));
+            },
+            None,
+        ),
+        case(
+            "named again after its end",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                l.unnamed(TARGET, t + ms(1), t + ms(20));
+                l.named(TARGET, 5.0, t + ms(30));
+            },
+            Some(5.0),
+        ),
+        case(
+            "told by another host",
+            |l, t| _ = l.heard(&told(4.0, false, 100, (9, 1)), t),
+            Some(4.0),
+        ),
+        case(
+            "told, older than what this host heard",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                assert_eq!(l.heard(&told(4.0, false, 400, (9, 1)), t + ms(50)), None);
+            },
+            Some(6.0),
+        ),
+        case(
+            "of two words of about the same moment the lower one",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                l.heard(&told(4.0, false, 100, (9, 1)), t + ms(50));
+                l.heard(&told(7.0, false, 0, (8, 1)), t + ms(60));
+            },
+            Some(4.0),
+        ),
+        case(
+            "its end told, older than what this host heard",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                l.heard(&told(4.0, true, 100, (9, 1)), t + ms(50));
+            },
+            Some(6.0),
+        ),
+        case(
+            "its own word told back is no younger",
+            |l, t| {
+                l.named(TARGET, 6.0, t);
+                let own = l.notes(1, |_| 0, t + ms(10))[0];
+                l.heard(&told(4.0, true, 0, (9, 1)), t + ms(15));
+                l.heard(&LimitNote { age: 0, ..own }, t + ms(16));
+                l.heard(&LimitNote { age: 10, ..own }, t + ms(17));
+            },
+            Some(6.0),
+        ),
+        case("rubbish told", |l, t| _ = l.heard(&told(f32::NAN, false, 0, (9, 1)), t), None),
+        case("less than nothing told", |l, t| _ = l.heard(&told(-1.0, false, 0, (9, 1)), t), None),
+    ];
+    for case in cases {
+        let begun = Instant::now();
+        let mut limits = Limits::new(1);
+        (case.happens)(&mut limits, begun);
+        assert_eq!(limits.rate(TARGET, begun + ms(5_000)), case.kept, "{}", case.name);
+    }
+}
+
+#[test]
+fn two_hosts_that_tell_each_other_all_they_know_come_to_rest() {
+    let begun = Instant::now();
+    let (mut a, mut b) = (Limits::new(1), Limits::new(2));
+    a.named(TARGET, 6.0, begun);
+    b.named(TARGET, 5.0, begun + ms(2));
+    let mut changes = 0;
+    for turn in 1..100 {
+        let (sent, came) = (begun + ms(turn * 100), begun + ms(turn * 100 + 3));
+        let (from_a, from_b) = (a.notes(9, |_| 0, sent), b.notes(9, |_| 0, sent));
+        changes += from_a.iter().filter_map(|note| b.heard(note, came)).count();
+        changes += from_b.iter().filter_map(|note| a.heard(note, came)).count();
+    }
+    let end = begun + ms(10_000);
+    assert_eq!(a.rate(TARGET, end), b.rate(TARGET, end));
+    assert!(changes <= 2, "{changes} changes");
+}
+
+#[test]
+fn a_word_lasts_as_long_as_its_target_s_life() {
+    let begun = Instant::now();
+    let late = begun + Duration::from_mins(10);
+    let mut limits = Limits::new(1);
+    limits.named(TARGET, 6.0, begun);
+    limits.forget(|_| true, late);
+    assert_eq!(limits.rate(TARGET, late), Some(6.0));
+    limits.forget(|_| false, late);
+    assert_eq!(limits.rate(TARGET, late), None);
+}
+
+#[test]
+fn a_permit_is_used_once_and_not_late() {
+    let begun = Instant::now();
+    let mut limits = Limits::new(1);
+    assert_eq!(limits.permit(TARGET, begun), Permit::Unlimited);
+    limits.named(TARGET, 6.0, begun);
+    assert_eq!(limits.permit(TARGET, begun), Permit::Ask);
+    let ask = limits.ask(TARGET, 3, begun).expect("a limit is known");
+    assert_eq!((ask.number, ask.limit.limit), (3, 6.0));
+    let grant = GrantNote { target: TARGET, number: 3, permits: 2, wait: 0 };
+    limits.granted(&grant, begun);
+    assert!(limits.spend(TARGET, begun) && limits.spend(TARGET, begun));
+    assert!(!limits.spend(TARGET, begun), "both are used");
+    limits.granted(&grant, begun);
+    assert!(!limits.spend(TARGET, begun + ms(1_000)), "it lay too long");
+    limits.granted(&GrantNote { permits: 0, wait: 80, ..grant }, begun + ms(1_000));
+    assert_eq!(limits.permit(TARGET, begun + ms(1_079)), Permit::None);
+    assert_eq!(limits.shut(begun + ms(1_079)).collect::<Vec<_>>(), [TARGET]);
+    assert_eq!(limits.permit(TARGET, begun + ms(1_080)), Permit::Ask);
+    limits.unanswered(TARGET, begun + ms(1_080));
+    assert_eq!(limits.permit(TARGET, begun + ms(1_081)), Permit::None);
+}
+
+proptest! {
+    /// Data centres that know what all have asked for issue the limit together, and at once no more than users
+    /// bear beside it.
+    #[test]
+    fn data_centres_divide_a_limit(
+        limit in 0.2_f64..100.0,
+        asked in proptest::collection::vec(0_u16..500, 1..23),
+    ) {
+        let shares: Vec<Share> = (0..asked.len()).map(|n| {
+            let mut others = asked.clone();
+            let own = others.remove(n);
+            Share::of(limit, &Claims { own, others: &others, home: n == 0, heard: 1.0 })
+        }).collect();
+        let rate: f64 = shares.iter().map(|s| s.rate).sum();
+        let burst: f64 = shares.iter().map(|s| s.burst).sum();
+        prop_assert!((rate - limit).abs() < 1e-6 * limit, "{rate} of {limit}");
+        prop_assert!(burst <= 2.0 * limit + 5.0 + 1e-9, "{burst} at once");
+    }
+
+    /// Whoever asks when, in no four seconds is more issued than the users' bound.
+    #[test]
+    fn an_issuer_keeps_to_the_bound(
+        limit in 0.2_f64..60.0,
+        pauses in proptest::collection::vec(0_u64..400, 1..400),
+    ) {
+        let begun = Instant::now();
+        let mut issuer = Issuer::default();
+        let mut now = begun;
+        let mut issued: Vec<(Instant, u16)> = Vec::new();
+        for pause in pauses {
+            now += ms(pause);
+            let share = |own| Share::of(limit, &Claims { own, others: &[], home: true, heard: 1.0 });
+            let grant = issuer.ask(TARGET, 1, now, share);
+            issued.push((now, grant.permits));
+            prop_assert!(grant.permits == 0 || grant.wait == 0);
+        }
+        for (n, (first, _)) in issued.iter().enumerate() {
+            let within = issued[n..].iter().take_while(|(at, _)| *at < *first + ms(4_000));
+            let sum: u32 = within.map(|(_, permits)| u32::from(*permits)).sum();
+            prop_assert!(f64::from(sum) <= 6.0 * limit + 5.0, "{sum} of {limit} a second");
+        }
+    }
+}
--- a/crates/roseshore_core/tests/gateway/path.rs
+++ b/crates/roseshore_core/tests/gateway/path.rs
@@ -24,7 +24,7 @@
 }
 
 fn need<'a>(avoid: &'a [TargetId], starts: Option<&'a [TargetId]>) -> PathNeed<'a> {
-    PathNeed { layers: 80, prompt: 800.0, answer: 200.0, near: "north", avoid, starts }
+    PathNeed { layers: 80, prompt: 800.0, answer: 200.0, near: "north", avoid, shut: &[], starts }
 }
 
 /// Each layer once and in order, no target twice.
--- a/crates/roseshore_core/tests/gateway/starts.rs
+++ b/crates/roseshore_core/tests/gateway/starts.rs
@@ -63,6 +63,7 @@
         answer: 138.0,
         near: "north",
         avoid: &[],
+        shut: &[],
         starts: None,
     };
     for n in 0..(RATE * SECONDS) as usize {
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -9,6 +9,7 @@
 mod fatal;
 mod following;
 mod heeding;
+mod limiting;
 mod liveness;
 mod pacing;
 mod peering;
@@ -29,6 +30,7 @@
 use exchange::Exchange;
 use fatal::Broken;
 use following::Following;
+use limiting::Limiting;
 use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
 use pacing::Pacing;
@@ -129,6 +131,7 @@
     /// Whether this host was last seen to speak for its data centre.
     speaking: bool,
     liveness: Liveness,
+    limiting: Limiting,
     allowances: HashMap<ServiceId, Allowance>,
     following: Following,
     copies: Copies,
@@ -215,6 +218,7 @@
             viewed: None,
             speaking: false,
             liveness: Liveness::default(),
+            limiting: Limiting::new(random.random()),
             allowances: HashMap::new(),
             following: Following::default(),
             copies: Copies::default(),
@@ -327,6 +331,7 @@
         self.recheck_dead();
         self.recheck_broken();
         self.fatal.forget(self.now);
+        self.forget_limits();
         self.drop_idle();
         self.judge_age();
         self.judge_ready();
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use super::callers::refusal_fields;
+use super::limiting::Awaited;
 use super::probes::millis;
 use super::send::Send;
 
@@ -48,6 +49,8 @@
     pub(super) sent_to: Vec<TargetId>,
     /// Since when it waits for a target with room.
     pub(super) held: Option<Instant>,
+    /// The permit that it waits for.
+    pub(super) awaited: Option<Awaited>,
     pub(super) send: Option<Send>,
     pub(super) out: Out,
 }
@@ -196,6 +199,7 @@
             avoid: Vec::new(),
             sent_to: Vec::new(),
             held: None,
+            awaited: None,
             send: None,
             out: Out { last: asked.last_event, ..Out::default() },
             asked,
--- a/crates/roseshore_relay/src/entry/heeding.rs
+++ b/crates/roseshore_relay/src/entry/heeding.rs
@@ -5,7 +5,6 @@
 
 use super::{Entry, note};
 use crate::slab::Key;
-use roseshore_core::gateway::limits::Naming;
 use roseshore_core::gateway::peers::TargetMark;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{Answered, CallReply};
@@ -15,8 +14,6 @@
 const TURNED_AWAY: [u16; 2] = [429, 503];
 /// The status by which another target than the one meant answers.
 pub(super) const MISDIRECTED: u16 = 421;
-/// What a log line says of an answer to a call.
-const CALL: &str = "call";
 
 impl Entry {
     /// Takes what a target says beside its answer to a request.
@@ -32,8 +29,12 @@
         let first = life(&send.target);
         let faulty = said.faulty.and_then(|addr| send.at(addr)).and_then(|(id, _)| life(id));
         let later = faulty.filter(|faulty| Some(faulty) != first.as_ref());
+        // An answer to an earlier request tells nothing of when its own was sent.
+        let own = said.attempt.as_ref().is_none_or(|attempt| *attempt == exchange.asked.attempt);
+        let asked = Some(send.sent).filter(|_| own);
         if let Some((id, mark)) = first {
             self.heed(&id, mark, status, said, &by);
+            self.heed_limit(&id, mark, said.limit, asked, &by);
         }
         if let Some((id, mark)) = later {
             // The first target tells what a later one of the path wants; it leaves itself, if anyone.
@@ -46,7 +47,9 @@
     pub(super) fn heed_reply(&mut self, id: &TargetId, reply: &CallReply) {
         let said = self.platform.answered(&reply.fields);
         if let Some(mark) = self.targets.mark(id).filter(|_| reply.status != MISDIRECTED) {
-            self.heed(id, mark, reply.status, &said, CALL);
+            self.heed(id, mark, reply.status, &said, "call");
+            // Whether such an answer would name a limit is not known: without one it shows nothing.
+            self.heed_limit(id, mark, said.limit, None, "call");
         }
     }
 
@@ -55,7 +58,6 @@
         if said.leaving && self.targets.leaves(mark, now) {
             note!(self, TargetLeft, "target={id} state=leaving by=answer {by}");
         }
-        self.heed_limit(id, mark, said.limit, by);
         let Some(rest) = said.rest.filter(|_| TURNED_AWAY.contains(&status)) else { return };
         if let Some(given) = self.targets.rests(mark, rest, now) {
             let (asked, given) = (rest.as_millis(), given.as_millis());
@@ -64,27 +66,9 @@
         }
     }
 
-    fn heed_limit(&mut self, id: &str, mark: TargetMark, naming: Naming, by: &str) {
-        let named = match naming {
-            Naming::Limit(limit) => Some(limit),
-            // Only an answer to a request shows that a limit has ended.
-            Naming::None if by != CALL => None,
-            Naming::None | Naming::Unreadable => return,
-        };
-        if let Some(before) = self.targets.limits(mark, named, self.now) {
-            let (named, before) = (told(named), told(before));
-            note!(self, LimitNamed, "target={id} limit={named} before={before} {by}");
-        }
-    }
-
     /// Where a target may be called now, if it takes anything from this host.
     pub(super) fn callable(&self, id: &str) -> Option<SocketAddr> {
         let target = self.targets.get(id).filter(|t| t.takes(self.now));
         target.map(|t| t.record.addr)
     }
 }
-
-/// A limit in a log line.
-fn told(limit: Option<f64>) -> String {
-    limit.map_or("none".to_owned(), |limit| limit.to_string())
-}
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/limiting.rs
@@ -0,0 +1,231 @@
+//! Keeps the limits that targets name for all hosts together.
+//!
+//! What is known and decided stands in [`limits`](roseshore_core::gateway::limits). Here a request whose target
+//! names a limit waits for the answer of the host that issues permits, and this host answers where it is that one.
+
+use super::sends::Choice;
+use super::{Entry, Timer, note};
+use crate::slab::Key;
+use roseshore_core::gateway::limits::share::Claims;
+use roseshore_core::gateway::limits::{Change, Issuer, Limits, Naming, Permit, Share};
+use roseshore_core::gateway::peers::{AskNote, Datagram, GrantNote, LimitNote, TargetMark};
+use roseshore_core::prelude::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// For an answer of the issuer: a millisecond or two inside a data centre, and a busy host's turn.
+const ASK_TIME: Duration = Duration::from_millis(25);
+/// How long who asks a host that does not issue permits, or not any more, asks no more.
+const NOT_ISSUER: Duration = Duration::from_millis(100);
+/// Limits that a heartbeat tells of; more do not fit a datagram beside the rest.
+const TOLD: usize = 12;
+
+/// What this host knows of limits, and what it has asked for.
+pub(super) struct Limiting {
+    pub(super) limits: Limits,
+    issuer: Issuer,
+    /// Questions that are open, by their numbers.
+    asked: HashMap<u64, Key>,
+    number: u64,
+}
+
+/// A request that waits for a permit.
+pub(super) struct Awaited {
+    choice: Choice,
+    target: TargetMark,
+    number: u64,
+    until: Instant,
+}
+
+impl Limiting {
+    /// Nothing is known; `origin` tells this life of this host from others.
+    pub(super) fn new(origin: u32) -> Limiting {
+        let (limits, issuer) = (Limits::new(origin), Issuer::default());
+        Limiting { limits, issuer, asked: HashMap::new(), number: 0 }
+    }
+}
+
+impl Entry {
+    /// Takes what an answer says of its target's limit; `sent` is when its request was sent, where that is known.
+    pub(super) fn heed_limit(
+        &mut self,
+        id: &str,
+        mark: TargetMark,
+        naming: Naming,
+        sent: Option<Instant>,
+        by: &str,
+    ) {
+        let limits = &mut self.limiting.limits;
+        let change = match (naming, sent) {
+            (Naming::Limit(limit), _) => limits.named(mark, limit, self.now),
+            (Naming::None, Some(sent)) => limits.unnamed(mark, sent, self.now),
+            (Naming::None, None) | (Naming::Unreadable, _) => None,
+        };
+        if let Some(change) = change {
+            self.tell_limit(id, change, by);
+            self.beat_now(false);
+        }
+    }
+
+    /// Takes what another host tells of limits.
+    pub(super) fn hear_limits(&mut self, from: SocketAddr, notes: &[LimitNote]) {
+        for note in notes {
+            let Some(id) = self.targets.marked(note.target).cloned() else { continue };
+            if let Some(change) = self.limiting.limits.heard(note, self.now) {
+                self.tell_limit(&id, change, &format!("host={from} age_ms={}", note.age));
+            }
+        }
+    }
+
+    fn tell_limit(&mut self, id: &str, change: Change, by: &str) {
+        let told = |limit: Option<f64>| limit.map_or("none".to_owned(), |n| format!("{n:.2}"));
+        let (limit, before) = (told(change.after), told(change.before));
+        note!(self, LimitNamed, "target={id} limit={limit} before={before} {by}");
+    }
+
+    /// The limits for the other hosts.
+    pub(super) fn limit_notes(&mut self) -> Vec<LimitNote> {
+        let now = self.now;
+        let Limiting { limits, issuer, .. } = &mut self.limiting;
+        limits.notes(TOLD, |target| issuer.wanted(target, now), now)
+    }
+
+    /// Forgets limits and buckets that are of no more use.
+    pub(super) fn forget_limits(&mut self) {
+        let (targets, now) = (&self.targets, self.now);
+        self.limiting.limits.forget(|mark| targets.marked(mark).is_some(), now);
+        self.limiting.issuer.forget(now);
+    }
+
+    /// The targets of a service to which no request may be sent now for want of a permit.
+    pub(super) fn shut(&self, service: &str) -> Vec<TargetId> {
+        let serves =
+            |id: &&TargetId| self.targets.get(id).is_some_and(|t| t.record.service == service);
+        let shut = self.limiting.limits.shut(self.now).filter_map(|mark| self.targets.marked(mark));
+        shut.filter(serves).cloned().collect()
+    }
+
+    /// Whether a request still waits for a permit. One that has waited for too long goes on without.
+    pub(super) fn awaits_permit(&mut self, key: Key) -> bool {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return true };
+        let Some(awaited) = exchange.awaited.take_if(|awaited| now >= awaited.until) else {
+            return exchange.awaited.is_some();
+        };
+        self.limiting.asked.remove(&awaited.number);
+        self.limiting.limits.unanswered(awaited.target, now);
+        self.passed_over(key, &awaited.choice, "unanswered", Duration::ZERO);
+        false
+    }
+
+    /// A choice that may be sent now. Else the host that issues permits is asked and the request waits for its
+    /// answer, or goes elsewhere.
+    pub(super) fn permitted(&mut self, key: Key, choice: Choice) -> Option<Choice> {
+        let Some(mark) = self.targets.mark(choice.target()) else { return Some(choice) };
+        match self.limiting.limits.permit(mark, self.now) {
+            Permit::Unlimited | Permit::Held => Some(choice),
+            Permit::Ask => self.ask_permit(key, choice, mark),
+            Permit::None => {
+                self.hold(key, None);
+                None
+            }
+        }
+    }
+
+    fn ask_permit(&mut self, key: Key, choice: Choice, mark: TargetMark) -> Option<Choice> {
+        self.limiting.number += 1;
+        let number = self.limiting.number;
+        let Some(ask) = self.limiting.limits.ask(mark, number, self.now) else {
+            return Some(choice);
+        };
+        match self.peers.issuer(self.now) {
+            Some(issuer) if issuer != self.peers.addr() => {
+                self.send_message(issuer, &Datagram::Ask(ask));
+                let until = self.now + ASK_TIME;
+                self.limiting.asked.insert(number, key);
+                if let Some(exchange) = self.exchanges.get_mut(key) {
+                    exchange.awaited = Some(Awaited { choice, target: mark, number, until });
+                }
+                self.arm(until, Timer::Exchange(key));
+                None
+            }
+            Some(_) => {
+                let grant = self.issue(&ask);
+                self.limiting.limits.granted(&grant, self.now);
+                self.use_grant(key, choice, &grant)
+            }
+            None => {
+                self.limiting.limits.unanswered(mark, self.now);
+                self.passed_over(key, &choice, "no_issuer", Duration::ZERO);
+                self.dispatch(key);
+                None
+            }
+        }
+    }
+
+    /// The choice, if the issuer granted it; else the request goes elsewhere.
+    fn use_grant(&mut self, key: Key, choice: Choice, grant: &GrantNote) -> Option<Choice> {
+        if grant.permits > 0 {
+            return Some(choice);
+        }
+        let wait = Duration::from_millis(u64::from(grant.wait));
+        self.passed_over(key, &choice, "none_left", wait);
+        self.dispatch(key);
+        None
+    }
+
+    /// Answers a question for a permit.
+    pub(super) fn hear_ask(&mut self, from: SocketAddr, ask: &AskNote) {
+        self.hear_limits(from, &[ask.limit]);
+        let grant = if self.peers.place(self.now) == 0 {
+            self.issue(ask)
+        } else {
+            let wait = NOT_ISSUER.as_millis() as u16;
+            GrantNote { target: ask.limit.target, number: ask.number, permits: 0, wait }
+        };
+        self.send_message(from, &Datagram::Grant(grant));
+    }
+
+    fn issue(&mut self, ask: &AskNote) -> GrantNote {
+        let (target, number, now) = (ask.limit.target, ask.number, self.now);
+        let Some(limit) = self.limiting.limits.rate(target, now) else {
+            return GrantNote { target, number, permits: 1, wait: 0 };
+        };
+        let others = self.peers.wanted_elsewhere(target);
+        let heard = self.peers.heard_part(now);
+        let record = self.targets.marked(target).and_then(|id| self.targets.get(id));
+        let home = record.is_some_and(|t| t.record.data_centre == self.settings.data_centre);
+        let share = |own| Share::of(limit, &Claims { own, others: &others, home, heard });
+        self.limiting.issuer.ask(target, number, now, share)
+    }
+
+    /// Takes the issuer's answer; the request that waits for it goes on.
+    pub(super) fn hear_grant(&mut self, grant: &GrantNote) {
+        self.limiting.limits.granted(grant, self.now);
+        let Some(key) = self.limiting.asked.remove(&grant.number) else { return };
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(awaited) = exchange.awaited.take_if(|a| a.number == grant.number) else { return };
+        let Some(choice) = self.use_grant(key, awaited.choice, grant) else { return };
+        if self.targets.get(choice.target()).is_some_and(|t| t.takes(self.now) && t.sound(self.now))
+        {
+            self.send_to(key, choice);
+        } else {
+            self.dispatch(key);
+        }
+    }
+
+    /// A request that would have been sent to a target was not, by its limit.
+    fn passed_over(&mut self, key: Key, choice: &Choice, why: &str, wait: Duration) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let (attempt, target) = (&exchange.asked.attempt, choice.target());
+        let mark = self.targets.mark(target);
+        let limit = mark.and_then(|mark| self.limiting.limits.rate(mark, self.now));
+        let text = format!(
+            "request={attempt} target={target} limit={:.2} why={why} wait_ms={}",
+            limit.unwrap_or_default(),
+            wait.as_millis()
+        );
+        note!(self, PermitRefused, "{text}");
+        metrics::counter!("roseshore_permits_refused_total", "why" => why.to_owned()).increment(1);
+    }
+}
--- a/crates/roseshore_relay/src/entry/peering.rs
+++ b/crates/roseshore_relay/src/entry/peering.rs
@@ -3,9 +3,10 @@
 use super::{Entry, note};
 use roseshore_core::gateway::Allowance;
 use roseshore_core::gateway::paces::{Pace, PaceNote};
-use roseshore_core::gateway::peers::{Beat, CountNote, Own, mark};
+use roseshore_core::gateway::peers::{Beat, CountNote, Datagram, Own, mark};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
+use std::net::SocketAddr;
 
 /// Between two additions of what the others have told: a speaker of sixty hosts hears three hundred
 /// heartbeats a second, and what each changes matters to a choice only with the others.
@@ -19,46 +20,19 @@
 const PACES_TOLD: usize = 12;
 
 impl Entry {
-    /// Takes the heartbeats that came.
+    /// Takes the datagrams that came.
     pub(super) fn hear(&mut self) {
         let mut joined = false;
         while let Some((from, bytes)) = self.net.datagram() {
-            let mut beat: Beat = match frame::decode(bytes) {
-                Ok(beat) => beat,
+            match frame::decode(bytes) {
+                Ok(Datagram::Beat(beat)) => joined |= self.hear_beat(from, *beat),
+                Ok(Datagram::Ask(ask)) => self.hear_ask(from, &ask),
+                Ok(Datagram::Grant(grant)) => self.hear_grant(&grant),
                 Err(err) => {
                     let why = err.to_string();
                     note!(self, DatagramSkipped, "from={from} why={why:?}");
-                    continue;
                 }
-            };
-            let (now, config, list) = (self.now, beat.config, beat.list);
-            let holds = std::mem::take(&mut beat.holds);
-            let paces = std::mem::take(&mut beat.paces);
-            let fatal = std::mem::take(&mut beat.fatal);
-            let Some(heard) = self.peers.hear(from, beat, now) else { continue };
-            if heard.joined {
-                note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
             }
-            for hold in holds {
-                self.take_hold(hold);
-            }
-            for note in paces {
-                if let Some(pace) = Pace::heard(&note, now) {
-                    self.targets.paced(note.target, pace);
-                }
-            }
-            for note in &fatal {
-                self.hear_fatal(note, "heard");
-            }
-            let known = self.config_version();
-            if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
-                self.currency.prove(proven);
-            }
-            if config > known && !self.ask_copy(from) && !self.awaits_copy() {
-                self.read_config_now();
-            }
-            self.compare_list(from, list, heard.listed);
-            joined |= heard.joined;
         }
         if joined {
             // Who is new hears at once what others have.
@@ -68,6 +42,40 @@
         self.view_others();
     }
 
+    /// Takes a heartbeat; returns whether its sender has just joined.
+    fn hear_beat(&mut self, from: SocketAddr, mut beat: Beat) -> bool {
+        let (now, config, list) = (self.now, beat.config, beat.list);
+        let holds = std::mem::take(&mut beat.holds);
+        let paces = std::mem::take(&mut beat.paces);
+        let fatal = std::mem::take(&mut beat.fatal);
+        let limits = beat.limits.clone();
+        let Some(heard) = self.peers.hear(from, beat, now) else { return false };
+        if heard.joined {
+            note!(self, HostJoined, "host={from} near={} config_version={config}", heard.near);
+        }
+        for hold in holds {
+            self.take_hold(hold);
+        }
+        for note in paces {
+            if let Some(pace) = Pace::heard(&note, now) {
+                self.targets.paced(note.target, pace);
+            }
+        }
+        for note in &fatal {
+            self.hear_fatal(note, "heard");
+        }
+        self.hear_limits(from, &limits);
+        let known = self.config_version();
+        if let Some(proven) = heard.proven.filter(|_| config == known && known > 0) {
+            self.currency.prove(proven);
+        }
+        if config > known && !self.ask_copy(from) && !self.awaits_copy() {
+            self.read_config_now();
+        }
+        self.compare_list(from, list, heard.listed);
+        heard.joined
+    }
+
     /// Whether a copy of a newer configuration is soon to be had, and has not been for long.
     fn awaits_copy(&self) -> bool {
         let late = |since| self.now.saturating_duration_since(since) >= COPY_PATIENCE;
@@ -127,16 +135,22 @@
             holds: self.holds(),
             paces: self.paces(),
             fatal: self.fatal.notes(self.now),
+            limits: self.limit_notes(),
         };
         let due = self.peers.due(&own, self.now);
         self.judge_speaking();
         for (to, beat) in due {
-            match frame::encode(&beat, MAX_DATAGRAM) {
-                Ok(bytes) => self.net.send_datagram(to, &bytes),
-                Err(err) => {
-                    let why = err.to_string();
-                    note!(self, DatagramSkipped, "to={to} why={why:?}");
-                }
+            self.send_message(to, &Datagram::Beat(Box::new(beat)));
+        }
+    }
+
+    /// Sends a datagram to another host.
+    pub(super) fn send_message(&mut self, to: SocketAddr, message: &Datagram) {
+        match frame::encode(message, MAX_DATAGRAM) {
+            Ok(bytes) => self.net.send_datagram(to, &bytes),
+            Err(err) => {
+                let why = err.to_string();
+                note!(self, DatagramSkipped, "to={to} why={why:?}");
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The target that it is sent to.
+    pub(super) fn target(&self) -> &TargetId {
+        &self.target
+    }
+
     /// What a log line says of it.
     fn line(&self) -> String {
         let hops = self.path.iter();
@@ -77,13 +82,20 @@
 impl Entry {
     /// Sends a request to the best target there is, or ends it.
     pub(super) fn dispatch(&mut self, key: Key) {
-        if self.stop_or_wait(key) {
+        if self.stop_or_wait(key) || self.awaits_permit(key) {
             return;
         }
         let choice = match self.choose(key) {
             Some(choice) if choice.roomy => choice,
             other => return self.hold(key, other),
         };
+        if let Some(choice) = self.permitted(key, choice) {
+            self.send_to(key, choice);
+        }
+    }
+
+    /// Sends a request where it was decided to.
+    pub(super) fn send_to(&mut self, key: Key, choice: Choice) {
         if !self.may_repeat(key) {
             return self.end_without(key, Code::RetryBudget, "no more sends may be repeated");
         }
@@ -125,6 +137,9 @@
             exchange.asked.prompt,
             left.as_millis(),
         );
+        if let Some(mark) = self.targets.mark(&choice.target) {
+            self.limiting.limits.spend(mark, self.now);
+        }
         for claim in &choice.claims {
             self.targets.begin(claim);
         }
@@ -180,18 +195,26 @@
 
     /// Keeps a request until a target has room; a stream that has begun for longer, since breaking
     /// it off helps nobody.
-    fn hold(&mut self, key: Key, best: Option<Choice>) {
+    pub(super) fn hold(&mut self, key: Key, best: Option<Choice>) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let since = *exchange.held.get_or_insert(now);
         let fresh = HOLD_FRESH.min(exchange.route.objective / HOLD_PART);
         let most = if exchange.out.begun { HOLD_BEGUN } else { fresh };
         let engine = exchange.service.engine.is_some();
-        let service = &exchange.service.name;
-        if best.is_none() && !exchange.out.begun && self.targets.rest_left(service, now).is_some() {
+        let service = exchange.service.name.clone();
+        if best.is_none() && !exchange.out.begun && self.targets.rest_left(&service, now).is_some()
+        {
             // Nothing that is sent in the time that a request may be held reaches them.
             return self.end_without(key, Code::TargetsRest, "the targets want a rest");
         }
+        if best.is_none() && !exchange.out.begun && !self.shut(&service).is_empty() {
+            return self.end_without(
+                key,
+                Code::TargetsLimited,
+                "the targets take no more a second",
+            );
+        }
         if !engine || now.saturating_duration_since(since) >= most {
             let why = best.map_or("no target takes the request".to_owned(), |choice| {
                 let (fill, fullest) = choice.fill;
@@ -205,6 +228,7 @@
     /// The best target or path for a request as it stands; it may lack room.
     pub(super) fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
+        let shut = self.shut(&exchange.service.name);
         let (now, near) = (self.now, self.settings.data_centre.as_str());
         let bound = exchange.at_bound();
         let starts = bound.then_some(exchange.sent_to.as_slice());
@@ -212,7 +236,8 @@
             if bound {
                 return None;
             }
-            let target = self.targets.plain(&exchange.service.name, near, &exchange.avoid, now);
+            let avoid = [exchange.avoid.as_slice(), &shut].concat();
+            let target = self.targets.plain(&exchange.service.name, near, &avoid, now);
             let record = &target?.record;
             return Some(Choice::plain(record.id.clone(), record.addr));
         };
@@ -224,6 +249,7 @@
             answer: (expected - written).max(spec.stride),
             near,
             avoid: &exchange.avoid,
+            shut: &shut,
             starts,
         };
         let parts = self.targets.parts(&exchange.service.name, spec, &need, now);
--- a/crates/roseshore_relay/tests/crowd.rs
+++ b/crates/roseshore_relay/tests/crowd.rs
@@ -1,7 +1,7 @@
 //! Heartbeats among many hosts, in virtual time: what they cost, and how soon all know.
 
 use roseshore_core::gateway::fatal::Change;
-use roseshore_core::gateway::peers::{Beat, LoadNote, Own, mark};
+use roseshore_core::gateway::peers::{Datagram, LoadNote, Own, mark};
 use roseshore_core::gateway::{Fatal, Fingerprint, Peers};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
@@ -116,7 +116,8 @@
         }
         host.own.fatal = host.fatal.notes(now);
         for (to, beat) in host.peers.due(&host.own, now) {
-            let bytes = frame::encode(&beat, MAX_DATAGRAM).expect("it fits a datagram");
+            let message = Datagram::Beat(Box::new(beat));
+            let bytes = frame::encode(&message, MAX_DATAGRAM).expect("it fits a datagram");
             host.sent.0 += 1;
             host.sent.1 += bytes.len();
             self.serial += 1;
@@ -140,14 +141,16 @@
             self.far += usize::from(a != b);
             host.heard.0 += 1;
             host.heard.1 += bytes.len();
-            let beat: Beat = frame::decode(&bytes).expect("it is a heartbeat");
+            let Ok(Datagram::Beat(beat)) = frame::decode(&bytes) else {
+                panic!("it is no heartbeat")
+            };
             let config = beat.config;
             for note in &beat.fatal {
                 if host.fatal.hear(note, at) == Change::Blocked {
                     host.peers.make_due(true);
                 }
             }
-            let heard = host.peers.hear(addr(from), beat, at);
+            let heard = host.peers.hear(addr(from), *beat, at);
             if heard.as_ref().is_some_and(|heard| heard.joined) {
                 host.fatal.tell_again(at);
             }
--- a/crates/roseshore_wire/src/frame.rs
+++ b/crates/roseshore_wire/src/frame.rs
@@ -11,7 +11,7 @@
 /// The version of the messages between daemons. Daemons of two versions skip each other's
 /// messages, so that hosts can be replaced one after the other: each version reads the store for
 /// itself meanwhile.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 /// The longest frame, bytes.
 pub const MAX_FRAME: usize = 8 << 20;
 /// The longest datagram, bytes; below what a local network carries in one piece.
