A stream that has begun is kept as long as its caller stays

Cause: a constant of 1.3 s in place of what the route says: two seconds, four objectives or eight of its pauses since the last event, whichever is longest. Test: a stream whose engine ends and for which room comes after 2.5 s, callers that stay for 16 s: broken off before (seen failing), whole after; a table of routes.

--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -17,6 +17,7 @@
     mod older_store;
     mod outage;
     mod path;
+    mod patience;
     mod peers;
     mod plan;
     mod pressure;
