--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -19,6 +19,8 @@
 /// When to come back after a refusal that another host may not give, before it is spread: a caller
 /// comes back on a new connection, which reaches another host.
 pub(super) const COME_BACK: Duration = Duration::from_millis(300);
+/// The longest time that is asked for where a target's limit says when it takes another request.
+const COME_BACK_MOST: Duration = Duration::from_secs(9);
 /// When to come back from a host that is leaving: at once, but not all in the same moment.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(60);
 /// The shortest time in which another send makes sense.
@@ -245,6 +247,7 @@
         let attempt = exchange.asked.attempt.clone();
         let engine = exchange.service.engine.is_some();
         let rest = self.targets.rest_left(&exchange.service.name, now);
+        let taken = self.next_taken(&exchange.service.name);
         let fingerprint = exchange.fingerprint;
         let code = match end {
             End::NotRun if code.status() != 503 => Code::NoTarget,
@@ -269,6 +272,13 @@
                     Some(left) if code == Code::TargetsRest => back.min(left),
                     _ => back,
                 };
+                let back = match taken {
+                    // Sooner than that, one of two callers who come back is refused again.
+                    Some(time) if code == Code::TargetsLimited => {
+                        back.max(time).min(COME_BACK_MOST)
+                    }
+                    _ => back,
+                };
                 Refusal::not_run(code, why).after(self.spread(back))
             }
             End::Unknown => Refusal::may_have_run(code, why),
--- a/crates/roseshore_relay/src/entry/limiting.rs
+++ b/crates/roseshore_relay/src/entry/limiting.rs
@@ -95,6 +95,10 @@
         let (targets, now) = (&self.targets, self.now);
         self.limiting.limits.forget(|mark| targets.marked(mark).is_some(), now);
         self.limiting.issuer.forget(now);
+        // An answer that was lost leaves its question open.
+        let exchanges = &self.exchanges;
+        let waits = |key: Key| exchanges.get(key).is_some_and(|e| e.awaited.is_some());
+        self.limiting.asked.retain(|_, key| waits(*key));
     }
 
     /// The targets of a service to which no request may be sent now for want of a permit.
@@ -105,6 +109,14 @@
         shut.filter(serves).cloned().collect()
     }
 
+    /// The time in which the targets of a service that take no more take one more request; none where no target is
+    /// limited.
+    pub(super) fn next_taken(&self, service: &str) -> Option<Duration> {
+        let marks = self.shut(service).into_iter().filter_map(|id| self.targets.mark(&id));
+        let rate: f64 = marks.filter_map(|m| self.limiting.limits.rate(m, self.now)).sum();
+        Duration::try_from_secs_f64(1.0 / rate).ok()
+    }
+
     /// Whether a request still waits for a permit. One that has waited for too long goes on without.
     pub(super) fn awaits_permit(&mut self, key: Key) -> bool {
         let now = self.now;
