--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -3,7 +3,7 @@
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
 //! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`outage`] what a missing entry
-//! means, [`leaving`] what a host that stops still takes, [`patience`] how long callers stay, [`look`] how late a busy host looks at what
+//! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
 //! repeated, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
 //! [`position`] how far they have read, [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
@@ -22,7 +22,6 @@
 pub mod outage;
 pub mod paces;
 pub mod path;
-pub mod patience;
 pub mod peers;
 pub mod plan;
 pub mod position;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -17,7 +17,6 @@
     mod older_store;
     mod outage;
     mod path;
-    mod patience;
     mod peers;
     mod plan;
     mod pressure;
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -10,7 +10,6 @@
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::failure::{self, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
-use roseshore_core::gateway::patience;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Carried;
@@ -22,6 +21,8 @@
 /// route's objective: a refusal after that is late.
 const HOLD_FRESH: Duration = Duration::from_millis(80);
 const HOLD_PART: u32 = 8;
+/// How long a stream that has begun is kept: its caller leaves after two seconds of silence.
+const HOLD_BEGUN: Duration = Duration::from_millis(1300);
 /// How often a kept request looks for room.
 const HOLD_STEP: Duration = Duration::from_millis(35);
 
@@ -198,11 +199,8 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let since = *exchange.held.get_or_insert(now);
-        let until = if exchange.out.begun {
-            patience::kept_until(&exchange.route, exchange.out.latest.unwrap_or(exchange.begun))
-        } else {
-            since + HOLD_FRESH.min(exchange.route.objective / HOLD_PART)
-        };
+        let fresh = HOLD_FRESH.min(exchange.route.objective / HOLD_PART);
+        let most = if exchange.out.begun { HOLD_BEGUN } else { fresh };
         let engine = exchange.service.engine.is_some();
         let service = exchange.service.name.clone();
         if best.is_none() && !exchange.out.begun && self.targets.rest_left(&service, now).is_some()
@@ -217,7 +215,7 @@
                 "the targets take no more a second",
             );
         }
-        if !engine || now >= until {
+        if !engine || now.saturating_duration_since(since) >= most {
             let why = best.map_or("no target takes the request".to_owned(), |choice| {
                 let (fill, fullest) = choice.fill;
                 format!("no room: target `{fullest}` would be {fill:.2} full")
