An engine that had no room is avoided for its quarantine, not for the rest of a request

What callers saw: streams broken off 1.3 s after their engine had ended, beside a change of the configuration (LOST).

Cause: a target that refused a send was kept from the request like one that failed. Where it was the only one that held some layers, no path was found again, however soon it had room.

Change: `gateway::Avoid` keeps, for each target, until when; a refusal counts for the target's quarantine, a fault for the rest of the request. A request is not sent there sooner than any other one would be.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -5,12 +5,13 @@
 //! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`outage`] what a missing entry
 //! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
-//! repeated, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
+//! repeated, [`avoid`] which targets a request is kept from, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
 //! [`position`] how far they have read, [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
 //! known to be the newest, and [`fingerprint`] what makes two requests the same,
 //! and [`fatal`] which of them end their targets.
 
 pub mod allowance;
+pub mod avoid;
 pub mod copies;
 pub mod currency;
 pub mod failure;
@@ -32,6 +33,7 @@
 pub mod targets;
 
 pub use allowance::Allowance;
+pub use avoid::Avoid;
 pub use copies::Copies;
 pub use currency::Currency;
 pub use failure::{Fault, Next, Standing};
--- /dev/null
+++ b/crates/roseshore_core/src/gateway/avoid.rs
@@ -0,0 +1,33 @@
+//! Which targets a request is not sent to again.
+//!
+//! A target that failed a request is left out for the rest of it. One that only had no room is left out as long as
+//! its quarantine lasts: it may be the only one that holds some layers, and a stream that has begun would break off
+//! though the engine has room again after a moment.
+
+use crate::prelude::*;
+
+/// The targets that one request avoids.
+#[derive(Clone, Debug, Default)]
+pub struct Avoid {
+    all: Vec<Avoided>,
+}
+
+#[derive(Clone, Debug)]
+struct Avoided {
+    target: TargetId,
+    /// Until when; none for the rest of the request.
+    until: Option<Instant>,
+}
+
+impl Avoid {
+    /// Avoids a target until a moment, or for the rest of the request.
+    pub fn add(&mut self, target: TargetId, until: Option<Instant>) {
+        self.all.push(Avoided { target, until });
+    }
+
+    /// The targets that are avoided now.
+    pub fn list(&self, now: Instant) -> Vec<TargetId> {
+        let bound = self.all.iter().filter(|it| it.until.is_none_or(|until| now < until));
+        bound.map(|it| it.target.clone()).collect()
+    }
+}
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -100,6 +100,11 @@
         !before
     }
 
+    /// Until when a target is out of use; none where it is not.
+    pub fn quarantine(&self, id: &str) -> Option<Instant> {
+        self.all.get(id)?.health.quarantine()
+    }
+
     /// A whole answer came; returns whether that put it into use again.
     pub fn worked(&mut self, id: &str, now: Instant) -> bool {
         let Some(target) = self.all.get_mut(id) else { return false };
--- a/crates/roseshore_core/src/load/health.rs
+++ b/crates/roseshore_core/src/load/health.rs
@@ -35,6 +35,11 @@
         self.until.is_some()
     }
 
+    /// Until when nothing at all may go there; none where it is in use.
+    pub fn quarantine(&self) -> Option<Instant> {
+        self.until
+    }
+
     /// It failed.
     pub fn failed(&mut self, now: Instant) {
         let inside = self.until.is_some_and(|until| now < until);
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -2,6 +2,7 @@
 
 mod gateway {
     mod allowance;
+    mod avoid;
     mod copies;
     mod failure;
     mod fatal;
--- a/crates/roseshore_relay/src/entry/answers.rs
+++ b/crates/roseshore_relay/src/entry/answers.rs
@@ -188,7 +188,7 @@
         if exchange.at_bound() {
             return false;
         }
-        let mut avoid = exchange.avoid.clone();
+        let mut avoid = exchange.avoid.list(self.now);
         avoid.push(send.target.clone());
         let near = &self.settings.data_centre;
         let service = &exchange.service;
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use roseshore_core::gateway::failure::{self, End, Next};
 use roseshore_core::gateway::routes::Denied;
-use roseshore_core::gateway::{Fingerprint, Route, ServiceSpec, Standing};
+use roseshore_core::gateway::{Avoid, Fingerprint, Route, ServiceSpec, Standing};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Asked;
 use std::sync::Arc;
@@ -46,7 +46,7 @@
     pub(super) verdict: Verdict,
     /// Whether a send may have reached its target, so that the next one is a repeat.
     pub(super) arrived: bool,
-    pub(super) avoid: Vec<TargetId>,
+    pub(super) avoid: Avoid,
     /// The targets it was sent to; the operators bound their number.
     pub(super) sent_to: Vec<TargetId>,
     /// Since when it waits for a target with room.
@@ -198,7 +198,7 @@
             sends: 0,
             verdict: Verdict::NotRun,
             arrived: false,
-            avoid: Vec::new(),
+            avoid: Avoid::default(),
             sent_to: Vec::new(),
             held: None,
             awaited: None,
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -232,11 +232,12 @@
         let (now, near) = (self.now, self.settings.data_centre.as_str());
         let bound = exchange.at_bound();
         let starts = bound.then_some(exchange.sent_to.as_slice());
+        let avoid = exchange.avoid.list(now);
         let Some(spec) = exchange.service.engine.as_ref() else {
             if bound {
                 return None;
             }
-            let avoid = [exchange.avoid.as_slice(), &shut].concat();
+            let avoid = [avoid, shut].concat();
             let target = self.targets.plain(&exchange.service.name, near, &avoid, now);
             let record = &target?.record;
             return Some(Choice::plain(record.id.clone(), record.addr));
@@ -248,7 +249,7 @@
             prompt: f64::from(exchange.asked.prompt) + written,
             answer: (expected - written).max(spec.stride),
             near,
-            avoid: &exchange.avoid,
+            avoid: &avoid,
             shut: &shut,
             starts,
         };
@@ -300,7 +301,6 @@
             send.leaving,
             culprits.join(","),
         );
-        exchange.avoid.extend(culprits.iter().cloned());
         if fault == Fault::NotSent {
             exchange.sent_to.retain(|sent| *sent != first);
         } else {
@@ -317,6 +317,12 @@
             if self.targets.failed(culprit, now) {
                 note!(self, TargetLost, "target={culprit} fault={}", fault.name());
             }
+            let refused = fault == Fault::Refused;
+            // It may be the only one of its layers, and has room again when others end.
+            let until = self.targets.quarantine(culprit).filter(|_| refused);
+            if let Some(exchange) = self.exchanges.get_mut(key) {
+                exchange.avoid.add(culprit.clone(), until);
+            }
         }
         self.drop_send(key, false);
         self.follow_fault(key, fault);
--- a/crates/roseshore_relay/src/entry/silence.rs
+++ b/crates/roseshore_relay/src/entry/silence.rs
@@ -74,13 +74,13 @@
         // None of them is known to be at fault, so none is held to be: only this request avoids
         // them.
         let Some(path) = exchange.send.as_ref().map(Send::targets) else { return };
-        let known = exchange.avoid.len();
-        exchange.avoid.extend(path);
+        let known = exchange.avoid.clone();
+        path.into_iter().for_each(|target| exchange.avoid.add(target, None));
         if self.choose(key).is_some_and(|choice| choice.roomy) {
             return self.failed_by(key, Fault::Silent, Vec::new());
         }
         if let Some(exchange) = self.exchanges.get_mut(key) {
-            exchange.avoid.truncate(known);
+            exchange.avoid = known;
         }
     }
 }
