One call answers a question for a permit

Cause: the answer to a host that asks for a permit stood in `entry/limiting.rs` and again in the test of many hosts in virtual time, which so tested its own copy: a difference between the two would not have shown. Change: `Issuer::answer` decides (who issues, what an unlimited target gets, how data centres divide); both call it. No decision changed.

--- a/crates/roseshore_core/src/gateway/limits/issuer.rs
+++ b/crates/roseshore_core/src/gateway/limits/issuer.rs
@@ -4,8 +4,9 @@
 //! within the limit. One that takes over begins with a single permit: what the host before it has issued of late
 //! is not known.
 
-use super::super::peers::{GrantNote, TargetMark};
-use super::share::{Share, Wants};
+use super::super::peers::{AskNote, GrantNote, Peers, TargetMark};
+use super::Limits;
+use super::share::{Claims, Share, Wants};
 use crate::prelude::*;
 use std::collections::HashMap;
 
@@ -15,6 +16,8 @@
 /// The longest and shortest time for which a host is told not to ask again. Within the shortest one another host's
 /// request takes the next permit.
 const WAITS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// How long who asks a host that does not issue permits, or not any more, asks no more.
+const NOT_ISSUER: Duration = Duration::from_millis(100);
 /// How long a bucket is kept that nobody asks.
 const KEPT: Duration = Duration::from_mins(1);
 
@@ -33,6 +36,30 @@
 }
 
 impl Issuer {
+    /// The answer to a host of the own data centre that asks for a permit; `home` says whether the target is in
+    /// this data centre, too. The word that the question bears has been taken before.
+    pub fn answer(
+        &mut self,
+        ask: &AskNote,
+        limits: &Limits,
+        peers: &Peers,
+        home: bool,
+        now: Instant,
+    ) -> GrantNote {
+        let (target, number) = (ask.limit.target, ask.number);
+        if peers.place(now) > 0 {
+            let wait = NOT_ISSUER.as_millis() as u16;
+            return GrantNote { target, number, permits: 0, wait };
+        }
+        let Some(limit) = limits.rate(target, now) else {
+            return GrantNote { target, number, permits: 1, wait: 0 };
+        };
+        let others = peers.wanted_elsewhere(target);
+        let heard = peers.heard_part(now);
+        let share = |own| Share::of(limit, &Claims { own, others: &others, home, heard });
+        self.ask(target, number, now, share)
+    }
+
     /// A host asks for a permit. `share` says what may be issued where so much was asked for.
     pub fn ask(
         &mut self,
--- a/crates/roseshore_relay/src/entry/limiting.rs
+++ b/crates/roseshore_relay/src/entry/limiting.rs
@@ -6,8 +6,7 @@
 use super::sends::Choice;
 use super::{Entry, Timer, note};
 use crate::slab::Key;
-use roseshore_core::gateway::limits::share::Claims;
-use roseshore_core::gateway::limits::{Change, Issuer, Limits, Naming, Permit, Share};
+use roseshore_core::gateway::limits::{Change, Issuer, Limits, Naming, Permit};
 use roseshore_core::gateway::peers::{AskNote, Datagram, GrantNote, LimitNote, TargetMark};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
@@ -15,8 +14,6 @@
 
 /// For an answer of the issuer: a millisecond or two inside a data centre, and a busy host's turn.
 const ASK_TIME: Duration = Duration::from_millis(25);
-/// How long who asks a host that does not issue permits, or not any more, asks no more.
-const NOT_ISSUER: Duration = Duration::from_millis(100);
 /// Limits that a heartbeat tells of; more do not fit a datagram beside the rest.
 const TOLD: usize = 12;
 
@@ -162,7 +159,7 @@
                 None
             }
             Some(_) => {
-                let grant = self.issue(&ask);
+                let grant = self.answer_ask(&ask);
                 self.limiting.limits.granted(&grant, self.now);
                 self.use_grant(key, choice, &grant)
             }
@@ -189,26 +186,16 @@
     /// Answers a question for a permit.
     pub(super) fn hear_ask(&mut self, from: SocketAddr, ask: &AskNote) {
         self.hear_limits(from, &[ask.limit]);
-        let grant = if self.peers.place(self.now) == 0 {
-            self.issue(ask)
-        } else {
-            let wait = NOT_ISSUER.as_millis() as u16;
-            GrantNote { target: ask.limit.target, number: ask.number, permits: 0, wait }
-        };
+        let grant = self.answer_ask(ask);
         self.send_message(from, &Datagram::Grant(grant));
     }
 
-    fn issue(&mut self, ask: &AskNote) -> GrantNote {
-        let (target, number, now) = (ask.limit.target, ask.number, self.now);
-        let Some(limit) = self.limiting.limits.rate(target, now) else {
-            return GrantNote { target, number, permits: 1, wait: 0 };
-        };
-        let others = self.peers.wanted_elsewhere(target);
-        let heard = self.peers.heard_part(now);
-        let record = self.targets.marked(target).and_then(|id| self.targets.get(id));
-        let home = record.is_some_and(|t| t.record.data_centre == self.settings.data_centre);
-        let share = |own| Share::of(limit, &Claims { own, others: &others, home, heard });
-        self.limiting.issuer.ask(target, number, now, share)
+    fn answer_ask(&mut self, ask: &AskNote) -> GrantNote {
+        let id = self.targets.marked(ask.limit.target);
+        let record = id.and_then(|id| self.targets.get(id)).map(|t| &t.record);
+        let home = record.is_some_and(|r| r.data_centre == self.settings.data_centre);
+        let Limiting { limits, issuer, .. } = &mut self.limiting;
+        issuer.answer(ask, limits, &self.peers, home, self.now)
     }
 
     /// Takes the issuer's answer; the request that waits for it goes on.
--- a/crates/roseshore_relay/tests/limits.rs
+++ b/crates/roseshore_relay/tests/limits.rs
@@ -8,9 +8,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use roseshore_core::gateway::Peers;
-use roseshore_core::gateway::limits::share::Claims;
-use roseshore_core::gateway::limits::{Issuer, Limits, Permit, Share};
-use roseshore_core::gateway::peers::{Datagram, GrantNote, Own};
+use roseshore_core::gateway::limits::{Issuer, Limits, Permit};
+use roseshore_core::gateway::peers::{AskNote, Datagram, GrantNote, Own};
 use roseshore_core::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -137,7 +136,7 @@
                 }
                 Datagram::Ask(ask) => {
                     host.limits.heard(&ask.limit, now);
-                    let grant = self.issue(to, ask.limit.target, ask.number);
+                    let grant = self.answer(to, &ask);
                     self.send(to, addr(from), Datagram::Grant(grant));
                 }
                 Datagram::Grant(grant) => {
@@ -161,17 +160,9 @@
         }
     }
 
-    fn issue(&mut self, n: usize, target: u32, number: u64) -> GrantNote {
-        let now = self.now;
+    fn answer(&mut self, n: usize, ask: &AskNote) -> GrantNote {
         let host = &mut self.hosts[n];
-        let limit = host.limits.rate(target, now).expect("the question told it");
-        if host.peers.place(now) > 0 {
-            return GrantNote { target, number, permits: 0, wait: 100 };
-        }
-        let others = host.peers.wanted_elsewhere(target);
-        let (home, heard) = (host.centre == 0, host.peers.heard_part(now));
-        let share = |own| Share::of(limit, &Claims { own, others: &others, home, heard });
-        host.issuer.ask(target, number, now, share)
+        host.issuer.answer(ask, &host.limits, &host.peers, host.centre == 0, self.now)
     }
 
     /// A request reaches a target, which answers.
@@ -198,7 +189,7 @@
                 let ask = host.limits.ask(target, 1, now).expect("a limit is known");
                 match host.peers.issuer(now) {
                     Some(issuer) if issuer == addr(n) => {
-                        let grant = self.issue(n, target, 1);
+                        let grant = self.answer(n, &ask);
                         self.arrive(n, Arrival::Message(n, Box::new(Datagram::Grant(grant))));
                     }
                     Some(issuer) => self.send(n, issuer, Datagram::Ask(ask)),
