Words on limits are taken also for targets that the own list does not hold yet

What could be seen: a target that had just come and named a limit got all that was asked for, until the host that issues permits had read its record, about a second. Cause: a word on a limit was left where its target was not listed, so the question that bore the word was answered like one for a target without a limit. Change: `Limits` takes the word; only the log line wants the target's name. Words on targets that are not listed (any more) are not told on, since two hosts would hold up each other's for ever. Why it holds: what a question says of the limit is what decides on its answer, whatever else the issuer has read.

--- a/crates/roseshore_core/src/gateway/limits.rs
+++ b/crates/roseshore_core/src/gateway/limits.rs
@@ -194,18 +194,18 @@
     }
 
     /// What is told to other hosts, so many at most, others with each turn; `wanted` says what this host, as the
-    /// issuer, was asked for.
+    /// issuer, was asked for, and none for a target that is not to be told of.
     pub fn notes(
         &mut self,
         most: usize,
-        wanted: impl Fn(TargetMark) -> u16,
+        wanted: impl Fn(TargetMark) -> Option<u16>,
         now: Instant,
     ) -> Vec<LimitNote> {
         let lasting = self.all.iter().filter(|(_, known)| known.rate(now).is_some());
         let note = |(target, known): (&TargetMark, &Limited)| {
-            known.words.current().note(*target, wanted(*target), now)
+            Some(known.words.current().note(*target, wanted(*target)?, now))
         };
-        let mut notes: Vec<LimitNote> = lasting.map(note).collect();
+        let mut notes: Vec<LimitNote> = lasting.filter_map(note).collect();
         notes.sort_unstable_by_key(|note| note.target);
         if notes.len() > most {
             self.turn = self.turn.wrapping_add(1);
--- a/crates/roseshore_core/tests/gateway/limits.rs
+++ b/crates/roseshore_core/tests/gateway/limits.rs
@@ -105,7 +105,7 @@
             "its own word told back is no younger",
             |l, t| {
                 l.named(TARGET, 6.0, t);
-                let own = l.notes(1, |_| 0, t + ms(10))[0];
+                let own = l.notes(1, |_| Some(0), t + ms(10))[0];
                 l.heard(&told(4.0, true, 0, (9, 1)), t + ms(15));
                 l.heard(&LimitNote { age: 0, ..own }, t + ms(16));
                 l.heard(&LimitNote { age: 10, ..own }, t + ms(17));
@@ -132,7 +132,7 @@
     let mut changes = 0;
     for turn in 1..100 {
         let (sent, came) = (begun + ms(turn * 100), begun + ms(turn * 100 + 3));
-        let (from_a, from_b) = (a.notes(9, |_| 0, sent), b.notes(9, |_| 0, sent));
+        let (from_a, from_b) = (a.notes(9, |_| Some(0), sent), b.notes(9, |_| Some(0), sent));
         changes += from_a.iter().filter_map(|note| b.heard(note, came)).count();
         changes += from_b.iter().filter_map(|note| a.heard(note, came)).count();
     }
@@ -153,6 +153,16 @@
     assert_eq!(limits.rate(TARGET, late), None);
 }
 
+#[test]
+fn a_word_on_a_target_that_is_not_listed_binds_and_is_not_told_on() {
+    let begun = Instant::now();
+    let mut limits = Limits::new(1);
+    limits.heard(&told(6.0, false, 0, (2, 1)), begun);
+    assert_eq!(limits.permit(TARGET, begun), Permit::Ask);
+    assert_eq!(limits.notes(9, |_| None, begun), []);
+    assert_eq!(limits.notes(9, |_| Some(0), begun).len(), 1, "once it is listed");
+}
+
 #[test]
 fn a_permit_is_used_once_and_not_late() {
     let begun = Instant::now();
--- a/crates/roseshore_relay/src/entry/limiting.rs
+++ b/crates/roseshore_relay/src/entry/limiting.rs
@@ -64,11 +64,13 @@
         }
     }
 
-    /// Takes what another host tells of limits.
+    /// Takes what another host tells of limits, also of targets that are not listed here yet: permits for them are
+    /// asked for by hosts that have read further.
     pub(super) fn hear_limits(&mut self, from: SocketAddr, notes: &[LimitNote]) {
         for note in notes {
-            let Some(id) = self.targets.marked(note.target).cloned() else { continue };
             if let Some(change) = self.limiting.limits.heard(note, self.now) {
+                let listed = self.targets.marked(note.target).cloned();
+                let id = listed.unwrap_or_else(|| format!("unlisted-{:08x}", note.target));
                 self.tell_limit(&id, change, &format!("host={from} age_ms={}", note.age));
             }
         }
@@ -83,8 +85,12 @@
     /// The limits for the other hosts.
     pub(super) fn limit_notes(&mut self) -> Vec<LimitNote> {
         let now = self.now;
+        let targets = &self.targets;
         let Limiting { limits, issuer, .. } = &mut self.limiting;
-        limits.notes(TOLD, |target| issuer.wanted(target, now), now)
+        // A word on a life that has ended would go round among hosts that hold each other's.
+        let listed = |target| targets.marked(target).is_some();
+        let wanted = |target| listed(target).then(|| issuer.wanted(target, now));
+        limits.notes(TOLD, wanted, now)
     }
 
     /// Forgets limits and buckets that are of no more use.
--- a/crates/roseshore_relay/src/entry/silence.rs
+++ b/crates/roseshore_relay/src/entry/silence.rs
@@ -75,7 +75,9 @@
         // them.
         let Some(path) = exchange.send.as_ref().map(Send::targets) else { return };
         let known = exchange.avoid.clone();
-        path.into_iter().for_each(|target| exchange.avoid.add(target, None));
+        for target in path {
+            exchange.avoid.add(target, None);
+        }
         if self.choose(key).is_some_and(|choice| choice.roomy) {
             return self.failed_by(key, Fault::Silent, Vec::new());
         }
--- a/crates/roseshore_relay/tests/limits.rs
+++ b/crates/roseshore_relay/tests/limits.rs
@@ -113,7 +113,7 @@
             return;
         }
         let issuer = &host.issuer;
-        let limits = host.limits.notes(12, |target| issuer.wanted(target, now), now);
+        let limits = host.limits.notes(12, |target| Some(issuer.wanted(target, now)), now);
         let own = Own { config: 1, limits, ..Own::default() };
         for (to, beat) in host.peers.due(&own, now) {
             self.send(n, to, Datagram::Beat(Box::new(beat)));
