A refusal gives what really binds: a rest or a limit only where a request would be served without it

What callers saw: RS310, the targets want a rest, also where layers were missing, or the route allowed no further target, and one target of the service rested besides; the time to come back was the end of that rest. Cause: the code was given when nothing could be chosen and any target of the service rested. Change: `gateway::Hindrance` asks whether there would be a way after each rest's end, and without the limits; a table of cases holds it. RS310 and RS311 are given for these, with their time; a request of a model whose rest ends within the time that it may be held is held. What a rest or a limit leaves is worked out for these refusals alone, no longer for every request that fails.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
 //! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`outage`] what a missing entry
+//! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`hindrance`] why none can be made, [`outage`] what a missing entry
 //! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
 //! came, [`allowance`] how many sends may be
 //! repeated, [`avoid`] which targets a request is kept from, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
@@ -17,6 +17,7 @@
 pub mod failure;
 pub mod fatal;
 pub mod fingerprint;
+pub mod hindrance;
 pub mod leaving;
 pub mod limits;
 pub mod look;
@@ -39,6 +40,7 @@
 pub use failure::{Fault, Next, Standing};
 pub use fatal::Fatal;
 pub use fingerprint::Fingerprint;
+pub use hindrance::{Hindrance, Wish};
 pub use outage::Outage;
 pub use path::{Hop, Part, PathNeed};
 pub use peers::Peers;
--- a/crates/roseshore_core/src/gateway/targets/intake.rs
+++ b/crates/roseshore_core/src/gateway/targets/intake.rs
@@ -64,11 +64,10 @@
         Some(time)
     }
 
-    /// The shortest time after which a target of a service that rests takes work again; none where none rests.
-    pub fn rest_left(&self, service: &str, now: Instant) -> Option<Duration> {
+    /// When the targets of a service that rest take work again.
+    pub fn rest_ends(&self, service: &str, now: Instant) -> Vec<Instant> {
         let resting = self.of(service).filter(|t| t.open() && t.intake.rests(now));
-        let left = resting.filter_map(|t| t.intake.rest);
-        left.min().map(|until| until.saturating_duration_since(now))
+        resting.filter_map(|t| t.intake.rest).collect()
     }
 
     fn heard(&mut self, mark: TargetMark, now: Instant) -> &mut Intake {
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -9,6 +9,7 @@
     mod fatal_load;
     mod figures;
     mod giving;
+    mod hindrance;
     mod holdings;
     mod intake;
     mod leaving;
--- a/crates/roseshore_core/tests/gateway/intake.rs
+++ b/crates/roseshore_core/tests/gateway/intake.rs
@@ -133,18 +133,18 @@
 }
 
 #[test]
-fn the_shortest_rest_left_is_told_and_words_of_unknown_targets_are_forgotten() {
+fn the_ends_of_rests_are_told_and_words_of_unknown_targets_are_forgotten() {
     let now = Instant::now();
     let mut targets = Targets::default();
     for id in ["a", "b", "c"] {
         targets.put(record(id, 1));
     }
-    assert_eq!(targets.rest_left("plain", now), None);
+    assert_eq!(targets.rest_ends("plain", now), []);
     targets.rests(first(), ms(3_000), now);
     targets.rests(target_mark("b", 1), ms(800), now);
-    assert_eq!(targets.rest_left("plain", now + ms(300)), Some(ms(500)));
-    assert_eq!(targets.rest_left("other", now), None);
-    assert_eq!(targets.rest_left("plain", now + ms(3_000)), None);
+    assert_eq!(targets.rest_ends("plain", now + ms(300)), [now + ms(3_000), now + ms(800)]);
+    assert_eq!(targets.rest_ends("other", now), []);
+    assert_eq!(targets.rest_ends("plain", now + ms(3_000)), []);
     targets.leaves(target_mark("c", 1), now);
     targets.drop("c", Absence::Left);
     targets.tick(now + Duration::from_mins(2));
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -237,8 +237,35 @@
         base.mul_f64(0.75 + 0.5 * self.random.random::<f64>())
     }
 
+    /// Refuses a request whose targets rest; there is a way after so long.
+    pub(super) fn end_by_rest(&mut self, key: Key, rest: Duration) {
+        // Another host may not have been asked for it, so this is no lower bound.
+        let back = |usual: Duration| usual.min(rest);
+        self.end_for(key, Code::TargetsRest, "the targets want a rest", back);
+    }
+
+    /// Refuses a request whose targets take no more a second.
+    pub(super) fn end_by_limit(&mut self, key: Key) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let taken = self.next_taken(&exchange.service.name).unwrap_or_default();
+        // Sooner than that, one of two callers who come back is refused again.
+        let back = |usual: Duration| usual.max(taken).min(COME_BACK_MOST);
+        self.end_for(key, Code::TargetsLimited, "the targets take no more a second", back);
+    }
+
     /// Ends a request without a success.
     pub(super) fn end_without(&mut self, key: Key, code: Code, why: &str) {
+        self.end_for(key, code, why, |usual| usual);
+    }
+
+    /// The same; `back` says when to come back, where it would usually be after so long.
+    fn end_for(
+        &mut self,
+        key: Key,
+        code: Code,
+        why: &str,
+        back: impl FnOnce(Duration) -> Duration,
+    ) {
         let now = self.now;
         self.join_open_send(key);
         let Some(exchange) = self.exchanges.get(key) else { return };
@@ -246,8 +273,6 @@
         let (caller, keep) = (exchange.caller, exchange.head.keep);
         let attempt = exchange.asked.attempt.clone();
         let engine = exchange.service.engine.is_some();
-        let rest = self.targets.rest_left(&exchange.service.name, now);
-        let taken = self.next_taken(&exchange.service.name);
         let fingerprint = exchange.fingerprint;
         let code = match end {
             End::NotRun if code.status() != 503 => Code::NoTarget,
@@ -262,24 +287,12 @@
             }
             End::NotRun => {
                 // A plain service that is full is done with some of it in milliseconds.
-                let back = match self.fatal.blocked(fingerprint, now) {
+                let usual = match self.fatal.blocked(fingerprint, now) {
                     Some(left) => left,
                     None if engine => self.shortage.refused(now),
                     None => COME_BACK,
                 };
-                let back = match rest {
-                    // Another host may not have been asked for it, so this is no lower bound.
-                    Some(left) if code == Code::TargetsRest => back.min(left),
-                    _ => back,
-                };
-                let back = match taken {
-                    // Sooner than that, one of two callers who come back is refused again.
-                    Some(time) if code == Code::TargetsLimited => {
-                        back.max(time).min(COME_BACK_MOST)
-                    }
-                    _ => back,
-                };
-                Refusal::not_run(code, why).after(self.spread(back))
+                Refusal::not_run(code, why).after(self.spread(back(usual)))
             }
             End::Unknown => Refusal::may_have_run(code, why),
         };
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -7,10 +7,10 @@
 use super::{Entry, Role, Timer, note};
 use crate::http;
 use crate::slab::Key;
-use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::failure::{self, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
 use roseshore_core::gateway::targets::Claim;
+use roseshore_core::gateway::{Hindrance, Hop};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Carried;
 use std::net::SocketAddr;
@@ -200,22 +200,20 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let since = *exchange.held.get_or_insert(now);
         let fresh = HOLD_FRESH.min(exchange.route.objective / HOLD_PART);
-        let most = if exchange.out.begun { HOLD_BEGUN } else { fresh };
+        let begun = exchange.out.begun;
+        let most = if begun { HOLD_BEGUN } else { fresh };
         let engine = exchange.service.engine.is_some();
-        let service = exchange.service.name.clone();
-        if best.is_none() && !exchange.out.begun && self.targets.rest_left(&service, now).is_some()
-        {
-            // Nothing that is sent in the time that a request may be held reaches them.
-            return self.end_without(key, Code::TargetsRest, "the targets want a rest");
-        }
-        if best.is_none() && !exchange.out.begun && !self.shut(&service).is_empty() {
-            return self.end_without(
-                key,
-                Code::TargetsLimited,
-                "the targets take no more a second",
-            );
+        let left = (since + most).saturating_duration_since(now);
+        if best.is_none() && !begun {
+            match self.hindrance(key) {
+                Hindrance::Rest(rest) if !engine || rest >= left => {
+                    return self.end_by_rest(key, rest);
+                }
+                Hindrance::Limit => return self.end_by_limit(key),
+                Hindrance::Rest(_) | Hindrance::Other => {}
+            }
         }
-        if !engine || now.saturating_duration_since(since) >= most {
+        if !engine || left.is_zero() {
             let why = best.map_or("no target takes the request".to_owned(), |choice| {
                 let (fill, fullest) = choice.fill;
                 format!("no room: target `{fullest}` would be {fill:.2} full")
@@ -225,20 +223,37 @@
         self.arm(now + HOLD_STEP, Timer::Exchange(key));
     }
 
+    /// Why nothing can be chosen for a request.
+    fn hindrance(&mut self, key: Key) -> Hindrance {
+        let Some(exchange) = self.exchanges.get(key) else { return Hindrance::Other };
+        let rests = self.targets.rest_ends(&exchange.service.name, self.now);
+        let shut = self.shut(&exchange.service.name);
+        Hindrance::of(rests, !shut.is_empty(), self.now, |wish| {
+            let heeded = if wish.limits { shut.as_slice() } else { &[] };
+            self.choose_at(key, wish.at, heeded).is_some()
+        })
+    }
+
     /// The best target or path for a request as it stands; it may lack room.
     pub(super) fn choose(&mut self, key: Key) -> Option<Choice> {
         let exchange = self.exchanges.get(key)?;
         let shut = self.shut(&exchange.service.name);
-        let (now, near) = (self.now, self.settings.data_centre.as_str());
+        self.choose_at(key, self.now, &shut)
+    }
+
+    /// The same by what is known now of a moment, and without the targets that take no more.
+    fn choose_at(&mut self, key: Key, at: Instant, shut: &[TargetId]) -> Option<Choice> {
+        let exchange = self.exchanges.get(key)?;
+        let near = self.settings.data_centre.as_str();
         let bound = exchange.at_bound();
         let starts = bound.then_some(exchange.sent_to.as_slice());
-        let avoid = exchange.avoid.list(now);
+        let avoid = exchange.avoid.list(at);
         let Some(spec) = exchange.service.engine.as_ref() else {
             if bound {
                 return None;
             }
-            let avoid = [avoid, shut].concat();
-            let target = self.targets.plain(&exchange.service.name, near, &avoid, now);
+            let avoid = [&avoid, shut].concat();
+            let target = self.targets.plain(&exchange.service.name, near, &avoid, at);
             let record = &target?.record;
             return Some(Choice::plain(record.id.clone(), record.addr));
         };
@@ -250,10 +265,10 @@
             answer: (expected - written).max(spec.stride),
             near,
             avoid: &avoid,
-            shut: &shut,
+            shut,
             starts,
         };
-        let parts = self.targets.parts(&exchange.service.name, spec, &need, now);
+        let parts = self.targets.parts(&exchange.service.name, spec, &need, at);
         let path = path::choose(&parts, &need, &mut self.random)?;
         let tokens = need.tokens();
         let claim = |(id, _, hop): &(TargetId, SocketAddr, Hop)| {
