The era of a store's reply is judged by a function of its own; names of a target's words say whose they are

Cause: `of_this_era` mixed what an era proves with what follows, so no table could hold it; `Targets::rests` took a wish while `Intake::rests` asked, and `word_of` gave something else than the type `Word`. No decision changed.

--- a/crates/roseshore_core/src/gateway/position.rs
+++ b/crates/roseshore_core/src/gateway/position.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 
 /// A place in a stream of the store; one of a later era is further than any of an earlier one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -21,3 +22,30 @@
         write!(f, "{}:{}", self.era, self.next)
     }
 }
+
+/// What the era of a reply says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyEra {
+    /// The reply is of the era that is known.
+    Known,
+    /// It names a later era, and nothing was read before.
+    First(Era),
+    /// The store has come back from an older copy since.
+    Later(Era),
+    /// The reply, or the offset that it was asked with, is of an earlier era.
+    Stale,
+}
+
+impl ReplyEra {
+    /// Judges a reply that tells an era, if it does, to a question that bore an offset of the era `asked`, if it bore
+    /// one; `fresh` where nothing of the store was read yet.
+    pub fn of(known: Era, asked: Option<Era>, told: Option<Era>, fresh: bool) -> ReplyEra {
+        let era = told.or(asked).unwrap_or(known);
+        match era.cmp(&known) {
+            Ordering::Greater if fresh => ReplyEra::First(era),
+            Ordering::Greater => ReplyEra::Later(era),
+            Ordering::Equal if asked.is_none_or(|asked| asked == known) => ReplyEra::Known,
+            Ordering::Equal | Ordering::Less => ReplyEra::Stale,
+        }
+    }
+}
--- a/crates/roseshore_core/src/gateway/targets/intake.rs
+++ b/crates/roseshore_core/src/gateway/targets/intake.rs
@@ -43,7 +43,7 @@
 impl Targets {
     /// A target says that it leaves; returns whether that is news.
     pub fn leaves(&mut self, mark: TargetMark, now: Instant) -> bool {
-        let intake = self.heard(mark, now);
+        let intake = self.said(mark, now);
         let news = !intake.leaving;
         intake.leaving = true;
         self.apply(mark);
@@ -52,9 +52,14 @@
 
     /// A target wants nothing from this host for a time; returns how long it gets that if it is longer than
     /// what it asked for before.
-    pub fn rests(&mut self, mark: TargetMark, time: Duration, now: Instant) -> Option<Duration> {
+    pub fn wants_rest(
+        &mut self,
+        mark: TargetMark,
+        time: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
         let time = time.min(MOST_REST);
-        let intake = self.heard(mark, now);
+        let intake = self.said(mark, now);
         let until = now + time;
         if intake.rest.is_some_and(|known| known >= until) {
             return None;
@@ -70,7 +75,7 @@
         resting.filter_map(|t| t.intake.rest).collect()
     }
 
-    fn heard(&mut self, mark: TargetMark, now: Instant) -> &mut Intake {
+    fn said(&mut self, mark: TargetMark, now: Instant) -> &mut Intake {
         let intake = Intake::default();
         let heard = self.heard.entry(mark).or_insert(Heard { intake, at: now });
         heard.at = now;
@@ -79,7 +84,7 @@
 
     /// Gives a target what is known of its word.
     fn apply(&mut self, mark: TargetMark) {
-        let intake = self.word_of(mark);
+        let intake = self.intake_of(mark);
         let known = self.marks.get(&mark).and_then(|id| self.all.get_mut(id));
         if let Some(target) = known {
             target.intake = intake;
@@ -87,12 +92,12 @@
     }
 
     /// What the target with a mark said that it takes.
-    pub(super) fn word_of(&self, mark: TargetMark) -> Intake {
+    pub(super) fn intake_of(&self, mark: TargetMark) -> Intake {
         self.heard.get(&mark).map_or(Intake::default(), |heard| heard.intake)
     }
 
     /// Forgets words that bind no longer.
-    pub(super) fn forget_words(&mut self, now: Instant) {
+    pub(super) fn forget_intakes(&mut self, now: Instant) {
         let marks = &self.marks;
         self.heard.retain(|mark, heard| {
             let late = now.saturating_duration_since(heard.at) >= KEPT;
--- a/crates/roseshore_core/src/gateway/targets/list.rs
+++ b/crates/roseshore_core/src/gateway/targets/list.rs
@@ -94,7 +94,7 @@
 
     fn add(&mut self, mut target: Target) {
         target.changed = self.next;
-        target.intake = self.word_of(target.mark);
+        target.intake = self.intake_of(target.mark);
         self.digest ^= target.digest();
         self.marks.insert(target.mark, target.record.id.clone());
         self.all.insert(target.record.id.clone(), target);
@@ -180,7 +180,7 @@
         for target in self.all.values_mut() {
             target.tick(now);
         }
-        self.forget_words(now);
+        self.forget_intakes(now);
         let late = |t: &Target| t.missing.is_some_and(|until| now >= until);
         let gone: Vec<_> =
             self.all.iter().filter(|(_, t)| late(t)).map(|(id, _)| id.clone()).collect();
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -21,6 +21,7 @@
     mod path;
     mod peers;
     mod plan;
+    mod position;
     mod pressure;
     mod reading;
     mod routes;
--- a/crates/roseshore_core/tests/gateway/intake.rs
+++ b/crates/roseshore_core/tests/gateway/intake.rs
@@ -38,13 +38,13 @@
     let case = |name, happens, used| Case { name, happens, used };
     vec![
         case("nothing", |_, _| (), Some(ms(0))),
-        case("rests", |t, now| _ = t.rests(first(), ms(3_000), now), Some(ms(3_000))),
-        case("no time at all", |t, now| _ = t.rests(first(), ms(0), now), Some(ms(0))),
+        case("rests", |t, now| _ = t.wants_rest(first(), ms(3_000), now), Some(ms(3_000))),
+        case("no time at all", |t, now| _ = t.wants_rest(first(), ms(0), now), Some(ms(0))),
         case(
             "a shorter rest after a longer one",
             |t, now| {
-                assert_eq!(t.rests(first(), ms(3_000), now), Some(ms(3_000)));
-                assert_eq!(t.rests(first(), ms(500), now + ms(100)), None);
+                assert_eq!(t.wants_rest(first(), ms(3_000), now), Some(ms(3_000)));
+                assert_eq!(t.wants_rest(first(), ms(500), now + ms(100)), None);
             },
             Some(ms(3_000)),
         ),
@@ -52,7 +52,7 @@
             "a day",
             |t, now| {
                 let day = Duration::from_hours(24);
-                assert_eq!(t.rests(first(), day, now), Some(Duration::from_hours(1)));
+                assert_eq!(t.wants_rest(first(), day, now), Some(Duration::from_hours(1)));
             },
             Some(Duration::from_hours(1)),
         ),
@@ -60,7 +60,7 @@
             "an older answer ends whole",
             |t, now| {
                 t.failed("a", now);
-                t.rests(first(), ms(3_000), now);
+                t.wants_rest(first(), ms(3_000), now);
                 t.worked("a", now + ms(400));
             },
             Some(ms(3_000)),
@@ -68,7 +68,7 @@
         case(
             "drops out and is back",
             |t, now| {
-                t.rests(first(), ms(3_000), now);
+                t.wants_rest(first(), ms(3_000), now);
                 t.drop("a", Absence::Left);
                 t.put(record("a", 1));
             },
@@ -77,7 +77,7 @@
         case(
             "another life",
             |t, now| {
-                t.rests(first(), ms(3_000), now);
+                t.wants_rest(first(), ms(3_000), now);
                 t.leaves(first(), now);
                 t.put(record("a", 2));
             },
@@ -140,8 +140,8 @@
         targets.put(record(id, 1));
     }
     assert_eq!(targets.rest_ends("plain", now), []);
-    targets.rests(first(), ms(3_000), now);
-    targets.rests(target_mark("b", 1), ms(800), now);
+    targets.wants_rest(first(), ms(3_000), now);
+    targets.wants_rest(target_mark("b", 1), ms(800), now);
     assert_eq!(targets.rest_ends("plain", now + ms(300)), [now + ms(3_000), now + ms(800)]);
     assert_eq!(targets.rest_ends("other", now), []);
     assert_eq!(targets.rest_ends("plain", now + ms(3_000)), []);
@@ -170,7 +170,7 @@
             sent += u32::from(now > begun + ms(500));
             targets.failed("a", now);
             if heeded {
-                targets.rests(first(), ms(3_000), now);
+                targets.wants_rest(first(), ms(3_000), now);
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/following/replies.rs
+++ b/crates/roseshore_relay/src/entry/following/replies.rs
@@ -6,6 +6,7 @@
 use super::super::{Entry, note};
 use rand::RngExt;
 use roseshore_core::gateway::outage::Return;
+use roseshore_core::gateway::position::ReplyEra;
 use roseshore_core::gateway::reading;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{CallReply, StoreFault, Stream};
@@ -32,24 +33,26 @@
     /// a page. Another reply says nothing of what was asked for, whatever its status, and the stream is read anew.
     fn of_this_era(&mut self, stream: Stream, asked: Option<Era>, reply: &CallReply) -> bool {
         let known = self.following.era;
-        let era = self.platform.era(reply).unwrap_or(asked.unwrap_or(known));
-        if era > known && self.following.untouched() {
-            // The first word of it.
-            self.following.enter_era(era);
-            return true;
-        }
-        if era > known {
-            self.store_went_back(stream, era);
-            self.follow_one(stream);
-            return false;
-        }
-        if era == known && asked.is_none_or(|asked| asked == known) {
-            return true;
+        let told = self.platform.era(reply);
+        match ReplyEra::of(known, asked, told, self.following.untouched()) {
+            ReplyEra::Known => true,
+            ReplyEra::First(era) => {
+                self.following.enter_era(era);
+                true
+            }
+            ReplyEra::Later(era) => {
+                self.store_went_back(stream, era);
+                self.follow_one(stream);
+                false
+            }
+            ReplyEra::Stale => {
+                let text = format!("stream={stream:?} era={told:?} asked={asked:?} known={known}");
+                note!(self, ReplyDropped, "{text}");
+                let place = self.peers.reading_place(self.now);
+                self.following.stream(stream).due = Some(self.now + reading::backoff(0, place));
+                false
+            }
         }
-        note!(self, ReplyDropped, "stream={stream:?} era={era} asked={asked:?} known={known}");
-        let place = self.peers.reading_place(self.now);
-        self.following.stream(stream).due = Some(self.now + reading::backoff(0, place));
-        false
     }
 
     fn store_went_back(&mut self, stream: Stream, era: Era) {
--- a/crates/roseshore_relay/src/entry/heeding.rs
+++ b/crates/roseshore_relay/src/entry/heeding.rs
@@ -59,7 +59,7 @@
             note!(self, TargetLeft, "target={id} state=leaving by=answer {by}");
         }
         let Some(rest) = said.rest.filter(|_| TURNED_AWAY.contains(&status)) else { return };
-        if let Some(given) = self.targets.rests(mark, rest, now) {
+        if let Some(given) = self.targets.wants_rest(mark, rest, now) {
             let (asked, given) = (rest.as_millis(), given.as_millis());
             let text = format!("target={id} status={status} rest_ms={given} asked_ms={asked} {by}");
             note!(self, TargetRests, "{text}");
