--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -1,14 +1,21 @@
 //! The decisions of an entry host that forwards declared routes.
 //!
-//! [`routes`] is the operator's configuration as one immutable snapshot, [`targets`] is what is
-//! known of the targets, [`plan`] says which layers each engine should hold, [`path`] which engines
-//! a request runs through, [`paces`] how fast these are, [`failure`] what follows a failed send, [`hindrance`] why none can be made, [`outage`] what a missing entry
-//! means, [`leaving`] what a host that stops still takes, [`look`] how late a busy host looks at what
-//! came, [`allowance`] how many sends may be
-//! repeated, [`avoid`] which targets a request is kept from, [`limits`] what targets take from all hosts together, [`peers`] what hosts tell each other, [`reading`] which of them ask the store,
-//! [`position`] how far they have read, [`copies`] what they hand each other of it, and [`currency`] whether the configuration is still
-//! known to be the newest, and [`fingerprint`] what makes two requests the same,
-//! and [`fatal`] which of them end their targets.
+//! What is known:
+//! - [`routes`]: the operator's configuration as one immutable snapshot;
+//! - [`targets`]: the targets; [`paces`]: how fast engines are; [`limits`]: what targets take from all hosts together;
+//! - [`position`], [`currency`]: how far the store was read, and whether the configuration is known to be the newest;
+//! - [`fatal`]: which requests end their targets, by [`fingerprint`].
+//!
+//! What follows for a request:
+//! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is kept from;
+//! - [`failure`]: what follows a failed send; [`allowance`]: how many sends may be repeated;
+//! - [`hindrance`]: why none can be made; [`shortage`]: when its caller should come back;
+//! - [`leaving`]: what a host that stops still takes; [`look`]: how late a busy host looks at what came.
+//!
+//! What hosts do together:
+//! - [`plan`]: the layers that each engine should hold;
+//! - [`peers`]: what hosts tell each other; [`copies`]: what they hand each other of the store;
+//! - [`reading`]: which of them ask the store; [`outage`]: what a missing entry means.
 
 pub mod allowance;
 pub mod avoid;
--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -62,9 +62,8 @@
 pub struct ListCopy {
     /// How far it was read.
     pub next: Position,
-    /// What changed since the asking host's list, or all that is listed. In a crowd of 300 hosts before
-    /// 3,000 targets each change of one record had every host fetch 270 kB, which filled links of
-    /// 20 Mbit/s.
+    /// What changed since the asking host's list, or all that is listed: were it always all, each change of one
+    /// record would fill the links of hosts before thousands of targets.
     pub changes: Changes,
     /// The digest of the list that this leads to.
     pub digest: u64,
--- a/crates/roseshore_core/src/gateway/paces.rs
+++ b/crates/roseshore_core/src/gateway/paces.rs
@@ -8,8 +8,7 @@
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// Each engine is asked once in this time. A report is 0.2 s old, so a change is known after 0.7 s on
-/// average; 33 engines asked each second cost their host 0.01 of a core.
+/// Each engine is asked once in this time.
 pub const ASK_EVERY: Duration = Duration::from_secs(1);
 /// Engines that are asked in one turn at most, so that 1,000 of them do not take the whole host.
 pub const MOST_ASKED: usize = 24;
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -11,8 +11,7 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 
-/// Handing a token on inside a data centre, ms: a measured path of five parts took about 1 ms more
-/// a step for each part than its steps alone.
+/// Handing a token on inside a data centre, ms.
 pub(super) const HOP_MS: f64 = 0.6;
 /// How much dearer a part's time is when its cache is full: what is nearly full is left to those
 /// that have nothing else. The fourth power keeps it small up to half full.
@@ -21,11 +20,10 @@
 /// costs to begin at one whose slots are all taken, ms, falling with the fourth power: where an equal
 /// engine holds the first layers too, that is taken well before.
 const START_MS: f64 = 600.0;
-/// What each request costs that waits there for another one to end, ms: of 192 answers of three seconds one
-/// ends each 16 ms.
+/// What each request costs that waits there for another one to end, ms: of some hundred answers of a few seconds one
+/// ends about so often.
 const WAIT_MS: f64 = 16.0;
-/// Requests that may wait there. With 30 to 50 at the one engine that held the first layers, all of 60
-/// streams a second had their first event after 0.45 to 0.8 s, where 0.05 s was predicted.
+/// Requests that may wait there: more would make the first events of all late, not predicted so.
 const MOST_WAITING: f64 = 10.0;
 /// Part of an answer that counts as written.
 const WRITTEN: f64 = 0.6;
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -28,8 +28,7 @@
 const COUNTED: Duration = Duration::from_secs(10);
 
 /// The order in which hosts speak, read the store and give orders: the ablest first, by address
-/// among equals. On a calm day with 295 hosts the busiest, which spoke for 60, took 0.017 of a core, the
-/// mean was 0.005: a seventh of the smallest hosts' share, and a thirtieth of the largest ones'.
+/// among equals, since speaking for a data centre takes several times what a host needs besides.
 pub(super) type Rank = (Reverse<u16>, SocketAddr);
 
 /// The rank of a host.
--- a/crates/roseshore_core/src/gateway/plan/copies.rs
+++ b/crates/roseshore_core/src/gateway/plan/copies.rs
@@ -15,9 +15,8 @@
 /// Engines that together hold one copy, with their kinds.
 pub(super) type Group<'a> = Vec<(&'a Member, &'a Kind)>;
 
-/// A kind and how many engines of it there are. What a group carries depends on nothing else: looked at
-/// engine by engine, the split of 368 engines took 544 ms of a core, in which a host of 0.12 cores
-/// says nothing for 4.5 s.
+/// A kind and how many engines of it there are. What a group carries depends on nothing else; looked at engine by
+/// engine, a split of hundreds would hold a small host up for seconds, in which it says nothing.
 type Count<'a> = (&'a Kind, usize);
 
 /// Engines of a kind, and the layers that each of them holds.
--- a/crates/roseshore_core/src/gateway/plan/giving.rs
+++ b/crates/roseshore_core/src/gateway/plan/giving.rs
@@ -2,10 +2,9 @@
 //!
 //! The first living host gives them. The next few work out the same repairs from the same list, and
 //! wait in case those before them cannot act; what another host is seen to order counts as acting. Two
-//! hosts with views of their own that both take steps undo each other's: a layer then had no holder
-//! for 12 s, though nothing was lost. And when every host acted after six seconds, 300 of them asked 1,000
-//! engines each for reports while the first was still giving its orders, and 0.25 of a day's worth
-//! went into that.
+//! hosts with views of their own that both take steps undo each other's, and a layer has no holder though nothing was
+//! lost. And were every host to act after a while, all of them would ask all engines for reports while the first is
+//! still giving its orders.
 
 use super::Layers;
 use crate::prelude::*;
--- a/crates/roseshore_core/src/gateway/plan/pressure.rs
+++ b/crates/roseshore_core/src/gateway/plan/pressure.rs
@@ -5,14 +5,13 @@
 use crate::prelude::*;
 
 /// From this share of the fullest layer's room on, steps to a better placement are taken. Below it
-/// nobody is refused for want of room, and loads only make answers late: with steps at any load, 25 in
-/// 100 on three data centres of 30 engines that lost some, 5 in 100 without. Higher than this, data
-/// centres of 10 engines are widened too late: worth 0.517 at 0.7 against 0.529.
+/// nobody is refused for want of room, and loads only make answers late; much higher, small data centres are widened
+/// too late.
 const STEP_FILL: f64 = 0.6;
 /// How much of a new measurement counts; with one each 200 ms, a burst of one second does.
 const WEIGHT: f64 = 0.2;
-/// Engines that may be under an order for a step to be taken. With no bound, fourteen engines one after
-/// the other moved to one narrow place before the first had loaded.
+/// Engines that may be under an order for a step to be taken. With no bound, one engine after the other would move
+/// to one narrow place before the first has loaded.
 const UNSETTLED: usize = 4;
 
 /// What an engine holds, and how much of it is taken.
--- a/crates/roseshore_core/src/gateway/reading.rs
+++ b/crates/roseshore_core/src/gateway/reading.rs
@@ -8,8 +8,7 @@
 
 /// How long a read of the configuration waits for a change. Each read has a price; but a store that
 /// drops its history may leave a waiting read unanswered while changes are made, and a change has
-/// to be in force two seconds after it was made. One host reads for all, so with two seconds
-/// here one was seen in force after 2.1.
+/// to be in force two seconds after it was made: one host reads for all, so its wait has to leave time to tell them.
 pub const CONFIG_WAIT: Duration = Duration::from_millis(1100);
 /// Between reads of the list of targets by the first host: well within the bound for leaving
 /// targets. The others compare digests with it.
@@ -22,13 +21,11 @@
 /// The first wait after a failed call, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
 /// The shortest wait of a host that is not among the first to read: those try all the while, and
-/// tell it when the store is back. With every host trying each 0.9 s, 23 hosts called a store that
-/// was down for eight seconds 478 times.
+/// tell it when the store is back. Were it to try as often, calls to a store that is down would grow with the hosts.
 const AWAY_AGAIN: Duration = Duration::from_millis(2500);
 /// A host that has begun listens for so long before it reads the store, and so much longer for each
 /// place in the order of hosts: who lives answers within some milliseconds, and has a copy; when all
-/// begin together the first reads, and the others have its copy 0.1 s later. With every host reading
-/// for itself, 23 hosts made 105 calls in their first seconds.
+/// begin together the first reads, and the others have its copy soon after.
 const LISTEN: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(100));
 /// The same where the whole system starts for the first time, since all begin within 0.3 s.
 const LISTEN_FIRST: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(500));
--- a/crates/roseshore_core/src/gateway/shortage.rs
+++ b/crates/roseshore_core/src/gateway/shortage.rs
@@ -19,8 +19,8 @@
 
 impl Shortage {
     /// A request is refused; returns when its caller should come back. Nothing says when a shortage
-    /// ends, but one that has lasted long is seldom over soon: with 2.4 s always, of the callers who
-    /// came back into 10 s with room for three in four 0.35 were refused again, with this 0.15.
+    /// ends, but one that has lasted long is seldom over soon: callers who came back in the same time always would be
+    /// refused again more often.
     pub fn refused(&mut self, now: Instant) -> Duration {
         let goes_on = self.latest.is_some_and(|at| now.saturating_duration_since(at) <= OVER);
         let since = self.since.filter(|_| goes_on).unwrap_or(now);
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -6,8 +6,7 @@
 //! have lapsed for no fault of the target, and it stays for the time in which it would come back.
 //!
 //! What is asked for with every heartbeat and datagram is kept up with each change: worked out anew
-//! for each record, the digest made a list of 1,000 targets cost 415 ms of a core and one of 3,000
-//! cost 3.4 s, so that hosts of 0.12 cores stood still for seconds whenever a list came.
+//! for each record, the digest of a list of thousands would make small hosts stand still for seconds.
 
 mod intake;
 mod list;
--- a/crates/roseshore_core/src/gateway/targets/intake.rs
+++ b/crates/roseshore_core/src/gateway/targets/intake.rs
@@ -3,8 +3,7 @@
 //! A target says in its answers that it leaves, or that it wants nothing from this host for a while. That is
 //! its own word, so neither the list nor an answer that ends later undoes it, and it is kept apart from the
 //! list's records: an entry may drop out, or be read from an older copy of the store, and come back in the
-//! same life. Heard as a failure like any other and forgotten with the next whole answer, a time of three
-//! seconds brought an engine five requests of one host within it.
+//! same life. It is no failure either, which the next whole answer would make good.
 
 use super::{Target, Targets};
 use crate::gateway::peers::TargetMark;
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -10,8 +10,7 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long an engine takes at most to be done with what passes through layers that it gives up:
-/// an answer of usual length takes 2 to 4 s on loaded engines.
+/// How long an engine usually takes at most to be done with what passes through layers that it gives up.
 const CLEAR_TIME: Duration = Duration::from_secs(3);
 
 /// The layers an engine holds.
@@ -51,9 +50,9 @@
     }
 }
 
-/// What a target was said to hold. Without the bound, one word that came after a newer list was
-/// believed until the target's next change: the other hosts of a data centre then counted a part
-/// as narrower than it was, and refused for twenty seconds while one host served alone.
+/// What a target was said to hold. Without the bound, one word that came after a newer list would be
+/// believed until the target's next change: the other hosts of a data centre would count a part
+/// as narrower than it is, and refuse while one host serves alone.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Learned {
     /// None where it was shown not to hold what the list says.
@@ -63,8 +62,7 @@
 }
 
 /// What was said of the layers that a target holds. Hosts pass such words on at once, so they are numbered: without
-/// an order, two hosts that had heard different words told each other theirs again and again, and
-/// spent 83 s of processor time in a day in place of 9.
+/// an order, two hosts that had heard different words would tell each other theirs for ever.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Word {
     /// Grows with each word since the list last changed.
@@ -83,8 +81,8 @@
 }
 
 /// An engine that gives layers up keeps their weights until what passes through them is done, and
-/// has no more room before. Counted as free at once, that room made engines turn away requests
-/// which their hosts took them to have room for.
+/// has no more room before. Counted as free at once, that room would make engines turn away requests
+/// which their hosts take them to have room for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Clearing {
     /// Layers whose weights it still keeps.
