The first engine of a path is not blamed when a later engine ends

Cause: the first engine of a path relays the output of the later ones, so it breaks the stream off when one of them ends. The host attributed this to the first engine: the request avoided it for its whole duration, and all requests of the host avoided it for a quarantine. A route allows two targets, so no path was left after two such cuts.

Change: `Fault::blame` distinguishes a target that failed, a target that had no room, and a lost connection or cut answer on a path of several engines. In the last case the host checks whether the first engine is alive, and only this request avoids it, for 0.25 s; other requests continue to use it.

--- a/crates/roseshore_core/src/gateway/avoid.rs
+++ b/crates/roseshore_core/src/gateway/avoid.rs
@@ -1,8 +1,9 @@
 //! Which targets a request is not sent to again.
 //!
-//! A target that failed a request is left out for the rest of it. One that only had no room is left out as long as
-//! its quarantine lasts: it may be the only one that holds some layers, and a stream that has begun would break off
-//! though the engine has room again after a moment.
+//! A target that failed a request is avoided for the rest of it. One that only had no room is avoided until its
+//! quarantine ends. The first engine of a path is avoided for a short fixed time when it may have broken off because a
+//! later engine ended. Either may be the only one that holds some layers, so avoiding it for longer would break off
+//! streams that it can serve again.
 
 use crate::prelude::*;
 
--- a/crates/roseshore_core/src/gateway/failure.rs
+++ b/crates/roseshore_core/src/gateway/failure.rs
@@ -38,6 +38,16 @@
         matches!(self, Fault::Refused | Fault::Garbled | Fault::Failed)
     }
 
+    /// How far the fault is attributed to its target, on a path of `hops` engines (0 for a plain service).
+    pub fn blame(self, hops: usize) -> Blame {
+        match self {
+            Fault::Refused => Blame::Busy,
+            // The first engine relays the output of the later ones, so its answer is cut when any of them ends.
+            Fault::Lost | Fault::Cut if hops > 1 => Blame::Unknown,
+            _ => Blame::Failed,
+        }
+    }
+
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -52,6 +62,17 @@
     }
 }
 
+/// How far a fault is attributed to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blame {
+    /// The target failed.
+    Failed,
+    /// The target had no room and is expected to have some again.
+    Busy,
+    /// The target or a later engine of its path failed.
+    Unknown,
+}
+
 /// Sends of one request, whatever else allows more: each costs its target work.
 pub const MOST_SENDS: u32 = 4;
 
--- a/crates/roseshore_core/tests/gateway/failure.rs
+++ b/crates/roseshore_core/tests/gateway/failure.rs
@@ -1,6 +1,6 @@
 //! What follows a failed send.
 
-use roseshore_core::gateway::failure::{End, Fault, MOST_SENDS, Next, Standing, next};
+use roseshore_core::gateway::failure::{Blame, End, Fault, MOST_SENDS, Next, Standing, next};
 use roseshore_core::prelude::*;
 
 struct Case {
@@ -50,3 +50,33 @@
         assert_eq!(next(&standing), case.next, "{}", case.name);
     }
 }
+
+struct BlameCase {
+    name: &'static str,
+    fault: Fault,
+    hops: usize,
+    blame: Blame,
+}
+
+const fn blame_case(name: &'static str, fault: Fault, hops: usize, blame: Blame) -> BlameCase {
+    BlameCase { name, fault, hops, blame }
+}
+
+#[test]
+fn the_first_engine_is_not_blamed_for_the_end_of_a_later_one() {
+    let cases = [
+        blame_case("plain service, lost", Fault::Lost, 0, Blame::Failed),
+        blame_case("one engine, cut", Fault::Cut, 1, Blame::Failed),
+        blame_case("two engines, cut", Fault::Cut, 2, Blame::Unknown),
+        blame_case("two engines, lost", Fault::Lost, 2, Blame::Unknown),
+        blame_case("two engines, refused", Fault::Refused, 2, Blame::Busy),
+        blame_case("plain service, refused", Fault::Refused, 0, Blame::Busy),
+        blame_case("two engines, not sent", Fault::NotSent, 2, Blame::Failed),
+        blame_case("two engines, garbled", Fault::Garbled, 2, Blame::Failed),
+        blame_case("two engines, silent", Fault::Silent, 2, Blame::Failed),
+        blame_case("two engines, failed", Fault::Failed, 2, Blame::Failed),
+    ];
+    for case in cases {
+        assert_eq!(case.fault.blame(case.hops), case.blame, "{}", case.name);
+    }
+}
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -7,7 +7,7 @@
 use super::{Entry, Role, Timer, note};
 use crate::http;
 use crate::slab::Key;
-use roseshore_core::gateway::failure::{self, Fault, Next};
+use roseshore_core::gateway::failure::{self, Blame, Fault, Next};
 use roseshore_core::gateway::path::{self, PathNeed};
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::gateway::{Hindrance, Hop};
@@ -23,6 +23,8 @@
 const HOLD_PART: u32 = 8;
 /// How long a stream that has begun is kept: its caller leaves after two seconds of silence.
 const HOLD_BEGUN: Duration = Duration::from_millis(1300);
+/// How long a request avoids a target after a fault with [`Blame::Unknown`].
+const AVOID_UNKNOWN_BLAME: Duration = Duration::from_millis(250);
 /// How often a kept request looks for room.
 const HOLD_STEP: Duration = Duration::from_millis(35);
 
@@ -299,6 +301,7 @@
         exchange.verdict = exchange.verdict.join(fault.verdict());
         let waited = now.saturating_duration_since(send.sent).as_millis();
         let first = send.target.clone();
+        let blame = fault.blame(send.path.len());
         let path = send.targets().join(",");
         let text = format!(
             "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
@@ -329,12 +332,7 @@
             if !(fault.shows_life() && *culprit == first) {
                 self.check_alive(culprit);
             }
-            if self.targets.failed(culprit, now) {
-                note!(self, TargetLost, "target={culprit} fault={}", fault.name());
-            }
-            let refused = fault == Fault::Refused;
-            // It may be the only one of its layers, and has room again when others end.
-            let until = self.targets.quarantine(culprit).filter(|_| refused);
+            let until = self.record_fault(culprit, blame, fault);
             if let Some(exchange) = self.exchanges.get_mut(key) {
                 exchange.avoid.add(culprit.clone(), until);
             }
@@ -343,6 +341,20 @@
         self.follow_fault(key, fault);
     }
 
+    /// Records a fault of a target, unless the blame is unknown. Returns until when the request avoids the target, or
+    /// `None` for the rest of the request.
+    fn record_fault(&mut self, culprit: &TargetId, blame: Blame, fault: Fault) -> Option<Instant> {
+        let now = self.now;
+        if blame == Blame::Unknown {
+            return Some(now + AVOID_UNKNOWN_BLAME);
+        }
+        if self.targets.failed(culprit, now) {
+            note!(self, TargetLost, "target={culprit} fault={}", fault.name());
+        }
+        // A busy target may be the only one that holds its layers, and has room again when other requests end.
+        self.targets.quarantine(culprit).filter(|_| blame == Blame::Busy)
+    }
+
     /// Sends a request again or ends it.
     fn follow_fault(&mut self, key: Key, fault: Fault) {
         let now = self.now;
