An answer that has begun waits for a chain instead of failing as soon as none is available

What callers saw: 502 RS303, "no live chain of targets covers all layers", 0.51 s after the call, long before its deadline (listed test `a_leaving_target_gets_no_new_work`). Streams are broken off in the same way.

Cause: a target that stays silent for its bound (0.5 s for opening a stream) is out of use for 0.25 s. If the host of the other chain is leaving, no chain is available for that time, and the answer's state machine refused an answer that may have run at once.

The log of its daemon shows E302 cause=silent epoch=1, E605 "out of use for a while" for the only first stage, and E202 RS303, all at the same moment; the 510 ms that the caller measured match the bound of 500 ms. No other place returns that code with that text.

Change: an answer that may have run asks the router again every 0.1 s, for at most 3 s and within its deadline. These requests no longer avoid the targets that failed the answer, since the router knows which targets are out of use. An answer that has not begun is refused at once, as before.

`World::hears_all` and the new test read metrics through `Caller::metric`.

--- a/crates/roseshore_core/src/answer/avoid.rs
+++ b/crates/roseshore_core/src/answer/avoid.rs
@@ -35,6 +35,12 @@
         all
     }
 
+    /// Removes all targets. Unlike [`Avoid::forgive`], this is not limited to once per answer.
+    pub fn clear(&mut self) {
+        self.failed.clear();
+        self.suspects.clear();
+    }
+
     /// Forgives some; false when there is nothing left to forgive.
     pub fn forgive(&mut self) -> bool {
         if !self.suspects.is_empty() {
--- a/crates/roseshore_core/src/answer/machine.rs
+++ b/crates/roseshore_core/src/answer/machine.rs
@@ -22,6 +22,8 @@
 const MOVE_FLOOR: Duration = Duration::from_millis(100);
 /// Time after which a handover that found no chain is tried again.
 const HANDOVER_PAUSE: Duration = Duration::from_secs(1);
+/// Interval between requests for a route while no chain is available.
+const CHAIN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Bounds of one answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,6 +40,8 @@
     pub rates: Rates,
     /// When to come back after a refusal without a time of its own.
     pub after: Duration,
+    /// How long an answer that may have run waits for a chain at most; a failed target is out of use only for a time.
+    pub chain_wait: Duration,
 }
 
 impl Default for Rules {
@@ -49,6 +53,7 @@
             routes: 16,
             rates: Rates::default(),
             after: Duration::from_secs(1),
+            chain_wait: Duration::from_secs(3),
         }
     }
 }
@@ -116,6 +121,8 @@
     handing: Option<TargetId>,
     handed: Option<Instant>,
     after: Option<Duration>,
+    /// End of the wait for a chain; set when the router finds none.
+    chain_deadline: Option<Instant>,
 }
 
 impl Answer {
@@ -149,6 +156,7 @@
             handing: None,
             handed: None,
             after: None,
+            chain_deadline: None,
         }
     }
 
@@ -255,7 +263,12 @@
             Phase::Prefill | Phase::Decode => {
                 self.give_up(now, Cause::Silent, Blame::Silent, out);
             }
-            Phase::Routing | Phase::Over => {}
+            Phase::Routing => {
+                // The router itself excludes the targets that are still out of use.
+                self.avoid.clear();
+                self.ask_route(false, out);
+            }
+            Phase::Over => {}
         }
     }
 }
--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -1,6 +1,6 @@
 //! Taking a route, leaving one that still works for another, and asking for the next.
 
-use super::{Answer, HANDOVER_PAUSE, MOVE_FACTOR, MOVE_FLOOR, Phase};
+use super::{Answer, CHAIN_RETRY_INTERVAL, HANDOVER_PAUSE, MOVE_FACTOR, MOVE_FLOOR, Phase};
 use crate::answer::lineage;
 use crate::answer::message::{Action, Route};
 use crate::cost::{self, Plan};
@@ -35,6 +35,7 @@
         let targets = route.stages.iter().map(|s| s.target.as_str()).collect::<Vec<_>>();
         out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
         self.pace.predict(route.first, route.between);
+        self.chain_deadline = None;
         self.stages = route.stages;
         self.silent = vec![None; self.stages.len()];
         match plan {
@@ -83,6 +84,12 @@
             self.ask_route(false, out);
             return;
         }
+        let deadline = *self.chain_deadline.get_or_insert(now + self.rules.chain_wait);
+        // An answer that has not begun is refused at once, since the caller can retry it safely.
+        if self.began && now < deadline {
+            self.quiet = now + CHAIN_RETRY_INTERVAL;
+            return;
+        }
         self.refuse(refusal, out);
     }
 
--- a/crates/roseshore_core/tests/answer.rs
+++ b/crates/roseshore_core/tests/answer.rs
@@ -155,6 +155,79 @@
     }
 }
 
+/// A failure of all engines of one layer range at a given step, and the expected result.
+struct Outage {
+    name: &'static str,
+    step: &'static str,
+    /// Index into [`RANGES`].
+    range: usize,
+    /// How long the engines are dead; `None` if they do not come back.
+    duration_ms: Option<u64>,
+    /// The code of the refusal and its latest time after the failure, in milliseconds; `None` if the answer is whole.
+    refused: Option<(Code, u64)>,
+}
+
+/// Guards against refusing an answer that has begun while its targets are out of use for a short time.
+#[test]
+fn an_answer_that_has_begun_waits_for_a_chain() {
+    let cases = [
+        Outage {
+            name: "short outage",
+            step: "middle token",
+            range: 1,
+            duration_ms: Some(400),
+            refused: None,
+        },
+        Outage {
+            name: "long outage",
+            step: "first token",
+            range: 2,
+            duration_ms: Some(2_500),
+            refused: None,
+        },
+        Outage {
+            name: "permanent outage",
+            step: "middle token",
+            range: 1,
+            duration_ms: None,
+            refused: Some((Code::TargetLost, 3_500)),
+        },
+        Outage {
+            name: "permanent outage before the answer began",
+            step: "before open",
+            range: 0,
+            duration_ms: None,
+            refused: Some((Code::NoRoute, 100)),
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(rules());
+        let step = STEPS.iter().find(|step| step.name == case.step).expect("a known step");
+        if step.name != "before open" {
+            world.act();
+            assert!(run_until(&mut world, step), "{}", case.name);
+        }
+        let start = world.now;
+        all(&mut world, case.range, State::Dead);
+        world.act();
+        let recovery = case.duration_ms.map(|ms| start + Duration::from_millis(ms));
+        while world.end.is_none() {
+            if recovery.is_some_and(|at| world.now >= at) {
+                all(&mut world, case.range, State::Live);
+                world.failed.clear();
+            }
+            world.step();
+        }
+        let Some((code, limit_ms)) = case.refused else {
+            assert_whole(&world, case.name);
+            continue;
+        };
+        let Some(Err(refusal)) = &world.end else { panic!("{}: {:?}", case.name, world.end) };
+        assert_eq!(refusal.code, code, "{}", case.name);
+        assert!(world.now <= start + Duration::from_millis(limit_ms), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_deadline_ends_the_answer_at_once() {
     for step in STEPS.iter().skip(1) {
--- a/crates/roseshore_core/tests/answer/world.rs
+++ b/crates/roseshore_core/tests/answer/world.rs
@@ -53,7 +53,8 @@
     /// Whether further attempts are denied.
     pub(crate) deny: bool,
     stream: Option<Stream>,
-    failed: BTreeSet<TargetId>,
+    /// Targets reported as failed, which the router excludes.
+    pub(crate) failed: BTreeSet<TargetId>,
     actions: Vec<Action>,
 }
 
--- a/crates/roseshore_harness/src/caller.rs
+++ b/crates/roseshore_harness/src/caller.rs
@@ -166,6 +166,13 @@
         json_of(self.agent.post(format!("http://{to}{path}")).send_json(body))
     }
 
+    /// The value of a daemon's metric, by its name with labels; `None` when no reply comes or it has no such metric.
+    pub fn metric(&self, daemon: SocketAddr, name: &str) -> Option<usize> {
+        let page = self.get(daemon, "/metrics").ok()?;
+        let mut lines = page.as_str()?.lines();
+        lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// The status of a path; `None` when no reply comes.
     pub fn status(&self, to: SocketAddr, path: &str) -> Option<u16> {
         let reply = self.agent.get(format!("http://{to}{path}")).call().ok()?;
--- a/crates/roseshore_harness/src/world.rs
+++ b/crates/roseshore_harness/src/world.rs
@@ -178,10 +178,7 @@
     /// Whether a daemon knows that every target answers. One that has heard of a single chain is ready, and has no
     /// other one yet when that is lost.
     pub fn hears_all(&self, daemon: &Daemon) -> bool {
-        let page = self.caller.get(daemon.addr, "/metrics").unwrap_or_default();
-        let lines = page.as_str().unwrap_or_default().lines();
-        let mut counts = lines.filter_map(|l| l.strip_prefix(ANSWERING)?.trim().parse().ok());
-        counts.any(|count: usize| count == self.plan.fleet.targets.len())
+        self.caller.metric(daemon.addr, ANSWERING) == Some(self.plan.fleet.targets.len())
     }
 
     /// Starts a daemon, not yet on the host list.
--- a/crates/roseshore_harness/tests/faults.rs
+++ b/crates/roseshore_harness/tests/faults.rs
@@ -206,6 +206,33 @@
     }
 }
 
+/// Guards against losing an answer when a stage of the only remaining chain stalls for a short time and fails its
+/// liveness check, while the host of the other chain is leaving.
+#[test]
+fn an_answer_survives_a_stall_of_the_only_remaining_chain() {
+    const STALL: Duration = Duration::from_secs(1);
+    let world = world(Shape { chains: 2, ..Shape::default() }, 1);
+    let daemon = world.daemons[0].addr;
+    let leaving = json!({ "host": "host-north-0-0" });
+    world.caller.post(world.log, "/_hosts/leave", &leaving).expect("listed");
+    let left = wait_until(|| world.caller.metric(daemon, LEFT).is_some_and(|count| count > 0));
+    assert!(left, "the daemon did not take the leaving host out of use");
+    let chat = Chat { service: CHAT, prompt: "a long answer", tokens: 400 };
+    let stage = &world.targets["north-1-0"];
+    let got = thread::scope(|scope| {
+        world.caller.stream(daemon, &chat, &Marks::of(CUSTOMER), |count| {
+            if count == 5 {
+                stage.freeze();
+                scope.spawn(|| {
+                    thread::sleep(STALL);
+                    stage.thaw();
+                });
+            }
+        })
+    });
+    assert!(got.whole && got.joined() == fleets::text(&chat), "{got:?}");
+}
+
 #[test]
 fn a_leaving_daemon_takes_no_new_work_and_finishes_what_it_has() {
     let world = world(Shape::default(), 2);
