Refused sends do not count against the send limit of a stream that has begun

Cause: a request gets at most four sends, since each costs its target work. Refused sends counted as well. The traced request had been refused once before it ran. After the cut, two engines that had no room refused it within 3 ms, and it was broken off with "the target takes no more", although its caller tolerates two seconds of silence.

Change: for a stream that has begun, refused sends are not counted. The stream waits for room, as it does when no path has any. The retry allowance, the quarantine of the refusing engine and the limit of 1.3 s for each wait still apply. Other requests end as before: a refusal tells their callers when to come back.

--- a/crates/roseshore_core/src/gateway/failure.rs
+++ b/crates/roseshore_core/src/gateway/failure.rs
@@ -38,7 +38,7 @@
         matches!(self, Fault::Refused | Fault::Garbled | Fault::Failed)
     }
 
-    /// How far the fault is attributed to its target, on a path of `hops` engines (0 for a plain service).
+    /// Attributes the fault, for a send over a path of `hops` engines (0 for a plain service).
     pub fn blame(self, hops: usize) -> Blame {
         match self {
             Fault::Refused => Blame::Busy,
@@ -62,18 +62,18 @@
     }
 }
 
-/// How far a fault is attributed to a target.
+/// The attribution of a fault to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Blame {
     /// The target failed.
     Failed,
-    /// The target had no room and is expected to have some again.
+    /// The target temporarily has no room.
     Busy,
     /// The target or a later engine of its path failed.
     Unknown,
 }
 
-/// Sends of one request, whatever else allows more: each costs its target work.
+/// Most sends of one request that may cost their targets work, whatever else allows more.
 pub const MOST_SENDS: u32 = 4;
 
 /// Where a request stands when a send fails.
@@ -87,6 +87,8 @@
     pub verdict: Verdict,
     /// Sends so far.
     pub sends: u32,
+    /// Sends so far that a target refused to run.
+    pub refused: u32,
     /// Time left.
     pub left: Duration,
     /// The shortest time in which another send makes sense.
@@ -127,6 +129,9 @@
 /// What follows a fault.
 pub fn next(standing: &Standing) -> Next {
     let may = standing.verdict.may_retry(standing.idempotent);
-    let room = standing.sends < MOST_SENDS && standing.left >= standing.least;
+    // Refused sends cost their targets no work. They count only before the answer has begun, when the request can
+    // still be refused.
+    let counted_sends = standing.sends - if standing.begun { standing.refused } else { 0 };
+    let room = counted_sends < MOST_SENDS && standing.left >= standing.least;
     if may && room { Next::Again } else { Next::End(end(standing)) }
 }
--- a/crates/roseshore_core/tests/gateway/failure.rs
+++ b/crates/roseshore_core/tests/gateway/failure.rs
@@ -9,12 +9,13 @@
     idempotent: bool,
     begun: bool,
     sends: u32,
+    refused: u32,
     left_ms: u64,
     next: Next,
 }
 
 const fn case(name: &'static str, fault: Fault, idempotent: bool, next: Next) -> Case {
-    Case { name, fault, idempotent, begun: false, sends: 1, left_ms: 500, next }
+    Case { name, fault, idempotent, begun: false, sends: 1, refused: 0, left_ms: 500, next }
 }
 
 #[test]
@@ -36,6 +37,23 @@
         Case { left_ms: 10, ..case("no time, lost", Fault::Lost, true, end(End::Unknown)) },
         Case { begun: true, ..case("begun, cut", Fault::Cut, true, Next::Again) },
         Case { begun: true, ..case("begun, once only", Fault::Cut, false, end(End::Break)) },
+        Case {
+            begun: true,
+            sends: MOST_SENDS,
+            refused: 3,
+            ..case("begun, refused three times", Fault::Refused, true, Next::Again)
+        },
+        Case {
+            begun: true,
+            sends: MOST_SENDS + 3,
+            refused: 3,
+            ..case("begun, refused and cut too often", Fault::Cut, true, end(End::Break))
+        },
+        Case {
+            sends: MOST_SENDS,
+            refused: 3,
+            ..case("not begun, refused three times", Fault::Refused, true, end(End::NotRun))
+        },
         Case { begun: true, left_ms: 0, ..case("begun, late", Fault::Cut, true, end(End::Break)) },
     ];
     for case in cases {
@@ -44,6 +62,7 @@
             begun: case.begun,
             verdict: case.fault.verdict(),
             sends: case.sends,
+            refused: case.refused,
             left: Duration::from_millis(case.left_ms),
             least: Duration::from_millis(60),
         };
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -43,6 +43,8 @@
     /// When the caller or the operator wants an end.
     pub(super) until: Instant,
     pub(super) sends: u32,
+    /// Sends so far that a target refused to run.
+    pub(super) refused: u32,
     pub(super) verdict: Verdict,
     /// Whether a send may have reached its target, so that the next one is a repeat.
     pub(super) arrived: bool,
@@ -82,6 +84,7 @@
             begun: self.out.begun,
             verdict: self.verdict,
             sends: self.sends,
+            refused: self.refused,
             left: self.until.saturating_duration_since(now),
             least: LEAST,
         }
@@ -196,6 +199,7 @@
             begun: self.came,
             until,
             sends: 0,
+            refused: 0,
             verdict: Verdict::NotRun,
             arrived: false,
             avoid: Avoid::default(),
--- a/crates/roseshore_relay/src/entry/sends.rs
+++ b/crates/roseshore_relay/src/entry/sends.rs
@@ -319,6 +319,7 @@
             send.leaving,
             culprits.join(","),
         );
+        exchange.refused += u32::from(fault == Fault::Refused);
         if fault == Fault::NotSent {
             exchange.sent_to.retain(|sent| *sent != first);
         } else {
@@ -341,8 +342,8 @@
         self.follow_fault(key, fault);
     }
 
-    /// Records a fault of a target, unless the blame is unknown. Returns until when the request avoids the target, or
-    /// `None` for the rest of the request.
+    /// Records a fault of a target, unless the blame is unknown. Returns the time until which the request avoids the
+    /// target, or `None` if it avoids the target until the request ends.
     fn record_fault(&mut self, culprit: &TargetId, blame: Blame, fault: Fault) -> Option<Instant> {
         let now = self.now;
         if blame == Blame::Unknown {
