An answer waits for a chain once between two tokens

Cause: waits for a chain after each attempt that brought no token. The waits and the doubling silence bound (0.5, 1, 2 s) add up to more than the deadline.

Change: after one wait, an attempt without a token ends the answer when no chain is left; a token allows a wait again.

The entry mode does not run this code.

--- a/crates/roseshore_core/src/answer/machine.rs
+++ b/crates/roseshore_core/src/answer/machine.rs
@@ -121,7 +121,7 @@
     handing: Option<TargetId>,
     handed: Option<Instant>,
     after: Option<Duration>,
-    /// End of the wait for a chain; set when the router finds none.
+    /// End of the wait for a chain; set when the router finds none, until the next token.
     chain_deadline: Option<Instant>,
 }
 
--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -35,7 +35,8 @@
         let targets = route.stages.iter().map(|s| s.target.as_str()).collect::<Vec<_>>();
         out.push(Action::Note(Event::RouteChosen, targets.join(" > ")));
         self.pace.predict(route.first, route.between);
-        self.chain_deadline = None;
+        // An answer waits for a chain once between two tokens.
+        self.chain_deadline = self.chain_deadline.map(|_| now);
         self.stages = route.stages;
         self.silent = vec![None; self.stages.len()];
         match plan {
--- a/crates/roseshore_core/src/answer/machine/stream.rs
+++ b/crates/roseshore_core/src/answer/machine/stream.rs
@@ -135,6 +135,7 @@
         self.phase = Phase::Decode;
         self.attempts = 0;
         self.cuts = 0;
+        self.chain_deadline = None;
         self.last = now;
         self.silent.fill(None);
         self.arm(now);
