Count a host as outdated by the version that it lacks, not since it lacked any

Cause: a host that has lacked any newer configuration for 0.7 s refuses all keys. The time ran on while versions arrived one after the other, so hosts that had each version soon after the others refused.

Change: gateway::newer_configs keeps when each newer version was first heard of; the time of the oldest one that is lacking counts.

--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -13,6 +13,7 @@
     mod limit_ways;
     mod limits;
     mod liveness;
+    mod newer_configs;
     mod older_store;
     mod orders;
     mod outage;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -41,8 +41,8 @@
 use roseshore_core::gateway::leaving::TokenPace;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
-    ConfigLease, Copies, EntrySettings, FatalRequests, Peers, RetryBudget, RetryLoans, Shortage,
-    Snapshot, Targets,
+    ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Peers, RetryBudget,
+    RetryLoans, Shortage, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
@@ -169,8 +169,8 @@
     ready: bool,
     /// Whether API keys are not honoured because the configuration may be old.
     keys_suspended: bool,
-    /// Since when another host has had a newer configuration.
-    outdated_since: Option<Instant>,
+    /// Configurations that other hosts have and this one lacks.
+    newer_configs: NewerConfigs,
     /// When the stop signal was received.
     stopping_since: Option<Instant>,
     settings_read: Instant,
@@ -270,7 +270,7 @@
             last_tick: now.checked_sub(TICK_INTERVAL).unwrap_or(now),
             ready: false,
             keys_suspended: true,
-            outdated_since: None,
+            newer_configs: NewerConfigs::default(),
             stopping_since: None,
             settings_read: now,
         };
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -85,7 +85,7 @@
     /// long.
     fn copy_expected(&self) -> bool {
         let overdue = |since| self.now.saturating_duration_since(since) >= MAX_COPY_WAIT;
-        self.copies.expected(self.now) && !self.outdated_since.is_some_and(overdue)
+        self.copies.expected(self.now) && !self.newer_configs.outdated_since().is_some_and(overdue)
     }
 
     /// Aggregates the loads and counts that other hosts reported.
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -53,18 +53,17 @@
         }
     }
 
-    /// Updates since when another host has had a newer configuration.
+    /// Updates which newer configurations other hosts have.
     pub(super) fn update_outdated(&mut self) {
-        let known = self.config_version();
-        let newer = self.peers.newest_config(self.now) > known;
-        self.outdated_since = if newer { self.outdated_since.or(Some(self.now)) } else { None };
+        let newest = self.peers.newest_config(self.now);
+        self.newer_configs.update(self.config_version(), newest, self.now);
     }
 
     /// Whether the configuration in force is known to be old: another host has had a newer one for
     /// longer than a read takes.
     pub(super) fn config_outdated(&self) -> bool {
-        self.outdated_since
-            .is_some_and(|at| self.now.saturating_duration_since(at) >= OUTDATED_TIMEOUT)
+        let since = self.newer_configs.outdated_since();
+        since.is_some_and(|at| self.now.saturating_duration_since(at) >= OUTDATED_TIMEOUT)
     }
 
     /// Whether the configuration in force is confirmed to be the newest.
