Hand out copies as fast as the host's own link bears, with proof and position

Cause: each host handed out 200 KB in 0.2 s whatever its link carries, so a configuration of 85 KB reached the last of 985 hosts 1.0 to 2.6 s after the first. Redirects to hosts that had been given a copy were forgotten whenever the list was read, every 0.9 s, since they were kept by offset. A copy proved nothing, so its receiver went on to read the store, and from the offset of its own last read, which brought all versions since.

Change: the limit is 0.4 of the link that the settings name, at most 8 MB in 0.2 s, which the host may have to hold in memory. Recipients are kept by contents. A copy says how old its proof is, and up to where the configuration was read.

--- a/crates/roseshore_core/src/gateway/copies.rs
+++ b/crates/roseshore_core/src/gateway/copies.rs
@@ -5,10 +5,10 @@
 //! the store is down or refuses this host. Only one copy is requested at a time; after a failed one
 //! the host reads the store, as if it had no neighbours.
 //!
-//! Eighty hosts that receive the same heartbeat must not all load its sender's narrow link. So each
-//! host hands out a limited number of bytes per window and redirects further requests to one of the
-//! hosts that it has given a copy. This way a copy spreads as a tree that doubles in width with
-//! each step.
+//! Hundreds of hosts that receive the same heartbeat must not all load its sender's link. So each
+//! host hands out a limited number of bytes per window, as far as its link bears it, and redirects
+//! further requests to one of the hosts that it has given a copy. This way a copy spreads as a tree
+//! that grows in width with each step.
 
 use super::position::Position;
 use super::targets::ListDelta;
@@ -24,9 +24,11 @@
 
 /// Window in which handed-out bytes are counted.
 const WINDOW: Duration = Duration::from_millis(200);
-/// Most bytes handed out per window: one megabyte a second, where the narrowest links carry two and
-/// a half.
-const MAX_WINDOW_BYTES: usize = 200_000;
+/// Share of the host's link that copies may take.
+const LINK_SHARE: f64 = 0.4;
+/// Most bytes handed out per window: those of a link of 20 Mbit/s, or if the host's link carries
+/// more, as many as the host may hold in memory until they are written.
+const WINDOW_BYTES: (usize, usize) = (200_000, 8_000_000);
 /// How long no other host is asked after a refusal.
 const REFUSED_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -39,6 +41,16 @@
     pub list: Position,
 }
 
+/// What a host knows of the store, however far it has read. Offsets move on with each heartbeat of
+/// a target, while the list stays the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Contents {
+    /// Version of the known configuration; 0 for none.
+    pub config: u64,
+    /// Digest of the known target list.
+    pub digest: u64,
+}
+
 /// Request for what a host has read of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyRequest {
@@ -51,14 +63,25 @@
 /// What a host has read beyond the extent in a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreCopy {
-    /// The configuration as stored, if it is newer.
-    pub config: Option<Vec<u8>>,
+    /// The configuration, if it is newer.
+    pub config: Option<ConfigCopy>,
     /// The target list, if it is newer.
     pub list: Option<ListCopy>,
     /// Another host that has the data, if this one has handed out enough in this window.
     pub instead: Option<SocketAddr>,
 }
 
+/// The configuration as a host has read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigCopy {
+    /// The configuration as stored.
+    pub bytes: Vec<u8>,
+    /// Position up to which the configuration was read; `None` if that is not known.
+    pub next: Option<Position>,
+    /// Time in milliseconds since it was last proven to be the newest; `None` if it was not.
+    pub age: Option<u64>,
+}
+
 /// The target list as a host has read it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListCopy {
@@ -73,6 +96,8 @@
     /// Time in milliseconds for which missing entries may belong to live targets whose heartbeats
     /// lapsed while the store was unreachable.
     pub lapse: u64,
+    /// Time in milliseconds since the list was last proven to be current; `None` if it was not.
+    pub age: Option<u64>,
 }
 
 impl StoreCopy {
@@ -84,9 +109,12 @@
 }
 
 /// Controls when copies are requested and handed out.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Copies {
-    /// When the copy in progress times out.
+    /// Most bytes handed out per window.
+    window_limit: usize,
+    /// When the copy in progress was requested, and when it times out.
+    requested_at: Option<Instant>,
     deadline: Option<Instant>,
     /// When the next copy may be requested.
     retry_at: Option<Instant>,
@@ -95,8 +123,8 @@
     /// Start of the current window, and bytes handed out in it.
     window_start: Option<Instant>,
     window_bytes: usize,
-    /// Extent last handed out, its recipients, and the index of the one last named in a redirect.
-    extent: Extent,
+    /// What was last handed out, its recipients, and the index of the one last named in a redirect.
+    contents: Contents,
     recipients: Vec<SocketAddr>,
     last_redirect: usize,
 }
@@ -114,16 +142,48 @@
     Failed,
 }
 
+impl Default for Copies {
+    fn default() -> Copies {
+        Copies::new(None)
+    }
+}
+
 impl Copies {
+    /// Copies over a link that carries this many bytes per second; `None` if that is not known.
+    pub fn new(link_rate: Option<u64>) -> Copies {
+        let (least, most) = WINDOW_BYTES;
+        let carried = link_rate.unwrap_or(0) as f64 * WINDOW.as_secs_f64() * LINK_SHARE;
+        Copies {
+            window_limit: (carried as usize).clamp(least, most),
+            requested_at: None,
+            deadline: None,
+            retry_at: None,
+            refused: false,
+            window_start: None,
+            window_bytes: 0,
+            contents: Contents::default(),
+            recipients: Vec::new(),
+            last_redirect: 0,
+        }
+    }
+
     /// Starts a copy if one may be requested now. Returns its deadline.
     pub fn start(&mut self, now: Instant) -> Option<Instant> {
         if self.deadline.is_some() || self.retry_at.is_some_and(|until| now < until) {
             return None;
         }
+        self.requested_at = Some(now);
         self.deadline = Some(now + COPY_TIMEOUT);
         self.deadline
     }
 
+    /// When contents were proven that a host of which the copy in progress was requested had last
+    /// proven `age` milliseconds before it replied. The request was sent before the reply, so this
+    /// is no later than the proof.
+    pub fn proven_at(&self, age: Option<u64>) -> Option<Instant> {
+        self.requested_at?.checked_sub(Duration::from_millis(age?))
+    }
+
     /// Whether a copy is in progress.
     pub fn in_progress(&self) -> bool {
         self.deadline.is_some()
@@ -155,26 +215,26 @@
             self.window_start = Some(now);
             self.window_bytes = 0;
         }
-        let fits = self.window_bytes == 0 || self.window_bytes + bytes <= MAX_WINDOW_BYTES;
+        let fits = self.window_bytes == 0 || self.window_bytes + bytes <= self.window_limit;
         if fits {
             self.window_bytes += bytes;
         }
         fits
     }
 
-    /// Records a host that was given a copy of this extent.
-    pub fn record_recipient(&mut self, host: SocketAddr, extent: Extent) {
-        if self.extent != extent {
-            self.extent = extent;
+    /// Records a host that was given a copy of these contents.
+    pub fn record_recipient(&mut self, host: SocketAddr, contents: Contents) {
+        if self.contents != contents {
+            self.contents = contents;
             self.recipients.clear();
         }
         self.recipients.push(host);
     }
 
-    /// A host that was given a copy of this extent, in rotation; `None` if there is none, or it is
-    /// the asker's turn.
-    pub fn redirect(&mut self, extent: Extent, asker: SocketAddr) -> Option<SocketAddr> {
-        if self.extent != extent || self.recipients.is_empty() {
+    /// A host that was given a copy of these contents, in rotation; `None` if there is none, or it
+    /// is the asker's turn.
+    pub fn redirect(&mut self, contents: Contents, asker: SocketAddr) -> Option<SocketAddr> {
+        if self.contents != contents || self.recipients.is_empty() {
             return None;
         }
         self.last_redirect = (self.last_redirect + 1) % self.recipients.len();
--- a/crates/roseshore_core/src/gateway/settings.rs
+++ b/crates/roseshore_core/src/gateway/settings.rs
@@ -68,4 +68,6 @@
     pub millicores: u16,
     /// File descriptors that this process may use; `None` if it is not configured.
     pub max_descriptors: Option<usize>,
+    /// Bandwidth of this host's link in bytes per second; `None` if it is not configured.
+    pub link_rate: Option<u64>,
 }
--- a/crates/roseshore_core/tests/gateway/copies.rs
+++ b/crates/roseshore_core/tests/gateway/copies.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use roseshore_core::gateway::Copies;
 use roseshore_core::gateway::Position;
-use roseshore_core::gateway::copies::{COPY_TIMEOUT, CopyOutcome, Extent};
+use roseshore_core::gateway::copies::{COPY_TIMEOUT, Contents, CopyOutcome};
 use roseshore_core::gateway::targets::Absence;
 use roseshore_core::gateway::{TargetRecord, Targets};
 use roseshore_core::prelude::*;
@@ -49,6 +49,8 @@
 /// Requests for copies at these times (ms) and of these sizes, and whether they are served.
 struct Requests {
     name: &'static str,
+    /// Bandwidth of the link in bytes per second.
+    link: Option<u64>,
     asked: &'static [(u64, usize, bool)],
 }
 
@@ -57,17 +59,33 @@
     let cases = [
         Requests {
             name: "small ones up to the limit",
+            link: None,
             asked: &[(0, 90_000, true), (1, 90_000, true), (2, 90_000, false), (3, 10_000, true)],
         },
-        Requests { name: "a large one first", asked: &[(0, 400_000, true), (10, 1_000, false)] },
+        Requests {
+            name: "a large one first",
+            link: Some(2_500_000),
+            asked: &[(0, 400_000, true), (10, 1_000, false)],
+        },
         Requests {
             name: "the next window",
+            link: Some(2_500_000),
             asked: &[(0, 150_000, true), (199, 150_000, false), (200, 150_000, true)],
         },
+        Requests {
+            name: "a link of 100 Mbit/s",
+            link: Some(12_500_000),
+            asked: &[(0, 900_000, true), (1, 100_000, true), (2, 1_000, false)],
+        },
+        Requests {
+            name: "a link that carries more than the host may hold in memory",
+            link: Some(1_250_000_000),
+            asked: &[(0, 7_900_000, true), (1, 200_000, false), (200, 200_000, true)],
+        },
     ];
     for case in cases {
         let start = Instant::now();
-        let mut copies = Copies::default();
+        let mut copies = Copies::new(case.link);
         for (at, bytes, served) in case.asked {
             let now = start + Duration::from_millis(*at);
             assert_eq!(copies.take_budget(*bytes, now), *served, "{} at {at}", case.name);
@@ -84,7 +102,7 @@
 fn spread(bytes: usize, redirected: bool) -> u64 {
     const HOSTS: usize = 60;
     let start = Instant::now();
-    let extent = Extent { config: 2, list: at(9) };
+    let contents = Contents { config: 2, digest: 9 };
     let mut copies = vec![Copies::default(); HOSTS];
     // When each host has the copy, and when and whom it asks next.
     let mut has: Vec<Option<u64>> = (0..HOSTS).map(|n| (n < 3).then_some(0)).collect();
@@ -99,11 +117,11 @@
             }
             let known = has[from].is_some_and(|since| since <= at);
             if known && copies[from].take_budget(bytes, now) {
-                copies[from].record_recipient(addr(n), extent);
+                copies[from].record_recipient(addr(n), contents);
                 has[n] = Some(at + transfer_ms);
                 continue;
             }
-            let other = copies[from].redirect(extent, addr(n)).filter(|_| known && redirected);
+            let other = copies[from].redirect(contents, addr(n)).filter(|_| known && redirected);
             let other = other.and_then(|holder| (0..HOSTS).find(|n| addr(*n) == holder));
             asks[n] = other.map_or((at + 60, n % 3), |holder| (at + 2, holder));
         }
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -1,8 +1,11 @@
 //! Exchanges copies of store data between hosts, so that not every host reads the store.
 
+use super::probes::age_millis;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::copies::{COPY_TIMEOUT, CopyOutcome, CopyRequest, Extent, StoreCopy};
+use roseshore_core::gateway::copies::{
+    COPY_TIMEOUT, ConfigCopy, Contents, CopyOutcome, CopyRequest, Extent, StoreCopy,
+};
 use roseshore_core::prelude::*;
 use roseshore_wire::frame;
 use std::net::SocketAddr;
@@ -87,6 +90,20 @@
         self.request_copy(other);
     }
 
+    /// What this host knows of the store.
+    fn contents(&self) -> Contents {
+        Contents { config: self.config_version(), digest: self.list_version().digest }
+    }
+
+    /// A copy of the configuration.
+    fn config_copy(&self) -> ConfigCopy {
+        ConfigCopy {
+            bytes: self.store_sync.config_bytes.clone(),
+            next: self.store_sync.config_position(),
+            age: age_millis(self.config_lease.age(self.now)),
+        }
+    }
+
     /// How far this host knows the store.
     fn extent(&self) -> Extent {
         Extent { config: self.config_version(), list: self.store_sync.list_base() }
@@ -95,7 +112,7 @@
     /// Applies the configuration and the list of targets of a copy.
     fn apply_copy(&mut self, copy: StoreCopy) {
         if let Some(config) = copy.config {
-            self.apply_config(config);
+            self.apply_config_copy(config);
         }
         if let Some(list) = copy.list {
             self.apply_list_copy(list);
@@ -108,6 +125,18 @@
         self.update_readiness();
     }
 
+    /// Applies the configuration of a copy.
+    fn apply_config_copy(&mut self, copy: ConfigCopy) {
+        let version = self.apply_config(copy.bytes);
+        if version < self.config_version() {
+            return;
+        }
+        self.store_sync.set_config_position(copy.next);
+        if let Some(proven) = self.copies.proven_at(copy.age) {
+            self.confirm_config(proven);
+        }
+    }
+
     /// Handles the request of a host for a copy.
     pub(super) fn handle_copy_request(&mut self, key: Key) {
         let Some(socket) = self.net.get(key) else {
@@ -132,7 +161,7 @@
         let newer = extent.config > known.config;
         let further = self.store_sync.list_position().is_some_and(|next| next > known.list);
         let copy = StoreCopy {
-            config: newer.then(|| self.store_sync.config_bytes.clone()),
+            config: newer.then(|| self.config_copy()),
             list: further.then(|| self.list_copy(known.list)).flatten(),
             instead: None,
         };
@@ -140,9 +169,9 @@
         let mut written = frame::write(&mut bytes, &copy);
         if written.is_ok() && !copy.is_empty() {
             if self.copies.take_budget(bytes.len(), self.now) {
-                self.copies.record_recipient(from, extent);
+                self.copies.record_recipient(from, self.contents());
             } else {
-                let instead = self.copies.redirect(extent, from);
+                let instead = self.copies.redirect(self.contents(), from);
                 bytes.clear();
                 written = frame::write(&mut bytes, &StoreCopy { instead, ..StoreCopy::default() });
             }
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -101,6 +101,11 @@
     }
 }
 
+/// Milliseconds for another host.
+pub(super) fn age_millis(age: Option<Duration>) -> Option<u64> {
+    age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Milliseconds for a log line; -1 for `None`.
 pub(super) fn millis(time: Option<Duration>) -> i64 {
     time.map_or(-1, |t| t.as_millis() as i64)
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -1,6 +1,7 @@
 //! Applies records of the store to the state of this host, the configuration in force and the list
 //! of targets, whether they were read from the store or copied from another host.
 
+use super::probes::age_millis;
 use super::{EntryHost, log_event};
 use roseshore_core::gateway::copies::ListCopy;
 use roseshore_core::gateway::targets::{Absence, ListDelta, ListUpdate, RecordChange};
@@ -40,6 +41,7 @@
         self.log_list(count, replaced, absence, if whole { "copy" } else { "changes" });
         if self.targets.list_version(copy.next).digest == copy.digest {
             self.store_sync.record_list_copy(copy.next);
+            self.store_sync.outage.record_confirmation(self.copies.proven_at(copy.age));
         } else {
             // A change was missed, so the next copy has to be a whole list.
             log_event!(
@@ -101,7 +103,8 @@
         let next = self.store_sync.list_position()?;
         let lapse = self.store_sync.outage.grace_left(self.now).as_millis() as u64;
         let digest = self.targets.list_version(next).digest;
-        Some(ListCopy { next, changes: self.targets.changes_since(known), digest, lapse })
+        let age = age_millis(self.list_age());
+        Some(ListCopy { next, changes: self.targets.changes_since(known), digest, lapse, age })
     }
 
     /// Parses a record of the list; `None` if it cannot be parsed.
--- a/crates/roseshore_relay/src/entry/store_sync.rs
+++ b/crates/roseshore_relay/src/entry/store_sync.rs
@@ -78,6 +78,19 @@
 }
 
 impl StoreSync {
+    /// The position up to which the configuration was read; `None` if that is not known.
+    pub(super) fn config_position(&self) -> Option<Position> {
+        self.config.next.map(|next| Position { era: self.era, next })
+    }
+
+    /// Records that the configuration is now a copy that was read up to `next`. Reading on from the
+    /// former offset would bring all versions since.
+    pub(super) fn set_config_position(&mut self, next: Option<Position>) {
+        let known = next.filter(|position| position.era == self.era).map(|position| position.next);
+        self.config.next = known.max(self.config.next.filter(|_| known.is_some()));
+        self.config.pages = None;
+    }
+
     /// How long the store should wait for new records before it replies. Zero while the store is
     /// unreachable, since a hanging read would outlast the outage.
     fn long_poll_time(&self, stream: Stream) -> Duration {
@@ -243,7 +256,7 @@
     }
 
     /// Time since the list was last confirmed, by this host or another.
-    fn list_age(&self) -> Option<Duration> {
+    pub(super) fn list_age(&self) -> Option<Duration> {
         let confirmed = self.store_sync.outage.last_confirmed();
         confirmed.map(|at| self.now.saturating_duration_since(at))
     }
--- a/crates/roseshore_relay/src/entry/store_sync/replies.rs
+++ b/crates/roseshore_relay/src/entry/store_sync/replies.rs
@@ -92,7 +92,7 @@
 
     /// Records that the configuration in force was the newest at this time, unless the store holds
     /// an older one.
-    pub(super) fn confirm_config(&mut self, at: Instant) {
+    pub(in crate::entry) fn confirm_config(&mut self, at: Instant) {
         if !self.store_sync.store_behind {
             self.config_lease.renew(at);
         }
