Let followers take turns at reading the store

Cause, from the log lines of all hosts: whatever makes one host beyond the first three read the store makes all of them read, the list being late by 1.8 s, the configuration by 2 s, or a copy that could not be had within 0.35 or 0.5 s. With 200 hosts in a data centre copies take longer. 1,263 reads a second while engines were placed; the store refused 213 hosts and left 610 unanswered. After seven configurations in 5 s, 350 reads a second were begun, each for all versions since the host's last read, each cancelled by the next or timed out after 0.9 s and begun again after 2.5 s by all of them. The leases of 985 hosts ran out, and the calls kept the store busy to the end.

Change: hosts beyond the first three of a data centre are followers; in each tick a follower may begin a read with a chance of 4 in the number of all hosts, so some 40 reads a second of the whole system at any size. The times after which they read follow from the operators' bounds. A list that differs is copied, not read. Only a long poll is cancelled, no other read. The first host of a data centre tries the store again while others read, since hosts that the store does not answer rank last.

--- a/crates/roseshore_core/src/gateway/outage.rs
+++ b/crates/roseshore_core/src/gateway/outage.rs
@@ -4,6 +4,8 @@
 //! of the store and are listed again soon after it. An outage that only this host sees is no such
 //! reason: as long as other hosts confirm the list, the store serves them and the targets.
 
+use super::settings::Bounds;
+use super::store_reads::ReadPolicy;
 use super::targets::Absence;
 use crate::prelude::*;
 
@@ -12,13 +14,11 @@
 /// from the end of the outage and not from each removal, it never outlasts the drain bound of a
 /// target that really leaves.
 const RELIST_GRACE: Duration = Duration::from_millis(1900);
-/// Once no host has confirmed the list for this long, the store counts as down for all hosts: by
-/// then even the last of them reads the store itself.
-const UNCONFIRMED: Duration = Duration::from_millis(1800);
-
 /// Outages of the store, as far as they matter to the list of targets.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct StoreOutage {
+    /// Once no host has confirmed the list for this long, the store counts as down for all hosts.
+    unconfirmed_after: Duration,
     /// Since when the store has not answered this host.
     down_since: Option<Instant>,
     /// Until when entries may be missing because of an outage that has ended.
@@ -36,7 +36,23 @@
     pub all_hosts: bool,
 }
 
+impl Default for StoreOutage {
+    fn default() -> StoreOutage {
+        StoreOutage {
+            unconfirmed_after: ReadPolicy::new(&Bounds::default()).unconfirmed_after(),
+            down_since: None,
+            grace_until: None,
+            confirmed: None,
+        }
+    }
+}
+
 impl StoreOutage {
+    /// Applies the policy by which hosts read the store.
+    pub fn set_policy(&mut self, policy: &ReadPolicy) {
+        self.unconfirmed_after = policy.unconfirmed_after();
+    }
+
     /// The store did not answer this host; returns whether that begins an outage.
     pub fn record_failure(&mut self, now: Instant) -> bool {
         let first = self.down_since.is_none();
@@ -109,7 +125,7 @@
 
     /// Whether the store is down for all hosts, as far as this one can tell.
     fn all_hosts(&self, now: Instant) -> bool {
-        let old = |at| now.saturating_duration_since(at) >= UNCONFIRMED;
+        let old = |at| now.saturating_duration_since(at) >= self.unconfirmed_after;
         self.down_since.is_some() && self.confirmed.is_none_or(old)
     }
 }
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -70,6 +70,18 @@
         self.all.values().filter(near).count()
     }
 
+    /// Number of other hosts in the system: those that this host hears, or as many as a speaker
+    /// reports.
+    pub fn other_hosts(&self, now: Instant) -> usize {
+        let alive = self.all.values().filter(|p| p.alive(self.is_near(p), now));
+        let reported = |p: &Peer| match p.scope {
+            Scope::Others(hosts) if self.is_near(p) => usize::from(hosts),
+            _ => 0,
+        };
+        let (heard, most) = alive.fold((0, 0), |(n, most), p| (n + 1, most.max(reported(p))));
+        heard.max(most)
+    }
+
     /// This host's rank among those of its data centre that are presumed alive and not leaving; 0
     /// is the first.
     pub fn rank_in_centre(&self, now: Instant) -> usize {
--- a/crates/roseshore_core/src/gateway/settings.rs
+++ b/crates/roseshore_core/src/gateway/settings.rs
@@ -8,6 +8,9 @@
 pub struct Bounds {
     /// The latest time after the news of a target's leaving at which a request may still reach it.
     pub drain: Duration,
+    /// The latest time after a change of the configuration at which it has to be in force on all
+    /// hosts.
+    pub config: Duration,
     /// Time from the stop signal to the kill.
     pub grace: Duration,
     /// The latest time after a key's removal at which a request with it may still run.
@@ -31,6 +34,7 @@
     fn default() -> Bounds {
         Bounds {
             drain: Duration::from_secs(2),
+            config: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             revoke: Duration::from_secs(5),
             retry_ratio: 0.2,
--- a/crates/roseshore_core/tests/gateway/store_reads.rs
+++ b/crates/roseshore_core/tests/gateway/store_reads.rs
@@ -1,6 +1,7 @@
 //! Tests of when a host reads the store.
 
-use roseshore_core::gateway::store_reads::{backoff, config_max_age, list_max_age, startup_delay};
+use roseshore_core::gateway::Bounds;
+use roseshore_core::gateway::store_reads::{ReadPolicy, backoff, has_turn, startup_delay};
 use roseshore_core::prelude::*;
 
 fn ms(n: u64) -> Duration {
@@ -45,8 +46,9 @@
     ];
     for case in cases {
         let rank = case.rank;
-        assert_eq!(config_max_age(rank), case.config.map(ms), "{rank}");
-        assert_eq!(list_max_age(rank), case.list.map(ms), "{rank}");
+        let policy = ReadPolicy::new(&Bounds::default());
+        assert_eq!(policy.config_max_age(rank), case.config.map(ms), "{rank}");
+        assert_eq!(policy.list_max_age(rank), case.list.map(ms), "{rank}");
         assert_eq!((backoff(0, rank), backoff(4, rank)), (ms(case.failed.0), ms(case.failed.1)));
         assert_eq!(
             (startup_delay(false, rank), startup_delay(true, rank)),
@@ -72,3 +74,44 @@
     }
     assert!(calls <= 1320, "{calls}");
 }
+
+/// Bounds on a change of the configuration and on a leaving target, ms, and what follows: ages at
+/// which followers read the configuration and the list, their wait for a copy, and when a host that
+/// lacks a newer configuration is outdated.
+struct Policy {
+    bounds: (u64, u64),
+    ages: (u64, u64),
+    copy_wait: u64,
+    outdated: u64,
+}
+
+#[test]
+fn followers_read_later_under_wider_bounds_and_always_within_them() {
+    let cases = [
+        Policy { bounds: (2000, 2000), ages: (2000, 1800), copy_wait: 600, outdated: 700 },
+        Policy { bounds: (3000, 3000), ages: (2000, 1800), copy_wait: 900, outdated: 1050 },
+        Policy { bounds: (5000, 5000), ages: (2500, 2500), copy_wait: 1500, outdated: 1750 },
+        Policy { bounds: (5000, 2000), ages: (2500, 1800), copy_wait: 1500, outdated: 1750 },
+    ];
+    for case in cases {
+        let (config, drain) = (ms(case.bounds.0), ms(case.bounds.1));
+        let policy = ReadPolicy::new(&Bounds { config, drain, ..Bounds::default() });
+        let ages = (policy.config_max_age(9), policy.list_max_age(9));
+        assert_eq!(ages, (Some(ms(case.ages.0)), Some(ms(case.ages.1))), "{:?}", case.bounds);
+        assert_eq!(policy.copy_wait(9), ms(case.copy_wait), "{:?}", case.bounds);
+        assert_eq!(policy.copy_wait(0), ms(500), "{:?}", case.bounds);
+        assert_eq!(policy.outdated_after(), ms(case.outdated), "{:?}", case.bounds);
+        assert_eq!(policy.unconfirmed_after(), ms(case.ages.1), "{:?}", case.bounds);
+    }
+}
+
+#[test]
+fn as_many_followers_have_their_turn_in_a_system_of_any_size() {
+    for hosts in [0, 3, 8, 60, 985, 6000] {
+        let draws = 10_000;
+        let turns =
+            (0..draws).filter(|n| has_turn(hosts, (f64::from(*n) + 0.5) / f64::from(draws)));
+        let expected = (turns.count() * hosts) as f64 / f64::from(draws);
+        assert!(expected <= 4.5 && expected >= 3.5_f64.min(hosts as f64), "{hosts}: {expected}");
+    }
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -226,6 +226,7 @@
             .with_capacity(settings.millicores);
         let mut entry = EntryHost {
             config_lease: ConfigLease::new(settings.bounds.revoke),
+            store_sync: StoreSync::new(&settings.bounds),
             copies: Copies::new(settings.link_rate),
             settings,
             read_settings,
@@ -253,7 +254,6 @@
             retry_budgets: HashMap::new(),
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
             loans_wanted: false,
-            store_sync: StoreSync::default(),
             placement: PlacementState::default(),
             pace_polling: PacePolling::default(),
             pace: TokenPace::default(),
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -84,15 +84,19 @@
         self.set_timer(self.now + timeout, Timer::Call(key));
     }
 
-    /// Cancels calls by their purpose, without handling a reply or fault.
-    pub(super) fn cancel_calls(&mut self, which: impl Fn(&Purpose) -> bool) {
+    /// Cancels calls by their purpose, without handling a reply or fault. Returns whether there were
+    /// any.
+    pub(super) fn cancel_calls(&mut self, which: impl Fn(&Purpose) -> bool) -> bool {
+        let mut cancelled = false;
         for key in self.calls.keys() {
             if self.calls.get(key).is_some_and(|call| which(&call.purpose))
                 && let Some(call) = self.calls.remove(key)
             {
                 self.close(call.socket);
+                cancelled = true;
             }
         }
+        cancelled
     }
 
     /// Handles input of a call's connection, or its end.
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -119,7 +119,7 @@
             // The heartbeat tells hosts that were turned away elsewhere that they can ask this one.
             self.heartbeat_now(false);
         }
-        if self.peers.newest_config(self.now) > self.config_version() {
+        if self.peers.newest_config(self.now) > self.config_version() && self.may_read() {
             self.read_config_now();
         }
         self.update_readiness();
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -15,10 +15,6 @@
 /// a choice of target depends on.
 const VIEW_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Longest wait for a copy of a newer configuration before the store is read instead: refusals
-/// begin after 0.7 s, and a copy of 250 kB reaches the last of sixty hosts after 0.9 s.
-const MAX_COPY_WAIT: Duration = Duration::from_millis(500);
-
 /// Maximum number of paces in a heartbeat; more do not fit a datagram with the other contents.
 const MAX_PACE_REPORTS: usize = 12;
 
@@ -74,7 +70,7 @@
         if let Some(proven) = heard.config_proven.filter(|_| config == known && known > 0) {
             self.config_lease.renew(proven);
         }
-        if config > known && !self.request_copy(from) && !self.copy_expected() {
+        if config > known && !self.request_copy(from) && !self.copy_expected() && self.may_read() {
             self.read_config_now();
         }
         self.compare_list(from, list, heard.list_proven);
@@ -84,7 +80,8 @@
     /// Whether a copy of a newer configuration is expected soon, and the wait has not been too
     /// long.
     fn copy_expected(&self) -> bool {
-        let overdue = |since| self.now.saturating_duration_since(since) >= MAX_COPY_WAIT;
+        let most = self.store_sync.policy.copy_wait(self.peers.read_rank(self.now));
+        let overdue = |since| self.now.saturating_duration_since(since) >= most;
         self.copies.expected(self.now) && !self.newer_configs.outdated_since().is_some_and(overdue)
     }
 
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -11,10 +11,6 @@
 /// keys are then better served by other hosts. It allows for one more read, with its time-out, than
 /// usual.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time after which the configuration counts as outdated while another host has a newer one.
-/// Reading the newer one takes some milliseconds if the store answers; operators require changes to
-/// be in force within two seconds.
-const OUTDATED_TIMEOUT: Duration = Duration::from_millis(700);
 
 impl EntryHost {
     /// Answers probes and requests for metrics.
@@ -62,8 +58,9 @@
     /// Whether the configuration in force is known to be old: another host has had a newer one for
     /// longer than a read takes.
     pub(super) fn config_outdated(&self) -> bool {
+        let limit = self.store_sync.policy.outdated_after();
         let since = self.newer_configs.outdated_since();
-        since.is_some_and(|at| self.now.saturating_duration_since(at) >= OUTDATED_TIMEOUT)
+        since.is_some_and(|at| self.now.saturating_duration_since(at) >= limit)
     }
 
     /// Whether the configuration in force is confirmed to be the newest.
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -51,6 +51,7 @@
                 self.config_lease.renew(proven);
             }
             self.retry_budgets.clear();
+            self.store_sync.set_bounds(&fresh.bounds);
         }
         self.settings.bounds = fresh.bounds;
         self.settings.store_addr = fresh.store_addr;
--- a/crates/roseshore_relay/src/entry/store_sync.rs
+++ b/crates/roseshore_relay/src/entry/store_sync.rs
@@ -11,10 +11,11 @@
 use super::calls::{CallFault, Purpose, STORE_TIMEOUT};
 use super::probes::millis;
 use super::{EntryHost, log_event};
+use rand::RngExt;
 use roseshore_core::gateway::outage::StoreOutage;
 use roseshore_core::gateway::peers::ListVersion;
-use roseshore_core::gateway::store_reads::{self, CONFIG_LONG_POLL, TARGETS_INTERVAL};
-use roseshore_core::gateway::{Position, TargetRecord};
+use roseshore_core::gateway::store_reads::{self, CONFIG_LONG_POLL, ReadPolicy, TARGETS_INTERVAL};
+use roseshore_core::gateway::{Bounds, Position, TargetRecord};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::{
     CallReply, KeyedRecord as Record, Page, ReadBatch, StoreFault, Stream,
@@ -52,8 +53,12 @@
 }
 
 /// Progress of following both streams, and availability of the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StoreSync {
+    /// When this host reads the store itself.
+    pub(super) policy: ReadPolicy,
+    /// Whether this host has its turn to read as a follower in this tick.
+    turn: bool,
     config: StreamProgress,
     targets: StreamProgress,
     /// The era of the store to which the offsets belong.
@@ -78,6 +83,33 @@
 }
 
 impl StoreSync {
+    /// Nothing read yet.
+    pub(super) fn new(bounds: &Bounds) -> StoreSync {
+        let mut sync = StoreSync {
+            policy: ReadPolicy::new(bounds),
+            turn: false,
+            config: StreamProgress::default(),
+            targets: StreamProgress::default(),
+            era: Era::default(),
+            list: None,
+            store_behind: false,
+            outage: StoreOutage::default(),
+            list_differs: false,
+            needs_whole_list: false,
+            last_urgent: None,
+            applied: None,
+            config_bytes: Vec::new(),
+        };
+        sync.set_bounds(bounds);
+        sync
+    }
+
+    /// Applies the operators' bounds.
+    pub(super) fn set_bounds(&mut self, bounds: &Bounds) {
+        self.policy = ReadPolicy::new(bounds);
+        self.outage.set_policy(&self.policy);
+    }
+
     /// The position up to which the configuration was read; `None` if that is not known.
     pub(super) fn config_position(&self) -> Option<Position> {
         self.config.next.map(|next| Position { era: self.era, next })
@@ -160,6 +192,8 @@
 impl EntryHost {
     /// Starts the calls of both streams that are due.
     pub(super) fn sync_store(&mut self) {
+        let others = self.peers.other_hosts(self.now);
+        self.store_sync.turn = store_reads::has_turn(others, self.rng.random());
         for stream in [Stream::Config, Stream::Targets] {
             self.sync_stream(stream);
         }
@@ -185,10 +219,28 @@
             // Calls for the other stream show whether the store is back.
             return;
         }
-        if known && self.recently_confirmed(stream) || !known && self.waits_for_peers() {
-            return;
+        let waits = if known { self.recently_confirmed(stream) } else { self.waits_for_peers() };
+        if !waits && self.may_read() {
+            self.read_store(stream, wait);
         }
-        self.read_store(stream, wait);
+    }
+
+    /// Whether this host may begin a read now: it is one of the first of its data centre, or has its
+    /// turn.
+    pub(super) fn may_read(&self) -> bool {
+        let rank = if self.snapshot.is_some() {
+            self.peers.rank_in_centre(self.now)
+        } else {
+            self.peers.startup_read_rank(self.now)
+        };
+        self.store_sync.turn || !store_reads::is_follower(rank)
+    }
+
+    /// Whether the store did not answer this host and, although others read meanwhile, this host
+    /// tries it again. Hosts that the store does not answer rank last. Without this the order of
+    /// readers would stay reversed after an outage.
+    fn probes_store(&self) -> bool {
+        self.store_sync.outage.is_down() && self.peers.rank_in_centre(self.now) == 0
     }
 
     /// Whether this host has just started and may soon learn of another host that has read the
@@ -239,10 +291,12 @@
     /// order of readers.
     fn recently_confirmed(&self, stream: Stream) -> bool {
         let rank = self.peers.read_rank(self.now);
+        let (policy, differs) = (&self.store_sync.policy, self.store_sync.list_differs);
         let (age, max_age) = match stream {
-            Stream::Config => (self.config_age(), store_reads::config_max_age(rank)),
-            Stream::Targets if self.store_sync.list_differs => return false,
-            Stream::Targets => (self.list_age(), store_reads::list_max_age(rank)),
+            Stream::Config if self.probes_store() => return false,
+            Stream::Config => (self.config_age(), policy.config_max_age(rank)),
+            Stream::Targets if differs && !store_reads::is_follower(rank) => return false,
+            Stream::Targets => (self.list_age(), policy.list_max_age(rank)),
         };
         age.zip(max_age).is_some_and(|(age, most)| age < most)
     }
@@ -261,27 +315,28 @@
         confirmed.map(|at| self.now.saturating_duration_since(at))
     }
 
-    /// Reads the configuration now, because another host has a newer one. Cancels a read in flight,
-    /// which may hang.
+    /// Reads the configuration now, because another host has a newer one. Cancels a long poll in
+    /// flight, which may hang. Any other read is left to end: begun again each time, it would not
+    /// end at all at a store that is busy, and keep it busy.
     pub(super) fn read_config_now(&mut self) {
         let now = self.now;
         let last_urgent = self.store_sync.last_urgent;
         if last_urgent.is_some_and(|at| now.saturating_duration_since(at) < URGENT_INTERVAL) {
             return;
         }
+        let hangs = |purpose: &Purpose| matches!(purpose, Purpose::Read(Stream::Config, _, wait) if !wait.is_zero());
+        if self.store_sync.config.in_flight && !self.cancel_calls(hangs) {
+            return;
+        }
         self.store_sync.last_urgent = Some(now);
-        let reads = |purpose: &Purpose| {
-            matches!(
-                purpose,
-                Purpose::Read(Stream::Config, ..) | Purpose::Latest(Stream::Config, _)
-            )
-        };
-        self.cancel_calls(reads);
         self.read_store(Stream::Config, Duration::ZERO);
     }
 
     /// Reads both streams as soon as possible, because no other host could give a copy.
     pub(super) fn read_streams_now(&mut self) {
+        if !self.may_read() {
+            return;
+        }
         self.read_config_now();
         let targets = &mut self.store_sync.targets;
         if !targets.in_flight && targets.failures == 0 {
