Poll the paces of engines that matter each second, and tell other hosts of all slow ones

Cause: two limits fixed in number beside the engines of a data centre. 120 engines are polled a second; with 600 a round takes 5 s, while a pace is valid for 3 s, so a slow engine counted as a fast one for two fifths of the time. Of the slow ones only the slowest twelve were told to other hosts.

Change: engines on which requests run, or that were slow, are polled in each round; the rest of the round goes to the others in turn. Other hosts are told first of the slow engines in use, and of some of the others in each heartbeat.

--- a/crates/roseshore_core/src/gateway/paces.rs
+++ b/crates/roseshore_core/src/gateway/paces.rs
@@ -2,17 +2,22 @@
 //!
 //! An engine that runs slower than published slows down every path through it, and the data that
 //! passes through a path does not tell which of its engines is at fault. Each engine reports its
-//! own pace, so the first host of a data centre polls its engines in turn and informs the other
-//! hosts.
+//! own pace, so the first host of a data centre polls its engines and informs the other hosts.
+//!
+//! Polls are limited, so that 1,000 engines do not use up the host. Those that matter for requests
+//! are polled in each round, and the rest of the round goes to the others in turn.
 
 use super::peers::TargetHash;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 
-/// Period in which each engine is polled.
-pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
-/// Most engines polled in one turn, so that 1,000 of them do not use up the host.
-pub const MAX_POLLED: usize = 24;
+/// Interval between batches of polls.
+pub const BATCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Batches of a round. A round takes a second unless more engines matter than fit.
+const BATCHES: usize = 5;
+/// Most engines polled in one batch.
+const MAX_BATCH: usize = 24;
 /// How long a reported pace is valid: three polls, of which two may be lost.
 const VALIDITY: Duration = Duration::from_secs(3);
 /// Smallest and largest factor that is accepted; others are clamped.
@@ -75,3 +80,49 @@
         now.saturating_duration_since(self.reported_at) < VALIDITY
     }
 }
+
+/// An engine that may be polled.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PolledEngine {
+    /// Its id.
+    pub id: TargetId,
+    /// Whether requests run on it, or it was slow when last polled.
+    pub matters: bool,
+}
+
+/// The rounds in which engines are polled.
+#[derive(Clone, Debug, Default)]
+pub struct PollRounds {
+    queue: VecDeque<TargetId>,
+    batch_size: usize,
+    /// The last engine that was polled in its turn.
+    last_in_turn: Option<TargetId>,
+}
+
+impl PollRounds {
+    /// Ends the current round.
+    pub fn clear(&mut self) {
+        self.queue.clear();
+    }
+
+    /// The next batch. `engines` is called at the beginning of a round.
+    pub fn next_batch(&mut self, engines: impl FnOnce() -> Vec<PolledEngine>) -> Vec<TargetId> {
+        if self.queue.is_empty() {
+            self.begin(engines());
+        }
+        let count = self.batch_size.min(self.queue.len());
+        self.queue.drain(..count).collect()
+    }
+
+    fn begin(&mut self, mut engines: Vec<PolledEngine>) {
+        engines.sort();
+        let (first, mut others): (Vec<_>, Vec<_>) = engines.into_iter().partition(|e| e.matters);
+        let last = self.last_in_turn.take();
+        let next = others.partition_point(|e| last.as_ref().is_some_and(|last| e.id <= *last));
+        others.rotate_left(next);
+        others.truncate((MAX_BATCH * BATCHES).saturating_sub(first.len()));
+        self.last_in_turn = others.last().map(|e| e.id.clone()).or(last);
+        self.queue = first.into_iter().chain(others).map(|e| e.id).collect();
+        self.batch_size = self.queue.len().div_ceil(BATCHES).min(MAX_BATCH);
+    }
+}
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -233,12 +233,25 @@
         }
     }
 
-    /// Paces that differ from the published one, for other hosts: the `most` slowest.
-    pub fn pace_reports(&self, most: usize, now: Instant) -> Vec<PaceReport> {
-        let report = |t: &Target| t.pace?.report(t.hash, now);
-        let mut reports: Vec<PaceReport> = self.all.values().filter_map(report).collect();
-        reports.sort_unstable_by_key(|report| (Reverse(report.pace), report.target));
-        reports.truncate(most);
+    /// Up to `most` paces that differ from the published one, for other hosts: the slowest of the
+    /// targets in use, and some of the others, chosen by `draw`. Hosts avoid slow targets, so that
+    /// most of these are not in use, and have to learn of them all the same.
+    pub fn pace_reports(&self, most: usize, draw: usize, now: Instant) -> Vec<PaceReport> {
+        let report = |t: &Target| Some((t.total_in_flight() > 0.0, t.pace?.report(t.hash, now)?));
+        let all = self.all.values().filter_map(report);
+        let (used, others): (Vec<_>, Vec<_>) = all.partition(|(used, _)| *used);
+        let by_pace = |report: &PaceReport| (Reverse(report.pace), report.target);
+        let mut reports: Vec<PaceReport> = used.into_iter().map(|(_, report)| report).collect();
+        let mut others: Vec<PaceReport> = others.into_iter().map(|(_, report)| report).collect();
+        reports.sort_unstable_by_key(by_pace);
+        reports.truncate(if others.is_empty() { most } else { most.div_ceil(2) });
+        if !others.is_empty() {
+            others.sort_unstable_by_key(by_pace);
+            let first = draw % others.len();
+            others.rotate_left(first);
+            others.truncate(most - reports.len());
+        }
+        reports.extend(others);
         reports
     }
 
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use super::fatal::BY_PEER;
 use super::{EntryHost, log_event};
+use rand::RngExt;
 use roseshore_core::gateway::RetryBudget;
 use roseshore_core::gateway::fatal::MIN_URGENT_GAP;
 use roseshore_core::gateway::paces::{EnginePace, PaceReport};
@@ -101,11 +102,11 @@
 
     /// The paces of engines to report to other hosts. Only speakers report them, since the other
     /// hosts of a data centre hear only their speakers.
-    fn pace_reports(&self) -> Vec<PaceReport> {
+    fn pace_reports(&mut self) -> Vec<PaceReport> {
         if !self.peers.speaking() {
             return Vec::new();
         }
-        self.targets.pace_reports(MAX_PACE_REPORTS, self.now)
+        self.targets.pace_reports(MAX_PACE_REPORTS, self.rng.random::<u32>() as usize, self.now)
     }
 
     /// The requests and retries of each service that this host has counted.
--- a/crates/roseshore_relay/src/entry/pace_polling.rs
+++ b/crates/roseshore_relay/src/entry/pace_polling.rs
@@ -2,26 +2,23 @@
 
 use super::calls::{CallFault, Purpose};
 use super::{EntryHost, log_event};
-use roseshore_core::gateway::paces::{EnginePace, MAX_POLLED, POLL_INTERVAL};
+use roseshore_core::gateway::paces::{BATCH_INTERVAL, EnginePace, PollRounds, PolledEngine};
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::CallReply;
-use std::collections::VecDeque;
 
-/// Interval between batches of polls.
-const BATCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time-out of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Factor from which on an engine counts as slow.
+const SLOW: f64 = 1.15;
 /// Smallest change of pace that is logged.
 const LOGGED_CHANGE: f64 = 0.3;
 
-/// The engines that have not been polled yet in this round.
+/// Progress of polling.
 #[derive(Debug, Default)]
 pub(super) struct PacePolling {
     last_batch: Option<Instant>,
-    queue: VecDeque<TargetId>,
-    /// Engines per batch.
-    batch_size: usize,
+    rounds: PollRounds,
 }
 
 impl EntryHost {
@@ -34,17 +31,13 @@
         }
         self.pace_polling.last_batch = Some(now);
         if self.peers.rank_in_centre(now) > 0 {
-            self.pace_polling.queue.clear();
+            self.pace_polling.rounds.clear();
             return;
         }
-        if self.pace_polling.queue.is_empty() {
-            self.pace_polling.queue = self.engines_with_layers();
-            let batches = POLL_INTERVAL.div_duration_f64(BATCH_INTERVAL).round() as usize;
-            self.pace_polling.batch_size =
-                self.pace_polling.queue.len().div_ceil(batches).min(MAX_POLLED);
-        }
-        for _ in 0..self.pace_polling.batch_size {
-            let Some(id) = self.pace_polling.queue.pop_front() else { break };
+        let mut rounds = std::mem::take(&mut self.pace_polling.rounds);
+        let batch = rounds.next_batch(|| self.engines_with_layers());
+        self.pace_polling.rounds = rounds;
+        for id in batch {
             let Some(addr) = self.call_address(&id) else { continue };
             let request = self.platform.report();
             self.call(Purpose::Pace(id), addr, &request, REPORT_TIMEOUT);
@@ -52,13 +45,17 @@
     }
 
     /// The engines of this host's data centre that hold layers.
-    fn engines_with_layers(&self) -> VecDeque<TargetId> {
-        let Some(snapshot) = &self.snapshot else { return VecDeque::new() };
+    fn engines_with_layers(&self) -> Vec<PolledEngine> {
+        let Some(snapshot) = &self.snapshot else { return Vec::new() };
         let holds = |t: &&Target| t.holding().is_some();
         let engines = snapshot
             .engine_services()
             .flat_map(|service| self.live_engines(&service.name).filter(holds));
-        engines.map(|t| t.record.id.clone()).collect()
+        let polled = |t: &Target| PolledEngine {
+            id: t.record.id.clone(),
+            matters: t.total_in_flight() > 0.0 || t.slowdown(self.now) > SLOW,
+        };
+        engines.map(polled).collect()
     }
 
     /// Handles the reply of an engine to a poll.
