Take no proof from a copied configuration that cannot be read

Cause: a copy brings the age of its sender's proof. If its configuration could not be read the one in force stayed, and was confirmed by the proof of the other: a removed key would have been honoured for longer than the operators' bound. Found when the change was read again; such a copy was never seen.

Change: position and proof of a copy count only when its configuration came into force. Ages are rounded up. Reports of paces are gathered in two plain lists, and one threshold tells a slow engine.

--- a/crates/roseshore_core/src/gateway/paces.rs
+++ b/crates/roseshore_core/src/gateway/paces.rs
@@ -68,12 +68,16 @@
         if self.is_fresh(now) { self.factor } else { 1.0 }
     }
 
+    /// Whether the engine recently reported another pace than the published one.
+    pub fn differs(&self, now: Instant) -> bool {
+        self.is_fresh(now) && (self.factor - 1.0).abs() >= MIN_DIFFERENCE
+    }
+
     /// Report for other hosts; `None` if it is too old, or differs too little.
     pub fn report(&self, target: TargetHash, now: Instant) -> Option<PaceReport> {
-        let differs = (self.factor - 1.0).abs() >= MIN_DIFFERENCE;
         let age = now.saturating_duration_since(self.reported_at).as_millis() as u16;
         let pace = (self.factor * 100.0).round() as u16;
-        (differs && self.is_fresh(now)).then_some(PaceReport { target, pace, age })
+        self.differs(now).then_some(PaceReport { target, pace, age })
     }
 
     fn is_fresh(&self, now: Instant) -> bool {
@@ -86,7 +90,7 @@
 pub struct PolledEngine {
     /// Its id.
     pub id: TargetId,
-    /// Whether requests run on it, or it was slow when last polled.
+    /// Whether requests run on it, or its pace differed when it was last polled.
     pub matters: bool,
 }
 
--- a/crates/roseshore_core/src/gateway/store_reads.rs
+++ b/crates/roseshore_core/src/gateway/store_reads.rs
@@ -105,8 +105,8 @@
         self.outdated
     }
 
-    /// Age of the last confirmation of the list from which on no host confirms it any more: even
-    /// the followers read by then.
+    /// Age of the last confirmation of the list at which followers begin to read it. If their calls
+    /// fail as well, the store is down for all hosts.
     pub fn unconfirmed_after(&self) -> Duration {
         self.list_age
     }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -237,22 +237,20 @@
     /// targets in use, and some of the others, chosen by `draw`. Hosts avoid slow targets, so that
     /// most of these are not in use, and have to learn of them all the same.
     pub fn pace_reports(&self, most: usize, draw: usize, now: Instant) -> Vec<PaceReport> {
-        let report = |t: &Target| Some((t.total_in_flight() > 0.0, t.pace?.report(t.hash, now)?));
-        let all = self.all.values().filter_map(report);
-        let (used, others): (Vec<_>, Vec<_>) = all.partition(|(used, _)| *used);
-        let by_pace = |report: &PaceReport| (Reverse(report.pace), report.target);
-        let mut reports: Vec<PaceReport> = used.into_iter().map(|(_, report)| report).collect();
-        let mut others: Vec<PaceReport> = others.into_iter().map(|(_, report)| report).collect();
-        reports.sort_unstable_by_key(by_pace);
-        reports.truncate(if others.is_empty() { most } else { most.div_ceil(2) });
-        if !others.is_empty() {
-            others.sort_unstable_by_key(by_pace);
-            let first = draw % others.len();
-            others.rotate_left(first);
-            others.truncate(most - reports.len());
+        let (mut used, mut others) = (Vec::new(), Vec::new());
+        for target in self.all.values() {
+            let report = target.pace.and_then(|pace| pace.report(target.hash, now));
+            let group = if target.total_in_flight() > 0.0 { &mut used } else { &mut others };
+            group.extend(report);
         }
-        reports.extend(others);
-        reports
+        used.sort_unstable_by_key(|report| (Reverse(report.pace), report.target));
+        used.truncate(most - others.len().min(most / 2));
+        others.sort_unstable_by_key(|report| report.target);
+        let first = draw.checked_rem(others.len()).unwrap_or(0);
+        others.rotate_left(first);
+        others.truncate(most - used.len());
+        used.extend(others);
+        used
     }
 
     /// Records the load that a target reported: requests running and waiting.
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -226,6 +226,11 @@
         Target { in_flight: self.in_flight, kv_used: self.kv_used, ..Target::new(record) }
     }
 
+    /// Whether it recently reported another pace than the published one.
+    pub fn pace_differs(&self, now: Instant) -> bool {
+        self.pace.is_some_and(|pace| pace.differs(now))
+    }
+
     /// Factor on the published times; 1 without a recent report.
     pub fn slowdown(&self, now: Instant) -> f64 {
         self.pace.map_or(1.0, |pace| pace.factor(now))
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -1,6 +1,6 @@
 //! Exchanges copies of store data between hosts, so that not every host reads the store.
 
-use super::probes::age_millis;
+use super::probes::proof_age;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::copies::{
@@ -100,7 +100,7 @@
         ConfigCopy {
             bytes: self.store_sync.config_bytes.clone(),
             next: self.store_sync.config_position(),
-            age: age_millis(self.config_lease.age(self.now)),
+            age: proof_age(self.config_lease.age(self.now)),
         }
     }
 
@@ -127,8 +127,11 @@
 
     /// Applies the configuration of a copy.
     fn apply_config_copy(&mut self, copy: ConfigCopy) {
-        let version = self.apply_config(copy.bytes);
-        if version < self.config_version() {
+        let before = self.config_version();
+        self.apply_config(copy.bytes);
+        if self.config_version() == before {
+            // It was not newer, or it cannot be read. Its proof is not one of the configuration in
+            // force.
             return;
         }
         self.store_sync.set_config_position(copy.next);
--- a/crates/roseshore_relay/src/entry/pace_polling.rs
+++ b/crates/roseshore_relay/src/entry/pace_polling.rs
@@ -9,8 +9,6 @@
 
 /// Time-out of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Factor from which on an engine counts as slow.
-const SLOW: f64 = 1.15;
 /// Smallest change of pace that is logged.
 const LOGGED_CHANGE: f64 = 0.3;
 
@@ -53,7 +51,7 @@
             .flat_map(|service| self.live_engines(&service.name).filter(holds));
         let polled = |t: &Target| PolledEngine {
             id: t.record.id.clone(),
-            matters: t.total_in_flight() > 0.0 || t.slowdown(self.now) > SLOW,
+            matters: t.total_in_flight() > 0.0 || t.pace_differs(self.now),
         };
         engines.map(polled).collect()
     }
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -98,9 +98,10 @@
     }
 }
 
-/// Milliseconds for another host.
-pub(super) fn age_millis(age: Option<Duration>) -> Option<u64> {
-    age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+/// Age of a proof in milliseconds for another host, rounded up so that the proof is not taken for
+/// newer than it is.
+pub(super) fn proof_age(age: Option<Duration>) -> Option<u64> {
+    age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1))
 }
 
 /// Milliseconds for a log line; -1 for `None`.
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -1,7 +1,7 @@
 //! Applies records of the store to the state of this host, the configuration in force and the list
 //! of targets, whether they were read from the store or copied from another host.
 
-use super::probes::age_millis;
+use super::probes::proof_age;
 use super::{EntryHost, log_event};
 use roseshore_core::gateway::copies::ListCopy;
 use roseshore_core::gateway::targets::{Absence, ListDelta, ListUpdate, RecordChange};
@@ -103,7 +103,7 @@
         let next = self.store_sync.list_position()?;
         let lapse = self.store_sync.outage.grace_left(self.now).as_millis() as u64;
         let digest = self.targets.list_version(next).digest;
-        let age = age_millis(self.list_age());
+        let age = proof_age(self.list_age());
         Some(ListCopy { next, changes: self.targets.changes_since(known), digest, lapse, age })
     }
 
