Let a list of many pages be read to its end despite heartbeats

Whoever read on was told to read the newest records, 15 pages of 200. Between two pages a heartbeat of another host with the same list set the reader back to the offset that the store no longer keeps; it dropped the pages, was refused, and began again. With a list of one page nothing can come between, so smaller deployments never showed it.

Change: StreamProgress::continue_at ignores offsets that the store has refused, and those that the pages under way already cover.

--- a/crates/roseshore_relay/src/entry/store_sync.rs
+++ b/crates/roseshore_relay/src/entry/store_sync.rs
@@ -34,6 +34,8 @@
     next: Option<u64>,
     /// The pages of newest records read so far.
     pages: Option<Pages>,
+    /// The last offset that the store refused since it no longer keeps the records.
+    trimmed: Option<u64>,
     /// Whether a call is in flight.
     in_flight: bool,
     /// Earliest time of the next call.
@@ -42,6 +44,20 @@
     failures: u32,
 }
 
+impl StreamProgress {
+    /// Continues at an offset up to which another host has read. Does nothing if the store no longer
+    /// keeps what follows, or if the pages that are being read go further: heartbeats arrive between
+    /// any two of them.
+    fn continue_at(&mut self, next: u64) {
+        let trimmed = self.trimmed.is_some_and(|trimmed| next <= trimmed);
+        let behind = self.pages.as_ref().is_some_and(|pages| next <= pages.end);
+        if !trimmed && !behind {
+            self.next = Some(next);
+            self.pages = None;
+        }
+    }
+}
+
 /// Pages of newest records, which are read one after the other.
 #[derive(Debug)]
 struct Pages {
@@ -162,8 +178,7 @@
             self.enter_era(next.era);
         }
         if next.era == self.era {
-            self.targets.next = Some(next.next);
-            self.targets.pages = None;
+            self.targets.continue_at(next.next);
         }
     }
 
@@ -172,6 +187,7 @@
         self.era = era;
         for progress in [&mut self.config, &mut self.targets] {
             (progress.next, progress.pages, progress.due) = (None, None, None);
+            progress.trimmed = None;
         }
     }
 
@@ -411,7 +427,7 @@
         self.store_available(stream);
         let progress = self.store_sync.stream(stream);
         if progress.next.is_some() {
-            // A copy was received between two pages, so the pages are no longer a whole list.
+            // Another host's list goes further than these pages.
             progress.pages = None;
             return;
         }
@@ -420,7 +436,7 @@
         pages.entries.extend(page.entries);
         pages.last_key = page.next_key;
         if pages.last_key.is_some() {
-            // The next page is read without a pause: a list of 3,000 targets has sixty pages.
+            // The next page is read without a pause: a list of 3,000 targets may have sixty pages.
             return self.read_store(stream, Duration::ZERO);
         }
         let Some(pages) = progress.pages.take() else { return };
@@ -467,6 +483,7 @@
             Err(StoreFault::Trimmed) => {
                 let progress = self.store_sync.stream(stream);
                 progress.next = None;
+                progress.trimmed = Some(from.next);
                 log_event!(self, ConfigTrimmed, "stream={stream:?} action=read_newest");
             }
             Err(fault) => self.store_refused(stream, &fault),
--- a/crates/roseshore_relay/tests/store_load.rs
+++ b/crates/roseshore_relay/tests/store_load.rs
@@ -1,8 +1,9 @@
 //! Simulations of the hosts of one data centre that follow the store, in virtual time: what all of
 //! them together ask of the store, and how soon each has what changed.
 //!
-//! The first host reads the store, the first three are speakers, and all decisions are those of
-//! `roseshore_core::gateway`.
+//! The first host reads the store, and the first three are speakers, from whose heartbeats the others
+//! learn what is new. The decisions are those of `roseshore_core::gateway`; this file stands in for
+//! the sockets and for the store, which sends its replies one after the other.
 
 use roseshore_core::gateway::copies::{Contents, CopyOutcome};
 use roseshore_core::gateway::peers::relation::Relation;
@@ -65,8 +66,12 @@
     copies: Copies,
     copy: Option<Transfer>,
     read: Option<Transfer>,
-    due: Instant,
+    tick_due: Instant,
+    /// When the store may be called again after a failed call.
+    read_due: Instant,
     failures: u32,
+    /// Whether the store refuses its calls.
+    refused: bool,
     last_urgent: Option<Instant>,
     turn: bool,
     heartbeat_due: Instant,
@@ -80,8 +85,8 @@
     name: &'static str,
     /// Intervals at which the configuration and the list change.
     intervals: [Option<Duration>; 2],
-    /// One host in this many is refused by the store; 0 for none.
-    refused: usize,
+    /// Whether the store refuses a host meanwhile.
+    refuses: fn(usize) -> bool,
     /// How long the changes and the refusals last.
     time: Duration,
     /// Bandwidth of the speakers' links.
@@ -146,8 +151,8 @@
                 }
             }
             for n in 0..self.hosts.len() {
-                let refused = active && load.refused > 0 && n % load.refused == 1;
-                self.step(n, refused);
+                self.hosts[n].refused = active && (load.refuses)(n);
+                self.step(n);
                 let host = &self.hosts[n];
                 let outdated = host.newer.outdated_since();
                 let outdated =
@@ -175,7 +180,7 @@
         self.calls.iter().map(|at| within(*at).count()).max().unwrap_or(0)
     }
 
-    fn step(&mut self, n: usize, refused: bool) {
+    fn step(&mut self, n: usize) {
         self.end_transfers(n);
         let now = self.now;
         if self.hosts[n].heartbeat_due <= now {
@@ -190,28 +195,30 @@
         let others = self.hosts.len() - 1;
         let host = &mut self.hosts[n];
         host.newer.update(host.known[0].version, host.newest, now);
-        if host.due <= now {
-            host.due = now + TICK;
+        if host.tick_due <= now {
+            host.tick_due = now + TICK;
             host.turn = has_turn(others, draw);
-            self.read_if_due(n, refused);
+            self.read_if_due(n);
         }
     }
 
-    fn read_if_due(&mut self, n: usize, refused: bool) {
+    fn read_if_due(&mut self, n: usize) {
         let host = &self.hosts[n];
         let age = |stream: usize| self.now.saturating_duration_since(host.known[stream].proven);
         let most = [self.policy.config_max_age(n), self.policy.list_max_age(n)];
         let first = host.rank == 0 && age(1) >= TARGETS_INTERVAL.min(CONFIG_LONG_POLL);
         let stale = (0..2).any(|s| most[s].is_some_and(|most| age(s) >= most));
-        if (first || stale) && (host.turn || !is_follower(n)) && host.read.is_none() {
-            self.read(n, refused);
+        let free = host.read.is_none() && self.now >= host.read_due;
+        if (first || stale) && free && (host.turn || !is_follower(n)) {
+            self.read(n);
         }
     }
 
-    /// Calls the store for both streams. It replies at its rate, one call after the other.
-    fn read(&mut self, n: usize, refused: bool) {
+    /// Calls the store for both streams.
+    fn read(&mut self, n: usize) {
         self.calls.push(self.now);
         let host = &self.hosts[n];
+        let refused = host.refused;
         let behind = |s: usize| (self.newest[s] - host.known[s].version) as usize;
         let bytes = behind(0).min(1) * CONFIG_BYTES + behind(1) * CHANGED_RECORDS * RECORD_BYTES;
         let known = self.newest.map(|version| Known { version, proven: self.now });
@@ -235,7 +242,7 @@
                     host.heartbeat_due = now;
                 }
             } else {
-                host.due = now + backoff(host.failures, n);
+                host.read_due = now + backoff(host.failures, n);
                 host.failures += 1;
             }
         }
@@ -279,7 +286,7 @@
                 && (host.turn || !is_follower(to))
             {
                 self.hosts[to].last_urgent = Some(now);
-                self.read(to, false);
+                self.read(to);
             }
         }
     }
@@ -334,8 +341,10 @@
             copies: Copies::new(Some(link)),
             copy: None,
             read: None,
-            due: now + spread,
+            tick_due: now + spread,
+            read_due: now,
             failures: 0,
+            refused: false,
             last_urgent: None,
             turn: false,
             heartbeat_due: now + spread,
@@ -365,7 +374,7 @@
     let calm = Load {
         name: "calm",
         intervals: [None, None],
-        refused: 0,
+        refuses: |_| false,
         time: ms(8000),
         speaker_link: WIDE_LINK,
         suspended: 0.0,
@@ -380,18 +389,27 @@
         Load {
             name: "configurations in quick succession while the store refuses a third",
             intervals: [Some(ms(450)), Some(TARGETS_INTERVAL)],
-            refused: 3,
+            refuses: |n| n % 3 == 1,
             time: ms(9000),
             ..calm
         },
         Load {
             name: "the same, and all links are narrow",
             intervals: [Some(ms(450)), Some(TARGETS_INTERVAL)],
-            refused: 3,
+            refuses: |n| n % 3 == 1,
             time: ms(9000),
             speaker_link: NARROW_LINK,
             suspended: 1.0,
         },
+        Load {
+            name: "configurations in quick succession while the store refuses all",
+            intervals: [Some(ms(450)), Some(TARGETS_INTERVAL)],
+            refuses: |_| true,
+            time: ms(9000),
+            // The lease on the configuration ends.
+            suspended: 1.0,
+            ..calm
+        },
         calm,
     ];
     for load in &loads {
