Read the changes for the whole fleet once more: one rule for ages, one way to begin an outage

The ages at which a host reads the configuration and the list follow one function instead of two that differ in names. StoreOutage is made from the policy, so StoreSync no longer sets it twice. The position of a copied configuration and the test for a long poll are written plainly. No behaviour changes.

--- a/crates/roseshore_core/src/gateway/outage.rs
+++ b/crates/roseshore_core/src/gateway/outage.rs
@@ -38,16 +38,21 @@
 
 impl Default for StoreOutage {
     fn default() -> StoreOutage {
+        StoreOutage::new(&ReadPolicy::new(&Bounds::default()))
+    }
+}
+
+impl StoreOutage {
+    /// No outage so far, among hosts that read the store by this policy.
+    pub fn new(policy: &ReadPolicy) -> StoreOutage {
         StoreOutage {
-            unconfirmed_after: ReadPolicy::new(&Bounds::default()).unconfirmed_after(),
+            unconfirmed_after: policy.unconfirmed_after(),
             down_since: None,
             grace_until: None,
             confirmed: None,
         }
     }
-}
 
-impl StoreOutage {
     /// Applies the policy by which hosts read the store.
     pub fn set_policy(&mut self, policy: &ReadPolicy) {
         self.unconfirmed_after = policy.unconfirmed_after();
--- a/crates/roseshore_core/src/gateway/store_reads.rs
+++ b/crates/roseshore_core/src/gateway/store_reads.rs
@@ -85,14 +85,12 @@
     /// How old the last confirmation of the configuration may be before the host of a rank reads it
     /// itself; `None` for the first host, which always reads.
     pub fn config_max_age(&self, rank: usize) -> Option<Duration> {
-        let early = CONFIG_LONG_POLL + RANK_DELAY * steps(rank);
-        (rank > 0).then(|| if is_follower(rank) { self.config_age } else { early })
+        max_age(rank, CONFIG_LONG_POLL, self.config_age)
     }
 
     /// The same for the list of targets.
     pub fn list_max_age(&self, rank: usize) -> Option<Duration> {
-        let early = TARGETS_INTERVAL + RANK_DELAY * steps(rank);
-        (rank > 0).then(|| if is_follower(rank) { self.list_age } else { early })
+        max_age(rank, TARGETS_INTERVAL, self.list_age)
     }
 
     /// How long the host of a rank waits for a copy of a newer configuration before it reads it.
@@ -112,6 +110,15 @@
     }
 }
 
+/// How old a confirmation may be that the first host renews at this interval, or for followers.
+fn max_age(rank: usize, interval: Duration, follower: Duration) -> Option<Duration> {
+    match rank {
+        0 => None,
+        _ if is_follower(rank) => Some(follower),
+        _ => Some(interval + RANK_DELAY * steps(rank)),
+    }
+}
+
 /// Whether a host of this rank is a follower.
 pub fn is_follower(rank: usize) -> bool {
     rank >= LAST_RANK
--- a/crates/roseshore_relay/src/entry/store_sync.rs
+++ b/crates/roseshore_relay/src/entry/store_sync.rs
@@ -101,23 +101,22 @@
 impl StoreSync {
     /// Nothing read yet.
     pub(super) fn new(bounds: &Bounds) -> StoreSync {
-        let mut sync = StoreSync {
-            policy: ReadPolicy::new(bounds),
+        let policy = ReadPolicy::new(bounds);
+        StoreSync {
+            policy,
             turn: false,
             config: StreamProgress::default(),
             targets: StreamProgress::default(),
             era: Era::default(),
             list: None,
             store_behind: false,
-            outage: StoreOutage::default(),
+            outage: StoreOutage::new(&policy),
             list_differs: false,
             needs_whole_list: false,
             last_urgent: None,
             applied: None,
             config_bytes: Vec::new(),
-        };
-        sync.set_bounds(bounds);
-        sync
+        }
     }
 
     /// Applies the operators' bounds.
@@ -135,7 +134,7 @@
     /// former offset would bring all versions since.
     pub(super) fn set_config_position(&mut self, next: Option<Position>) {
         let known = next.filter(|position| position.era == self.era).map(|position| position.next);
-        self.config.next = known.max(self.config.next.filter(|_| known.is_some()));
+        self.config.next = known.map(|next| next.max(self.config.next.unwrap_or(0)));
         self.config.pages = None;
     }
 
@@ -340,7 +339,10 @@
         if last_urgent.is_some_and(|at| now.saturating_duration_since(at) < URGENT_INTERVAL) {
             return;
         }
-        let hangs = |purpose: &Purpose| matches!(purpose, Purpose::Read(Stream::Config, _, wait) if !wait.is_zero());
+        let hangs = |purpose: &Purpose| match purpose {
+            Purpose::Read(Stream::Config, _, wait) => !wait.is_zero(),
+            _ => false,
+        };
         if self.store_sync.config.in_flight && !self.cancel_calls(hangs) {
             return;
         }
--- a/crates/roseshore_relay/tests/store_load.rs
+++ b/crates/roseshore_relay/tests/store_load.rs
@@ -5,6 +5,8 @@
 //! learn what is new. The decisions are those of `roseshore_core::gateway`; this file stands in for
 //! the sockets and for the store, which sends its replies one after the other.
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use roseshore_core::gateway::copies::{Contents, CopyOutcome};
 use roseshore_core::gateway::peers::relation::Relation;
 use roseshore_core::gateway::store_reads::{
@@ -111,7 +113,7 @@
     newest: [u64; 2],
     store_free: Instant,
     calls: Vec<Instant>,
-    draws: u64,
+    random: SmallRng,
 }
 
 impl World {
@@ -126,13 +128,8 @@
         let hosts =
             (0..count).map(|rank| Host::new(rank, count, link(rank), &bounds, now)).collect();
         let policy = ReadPolicy::new(&bounds);
-        let calls = Vec::new();
-        World { now, policy, hosts, newest: [1, 1], store_free: now, calls, draws: 1 }
-    }
-
-    fn draw(&mut self) -> f64 {
-        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-        (self.draws >> 11) as f64 / (1_u64 << 53) as f64
+        let (calls, random) = (Vec::new(), SmallRng::seed_from_u64(1));
+        World { now, policy, hosts, newest: [1, 1], store_free: now, calls, random }
     }
 
     /// Plays a load, and then the time until all hosts are current.
@@ -191,7 +188,7 @@
             let period = Relation::Listener.period(self.hosts.len() - 1);
             self.hosts[n].heartbeat_due = now + period;
         }
-        let draw = self.draw();
+        let draw = self.random.random();
         let others = self.hosts.len() - 1;
         let host = &mut self.hosts[n];
         host.newer.update(host.known[0].version, host.newest, now);
