--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -111,6 +111,7 @@
     TargetRests = 615, Info, "a target wants nothing from this daemon for a while";
     LimitNamed = 616, Info, "a target names the requests a second that it takes from all daemons, or ends to";
     PermitRefused = 617, Debug, "a request was not sent to a target, which takes no more a second from all daemons";
+    TargetsReported = 618, Info, "other hosts report that targets fail their liveness checks, or no longer do";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -153,6 +153,8 @@
     pub utilisation: f64,
     /// The target with that share.
     pub bottleneck: TargetId,
+    /// The first engine that failed recently; `None` if none did.
+    pub unhealthy: Option<TargetId>,
     /// Whether it lies in the data centre of this host.
     pub local: bool,
 }
@@ -274,6 +276,7 @@
         suitable: true,
         utilisation: 0.0,
         bottleneck: TargetId::new(),
+        unhealthy: None,
         local: true,
     };
     for (index, layers) in segments {
@@ -285,6 +288,9 @@
             width * (request.prompt_tokens * candidate.prefill_ms + candidate.decode_ms) + hop_ms;
         let taken = request.kv_tokens() * width;
         path.suitable &= request.fits(candidate, width) && candidate.healthy;
+        if !candidate.healthy && path.unhealthy.is_none() {
+            path.unhealthy = Some(candidate.id.clone());
+        }
         let mut fill =
             (candidate.kv_capacity - candidate.kv_free + taken) / candidate.kv_capacity.max(1.0);
         if layers.0 == 0 {
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -7,6 +7,7 @@
 use crate::gateway::retry_budget::RetryCounts;
 use crate::prelude::*;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 /// Combined state of all other hosts.
 #[derive(Clone, Debug)]
@@ -110,6 +111,13 @@
         self.view(now).loads
     }
 
+    /// Live hosts whose last heartbeat reported that any of these targets fails liveness checks.
+    pub fn reporting_down(&self, targets: &[TargetHash], now: Instant) -> Vec<SocketAddr> {
+        let reports = |load: &TargetLoad| load.down && targets.contains(&load.target);
+        let alive = self.all.values().filter(|p| p.alive(self.is_near(p), now));
+        alive.filter(|p| p.loads.iter().any(reports)).map(|p| p.addr).collect()
+    }
+
     /// Number of hosts that were heard and are not forgotten, with this one.
     pub fn hosts(&self) -> usize {
         1 + self.all.values().filter(|p| p.last_heard.is_some()).count()
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -28,7 +28,16 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use target::ReportedHolding;
-pub use target::{Claim, Holding, LayersReport, LivenessFailure, Target, TargetRecord};
+pub use target::{Claim, Holding, LayersReport, LivenessFailure, OutOfUse, Target, TargetRecord};
+
+/// Changes to what other hosts report about targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportChanges {
+    /// Targets that they now report to fail liveness checks.
+    pub down: Vec<TargetId>,
+    /// Targets that they no longer report to.
+    pub back: Vec<TargetId>,
+}
 
 /// All known targets, by id.
 #[derive(Clone, Debug, Default)]
@@ -207,10 +216,36 @@
         new
     }
 
-    /// Sets the load that other hosts have at each target.
-    pub fn set_remote_loads(&mut self, loads: &HashMap<TargetHash, TargetLoad>) {
+    /// Sets the load that other hosts have at each target. Returns the targets of which they report
+    /// for the first time that they fail liveness checks, and those of which they no longer do.
+    pub fn set_remote_loads(&mut self, loads: &HashMap<TargetHash, TargetLoad>) -> ReportChanges {
+        let mut changes = ReportChanges::default();
         for target in self.all.values_mut() {
-            target.remote_load = loads.get(&target.hash).copied().unwrap_or_default();
+            let load = loads.get(&target.hash).copied().unwrap_or_default();
+            if load.down != target.remote_load.down {
+                let changed = if load.down { &mut changes.down } else { &mut changes.back };
+                changed.push(target.record.id.clone());
+            }
+            target.remote_load = load;
+        }
+        changes
+    }
+
+    /// Number of targets that fail this host's liveness checks, and of those that fail the checks
+    /// of other hosts.
+    pub fn down_counts(&self) -> (usize, usize) {
+        let own = self.all.values().filter(|t| t.liveness_failure.is_some()).count();
+        let reported = self.all.values().filter(|t| t.remote_load.down).count();
+        (own, reported)
+    }
+
+    /// Why a target gets no new work at present although it is listed; `None` if it does.
+    pub fn out_of_use(&self, id: &str, now: Instant) -> Option<OutOfUse> {
+        let target = self.all.get(id)?;
+        match target.liveness_failure {
+            Some(failure) => Some(OutOfUse::Failing(failure)),
+            None if target.remote_load.down => Some(OutOfUse::Reported),
+            None => (!target.is_healthy(now)).then_some(OutOfUse::Failed),
         }
     }
 
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -7,6 +7,7 @@
 use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -114,6 +115,27 @@
     }
 }
 
+/// Why a listed target gets no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutOfUse {
+    /// It fails this host's liveness checks.
+    Failing(LivenessFailure),
+    /// It fails the liveness checks of another host.
+    Reported,
+    /// A request failed there a moment ago.
+    Failed,
+}
+
+impl fmt::Display for OutOfUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OutOfUse::Failing(failure) => write!(f, "fails liveness checks ({})", failure.name()),
+            OutOfUse::Reported => write!(f, "is reported to fail liveness checks"),
+            OutOfUse::Failed => write!(f, "failed a request a moment ago"),
+        }
+    }
+}
+
 /// Resources that a request takes at one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Claim {
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -49,6 +49,8 @@
     expected: f64,
     /// The highest cache utilisation on the path as a fraction, and its target.
     utilisation: (f64, TargetId),
+    /// A target of the path that failed recently.
+    unhealthy: Option<TargetId>,
 }
 
 impl Choice {
@@ -64,6 +66,7 @@
             suitable: true,
             expected: 0.0,
             utilisation: (0.0, TargetId::new()),
+            unhealthy: None,
         }
     }
 
@@ -216,15 +219,25 @@
             }
         }
         if !engine || left.is_zero() {
-            let why = best.map_or("no target takes the request".to_owned(), |choice| {
-                let (utilisation, bottleneck) = choice.utilisation;
-                format!("no room: target `{bottleneck}` would be {utilisation:.2} full")
-            });
+            let why = self.shortage_reason(best);
             return self.end_without(key, Code::NoTarget, &why);
         }
         self.set_timer(now + QUEUE_POLL_INTERVAL, Timer::Exchange(key));
     }
 
+    /// Why a request cannot be sent, given the best choice that there is.
+    fn shortage_reason(&self, best: Option<Choice>) -> String {
+        let Some(choice) = best else { return "no target takes the request".to_owned() };
+        let out_of_use =
+            choice.unhealthy.and_then(|id| Some((self.targets.out_of_use(&id, self.now)?, id)));
+        match (out_of_use, choice.utilisation) {
+            (Some((reason, id)), _) => format!("no path: target `{id}` {reason}"),
+            (None, (utilisation, bottleneck)) => {
+                format!("no room: target `{bottleneck}` would be {utilisation:.2} full")
+            }
+        }
+    }
+
     /// Why no target can be chosen for a request.
     fn unavailable_reason(&mut self, key: Key) -> Unavailable {
         let Some(exchange) = self.exchanges.get(key) else { return Unavailable::Other };
@@ -283,7 +296,7 @@
         let (ttft_ms, token_ms, suitable) = (path.ttft_ms, path.token_ms, path.suitable);
         let (utilisation, expected) =
             ((path.utilisation, path.bottleneck), path_request.answer_tokens);
-        let path = path.hops;
+        let (path, unhealthy) = (path.hops, path.unhealthy);
         Some(Choice {
             target,
             addr,
@@ -294,6 +307,7 @@
             suitable,
             expected,
             utilisation,
+            unhealthy,
         })
     }
 
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -7,6 +7,7 @@
 use roseshore_core::gateway::fatal::MIN_URGENT_GAP;
 use roseshore_core::gateway::paces::{EnginePace, PaceReport};
 use roseshore_core::gateway::peers::{Datagram, Heartbeat, LocalState, ServiceCounts, name_hash};
+use roseshore_core::gateway::targets::ReportChanges;
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
 use std::net::SocketAddr;
@@ -94,12 +95,32 @@
         }
         self.peers_viewed = Some(now);
         let view = self.peers.view(now);
-        self.targets.set_remote_loads(&view.loads);
+        let changes = self.targets.set_remote_loads(&view.loads);
+        self.log_reports(&changes);
         for (service, budget) in &mut self.retry_budgets {
             budget.set_peers(service, &self.peers, &view, now);
         }
     }
 
+    /// Logs what other hosts report about targets where it has changed.
+    fn log_reports(&mut self, changes: &ReportChanges) {
+        for (down, ids) in [(true, &changes.down), (false, &changes.back)] {
+            if ids.is_empty() {
+                continue;
+            }
+            let hashes: Vec<_> = ids.iter().filter_map(|id| self.targets.hash(id)).collect();
+            let by = self.peers.reporting_down(&hashes, self.now);
+            let by: Vec<String> = by.iter().map(SocketAddr::to_string).collect();
+            let (count, by) = (ids.len(), by.join(","));
+            log_event!(
+                self,
+                TargetsReported,
+                "down={down} count={count} by={by} targets={}",
+                ids.join(",")
+            );
+        }
+    }
+
     /// The paces of engines to report to other hosts. Only speakers report them, since the other
     /// hosts of a data centre hear only their speakers.
     fn pace_reports(&mut self) -> Vec<PaceReport> {
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -182,6 +182,9 @@
         let now = self.now;
         let targets = &self.targets;
         self.liveness.checks.retain(|id, check| check.pending || targets.get(id).is_some());
+        let (own, reported) = self.targets.down_counts();
+        metrics::gauge!("roseshore_targets_down", "by" => "own").set(own as f64);
+        metrics::gauge!("roseshore_targets_down", "by" => "reported").set(reported as f64);
         for id in self.targets.dead() {
             let last = self.liveness.checks.get(&id).and_then(|d| d.last);
             if last.is_none_or(|at| now.saturating_duration_since(at) >= DEAD_CHECK_INTERVAL) {
