--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -223,8 +223,8 @@
         for target in self.all.values_mut() {
             let load = loads.get(&target.hash).copied().unwrap_or_default();
             if load.down != target.remote_load.down {
-                let changed = if load.down { &mut changes.down } else { &mut changes.back };
-                changed.push(target.record.id.clone());
+                let list = if load.down { &mut changes.down } else { &mut changes.back };
+                list.push(target.record.id.clone());
             }
             target.remote_load = load;
         }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -23,7 +23,7 @@
 mod timeouts;
 
 use crate::log_writer::LogWriter;
-use crate::net::{Ended, Endpoint, Net, SocketChange};
+use crate::net::{Dial, Ended, Endpoint, Net, SocketChange};
 use crate::slab::{Key, Slab};
 use blocked_requests::BlockedRecords;
 use callers::Caller;
@@ -73,6 +73,8 @@
     pub platform: Box<dyn EntryPlatform>,
     /// The clock; time for which the machine was suspended counts.
     pub clock: Box<dyn Clock>,
+    /// Opens connections to targets, the store and other hosts.
+    pub dial: Box<dyn Dial>,
     /// Address at which metrics are served, and their recorder; `None` to serve none.
     pub metrics: Option<(SocketAddr, PrometheusHandle)>,
     /// Set by the stop signal.
@@ -198,6 +200,7 @@
             read_settings,
             platform,
             clock,
+            dial,
             metrics,
             stop,
             reload,
@@ -205,7 +208,7 @@
         } = options;
         let now = clock.now();
         let sockets = settings.max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
-        let mut net = Net::new(sockets.saturating_sub(RESERVED_DESCRIPTORS).max(64))?;
+        let mut net = Net::new(sockets.saturating_sub(RESERVED_DESCRIPTORS).max(64), dial)?;
         settings.caller_addr = net.listen(Endpoint::Callers, settings.caller_addr)?;
         settings.probe_addr = net.listen(Endpoint::Probes, settings.probe_addr)?;
         let metrics_handle = match metrics {
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -1,7 +1,8 @@
 //! Non-blocking sockets with their input and output buffers, over a readiness poll.
 
 use crate::slab::{Key, Slab};
-use mio::net::{TcpListener, TcpStream, UdpSocket};
+pub use mio::net::TcpStream;
+use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
@@ -17,6 +18,25 @@
 /// as broken.
 const MAX_OUTPUT: usize = 8 << 20;
 
+/// Starts outgoing connections.
+pub trait Dial {
+    /// Starts to open a connection without waiting until it is established.
+    ///
+    /// # Errors
+    /// If the system refuses immediately.
+    fn dial(&self, addr: SocketAddr) -> io::Result<TcpStream>;
+}
+
+/// Connects to the address itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DirectDial;
+
+impl Dial for DirectDial {
+    fn dial(&self, addr: SocketAddr) -> io::Result<TcpStream> {
+        TcpStream::connect(addr)
+    }
+}
+
 /// A listening socket or the datagram socket. Its discriminant determines its `mio` token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endpoint {
@@ -86,9 +106,9 @@
 }
 
 /// The readiness poll with its listeners, datagram socket and connections.
-#[derive(Debug)]
 pub struct Net {
     poll: Poll,
+    dial: Box<dyn Dial>,
     events: Events,
     sockets: Slab<Socket>,
     listeners: Vec<(Endpoint, TcpListener)>,
@@ -100,15 +120,26 @@
 }
 
 impl Net {
-    /// A poll without sockets, for at most `max_connections` connections.
+    /// A poll without sockets, for at most `max_connections` connections; outgoing ones are opened
+    /// by `dial`.
     ///
     /// # Errors
     /// If the system cannot create a readiness queue.
-    pub fn new(max_connections: usize) -> io::Result<Net> {
+    pub fn new(max_connections: usize, dial: Box<dyn Dial>) -> io::Result<Net> {
         let (poll, events) = (Poll::new()?, Events::with_capacity(MAX_EVENTS));
         let (sockets, listeners, scratch) = (Slab::default(), Vec::new(), vec![0; READ_SIZE]);
         let (datagrams, received) = (None, 0);
-        Ok(Net { poll, events, sockets, listeners, datagrams, max_connections, received, scratch })
+        Ok(Net {
+            poll,
+            dial,
+            events,
+            sockets,
+            listeners,
+            datagrams,
+            max_connections,
+            received,
+            scratch,
+        })
     }
 
     /// Opens a TCP listener and returns its address, with the port that the system chose for port
@@ -226,7 +257,7 @@
         if self.sockets.len() >= self.max_connections {
             return Err(io::Error::other("too many connections"));
         }
-        self.add(TcpStream::connect(addr)?, false)
+        self.add(self.dial.dial(addr)?, false)
     }
 
     fn add(&mut self, stream: TcpStream, connected: bool) -> io::Result<Key> {
--- a/crates/roseshored/src/entry.rs
+++ b/crates/roseshored/src/entry.rs
@@ -10,6 +10,7 @@
 use roseshore_platform::{BOOT_VARIABLE, Platform, read_boot};
 use roseshore_ports::entry::WireError;
 use roseshore_relay::entry::{EntryHost, EntryOptions};
+use roseshore_relay::net::DirectDial;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -105,9 +106,18 @@
     let metrics = port.map(|port| (SocketAddr::new(settings.caller_addr.ip(), port), handle));
     let read_settings = Box::new(move || read_boot(&path));
     let platform = Box::new(Platform);
-    let (clock, quiet) = (Box::new(BootClock::new()), false);
-    let options =
-        EntryOptions { settings, read_settings, platform, clock, metrics, stop, reload, quiet };
+    let (clock, dial, quiet) = (Box::new(BootClock::new()), Box::new(DirectDial), false);
+    let options = EntryOptions {
+        settings,
+        read_settings,
+        platform,
+        clock,
+        dial,
+        metrics,
+        stop,
+        reload,
+        quiet,
+    };
     let mut entry = EntryHost::new(options)?;
     Ok(entry.run()?)
 }
