--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -172,7 +172,7 @@
         (target, TargetLoad { target, own: 3, held: 40, down: false })
     };
     let told: HashMap<_, _> = records.iter().step_by(3).map(note).collect();
-    let loads = micros(51, || drop(targets.set_remote_loads(&told)));
+    let loads = micros(51, || drop(targets.set_remote_loads(&told, now)));
     for record in records.iter().step_by(30) {
         targets.reserve(&Claim { target: record.id.clone(), kv_used: 1000.0 });
     }
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -66,6 +66,8 @@
     pub list_proven: Option<Instant>,
     /// Its load at each target.
     pub loads: Vec<TargetLoad>,
+    /// Targets that it reached after other hosts had reported that they fail liveness checks.
+    pub refuted: Vec<TargetHash>,
     /// Requests and retries that it has counted, by service.
     pub counts: Vec<ServiceCounts>,
     /// Layers that it has ordered targets to hold, or found them to hold.
@@ -88,6 +90,7 @@
             list: ListVersion::default(),
             list_proven: None,
             loads: Vec::new(),
+            refuted: Vec::new(),
             counts: Vec::new(),
             holdings: Vec::new(),
             paces: Vec::new(),
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -154,7 +154,8 @@
     }
 
     fn round<'a>(&self, own: &'a LocalState, now: Instant) -> Round<'a> {
-        let near = self.near_sums(now);
+        let mut near = self.near_sums(now);
+        near.clear_failures(&own.refuted);
         let mut others = near.clone();
         self.add_far(&mut others, now);
         Round { own, near, others, ranked: self.ranked(now) }
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Drops the failed liveness checks of these targets.
+    pub(super) fn clear_failures(&mut self, targets: &[TargetHash]) {
+        for target in targets {
+            if let Some(sum) = self.loads.get_mut(target) {
+                sum.failures = 0;
+            }
+        }
+    }
+
     /// Adds counts.
     pub(super) fn add_counts<'a>(&mut self, counts: impl IntoIterator<Item = &'a ServiceCounts>) {
         for count in counts {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -129,6 +129,7 @@
         for id in path {
             if let Some(target) = self.all.get_mut(id) {
                 target.last_progress = Some(now);
+                target.alive_at = Some(now);
                 target.liveness_failure = None;
             }
         }
@@ -158,9 +159,14 @@
         new
     }
 
-    /// Records a passed liveness check. Returns whether the target was taken to be dead before.
-    pub fn liveness_passed(&mut self, id: &str) -> bool {
-        self.all.get_mut(id).is_some_and(|t| t.liveness_failure.take().is_some())
+    /// Records a passed liveness check that began at `started`. Returns whether the target was
+    /// taken to be dead before.
+    pub fn liveness_passed(&mut self, id: &str, started: Instant) -> bool {
+        let Some(target) = self.all.get_mut(id) else { return false };
+        let before = target.is_down();
+        target.alive_at = target.alive_at.max(Some(started));
+        target.liveness_failure = None;
+        before && !target.is_down()
     }
 
     /// Ids of the targets that fail this host's liveness checks.
@@ -218,13 +224,18 @@
 
     /// Sets the load that other hosts have at each target. Returns the targets of which they report
     /// for the first time that they fail liveness checks, and those of which they no longer do.
-    pub fn set_remote_loads(&mut self, loads: &HashMap<TargetHash, TargetLoad>) -> ReportChanges {
+    pub fn set_remote_loads(
+        &mut self,
+        loads: &HashMap<TargetHash, TargetLoad>,
+        now: Instant,
+    ) -> ReportChanges {
         let mut changes = ReportChanges::default();
         for target in self.all.values_mut() {
             let load = loads.get(&target.hash).copied().unwrap_or_default();
             if load.down != target.remote_load.down {
                 let list = if load.down { &mut changes.down } else { &mut changes.back };
                 list.push(target.record.id.clone());
+                target.reported_at = load.down.then_some(now);
             }
             target.remote_load = load;
         }
@@ -239,12 +250,28 @@
         (own, reported)
     }
 
+    /// Targets that other hosts report to fail liveness checks while this host's checks passed or
+    /// were not made, and that have shown no sign of life here since `since`.
+    pub fn unverified(&self, since: Instant) -> Vec<TargetId> {
+        let unverified = |t: &&Target| {
+            t.liveness_failure.is_none()
+                && t.reported_at.is_some_and(|at| t.alive_at < Some(at.max(since)))
+        };
+        self.all.values().filter(unverified).map(|t| t.record.id.clone()).collect()
+    }
+
+    /// Targets that other hosts report to fail liveness checks and that this host reached after the
+    /// report.
+    pub fn refuted(&self) -> Vec<TargetHash> {
+        self.all.values().filter(|t| t.is_refuted()).map(|t| t.hash).collect()
+    }
+
     /// Why a target gets no new work at present although it is listed; `None` if it does.
     pub fn out_of_use(&self, id: &str, now: Instant) -> Option<OutOfUse> {
         let target = self.all.get(id)?;
         match target.liveness_failure {
             Some(failure) => Some(OutOfUse::Failing(failure)),
-            None if target.remote_load.down => Some(OutOfUse::Reported),
+            None if target.is_down() => Some(OutOfUse::Reported),
             None => (!target.is_healthy(now)).then_some(OutOfUse::Failed),
         }
     }
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -177,6 +177,10 @@
     pub(super) last_progress: Option<Instant>,
     /// How it failed its latest liveness check; `None` if it passed.
     pub(super) liveness_failure: Option<LivenessFailure>,
+    /// Since when other hosts have reported that it fails their liveness checks.
+    pub(super) reported_at: Option<Instant>,
+    /// Latest time at which it was alive by this host's own observation.
+    pub(super) alive_at: Option<Instant>,
     /// Layers being given up.
     pub(super) clearing: Option<Clearing>,
     /// Availability that it stated.
@@ -202,6 +206,8 @@
             reported_holding: None,
             last_progress: None,
             liveness_failure: None,
+            reported_at: None,
+            alive_at: None,
             clearing: None,
             availability: Availability::default(),
         }
@@ -222,9 +228,17 @@
         !self.is_down() && self.health.usable(now, self.in_flight)
     }
 
-    /// Whether it fails the liveness checks of this or another host.
+    /// Whether it fails the liveness checks of this host, or of another one whose report is not
+    /// refuted.
     pub fn is_down(&self) -> bool {
-        self.liveness_failure.is_some() || self.remote_load.down
+        self.liveness_failure.is_some() || (self.remote_load.down && !self.is_refuted())
+    }
+
+    /// Whether this host reached it after others had reported that it fails their checks: the fault
+    /// is then at their links.
+    pub(super) fn is_refuted(&self) -> bool {
+        self.liveness_failure.is_none()
+            && self.reported_at.is_some_and(|reported| self.alive_at >= Some(reported))
     }
 
     /// How it failed this host's latest liveness check; `None` if it passed.
--- a/crates/roseshore_core/tests/gateway/paces.rs
+++ b/crates/roseshore_core/tests/gateway/paces.rs
@@ -84,7 +84,7 @@
             loads.insert(hash, TargetLoad { target: hash, own: 1, held: 0, down: false });
         }
     }
-    targets.set_remote_loads(&loads);
+    targets.set_remote_loads(&loads, now);
     let mut told = HashSet::new();
     // A host gets some 22 heartbeats of its three speakers in the time for which a pace is valid.
     let mut random = SmallRng::seed_from_u64(1);
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -87,18 +87,18 @@
         },
         Case {
             name: "it passes its liveness check again",
-            happens: |t, _| {
+            happens: |t, now| {
                 t.liveness_failed("a", LivenessFailure::Reset);
-                t.liveness_passed("a");
+                t.liveness_passed("a", now);
             },
             chosen: "a",
         },
         Case {
             name: "it fails the liveness check of another host",
-            happens: |t, _| {
+            happens: |t, now| {
                 let load =
                     TargetLoad { target: name_hash("a"), down: true, ..TargetLoad::default() };
-                t.set_remote_loads(&HashMap::from([(name_hash("a"), load)]));
+                t.set_remote_loads(&HashMap::from([(name_hash("a"), load)]), now);
             },
             chosen: "b",
         },
@@ -109,9 +109,9 @@
         },
         Case {
             name: "other hosts keep it busy",
-            happens: |t, _| {
+            happens: |t, now| {
                 let load = TargetLoad { target: name_hash("a"), own: 4, ..TargetLoad::default() };
-                t.set_remote_loads(&HashMap::from([(name_hash("a"), load)]));
+                t.set_remote_loads(&HashMap::from([(name_hash("a"), load)]), now);
             },
             chosen: "b",
         },
@@ -160,11 +160,70 @@
         let mut targets = two();
         assert!(targets.liveness_failed("a", case.a) && targets.liveness_failed("b", case.b));
         assert_eq!(chosen(&targets, "north", &[], now).as_deref(), case.tried, "{:?}", case.a);
-        targets.liveness_passed("b");
+        targets.liveness_passed("b", now);
         assert_eq!(chosen(&targets, "north", &[], now).as_deref(), Some("b"));
     }
 }
 
+/// What a host sees of a target that another host reports to fail its checks; in milliseconds.
+struct ReportCase {
+    name: &'static str,
+    /// When the target was last seen alive here: by a check that began then, or by data.
+    check: Option<u64>,
+    progress: Option<u64>,
+    /// Whether it fails a check of this host in the end.
+    fails: bool,
+    down: bool,
+}
+
+/// Guards against the loss of sound targets by the report of a host that has lost its own links.
+#[test]
+fn a_report_holds_until_this_host_reaches_the_target() {
+    const REPORTED: u64 = 100;
+    let case = ReportCase { name: "", check: None, progress: None, fails: false, down: true };
+    let cases = [
+        ReportCase { name: "nothing is known", ..case },
+        ReportCase { name: "an earlier check passed", check: Some(99), ..case },
+        ReportCase { name: "a later check passed", check: Some(100), down: false, ..case },
+        ReportCase { name: "data arrived before", progress: Some(99), ..case },
+        ReportCase { name: "data arrived after", progress: Some(101), down: false, ..case },
+        ReportCase { name: "it then fails here", check: Some(101), fails: true, ..case },
+    ];
+    for case in cases {
+        let began = Instant::now();
+        let at = |ms| began + Duration::from_millis(ms);
+        let mut targets = two();
+        let id: TargetId = "a".to_owned();
+        let see = |before: bool, targets: &mut Targets| {
+            let due = |ms: &u64| (*ms < REPORTED) == before;
+            if let Some(ms) = case.check.filter(due) {
+                targets.liveness_passed(&id, at(ms));
+            }
+            if let Some(ms) = case.progress.filter(due) {
+                targets.record_progress([&id].into_iter(), at(ms));
+            }
+        };
+        see(true, &mut targets);
+        let load = TargetLoad { target: name_hash("a"), down: true, ..TargetLoad::default() };
+        let loads = HashMap::from([(load.target, load)]);
+        let changes = targets.set_remote_loads(&loads, at(REPORTED));
+        assert_eq!(changes.down, std::slice::from_ref(&id), "{}", case.name);
+        see(false, &mut targets);
+        if case.fails {
+            targets.liveness_failed(&id, LivenessFailure::Silent);
+        }
+        let expected = if case.down { "b" } else { "a" };
+        assert_eq!(
+            chosen(&targets, "north", &[], at(200)).as_deref(),
+            Some(expected),
+            "{}",
+            case.name
+        );
+        assert_eq!(targets.refuted().is_empty(), case.down, "{}", case.name);
+        assert_eq!(targets.set_remote_loads(&HashMap::new(), at(300)).back, [id], "{}", case.name);
+    }
+}
+
 #[test]
 fn a_lapsed_entry_that_does_not_come_back_is_removed() {
     let now = Instant::now();
@@ -299,10 +358,10 @@
         },
         IncarnationCase {
             name: "other hosts reported their load",
-            known: |t, _| {
+            known: |t, now| {
                 let target = target_hash("a", 100);
                 let load = TargetLoad { target, own: 4, held: 7, down: true };
-                t.set_remote_loads(&HashMap::from([(target, load)]));
+                t.set_remote_loads(&HashMap::from([(target, load)]), now);
             },
         },
         IncarnationCase {
@@ -327,7 +386,7 @@
         );
         // A report about the former incarnation arrives late.
         let load = TargetLoad { target: first, own: 9, held: 9, down: true };
-        targets.set_remote_loads(&HashMap::from([(first, load)]));
+        targets.set_remote_loads(&HashMap::from([(first, load)]), now);
         let report = LayersReport { number: 9, layers: (3, 9), listed: (0, 0) };
         assert!(
             !targets.apply_report(first, report, now + Duration::from_secs(4)),
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -95,8 +95,11 @@
         }
         self.peers_viewed = Some(now);
         let view = self.peers.view(now);
-        let changes = self.targets.set_remote_loads(&view.loads);
+        let changes = self.targets.set_remote_loads(&view.loads, now);
         self.log_reports(&changes);
+        if !changes.down.is_empty() {
+            self.verify_reports(self.started);
+        }
         for (service, budget) in &mut self.retry_budgets {
             budget.set_peers(service, &self.peers, &view, now);
         }
@@ -174,6 +177,7 @@
             list: self.list_version(),
             list_proven: self.store_sync.outage.last_confirmed(),
             loads: self.targets.load_reports(),
+            refuted: self.targets.refuted(),
             counts: self.service_counts(),
             holdings: self.holding_reports(),
             paces: self.pace_reports(),
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -23,6 +23,11 @@
 /// packet.
 const MAX_UNANSWERED: u32 = 2;
 
+/// Maximum number of checks in progress when more targets are to be checked without being in use.
+const MAX_PENDING_CHECKS: usize = 64;
+/// Time after which a target that other hosts still report to fail is checked again.
+const VERIFY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The checks of one target.
 #[derive(Clone, Copy, Debug, Default)]
 struct Check {
@@ -58,12 +63,21 @@
     /// Starts a check of a target, unless one is in progress or the last one was answered less than
     /// [`CHECK_INTERVAL`] ago.
     pub(super) fn check_alive(&mut self, id: &str) {
+        let now = self.now;
+        let check = self.liveness.checks.entry(id.to_owned()).or_default();
+        let due = check.last.is_none_or(|at| now.saturating_duration_since(at) >= CHECK_INTERVAL);
+        if due || check.unanswered > 0 {
+            self.start_check(id);
+        }
+    }
+
+    /// Starts a check of a target, unless one is in progress.
+    fn start_check(&mut self, id: &str) {
         let now = self.now;
         let Some(target) = self.targets.get(id) else { return };
         let addr = target.record.addr;
         let check = self.liveness.checks.entry(id.to_owned()).or_default();
-        let due = check.last.is_none_or(|at| now.saturating_duration_since(at) >= CHECK_INTERVAL);
-        if check.pending || !(due || check.unanswered > 0) {
+        if check.pending {
             return;
         }
         check.last = Some(now);
@@ -93,13 +107,11 @@
         }
         let Some(id) = self.end_check(key) else { return };
         if connected {
-            if let Some(check) = self.liveness.checks.get_mut(&id) {
-                check.unanswered = 0;
-                if let Some(started) = check.last {
-                    self.liveness.link.record_answer(started);
-                }
-            }
-            if self.targets.liveness_passed(&id) {
+            let Some(check) = self.liveness.checks.get_mut(&id) else { return };
+            check.unanswered = 0;
+            let started = check.last.unwrap_or(self.now);
+            self.liveness.link.record_answer(started);
+            if self.targets.liveness_passed(&id, started) {
                 log_event!(self, TargetBack, "target={id} by=liveness");
             }
             return;
@@ -177,6 +189,17 @@
         }
     }
 
+    /// Checks the targets that other hosts report to fail their checks and that have shown no sign
+    /// of life here since `since`: the fault may be at the links of those hosts.
+    pub(super) fn verify_reports(&mut self, since: Instant) {
+        let pending = self.liveness.checks.values().filter(|check| check.pending).count();
+        let mut unverified = self.targets.unverified(since);
+        unverified.truncate(MAX_PENDING_CHECKS.saturating_sub(pending));
+        for id in unverified {
+            self.start_check(&id);
+        }
+    }
+
     /// Checks dead targets again, and drops the state of targets that are no longer listed.
     pub(super) fn recheck_dead(&mut self) {
         let now = self.now;
@@ -185,6 +208,7 @@
         let (own, reported) = self.targets.down_counts();
         metrics::gauge!("roseshore_targets_down", "by" => "own").set(own as f64);
         metrics::gauge!("roseshore_targets_down", "by" => "reported").set(reported as f64);
+        self.verify_reports(now.checked_sub(VERIFY_INTERVAL).unwrap_or(now));
         for id in self.targets.dead() {
             let last = self.liveness.checks.get(&id).and_then(|d| d.last);
             if last.is_none_or(|at| now.saturating_duration_since(at) >= DEAD_CHECK_INTERVAL) {
