--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -112,6 +112,9 @@
     LimitNamed = 616, Info, "a target names the requests a second that it takes from all daemons, or ends to";
     PermitRefused = 617, Debug, "a request was not sent to a target, which takes no more a second from all daemons";
     TargetsReported = 618, Info, "other hosts report that targets fail their liveness checks, or no longer do";
+    TargetRelayed = 619, Warn, "a target that this daemon cannot reach is reached through another one";
+    TunnelOpened = 620, Debug, "a connection to a target was opened for another daemon, or refused";
+    TunnelClosed = 621, Debug, "a connection to a target that was opened for another daemon has ended";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -27,8 +27,9 @@
 use crate::prelude::*;
 pub use message::{
     CentreHash, Datagram, Echo, Heartbeat, HoldingReport, KnownHost, LimitReport, ListVersion,
-    PermitGrant, PermitRequest, RetryLoan, RetryLoanRequest, Scope, ServiceCounts, TargetHash,
-    TargetLoad, name_hash, target_hash,
+    PeerRequest, PermitGrant, PermitRequest, ReachQuery, ReachReply, RetryLoan, RetryLoanRequest,
+    Scope, ServiceCounts, TargetHash, TargetLoad, TunnelReply, TunnelRequest, name_hash,
+    target_hash,
 };
 use peer::Peer;
 use sending::Urgency;
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entry hosts: heartbeats, about the sender and the hosts that it speaks for, and
 //! permit requests.
 
+use crate::gateway::copies::CopyRequest;
 use crate::gateway::fatal::FatalReport;
 use crate::gateway::paces::PaceReport;
 use crate::gateway::position::Position;
@@ -123,6 +124,47 @@
     pub granted: u16,
 }
 
+/// Asks another host which of these targets it reaches.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachQuery {
+    /// Send time on the sender's clock, in milliseconds since its start; copied to the reply.
+    pub sent: u64,
+    /// Hashes of the targets.
+    pub targets: Vec<TargetHash>,
+}
+
+/// Targets of a query that the replying host reached after it had got the query.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachReply {
+    /// Send time of the query.
+    pub sent: u64,
+    /// Hashes of the targets.
+    pub targets: Vec<TargetHash>,
+}
+
+/// Asks a host to connect to a target and to forward all that follows on the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// Hash of the target.
+    pub target: TargetHash,
+}
+
+/// Precedes the target's bytes on a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelReply {
+    /// Whether the host is connected to the target.
+    pub open: bool,
+}
+
+/// The first message on a connection to another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// A request for a copy of the store data.
+    Copy(CopyRequest),
+    /// A request for a tunnel.
+    Tunnel(TunnelRequest),
+}
+
 /// A datagram between hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -136,6 +178,10 @@
     AskRetries(RetryLoanRequest),
     /// The reply to a request for retries.
     LendRetries(RetryLoan),
+    /// A question for the targets that the receiver reaches.
+    AskReach(ReachQuery),
+    /// The reply to such a question.
+    Reached(ReachReply),
 }
 
 /// How far a host has read the target list, and the digest of the result.
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -111,6 +111,25 @@
         self.view(now).loads
     }
 
+    /// Hosts that may reach a target for this one: those of the own data centre, and of others.
+    pub fn possible_relays(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let stays = |near: bool| {
+            let stays = self.all.values().filter(move |p| {
+                self.is_near(p) == near
+                    && !p.leaving
+                    && p.centre.is_some()
+                    && p.presumed_alive(near, now)
+            });
+            stays.map(|p| p.addr).collect()
+        };
+        (stays(true), stays(false))
+    }
+
+    /// Whether a host is in the own data centre.
+    pub fn is_near_host(&self, addr: SocketAddr) -> bool {
+        self.all.get(&addr).is_some_and(|peer| self.is_near(peer))
+    }
+
     /// Live hosts whose last heartbeat reported that any of these targets fails liveness checks.
     pub fn reporting_down(&self, targets: &[TargetHash], now: Instant) -> Vec<SocketAddr> {
         let reports = |load: &TargetLoad| load.down && targets.contains(&load.target);
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -20,6 +20,7 @@
 use super::plan::pressure::{EngineUsage, peak_utilisation};
 use super::position::Position;
 use super::routes::EngineSpec;
+use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
 pub use availability::Availability;
 use availability::StoredAvailability;
@@ -27,8 +28,11 @@
 pub use list::{Absence, ListDelta, ListUpdate, RecordChange};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use target::ReportedHolding;
-pub use target::{Claim, Holding, LayersReport, LivenessFailure, OutOfUse, Target, TargetRecord};
+pub use target::{
+    Claim, Holding, LayersReport, LivenessFailure, OutOfUse, Relay, Target, TargetRecord,
+};
 
 /// Changes to what other hosts report about targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -71,6 +75,12 @@
         self.ids.get(&hash)
     }
 
+    /// The id of the target that listens at an address.
+    pub fn id_at(&self, addr: SocketAddr) -> Option<&TargetId> {
+        let listens = |t: &&Target| t.record.addr == addr && !t.replaced;
+        self.all.values().find(listens).map(|t| &t.record.id)
+    }
+
     /// Number of known targets, including those that are missing from the list but still kept.
     pub fn len(&self) -> usize {
         self.all.len()
@@ -124,13 +134,23 @@
         before && !target.health.tripped()
     }
 
-    /// Records that data arrived through these targets, which also clears their liveness failures.
-    pub fn record_progress<'a>(&mut self, path: impl Iterator<Item = &'a TargetId>, now: Instant) {
+    /// Records that data arrived through these targets. It also clears their liveness failures,
+    /// unless another host relayed it, which shows nothing about this host's links.
+    pub fn record_progress<'a>(
+        &mut self,
+        path: impl Iterator<Item = &'a TargetId>,
+        relayed: bool,
+        now: Instant,
+    ) {
         for id in path {
             if let Some(target) = self.all.get_mut(id) {
                 target.last_progress = Some(now);
                 target.alive_at = Some(now);
-                target.liveness_failure = None;
+                if let Some(relay) = &mut target.relay {
+                    relay.confirmed = now;
+                } else if !relayed {
+                    target.liveness_failure = None;
+                }
             }
         }
     }
@@ -165,10 +185,63 @@
         let Some(target) = self.all.get_mut(id) else { return false };
         let before = target.is_down();
         target.alive_at = target.alive_at.max(Some(started));
-        target.liveness_failure = None;
+        (target.liveness_failure, target.relay) = (None, None);
         before && !target.is_down()
     }
 
+    /// Records that data arrived from a target for another host.
+    pub fn record_alive(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.all.get_mut(id) {
+            target.alive_at = Some(now);
+        }
+    }
+
+    /// Whether this host itself reached a target since `since`.
+    pub fn reached_since(&self, id: &str, since: Instant) -> bool {
+        let reached = |t: &Target| t.liveness_failure.is_none() && t.alive_at >= Some(since);
+        self.all.get(id).is_some_and(reached)
+    }
+
+    /// Records that another host reached a target. Returns whether the target is in use again by
+    /// that: it fails this host's checks, so the fault is at this host's link.
+    pub fn record_relay(&mut self, target: TargetHash, relay: Relay) -> bool {
+        let Some(target) = self.ids.get(&target).and_then(|id| self.all.get_mut(id)) else {
+            return false;
+        };
+        let before = target.relay();
+        target.set_relay(relay);
+        if before.is_some() || target.relay().is_none() {
+            return false;
+        }
+        target.health = CircuitBreaker::default();
+        true
+    }
+
+    /// Records that a host did not reach a target for this one.
+    pub fn relay_failed(&mut self, id: &str, host: SocketAddr) {
+        if let Some(target) = self.all.get_mut(id) {
+            target.relay = target.relay.filter(|relay| relay.host != host);
+        }
+    }
+
+    /// Forgets the host that reaches a target unless it did so after `since`.
+    pub fn expire_relay(&mut self, id: &str, since: Instant) {
+        if let Some(target) = self.all.get_mut(id) {
+            target.relay = target.relay.filter(|relay| relay.confirmed >= since);
+        }
+    }
+
+    /// Whether any target is reached through another host.
+    pub fn any_relayed(&self) -> bool {
+        self.all.values().any(|t| t.relay().is_some())
+    }
+
+    /// Targets that pass this host's checks and have shown no sign of life since `since`.
+    pub fn unseen(&self, since: Instant) -> Vec<TargetId> {
+        let unseen = |t: &&Target| t.liveness_failure.is_none() && t.alive_at < Some(since);
+        self.all.values().filter(unseen).map(|t| t.record.id.clone()).collect()
+    }
+
     /// Ids of the targets that fail this host's liveness checks.
     pub fn dead(&self) -> Vec<TargetId> {
         self.all
@@ -242,12 +315,15 @@
         changes
     }
 
-    /// Number of targets that fail this host's liveness checks, and of those that fail the checks
-    /// of other hosts.
-    pub fn down_counts(&self) -> (usize, usize) {
-        let own = self.all.values().filter(|t| t.liveness_failure.is_some()).count();
-        let reported = self.all.values().filter(|t| t.remote_load.down).count();
-        (own, reported)
+    /// Number of targets that fail this host's liveness checks, that fail the checks of other
+    /// hosts, and that are reached through another host.
+    pub fn down_counts(&self) -> (usize, usize, usize) {
+        let count = |counted: fn(&Target) -> bool| self.all.values().filter(|t| counted(t)).count();
+        (
+            count(|t| t.liveness_failure.is_some()),
+            count(|t| t.remote_load.down),
+            count(|t| t.relay().is_some()),
+        )
     }
 
     /// Targets that other hosts report to fail liveness checks while this host's checks passed or
@@ -270,9 +346,9 @@
     pub fn out_of_use(&self, id: &str, now: Instant) -> Option<OutOfUse> {
         let target = self.all.get(id)?;
         match target.liveness_failure {
-            Some(failure) => Some(OutOfUse::Failing(failure)),
+            Some(failure) if target.is_down() => Some(OutOfUse::Failing(failure)),
             None if target.is_down() => Some(OutOfUse::Reported),
-            None => (!target.is_healthy(now)).then_some(OutOfUse::Failed),
+            _ => (!target.is_healthy(now)).then_some(OutOfUse::Failed),
         }
     }
 
@@ -282,7 +358,7 @@
             target: t.hash,
             own: t.in_flight.min(u32::from(u16::MAX)) as u16,
             held: (t.kv_used / 1000.0) as u32,
-            down: t.liveness_failure.is_some(),
+            down: t.liveness_failure.is_some() && t.relay().is_none(),
         };
         self.all.values().map(report).filter(|n| n.own > 0 || n.down).collect()
     }
@@ -346,7 +422,11 @@
             (busy + far) / f64::from(t.record.slots.max(1))
         };
         let least = |a: &&Target, b: &&Target| cost(a).total_cmp(&cost(b));
-        let reachable = || open().filter(|t| t.liveness_failure != Some(LivenessFailure::Silent));
+        let reachable = || {
+            open().filter(|t| {
+                t.relay().is_some() || t.liveness_failure != Some(LivenessFailure::Silent)
+            })
+        };
         open().filter(|t| t.is_healthy(now)).min_by(least).or_else(|| reachable().min_by(least))
     }
 
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -115,6 +115,20 @@
     }
 }
 
+/// How long another host is taken to reach a target after it last did.
+const RELAY_VALIDITY: Duration = Duration::from_millis(2500);
+
+/// Another host that reaches a target which this one cannot reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Relay {
+    /// Address of the host.
+    pub host: SocketAddr,
+    /// Whether it is in the own data centre.
+    pub near: bool,
+    /// When it last reached the target, as far as is known here.
+    pub confirmed: Instant,
+}
+
 /// Why a listed target gets no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OutOfUse {
@@ -181,6 +195,8 @@
     pub(super) reported_at: Option<Instant>,
     /// Latest time at which it was alive by this host's own observation.
     pub(super) alive_at: Option<Instant>,
+    /// The host that reaches it; used while it fails this host's liveness checks.
+    pub(super) relay: Option<Relay>,
     /// Layers being given up.
     pub(super) clearing: Option<Clearing>,
     /// Availability that it stated.
@@ -208,6 +224,7 @@
             liveness_failure: None,
             reported_at: None,
             alive_at: None,
+            relay: None,
             clearing: None,
             availability: Availability::default(),
         }
@@ -229,9 +246,26 @@
     }
 
     /// Whether it fails the liveness checks of this host, or of another one whose report is not
-    /// refuted.
+    /// refuted, and no host is known to reach it.
     pub fn is_down(&self) -> bool {
-        self.liveness_failure.is_some() || (self.remote_load.down && !self.is_refuted())
+        match self.liveness_failure {
+            Some(_) => self.relay.is_none(),
+            None => self.remote_load.down && !self.is_refuted(),
+        }
+    }
+
+    /// The host to reach it through; `None` if this host reaches it itself, or no host is known to.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay.filter(|_| self.liveness_failure.is_some()).map(|relay| relay.host)
+    }
+
+    /// Records that a host reached it. A host of the own data centre is preferred, otherwise the
+    /// current one stays.
+    pub(super) fn set_relay(&mut self, relay: Relay) {
+        let stays = |known: &Relay| known.host != relay.host && (known.near || !relay.near);
+        if !self.relay.as_ref().is_some_and(stays) {
+            self.relay = Some(relay);
+        }
     }
 
     /// Whether this host reached it after others had reported that it fails their checks: the fault
@@ -301,6 +335,7 @@
     /// Expires what is only valid for a limited time.
     pub(super) fn tick(&mut self, now: Instant) {
         self.reported_holding = self.reported_holding.filter(|report| now < report.until);
+        self.relay = self.relay.filter(|relay| now < relay.confirmed + RELAY_VALIDITY);
         if let Some(clearing) = &mut self.clearing {
             let until = *clearing.until.get_or_insert(now + CLEAR_TIME);
             if now >= until {
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -200,7 +200,7 @@
                 targets.liveness_passed(&id, at(ms));
             }
             if let Some(ms) = case.progress.filter(due) {
-                targets.record_progress([&id].into_iter(), at(ms));
+                targets.record_progress([&id].into_iter(), false, at(ms));
             }
         };
         see(true, &mut targets);
@@ -467,10 +467,10 @@
     let mut targets = two();
     targets.upsert(record("c", "north"));
     let ids: Vec<TargetId> = ["a", "b", "c"].map(str::to_owned).to_vec();
-    targets.record_progress(ids.iter(), at(100));
-    targets.record_progress([ids[1].clone()].iter(), at(300));
+    targets.record_progress(ids.iter(), false, at(100));
+    targets.record_progress([ids[1].clone()].iter(), false, at(300));
     assert_eq!(targets.suspects(&ids, at(100)), ["a".to_owned(), "c".to_owned()]);
     targets.liveness_failed("a", LivenessFailure::Silent);
-    targets.record_progress([ids[0].clone()].iter(), at(320));
+    targets.record_progress([ids[0].clone()].iter(), false, at(320));
     assert!(targets.dead().is_empty(), "a target that makes progress is alive");
 }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -15,6 +15,7 @@
 mod probes;
 mod rate_limits;
 mod records;
+mod relays;
 mod responses;
 mod retry_loans;
 mod signals;
@@ -37,6 +38,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use rate_limits::RateLimits;
+use relays::Relays;
 use roseshore_core::gateway::copies::COPY_TIMEOUT;
 use roseshore_core::gateway::leaving::TokenPace;
 use roseshore_core::gateway::poll_timing::PollTiming;
@@ -98,14 +100,26 @@
     Call(Key),
     /// A liveness check of this target.
     Liveness(TargetId),
-    /// Kept for reuse with this address.
-    Idle(SocketAddr),
-    /// Another host that requests a copy of the store data.
-    CopyRequester,
+    /// Kept for reuse on this route.
+    Idle(Route),
+    /// Another host that requests a copy of the store data, or a tunnel.
+    PeerRequester,
+    /// One of the two connections of this tunnel.
+    Tunnel(Key),
+    /// Closed as soon as its output has been written.
+    Closing,
     /// Another host that was asked for a copy, and the bytes received by the last time-out check.
     CopySource(SocketAddr, usize),
 }
 
+/// How a connection reaches an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Route {
+    to: SocketAddr,
+    /// The host that relays the connection; `None` for a direct one.
+    via: Option<SocketAddr>,
+}
+
 /// What to check when a timer fires. The key is that of an exchange, a call or a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
@@ -130,7 +144,7 @@
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     roles: HashMap<Key, Role>,
     /// Idle connections to targets and the store, with the time since when they are idle.
-    idle: HashMap<SocketAddr, Vec<(Key, Instant)>>,
+    idle: HashMap<Route, Vec<(Key, Instant)>>,
     exchanges: Slab<Exchange>,
     calls: Slab<Call>,
     snapshot: Option<Arc<Snapshot>>,
@@ -146,6 +160,7 @@
     /// Whether this host was a speaker of its data centre at the last check, for the log.
     was_speaking: bool,
     liveness: Liveness,
+    relays: Relays,
     rate_limits: RateLimits,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
     retry_loans: RetryLoans,
@@ -253,6 +268,7 @@
             peers_viewed: None,
             was_speaking: false,
             liveness: Liveness::default(),
+            relays: Relays::default(),
             rate_limits: RateLimits::new(rng.random()),
             retry_budgets: HashMap::new(),
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
@@ -317,6 +333,7 @@
                 }
             }
             self.fire_timers();
+            self.exchange_reach();
             self.reroute_from_dead();
             self.resolve_broken_sends();
             self.request_loans();
@@ -383,6 +400,9 @@
 
     /// Passes a changed connection to the code for its role.
     fn handle_socket(&mut self, key: Key) {
+        if self.tunnel_pending(key) {
+            return;
+        }
         match self.roles.get(&key) {
             Some(Role::Caller(_)) => self.handle_caller(key),
             Some(Role::Probe | Role::Metrics) => self.handle_probe(key),
@@ -395,11 +415,16 @@
                 self.handle_call(call);
             }
             Some(Role::Liveness(_)) => self.handle_liveness(key),
-            Some(Role::CopyRequester) => self.handle_copy_request(key),
+            Some(Role::PeerRequester) => self.handle_peer_request(key),
+            Some(Role::Tunnel(tunnel)) => {
+                let tunnel = *tunnel;
+                self.handle_tunnel(tunnel);
+            }
+            Some(Role::Closing) => self.close_ended(key),
             Some(Role::CopySource(..)) => self.handle_copy_reply(key),
-            Some(Role::Idle(addr)) => {
-                let addr = *addr;
-                self.check_idle(key, addr);
+            Some(Role::Idle(route)) => {
+                let route = *route;
+                self.check_idle(key, route);
             }
             None => {}
         }
@@ -412,7 +437,7 @@
                 Endpoint::Callers => Role::Caller(Caller::new(self.now)),
                 Endpoint::Probes => Role::Probe,
                 Endpoint::Metrics | Endpoint::Peers => Role::Metrics,
-                Endpoint::Copies => Role::CopyRequester,
+                Endpoint::Copies => Role::PeerRequester,
             };
             let caller = matches!(role, Role::Caller(_));
             self.roles.insert(key, role);
@@ -427,9 +452,17 @@
     /// Closes a connection now.
     fn close(&mut self, key: Key) {
         self.roles.remove(&key);
+        self.relays.forget(key);
         self.net.close(key);
     }
 
+    /// Closes a connection whose peer has closed it.
+    fn close_ended(&mut self, key: Key) {
+        if self.net.get(key).is_none_or(|socket| socket.ended.is_some()) {
+            self.close(key);
+        }
+    }
+
     /// Closes a connection once all its output has been written.
     fn close_flushed(&mut self, key: Key) {
         self.net.close_flushed(key);
@@ -438,10 +471,11 @@
         }
     }
 
-    /// An idle connection to an address or, if there is none or `new_only` is set, a new one. The
-    /// flag tells whether it is reused.
-    fn acquire_connection(&mut self, addr: SocketAddr, new_only: bool) -> io::Result<(Key, bool)> {
-        while let Some((key, _)) = self.idle.get_mut(&addr).filter(|_| !new_only).and_then(Vec::pop)
+    /// An idle connection on a route or, if there is none or `new_only` is set, a new one. The flag
+    /// tells whether it is reused.
+    fn acquire_connection(&mut self, route: Route, new_only: bool) -> io::Result<(Key, bool)> {
+        while let Some((key, _)) =
+            self.idle.get_mut(&route).filter(|_| !new_only).and_then(Vec::pop)
         {
             if self.net.get(key).is_some_and(|s| s.reusable()) {
                 return Ok((key, true));
@@ -449,19 +483,23 @@
             self.close(key);
         }
         metrics::counter!("roseshore_connections_opened_total").increment(1);
-        Ok((self.net.connect(addr)?, false))
+        let key = match route.via {
+            None => self.net.connect(route.to)?,
+            Some(host) => self.open_tunnel(route.to, host)?,
+        };
+        Ok((key, false))
     }
 
     /// Keeps a connection for reuse.
-    fn keep_idle(&mut self, key: Key, addr: SocketAddr) {
-        self.roles.insert(key, Role::Idle(addr));
-        self.idle.entry(addr).or_default().push((key, self.now));
+    fn keep_idle(&mut self, key: Key, route: Route) {
+        self.roles.insert(key, Role::Idle(route));
+        self.idle.entry(route).or_default().push((key, self.now));
     }
 
     /// Closes an idle connection that ended or received unexpected input.
-    fn check_idle(&mut self, key: Key, addr: SocketAddr) {
+    fn check_idle(&mut self, key: Key, route: Route) {
         if !self.net.get(key).is_some_and(|s| s.reusable()) {
-            if let Some(connections) = self.idle.get_mut(&addr) {
+            if let Some(connections) = self.idle.get_mut(&route) {
                 connections.retain(|(k, _)| *k != key);
             }
             self.close(key);
@@ -489,7 +527,8 @@
     }
 }
 
-/// Whether a connection was closed in order, which completes a response without a length.
-fn ended_orderly(ended: Option<Ended>) -> bool {
-    ended == Some(Ended::Orderly)
+/// Whether a connection was closed in order, which completes a response without a length. The end
+/// of a tunnel does not tell whether the target closed its connection in order.
+fn ended_orderly(route: Route, ended: Option<Ended>) -> bool {
+    route.via.is_none() && ended == Some(Ended::Orderly)
 }
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -1,6 +1,6 @@
 //! HTTP calls that this host makes itself: to the store, and to targets for reports and orders.
 
-use super::{EntryHost, Role, Timer};
+use super::{EntryHost, Role, Route, Timer, ended_orderly};
 use crate::http::{self, BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Position;
@@ -50,7 +50,7 @@
     pub(super) purpose: Purpose,
     pub(super) sent: Instant,
     socket: Key,
-    addr: SocketAddr,
+    route: Route,
     head: Option<ResponseHead>,
     decoder: BodyDecoder,
     body: Vec<u8>,
@@ -65,7 +65,13 @@
         request: &CallRequest,
         timeout: Duration,
     ) {
-        let Ok((socket, _)) = self.acquire_connection(addr, false) else {
+        let route = match &purpose {
+            Purpose::Report(id) | Purpose::Pace(id) | Purpose::Place(id, _) => {
+                self.route_to(id, addr)
+            }
+            _ => Route { to: addr, via: None },
+        };
+        let Ok((socket, _)) = self.acquire_connection(route, false) else {
             return self.call_done(purpose, self.now, Err(CallFault::Unreachable));
         };
         let mut out = Vec::with_capacity(256 + request.body.len());
@@ -79,7 +85,7 @@
         let decoder = BodyDecoder::new(http::Framing::Length(0));
         let (head, body) = (None, Vec::new());
         let key =
-            self.calls.add(Call { purpose, sent: self.now, socket, addr, head, decoder, body });
+            self.calls.add(Call { purpose, sent: self.now, socket, route, head, decoder, body });
         self.roles.insert(socket, Role::Call(key));
         self.set_timer(self.now + timeout, Timer::Call(key));
     }
@@ -116,7 +122,7 @@
         let taken = call.decoder.decode(&mut socket.input, &mut call.body);
         self.liveness.link.record_transfer(call.body.len(), self.now);
         let complete = call.decoder.done()
-            || (call.decoder.ends_with_connection() && super::ended_orderly(socket.ended));
+            || (call.decoder.ends_with_connection() && ended_orderly(call.route, socket.ended));
         let ended = socket.ended.is_some();
         if complete {
             self.end_call(key, None);
@@ -136,13 +142,13 @@
     /// fault.
     fn end_call(&mut self, key: Key, fault: Option<CallFault>) {
         let Some(call) = self.calls.remove(key) else { return };
-        let connected = self.net.get(call.socket).is_some_and(|s| s.connected);
+        let connected = self.net.get(call.socket).is_some_and(|s| s.established());
         let fault = fault.map(|f| if connected { f } else { CallFault::Unreachable });
         let reply = match (fault, call.head) {
             (None, Some(head)) => {
                 let clean = self.net.get(call.socket).is_some_and(|s| s.input.is_empty());
                 if head.keep_alive && clean {
-                    self.keep_idle(call.socket, call.addr);
+                    self.keep_idle(call.socket, call.route);
                 } else {
                     self.close(call.socket);
                 }
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -6,6 +6,7 @@
 use roseshore_core::gateway::copies::{
     COPY_TIMEOUT, ConfigCopy, Contents, CopyOutcome, CopyRequest, Extent, StoreCopy,
 };
+use roseshore_core::gateway::peers::PeerRequest;
 use roseshore_core::prelude::*;
 use roseshore_wire::frame;
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
     pub(super) fn request_copy(&mut self, from: SocketAddr) -> bool {
         let Some(own) = self.settings.peer_addr else { return false };
         let Some(until) = self.copies.start(self.now) else { return false };
-        let request = CopyRequest { from: own, known: self.extent() };
+        let request = PeerRequest::Copy(CopyRequest { from: own, known: self.extent() });
         let mut bytes = Vec::new();
         let asked = frame::write(&mut bytes, &request).map_err(|err| err.to_string());
         let socket = asked.and_then(|()| self.net.connect(from).map_err(|err| err.to_string()));
@@ -56,7 +57,8 @@
     pub(super) fn copy_timed_out(&mut self, key: Key) {
         let received = self.net.get(key).map_or(0, |socket| socket.input.len());
         match self.roles.get_mut(&key) {
-            Some(Role::CopyRequester) => self.close(key),
+            Some(Role::PeerRequester) => self.close(key),
+            Some(Role::Tunnel(_)) => {}
             Some(Role::CopySource(_, known)) if received > *known => {
                 // The copy is still arriving: 600 kB take 0.25 s on a narrow link without other
                 // traffic.
@@ -140,8 +142,8 @@
         }
     }
 
-    /// Handles the request of a host for a copy.
-    pub(super) fn handle_copy_request(&mut self, key: Key) {
+    /// Handles the request of a host for a copy or a tunnel.
+    pub(super) fn handle_peer_request(&mut self, key: Key) {
         let Some(socket) = self.net.get(key) else {
             // It was closed after its output had been written.
             self.roles.remove(&key);
@@ -149,16 +151,21 @@
         };
         self.liveness.link.record_transfer(socket.unwritten(), self.now);
         let ended = socket.ended.is_some();
-        let request = match frame::take::<CopyRequest>(&mut socket.input) {
-            Ok(Some(request)) => request,
-            Ok(None) if !ended => return,
-            Ok(None) => return self.close(key),
+        match frame::take::<PeerRequest>(&mut socket.input) {
+            Ok(Some(PeerRequest::Copy(request))) => self.send_copy(key, request),
+            Ok(Some(PeerRequest::Tunnel(request))) => self.accept_tunnel(key, request),
+            Ok(None) if !ended => {}
+            Ok(None) => self.close(key),
             Err(err) => {
                 let why = err.to_string();
                 log_event!(self, DatagramSkipped, "door=copies why={why:?}");
-                return self.close(key);
+                self.close(key);
             }
-        };
+        }
+    }
+
+    /// Sends a host what it lacks of the store data.
+    fn send_copy(&mut self, key: Key, request: CopyRequest) {
         let extent = self.extent();
         let CopyRequest { from, known } = request;
         let newer = extent.config > known.config;
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -4,6 +4,7 @@
 use super::fatal::ENDS_TARGETS;
 use super::in_flight::{InFlightSend, Phase};
 use super::probes::millis;
+use super::relays::via_name;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http;
 use crate::slab::Key;
@@ -13,6 +14,7 @@
 use roseshore_core::gateway::{Hop, Unavailable};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ForwardedFields;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 /// Time-out for a connection to be established: a millisecond between data centres, and the
@@ -113,8 +115,17 @@
             return self.wait_for_loan(key);
         }
         let new_only = self.exchanges.get(key).is_some_and(|e| !e.route.kind.is_idempotent());
-        let (socket, reused) = match self.acquire_connection(choice.addr, new_only) {
+        let route = self.route_to(&choice.target, choice.addr);
+        let (socket, reused) = match self.acquire_connection(route, new_only) {
             Ok(connection) => connection,
+            Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
+                self.check_alive(&choice.target);
+                let until = Some(self.now + AVOID_UNKNOWN_BLAME);
+                if let Some(exchange) = self.exchanges.get_mut(key) {
+                    exchange.avoided.add(choice.target, until);
+                }
+                return self.dispatch(key);
+            }
             Err(err) => {
                 let why = format!("no connection to `{}`: {err}", choice.addr);
                 return self.end_without(key, Code::TargetUnreachable, &why);
@@ -142,13 +153,14 @@
         http::write_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
         out.extend_from_slice(&exchange.body);
         let text = format!(
-            "request={} fingerprint={} send={} {} prompt={} left_ms={}",
+            "request={} fingerprint={} send={} {} prompt={} left_ms={} via={}",
             exchange.request_fields.attempt,
             exchange.fingerprint,
             exchange.sends,
             choice.log_text(),
             exchange.request_fields.prompt_tokens,
             remaining.as_millis(),
+            via_name(route),
         );
         if let Some(hash) = self.targets.hash(&choice.target) {
             self.rate_limits.limits.consume(hash, self.now);
@@ -162,7 +174,7 @@
         exchange.send = Some(InFlightSend {
             socket,
             target: choice.target,
-            addr: choice.addr,
+            route,
             path: choice.path,
             claims: choice.claims,
             incarnations,
@@ -327,12 +339,12 @@
         let Some(send) = &exchange.send else { return };
         exchange.verdict = exchange.verdict.join(fault.verdict());
         let waited = now.saturating_duration_since(send.sent_at).as_millis();
-        let first = send.target.clone();
+        let (first, via) = (send.target.clone(), send.route.via);
         let blame = fault.blame(send.path.len());
         let path = send.targets().join(",");
         let text = format!(
             "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
-             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} suspects={}",
+             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} via={} suspects={}",
             exchange.request_fields.attempt,
             exchange.fingerprint,
             send.target,
@@ -344,6 +356,7 @@
             send.status,
             millis(send.pause),
             send.leaving,
+            via_name(send.route),
             culprits.join(","),
         );
         exchange.refused_sends += u32::from(fault == Fault::Refused);
@@ -355,11 +368,17 @@
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         log_event!(self, SendFailed, "{text}");
         self.remember_interrupted(key, fault, &culprits);
+        if let Some(host) = via.filter(|_| fault == Fault::NotSent) {
+            self.relay_failed(&first, host);
+        }
         for culprit in &culprits {
             // A response of the first target does not show that a later one is alive.
             if !(fault.proves_alive() && *culprit == first) {
                 self.check_alive(culprit);
             }
+            if self.is_link_fault(culprit, via, fault) {
+                continue;
+            }
             let until = self.record_fault(culprit, blame, fault);
             if let Some(exchange) = self.exchanges.get_mut(key) {
                 exchange.avoided.add(culprit.clone(), until);
@@ -410,7 +429,7 @@
             self.targets.release(claim);
         }
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
-            self.keep_idle(send.socket, send.addr);
+            self.keep_idle(send.socket, send.route);
         } else {
             self.close(send.socket);
         }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -326,7 +326,7 @@
     fn mark_may_have_run(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
-        if self.net.get(send.socket).is_some_and(|s| s.connected) {
+        if self.net.get(send.socket).is_some_and(|s| s.established()) {
             exchange.verdict = exchange.verdict.join(Verdict::MayHaveRun);
         }
     }
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -31,6 +31,8 @@
                 Ok(Datagram::Grant(grant)) => self.apply_grant(&grant),
                 Ok(Datagram::AskRetries(request)) => self.answer_loan_request(from, &request),
                 Ok(Datagram::LendRetries(loan)) => self.apply_loan(&loan),
+                Ok(Datagram::AskReach(query)) => self.answer_reach_query(from, &query),
+                Ok(Datagram::Reached(reply)) => self.apply_reach_reply(from, &reply),
                 Err(err) => {
                     let why = err.to_string();
                     log_event!(self, DatagramSkipped, "from={from} why={why:?}");
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -1,5 +1,6 @@
 //! A send, one attempt to have a target run a request, and the progress of its response.
 
+use super::Route;
 use crate::http::{BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
@@ -12,7 +13,7 @@
 pub(super) struct InFlightSend {
     pub(super) socket: Key,
     pub(super) target: TargetId,
-    pub(super) addr: SocketAddr,
+    pub(super) route: Route,
     /// The engines of the chain that runs the request, in order; empty for a plain service.
     pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
     /// The load that is counted for each target.
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -4,13 +4,12 @@
 //! a closed port resets it, and an unreachable machine does not answer. A check occupies no slot of
 //! the target and costs almost nothing, so it is done well before a stream is given up.
 
-use super::in_flight::InFlightSend;
 use super::probes::millis;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
 use roseshore_core::gateway::liveness::{CHECK_TIMEOUT, LinkState};
-use roseshore_core::gateway::targets::LivenessFailure;
+use roseshore_core::gateway::targets::{LivenessFailure, Target};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -19,6 +18,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between checks of a dead target.
 const DEAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between checks of a target that is reached through another host.
+const RELAYED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered checks in a row after which a target is considered dead. A single one may be a lost
 /// packet.
 const MAX_UNANSWERED: u32 = 2;
@@ -72,7 +73,7 @@
     }
 
     /// Starts a check of a target, unless one is in progress.
-    fn start_check(&mut self, id: &str) {
+    pub(super) fn start_check(&mut self, id: &str) {
         let now = self.now;
         let Some(target) = self.targets.get(id) else { return };
         let addr = target.record.addr;
@@ -111,6 +112,7 @@
             check.unanswered = 0;
             let started = check.last.unwrap_or(self.now);
             self.liveness.link.record_answer(started);
+            self.reply_reached(&id);
             if self.targets.liveness_passed(&id, started) {
                 log_event!(self, TargetBack, "target={id} by=liveness");
             }
@@ -141,6 +143,7 @@
             );
             self.mark_dead(&id, LivenessFailure::Silent, &text);
         } else {
+            self.ask_reach(&id);
             self.check_alive(&id);
         }
     }
@@ -158,8 +161,19 @@
 
     /// Records a failed check, and tells the data centre if the target was not known to be dead.
     fn mark_dead(&mut self, id: &str, failure: LivenessFailure, details: &str) {
+        if failure == LivenessFailure::Reset {
+            self.ask_reach(id);
+        } else if let Some(first) = self.liveness.checks.get(id).and_then(|check| check.first) {
+            // Other hosts were asked after the first check.
+            self.targets.expire_relay(id, first);
+        }
         if self.targets.liveness_failed(id, failure) {
             log_event!(self, TargetLost, "target={id} liveness={}{details}", failure.name());
+            self.close_idle_direct(id);
+            if let Some(host) = self.targets.get(id).and_then(Target::relay) {
+                log_event!(self, TargetRelayed, "target={id} via={host}");
+                self.suspect_link();
+            }
             self.heartbeat_now(false);
         }
         self.liveness.mark_lost(id);
@@ -176,14 +190,19 @@
         }
         let now = self.now;
         for key in self.exchanges.keys() {
-            let Some(exchange) = self.exchanges.get(key).filter(|e| e.may_move(now)) else {
-                continue;
-            };
-            let Some(mut targets) = exchange.send.as_ref().map(InFlightSend::targets) else {
-                continue;
-            };
-            targets.retain(|id| dead.contains(id));
-            if !targets.is_empty() {
+            let Some(exchange) = self.exchanges.get(key) else { continue };
+            let Some(send) = &exchange.send else { continue };
+            let (mut targets, movable) = (send.targets(), exchange.may_move(now));
+            let (first, direct) = (send.target.clone(), send.route.via.is_none());
+            let connected = self.net.get(send.socket).is_some_and(|s| s.established());
+            // A target that another host reaches is lost for its direct connections only.
+            let is_down = |id: &str| self.targets.get(id).is_none_or(Target::is_down);
+            let lost =
+                |id: &TargetId| dead.contains(id) && (is_down(id) || (direct && *id == first));
+            targets.retain(lost);
+            if targets.contains(&first) && !connected {
+                self.send_failed_by(key, Fault::NotSent, vec![first]);
+            } else if !targets.is_empty() && movable {
                 self.send_failed_by(key, Fault::Silent, targets);
             }
         }
@@ -192,26 +211,52 @@
     /// Checks the targets that other hosts report to fail their checks and that have shown no sign
     /// of life here since `since`: the fault may be at the links of those hosts.
     pub(super) fn verify_reports(&mut self, since: Instant) {
+        self.check_all(self.targets.unverified(since));
+    }
+
+    /// Starts checks of targets, as far as not too many are in progress.
+    fn check_all(&mut self, mut targets: Vec<TargetId>) {
         let pending = self.liveness.checks.values().filter(|check| check.pending).count();
-        let mut unverified = self.targets.unverified(since);
-        unverified.truncate(MAX_PENDING_CHECKS.saturating_sub(pending));
-        for id in unverified {
+        targets.truncate(MAX_PENDING_CHECKS.saturating_sub(pending));
+        for id in targets {
             self.start_check(&id);
         }
     }
 
+    /// Checks all targets that have shown no sign of life recently: another host reaches a target
+    /// that this one does not, so its link to others may be lost as well.
+    pub(super) fn suspect_link(&mut self) {
+        let since = self.now.checked_sub(VERIFY_INTERVAL).unwrap_or(self.now);
+        let local = &self.settings.data_centre;
+        let used = |id: &TargetId| {
+            let target = self.targets.get(id);
+            target.is_some_and(|t| {
+                t.in_flight > 0 || t.record.kind.is_none() || t.record.data_centre == *local
+            })
+        };
+        let unseen = self.targets.unseen(since).into_iter().filter(used).collect();
+        self.check_all(unseen);
+    }
+
     /// Checks dead targets again, and drops the state of targets that are no longer listed.
     pub(super) fn recheck_dead(&mut self) {
         let now = self.now;
         let targets = &self.targets;
         self.liveness.checks.retain(|id, check| check.pending || targets.get(id).is_some());
-        let (own, reported) = self.targets.down_counts();
+        let (own, reported, relayed) = self.targets.down_counts();
         metrics::gauge!("roseshore_targets_down", "by" => "own").set(own as f64);
+        metrics::gauge!("roseshore_targets_relayed").set(relayed as f64);
+        metrics::gauge!("roseshore_tunnels").set(self.tunnel_count() as f64);
         metrics::gauge!("roseshore_targets_down", "by" => "reported").set(reported as f64);
         self.verify_reports(now.checked_sub(VERIFY_INTERVAL).unwrap_or(now));
+        if self.targets.any_relayed() {
+            self.suspect_link();
+        }
         for id in self.targets.dead() {
             let last = self.liveness.checks.get(&id).and_then(|d| d.last);
-            if last.is_none_or(|at| now.saturating_duration_since(at) >= DEAD_CHECK_INTERVAL) {
+            let relayed = self.targets.get(&id).is_some_and(|t| t.relay().is_some());
+            let interval = if relayed { RELAYED_CHECK_INTERVAL } else { DEAD_CHECK_INTERVAL };
+            if last.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
                 self.check_alive(&id);
             }
         }
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -61,7 +61,7 @@
             Ok(Some(head)) => head,
             Ok(None) if socket.ended.is_none() => return Step::NeedMore,
             Ok(None) => {
-                let fault = if socket.connected { Fault::Lost } else { Fault::NotSent };
+                let fault = if socket.established() { Fault::Lost } else { Fault::NotSent };
                 self.send_failed(key, fault, None);
                 return Step::Finished;
             }
@@ -154,7 +154,7 @@
         let taken = decoder.decode(&mut socket.input, &mut send.body);
         self.liveness.link.record_transfer(send.body.len(), self.now);
         let ends = decoder.ends_with_connection();
-        let whole = decoder.done() || (ends && ended_orderly(socket.ended));
+        let whole = decoder.done() || (ends && ended_orderly(send.route, socket.ended));
         if taken.is_err() || send.body.len() > MAX_BODY {
             return Some(Err(Fault::Garbled));
         }
@@ -310,7 +310,8 @@
             exchange.delivery.first_at.get_or_insert(now);
             exchange.delivery.latest_at = Some(now);
             send.latest_at = now;
-            self.targets.record_progress(send.path.iter().map(|(id, ..)| id), now);
+            let relayed = send.route.via.is_some();
+            self.targets.record_progress(send.path.iter().map(|(id, ..)| id), relayed, now);
             let mut out = Vec::with_capacity(taken.bytes.len() + 16);
             http::write_chunk(&mut out, &taken.bytes);
             self.net.send(caller, &out);
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -91,7 +91,8 @@
         for key in idle {
             self.close(key);
         }
-        let busy = self.roles.values().any(|r| matches!(r, Role::Caller(_)));
+        let busy =
+            self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
         (left == 0 && !busy).then_some(0)
     }
 }
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -40,7 +40,7 @@
         let Some(send) = &exchange.send else {
             return self.dispatch(key);
         };
-        let up = self.net.get(send.socket).is_some_and(|s| s.connected);
+        let up = self.net.get(send.socket).is_some_and(|s| s.established());
         if !up {
             if now >= send.sent_at + CONNECT_TIMEOUT {
                 return self.send_failed(key, Fault::NotSent, None);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -83,6 +83,11 @@
     written: usize,
     /// Whether the connection is established.
     pub connected: bool,
+    /// Output that waits until the host at the other end has opened its part of a tunnel; `None` for
+    /// an open tunnel and for other connections.
+    held: Option<Vec<u8>>,
+    /// Whether input is left in the system's buffer, which slows the sender down.
+    paused: bool,
     /// How the connection ended; `None` while it is open.
     pub ended: Option<Ended>,
     closing: bool,
@@ -94,6 +99,17 @@
         self.output.len() - self.written
     }
 
+    /// Whether what is sent reaches the target: the connection is established, and so is the part of
+    /// a tunnel behind it.
+    pub fn established(&self) -> bool {
+        self.connected && self.held.is_none()
+    }
+
+    /// Whether it is a tunnel that is not open yet.
+    pub fn tunnel_pending(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Whether all output has been written to the socket.
     pub fn flushed(&self) -> bool {
         self.unwritten() == 0
@@ -260,6 +276,43 @@
         self.add(self.dial.dial(addr)?, false)
     }
 
+    /// Like [`Net::connect`], to another host that is asked by `request` to open a tunnel. Other
+    /// output is held until [`Net::tunnel_opened`].
+    ///
+    /// # Errors
+    /// As [`Net::connect`].
+    pub fn connect_tunnel(&mut self, host: SocketAddr, request: &[u8]) -> io::Result<Key> {
+        let key = self.connect(host)?;
+        self.send(key, request);
+        if let Some(socket) = self.sockets.get_mut(key) {
+            socket.held = Some(Vec::new());
+        }
+        Ok(key)
+    }
+
+    /// Sends the output that was held until a tunnel is open.
+    pub fn tunnel_opened(&mut self, key: Key) {
+        let held = self.sockets.get_mut(key).and_then(|socket| socket.held.take());
+        self.send(key, &held.unwrap_or_default());
+    }
+
+    /// Stops reading from a connection.
+    pub fn pause(&mut self, key: Key) {
+        if let Some(socket) = self.sockets.get_mut(key) {
+            socket.paused = true;
+        }
+    }
+
+    /// Reads from a paused connection again. Returns whether it was paused.
+    pub fn resume(&mut self, key: Key) -> bool {
+        let Some(socket) = self.sockets.get_mut(key).filter(|socket| socket.paused) else {
+            return false;
+        };
+        socket.paused = false;
+        self.received += read(socket, &mut self.scratch, true);
+        true
+    }
+
     fn add(&mut self, stream: TcpStream, connected: bool) -> io::Result<Key> {
         let socket = Socket {
             stream,
@@ -267,6 +320,8 @@
             output: Vec::new(),
             written: 0,
             connected,
+            held: None,
+            paused: false,
             ended: None,
             closing: false,
         };
@@ -298,10 +353,15 @@
     /// Queues bytes and writes as many as the socket accepts now.
     pub fn send(&mut self, key: Key, bytes: &[u8]) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
-        if socket.unwritten() + bytes.len() > MAX_OUTPUT {
+        let held = socket.held.as_ref().map_or(0, Vec::len);
+        if socket.unwritten() + held + bytes.len() > MAX_OUTPUT {
             socket.ended = Some(Ended::Broken);
             return;
         }
+        if let Some(held) = &mut socket.held {
+            held.extend_from_slice(bytes);
+            return;
+        }
         socket.output.extend_from_slice(bytes);
         if socket.connected {
             flush(socket);
@@ -336,7 +396,9 @@
         }
         if socket.connected {
             flush(socket);
-            self.received += read(socket, &mut self.scratch, read_closed);
+            if !socket.paused {
+                self.received += read(socket, &mut self.scratch, read_closed);
+            }
         }
         if socket.closing && (socket.flushed() || socket.ended == Some(Ended::Broken)) {
             self.close(key);
--- a/crates/roseshore_relay/tests/limits.rs
+++ b/crates/roseshore_relay/tests/limits.rs
@@ -147,7 +147,10 @@
                         self.reach(to, grant.target);
                     }
                 }
-                Datagram::AskRetries(_) | Datagram::LendRetries(_) => {}
+                Datagram::AskRetries(_)
+                | Datagram::LendRetries(_)
+                | Datagram::AskReach(_)
+                | Datagram::Reached(_) => {}
             },
             Arrival::Response(target, _, true) => {
                 let first = host.limits.rate(target, now).is_none();
--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -216,7 +216,10 @@
                 }
                 self.serve(n);
             }
-            Datagram::Ask(_) | Datagram::Grant(_) => {}
+            Datagram::Ask(_)
+            | Datagram::Grant(_)
+            | Datagram::AskReach(_)
+            | Datagram::Reached(_) => {}
         }
     }
 
