--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -129,11 +129,13 @@
 pub struct ReachQuery {
     /// Send time on the sender's clock, in milliseconds since its start; copied to the reply.
     pub sent: u64,
+    /// Age of a sign of life, in milliseconds, up to which a target counts as reached.
+    pub max_age: u16,
     /// Hashes of the targets.
     pub targets: Vec<TargetHash>,
 }
 
-/// Targets of a query that the replying host reached after it had got the query.
+/// Targets of a query that the replying host reaches.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReachReply {
     /// Send time of the query.
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -37,6 +37,8 @@
     first: Option<Instant>,
     /// Whether a check is in progress.
     pending: bool,
+    /// Whether it was started because a request makes no progress or has failed.
+    urgent: bool,
     /// Unanswered checks in a row.
     unanswered: u32,
     /// Bytes that the host had received when the last check began.
@@ -67,6 +69,7 @@
         let now = self.now;
         let check = self.liveness.checks.entry(id.to_owned()).or_default();
         let due = check.last.is_none_or(|at| now.saturating_duration_since(at) >= CHECK_INTERVAL);
+        check.urgent = true;
         if due || check.unanswered > 0 {
             self.start_check(id);
         }
@@ -76,13 +79,17 @@
     pub(super) fn start_check(&mut self, id: &str) {
         let now = self.now;
         let Some(target) = self.targets.get(id) else { return };
-        let addr = target.record.addr;
-        let check = self.liveness.checks.entry(id.to_owned()).or_default();
-        if check.pending {
+        let (addr, fails) = (target.record.addr, target.liveness_failure().is_some());
+        if self.liveness.checks.get(id).is_some_and(|check| check.pending) {
             return;
         }
+        if fails {
+            // Whether another host still reaches it is known when this check has failed as well.
+            self.ask_reach(id);
+        }
+        let check = self.liveness.checks.entry(id.to_owned()).or_default();
         check.last = Some(now);
-        if check.unanswered == 0 {
+        if check.unanswered == 0 || fails {
             check.first = Some(now);
         }
         check.received = self.net.received();
@@ -109,7 +116,7 @@
         let Some(id) = self.end_check(key) else { return };
         if connected {
             let Some(check) = self.liveness.checks.get_mut(&id) else { return };
-            check.unanswered = 0;
+            (check.unanswered, check.urgent) = (0, false);
             let started = check.last.unwrap_or(self.now);
             self.liveness.link.record_answer(started);
             self.reply_reached(&id);
@@ -144,7 +151,7 @@
             self.mark_dead(&id, LivenessFailure::Silent, &text);
         } else {
             self.ask_reach(&id);
-            self.check_alive(&id);
+            self.start_check(&id);
         }
     }
 
@@ -163,8 +170,11 @@
     fn mark_dead(&mut self, id: &str, failure: LivenessFailure, details: &str) {
         if failure == LivenessFailure::Reset {
             self.ask_reach(id);
-        } else if let Some(first) = self.liveness.checks.get(id).and_then(|check| check.first) {
-            // Other hosts were asked after the first check.
+        } else if let Some(check) = self.liveness.checks.get_mut(id)
+            && std::mem::take(&mut check.urgent)
+            && let Some(first) = check.first
+        {
+            // Other hosts have been asked since then.
             self.targets.expire_relay(id, first);
         }
         if self.targets.liveness_failed(id, failure) {
@@ -257,7 +267,7 @@
             let relayed = self.targets.get(&id).is_some_and(|t| t.relay().is_some());
             let interval = if relayed { RELAYED_CHECK_INTERVAL } else { DEAD_CHECK_INTERVAL };
             if last.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
-                self.check_alive(&id);
+                self.start_check(&id);
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use roseshore_core::gateway::Fault;
 use roseshore_core::gateway::peers::{
-    Datagram, ReachQuery, ReachReply, TargetHash, TunnelReply, TunnelRequest,
+    Datagram, PeerRequest, ReachQuery, ReachReply, TargetHash, TunnelReply, TunnelRequest,
 };
 use roseshore_core::gateway::targets::{Relay, Target};
 use roseshore_core::prelude::*;
@@ -27,7 +27,7 @@
 
 /// Hosts of the own data centre, and of others, that are asked at once whether they reach a target.
 const ASKED_NEAR: usize = 3;
-const ASKED_FAR: usize = 3;
+const ASKED_FAR: usize = 2;
 /// Hosts that recently reached another target and are asked besides.
 const ASKED_KNOWN: usize = 2;
 /// Time for which a host that reached a target is asked for others.
@@ -35,6 +35,9 @@
 /// Age of a sign of life by which a target counts as reached without another check. It is less than
 /// the time in which the asking host finds that the target does not answer.
 const RECENT: Duration = Duration::from_millis(40);
+/// The same when a host that reached the target for this one is asked again: the checks for many
+/// hosts are then made once.
+const RECENT_AGAIN: Duration = Duration::from_millis(800);
 /// Time after which an answer about a target is of no use any more.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Targets in one question.
@@ -116,9 +119,10 @@
     /// Sends the questions and answers of this iteration of the event loop.
     pub(super) fn exchange_reach(&mut self) {
         let sent = millis(Some(self.now.saturating_duration_since(self.started))).unsigned_abs();
-        for (host, targets) in self.reach_questions() {
+        for ((host, recent), targets) in self.reach_questions() {
             for targets in targets.chunks(MAX_ASKED) {
-                let query = ReachQuery { sent, targets: targets.to_vec() };
+                let max_age = recent.as_millis() as u16;
+                let query = ReachQuery { sent, max_age, targets: targets.to_vec() };
                 self.send_message(host, &Datagram::AskReach(query));
             }
         }
@@ -129,9 +133,9 @@
         self.relays.waiting.retain(|w| now.saturating_duration_since(w.since) < ANSWER_TIMEOUT);
     }
 
-    /// The targets to ask for, by host.
-    fn reach_questions(&mut self) -> BTreeMap<SocketAddr, Vec<TargetHash>> {
-        let mut questions: BTreeMap<SocketAddr, Vec<TargetHash>> = BTreeMap::new();
+    /// The targets to ask for, by host and accepted age of a sign of life.
+    fn reach_questions(&mut self) -> BTreeMap<(SocketAddr, Duration), Vec<TargetHash>> {
+        let mut questions: BTreeMap<_, Vec<TargetHash>> = BTreeMap::new();
         let wanted = std::mem::take(&mut self.relays.wanted);
         if wanted.is_empty() {
             return questions;
@@ -150,12 +154,12 @@
         }
         for id in wanted {
             let Some(hash) = self.targets.hash(&id) else { continue };
-            let relay = self.targets.get(&id).and_then(Target::relay);
-            // Another host is asked besides the current one, as datagrams are lost now and then.
-            let others = if relay.is_some() { 1 } else { asked.len() };
-            let others = asked.iter().copied().filter(|host| Some(*host) != relay).take(others);
-            for host in relay.into_iter().chain(others) {
-                questions.entry(host).or_default().push(hash);
+            if let Some(relay) = self.targets.get(&id).and_then(Target::relay) {
+                questions.entry((relay, RECENT_AGAIN)).or_default().push(hash);
+                continue;
+            }
+            for host in &asked {
+                questions.entry((*host, RECENT)).or_default().push(hash);
             }
         }
         questions
@@ -164,7 +168,8 @@
     /// Answers which targets this host reaches: at once for those that have just shown a sign of
     /// life, and for others when their checks pass.
     pub(super) fn answer_reach_query(&mut self, from: SocketAddr, query: &ReachQuery) {
-        let recent = self.now.checked_sub(RECENT).unwrap_or(self.now);
+        let max_age = Duration::from_millis(query.max_age.into());
+        let recent = self.now.checked_sub(max_age).unwrap_or(self.now);
         for hash in query.targets.iter().take(MAX_ASKED) {
             let Some(id) = self.targets.id_of(*hash).cloned() else { continue };
             if self.targets.reached_since(&id, recent) {
@@ -239,7 +244,7 @@
         let id = self.targets.id_at(to).ok_or(io::ErrorKind::NotFound)?.clone();
         let target = self.targets.hash(&id).ok_or(io::ErrorKind::NotFound)?;
         let mut bytes = Vec::new();
-        let request = roseshore_core::gateway::peers::PeerRequest::Tunnel(TunnelRequest { target });
+        let request = PeerRequest::Tunnel(TunnelRequest { target });
         frame::write(&mut bytes, &request).map_err(io::Error::other)?;
         let key = self.net.connect_tunnel(host, &bytes)?;
         self.relays.opening.insert(key, (id, host));
@@ -285,6 +290,7 @@
     fn refuse_tunnel(&mut self, key: Key, id: &str) {
         log_event!(self, TunnelOpened, "target={id} open=false");
         metrics::counter!("roseshore_tunnels_refused_total").increment(1);
+        self.roles.insert(key, Role::Closing);
         self.send_tunnel_reply(key, false);
         self.close_flushed(key);
     }
