--- a/crates/roseshore_core/src/gateway/avoid.rs
+++ b/crates/roseshore_core/src/gateway/avoid.rs
@@ -27,6 +27,11 @@
         self.entries.push(Entry { target, until });
     }
 
+    /// Uses a target again: its failure was the fault of a link.
+    pub fn remove(&mut self, target: &str) {
+        self.entries.retain(|entry| entry.target != target);
+    }
+
     /// The targets that are avoided at `now`; a target that was added twice may occur twice.
     pub fn list(&self, now: Instant) -> Vec<TargetId> {
         let active = self.entries.iter().filter(|it| it.until.is_none_or(|until| now < until));
--- a/crates/roseshore_core/tests/gateway/avoid.rs
+++ b/crates/roseshore_core/tests/gateway/avoid.rs
@@ -48,3 +48,14 @@
         }
     }
 }
+
+#[test]
+fn a_target_behind_a_lost_link_is_used_again() {
+    let now = Instant::now();
+    let mut avoid = AvoidedTargets::default();
+    for (target, until) in [("a", None), ("b", None), ("a", Some(now + Duration::from_secs(9)))] {
+        avoid.add(target.to_owned(), until);
+    }
+    avoid.remove("a");
+    assert_eq!(avoid.list(now), ["b"]);
+}
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -204,15 +204,22 @@
         }
         let first = self.relays.known.insert(from, self.now).is_none();
         let relay = Relay { host: from, near: self.peers.is_near_host(from), confirmed };
-        let mut found = false;
+        let mut found = Vec::new();
         for hash in &reply.targets {
             if self.targets.record_relay(*hash, relay) {
-                found = true;
                 let id = self.targets.id_of(*hash).cloned().unwrap_or_default();
                 log_event!(self, TargetRelayed, "target={id} via={from}");
+                found.push(id);
             }
         }
-        if found {
+        if !found.is_empty() {
+            for key in self.exchanges.keys() {
+                if let Some(exchange) = self.exchanges.get_mut(key) {
+                    for id in &found {
+                        exchange.avoided.remove(id);
+                    }
+                }
+            }
             self.suspect_link();
             self.heartbeat_now(false);
         }
