--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -55,6 +55,8 @@
     position: Position,
     /// Targets that were recently removed from the list.
     dropped: DroppedTargets,
+    /// Whether other hosts report that any target fails their liveness checks.
+    reported_down: bool,
     /// What targets reported about their availability, by incarnation.
     availability: HashMap<TargetHash, StoredAvailability>,
 }
@@ -231,11 +233,6 @@
         }
     }
 
-    /// Whether any target is reached through another host.
-    pub fn any_relayed(&self) -> bool {
-        self.all.values().any(|t| t.relay().is_some())
-    }
-
     /// Targets that pass this host's checks and have shown no sign of life since `since`.
     pub fn unseen(&self, since: Instant) -> Vec<TargetId> {
         let unseen = |t: &&Target| t.liveness_failure.is_none() && t.alive_at < Some(since);
@@ -303,6 +300,7 @@
         now: Instant,
     ) -> ReportChanges {
         let mut changes = ReportChanges::default();
+        self.reported_down = loads.values().any(|load| load.down);
         for target in self.all.values_mut() {
             let load = loads.get(&target.hash).copied().unwrap_or_default();
             if load.down != target.remote_load.down {
@@ -329,6 +327,9 @@
     /// Targets that other hosts report to fail liveness checks while this host's checks passed or
     /// were not made, and that have shown no sign of life here since `since`.
     pub fn unverified(&self, since: Instant) -> Vec<TargetId> {
+        if !self.reported_down {
+            return Vec::new();
+        }
         let unverified = |t: &&Target| {
             t.liveness_failure.is_none()
                 && t.reported_at.is_some_and(|at| t.alive_at < Some(at.max(since)))
@@ -339,6 +340,9 @@
     /// Targets that other hosts report to fail liveness checks and that this host reached after the
     /// report.
     pub fn refuted(&self) -> Vec<TargetHash> {
+        if !self.reported_down {
+            return Vec::new();
+        }
         self.all.values().filter(|t| t.is_refuted()).map(|t| t.hash).collect()
     }
 
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -259,7 +259,7 @@
         metrics::gauge!("roseshore_tunnels").set(self.tunnel_count() as f64);
         metrics::gauge!("roseshore_targets_down", "by" => "reported").set(reported as f64);
         self.verify_reports(now.checked_sub(VERIFY_INTERVAL).unwrap_or(now));
-        if self.targets.any_relayed() {
+        if relayed > 0 {
             self.suspect_link();
         }
         for id in self.targets.dead() {
