--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -316,12 +316,13 @@
     /// Number of targets that fail this host's liveness checks, that fail the checks of other
     /// hosts, and that are reached through another host.
     pub fn down_counts(&self) -> (usize, usize, usize) {
-        let count = |counted: fn(&Target) -> bool| self.all.values().filter(|t| counted(t)).count();
-        (
-            count(|t| t.liveness_failure.is_some()),
-            count(|t| t.remote_load.down),
-            count(|t| t.relay().is_some()),
-        )
+        self.all.values().fold((0, 0, 0), |(own, reported, relayed), t| {
+            (
+                own + usize::from(t.liveness_failure.is_some()),
+                reported + usize::from(t.remote_load.down),
+                relayed + usize::from(t.relay().is_some()),
+            )
+        })
     }
 
     /// Targets that other hosts report to fail liveness checks while this host's checks passed or
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -58,7 +58,6 @@
         let received = self.net.get(key).map_or(0, |socket| socket.input.len());
         match self.roles.get_mut(&key) {
             Some(Role::PeerRequester) => self.close(key),
-            Some(Role::Tunnel(_)) => {}
             Some(Role::CopySource(_, known)) if received > *known => {
                 // The copy is still arriving: 600 kB take 0.25 s on a narrow link without other
                 // traffic.
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -198,7 +198,7 @@
 
     /// Uses another host for the targets that it reaches.
     pub(super) fn apply_reach_reply(&mut self, from: SocketAddr, reply: &ReachReply) {
-        let confirmed = self.started + Duration::from_millis(reply.sent);
+        let confirmed = (self.started + Duration::from_millis(reply.sent)).min(self.now);
         if self.now.saturating_duration_since(confirmed) >= ANSWER_TIMEOUT {
             return;
         }
@@ -314,8 +314,8 @@
         let Some(tunnel) = self.relays.tunnels.get(key) else { return };
         let (host, target, id) = (tunnel.host, tunnel.target, tunnel.id.clone());
         let Some(side) = self.net.get(target) else { return self.end_tunnel(key) };
-        let (connected, target_ended) = (side.connected, side.ended);
-        if tunnel_waits(connected, target_ended) {
+        let (connected, target_ended) = (side.connected, side.ended.is_some());
+        if !connected && !target_ended {
             if self.net.get(host).is_none_or(|side| side.ended.is_some()) {
                 self.end_tunnel(key);
             }
@@ -398,11 +398,6 @@
     }
 }
 
-/// Whether a tunnel's connection to its target is still being opened.
-fn tunnel_waits(connected: bool, ended: Option<Ended>) -> bool {
-    !connected && ended.is_none()
-}
-
 /// The host that relays a connection, for a log line.
 pub(super) fn via_name(route: Route) -> String {
     route.via.map_or("-".to_owned(), |host| host.to_string())
