Log the parts of a prompt with each choice of a path and each crash

The logs of the incident could not tell a part that requests share from one request that comes again: no line named the parts. Nothing is decided by them yet.

--- a/crates/roseshore_core/src/ids.rs
+++ b/crates/roseshore_core/src/ids.rs
@@ -13,6 +13,8 @@
 pub type OrganisationId = String;
 /// A back end: one engine or one replica of a plain service.
 pub type TargetId = String;
+/// A part of a prompt, as its callers name it.
+pub type PromptPartId = String;
 /// A named service that callers ask for.
 pub type ServiceId = String;
 /// A model family.
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -6,7 +6,7 @@
 use quick_error::quick_error;
 use roseshore_core::gateway::limits::AdvertisedLimit;
 use roseshore_core::gateway::{Holding, Hop, Snapshot, TargetRecord};
-use roseshore_core::ids::{Era, Incarnation};
+use roseshore_core::ids::{Era, Incarnation, PromptPartId};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -134,6 +134,9 @@
     pub prompt_tokens: u32,
     /// Maximum tokens in the answer; 0 if unknown.
     pub max_tokens: u32,
+    /// The parts of the prompt, in order; empty if unknown. The last one belongs to this request or
+    /// its session, the others are shared between requests.
+    pub prompt_parts: Vec<PromptPartId>,
     /// The caller's estimate of the tokens in the answer.
     pub length_hint: Option<u32>,
 }
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends requests to targets, and handles failed sends: retries on another target, or an error.
 
 use super::exchange::Exchange;
-use super::fatal::ENDS_TARGETS;
+use super::fatal::{ENDS_TARGETS, parts_text};
 use super::in_flight::{InFlightSend, Phase};
 use super::probes::millis;
 use super::relays::via_name;
@@ -153,12 +153,13 @@
         http::write_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
         out.extend_from_slice(&exchange.body);
         let text = format!(
-            "request={} fingerprint={} send={} {} prompt={} left_ms={} via={}",
+            "request={} fingerprint={} send={} {} prompt={} parts={} left_ms={} via={}",
             exchange.request_fields.attempt,
             exchange.fingerprint,
             exchange.sends,
             choice.log_text(),
             exchange.request_fields.prompt_tokens,
+            parts_text(&exchange.request_fields.prompt_parts),
             remaining.as_millis(),
             via_name(route),
         );
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -18,6 +18,8 @@
 /// Time to determine whether a target crashed. Liveness checks of one target are 0.2 s apart, so
 /// there is time for three; a target takes seconds to restart.
 const DIAGNOSIS_TIME: Duration = Duration::from_secs(1);
+/// Parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
 /// Value of `by` in a log line about a report of another host.
 pub(super) const BY_PEER: &str = "heard";
 
@@ -26,6 +28,8 @@
 pub(super) struct BrokenSend {
     fingerprint: Fingerprint,
     attempt: String,
+    /// The parts of its prompt.
+    parts: Vec<PromptPartId>,
     /// The targets on its path, with their incarnations at that time.
     targets: Vec<(TargetId, TargetHash)>,
     /// Whether the target had hardly begun to run the request.
@@ -52,6 +56,7 @@
         let broken = BrokenSend {
             fingerprint: exchange.fingerprint,
             attempt: exchange.request_fields.attempt.clone(),
+            parts: exchange.request_fields.prompt_parts.clone(),
             targets,
             early: is_early(send, self.now),
             at: self.now,
@@ -133,14 +138,15 @@
 
     /// Records that a target crashed while it ran a request.
     fn record_crash(&mut self, broken: &BrokenSend, id: &str, hash: TargetHash) {
-        let BrokenSend { fingerprint, attempt, early, .. } = broken;
+        let BrokenSend { fingerprint, attempt, parts, early, .. } = broken;
         let change = self.fatal.record_crash(*fingerprint, hash, *early, self.now);
         let after = self.now.saturating_duration_since(broken.at).as_millis();
         log_event!(
             self,
             TargetEnded,
-            "request={attempt} fingerprint={fingerprint} target={id} early={early} ends={} \
+            "request={attempt} fingerprint={fingerprint} parts={} target={id} early={early} ends={} \
              known_after_ms={after}",
+            parts_text(parts),
             self.fatal.crashes(*fingerprint)
         );
         self.apply_change(*fingerprint, change, "own");
@@ -209,6 +215,15 @@
 /// The reason that callers of a blocked request get.
 pub(super) const ENDS_TARGETS: &str = "targets ended while they ran this request";
 
+/// The parts of a prompt as text of a log line, which has room for the first ones only.
+pub(super) fn parts_text(parts: &[PromptPartId]) -> String {
+    match parts.get(..MAX_LOGGED_PARTS) {
+        Some(first) if parts.len() > MAX_LOGGED_PARTS => first.join("+") + "+..",
+        _ if parts.is_empty() => "-".to_owned(),
+        _ => parts.join("+"),
+    }
+}
+
 /// Whether a send has hardly begun to run: its first event came less than [`EARLY`] ago, or has not
 /// come.
 fn is_early(send: &InFlightSend, now: Instant) -> bool {
