--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -58,7 +58,7 @@
 pub use copies::Copies;
 pub use failure::{Fault, NextStep, RetryState};
 pub use fatal::FatalRequests;
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, Suspects};
 pub use newer_configs::NewerConfigs;
 pub use outage::StoreOutage;
 pub use path::{Candidate, Hop, PathRequest};
--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -1,27 +1,32 @@
-//! Requests that crash the targets which run them.
+//! Requests, and parts of prompts, that crash the targets which run them.
 //!
 //! Such a request (a "query of death") is repeated under a new id at any host, and each run costs a
-//! target and all that ran beside it. So hosts remember, by its [`Fingerprint`], under which
-//! requests targets crashed, inform each other, and refuse a request under which too many did.
+//! target and all that ran beside it. Different requests may crash targets for the same reason, a
+//! part of the prompt that they have in common. So hosts remember by [`Fingerprint`] under which
+//! requests and parts, the suspects, targets crashed, inform each other, and refuse what too many
+//! crashed under.
 //!
-//! Whatever else ran on a target when it crashed looks the same at first. The request at fault is
+//! Whatever else ran on a target when it crashed looks the same at first. The suspect at fault is
 //! recognised by two facts: it never gets far, and it never completes. A crash has full weight only
-//! if the request had hardly begun to run there, and a complete response clears a request of all
-//! earlier crashes, on all hosts.
+//! if the request had hardly begun to run there. A complete response clears a request, and a run
+//! that gets beyond its beginning clears the parts of its prompt, of all earlier crashes, on all
+//! hosts. Among the suspects that are left, [`attribution`] finds those that explain the crashes.
 //!
 //! Hosts exchange a set of crashes, identified by target and incarnation, which they merge. None is
 //! counted twice, in whatever order reports arrive, and a report that adds nothing is not
 //! forwarded.
 
+mod attribution;
 mod record;
 
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, Suspects};
 use super::peers::TargetHash;
 use crate::prelude::*;
+use attribution::{Block, Evidence};
 pub use record::{FatalRecord, RecordDiff};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 /// Number of targets that may crash under a request before it is blocked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,11 +59,11 @@
 /// How long a complete response is remembered, to answer late reports from other hosts about
 /// crashes before it.
 const SUCCESS_RETENTION: Duration = Duration::from_secs(10);
-/// Number of complete responses remembered: some seconds' worth on a busy host.
-const MAX_SUCCESSES: usize = 1024;
-/// Number of requests remembered for their crashes, at some 200 B each by their fields; far more
+/// Number of suspects whose last success is remembered: some seconds' worth on a busy host.
+const MAX_SUCCESSES: usize = 2048;
+/// Number of suspects remembered for their crashes, at some 200 B each by their fields; far more
 /// than are blocked at any time.
-const MAX_REQUESTS: usize = 512;
+const MAX_SUSPECTS: usize = 1024;
 /// How long an update is part of every heartbeat: three hops of 0.2 s between hosts that hear only
 /// speakers, with the first attempt lost at each.
 const FRESH_FOR: Duration = Duration::from_millis(1500);
@@ -98,14 +103,14 @@
     pub age: u32,
 }
 
-/// Report about a request in a heartbeat.
+/// Report about a suspect in a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FatalReport {
-    /// The request.
+    /// The suspect.
     pub fingerprint: Fingerprint,
-    /// Crashes since the request last completed.
+    /// Crashes since its last success.
     pub ends: Vec<CrashReport>,
-    /// Time since the request last completed in milliseconds; `None` if that is not known.
+    /// Time since its last success in milliseconds; `None` if that is not known.
     pub well: Option<u32>,
 }
 
@@ -114,13 +119,13 @@
 pub enum FatalChange {
     /// No relevant change.
     None,
-    /// Another target has crashed under the request.
+    /// Another target has crashed under the suspect.
     Crashed,
     /// Another target has crashed, and the request had hardly begun to run there.
     CrashedEarly,
-    /// The request is blocked from now on.
+    /// The suspect is blocked from now on.
     Blocked,
-    /// The request was blocked, and is no longer taken to crash targets.
+    /// The suspect was blocked, and is no longer taken to crash targets.
     Cleared,
 }
 
@@ -142,7 +147,7 @@
 /// a different request with each turn.
 fn fill_reports(
     reports: &mut Vec<FatalReport>,
-    histories: &[(&Fingerprint, &RequestHistory)],
+    histories: &[(&Fingerprint, &SuspectHistory)],
     turn: usize,
     most: usize,
     now: Instant,
@@ -163,36 +168,31 @@
     }
 }
 
-/// Crashes and completion of one request.
+/// Crashes and successes of one suspect.
 #[derive(Clone, Debug)]
-struct RequestHistory {
+struct SuspectHistory {
     crashes: Vec<Crash>,
     last_success: Option<Instant>,
     /// When something new was last learned.
     changed: Instant,
 }
 
-impl RequestHistory {
-    fn new(now: Instant) -> RequestHistory {
-        RequestHistory { crashes: Vec::new(), last_success: None, changed: now }
+impl SuspectHistory {
+    fn new(now: Instant) -> SuspectHistory {
+        SuspectHistory { crashes: Vec::new(), last_success: None, changed: now }
     }
 
     fn early_crashes(&self) -> usize {
         self.crashes.iter().filter(|crash| crash.early).count()
     }
 
-    fn blocked(&self, limits: CrashLimits) -> bool {
-        self.early_crashes() >= limits.early || self.crashes.len() >= limits.all
-    }
-
     /// Adds a crash. Returns whether it is new. Of two runs on the same target, the early one
     /// counts.
     fn add_crash(&mut self, crash: Crash) -> bool {
         if self.last_success.is_some_and(|completed| crash.at <= completed) {
             return false;
         }
-        let gap = |at: Instant| at.max(crash.at).saturating_duration_since(at.min(crash.at));
-        let same = |e: &&mut Crash| e.target == crash.target && gap(e.at) < SAME_CRASH_WINDOW;
+        let same = |known: &&mut Crash| attribution::same_crash(known, &crash);
         let Some(known) = self.crashes.iter_mut().find(same) else {
             self.crashes.push(crash);
             return true;
@@ -234,14 +234,16 @@
     }
 }
 
-/// Requests that crash targets, as known to this host.
+/// Requests and parts of prompts that crash targets, as known to this host.
 #[derive(Clone, Debug)]
 pub struct FatalRequests {
     limits: CrashLimits,
     started: Instant,
-    requests: HashMap<Fingerprint, RequestHistory>,
-    /// Requests that recently completed at this host, oldest first.
-    successes: VecDeque<(Instant, Fingerprint)>,
+    suspects: HashMap<Fingerprint, SuspectHistory>,
+    /// When suspects last succeeded at this host, if that was recent.
+    successes: HashMap<Fingerprint, Instant>,
+    /// What is refused, by the current histories.
+    blocks: Vec<Block>,
 }
 
 impl FatalRequests {
@@ -252,10 +254,16 @@
 
     /// Creates an empty set with other limits.
     pub fn with_limits(now: Instant, limits: CrashLimits) -> FatalRequests {
-        FatalRequests { limits, started: now, requests: HashMap::new(), successes: VecDeque::new() }
+        FatalRequests {
+            limits,
+            started: now,
+            suspects: HashMap::new(),
+            successes: HashMap::new(),
+            blocks: Vec::new(),
+        }
     }
 
-    /// Records that a target crashed while it ran a request of this host.
+    /// Records that a target crashed under a suspect at this host.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
@@ -263,16 +271,21 @@
         early: bool,
         now: Instant,
     ) -> FatalChange {
-        self.update(fingerprint, &[Crash { target, early, at: now }], None, now)
+        let completed = self.last_success(fingerprint);
+        self.update(fingerprint, &[Crash { target, early, at: now }], completed, now)
     }
 
-    /// Records that a request of this host completed.
+    /// Records a success of a suspect at this host: a complete response to a request, or a run with
+    /// a part that got beyond its beginning.
     pub fn record_success(&mut self, fingerprint: Fingerprint, now: Instant) -> FatalChange {
         if self.successes.len() >= MAX_SUCCESSES {
-            self.successes.pop_front();
+            let recent = |at: &Instant| now.saturating_duration_since(*at) < SUCCESS_RETENTION / 2;
+            self.successes.retain(|_, at| recent(at));
+        }
+        if self.successes.len() < MAX_SUCCESSES {
+            self.successes.insert(fingerprint, now);
         }
-        self.successes.push_back((now, fingerprint));
-        if !self.requests.contains_key(&fingerprint) {
+        if !self.suspects.contains_key(&fingerprint) {
             return FatalChange::None;
         }
         self.update(fingerprint, &[], Some(now), now)
@@ -288,16 +301,15 @@
         };
         let crashes: Vec<Crash> = report.ends.iter().filter_map(crash).collect();
         let completed = report.well.and_then(placed).max(self.last_success(report.fingerprint));
-        if crashes.is_empty() && !self.requests.contains_key(&report.fingerprint) {
+        if crashes.is_empty() && !self.suspects.contains_key(&report.fingerprint) {
             return FatalChange::None;
         }
         self.update(report.fingerprint, &crashes, completed, now)
     }
 
-    /// When the request last completed at this host, if that was recent.
+    /// When the suspect last succeeded at this host, if that was recent.
     fn last_success(&self, fingerprint: Fingerprint) -> Option<Instant> {
-        let same = self.successes.iter().rev().find(|(_, known)| *known == fingerprint);
-        same.map(|(at, _)| *at)
+        self.successes.get(&fingerprint).copied()
     }
 
     fn update(
@@ -308,8 +320,8 @@
         now: Instant,
     ) -> FatalChange {
         self.make_room(fingerprint);
-        let history = self.requests.entry(fingerprint).or_insert_with(|| RequestHistory::new(now));
-        let before = history.blocked(self.limits);
+        let before = self.is_blocked(fingerprint);
+        let history = self.suspects.entry(fingerprint).or_insert_with(|| SuspectHistory::new(now));
         let known = history.early_crashes();
         let outdated =
             completed.is_some_and(|completed| crashes.iter().any(|crash| crash.at <= completed));
@@ -319,7 +331,10 @@
             history.changed = now;
         }
         let early = history.early_crashes();
-        match (before, history.blocked(self.limits)) {
+        if added > 0 || cleared {
+            self.attribute();
+        }
+        match (before, self.is_blocked(fingerprint)) {
             (false, true) => FatalChange::Blocked,
             (true, false) => FatalChange::Cleared,
             _ if early > known => FatalChange::CrashedEarly,
@@ -328,63 +343,94 @@
         }
     }
 
-    /// Drops the least relevant request if there are too many.
+    /// Updates what is refused.
+    fn attribute(&mut self) {
+        let to_evidence = |(fingerprint, history): (&Fingerprint, &SuspectHistory)| Evidence {
+            suspect: *fingerprint,
+            crashes: history.crashes.clone(),
+            last_success: history.last_success,
+        };
+        let evidence = self.suspects.iter().filter(|(_, history)| !history.crashes.is_empty());
+        self.blocks = attribution::attribute(evidence.map(to_evidence).collect(), self.limits);
+    }
+
+    /// Whether crashes are attributed to a suspect, maybe together with others.
+    fn is_blocked(&self, fingerprint: Fingerprint) -> bool {
+        self.blocks.iter().any(|block| block.names(fingerprint))
+    }
+
+    /// Drops the least relevant suspect if there are too many.
     fn make_room(&mut self, fingerprint: Fingerprint) {
-        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(&fingerprint) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&fingerprint) {
             return;
         }
         let least = self
-            .requests
+            .suspects
             .iter()
             .min_by_key(|(f, history)| (history.early_crashes(), history.latest(), **f));
         let least = least.map(|(fingerprint, _)| *fingerprint);
         if let Some(least) = least {
-            self.requests.remove(&least);
+            self.suspects.remove(&least);
         }
     }
 
-    /// How long a request is still refused; `None` for one that may run.
+    /// How long a suspect is still blocked; `None` if it is not.
     pub fn blocked(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        let history =
-            self.requests.get(&fingerprint).filter(|history| history.blocked(self.limits))?;
-        let left = (history.latest() + CRASH_RETENTION).saturating_duration_since(now);
+        let blocks = self.blocks.iter().filter(|block| block.names(fingerprint));
+        blocks.filter_map(|block| Self::remaining(block, now)).max()
+    }
+
+    /// The suspect for which a request is refused, and for how long; `None` if it may run.
+    pub fn refused(&self, suspects: &Suspects, now: Instant) -> Option<(Fingerprint, Duration)> {
+        let blocks = self.blocks.iter().filter_map(|block| Some((block, block.refuses(suspects)?)));
+        let lasting = blocks.filter_map(|(b, suspect)| Some((suspect, Self::remaining(b, now)?)));
+        lasting.max_by_key(|(_, left)| *left)
+    }
+
+    fn remaining(block: &Block, now: Instant) -> Option<Duration> {
+        let left = (block.latest + CRASH_RETENTION).saturating_duration_since(now);
         Some(left).filter(|left| !left.is_zero())
     }
 
-    /// Number of targets known to have crashed under a request since it last completed.
+    /// Number of targets known to have crashed under a suspect since its last success.
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.requests.get(&fingerprint).map_or(0, |history| history.crashes.len())
+        self.suspects.get(&fingerprint).map_or(0, |history| history.crashes.len())
     }
 
     /// Whether a request would be blocked by one crash beyond the known ones and `open` further
     /// ones that are still being investigated.
     pub fn near_limit(&self, fingerprint: Fingerprint, open: usize) -> bool {
         let CrashLimits { early, all } = self.limits;
-        let history = self.requests.get(&fingerprint);
+        let history = self.suspects.get(&fingerprint);
         let known =
             history.map_or((0, 0), |history| (history.early_crashes(), history.crashes.len()));
         known.0 + open + 1 >= early || known.1 + open + 1 >= all
     }
 
-    /// Number of requests that are refused.
-    pub fn blocked_count(&self) -> usize {
-        self.requests.values().filter(|history| history.blocked(self.limits)).count()
+    /// The suspects that are blocked.
+    pub fn all_blocked(&self) -> impl Iterator<Item = Fingerprint> {
+        self.suspects.keys().copied().filter(|fingerprint| self.is_blocked(*fingerprint))
     }
 
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
-        self.successes.retain(|(at, _)| age(*at) < SUCCESS_RETENTION);
-        self.requests.retain(|_, history| {
+        self.successes.retain(|_, at| age(*at) < SUCCESS_RETENTION);
+        let before = self.suspects.len();
+        self.suspects.retain(|_, history| {
             let kept = if history.crashes.is_empty() { SUCCESS_RETENTION } else { CRASH_RETENTION };
             age(history.latest()) < kept
         });
+        if self.suspects.len() < before && !self.blocks.is_empty() {
+            self.attribute();
+        }
     }
 
-    /// Reports blocked requests like updates again, for a host that has joined.
+    /// Reports blocked suspects like updates again, for a host that has joined.
     pub fn repeat_blocked(&mut self, now: Instant) {
-        let limits = self.limits;
-        for history in self.requests.values_mut().filter(|history| history.blocked(limits)) {
+        let blocks = &self.blocks;
+        let blocked = |fingerprint| blocks.iter().any(|block| block.names(fingerprint));
+        for (_, history) in self.suspects.iter_mut().filter(|(f, _)| blocked(**f)) {
             history.changed = now;
         }
     }
@@ -411,23 +457,26 @@
         reports
     }
 
-    /// Requests to be reported, those with the most early crashes first.
-    fn due(&self, since: Duration, now: Instant) -> Vec<(&Fingerprint, &RequestHistory)> {
+    /// Suspects to be reported, those with the most early crashes first, and parts first among
+    /// equals: a part tells more hosts something than a request.
+    fn due(&self, since: Duration, now: Instant) -> Vec<(&Fingerprint, &SuspectHistory)> {
         let new =
-            |history: &RequestHistory| now.saturating_duration_since(history.changed) < FRESH_FOR;
-        let mut old: Vec<_> = self.requests.iter().filter(|(_, history)| !new(history)).collect();
-        old.retain(|(_, history)| history.blocked(self.limits));
+            |history: &SuspectHistory| now.saturating_duration_since(history.changed) < FRESH_FOR;
+        let mut old: Vec<_> = self.suspects.iter().filter(|(_, history)| !new(history)).collect();
+        old.retain(|(fingerprint, _)| self.is_blocked(**fingerprint));
         old.sort_unstable_by_key(|(f, _)| **f);
         let turns = old.len().div_ceil(REPEATED_PER_TURN).max(MIN_TURNS);
         let turn = since.div_duration_f64(REPEAT_TURN) as usize % turns;
-        let updates = self.requests.iter().filter(|(_, history)| new(history));
+        let updates = self.suspects.iter().filter(|(_, history)| new(history));
         let mut due: Vec<_> = old
             .into_iter()
             .skip(turn * REPEATED_PER_TURN)
             .take(REPEATED_PER_TURN)
             .chain(updates)
             .collect();
-        due.sort_unstable_by_key(|(f, history)| (Reverse(history.early_crashes()), **f));
+        due.sort_unstable_by_key(|(f, history)| {
+            (Reverse(history.early_crashes()), !f.is_part(), **f)
+        });
         due
     }
 }
--- a/crates/roseshore_core/src/gateway/fatal/record.rs
+++ b/crates/roseshore_core/src/gateway/fatal/record.rs
@@ -6,7 +6,7 @@
 //! finds it. Without it, a request that had crashed three targets would crash three more after each
 //! such loss.
 
-use super::{FatalReport, FatalRequests, RequestHistory};
+use super::{FatalReport, FatalRequests, SuspectHistory};
 use crate::gateway::fingerprint::Fingerprint;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -51,8 +51,8 @@
     pub fn record_diff(&self, recorded: &[Fingerprint], wall: u64, now: Instant) -> RecordDiff {
         let blocked = |f: &Fingerprint| self.blocked(*f, now).is_some();
         let outdated = recorded.iter().filter(|f| !blocked(f)).copied().collect();
-        let missing = self.requests.iter().filter(|(f, _)| blocked(f) && !recorded.contains(f));
-        let record = |(fingerprint, history): (&Fingerprint, &RequestHistory)| FatalRecord {
+        let missing = self.suspects.iter().filter(|(f, _)| blocked(f) && !recorded.contains(f));
+        let record = |(fingerprint, history): (&Fingerprint, &SuspectHistory)| FatalRecord {
             written: wall,
             note: history.report(*fingerprint, now),
         };
--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -1,37 +1,97 @@
-//! Identifies repeated requests independently of their ids.
+//! Identifies what may be at fault when a target crashes, independently of request ids.
 //!
 //! A caller that repeats a request gives it a new id, so what a request did to a target can be
-//! related to the next one only by its content: caller, path and body.
+//! related to the next one only by its content: caller, path and body. Different requests may also
+//! have the cause in common, as a part of their prompts.
 
 use super::peers::name_hash;
+use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Identifies a request by its caller, path and body. The organisation is stored beside the digest,
-/// not only hashed into it: whoever finds a body whose digest equals another's is still told apart
-/// from that caller.
+/// Marks the digests of prompt parts, so that they differ from those of requests.
+const PART_BIT: u64 = 1;
+/// Number of shared parts of a prompt that are considered.
+const MAX_PARTS: usize = 8;
+
+/// Identifies a request by its caller, path and body, or a part of a prompt by its caller, model
+/// and id. The organisation is stored beside the digest, not only hashed into it: whoever finds a
+/// body whose digest equals another's is still told apart from that caller.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Fingerprint {
     /// Hash of the organisation's name; 0 for a caller without one.
     pub organisation: u32,
-    /// Digest of the method, the host's name, the path and the body.
+    /// Digest of the method, the host's name, the path and the body of a request; of the model and
+    /// the id of a part.
     pub digest: u64,
 }
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn of(organisation: Option<&str>, parts: &[&[u8]]) -> Fingerprint {
-        let mut digest = Xxh3::new();
-        for part in parts {
-            // The length keeps the end of one part from being taken for the start of the next.
-            digest.update(&(part.len() as u64).to_le_bytes());
-            digest.update(part);
+    /// Computes the fingerprint of a request from its fields.
+    pub fn of(organisation: Option<&str>, fields: &[&[u8]]) -> Fingerprint {
+        Fingerprint {
+            organisation: organisation.map_or(0, name_hash),
+            digest: digest(fields) & !PART_BIT,
+        }
+    }
+
+    /// Computes the fingerprint of a part of a prompt.
+    pub fn of_part(organisation: Option<&str>, model: &str, id: &str) -> Fingerprint {
+        Fingerprint {
+            organisation: organisation.map_or(0, name_hash),
+            digest: digest(&[model.as_bytes(), id.as_bytes()]) | PART_BIT,
         }
-        Fingerprint { organisation: organisation.map_or(0, name_hash), digest: digest.digest() }
+    }
+
+    /// Whether it identifies a part of a prompt rather than a request.
+    pub fn is_part(self) -> bool {
+        self.digest & PART_BIT != 0
+    }
+}
+
+fn digest(fields: &[&[u8]]) -> u64 {
+    let mut digest = Xxh3::new();
+    for field in fields {
+        // The length keeps the end of one field from being taken for the start of the next.
+        digest.update(&(field.len() as u64).to_le_bytes());
+        digest.update(field);
+    }
+    digest.digest()
+}
+
+/// What may be at fault when a target crashes while it runs a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Suspects {
+    /// The request as a whole.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may have as well.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl Suspects {
+    /// The suspects of a request for a model. The last part of a prompt is the request's own, so
+    /// the request stands for it.
+    pub fn new(
+        request: Fingerprint,
+        organisation: Option<&str>,
+        model: &str,
+        parts: &[PromptPartId],
+    ) -> Suspects {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let part = |id: &PromptPartId| Fingerprint::of_part(organisation, model, id);
+        let mut parts: Vec<Fingerprint> = shared.iter().take(MAX_PARTS).map(part).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Suspects { request, parts }
+    }
+
+    /// All of them.
+    pub fn all(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
     }
 }
 
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::fatal::{FatalChange, FatalReport, REPORT_BYTES};
-use roseshore_core::gateway::{FatalRequests, Fingerprint};
+use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
 fn ms(n: u64) -> Duration {
@@ -185,7 +185,7 @@
     // A moment at which it is the turn of the blocked requests again.
     let later = now + ms(6_100);
     assert!(fatal.blocked(print("guilty"), later).is_some());
-    assert_eq!(fatal.blocked_count(), 1);
+    assert_eq!(fatal.all_blocked().count(), 1);
     let bytes: usize = fatal.reports(later).iter().map(FatalReport::max_bytes).sum();
     assert!(bytes <= REPORT_BYTES, "{bytes} bytes");
     assert_eq!(fatal.reports(later)[0].fingerprint, print("guilty"), "the most crashes first");
@@ -333,3 +333,179 @@
         assert_eq!(outdated.is_empty(), case.blocked, "{}", case.name);
     }
 }
+
+/// What happens to a run: its target, organisation and number, and the shared parts of its prompt.
+#[derive(Clone, Copy)]
+enum Run {
+    /// The target crashed when the run had hardly begun.
+    Crash(u32, &'static str, u32, &'static [&'static str]),
+    /// The run got beyond its beginning.
+    Survive(&'static str, &'static [&'static str]),
+}
+
+/// Runs, a second apart, and which requests are refused after them.
+struct PartCase {
+    name: &'static str,
+    runs: &'static [Run],
+    refused: &'static [(&'static str, &'static [&'static str])],
+    allowed: &'static [(&'static str, &'static [&'static str])],
+}
+
+fn suspects(organisation: &str, number: u32, parts: &[&str]) -> Suspects {
+    let request = Fingerprint::of(Some(organisation), &[&number.to_le_bytes()]);
+    let ids: Vec<String> = parts.iter().chain(&["own"]).map(|id| (*id).to_owned()).collect();
+    Suspects::new(request, Some(organisation), "model", &ids)
+}
+
+const PART_CASES: [PartCase; 10] = [
+    PartCase {
+        name: "two crashes",
+        runs: &[Run::Crash(1, "a", 1, &["f", "p"]), Run::Crash(2, "a", 2, &["f", "p"])],
+        refused: &[],
+        allowed: &[("a", &["f", "p"])],
+    },
+    PartCase {
+        name: "parts that always came together are refused together",
+        runs: &[
+            Run::Crash(1, "a", 1, &["f", "p"]),
+            Run::Crash(2, "a", 2, &["f", "p"]),
+            Run::Crash(3, "a", 3, &["f", "p"]),
+        ],
+        refused: &[("a", &["f", "p"]), ("a", &["p", "f", "q"])],
+        allowed: &[("a", &["f"]), ("a", &["p"]), ("b", &["f", "p"])],
+    },
+    PartCase {
+        name: "a part that got far with another request is not at fault",
+        runs: &[
+            Run::Crash(1, "a", 1, &["f", "p"]),
+            Run::Survive("a", &["f"]),
+            Run::Crash(2, "a", 2, &["f", "p"]),
+            Run::Crash(3, "a", 3, &["f", "p"]),
+        ],
+        refused: &[("a", &["p"]), ("a", &["g", "p"])],
+        allowed: &[("a", &["f"])],
+    },
+    PartCase {
+        name: "the first part",
+        runs: &[
+            Run::Crash(1, "a", 1, &["p", "g"]),
+            Run::Crash(2, "a", 2, &["p"]),
+            Run::Crash(3, "a", 3, &["p", "h"]),
+        ],
+        refused: &[("a", &["p"]), ("a", &["p", "g"])],
+        allowed: &[("a", &["g"]), ("a", &["h"])],
+    },
+    PartCase {
+        name: "one request that explains all crashes",
+        runs: &[
+            Run::Crash(1, "a", 1, &["f", "p"]),
+            Run::Crash(2, "a", 1, &["f", "p"]),
+            Run::Crash(3, "a", 1, &["f", "p"]),
+        ],
+        refused: &[],
+        allowed: &[("a", &["f", "p"]), ("a", &["p"])],
+    },
+    PartCase {
+        name: "one request beside another explains all but one crash",
+        runs: &[
+            Run::Crash(1, "a", 1, &["f", "p"]),
+            Run::Crash(2, "a", 1, &["f", "p"]),
+            Run::Crash(3, "a", 2, &["g", "p"]),
+        ],
+        refused: &[("a", &["p"])],
+        allowed: &[("a", &["f"]), ("a", &["g"])],
+    },
+    PartCase {
+        name: "two fatal parts behind a common one that succeeded before",
+        runs: &[
+            Run::Survive("a", &["f"]),
+            Run::Crash(1, "a", 1, &["f", "p"]),
+            Run::Crash(2, "a", 2, &["f", "q"]),
+            Run::Crash(3, "a", 3, &["f", "p"]),
+            Run::Crash(4, "a", 4, &["f", "q"]),
+            Run::Crash(5, "a", 5, &["f", "p"]),
+            Run::Crash(6, "a", 6, &["f", "q"]),
+        ],
+        refused: &[("a", &["p"]), ("a", &["f", "p"]), ("a", &["f", "q"])],
+        allowed: &[("a", &["f"])],
+    },
+    PartCase {
+        name: "a part that several organisations have",
+        runs: &[
+            Run::Crash(1, "a", 1, &["p"]),
+            Run::Crash(2, "b", 2, &["p"]),
+            Run::Crash(3, "c", 3, &["p"]),
+        ],
+        refused: &[("a", &["p"]), ("d", &["p"])],
+        allowed: &[("a", &["f"])],
+    },
+    PartCase {
+        name: "a part that several organisations have, where one got far with it",
+        runs: &[
+            Run::Crash(1, "a", 1, &["p"]),
+            Run::Crash(2, "b", 2, &["p"]),
+            Run::Survive("c", &["p"]),
+            Run::Crash(3, "c", 3, &["p"]),
+        ],
+        refused: &[],
+        allowed: &[("a", &["p"]), ("c", &["p"])],
+    },
+    PartCase {
+        name: "one organisation blocks no part of another",
+        runs: &[
+            Run::Crash(1, "a", 1, &["p", "q"]),
+            Run::Crash(2, "a", 2, &["p", "r"]),
+            Run::Crash(3, "a", 3, &["p"]),
+        ],
+        refused: &[("a", &["p"])],
+        allowed: &[("b", &["p"])],
+    },
+];
+
+#[test]
+fn crashes_are_attributed_to_the_prompt_parts_that_explain_them() {
+    for case in PART_CASES {
+        let start = Instant::now();
+        let mut fatal = FatalRequests::new(start);
+        let mut now = start;
+        for run in case.runs {
+            now += Duration::from_secs(1);
+            match *run {
+                Run::Crash(target, organisation, number, parts) => {
+                    for suspect in suspects(organisation, number, parts).all() {
+                        fatal.record_crash(suspect, target, true, now);
+                    }
+                }
+                Run::Survive(organisation, parts) => {
+                    for part in suspects(organisation, 0, parts).parts {
+                        fatal.record_success(part, now);
+                    }
+                }
+            }
+        }
+        let refused = |(organisation, parts): &(&str, &[&str])| {
+            fatal.refused(&suspects(organisation, 99, parts), now).is_some()
+        };
+        for request in case.refused {
+            assert!(refused(request), "{}: {request:?} is not refused", case.name);
+        }
+        for request in case.allowed {
+            assert!(!refused(request), "{}: {request:?} is refused", case.name);
+        }
+        let later = now + Duration::from_mins(11);
+        fatal.expire(later);
+        assert_eq!(fatal.all_blocked().count(), 0, "{}: blocks lapse", case.name);
+    }
+}
+
+#[test]
+fn targets_that_crash_together_count_once_for_a_prompt_part() {
+    let now = Instant::now();
+    let mut fatal = FatalRequests::new(now);
+    for target in 1..=4 {
+        for suspect in suspects("a", target, &["f"]).all() {
+            fatal.record_crash(suspect, target, true, now + ms(u64::from(target) * 5));
+        }
+    }
+    assert!(fatal.refused(&suspects("a", 9, &["f"]), now + ms(50)).is_none());
+}
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -1,10 +1,10 @@
-//! Streams beside requests that crash their targets, simulated in virtual time: how many targets
-//! crash, and how many other requests are refused as well.
+//! Streams beside requests, or parts of prompts, that crash their targets, simulated in virtual
+//! time: how many targets crash, and how many other requests are refused as well.
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use roseshore_core::gateway::fatal::{CrashLimits, EARLY};
-use roseshore_core::gateway::{FatalRequests, Fingerprint};
+use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
 const STEP: Duration = Duration::from_millis(10);
@@ -28,12 +28,22 @@
 const ATTEMPTS: u32 = 2;
 /// Delay before a caller whose stream broke off tries again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// First parts of prompts; the half of them with the higher numbers is rare.
+const FIRST_PARTS: u64 = 60;
+/// When the first requests with fatal parts may come: streams have run by then.
+const PARTS_FROM: Duration = Duration::from_secs(5);
+/// Crashes under one part that operators tolerate, and the time that hosts then have to refuse it.
+const TOLERATED: usize = 5;
+const CONTACT: Duration = Duration::from_secs(3);
 
 /// A request running on an engine.
 #[derive(Clone, Debug)]
 struct Run {
     request: u64,
     fatal: bool,
+    /// The fatal part of its prompt.
+    part: Option<usize>,
+    past_beginning: bool,
     engine: usize,
     sent: Instant,
     sends: u32,
@@ -51,8 +61,24 @@
     /// Mean time between random failures, and how many engines fail together.
     every: Duration,
     together: usize,
+    parts: FatalParts,
 }
 
+/// Parts of prompts that crash engines.
+#[derive(Clone, Copy, Debug)]
+struct FatalParts {
+    /// Number of parts.
+    count: usize,
+    /// Requests per second with each of them, no two alike.
+    rate: f64,
+    /// The first part of these prompts; `None` if it is the fatal one.
+    first: Option<u64>,
+    /// Whether parts are told apart, as they are in production.
+    known: bool,
+}
+
+const NO_PARTS: FatalParts = FatalParts { count: 0, rate: 0.0, first: None, known: true };
+
 /// Result of a simulation.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Outcome {
@@ -61,6 +87,10 @@
     /// Other requests that were refused as if they crashed engines, and the number of all others.
     refused: usize,
     others: usize,
+    /// Engines crashed under the worst part, and sends of requests with it after the tolerated
+    /// crashes and the time to refuse it.
+    by_part: usize,
+    sent_late: usize,
 }
 
 struct Simulation {
@@ -76,12 +106,35 @@
     crashed: Vec<usize>,
     refused: Vec<u64>,
     next: u64,
+    part_arrivals: SmallRng,
+    part_crashes: Vec<Vec<Instant>>,
+    part_sends: Vec<Vec<Instant>>,
 }
 
 fn print(request: u64) -> Fingerprint {
     Fingerprint::of(None, &[&request.to_le_bytes()])
 }
 
+/// The first part of a sound request's prompt; low numbers are the most common.
+fn first_part(request: u64) -> u64 {
+    let spread = (print(request).digest >> 8) % (FIRST_PARTS * FIRST_PARTS);
+    FIRST_PARTS - 1 - spread.isqrt()
+}
+
+impl Run {
+    fn suspects(&self, parts: FatalParts) -> Suspects {
+        let first = match self.part {
+            Some(_) => parts.first.map(|first| format!("first-{first}")),
+            None => Some(format!("first-{}", first_part(self.request))),
+        };
+        let fatal = self.part.map(|n| format!("fatal-{n}"));
+        let own = format!("own-{}", self.request);
+        let ids: Vec<PromptPartId> = first.into_iter().chain(fatal).chain([own]).collect();
+        let ids = if parts.known && parts.count > 0 { ids } else { Vec::new() };
+        Suspects::new(print(self.request), None, "model", &ids)
+    }
+}
+
 impl Simulation {
     fn new(load: Load, limits: CrashLimits, seed: u64) -> Simulation {
         let start = Instant::now();
@@ -98,6 +151,9 @@
             crashed: vec![0; load.fatal as usize],
             refused: Vec::new(),
             next: load.fatal,
+            part_arrivals: SmallRng::seed_from_u64(seed + 1000),
+            part_crashes: vec![Vec::new(); load.parts.count],
+            part_sends: vec![Vec::new(); load.parts.count],
         }
     }
 
@@ -113,7 +169,14 @@
         let others = (self.next - self.load.fatal) as usize;
         self.refused.sort_unstable();
         self.refused.dedup();
-        Outcome { crashed, refused: self.refused.len(), others }
+        let by_part = self.part_crashes.iter().map(Vec::len).max().unwrap_or(0);
+        let sent_late = |(sends, crashes): (&Vec<Instant>, &Vec<Instant>)| {
+            let Some(fifth) = crashes.get(TOLERATED - 1) else { return 0 };
+            sends.iter().filter(|at| **at > *fifth + CONTACT).count()
+        };
+        let sent_late = self.part_sends.iter().zip(&self.part_crashes).map(sent_late).max();
+        let sent_late = sent_late.unwrap_or(0);
+        Outcome { crashed, refused: self.refused.len(), others, by_part, sent_late }
     }
 
     fn start_streams(&mut self) {
@@ -127,6 +190,15 @@
                 self.send(Run { request, fatal: true, ..self.fresh() });
             }
         }
+        let from = self.start + PARTS_FROM;
+        let arrivals = if now < from { 0.0 } else { self.load.parts.rate * STEP.as_secs_f64() };
+        for part in 0..self.load.parts.count {
+            if self.part_arrivals.random::<f64>() < arrivals {
+                let request = u64::MAX - u64::from(self.part_arrivals.random::<u32>());
+                let part = Some(part);
+                self.send(Run { request, part, fatal: true, ..self.fresh() });
+            }
+        }
         let retry: Vec<_> = self.retries.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, run) in retry {
             self.send(run);
@@ -134,11 +206,20 @@
     }
 
     fn fresh(&self) -> Run {
-        Run { request: 0, fatal: false, engine: 0, sent: self.now, sends: 0, attempts: 1 }
+        Run {
+            request: 0,
+            fatal: false,
+            part: None,
+            past_beginning: false,
+            engine: 0,
+            sent: self.now,
+            sends: 0,
+            attempts: 1,
+        }
     }
 
     fn send(&mut self, run: Run) {
-        if self.known.blocked(print(run.request), self.now).is_some() {
+        if self.known.refused(&run.suspects(self.load.parts), self.now).is_some() {
             if !run.fatal {
                 self.refused.push(run.request);
             }
@@ -151,7 +232,11 @@
             return;
         }
         let engine = up[self.random.random_range(0..up.len())];
-        self.runs.push(Run { engine, sent: now, sends: run.sends + 1, ..run });
+        if let Some(part) = run.part {
+            self.part_sends[part].push(now);
+        }
+        let sends = run.sends + 1;
+        self.runs.push(Run { engine, sent: now, sends, past_beginning: false, ..run });
     }
 
     /// Makes engines fail at random.
@@ -173,11 +258,21 @@
         for run in completed {
             self.known.record_success(print(run.request), now);
         }
+        let beyond = |run: &&mut Run| !run.past_beginning && running_for(run) >= FIRST + EARLY;
+        for run in self.runs.iter_mut().filter(beyond) {
+            run.past_beginning = true;
+            for part in run.suspects(self.load.parts).parts {
+                self.known.record_success(part, now);
+            }
+        }
         let crashes = |run: &&Run| run.fatal && running_for(run) >= FIRST + self.load.crashes_after;
         let crashing: Vec<Run> = self.runs.iter().filter(crashes).cloned().collect();
         for run in crashing {
             if self.restarting_until[run.engine].is_none_or(|until| now >= until) {
-                self.crashed[run.request as usize] += 1;
+                match run.part {
+                    Some(part) => self.part_crashes[part].push(now),
+                    None => self.crashed[run.request as usize] += 1,
+                }
                 self.crash(run.engine);
             }
         }
@@ -196,6 +291,9 @@
         for run in &lost {
             let early = now.saturating_duration_since(run.sent) < FIRST + EARLY;
             self.known.record_crash(print(run.request), target, early, now);
+            for part in run.suspects(self.load.parts).parts.into_iter().filter(|_| early) {
+                self.known.record_crash(part, target, true, now);
+            }
         }
         for run in lost {
             if run.sends < SENDS {
@@ -237,6 +335,7 @@
         crashes_after: EARLY_CRASH,
         every: Duration::from_secs(every),
         together,
+        parts: NO_PARTS,
     };
     let slow = Load { crashes_after: LATE_CRASH, ..load("slow to crash them", 3, 3600, 1) };
     let cases = [
@@ -266,3 +365,83 @@
         assert!((refused - case.refused).abs() < 0.1, "{name}: {refused:.1} refused");
     }
 }
+
+/// Seeds of the loads with fatal parts.
+const PART_SEEDS: u64 = 3;
+/// Bound on the engines that crash under one part: those that operators tolerate, and as many as
+/// requests may be sent after that.
+const MAX_CRASHED: f64 = 8.0;
+/// Bound on the sound requests that are refused in 10,000: one in 500.
+const MAX_REFUSED: f64 = 20.0;
+
+/// Figures of a load with fatal parts, as means over seeds.
+#[derive(Debug, Default)]
+struct PartFigures {
+    crashed: f64,
+    sent_late: f64,
+    /// Sound requests refused in 10,000.
+    refused: f64,
+}
+
+fn play_parts(load: Load) -> PartFigures {
+    let play = |seed| Simulation::new(load, CrashLimits::DEFAULT, seed).play();
+    let outcomes: Vec<Outcome> = (0..PART_SEEDS).map(play).collect();
+    let mean = |of: fn(&Outcome) -> usize| {
+        outcomes.iter().map(|outcome| of(outcome) as f64).sum::<f64>() / PART_SEEDS as f64
+    };
+    PartFigures {
+        crashed: mean(|o| o.by_part),
+        sent_late: mean(|o| o.sent_late),
+        refused: mean(|o| o.refused) * 10_000.0 / mean(|o| o.others),
+    }
+}
+
+/// A load with fatal parts.
+struct PartCase {
+    name: &'static str,
+    parts: FatalParts,
+    /// Mean time in seconds between random failures, and how many engines fail together.
+    failures: (u64, usize),
+    max_crashed: f64,
+}
+
+#[test]
+fn fatal_prompt_parts_crash_few_engines_and_few_sound_requests_are_refused() {
+    let second = FatalParts { count: 1, rate: 0.7, first: Some(0), known: true };
+    let rare = FatalParts { first: Some(FIRST_PARTS - 1), ..second };
+    let none = FatalParts { rate: 0.0, ..second };
+    let case = |name, parts, failures| PartCase { name, parts, failures, max_crashed: MAX_CRASHED };
+    let never = (3600, 1);
+    let cases = [
+        case("behind a common part", second, never),
+        case("behind a rare part", rare, never),
+        case("the first part", FatalParts { first: None, ..second }, never),
+        case("seldom", FatalParts { rate: 0.4, ..second }, never),
+        case("often", FatalParts { rate: 5.0, ..second }, never),
+        // Each engine may run several such requests before the first crash is known.
+        PartCase {
+            max_crashed: ENGINES as f64,
+            ..case("most of the time", FatalParts { rate: 30.0, ..second }, never)
+        },
+        case("two parts", FatalParts { count: 2, ..second }, never),
+        case("beside racks that fail", second, (10, 4)),
+        case("racks alone", none, (5, 4)),
+        case("single failures alone", none, (1, 1)),
+    ];
+    for PartCase { name, parts, failures: (every, together), max_crashed } in cases {
+        let load = Load {
+            name,
+            fatal: 0,
+            crashes_after: EARLY_CRASH,
+            every: Duration::from_secs(every),
+            together,
+            parts,
+        };
+        let before = play_parts(Load { parts: FatalParts { known: false, ..parts }, ..load });
+        let after = play_parts(load);
+        println!("{name}: {before:.1?} before, {after:.1?} after");
+        assert!(after.crashed <= max_crashed, "{name}: {after:?}");
+        assert!(after.sent_late <= 3.0, "{name}: {after:?}");
+        assert!(after.refused <= MAX_REFUSED, "{name}: {after:?}");
+    }
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -30,7 +30,7 @@
 use callers::Caller;
 use calls::Call;
 use exchange::Exchange;
-use fatal::BrokenSend;
+use fatal::{BrokenSend, ShortRun};
 use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
 use pace_polling::PacePolling;
@@ -176,6 +176,8 @@
     fatal: FatalRequests,
     /// Sends that were interrupted, until it is known whether their targets crashed.
     broken_sends: Vec<BrokenSend>,
+    /// Runs that completed before they were beyond their beginning.
+    short_runs: Vec<ShortRun>,
     blocked_records: BlockedRecords,
     rng: SmallRng,
     started: Instant,
@@ -279,6 +281,7 @@
             shortage: Shortage::default(),
             fatal: FatalRequests::new(now),
             broken_sends: Vec::new(),
+            short_runs: Vec::new(),
             blocked_records: BlockedRecords::default(),
             rng,
             started: now,
@@ -390,7 +393,9 @@
         self.poll_paces();
         self.recheck_dead();
         self.recheck_broken();
+        self.resolve_short_runs();
         self.fatal.expire(self.now);
+        self.update_blocked_gauges();
         self.expire_limits();
         self.close_idle();
         self.update_outdated();
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -155,7 +155,7 @@
         let text = format!(
             "request={} fingerprint={} send={} {} prompt={} parts={} left_ms={} via={}",
             exchange.request_fields.attempt,
-            exchange.fingerprint,
+            exchange.suspects.request,
             exchange.sends,
             choice.log_text(),
             exchange.request_fields.prompt_tokens,
@@ -182,6 +182,7 @@
             sent_at: self.now,
             latest_at: self.now,
             first_event: None,
+            past_beginning: false,
             phase: Phase::Head,
             body: Vec::new(),
             token_ms: choice.token_ms,
@@ -200,7 +201,7 @@
     /// its targets. Returns whether it did either.
     fn block_or_wait(&mut self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get(key) else { return true };
-        if self.fatal.blocked(exchange.fingerprint, self.now).is_some() {
+        if self.fatal.refused(&exchange.suspects, self.now).is_some() {
             self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
             return true;
         }
@@ -347,7 +348,7 @@
             "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
              waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} via={} suspects={}",
             exchange.request_fields.attempt,
-            exchange.fingerprint,
+            exchange.suspects.request,
             send.target,
             fault.name(),
             exchange.verdict.name(),
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,7 +6,9 @@
 use rand::RngExt;
 use roseshore_core::gateway::failure::{self, FailureReply, NextStep};
 use roseshore_core::gateway::routes::Denied;
-use roseshore_core::gateway::{AvoidedTargets, Fingerprint, RetryState, Route, ServiceSpec};
+use roseshore_core::gateway::{
+    AvoidedTargets, Fingerprint, RetryState, Route, ServiceSpec, Suspects,
+};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::RequestFields;
 use std::sync::Arc;
@@ -38,7 +40,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) organisation: Option<OrganisationId>,
-    pub(super) fingerprint: Fingerprint,
+    /// What may be at fault if a target crashes while it runs the request.
+    pub(super) suspects: Suspects,
     /// Version of the configuration by which the request was admitted.
     pub(super) config_version: u64,
     pub(super) started: Instant,
@@ -194,8 +197,13 @@
             let text = "the request's time was over before this host looked at it";
             return Err(Refusal::not_run(Code::TooLate, text).after(self.with_jitter(RETRY_AFTER)));
         }
-        let fingerprint = fingerprint(organisation.as_deref(), host, &head, &body);
-        if let Some(refusal) = self.refuse_blocked(fingerprint) {
+        let suspects = Suspects::new(
+            fingerprint(organisation.as_deref(), host, &head, &body),
+            organisation.as_deref(),
+            request_fields.model.as_deref().unwrap_or(&service.name),
+            &request_fields.prompt_parts,
+        );
+        if let Some(refusal) = self.refuse_blocked(&suspects) {
             return Err(refusal);
         }
         Ok(Exchange {
@@ -205,7 +213,7 @@
             route,
             service,
             organisation,
-            fingerprint,
+            suspects,
             config_version: snapshot.version(),
             started: self.earliest_arrival,
             deadline,
@@ -292,7 +300,7 @@
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         let attempt = exchange.request_fields.attempt.clone();
         let engine = exchange.service.engine.is_some();
-        let fingerprint = exchange.fingerprint;
+        let suspects = exchange.suspects.clone();
         let code = match end {
             FailureReply::NotRun if code.status() != 503 => Code::NoTarget,
             FailureReply::Unknown if code.status() == 503 => Code::TargetLost,
@@ -306,8 +314,8 @@
             }
             FailureReply::NotRun => {
                 // A plain service that is full has capacity again within milliseconds.
-                let default_delay = match self.fatal.blocked(fingerprint, now) {
-                    Some(left) => left,
+                let default_delay = match self.fatal.refused(&suspects, now) {
+                    Some((_, left)) => left,
                     None if engine => self.shortage.record_refusal(now),
                     None => RETRY_AFTER,
                 };
@@ -362,7 +370,7 @@
              service={} config_version={} sends={} verdict={} code={code} events={} first_ms={} pause_ms={} \
              took_ms={} why={why:?}",
             exchange.request_fields.attempt,
-            exchange.fingerprint,
+            exchange.suspects.request,
             exchange.route.name,
             exchange.route.kind.name(),
             exchange.route.objective.as_millis(),
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -1,4 +1,4 @@
-//! Detects requests that make targets crash, and blocks them.
+//! Detects requests and parts of prompts that make targets crash, and blocks them.
 //!
 //! An interrupted send does not show its cause: the target may have spoilt one response, a link may
 //! be down, or the target's process may have ended. Only the last counts against the request, so
@@ -12,7 +12,7 @@
 use roseshore_core::gateway::fatal::{EARLY, FatalChange, FatalReport};
 use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::gateway::targets::LivenessFailure;
-use roseshore_core::gateway::{Fault, Fingerprint};
+use roseshore_core::gateway::{Fault, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
 /// Time to determine whether a target crashed. Liveness checks of one target are 0.2 s apart, so
@@ -26,9 +26,9 @@
 /// An interrupted send, until it is known whether one of its targets crashed.
 #[derive(Debug)]
 pub(super) struct BrokenSend {
-    fingerprint: Fingerprint,
+    suspects: Suspects,
     attempt: String,
-    /// The parts of its prompt.
+    /// The parts of its prompt, for the log.
     parts: Vec<PromptPartId>,
     /// The targets on its path, with their incarnations at that time.
     targets: Vec<(TargetId, TargetHash)>,
@@ -37,6 +37,16 @@
     at: Instant,
 }
 
+/// A run that completed before it was beyond its beginning, until it is known whether its targets
+/// outlived it.
+#[derive(Debug)]
+pub(super) struct ShortRun {
+    parts: Vec<Fingerprint>,
+    targets: Vec<(TargetId, TargetHash)>,
+    /// When it would have been beyond its beginning.
+    due: Instant,
+}
+
 impl EntryHost {
     /// Remembers an interrupted send until it is known whether one of its targets crashed.
     pub(super) fn remember_interrupted(&mut self, key: Key, fault: Fault, culprits: &[TargetId]) {
@@ -48,13 +58,12 @@
             Fault::Silent => targets.retain(|(id, _)| culprits.contains(id)),
             Fault::NotSent | Fault::Refused | Fault::Garbled | Fault::Failed => return,
         }
-        let announced_leaving = |id: &str| self.targets.get(id).is_none_or(|t| !t.is_available());
-        targets.retain(|(id, _)| !announced_leaving(id));
+        targets.retain(|(id, _)| !self.announced_leaving(id));
         if targets.is_empty() {
             return;
         }
         let broken = BrokenSend {
-            fingerprint: exchange.fingerprint,
+            suspects: exchange.suspects.clone(),
             attempt: exchange.request_fields.attempt.clone(),
             parts: exchange.request_fields.prompt_parts.clone(),
             targets,
@@ -70,20 +79,20 @@
     /// have hardly begun count as well, since each of them may crash another target before this
     /// host learns of the last crash.
     pub(super) fn awaits_diagnosis(&self, exchange: &Exchange) -> bool {
-        let fingerprint = exchange.fingerprint;
-        let broken = self.broken_sends.iter().filter(|b| b.fingerprint == fingerprint).count();
-        let pending = broken + self.early_runs(fingerprint);
-        pending > 0 && self.fatal.near_limit(fingerprint, pending)
+        let request = exchange.suspects.request;
+        let broken = self.broken_sends.iter().filter(|b| b.suspects.request == request).count();
+        let pending = broken + self.early_runs(request);
+        pending > 0 && self.fatal.near_limit(request, pending)
     }
 
     /// Number of runs of a request that have hardly begun; 0 while no target has crashed under the
     /// request.
-    fn early_runs(&self, fingerprint: Fingerprint) -> usize {
-        if self.fatal.crashes(fingerprint) == 0 {
+    fn early_runs(&self, request: Fingerprint) -> usize {
+        if self.fatal.crashes(request) == 0 {
             return 0;
         }
         let same = |key: &Key| {
-            let exchange = self.exchanges.get(*key).filter(|e| e.fingerprint == fingerprint);
+            let exchange = self.exchanges.get(*key).filter(|e| e.suspects.request == request);
             exchange.and_then(|e| e.send.as_ref()).is_some_and(|send| is_early(send, self.now))
         };
         self.exchanges.keys().into_iter().filter(same).count()
@@ -122,6 +131,11 @@
         }
     }
 
+    /// Whether a target said that it is leaving, so that its end is no crash.
+    fn announced_leaving(&self, id: &str) -> bool {
+        self.targets.get(id).is_none_or(|target| !target.is_available())
+    }
+
     /// Whether the process of a target's incarnation has ended.
     fn incarnation_ended(&self, id: &str, hash: TargetHash) -> bool {
         let Some(target) = self.targets.get(id) else { return false };
@@ -138,31 +152,92 @@
 
     /// Records that a target crashed while it ran a request.
     fn record_crash(&mut self, broken: &BrokenSend, id: &str, hash: TargetHash) {
-        let BrokenSend { fingerprint, attempt, parts, early, .. } = broken;
-        let change = self.fatal.record_crash(*fingerprint, hash, *early, self.now);
-        let after = self.now.saturating_duration_since(broken.at).as_millis();
+        let BrokenSend { suspects, attempt, parts, early, at, .. } = broken;
+        let change = self.fatal.record_crash(suspects.request, hash, *early, self.now);
         log_event!(
             self,
             TargetEnded,
-            "request={attempt} fingerprint={fingerprint} parts={} target={id} early={early} ends={} \
-             known_after_ms={after}",
+            "request={attempt} fingerprint={} parts={} target={id} early={early} ends={} \
+             known_after_ms={}",
+            suspects.request,
             parts_text(parts),
-            self.fatal.crashes(*fingerprint)
+            self.fatal.crashes(suspects.request),
+            self.now.saturating_duration_since(*at).as_millis()
         );
-        self.apply_change(*fingerprint, change, "own");
+        self.apply_change(suspects.request, change, "own");
+        if *early {
+            self.record_part_crash(&suspects.parts, hash);
+        }
     }
 
-    /// Applies what another host or a record in the store reports about a request that crashes
-    /// targets.
+    /// Records that a target crashed when a run with these parts had hardly begun.
+    fn record_part_crash(&mut self, parts: &[Fingerprint], hash: TargetHash) {
+        for part in parts {
+            let change = self.fatal.record_crash(*part, hash, true, self.now);
+            self.apply_change(*part, change, "own");
+        }
+    }
+
+    /// Applies what another host or a record in the store reports about a suspect.
     pub(super) fn apply_fatal_report(&mut self, report: &FatalReport, by: &str) {
         let change = self.fatal.receive(report, self.now);
         self.apply_change(report.fingerprint, change, by);
     }
 
-    /// Records that a request got a complete response, so that it does not crash its targets.
-    pub(super) fn record_completed(&mut self, fingerprint: Fingerprint) {
-        let change = self.fatal.record_success(fingerprint, self.now);
-        self.apply_change(fingerprint, change, "own");
+    /// Records a run that got beyond its beginning, so that the parts of its prompt do not crash
+    /// targets.
+    pub(super) fn record_past_beginning(&mut self, key: Key) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(send) = exchange.send.as_mut() else { return };
+        // If the connection has ended, the events may be older than they look.
+        let open = self.net.get(send.socket).is_some_and(|socket| socket.ended.is_none());
+        if send.past_beginning || !open || is_early(send, now) {
+            return;
+        }
+        send.past_beginning = true;
+        for part in exchange.suspects.parts.clone() {
+            self.record_part_success(part);
+        }
+    }
+
+    /// Records that a request got a complete response, so that it does not crash its targets. The
+    /// parts of its prompt may still do so if it was over sooner than they crash a target.
+    pub(super) fn record_completed(&mut self, key: Key) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let suspects = exchange.suspects.clone();
+        if let Some(send) = exchange.send.as_ref().filter(|send| !send.past_beginning)
+            && !suspects.parts.is_empty()
+        {
+            let due = send.first_event.unwrap_or(self.now) + EARLY;
+            let mut targets = send.incarnations.clone();
+            targets.retain(|(id, _)| !self.announced_leaving(id));
+            self.short_runs.push(ShortRun { parts: suspects.parts, targets, due });
+        }
+        let change = self.fatal.record_success(suspects.request, self.now);
+        self.apply_change(suspects.request, change, "own");
+    }
+
+    /// Records the outcome of runs that completed before they were beyond their beginning.
+    pub(super) fn resolve_short_runs(&mut self) {
+        let now = self.now;
+        let due: Vec<ShortRun> = self.short_runs.extract_if(.., |run| run.due <= now).collect();
+        for run in due {
+            if let Some((_, hash)) =
+                run.targets.iter().find(|(id, hash)| self.incarnation_ended(id, *hash))
+            {
+                self.record_part_crash(&run.parts, *hash);
+                continue;
+            }
+            for part in run.parts {
+                self.record_part_success(part);
+            }
+        }
+    }
+
+    fn record_part_success(&mut self, part: Fingerprint) {
+        let change = self.fatal.record_success(part, self.now);
+        self.apply_change(part, change, "own");
     }
 
     /// Logs a change in what is known about a request, tells other hosts where that is urgent, and
@@ -179,35 +254,45 @@
             }
             FatalChange::Blocked => {
                 let ends = self.fatal.crashes(fingerprint);
-                let blocked = self.fatal.blocked_count();
+                let blocked = self.fatal.all_blocked().count();
                 log_event!(
                     self,
                     RequestBlocked,
-                    "fingerprint={fingerprint} ends={ends} by={by} blocked={blocked}"
+                    "fingerprint={fingerprint} part={} ends={ends} by={by} blocked={blocked}",
+                    fingerprint.is_part()
                 );
                 self.blocked_changed();
                 self.heartbeat_now(true);
-                self.end_blocked_runs(fingerprint);
+                self.end_blocked_runs();
             }
         }
     }
 
-    /// Ends the runs of a blocked request that have hardly begun. A run beyond that may still
+    /// Updates the gauges of blocked requests and parts.
+    pub(super) fn update_blocked_gauges(&self) {
+        let parts = self.fatal.all_blocked().filter(|fingerprint| fingerprint.is_part()).count();
+        let requests = self.fatal.all_blocked().count() - parts;
+        metrics::gauge!("roseshore_blocked", "kind" => "request").set(requests as f64);
+        metrics::gauge!("roseshore_blocked", "kind" => "part").set(parts as f64);
+    }
+
+    /// Ends the runs of blocked requests that have hardly begun. A run beyond that may still
     /// complete, which shows that the request is harmless.
-    fn end_blocked_runs(&mut self, fingerprint: Fingerprint) {
+    fn end_blocked_runs(&mut self) {
         for key in self.exchanges.keys() {
             let Some(exchange) = self.exchanges.get(key) else { continue };
             let past_start = exchange.send.as_ref().is_some_and(|send| !is_early(send, self.now));
-            if exchange.fingerprint == fingerprint && !past_start {
+            if !past_start && self.fatal.refused(&exchange.suspects, self.now).is_some() {
                 self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
             }
         }
     }
 
     /// The refusal of a request if it is blocked.
-    pub(super) fn refuse_blocked(&mut self, fingerprint: Fingerprint) -> Option<Refusal> {
-        let left = self.fatal.blocked(fingerprint, self.now)?;
-        let text = format!("{ENDS_TARGETS}: fingerprint {fingerprint}");
+    pub(super) fn refuse_blocked(&mut self, suspects: &Suspects) -> Option<Refusal> {
+        let (suspect, left) = self.fatal.refused(suspects, self.now)?;
+        let kind = if suspect.is_part() { "prompt part" } else { "request" };
+        let text = format!("{ENDS_TARGETS}: {kind} {suspect}");
         Some(Refusal::not_run(Code::EndsTargets, text).after(self.with_jitter(left)))
     }
 }
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -26,6 +26,8 @@
     pub(super) latest_at: Instant,
     /// When the first event arrived.
     pub(super) first_event: Option<Instant>,
+    /// Whether it was recorded that the run got beyond its beginning.
+    pub(super) past_beginning: bool,
     pub(super) phase: Phase,
     /// The received part of the body that has not been forwarded.
     pub(super) body: Vec<u8>,
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -227,9 +227,8 @@
             out.extend_from_slice(&body);
         }
         self.net.send(caller, &out);
-        let fingerprint = exchange.fingerprint;
         self.record_success(&target, key);
-        self.record_completed(fingerprint);
+        self.record_completed(key);
         self.finish_exchange(key, head.keep_alive, head.status, "whole");
     }
 
@@ -321,6 +320,7 @@
             if first {
                 self.set_timer(now, Timer::Exchange(key));
             }
+            self.record_past_beginning(key);
         }
         match received {
             Ok(false) => Step::NeedMore,
@@ -353,13 +353,13 @@
             return Step::Finished;
         }
         exchange.verdict = Verdict::Answered;
-        let (caller, fingerprint) = (exchange.caller, exchange.fingerprint);
+        let caller = exchange.caller;
         let targets = send.targets();
         self.net.send(caller, LAST_CHUNK);
         for target in &targets {
             self.record_success(target, key);
         }
-        self.record_completed(fingerprint);
+        self.record_completed(key);
         self.finish_exchange(key, keep, 200, "whole");
         Step::Finished
     }
