--- a/crates/roseshore_core/src/gateway/fatal/attribution.rs
+++ b/crates/roseshore_core/src/gateway/fatal/attribution.rs
@@ -4,11 +4,12 @@
 //! first part that many sound requests have as well, or, if one request crashed all the targets,
 //! everything that it consists of. So parts compete: the one under which the most targets crashed
 //! is at fault, and the crashes that it explains no longer count against anything else. Parts that
-//! succeeded before come last, since a fatal part never succeeds. Parts under
-//! which the same targets crashed cannot be told apart, and only requests with all of them are
-//! refused. That includes the request itself: while a single request explains as much as a part
-//! does, other requests with the part may run, and either get far, which clears the part, or crash
-//! a target that the request does not explain.
+//! succeeded before come last, since a fatal part never succeeds.
+//!
+//! Parts under which the same targets crashed cannot be told apart, and only requests with all of
+//! them are refused. That includes the request itself: while a single request explains as much as a
+//! part does, other requests with the part may run, and either get far, which clears the part, or
+//! crash a target that the request does not explain.
 
 use super::{Crash, CrashLimits, SAME_CRASH_WINDOW};
 use crate::gateway::fingerprint::{Fingerprint, Suspects};
@@ -40,6 +41,14 @@
 }
 
 impl Block {
+    /// A block that rests on suspects under which the same targets crashed, where `full` has all
+    /// crashes of one of them; `None` without a crash.
+    fn of(group: &[Evidence], full: &Evidence, for_all: bool) -> Option<Block> {
+        let latest = full.latest()?;
+        let suspects = group.iter().map(|evidence| evidence.suspect).collect();
+        Some(Block { suspects, for_all, crashes: full.crashes.clone(), latest })
+    }
+
     /// Whether a suspect is one of those that it rests on.
     pub(super) fn names(&self, suspect: Fingerprint) -> bool {
         self.suspects.iter().any(|known| self.same(*known, suspect))
@@ -189,13 +198,3 @@
         }
     }
 }
-
-impl Block {
-    /// A block that rests on suspects under which the same targets crashed, where `full` has all
-    /// crashes of one of them; `None` without a crash.
-    fn of(group: &[Evidence], full: &Evidence, for_all: bool) -> Option<Block> {
-        let latest = full.latest()?;
-        let suspects = group.iter().map(|evidence| evidence.suspect).collect();
-        Some(Block { suspects, for_all, crashes: full.crashes.clone(), latest })
-    }
-}
