Keep a quarter of a host's connections for targets, the store and other hosts

When most new connections went to one host, its callers used up all the connections that it may have: it read their requests and refused them (RS302, "too many connections"), and had none for liveness checks and the store. Callers now get three quarters; a connection beyond is closed unread, and the caller retries at another host.

--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -14,6 +14,8 @@
 const MAX_EVENTS: usize = 512;
 /// Length of the accept queue: the new callers of one second at peak load.
 const BACKLOG: i32 = 1024;
+/// One in so many connections is kept for targets, the store, probes and other hosts.
+const OWN_SHARE: usize = 4;
 /// Bytes that may be buffered for a peer that does not read; beyond this the connection is treated
 /// as broken.
 const MAX_OUTPUT: usize = 8 << 20;
@@ -245,7 +247,7 @@
     }
 
     /// Accepts a connection; `None` when none is pending. Connections beyond the maximum are closed
-    /// and counted.
+    /// and counted. Callers may not use up the connections that serving them takes.
     pub fn accept(&mut self, endpoint: Endpoint) -> Option<Key> {
         loop {
             let (_, listener) = self.listeners.iter().find(|(e, _)| *e == endpoint)?;
@@ -255,7 +257,11 @@
                 Err(err) if err.kind() == ErrorKind::ConnectionAborted => continue,
                 Err(_) => return None,
             };
-            if self.sockets.len() >= self.max_connections {
+            let max = match endpoint {
+                Endpoint::Callers => self.max_connections - self.max_connections / OWN_SHARE,
+                _ => self.max_connections,
+            };
+            if self.sockets.len() >= max {
                 metrics::counter!("roseshore_connections_refused_total").increment(1);
                 continue;
             }
