Turn new callers away while a host has no time for their requests

When most new connections of a data centre, or of a region, go to one host, it read all their requests and served every one of them late. It now measures which share of the time its event loop is busy, and above 0.8 closes new connections unread: the caller retries at once and reaches another host. One in half a second is taken all the same, so that the host does not look dead. E109 and roseshore_callers_turned_away_total tell how many were turned away.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -58,6 +58,7 @@
     ReadyChanged = 106, Info, "the daemon became ready for callers, or stopped being so";
     Reloaded = 107, Info, "the settings were read again";
     LinesDropped = 108, Warn, "log lines were left out";
+    CallersTurnedAway = 109, Warn, "the daemon had no time for new callers and closed their connections";
     RequestEnded = 201, Debug, "a request got its final verdict";
     RequestRefused = 202, Info, "a request was refused";
     CallerLeft = 203, Info, "a caller left before its answer was whole";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -24,6 +24,7 @@
 //! - [`plan`]: the layers that each engine should hold;
 //! - [`peers`]: the heartbeats between hosts; [`copies`]: the store's contents that they hand each
 //!   other;
+//! - [`overload`]: when a host turns new callers away;
 //! - [`store_reads`]: which hosts read the store; [`outage`]: whether a missing entry means that
 //!   its target left.
 
@@ -38,6 +39,7 @@
 pub mod liveness;
 pub mod newer_configs;
 pub mod outage;
+pub mod overload;
 pub mod paces;
 pub mod path;
 pub mod peers;
@@ -61,6 +63,7 @@
 pub use fingerprint::{Fingerprint, Suspects};
 pub use newer_configs::NewerConfigs;
 pub use outage::StoreOutage;
+pub use overload::Overload;
 pub use path::{Candidate, Hop, PathRequest};
 pub use peers::Peers;
 pub use position::Position;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -17,6 +17,7 @@
     mod older_store;
     mod orders;
     mod outage;
+    mod overload;
     mod paces;
     mod path;
     mod peers;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -43,7 +43,7 @@
 use roseshore_core::gateway::leaving::TokenPace;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
-    ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Peers, RetryBudget,
+    ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers, RetryBudget,
     RetryLoans, Shortage, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
@@ -178,6 +178,11 @@
     broken_sends: Vec<BrokenSend>,
     /// Runs that completed before they were beyond their beginning.
     short_runs: Vec<ShortRun>,
+    overload: Overload,
+    /// New callers turned away since the last tick.
+    turned_away: u32,
+    /// When the event loop last woke up.
+    woke: Instant,
     blocked_records: BlockedRecords,
     rng: SmallRng,
     started: Instant,
@@ -282,6 +287,9 @@
             fatal: FatalRequests::new(now),
             broken_sends: Vec::new(),
             short_runs: Vec::new(),
+            overload: Overload::default(),
+            turned_away: 0,
+            woke: now,
             blocked_records: BlockedRecords::default(),
             rng,
             started: now,
@@ -324,7 +332,14 @@
         loop {
             let began = self.clock.now();
             let timeout = self.next_timer().saturating_duration_since(began);
-            self.net.poll(timeout, &mut changes)?;
+            self.net.wait(timeout)?;
+            let woke = self.clock.now();
+            self.overload.record(
+                began.saturating_duration_since(self.woke),
+                woke.saturating_duration_since(began),
+            );
+            self.woke = woke;
+            self.net.process_ready(&mut changes);
             let timing =
                 PollTiming { previous_end: self.now, began, timeout, ended: self.clock.now() };
             (self.now, self.earliest_arrival) = (timing.ended, timing.earliest_arrival());
@@ -396,6 +411,7 @@
         self.resolve_short_runs();
         self.fatal.expire(self.now);
         self.update_blocked_gauges();
+        self.log_turned_away();
         self.expire_limits();
         self.close_idle();
         self.update_outdated();
@@ -438,6 +454,10 @@
     /// Accepts all pending connections of a listener.
     fn accept_connections(&mut self, endpoint: Endpoint) {
         while let Some(key) = self.net.accept(endpoint) {
+            if endpoint == Endpoint::Callers && !self.take_caller() {
+                self.net.close(key);
+                continue;
+            }
             let role = match endpoint {
                 Endpoint::Callers => Role::Caller(Caller::new(self.now)),
                 Endpoint::Probes => Role::Probe,
@@ -454,6 +474,25 @@
         }
     }
 
+    /// Whether this host has the time for a new caller. Counts those that are turned away.
+    fn take_caller(&mut self) -> bool {
+        let take = self.overload.take_caller(self.now);
+        if !take {
+            metrics::counter!("roseshore_callers_turned_away_total").increment(1);
+        }
+        self.turned_away += u32::from(!take);
+        take
+    }
+
+    /// Logs how many callers were turned away since the last tick.
+    fn log_turned_away(&mut self) {
+        let count = std::mem::take(&mut self.turned_away);
+        if count > 0 {
+            let busy = self.overload.busy();
+            log_event!(self, CallersTurnedAway, "count={count} busy={busy:.2}");
+        }
+    }
+
     /// Closes a connection now.
     fn close(&mut self, key: Key) {
         self.roles.remove(&key);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -219,16 +219,21 @@
         }
     }
 
-    /// Waits for readiness for at most `timeout`, does the pending I/O and appends the sockets that
-    /// changed to `changes`.
+    /// Waits for readiness for at most `timeout`.
     ///
     /// # Errors
     /// If the readiness queue fails.
-    pub fn poll(&mut self, timeout: Duration, changes: &mut Vec<SocketChange>) -> io::Result<()> {
+    pub fn wait(&mut self, timeout: Duration) -> io::Result<()> {
         match self.poll.poll(&mut self.events, Some(timeout)) {
-            Err(err) if err.kind() == ErrorKind::Interrupted => return Ok(()),
+            Err(err) if err.kind() == ErrorKind::Interrupted => self.events.clear(),
             other => other?,
         }
+        Ok(())
+    }
+
+    /// Does the I/O that is pending since the last [`Net::wait`], and appends the sockets that
+    /// changed to `changes`.
+    pub fn process_ready(&mut self, changes: &mut Vec<SocketChange>) {
         let mut ready = Vec::with_capacity(16);
         for event in &self.events {
             let number = event.token().0;
@@ -243,7 +248,6 @@
             self.handle_ready(key, writable, read_closed);
             changes.push(SocketChange::Socket(key));
         }
-        Ok(())
     }
 
     /// Accepts a connection; `None` when none is pending. Connections beyond the maximum are closed
