--- a/crates/roseshore_core/tests/gateway/overload.rs
+++ b/crates/roseshore_core/tests/gateway/overload.rs
@@ -2,6 +2,7 @@
 
 use roseshore_core::gateway::Overload;
 use roseshore_core::prelude::*;
+use std::collections::VecDeque;
 
 /// Callers that arrive at a host, each with one request.
 struct Case {
@@ -39,7 +40,7 @@
     let mut overload = Overload::default();
     let mut outcome =
         Outcome { turned_away: (0, 0), read: 0, in_time: 0, longest_gap: Duration::ZERO };
-    let mut queue: std::collections::VecDeque<Instant> = std::collections::VecDeque::new();
+    let mut queue: VecDeque<Instant> = VecDeque::new();
     let (mut now, mut next, mut taken) = (start, start, start);
     while now < start + QUIET + RUSH + AFTER {
         let since = now - start;
@@ -75,8 +76,7 @@
 
 #[test]
 fn a_host_that_gets_most_new_callers_serves_those_that_it_takes() {
-    const MS: u64 = 1;
-    let work = |ms: u64| Duration::from_millis(ms * MS);
+    let work = Duration::from_millis;
     let cases = [
         Case { name: "time enough", work: work(10), quiet: 20, rush: 60, turned_away: (0, 0) },
         Case { name: "four times", work: work(10), quiet: 30, rush: 400, turned_away: (3000, 200) },
