Plainer words on the order of reports and the bound on callers' connections

The page said that callers may have three quarters of a host's connections; the bound counts all connections.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -463,8 +463,8 @@
         reports
     }
 
-    /// Suspects to be reported, those with the most early crashes first, and parts first among
-    /// equals: a part tells more hosts something than a request.
+    /// Suspects to be reported, those with the most early crashes first. Among equals, parts come
+    /// before requests, since they concern more requests of other hosts.
     fn due(&self, since: Duration, now: Instant) -> Vec<(&Fingerprint, &SuspectHistory)> {
         let new =
             |history: &SuspectHistory| now.saturating_duration_since(history.changed) < FRESH_FOR;
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -14,7 +14,8 @@
 const MAX_EVENTS: usize = 512;
 /// Length of the accept queue: the new callers of one second at peak load.
 const BACKLOG: i32 = 1024;
-/// One in so many connections is kept for targets, the store, probes and other hosts.
+/// New callers are not taken once all connections but one in so many are in use; the rest is for
+/// targets, the store, probes and other hosts.
 const OWN_SHARE: usize = 4;
 /// Bytes that may be buffered for a peer that does not read; beyond this the connection is treated
 /// as broken.
