A paused host does not turn its callers away

After a suspension, or a pause of the process, a host closed new connections unread, all but one in half a second, until it had been idle for 0.2 s.

Cause: the time from the wake-up of the event loop to its next wait counts as busy, and a pause that falls in it weighed as much as seconds of real work, so one iteration took the busy share from 0 to 1. Which part of the loop a pause falls in decided whether the test passed.

Change: an iteration counts for 400 ms at most, which takes the share of an idle host to 0.4. A host that is really overloaded passes 0.8 after four such iterations.

--- a/crates/roseshore_core/src/gateway/overload.rs
+++ b/crates/roseshore_core/src/gateway/overload.rs
@@ -9,6 +9,9 @@
 
 /// Time constant of the busy share: longer than a reload of the configuration keeps a host busy.
 const SMOOTHING: Duration = Duration::from_millis(800);
+/// Longest time that a single iteration counts for. A machine that was suspended, or a process that
+/// was paused, looks like one long iteration, and says nothing about the load.
+const MAX_ITERATION: Duration = Duration::from_millis(400);
 /// Busy share above which new callers are turned away. The rest is for requests that are running.
 const MAX_BUSY: f64 = 0.8;
 /// Gap between new callers that are taken all the same.
@@ -29,7 +32,7 @@
         if total.is_zero() {
             return;
         }
-        let weight = 1.0 - (-total.div_duration_f64(SMOOTHING)).exp();
+        let weight = 1.0 - (-total.min(MAX_ITERATION).div_duration_f64(SMOOTHING)).exp();
         self.busy += weight * (busy.div_duration_f64(total) - self.busy);
     }
 
--- a/crates/roseshore_core/tests/gateway/overload.rs
+++ b/crates/roseshore_core/tests/gateway/overload.rs
@@ -100,3 +100,20 @@
         assert!(after.longest_gap < CONTACT, "{}: {:?}", case.name, after.longest_gap);
     }
 }
+
+#[test]
+fn a_host_that_was_paused_takes_callers_at_once() {
+    let millis = Duration::from_millis;
+    for pause in [millis(600), millis(2_000), millis(60_000)] {
+        let mut overload = Overload::default();
+        let start = Instant::now();
+        for _ in 0..100 {
+            overload.record(millis(1), millis(9));
+        }
+        overload.record(pause, Duration::ZERO);
+        let now = start + pause;
+        for caller in 0..10 {
+            assert!(overload.take_caller(now), "caller {caller} after a pause of {pause:?}");
+        }
+    }
+}
