A repeated success is remembered also while the list of successes is full

What callers could see: a request, or a part of a prompt, that had just succeeded at a host counted as guilty of a crash that another host reported late, if the host had more than 400 successes a second.

Cause: once 2,048 successes of the last 5 s were known, record_success dropped the time of a known suspect as well, so its last success stayed an old one.

Change: a known entry is brought up to date before the bound is looked at.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -278,6 +278,18 @@
     /// Records a success of a suspect at this host: a complete response to a request, or a run with
     /// a part that got beyond its beginning.
     pub fn record_success(&mut self, fingerprint: Fingerprint, now: Instant) -> FatalChange {
+        self.remember_success(fingerprint, now);
+        if !self.suspects.contains_key(&fingerprint) {
+            return FatalChange::None;
+        }
+        self.update(fingerprint, &[], Some(now), now)
+    }
+
+    fn remember_success(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if let Some(at) = self.successes.get_mut(&fingerprint) {
+            *at = now;
+            return;
+        }
         if self.successes.len() >= MAX_SUCCESSES {
             let recent = |at: &Instant| now.saturating_duration_since(*at) < SUCCESS_RETENTION / 2;
             self.successes.retain(|_, at| recent(at));
@@ -285,10 +297,6 @@
         if self.successes.len() < MAX_SUCCESSES {
             self.successes.insert(fingerprint, now);
         }
-        if !self.suspects.contains_key(&fingerprint) {
-            return FatalChange::None;
-        }
-        self.update(fingerprint, &[], Some(now), now)
     }
 
     /// Merges a report from another host.
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -2,7 +2,7 @@
 //! it.
 
 use proptest::prelude::*;
-use roseshore_core::gateway::fatal::{FatalChange, FatalReport, REPORT_BYTES};
+use roseshore_core::gateway::fatal::{CrashReport, FatalChange, FatalReport, REPORT_BYTES};
 use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
@@ -47,8 +47,7 @@
             Step::Crash(_, target, early) => fatal.record_crash(request, target, early, now),
             Step::Done(_) => fatal.record_success(request, now),
             Step::Remote(_, target, age) => {
-                let crash =
-                    roseshore_core::gateway::fatal::CrashReport { target, early: true, age };
+                let crash = CrashReport { target, early: true, age };
                 fatal.receive(&report(vec![crash], None), now)
             }
             Step::RemoteDone(_, age) => fatal.receive(&report(vec![], Some(age)), now),
@@ -172,6 +171,24 @@
     );
 }
 
+#[test]
+fn a_success_is_remembered_anew_while_many_others_succeed() {
+    let start = Instant::now();
+    let mut fatal = FatalRequests::new(start);
+    let (known, crashed) = (print("known"), 7);
+    fatal.record_success(known, start);
+    for n in 0..5_000 {
+        fatal.record_success(print(&n.to_string()), start);
+    }
+    let again = start + ms(3_000);
+    fatal.record_success(known, again);
+    // A crash before the second success, which another host reports late.
+    let crash = CrashReport { target: crashed, early: true, age: 1_000 };
+    let report = FatalReport { fingerprint: known, ends: vec![crash], well: None };
+    fatal.receive(&report, again + ms(500));
+    assert_eq!(fatal.crashes(known), 0);
+}
+
 #[test]
 fn memory_is_bounded_and_blocked_requests_stay() {
     let now = Instant::now();
