The end of a tunnel says how the target's connection ended

What callers saw: a response without a length, which ends with the target's connection, was refused as 502, may have run, if it came over a relay; a stream was resumed that was complete.

Cause: the relay closes the tunnel when the target's connection ends. A relay that is killed closes it in the same way, so the host that asked for the tunnel took no such end for the end of a response.

Change: what a target sends travels through a tunnel in chunks, each preceded by its length, and an empty one says that the target closed its connection in order. A tunnel that ends without it counts as broken.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -24,7 +24,7 @@
 mod timeouts;
 
 use crate::log_writer::LogWriter;
-use crate::net::{Dial, Ended, Endpoint, Net, SocketChange};
+use crate::net::{Dial, Endpoint, Net, SocketChange};
 use crate::slab::{Key, Slab};
 use blocked_requests::BlockedRecords;
 use callers::Caller;
@@ -570,9 +570,3 @@
         }
     }
 }
-
-/// Whether a connection was closed in order, which completes a response without a length. The end
-/// of a tunnel does not tell whether the target closed its connection in order.
-fn ended_orderly(route: Route, ended: Option<Ended>) -> bool {
-    route.via.is_none() && ended == Some(Ended::Orderly)
-}
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -1,6 +1,6 @@
 //! HTTP calls that this host makes itself: to the store, and to targets for reports and orders.
 
-use super::{EntryHost, Role, Route, Timer, ended_orderly};
+use super::{EntryHost, Role, Route, Timer};
 use crate::http::{self, BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Position;
@@ -121,8 +121,8 @@
         }
         let taken = call.decoder.decode(&mut socket.input, &mut call.body);
         self.liveness.link.record_transfer(call.body.len(), self.now);
-        let complete = call.decoder.done()
-            || (call.decoder.ends_with_connection() && ended_orderly(call.route, socket.ended));
+        let complete =
+            call.decoder.done() || (call.decoder.ends_with_connection() && socket.ended_orderly());
         let ended = socket.ended.is_some();
         if complete {
             self.end_call(key, None);
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -11,6 +11,7 @@
 
 use super::probes::millis;
 use super::{EntryHost, Role, Route, log_event};
+use crate::chunks::chunk;
 use crate::net::Ended;
 use crate::slab::{Key, Slab};
 use rand::seq::IndexedRandom;
@@ -69,6 +70,13 @@
     bytes: u64,
 }
 
+/// How forwarded bytes are written to the other side of a tunnel.
+#[derive(Clone, Copy)]
+enum Framing {
+    Plain,
+    Chunks,
+}
+
 /// Tunnels, and the questions that precede them.
 #[derive(Default)]
 pub(super) struct Relays {
@@ -334,8 +342,8 @@
                 tunnel.opened = Some(self.now);
             }
         }
-        let up = self.forward(host, target);
-        let down = self.forward(target, host);
+        let up = self.forward(host, target, Framing::Plain);
+        let down = self.forward(target, host, Framing::Chunks);
         if down > 0 {
             self.targets.record_alive(&id, self.now);
         }
@@ -351,13 +359,16 @@
     }
 
     /// Forwards the input of one connection to another; returns the number of bytes.
-    fn forward(&mut self, from: Key, to: Key) -> usize {
+    fn forward(&mut self, from: Key, to: Key, framing: Framing) -> usize {
         let mut moved = 0;
         loop {
             let Some(source) = self.net.get(from) else { return moved };
             let bytes = std::mem::take(&mut source.input);
             if !bytes.is_empty() {
-                self.net.send(to, &bytes);
+                match framing {
+                    Framing::Plain => self.net.send(to, &bytes),
+                    Framing::Chunks => self.net.send(to, &chunk(&bytes)),
+                }
                 moved += bytes.len();
             }
             let unwritten = self.net.get(to).map_or(0, |socket| socket.unwritten());
@@ -371,9 +382,12 @@
         }
     }
 
-    /// Closes a tunnel; the host gets what the target has sent.
+    /// Closes a tunnel; the host gets what the target has sent, and whether it has ended in order.
     fn end_tunnel(&mut self, key: Key) {
         let Some(tunnel) = self.relays.tunnels.remove(key) else { return };
+        if self.net.get(tunnel.target).is_some_and(|side| side.ended_orderly()) {
+            self.net.send(tunnel.host, &chunk(&[]));
+        }
         self.close(tunnel.target);
         self.roles.insert(tunnel.host, Role::Closing);
         self.close_flushed(tunnel.host);
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -7,7 +7,7 @@
 use super::in_flight::Phase;
 use super::probes::millis;
 use super::target_feedback::MISDIRECTED;
-use super::{EntryHost, Timer, ended_orderly, log_event};
+use super::{EntryHost, Timer, log_event};
 use crate::http::{self, BodyDecoder, BodyFraming, LAST_CHUNK, ResponseHead};
 use crate::slab::Key;
 use crate::sse;
@@ -154,7 +154,7 @@
         let taken = decoder.decode(&mut socket.input, &mut send.body);
         self.liveness.link.record_transfer(send.body.len(), self.now);
         let ends = decoder.ends_with_connection();
-        let whole = decoder.done() || (ends && ended_orderly(send.route, socket.ended));
+        let whole = decoder.done() || (ends && socket.ended_orderly());
         if taken.is_err() || send.body.len() > MAX_BODY {
             return Some(Err(Fault::Garbled));
         }
--- a/crates/roseshore_relay/src/lib.rs
+++ b/crates/roseshore_relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! and retry decisions are made in [`roseshore_core::gateway`]; wire formats of the platform are
 //! behind [`roseshore_ports::entry::EntryPlatform`]. This crate does the I/O between the two.
 
+pub mod chunks;
 pub mod entry;
 pub mod http;
 pub mod log_writer;
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -1,5 +1,6 @@
 //! Non-blocking sockets with their input and output buffers, over a readiness poll.
 
+use crate::chunks::ChunkReader;
 use crate::slab::{Key, Slab};
 pub use mio::net::TcpStream;
 use mio::net::{TcpListener, UdpSocket};
@@ -61,9 +62,9 @@
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
-    /// The peer closed its sending side in order.
+    /// The peer closed its sending side in order; behind a tunnel, the target did.
     Orderly,
-    /// A reset, another error, or too much unread output.
+    /// A reset, another error, too much unread output, or a tunnel that was cut.
     Broken,
 }
 
@@ -89,6 +90,8 @@
     /// Output that waits until the host at the other end has opened its part of a tunnel; `None` for
     /// an open tunnel and for other connections.
     held: Option<Vec<u8>>,
+    /// Removes the framing of an open tunnel; `None` for other connections.
+    chunks: Option<ChunkReader>,
     /// Whether input is left in the system's buffer, which slows the sender down.
     paused: bool,
     /// How the connection ended; `None` while it is open.
@@ -113,6 +116,12 @@
         self.held.is_some()
     }
 
+    /// Whether the peer has ended the connection in order, which completes a response without a
+    /// length.
+    pub fn ended_orderly(&self) -> bool {
+        self.ended == Some(Ended::Orderly)
+    }
+
     /// Whether all output has been written to the socket.
     pub fn flushed(&self) -> bool {
         self.unwritten() == 0
@@ -301,9 +310,17 @@
         Ok(key)
     }
 
-    /// Sends the output that was held until a tunnel is open.
+    /// Sends the output that was held until a tunnel is open, and reads its input from here on as
+    /// chunks.
     pub fn tunnel_opened(&mut self, key: Key) {
-        let held = self.sockets.get_mut(key).and_then(|socket| socket.held.take());
+        let Some(socket) = self.sockets.get_mut(key) else { return };
+        socket.chunks = Some(ChunkReader::default());
+        let received = std::mem::take(&mut socket.input);
+        receive(socket, &received);
+        if socket.ended == Some(Ended::Orderly) {
+            socket.ended = Some(end_of_stream(socket));
+        }
+        let held = socket.held.take();
         self.send(key, &held.unwrap_or_default());
     }
 
@@ -332,6 +349,7 @@
             written: 0,
             connected,
             held: None,
+            chunks: None,
             paused: false,
             ended: None,
             closing: false,
@@ -434,6 +452,26 @@
     socket.written = 0;
 }
 
+/// Takes in received bytes, without the framing of a tunnel.
+fn receive(socket: &mut Socket, bytes: &[u8]) {
+    match &mut socket.chunks {
+        Some(chunks) => chunks.read(bytes, &mut socket.input),
+        None => socket.input.extend_from_slice(bytes),
+    }
+    if socket.chunks.as_ref().is_some_and(ChunkReader::ended) {
+        socket.ended = Some(Ended::Orderly);
+    }
+}
+
+/// How a connection ended whose peer has closed its sending side. A tunnel that ends before the
+/// target's connection is broken.
+fn end_of_stream(socket: &Socket) -> Ended {
+    match &socket.chunks {
+        Some(chunks) if !chunks.ended() => Ended::Broken,
+        _ => Ended::Orderly,
+    }
+}
+
 /// Reads all available bytes. Readiness is edge-triggered: after a short read nothing is left, and
 /// the next byte brings a new event. If the peer has already closed its sending side
 /// (`read_closed`), no further event follows, so reading goes on until the end of the stream.
@@ -442,9 +480,9 @@
     let mut received = 0;
     while socket.ended.is_none() {
         match socket.stream.read(scratch) {
-            Ok(0) => socket.ended = Some(Ended::Orderly),
+            Ok(0) => socket.ended = Some(end_of_stream(socket)),
             Ok(count) => {
-                socket.input.extend_from_slice(&scratch[..count]);
+                receive(socket, &scratch[..count]);
                 received += count as u64;
                 if count < scratch.len() && !read_closed {
                     return received;
