A daemon that is behind by large answers catches up with the log

What callers saw: keyed work at a daemon was refused (RS502) for as long as the next 128 records of the log, up to 11 MB, took longer to read than the time limit of a read. The read was repeated as it was, so the daemon never caught up.

Cause: reads were bounded by a number of records, and failed reads were repeated with the same number.

Change: the first read asks for 16 records; the number doubles while reads take less than 125 ms, and halves when they take over 250 ms or fail (once::read_size). The other readers of the log ask for 64 configuration records, 512 orders or one record, none of which holds answers.

--- a/crates/roseshore_core/src/once.rs
+++ b/crates/roseshore_core/src/once.rs
@@ -4,16 +4,18 @@
 //! holds it. From then on only its claimant can release the key or record its outcome, unless an
 //! operator settles it. [`record`] defines the log records, [`keys`] the state folded from one
 //! partition of the log, [`key_time`] the creation time that a key carries, [`batch`] which records
-//! are appended when, and [`partition`] one daemon's state machine for a partition: attempts in;
-//! appends, reads and decisions out.
+//! are appended when, [`read_size`] how many are read at once, and [`partition`] one daemon's state
+//! machine for a partition: attempts in; appends, reads and decisions out.
 
 pub mod batch;
 pub mod key_time;
 pub mod keys;
 pub mod partition;
+pub mod read_size;
 pub mod record;
 mod refusals;
 
+pub use read_size::ReadSize;
 pub use record::Outcome;
 
 use crate::ids::Key;
--- a/crates/roseshore_core/tests/once.rs
+++ b/crates/roseshore_core/tests/once.rs
@@ -8,11 +8,11 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use roseshore_core::once::Outcome;
 use roseshore_core::once::key_time::created_at;
 use roseshore_core::once::keys::{Keys, State};
 use roseshore_core::once::partition::Decision;
 use roseshore_core::once::record::{Act, Nonce, Record, Settlement};
+use roseshore_core::once::{Outcome, ReadSize};
 use roseshore_core::prelude::*;
 use simulation::*;
 
@@ -346,3 +346,36 @@
     keys.apply(1, LOG_START + 1, &Record { nonce: 2, ..first }.line());
     assert!(matches!(keys.state(&key), State::Held(held) if held.nonce == 2));
 }
+
+#[test]
+fn reads_grow_while_they_are_fast_and_shrink_when_they_are_slow_or_fail() {
+    struct Case {
+        name: &'static str,
+        /// How long the log takes for a record.
+        per_record: Duration,
+        /// Reads that take longer fail.
+        limit: Duration,
+        /// Bounds on the size of the reads after the first few.
+        sizes: (usize, usize),
+    }
+    let millis = Duration::from_millis;
+    let cases = [
+        Case { name: "fast", per_record: millis(0), limit: millis(2_000), sizes: (128, 128) },
+        Case { name: "slow", per_record: millis(20), limit: millis(2_000), sizes: (8, 12) },
+        Case { name: "slower", per_record: millis(180), limit: millis(250), sizes: (1, 1) },
+        Case { name: "away", per_record: millis(300), limit: millis(200), sizes: (1, 1) },
+    ];
+    for case in cases {
+        let mut size = ReadSize::default();
+        let reads = (0..20).map(|_| {
+            let records = size.records();
+            let took = case.per_record * records as u32;
+            size.record(Some(took).filter(|took| *took <= case.limit));
+            records
+        });
+        for records in reads.skip(8) {
+            let (least, most) = case.sizes;
+            assert!((least..=most).contains(&records), "{}: {records} records", case.name);
+        }
+    }
+}
--- a/crates/roseshored/src/claims/partition.rs
+++ b/crates/roseshored/src/claims/partition.rs
@@ -4,13 +4,13 @@
 use crate::event;
 use flume::{Receiver, RecvTimeoutError, Sender};
 use roseshore_core::event as catalogue;
-use roseshore_core::once::Outcome;
 use roseshore_core::once::batch::AppendResult;
 use roseshore_core::once::partition::{
     Action, Attempt, AttemptId, Decision, KeyStatus, LocalWork, LogRecord, Partition, ReadResult,
     SettleRequest, SettleResult,
 };
 use roseshore_core::once::record::Owner;
+use roseshore_core::once::{Outcome, ReadSize};
 use roseshore_core::prelude::{Code, Duration, Instant, Key, Offset, Verdict};
 use roseshore_ports::inside::Members;
 use roseshore_ports::outside::{CallError, CallResult, Log};
@@ -19,8 +19,6 @@
 use std::sync::Arc;
 use std::{io, thread};
 
-/// Maximum number of records in one read; about 11 MB with the longest answers.
-const MAX_READ_RECORDS: usize = 128;
 /// How often the member list is refreshed while work is in progress.
 const MEMBERS_REFRESH: Duration = Duration::from_millis(100);
 /// Longest wait for an event.
@@ -137,8 +135,11 @@
 }
 
 fn read_all(stream: &str, log: &dyn Log, requests: &Receiver<ReadRequest>, events: &Sender<Event>) {
+    let mut size = ReadSize::default();
     for request in requests {
-        let result = read_result(log.read(stream, request.from, MAX_READ_RECORDS, request.wait));
+        let started = Instant::now();
+        let result = read_result(log.read(stream, request.from, size.records(), request.wait));
+        size.record((result != ReadResult::Failed).then(|| started.elapsed()));
         if events.send(Event::Read(result)).is_err() {
             return;
         }
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -11,6 +11,7 @@
 };
 use roseshore_ports::outside::{CallError, CallResult, Log, Peers};
 use roseshore_wire::peer::{PeerReply, PeerRequest};
+use roseshore_wire::platform::Records;
 use roseshored::claims::{ClaimGuard, ClaimsConfig, ClaimsDriver};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -84,6 +85,11 @@
 
     /// Starts a daemon on a host; replaces the one that ran there.
     fn add(&mut self, host: u16) {
+        self.add_with_log(host, self.log.clone());
+    }
+
+    /// Like [`Cluster::add`], with a daemon that reaches the log in another way.
+    fn add_with_log(&mut self, host: u16, log: Arc<dyn Log>) {
         let peer = SocketAddr::from(([127, 0, 0, 1], host + 1));
         let incarnation = self.daemons.len() as u64 + 1;
         let (host, data_centre) = (format!("h{host}"), "dc".into());
@@ -93,7 +99,7 @@
         self.shared.members.lock().push(own.clone());
         let view = Arc::new(MemberList { shared: self.shared.clone(), own });
         let link = Arc::new(LocalPeers(self.shared.clone()));
-        let driver = ClaimsDriver::start(CONFIG, self.log.clone(), link, view);
+        let driver = ClaimsDriver::start(CONFIG, log, link, view);
         let driver = Arc::new(driver.expect("threads can be started"));
         self.shared.drivers.lock().retain(|(at, _)| *at != peer);
         self.shared.drivers.lock().push((peer, driver.clone()));
@@ -468,3 +474,42 @@
         assert_eq!(describe(&again), "settled 65536", "{key}");
     }
 }
+
+/// A log whose larger replies do not arrive within the time limit of a read.
+struct SlowLog {
+    log: Arc<HttpPlatform>,
+    max_bytes: usize,
+}
+
+impl Log for SlowLog {
+    fn append(&self, stream: &str, records: &[String]) -> CallResult<Offset> {
+        self.log.append(stream, records)
+    }
+
+    fn read(&self, stream: &str, from: Offset, max: usize, wait: Duration) -> CallResult<Records> {
+        let read = self.log.read(stream, from, max, wait)?;
+        let bytes: usize = read.records.iter().map(|record| record.data.len()).sum();
+        if bytes > self.max_bytes {
+            return Err(CallError::Lost("timed out".into()));
+        }
+        Ok(read)
+    }
+}
+
+#[test]
+fn a_daemon_catches_up_with_more_answers_than_one_read_can_carry() {
+    let mut cluster = Cluster::new(1);
+    let limit = Instant::now() + Duration::from_mins(2);
+    for n in 0..40 {
+        let claim = won(cluster.daemons[0].begin(&format!("org/plates/{n}"), 7, limit));
+        run(&*cluster.daemons[0], &claim, answer(MAX_BODY));
+    }
+    cluster
+        .add_with_log(1, Arc::new(SlowLog { log: cluster.log.clone(), max_bytes: 3 * MAX_BODY }));
+    for n in 0..40 {
+        let key = format!("org/plates/{n}");
+        while describe(&cluster.daemons[1].begin(&key, 7, limit)) != "settled 65536" {
+            assert!(Instant::now() < limit, "{key} is still refused");
+        }
+    }
+}
