--- a/crates/roseshore_adapters/tests/platform.rs
+++ b/crates/roseshore_adapters/tests/platform.rs
@@ -57,6 +57,8 @@
     struct Case {
         name: &'static str,
         faults: PlatformFaults,
+        /// Limit of the two calls whose outcomes are compared.
+        limit: Duration,
         append: Outcome,
         appended: bool,
         read: Outcome,
@@ -66,6 +68,7 @@
         Case {
             name: "no fault",
             faults: none(),
+            limit: LONG,
             append: Outcome::Ok,
             appended: true,
             read: Outcome::Ok,
@@ -73,6 +76,7 @@
         Case {
             name: "log out",
             faults: PlatformFaults { log_out: true, ..none() },
+            limit: LONG,
             append: Outcome::Lost,
             appended: false,
             read: Outcome::Lost,
@@ -80,6 +84,7 @@
         Case {
             name: "appends out",
             faults: PlatformFaults { appends_out: true, ..none() },
+            limit: LONG,
             append: Outcome::Refused(503),
             appended: false,
             read: Outcome::Ok,
@@ -87,6 +92,7 @@
         Case {
             name: "appends over the rate",
             faults: PlatformFaults { appends_limited: true, ..none() },
+            limit: LONG,
             append: Outcome::Refused(429),
             appended: false,
             read: Outcome::Ok,
@@ -94,6 +100,7 @@
         Case {
             name: "reads out",
             faults: PlatformFaults { reads_out: true, ..none() },
+            limit: LONG,
             append: Outcome::Ok,
             appended: true,
             read: Outcome::Refused(503),
@@ -101,6 +108,7 @@
         Case {
             name: "reply lost after the append took effect",
             faults: PlatformFaults { lose_replies: 1, ..none() },
+            limit: LONG,
             append: Outcome::Lost,
             appended: true,
             read: Outcome::Ok,
@@ -108,6 +116,7 @@
         Case {
             name: "replies lost on another stream only",
             faults: PlatformFaults { lose_replies: 1, lose_stream: "other".into(), ..none() },
+            limit: LONG,
             append: Outcome::Ok,
             appended: true,
             read: Outcome::Ok,
@@ -115,6 +124,7 @@
         Case {
             name: "garbled replies",
             faults: PlatformFaults { garbled: true, ..none() },
+            limit: LONG,
             append: Outcome::Garbled,
             appended: true,
             read: Outcome::Garbled,
@@ -122,6 +132,7 @@
         Case {
             name: "slower than the limit",
             faults: PlatformFaults { slow_ms: 3000, ..none() },
+            limit: LIMIT,
             append: Outcome::Lost,
             appended: true,
             read: Outcome::Lost,
@@ -129,21 +140,24 @@
         Case {
             name: "trimmed",
             faults: PlatformFaults { trim_to: Some(0), ..none() },
+            limit: LONG,
             append: Outcome::Ok,
             appended: true,
             read: Outcome::Trimmed,
         },
     ];
     for case in cases {
-        let (fake, log) = start(PlatformSettings::default());
-        log.append("s", &texts(1)).unwrap();
+        let fake = PlatformFake::start(PlatformSettings::default()).unwrap();
+        let (log, patient) =
+            (HttpPlatform::new(fake.addr(), case.limit), HttpPlatform::new(fake.addr(), LONG));
+        patient.append("s", &texts(1)).unwrap();
         fake.faults.set(case.faults);
         assert_eq!(outcome(log.append("s", &texts(1))), case.append, "append, {}", case.name);
         assert_eq!(outcome(log.read("s", 0, 10, Duration::ZERO)), case.read, "read, {}", case.name);
         fake.faults.clear();
         let end = |log: &HttpPlatform| log.read("s", 9, 1, Duration::ZERO).unwrap().end;
         let wanted = if case.appended { 2 } else { 1 };
-        wait_until(case.name, || end(&log) == wanted);
+        wait_until(case.name, || end(&patient) == wanted);
     }
 }
 
