--- a/crates/roseshore_adapters/tests/platform.rs
+++ b/crates/roseshore_adapters/tests/platform.rs
@@ -52,20 +52,20 @@
     }
 }
 
-#[test]
-fn log_faults() {
-    struct Case {
-        name: &'static str,
-        faults: PlatformFaults,
-        /// Limit of the two calls whose outcomes are compared.
-        limit: Duration,
-        append: Outcome,
-        appended: bool,
-        read: Outcome,
-    }
+struct LogFault {
+    name: &'static str,
+    faults: PlatformFaults,
+    /// Limit of the two calls whose outcomes are compared.
+    limit: Duration,
+    append: Outcome,
+    appended: bool,
+    read: Outcome,
+}
+
+fn log_fault_cases() -> Vec<LogFault> {
     let none = PlatformFaults::default;
-    let cases = [
-        Case {
+    vec![
+        LogFault {
             name: "no fault",
             faults: none(),
             limit: LONG,
@@ -73,7 +73,7 @@
             appended: true,
             read: Outcome::Ok,
         },
-        Case {
+        LogFault {
             name: "log out",
             faults: PlatformFaults { log_out: true, ..none() },
             limit: LONG,
@@ -81,7 +81,7 @@
             appended: false,
             read: Outcome::Lost,
         },
-        Case {
+        LogFault {
             name: "appends out",
             faults: PlatformFaults { appends_out: true, ..none() },
             limit: LONG,
@@ -89,7 +89,7 @@
             appended: false,
             read: Outcome::Ok,
         },
-        Case {
+        LogFault {
             name: "appends over the rate",
             faults: PlatformFaults { appends_limited: true, ..none() },
             limit: LONG,
@@ -97,7 +97,7 @@
             appended: false,
             read: Outcome::Ok,
         },
-        Case {
+        LogFault {
             name: "reads out",
             faults: PlatformFaults { reads_out: true, ..none() },
             limit: LONG,
@@ -105,7 +105,7 @@
             appended: true,
             read: Outcome::Refused(503),
         },
-        Case {
+        LogFault {
             name: "reply lost after the append took effect",
             faults: PlatformFaults { lose_replies: 1, ..none() },
             limit: LONG,
@@ -113,7 +113,7 @@
             appended: true,
             read: Outcome::Ok,
         },
-        Case {
+        LogFault {
             name: "replies lost on another stream only",
             faults: PlatformFaults { lose_replies: 1, lose_stream: "other".into(), ..none() },
             limit: LONG,
@@ -121,7 +121,7 @@
             appended: true,
             read: Outcome::Ok,
         },
-        Case {
+        LogFault {
             name: "garbled replies",
             faults: PlatformFaults { garbled: true, ..none() },
             limit: LONG,
@@ -129,7 +129,7 @@
             appended: true,
             read: Outcome::Garbled,
         },
-        Case {
+        LogFault {
             name: "slower than the limit",
             faults: PlatformFaults { slow_ms: 3000, ..none() },
             limit: LIMIT,
@@ -137,7 +137,7 @@
             appended: true,
             read: Outcome::Lost,
         },
-        Case {
+        LogFault {
             name: "trimmed",
             faults: PlatformFaults { trim_to: Some(0), ..none() },
             limit: LONG,
@@ -145,8 +145,12 @@
             appended: true,
             read: Outcome::Trimmed,
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn log_faults() {
+    for case in log_fault_cases() {
         let fake = PlatformFake::start(PlatformSettings::default()).unwrap();
         let (log, patient) =
             (HttpPlatform::new(fake.addr(), case.limit), HttpPlatform::new(fake.addr(), LONG));
