--- a/crates/roseshore_core/src/gateway/fatal/attribution.rs
+++ b/crates/roseshore_core/src/gateway/fatal/attribution.rs
@@ -6,7 +6,7 @@
 //! is at fault, and the crashes that it explains no longer count against anything else. Parts that
 //! succeeded before come last, since a fatal part never succeeds.
 //!
-//! Parts under which the same targets crashed cannot be told apart, and only requests with all of
+//! Parts under which the same targets crashed cannot be distinguished, and only requests with all of
 //! them are refused. That includes the request itself: while a single request explains as much as a
 //! part does, other requests with the part may run, and either get far, which clears the part, or
 //! crash a target that the request does not explain.
--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -17,8 +17,8 @@
 const MAX_PARTS: usize = 8;
 
 /// Identifies a request by its caller, path and body, or a part of a prompt by its caller, model
-/// and id. The organisation is stored beside the digest, not only hashed into it: whoever finds a
-/// body whose digest equals another's is still told apart from that caller.
+/// and id. The organisation is stored beside the digest, not only hashed into it: a caller that
+/// finds a body with the digest of another caller's request does not get that request blocked.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -73,7 +73,7 @@
     rate: f64,
     /// The first part of these prompts; `None` if it is the fatal one.
     first: Option<u64>,
-    /// Whether parts are told apart, as they are in production.
+    /// Whether suspects include parts, as they do in production.
     known: bool,
 }
 
