Log and count each send of a request that was sent before

No line or metric told a charged retry from a send that is free, what was borrowed, or what a host held the budget to be when it made one: E212 shows it on a denial only. E214 has it for each retry, with charged=false where no earlier send reached a target; counters for retries made, borrowed and denied stand beside those lent, so that their sum over all hosts can be held against what arrives at the targets. No decision is changed.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -72,6 +72,7 @@
     BlockedFailed = 211, Warn, "records of blocked requests could not be read or written";
     RetryDenied = 212, Info, "a request was not sent again: the retry budget is spent";
     RetriesLent = 213, Debug, "another host asked for retries of the shared budget";
+    RetryMade = 214, Debug, "a request is sent again";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -22,15 +22,21 @@
     /// connection was never established is not a retry, since that one reached no target.
     pub(super) fn charge_retry(&mut self, key: Key) -> bool {
         let now = self.now;
-        let Some(exchange) = self.exchanges.get(key).filter(|e| e.reached_target) else {
+        let Some(exchange) = self.exchanges.get(key).filter(|e| e.sends > 0) else {
             return true;
         };
+        let charged = exchange.reached_target;
         let service = exchange.service.name.clone();
-        let allowed = self.retry_budget(&service).try_retry(now);
-        if let Some(exchange) = self.exchanges.get_mut(key).filter(|_| allowed) {
+        if charged && !self.retry_budget(&service).try_retry(now) {
+            return false;
+        }
+        if let Some(exchange) = self.exchanges.get_mut(key) {
             exchange.loan_wait = None;
         }
-        allowed
+        metrics::counter!("roseshore_retries_total", "charged" => charged.to_string()).increment(1);
+        let usage = self.usage_text(key);
+        log_event!(self, RetryMade, "charged={charged} {usage}");
+        true
     }
 
     /// Whether the next send of a request still waits for a retry. Ends the request if the wait is
@@ -46,7 +52,9 @@
         if now < until {
             self.poll_for_loan(key, until);
         } else {
-            self.log_retry_denied(key);
+            metrics::counter!("roseshore_retries_denied_total").increment(1);
+            let usage = self.usage_text(key);
+            log_event!(self, RetryDenied, "{usage}");
             self.end_without(key, Code::RetryBudget, "no more sends may be repeated");
         }
         true
@@ -66,20 +74,18 @@
         self.set_timer(until.min(self.now + LOAN_POLL_INTERVAL), Timer::Exchange(key));
     }
 
-    /// Logs that the retry budget does not permit a send.
-    fn log_retry_denied(&mut self, key: Key) {
+    /// The retry budget of a request's service, as text of a log line.
+    fn usage_text(&mut self, key: Key) -> String {
         let now = self.now;
-        let Some(exchange) = self.exchanges.get(key) else { return };
+        let Some(exchange) = self.exchanges.get(key) else { return String::new() };
         let (service, started) = (exchange.service.name.clone(), exchange.delivery.started);
         let attempt = exchange.request_fields.attempt.clone();
         let RetryUsage { usable, reported, unreported, share, lent, pool } =
             self.retry_budget(&service).usage(now);
-        log_event!(
-            self,
-            RetryDenied,
+        format!(
             "request={attempt} service={service} started={started} own={unreported} \
              share={share:.1} lent={lent} pool={pool:.1} reported={reported} usable={usable:.0}"
-        );
+        )
     }
 
     /// Asks for the loans that sends of this and other hosts wait for. This is done once per
@@ -136,6 +142,7 @@
         let Some(service) = service.cloned() else { return };
         let now = self.now;
         self.retry_budget(&service).borrow(loan.granted, now);
+        metrics::counter!("roseshore_retries_borrowed_total").increment(u64::from(loan.granted));
         self.loans_wanted = true;
         for key in self.waiting_for_loan(&service) {
             if !self.retry_budget(&service).has_retry(now) {
