--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -39,6 +39,8 @@
     /// Whether the next attempt is scheduled.
     polling: bool,
     alive: bool,
+    /// Until when its process stands still.
+    frozen: Option<Instant>,
 }
 
 impl Host {
@@ -70,6 +72,37 @@
     lender_killed: bool,
     /// Whether the first data centre is cut off from the others.
     cut: bool,
+    /// What happens while most sends fail.
+    faults: Faults,
+}
+
+/// Faults that strike when most sends begin to fail, in seconds from then.
+#[derive(Clone, Copy)]
+struct Faults {
+    /// Parts of the system that do not hear each other during `cut`; host `n` is in part
+    /// `n % parts`.
+    parts: usize,
+    cut: (u64, u64),
+    /// Length of a cut, and of the pause after it; 0 for one cut.
+    period: u64,
+    /// Which tenths of the hosts the following strike.
+    tenths: usize,
+    /// When hosts are killed; they start again after 0.7 s.
+    kills: &'static [u64],
+    /// When hosts freeze, and for how long.
+    freezes: &'static [(u64, u64)],
+}
+
+const NO_FAULTS: Faults =
+    Faults { parts: 1, cut: (0, 0), period: 0, tenths: 10, kills: &[], freezes: &[] };
+
+impl Faults {
+    /// Whether the parts hear each other.
+    fn joined(&self, second: u64) -> bool {
+        let (from, until) = self.cut;
+        let pause = self.period > 0 && second.saturating_sub(from) / self.period % 2 == 1;
+        !(from..until).contains(&second) || pause
+    }
 }
 
 struct World {
@@ -82,6 +115,8 @@
     random: SmallRng,
     /// Whether the first data centre is cut off now.
     cut: bool,
+    /// Number of parts that do not hear each other now.
+    parts: usize,
     requests: Vec<Instant>,
     retries: Vec<Instant>,
     denied: usize,
@@ -99,6 +134,7 @@
             datagrams: 0,
             random: SmallRng::seed_from_u64(case.hosts as u64),
             cut: false,
+            parts: 1,
             requests: Vec::new(),
             retries: Vec::new(),
             denied: 0,
@@ -126,6 +162,7 @@
             waiting: VecDeque::new(),
             polling: false,
             alive: true,
+            frozen: None,
         }
     }
 
@@ -137,7 +174,8 @@
     fn send(&mut self, from: usize, to: SocketAddr, message: Datagram) {
         let to = (0..self.hosts.len()).find(|n| addr(*n) == to).expect("a known address");
         let centres = (self.hosts[from].data_centre, self.hosts[to].data_centre);
-        let parted = self.cut && (centres.0 == 0) != (centres.1 == 0);
+        let parted = (self.cut && (centres.0 == 0) != (centres.1 == 0))
+            || from % self.parts != to % self.parts;
         self.datagrams += 1;
         let lost = self.case.loss > 0 && self.datagrams.is_multiple_of(self.case.loss);
         let latency = if centres.0 == centres.1 { LATENCY.0 } else { LATENCY.1 };
@@ -151,6 +189,10 @@
         while let Some(entry) = self.events.first_entry().filter(|e| e.key().0 < end) {
             self.now = entry.key().0;
             let (host, event) = entry.remove();
+            if let Some(until) = self.hosts[host].frozen.filter(|until| self.now < *until) {
+                self.schedule(until - self.now, host, event);
+                continue;
+            }
             match event {
                 Event::Tick => self.tick(host),
                 Event::Poll => {
@@ -265,8 +307,15 @@
     }
 }
 
-const CALM: Case =
-    Case { name: "8 hosts", hosts: 8, data_centres: 3, loss: 0, lender_killed: false, cut: false };
+const CALM: Case = Case {
+    name: "8 hosts",
+    hosts: 8,
+    data_centres: 3,
+    loss: 0,
+    lender_killed: false,
+    cut: false,
+    faults: NO_FAULTS,
+};
 
 /// Runs cases side by side.
 fn run_all(cases: &[Case], run: fn(Case)) {
@@ -367,3 +416,83 @@
     ];
     run_all(&cases, overload);
 }
+
+/// Most sends fail for 24 s, from a moment at which no retry has been made. Returns the largest part
+/// of the bound that was used in a window.
+fn outage(case: Case) -> f64 {
+    const KILL_TIME: usize = 7;
+    let mut world = World::new(case);
+    world.run(WARM_UP);
+    let faults = case.faults;
+    let struck: Vec<usize> = (0..case.hosts).filter(|n| n % 10 < faults.tenths).collect();
+    let mut most = 0.0_f64;
+    for second in 0..24 {
+        world.parts = if faults.joined(second) { 1 } else { faults.parts };
+        for n in 0..case.hosts {
+            for _ in 0..(5 * SLACK as usize / case.hosts).max(2) {
+                let after = Duration::from_millis(world.random.random_range(0..1000));
+                world.schedule(after, n, Event::Loss);
+            }
+        }
+        let killed = faults.kills.contains(&second);
+        let frozen = faults.freezes.iter().find(|(at, _)| *at == second);
+        for n in &struck {
+            world.hosts[*n].alive &= !killed;
+            if let Some((_, time)) = frozen {
+                world.hosts[*n].frozen = Some(world.now + Duration::from_secs(*time));
+            }
+        }
+        for tenth in 0..10 {
+            if killed && tenth == KILL_TIME {
+                for n in &struck {
+                    world.hosts[*n] = world.fresh(*n, second + 2);
+                }
+            }
+            world.run(Duration::from_millis(100));
+            most = most.max(world.count(&world.retries) as f64 / world.bound());
+        }
+    }
+    println!("{}: {most:.2} of the bound", case.name);
+    most
+}
+
+/// Plays an outage with these faults at 8 and 30 hosts.
+fn check_outages(faults: &[(&'static str, Faults)]) {
+    let of_size = |hosts| {
+        faults.iter().map(move |(name, faults)| Case { name, hosts, faults: *faults, ..CALM })
+    };
+    let cases: Vec<Case> = of_size(8).chain(of_size(30)).collect();
+    run_all(&cases, |case| {
+        let most = outage(case);
+        assert!(most <= 1.0, "{} at {} hosts: {most:.2} of the bound", case.name, case.hosts);
+    });
+}
+
+#[test]
+fn hosts_that_do_not_hear_each_other_stay_within_the_bound() {
+    let cut = |parts, until| Faults { parts, cut: (0, until), ..NO_FAULTS };
+    check_outages(&[
+        ("data centres apart for 6 s", cut(3, 6)),
+        ("data centres apart for 20 s", cut(3, 20)),
+        ("hosts alone for 6 s", cut(1000, 6)),
+        ("hosts alone for 20 s", cut(1000, 20)),
+        ("hosts alone every other 3 s", Faults { period: 3, ..cut(1000, 24) }),
+    ]);
+}
+
+#[test]
+fn hosts_that_forget_their_retries_stay_within_the_bound() {
+    let restart = |kills, tenths| Faults { kills, tenths, ..NO_FAULTS };
+    let freeze = |freezes| Faults { freezes, tenths: 3, ..NO_FAULTS };
+    check_outages(&[
+        ("all restart", restart(&[2], 10)),
+        ("all restart twice", restart(&[2, 6], 10)),
+        ("most restart every 3 s", restart(&[2, 5, 8, 11, 14], 6)),
+        ("some freeze for 3 s", freeze(&[(2, 3), (8, 3)])),
+        ("some freeze for 12 s", freeze(&[(2, 12)])),
+        (
+            "restarts behind a cut",
+            Faults { kills: &[4, 8], tenths: 10, parts: 3, cut: (1, 12), ..NO_FAULTS },
+        ),
+    ]);
+}
