--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -54,6 +54,7 @@
 pub mod store_reads;
 pub mod targets;
 pub mod unavailable;
+mod window_max;
 
 pub use avoid::AvoidedTargets;
 pub use config_lease::ConfigLease;
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -69,7 +69,7 @@
     pub loads: Vec<TargetLoad>,
     /// Targets that it reached after other hosts had reported that they fail liveness checks.
     pub refuted: Vec<TargetHash>,
-    /// Requests and retries that it has counted, by service.
+    /// Requests that it has counted, by service.
     pub counts: Vec<ServiceCounts>,
     /// Layers that it has ordered targets to hold, or found them to hold.
     pub holdings: Vec<HoldingReport>,
@@ -179,6 +179,8 @@
         let joined = peer.last_heard.is_none() || heartbeat.life != peer.life || back;
         let echo = heartbeat.echo;
         peer.update(heartbeat, now);
+        let sent = |echo: Echo| self.started.checked_add(Duration::from_millis(echo.sent));
+        peer.heard_from = echo.and_then(sent).filter(|at| *at <= now);
         let config_proven = echo.and_then(|echo| self.proof_time(echo, echo.config?, now));
         let list_proven = echo.and_then(|echo| self.proof_time(echo, echo.list?, now));
         Some(HeartbeatEffect { joined, config_proven, list_proven, near })
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -52,15 +52,13 @@
     pub done: bool,
 }
 
-/// Requests and retries of a service that a host has counted in the window.
+/// Requests of a service that a host has counted in the window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceCounts {
     /// Hash of the service's name.
     pub service: TargetHash,
     /// Requests.
     pub requests: u32,
-    /// Retries.
-    pub repeats: u32,
 }
 
 /// A target's advertised limit, as this or another host received it.
@@ -209,7 +207,7 @@
     pub list: Option<i64>,
 }
 
-/// Hosts whose loads and counts a heartbeat reports, with their number.
+/// Hosts whose loads a heartbeat reports, with their number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
     /// Only the sender.
@@ -259,13 +257,16 @@
     pub config: u64,
     /// How far the sender has read the target list.
     pub list: ListVersion,
-    /// Hosts that the following loads and counts include.
+    /// Hosts that the following loads include.
     pub scope: Scope,
+    /// Hosts that the sender hears or has heard and not forgotten, in the whole system or, for a
+    /// receiver in another data centre, in its own.
+    pub known: u16,
     /// Loads, by target.
     pub loads: Vec<TargetLoad>,
     /// Loads at some of the targets that only other data centres use.
     pub far: Vec<TargetLoad>,
-    /// Requests and retries, by service.
+    /// Requests of the sender, by service; only with [`Scope::Own`].
     pub counts: Vec<ServiceCounts>,
     /// Layers that the sender has ordered targets to hold, or found them to hold.
     pub holds: Vec<HoldingReport>,
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -27,10 +27,9 @@
 /// How long a reported number of permit requests is valid before the host's latest heartbeat;
 /// heartbeats report targets in rotation.
 const WANTED_VALIDITY: Duration = Duration::from_millis(2500);
-/// How long a silent host's counts are still included.
-const COUNTS_VALIDITY: Duration = Duration::from_secs(10);
-/// Former processes of a host whose counts are kept; no host starts more often in that time.
-const MAX_FORMER_COUNTS: usize = 8;
+/// Time since the last heartbeat of this host that another one heard, up to which it relies on this
+/// host. The other one reports it up to a period of heartbeats later.
+const HEARD_VALIDITY: Duration = Duration::from_secs(2);
 
 /// The order in which hosts act as speakers, read the store and issue orders: by CPU share, largest
 /// first, then by address. Large hosts come first because speaking for a data centre takes several
@@ -74,8 +73,10 @@
     /// reports.
     far_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
     pub(super) counts: Vec<ServiceCounts>,
-    /// What its former processes had counted, and when they were followed by another one.
-    former_counts: Vec<(Vec<ServiceCounts>, Instant)>,
+    /// Hosts that it knows of.
+    pub(super) known: u16,
+    /// When this host sent the last heartbeat that it heard.
+    pub(super) heard_from: Option<Instant>,
     /// Permit requests that it reported for limited targets, with the times of the reports.
     wanted: HashMap<TargetHash, (u16, Instant)>,
 }
@@ -106,7 +107,8 @@
             loads: Vec::new(),
             far_loads: HashMap::new(),
             counts: Vec::new(),
-            former_counts: Vec::new(),
+            known: 0,
+            heard_from: None,
             wanted: HashMap::new(),
         }
     }
@@ -118,7 +120,6 @@
 
     /// Applies a heartbeat that is newer than the last.
     pub(super) fn update(&mut self, heartbeat: Heartbeat, now: Instant) {
-        self.keep_former_counts(heartbeat.life, now);
         self.centre = Some(heartbeat.centre);
         self.capacity = heartbeat.capacity;
         self.last_heard = Some(now);
@@ -138,31 +139,10 @@
         self.far_loads
             .extend(heartbeat.far.into_iter().map(|report| (report.target, (report, now))));
         self.counts = heartbeat.counts;
+        self.known = heartbeat.known;
         self.update_wanted(&heartbeat.limits, now);
     }
 
-    /// Retries of all services that it reported.
-    pub(super) fn counted_retries(&self) -> u32 {
-        self.counts.iter().map(|count| count.repeats).sum()
-    }
-
-    /// Keeps the counts of a process that ended: the bound on retries still includes them.
-    fn keep_former_counts(&mut self, life: u64, now: Instant) {
-        self.former_counts.retain(|(_, at)| now.saturating_duration_since(*at) < COUNTS_VALIDITY);
-        if self.scope == Scope::Own && life != self.life && !self.counts.is_empty() {
-            if self.former_counts.len() >= MAX_FORMER_COUNTS {
-                self.former_counts.remove(0);
-            }
-            self.former_counts.push((std::mem::take(&mut self.counts), now));
-        }
-    }
-
-    /// Counts of its former processes that are still to be included.
-    pub(super) fn former_counts(&self, now: Instant) -> impl Iterator<Item = &ServiceCounts> {
-        let valid = move |at| now.saturating_duration_since(at) < COUNTS_VALIDITY;
-        self.former_counts.iter().filter(move |(_, at)| valid(*at)).flat_map(|(counts, _)| counts)
-    }
-
     fn update_wanted(&mut self, limits: &[LimitReport], now: Instant) {
         self.wanted.retain(|_, (_, at)| now.saturating_duration_since(*at) < WANTED_VALIDITY);
         let asked = limits.iter().filter(|report| report.wanted > 0);
@@ -230,9 +210,9 @@
         !self.seed && now.saturating_duration_since(last) >= RETENTION
     }
 
-    /// Whether its counts are still to be included.
-    pub(super) fn counts_valid(&self, now: Instant) -> bool {
-        self.silent_for(COUNTS_VALIDITY, now) == Some(false)
+    /// Whether it has heard this host recently.
+    pub(super) fn hears_this_host(&self, now: Instant) -> bool {
+        self.heard_from.is_some_and(|at| now.saturating_duration_since(at) < HEARD_VALIDITY)
     }
 
     fn silent_for(&self, most: Duration, now: Instant) -> Option<bool> {
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -135,14 +135,16 @@
         if !ranks.contains(&self.rank()) {
             return None;
         }
-        let mut pool = Pool { requests: 0, hosts: 1, lenders: ranks.len() };
-        let near = |p: &&Peer| self.is_near(p) && p.scope == Scope::Own && p.alive(true, now);
-        for peer in self.all.values().filter(near) {
-            pool.hosts += 1;
-            let counts = peer.counts.iter().filter(|count| count.service == service);
-            pool.requests += counts.map(|count| count.requests).sum::<u32>();
-        }
-        Some(pool)
+        let delegates = |p: &&Peer| {
+            let near = self.is_near(p) && p.scope == Scope::Own;
+            near && p.alive(true, now) && p.hears_this_host(now)
+        };
+        let member = |p: &Peer| {
+            let counts = p.counts.iter().filter(|count| count.service == service);
+            (p.addr, counts.map(|count| count.requests).sum())
+        };
+        let members = self.all.values().filter(delegates).map(member).collect();
+        Some(Pool { members, lenders: ranks.len() })
     }
 
     /// Whether a host that asks this one for retries is in the own data centre, and whether it is a
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -57,6 +57,9 @@
     near: Sums,
     /// Sums over all other hosts.
     others: Sums,
+    /// Hosts that were heard and are not forgotten: of the own data centre, and of all.
+    near_known: usize,
+    known: usize,
     /// Hosts that are heard, by data centre and rank.
     ranked: BTreeMap<CentreHash, Vec<KnownHost>>,
 }
@@ -158,7 +161,8 @@
         near.clear_failures(&own.refuted);
         let mut others = near.clone();
         self.add_far(&mut others, now);
-        Round { own, near, others, ranked: self.ranked(now) }
+        let (near_known, known) = (self.near_known(), self.heard_hosts());
+        Round { own, near, others, near_known, known, ranked: self.ranked(now) }
     }
 
     fn heartbeat(
@@ -187,6 +191,7 @@
             config: own.config,
             list: own.list,
             scope: Scope::Own,
+            known: u16::try_from(round.known).unwrap_or(u16::MAX),
             loads: Vec::new(),
             far: Vec::new(),
             counts: Vec::new(),
@@ -211,15 +216,16 @@
             }
         };
         sums.add_loads(&own.loads, true);
-        sums.add_counts(&own.counts);
         let hosts = u16::try_from(sums.hosts + 1).unwrap_or(u16::MAX);
         heartbeat.scope = match relation {
-            Relation::FarSpeaker => Scope::Centre(hosts),
+            Relation::FarSpeaker => {
+                heartbeat.known = u16::try_from(round.near_known).unwrap_or(u16::MAX);
+                Scope::Centre(hosts)
+            }
             _ => Scope::Others(hosts),
         };
         heartbeat.loads = sums.near_loads(max_loads);
         heartbeat.far = sums.far_loads(max_loads - heartbeat.loads.len(), self.sequence as usize);
-        heartbeat.counts = sums.service_counts();
         heartbeat
     }
 
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -1,9 +1,8 @@
-//! Combined loads and counts of several hosts.
+//! Combined loads of several hosts.
 
-use super::message::{ServiceCounts, TargetHash, TargetLoad};
+use super::message::{TargetHash, TargetLoad};
 use super::peer::Peer;
 use crate::gateway::fatal::FatalReport;
-use crate::gateway::retry_budget::RetryCounts;
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
@@ -27,11 +26,10 @@
     near: bool,
 }
 
-/// Combined loads and counts.
+/// Combined loads.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Sums {
     loads: HashMap<TargetHash, Sum>,
-    counts: HashMap<TargetHash, RetryCounts>,
     pub(super) hosts: usize,
 }
 
@@ -61,15 +59,6 @@
         }
     }
 
-    /// Adds counts.
-    pub(super) fn add_counts<'a>(&mut self, counts: impl IntoIterator<Item = &'a ServiceCounts>) {
-        for count in counts {
-            let sum = self.counts.entry(count.service).or_default();
-            sum.requests = sum.requests.saturating_add(count.requests);
-            sum.retries = sum.retries.saturating_add(count.repeats);
-        }
-    }
-
     /// The sums without one host that they include.
     pub(super) fn without(&self, peer: &Peer) -> Sums {
         let mut rest = self.clone();
@@ -81,12 +70,6 @@
                 sum.failures = sum.failures.saturating_sub(u32::from(load.down));
             }
         }
-        for count in &peer.counts {
-            if let Some(sum) = rest.counts.get_mut(&count.service) {
-                sum.requests = sum.requests.saturating_sub(count.requests);
-                sum.retries = sum.retries.saturating_sub(count.repeats);
-            }
-        }
         rest
     }
 
@@ -118,21 +101,6 @@
         let loads = self.loads.iter().filter(of).map(|(target, sum)| sum.load(*target));
         loads.filter(|n| n.own > 0 || n.held > 0 || n.down)
     }
-
-    /// The counts for a heartbeat.
-    pub(super) fn service_counts(&self) -> Vec<ServiceCounts> {
-        let count = |(service, sum): (&TargetHash, &RetryCounts)| ServiceCounts {
-            service: *service,
-            requests: sum.requests,
-            repeats: sum.retries,
-        };
-        self.counts.iter().map(count).collect()
-    }
-
-    /// The counts of a service.
-    pub(super) fn counted(&self, service: TargetHash) -> RetryCounts {
-        self.counts.get(&service).copied().unwrap_or_default()
-    }
 }
 
 impl Sum {
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -1,10 +1,9 @@
-//! Combined load and counts of the other hosts, as far as this host hears of them.
+//! Combined load of the other hosts, as far as this host hears of them.
 
 use super::Peers;
 use super::message::{CentreHash, Scope, TargetHash, TargetLoad};
 use super::peer::Peer;
 use super::sums::Sums;
-use crate::gateway::retry_budget::RetryCounts;
 use crate::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -14,18 +13,8 @@
 pub struct View {
     /// Load by target, and whether the target fails a host's liveness checks.
     pub loads: HashMap<TargetHash, TargetLoad>,
-    /// Number of hosts included in the sums, with this one.
-    pub reporting: usize,
-    /// Number of hosts that are alive or were recently, with this one.
+    /// Number of hosts included, with this one.
     pub hosts: usize,
-    sums: Sums,
-}
-
-impl View {
-    /// Requests and retries counted for a service.
-    pub fn counted(&self, service: TargetHash) -> RetryCounts {
-        self.sums.counted(service)
-    }
 }
 
 impl Peers {
@@ -38,10 +27,6 @@
                 sums.hosts += 1;
                 sums.add_loads(&peer.loads, true);
             }
-            if peer.counts_valid(now) {
-                sums.add_counts(&peer.counts);
-            }
-            sums.add_counts(peer.former_counts(now));
         }
         sums
     }
@@ -50,26 +35,19 @@
     /// it.
     pub(super) fn add_far(&self, sums: &mut Sums, now: Instant) {
         let mut best: BTreeMap<CentreHash, (u16, &Peer)> = BTreeMap::new();
-        for peer in self.all.values().filter(|p| p.counts_valid(now)) {
+        for peer in self.all.values().filter(|p| p.alive(false, now)) {
             let Some(centre) = peer.centre.filter(|c| *c != self.centre) else { continue };
             let hosts = match peer.scope {
                 Scope::Centre(hosts) => hosts,
                 Scope::Own | Scope::Others(_) => 0,
             };
-            // Of two speakers that hear all, the one that has just started does not know its former
-            // counts.
-            let coverage = |p: &Peer, hosts| (p.alive(false, now), hosts, p.counted_retries());
-            let known = best.get(&centre).map(|(hosts, p)| coverage(p, *hosts));
-            if known < Some(coverage(peer, hosts)) {
+            if best.get(&centre).is_none_or(|(most, _)| *most < hosts) {
                 best.insert(centre, (hosts, peer));
             }
         }
         for (hosts, peer) in best.into_values() {
-            sums.add_counts(&peer.counts);
-            if peer.alive(false, now) {
-                sums.hosts += usize::from(hosts.max(1));
-                sums.add_loads(&peer.loads, false);
-            }
+            sums.hosts += usize::from(hosts.max(1));
+            sums.add_loads(&peer.loads, false);
         }
     }
 
@@ -94,16 +72,13 @@
         sums.hosts = hosts;
         sums.add_loads(&peer.loads, true);
         sums.add_loads(peer.far_loads(), false);
-        sums.add_counts(&peer.counts);
         sums
     }
 
     /// Combined state of the other hosts.
     pub fn view(&self, now: Instant) -> View {
         let sums = self.others(now);
-        let known = if self.discovers(now) { 1 + self.all.len() } else { self.hosts() };
-        let hosts = known.max(1 + sums.hosts);
-        View { loads: sums.by_target(), reporting: 1 + sums.hosts, sums, hosts }
+        View { loads: sums.by_target(), hosts: 1 + sums.hosts }
     }
 
     /// Load of the other hosts by target, and whether the target fails a host's liveness checks.
@@ -141,4 +116,35 @@
     pub fn hosts(&self) -> usize {
         1 + self.all.values().filter(|p| p.last_heard.is_some()).count()
     }
+
+    /// Number of hosts of the own data centre that were heard and are not forgotten, with this one.
+    pub(super) fn near_known(&self) -> usize {
+        let heard = |p: &&Peer| self.is_near(p) && p.last_heard.is_some();
+        1 + self.all.values().filter(heard).count()
+    }
+
+    /// Number of hosts that this host has heard, or has heard of from speakers of other data
+    /// centres, and not forgotten, with this one.
+    pub(super) fn heard_hosts(&self) -> usize {
+        let mut far: BTreeMap<CentreHash, u16> = BTreeMap::new();
+        for peer in self.all.values().filter(|p| self.is_far(p) && p.last_heard.is_some()) {
+            let known = match peer.scope {
+                Scope::Centre(_) => peer.known,
+                Scope::Own | Scope::Others(_) => 1,
+            };
+            let most = far.entry(peer.centre.unwrap_or_default()).or_default();
+            *most = (*most).max(known);
+        }
+        self.near_known() + far.into_values().map(usize::from).sum::<usize>()
+    }
+
+    /// Number of hosts that there are, or were until recently, as far as this host or a speaker of
+    /// its data centre knows. A host that has just started also counts those that it does not hear
+    /// yet.
+    pub fn known_hosts(&self, now: Instant) -> usize {
+        let near = self.all.values().filter(|p| self.is_near(p) && p.last_heard.is_some());
+        let reported = near.map(|p| usize::from(p.known)).max().unwrap_or(0);
+        let named = if self.discovers(now) { 1 + self.all.len() } else { 1 };
+        self.heard_hosts().max(reported).max(named)
+    }
 }
--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -1,78 +1,83 @@
 //! How many sends may be retries.
 //!
 //! The operators bound the retries of each service for all hosts together: a ratio of the requests
-//! in a window, plus a slack. Hosts report their counts to each other. What is left of the budget
-//! is shared out for the time that a report takes, so that hosts which all retry at the same moment
-//! stay within the bound together. Most of it is shared by requests, since a host with three times
-//! as many requests loses three times as many when an engine fails.
+//! in a window, plus a slack. Hosts may lose touch with each other, or start again, at any time, so
+//! the bound holds without any report of what other hosts have retried. Each host has a share: the
+//! ratio of its own requests, and its part of the slack. The shares add up to the bound, and in no
+//! window is more of a share used than all of it.
 //!
-//! An engine's failure hits a few hosts within milliseconds, long before reports arrive, so a host
-//! keeps only a part of its share for itself. The rest of the shares of a data centre is pooled at a
-//! few lenders, from which its hosts, and lenders of other data centres, borrow retries as they need
-//! them ([`retry_loans`](super::retry_loans)). A lender counts what it lends as its own retries, so a
-//! retry is counted once, and a loan that is lost on the way is only wasted.
+//! An engine's failure hits a few hosts within milliseconds, so a host keeps only a part of its
+//! share for itself. The lenders of its data centre hold the rest in a pool, from which its hosts,
+//! and lenders of other data centres, borrow retries as they need them
+//! ([`retry_loans`](super::retry_loans)). A lender counts what it lends, so a loan that is lost on
+//! the way is only wasted.
+//!
+//! A share may change hands: a host starts again, loses its lenders and becomes its own, or a
+//! lender takes the place of another. What the former holder used of it is unknown. So the new
+//! holder uses only a small part of it until the window in which the former one may have used it has
+//! passed, and all holders together keep that part in reserve.
 
-use super::peers::{Peers, View, name_hash};
+use super::peers::{Peers, name_hash};
+use super::window_max::WindowMax;
 use crate::prelude::*;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
-/// Share of the bound that is used; the rest covers late reports, and windows that hosts count from
-/// different moments.
-const USABLE_SHARE: f64 = 0.8;
-/// Share of what is left that is split evenly; the rest is split by the requests of each host.
-const EVEN_SHARE: f64 = 0.2;
-/// Time within which hosts hear of each other's retries.
-const REPORT_DELAY: Duration = Duration::from_millis(500);
-/// Age from which the retries that others report reduce what is shared out. Newer ones were made from
-/// the shares of the others, and would be subtracted twice.
-const SETTLING_TIME: Duration = Duration::from_millis(500);
+/// Part of the bound that is shared out; the rest is the reserve for shares that change hands.
+const SHARED_PART: f64 = 0.8;
+/// Part of a share that its holder gains in the first window, little by little. Successive holders
+/// within a window gain no more than that together.
+const EARLY_PART: f64 = (1.0 - SHARED_PART) / SHARED_PART;
 /// Part of a host's share that it keeps for itself; the rest goes to the pool of its data centre.
 const LOCAL_PART: f64 = 0.1;
 /// Largest part of a pool that one loan to another lender takes.
 const MAX_LENDER_LOAN: f64 = 0.5;
 /// How long a host keeps borrowed retries that it does not use.
 const LOAN_VALIDITY: Duration = Duration::from_secs(1);
-
-/// Requests and retries within the window.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RetryCounts {
-    /// Requests that came.
-    pub requests: u32,
-    /// Sends that repeat an earlier one.
-    pub retries: u32,
-}
+/// Time from the decision for a retry, or a loan, to its arrival at a target. Retries count for so
+/// much longer than the window.
+const DELIVERY_TIME: Duration = LOAN_VALIDITY;
+/// How long a lender holds the share of a host after it was last confirmed.
+const CLAIM_VALIDITY: Duration = Duration::from_secs(1);
+/// How long a host that is gone still has its part of the slack: it may only be out of touch.
+const HOST_RETENTION: Duration = Duration::from_hours(24);
 
 /// How much of a retry budget is spent, as seen by one host.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
-    /// Retries that all hosts together may use in the window.
-    pub usable: f64,
-    /// Retries of all hosts that are reported.
-    pub reported: u32,
-    /// Retries of this host that the others have not heard of yet.
-    pub unreported: usize,
-    /// How many of these this host may make of its own share.
-    pub share: f64,
-    /// Retries that this host has lent, and the others have not heard of yet.
+    /// Requests of this host.
+    pub requests: usize,
+    /// Hosts among which the slack is divided.
+    pub hosts: usize,
+    /// Retries of this host that still count.
+    pub made: usize,
+    /// How many of these it may make of the part of its share that it keeps.
+    pub local: f64,
+    /// Retries that this host has lent and that still count.
     pub lent: usize,
     /// How many retries this host may lend; it may also make them itself.
     pub pool: f64,
+    /// Borrowed retries that are not used yet.
+    pub borrowed: usize,
 }
 
 impl RetryUsage {
-    /// How many more retries this host may make.
+    /// How many retries this host may make and lend in a window.
+    pub fn allowed(&self) -> f64 {
+        self.local + self.pool
+    }
+
+    /// How many more retries this host may make of its own.
     fn left(&self) -> f64 {
-        self.share + self.pool - (self.unreported + self.lent) as f64
+        self.allowed() - (self.made + self.lent) as f64
     }
 }
 
 /// The hosts whose pooled shares a lender holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pool {
-    /// Requests that the other hosts of the data centre counted.
-    pub requests: u32,
-    /// Hosts of the data centre that report to this one, including it.
-    pub hosts: usize,
+    /// The other hosts, with the requests that they counted.
+    pub members: Vec<(SocketAddr, u32)>,
     /// Lenders among which the pool is divided.
     pub lenders: usize,
 }
@@ -88,49 +93,76 @@
     Remote,
 }
 
+/// A lender's claim to the pooled share of a host.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    since: Instant,
+    confirmed: Instant,
+    /// Requests that the host counted.
+    requests: u32,
+}
+
+impl Claim {
+    fn new(since: Instant) -> Claim {
+        Claim { since, confirmed: since, requests: 0 }
+    }
+
+    /// Confirms the claim. It begins anew if it had lapsed.
+    fn confirm(&mut self, requests: u32, now: Instant) {
+        if !self.valid(now) {
+            self.since = now;
+        }
+        (self.confirmed, self.requests) = (now, requests);
+    }
+
+    fn valid(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.confirmed) <= CLAIM_VALIDITY
+    }
+}
+
 /// The retry budget of one service, as seen by one host.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
     slack: f64,
     window: Duration,
+    /// When this process started; an earlier one may have used the share.
+    started: Instant,
     /// When each request within the window came.
     requests: VecDeque<Instant>,
-    /// When each retry within the window was made.
+    /// When each retry that still counts was made.
     retries: VecDeque<Instant>,
-    /// Counts of the other hosts together.
-    peer_counts: RetryCounts,
-    /// Retries of the other hosts together, as reported within the settling time.
-    peer_retries: VecDeque<(Instant, u32)>,
-    /// Hosts that there are or were recently, including this one.
-    hosts: usize,
-    /// Hosts whose counts are known, including this one.
-    reporting: usize,
-    /// The pool that this host lends from; `None` if others do.
-    pool: Option<Pool>,
-    /// When each retry within the window was lent.
+    /// When each retry that still counts was lent.
     lent: VecDeque<Instant>,
     /// When each borrowed retry that is not used yet was received.
     borrowed: VecDeque<Instant>,
+    /// Hosts among which the slack is divided, including this one.
+    hosts: WindowMax,
+    /// Lenders among which the pool is divided.
+    lenders: WindowMax,
+    /// The claim to this host's own pooled share, while it is a lender.
+    own_claim: Claim,
+    /// The claims to the pooled shares of other hosts.
+    claims: BTreeMap<SocketAddr, Claim>,
 }
 
 impl RetryBudget {
     /// A budget of `ratio` retries per request plus `slack` in each `window`, for all hosts
     /// together. Until it hears of others, the host is the lender of its own pool.
-    pub fn new(ratio: f64, slack: f64, window: Duration) -> RetryBudget {
+    pub fn new(ratio: f64, slack: f64, window: Duration, started: Instant) -> RetryBudget {
         RetryBudget {
             ratio,
             slack,
             window,
+            started,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
-            peer_counts: RetryCounts::default(),
-            peer_retries: VecDeque::new(),
-            hosts: 1,
-            reporting: 1,
-            pool: Some(Pool { requests: 0, hosts: 1, lenders: 1 }),
             lent: VecDeque::new(),
             borrowed: VecDeque::new(),
+            hosts: WindowMax::new(HOST_RETENTION),
+            lenders: WindowMax::new(window + DELIVERY_TIME),
+            own_claim: Claim::new(started),
+            claims: BTreeMap::new(),
         }
     }
 
@@ -140,63 +172,68 @@
         self.requests.push_back(now);
     }
 
-    /// Sets what the other hosts have counted for the service, and the pool that this host lends from.
-    pub fn set_peers(&mut self, service: &str, peers: &Peers, view: &View, now: Instant) {
-        let service = name_hash(service);
-        let counted = view.counted(service);
-        self.set_peer_counts(counted, view.reporting, view.hosts);
-        let settled = |at: Instant| now.saturating_duration_since(at) >= SETTLING_TIME;
-        while self.peer_retries.get(1).is_some_and(|(at, _)| settled(*at)) {
-            self.peer_retries.pop_front();
+    /// Sets the number of hosts, and the pool that this host lends from.
+    pub fn set_peers(&mut self, service: &str, peers: &Peers, now: Instant) {
+        let pool = peers.retry_pool(name_hash(service), now);
+        self.set_pool(peers.known_hosts(now), pool.as_ref(), now);
+    }
+
+    /// Sets the number of hosts that there are or were recently, including this one, and the pool
+    /// that this host lends from; `None` if others lend.
+    pub fn set_pool(&mut self, hosts: usize, pool: Option<&Pool>, now: Instant) {
+        self.hosts.set(hosts, now);
+        self.claims.retain(|_, claim| claim.valid(now));
+        let Some(pool) = pool else { return };
+        self.lenders.set(pool.lenders, now);
+        self.own_claim.confirm(0, now);
+        for (host, requests) in &pool.members {
+            self.claims.entry(*host).or_insert_with(|| Claim::new(now)).confirm(*requests, now);
         }
-        self.peer_retries.push_back((now, counted.retries));
-        // A host that has just started lends once it knows what all others have counted.
-        let complete = view.reporting >= view.hosts || !peers.discovers(now);
-        self.pool = peers.retry_pool(service, now).filter(|_| complete);
     }
 
-    /// Sets the counts of the other hosts. `reporting` is the number of hosts whose counts are
-    /// known, and `hosts` the number that there are or were recently, both including this one: a
-    /// host that is out of touch may still retry.
-    pub fn set_peer_counts(&mut self, counted: RetryCounts, reporting: usize, hosts: usize) {
-        self.peer_counts = counted;
-        self.hosts = hosts.max(1);
-        self.reporting = reporting.clamp(1, self.hosts);
+    /// Requests of this host, to report to the others.
+    pub fn requests(&mut self, now: Instant) -> u32 {
+        self.expire(now);
+        self.requests.len() as u32
+    }
+
+    /// Time for which retries count.
+    fn counted_time(&self) -> Duration {
+        self.window + DELIVERY_TIME
     }
 
-    /// Share of the remaining budget of `hosts` that have counted `requests`.
-    fn share(&self, requests: f64, hosts: usize) -> f64 {
-        let own_requests = self.requests.len() as f64;
-        let all_requests = own_requests + f64::from(self.peer_counts.requests);
-        let even_share = hosts as f64 / self.hosts as f64;
-        if all_requests == 0.0 {
-            return even_share;
+    /// Part of a share that its holder may use.
+    fn usable_part(&self, held_since: Instant, now: Instant) -> f64 {
+        let held = now.saturating_duration_since(held_since);
+        if held >= self.counted_time() {
+            return 1.0;
         }
-        // Requests of hosts that are out of touch are not counted, but their share stays reserved
-        // for them.
-        let heard_share = self.reporting as f64 / self.hosts as f64;
-        EVEN_SHARE * even_share + (1.0 - EVEN_SHARE) * requests / all_requests * heard_share
+        EARLY_PART * held.as_secs_f64() / self.counted_time().as_secs_f64()
     }
 
-    /// Share of the remaining budget that this host keeps for itself.
-    fn local_share(&self) -> f64 {
-        LOCAL_PART * self.share(self.requests.len() as f64, 1)
+    /// A host's part of the slack.
+    fn slack_share(&self) -> f64 {
+        self.slack / self.hosts.get().max(1) as f64
     }
 
-    /// Share of the remaining budget that this host lends from.
-    fn pool_share(&self) -> f64 {
-        self.pool.map_or(0.0, |pool| {
-            let requests = self.requests.len() as f64 + f64::from(pool.requests);
-            let share = self.share(requests, pool.hosts.min(self.hosts)).min(1.0);
-            (1.0 - LOCAL_PART) * share / pool.lenders.max(1) as f64
-        })
+    /// Retries that this host may make of the part of its share that it keeps. The ratio of its own
+    /// requests is its own from the start: no earlier process had them.
+    fn local(&self, now: Instant) -> f64 {
+        let slack = self.slack_share() * self.usable_part(self.started, now);
+        SHARED_PART * LOCAL_PART * (self.ratio * self.requests.len() as f64 + slack)
     }
 
-    /// Counts of this host, to report to the others.
-    pub fn counts(&mut self, now: Instant) -> RetryCounts {
-        self.expire(now);
-        let retries = self.retries.len() + self.lent.len();
-        RetryCounts { requests: self.requests.len() as u32, retries: retries as u32 }
+    /// Retries that this host may lend.
+    fn pool(&self, now: Instant) -> f64 {
+        let slack = self.slack_share();
+        let own = Claim { requests: self.requests.len() as u32, ..self.own_claim };
+        let valid = self.claims.values().chain([&own]).filter(|claim| claim.valid(now));
+        let shares = valid.map(|claim| {
+            let share = self.ratio * f64::from(claim.requests) + slack;
+            self.usable_part(claim.since, now) * share
+        });
+        let part = SHARED_PART * (1.0 - LOCAL_PART) / self.lenders.get().max(1) as f64;
+        part * shares.sum::<f64>()
     }
 
     /// Whether [`RetryBudget::try_retry`] would allow a retry now.
@@ -207,8 +244,7 @@
     /// Whether one more retry is within the budget; if so, it is counted. Borrowed retries are used
     /// last, and are counted by their lender.
     pub fn try_retry(&mut self, now: Instant) -> bool {
-        let usage = self.usage(now);
-        if usage.left() >= 1.0 {
+        if self.usage(now).left() >= 1.0 {
             self.retries.push_back(now);
             return true;
         }
@@ -238,20 +274,15 @@
     /// How much of the budget is spent.
     pub fn usage(&mut self, now: Instant) -> RetryUsage {
         self.expire(now);
-        let requests = self.requests.len() as f64 + f64::from(self.peer_counts.requests);
-        let unreported = |times: &VecDeque<Instant>| {
-            let since = |at: &Instant| now.saturating_duration_since(*at);
-            let recent = |at: &&Instant| since(at) < REPORT_DELAY + SETTLING_TIME;
-            times.iter().rev().take_while(recent).count()
-        };
-        let (unreported, lent) = (unreported(&self.retries), unreported(&self.lent));
-        let own = self.retries.len() + self.lent.len() - unreported - lent;
-        let settled = self.peer_retries.iter().map(|(_, retries)| *retries).min();
-        let reported = own as u32 + settled.unwrap_or(self.peer_counts.retries);
-        let usable = USABLE_SHARE * (self.ratio * requests + self.slack);
-        let remaining = usable - f64::from(reported);
-        let (share, pool) = (remaining * self.local_share(), remaining * self.pool_share());
-        RetryUsage { usable, reported, unreported, share, lent, pool }
+        RetryUsage {
+            requests: self.requests.len(),
+            hosts: self.hosts.get().max(1),
+            made: self.retries.len(),
+            local: self.local(now),
+            lent: self.lent.len(),
+            pool: self.pool(now),
+            borrowed: self.borrowed.len(),
+        }
     }
 
     fn expire(&mut self, now: Instant) {
@@ -260,9 +291,10 @@
                 times.pop_front();
             }
         };
+        let counted = self.counted_time();
         expire(&mut self.requests, self.window);
-        expire(&mut self.retries, self.window);
-        expire(&mut self.lent, self.window);
+        expire(&mut self.retries, counted);
+        expire(&mut self.lent, counted);
         expire(&mut self.borrowed, LOAN_VALIDITY);
     }
 }
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -70,29 +70,45 @@
     assert_eq!(a.hosts(), 2, "its counts may still matter");
 }
 
-/// Guards against forgetting the retries of a process when its host starts again: the others would
-/// make them once more.
+/// What a lender knows of another host of its data centre.
+struct Delegation {
+    name: &'static str,
+    /// Whether the other host has heard the lender before its last heartbeat.
+    heard: bool,
+    /// Time since that heartbeat.
+    silent: Duration,
+    /// Whether the lender holds the other host's share.
+    held: bool,
+}
+
+/// Guards against a share that a host holds itself, since it hears no lender, and a lender as well.
 #[test]
-fn the_counts_of_a_former_process_are_kept() {
-    let now = Instant::now();
+fn a_lender_holds_the_shares_of_live_hosts_that_hear_it() {
+    let cases = [
+        Delegation { name: "both ways", heard: true, silent: ms(0), held: true },
+        Delegation { name: "one way", heard: false, silent: ms(0), held: false },
+        Delegation { name: "silent", heard: true, silent: ms(1300), held: false },
+    ];
     let service = name_hash("models");
-    let mut a = peers(1, "north", &[], now);
-    let counts = vec![ServiceCounts { service, requests: 10, repeats: 4 }];
-    for life in [7, 8] {
-        let mut b = Peers::new(addr(2), "north", life, &[addr(1)], now);
-        let own = LocalState { counts: counts.clone(), ..own() };
-        let beat = sent(&mut b, 1, &own, now).expect("a first contact");
-        a.receive(addr(2), beat, now);
-    }
-    assert_eq!(a.view(now).counted(service).retries, 8);
-    assert_eq!(a.view(now + ms(11_000)).counted(service).retries, 0, "the window is over");
-    for life in 9..200 {
-        let mut b = Peers::new(addr(2), "north", life, &[addr(1)], now);
-        let own = LocalState { counts: counts.clone(), ..own() };
-        let beat = sent(&mut b, 1, &own, now).expect("a first contact");
+    for case in cases {
+        let now = Instant::now();
+        let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "north", &[addr(1)], now));
+        let counts = vec![ServiceCounts { service, requests: 10 }];
+        let other = LocalState { counts, ..own() };
+        let beat = sent(&mut b, 1, &other, now).expect("a first contact");
         a.receive(addr(2), beat, now);
+        let beat = sent(&mut a, 2, &own(), now).expect("an answer");
+        if case.heard {
+            b.receive(addr(1), beat, now);
+        }
+        let then = now + ms(1100);
+        let beat = sent(&mut b, 1, &other, then).expect("another heartbeat");
+        a.receive(addr(2), beat, then);
+        let pool = a.retry_pool(service, then + case.silent).expect("the first host lends");
+        let members = if case.held { vec![(addr(2), 10)] } else { Vec::new() };
+        assert_eq!(pool.members, members, "{}", case.name);
+        assert_eq!(a.known_hosts(then + case.silent), 2, "{}", case.name);
     }
-    assert_eq!(a.view(now).counted(service).retries, 4 * 9, "as many as a host may have");
 }
 
 #[test]
--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -1,10 +1,33 @@
 //! Tests of how many sends may be retries.
 
 use roseshore_core::gateway::RetryBudget;
-use roseshore_core::gateway::retry_budget::{Borrower, RetryCounts};
+use roseshore_core::gateway::retry_budget::{Borrower, Pool};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(10);
+/// Time for which retries count: the window, and the time until a lent one arrives.
+const COUNTED: Duration = Duration::from_secs(11);
+
+/// The budget of a host that has run for long and lends from a pool of its own.
+fn budget(ratio: f64, slack: f64, hosts: usize, now: Instant) -> RetryBudget {
+    let started = now.checked_sub(COUNTED).expect("the clock began before");
+    let mut budget = RetryBudget::new(ratio, slack, WINDOW, started);
+    for step in 0..=22 {
+        budget.set_pool(hosts, Some(&alone()), started + ms(500 * step));
+    }
+    budget
+}
+
+/// The pool of a host that is its own only lender.
+fn alone() -> Pool {
+    Pool { members: Vec::new(), lenders: 1 }
+}
+
+/// Makes as many retries as the budget allows.
+fn spend(budget: &mut RetryBudget, now: Instant) -> usize {
+    (0..1000).take_while(|_| budget.try_retry(now)).count()
+}
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -17,23 +40,12 @@
     const SLACK: f64 = 200.0;
     let start = Instant::now();
     let mut hosts: Vec<RetryBudget> =
-        (0..HOSTS).map(|_| RetryBudget::new(RATIO, SLACK, WINDOW)).collect();
+        (0..HOSTS).map(|_| budget(RATIO, SLACK, HOSTS, start)).collect();
     let (mut requests, mut retries) = (0_u32, 0_u32);
     for step in 0..90 {
         let now = start + ms(step * 100);
-        // Every fourth step, each host receives the counts of the others.
-        if step % 4 == 0 {
-            let all: Vec<RetryCounts> = hosts.iter_mut().map(|h| h.counts(now)).collect();
-            for (i, host) in hosts.iter_mut().enumerate() {
-                let others = all.iter().enumerate().filter(|(j, _)| *j != i);
-                let sum = others.fold(RetryCounts::default(), |sum, (_, c)| RetryCounts {
-                    requests: sum.requests + c.requests,
-                    retries: sum.retries + c.retries,
-                });
-                host.set_peer_counts(sum, HOSTS, HOSTS);
-            }
-        }
         for host in &mut hosts {
+            host.set_pool(HOSTS, Some(&alone()), now);
             host.record_request(now);
             requests += 1;
             // Far more attempts than the bound permits.
@@ -48,25 +60,27 @@
 #[test]
 fn counts_expire_after_the_window() {
     let start = Instant::now();
-    let mut host = RetryBudget::new(0.0, 10.0, WINDOW);
-    let spent = (0..100).filter(|_| host.try_retry(start)).count();
-    assert_eq!(spent, 8);
-    assert!(!host.try_retry(start + ms(9_000)));
-    assert!(host.try_retry(start + ms(10_500)));
+    let mut host = budget(0.0, 10.0, 1, start);
+    assert_eq!(spend(&mut host, start), 8);
+    for step in 1..22 {
+        let now = start + ms(500 * step);
+        host.set_pool(1, Some(&alone()), now);
+        assert!(!host.try_retry(now), "after {:?}", now - start);
+    }
+    let later = start + ms(11_100);
+    host.set_pool(1, Some(&alone()), later);
+    assert_eq!(spend(&mut host, later), 8);
 }
 
 #[test]
 fn a_host_that_hears_from_no_other_keeps_to_its_share() {
     let now = Instant::now();
-    let mut host = RetryBudget::new(0.0, 160.0, WINDOW);
-    host.set_peer_counts(RetryCounts::default(), 1, 8);
-    let spent = (0..100).filter(|_| host.try_retry(now)).count();
-    assert_eq!(spent, 16);
+    let mut host = budget(0.0, 160.0, 8, now);
+    assert_eq!(spend(&mut host, now), 16);
     // Its own requests are the only ones it knows of, and still it gets no more than its share.
-    let mut busy = RetryBudget::new(0.0, 160.0, WINDOW);
-    busy.set_peer_counts(RetryCounts::default(), 1, 8);
+    let mut busy = budget(0.0, 160.0, 8, now);
     (0..50).for_each(|_| busy.record_request(now));
-    assert_eq!((0..100).filter(|_| busy.try_retry(now)).count(), 16);
+    assert_eq!(spend(&mut busy, now), 16);
 }
 
 /// Guards against equal shares of the budget. Sixty-four hosts, some with five times the requests
@@ -81,10 +95,8 @@
     let (mut wanted, mut retried) = (0, 0);
     for host in 0..HOSTS {
         let own = requests(host);
-        let mut budget = RetryBudget::new(0.2, 312.0, WINDOW);
+        let mut budget = budget(0.2, 312.0, HOSTS as usize, now);
         (0..own).for_each(|_| budget.record_request(now));
-        let others = RetryCounts { requests: all - own, retries: 0 };
-        budget.set_peer_counts(others, HOSTS as usize, HOSTS as usize);
         let lost = own / 4 - own / 20;
         wanted += lost;
         retried += (0..lost).filter(|_| budget.try_retry(now)).count() as u32;
@@ -135,25 +147,88 @@
     ];
     let now = Instant::now();
     for case in cases {
-        let mut lender = RetryBudget::new(0.0, 100.0, WINDOW);
+        let mut lender = budget(0.0, 100.0, 1, now);
         let made = (0..case.made).filter(|_| lender.try_retry(now)).count();
         lender.borrow(case.borrowed, now);
         assert_eq!(lender.lend(case.wanted, case.borrower, now), case.granted, "{}", case.name);
         // What it lends counts as its own.
         let passed_on = if case.borrower == Borrower::Near { case.borrowed } else { 0 };
-        let counted = made as u32 + u32::from(case.granted - passed_on.min(case.granted));
-        assert_eq!(lender.counts(now).retries, counted, "{}", case.name);
+        let counted = made + usize::from(case.granted - passed_on.min(case.granted));
+        let usage = lender.usage(now);
+        assert_eq!(usage.made + usage.lent, counted, "{}", case.name);
     }
 }
 
 #[test]
 fn borrowed_retries_are_used_last_and_expire() {
     let now = Instant::now();
-    let mut host = RetryBudget::new(0.0, 10.0, WINDOW);
+    let mut host = budget(0.0, 10.0, 1, now);
     host.borrow(3, now);
-    assert_eq!((0..100).filter(|_| host.try_retry(now)).count(), 8 + 3);
-    assert_eq!(host.counts(now).retries, 8, "borrowed retries are counted by their lender");
+    assert_eq!(spend(&mut host, now), 8 + 3);
+    assert_eq!(host.usage(now).made, 8, "borrowed retries are counted by their lender");
     host.borrow(3, now);
     assert!(host.has_retry(now));
     assert!(!host.has_retry(now + ms(1_500)), "they expire");
 }
+
+/// How long a host has held shares, and how many retries of a budget of 1,000 it may make then.
+struct Held {
+    name: &'static str,
+    /// Time since the host started.
+    running: Duration,
+    /// Time since it became the lender of its own pool, and of another host of two.
+    lending: Option<Duration>,
+    /// Time since its pool was last confirmed.
+    confirmed: Duration,
+    made: usize,
+}
+
+#[test]
+fn a_share_that_changes_hands_is_not_used_twice_in_a_window() {
+    let long = Duration::from_secs(30);
+    let case =
+        Held { name: "all", running: long, lending: Some(long), confirmed: ms(0), made: 760 };
+    let cases = [
+        // Of 400, a tenth is local; of 800, nine tenths are pooled.
+        Held { name: "no lender", lending: None, made: 40, ..case },
+        Held { name: "a lender for half a window", lending: Some(COUNTED / 2), made: 130, ..case },
+        Held { name: "a lender for a window", lending: Some(COUNTED), ..case },
+        Held { name: "no pool was confirmed", confirmed: ms(1100), made: 40, ..case },
+        Held { name: "started", running: ms(0), lending: Some(ms(0)), made: 0, ..case },
+        Held {
+            name: "started half a window ago",
+            running: COUNTED / 2,
+            lending: Some(COUNTED / 2),
+            made: 95,
+            ..case
+        },
+        case,
+    ];
+    let other: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let pool = Pool { members: vec![(other, 0)], lenders: 1 };
+    let begun = Instant::now();
+    let now = begun + long;
+    for case in cases {
+        let started = begun + long.saturating_sub(case.running);
+        let mut host = RetryBudget::new(0.0, 1000.0, WINDOW, started);
+        for at in (0..=60).map(|step| begun + ms(500 * step)).filter(|at| *at >= started) {
+            let ago = now - at;
+            let lends = case.lending.is_some_and(|since| ago <= since) && ago >= case.confirmed;
+            host.set_pool(2, lends.then_some(&pool), at);
+        }
+        assert_eq!(spend(&mut host, now), case.made, "{}", case.name);
+    }
+}
+
+/// Guards against a fleet that is parted: each part would have the slack of all for itself.
+#[test]
+fn hosts_that_are_no_longer_known_keep_their_part_of_the_slack() {
+    let now = Instant::now();
+    let mut host = budget(0.0, 160.0, 8, now);
+    host.set_pool(2, Some(&alone()), now);
+    assert_eq!(host.usage(now).hosts, 8);
+    assert_eq!(spend(&mut host, now), 16);
+    let next_day = now + Duration::from_hours(25);
+    host.set_pool(2, Some(&alone()), next_day);
+    assert_eq!(host.usage(next_day).hosts, 2);
+}
--- a/crates/roseshore_core/tests/gateway/retry_loans.rs
+++ b/crates/roseshore_core/tests/gateway/retry_loans.rs
@@ -1,7 +1,7 @@
 //! Tests of whom a host asks for retries, and when.
 
 use roseshore_core::gateway::peers::{RetryLoan, RetryLoanRequest};
-use roseshore_core::gateway::retry_budget::Borrower;
+use roseshore_core::gateway::retry_budget::{Borrower, Pool};
 use roseshore_core::gateway::{RetryBudget, RetryLoans};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -69,7 +69,11 @@
 #[test]
 fn a_repeated_request_gets_the_earlier_reply() {
     let now = Instant::now();
-    let mut budget = RetryBudget::new(0.0, 100.0, Duration::from_secs(10));
+    let window = Duration::from_secs(10);
+    let started = now.checked_sub(2 * window).expect("the clock began before");
+    let mut budget = RetryBudget::new(0.0, 100.0, window, started);
+    let pool = Pool { members: Vec::new(), lenders: 1 };
+    (0..=40).for_each(|n| budget.set_pool(1, Some(&pool), started + n * window / 20));
     let mut lender = RetryLoans::new(0);
     let mut granted = |from: u8, number: u64| {
         let request = RetryLoanRequest { number, service: SERVICE, wanted: 40 };
@@ -77,7 +81,7 @@
     };
     let answers = [(1, 1), (1, 1), (2, 1), (2, 2), (1, 1)].map(|(from, n)| granted(from, n));
     assert_eq!(answers, [40, 40, 32, 0, 40]);
-    assert_eq!(budget.counts(now).retries, 72);
+    assert_eq!(budget.usage(now).lent, 72);
     let unknown = RetryLoanRequest { number: 3, service: SERVICE + 1, wanted: 40 };
     let loan = lender.answer(addr(1), &unknown, Borrower::Near, None, now);
     assert_eq!(loan.granted, 0, "a service that is not served here");
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -417,6 +417,7 @@
         self.update_outdated();
         self.update_readiness();
         self.send_heartbeats();
+        self.update_retry_pools();
     }
 
     /// Passes a changed connection to the code for its role.
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -89,7 +89,7 @@
         self.copies.expected(self.now) && !self.newer_configs.outdated_since().is_some_and(overdue)
     }
 
-    /// Aggregates the loads and counts that other hosts reported.
+    /// Aggregates the loads that other hosts reported.
     fn aggregate_peers(&mut self) {
         let now = self.now;
         if self.peers_viewed.is_some_and(|at| now.saturating_duration_since(at) < VIEW_INTERVAL) {
@@ -102,9 +102,6 @@
         if !changes.down.is_empty() {
             self.verify_reports(self.started);
         }
-        for (service, budget) in &mut self.retry_budgets {
-            budget.set_peers(service, &self.peers, &view, now);
-        }
     }
 
     /// Logs what other hosts report about targets where it has changed.
@@ -135,17 +132,25 @@
         self.targets.pace_reports(MAX_PACE_REPORTS, self.rng.random::<u32>() as usize, self.now)
     }
 
-    /// The requests and retries of each service that this host has counted.
+    /// The requests of each service that this host has counted.
     fn service_counts(&mut self) -> Vec<ServiceCounts> {
         let now = self.now;
-        let report = |(service, budget): (&ServiceId, &mut RetryBudget)| {
-            let counted = budget.counts(now);
-            let (requests, repeats) = (counted.requests, counted.retries);
-            ServiceCounts { service: name_hash(service), requests, repeats }
+        let report = |(service, budget): (&ServiceId, &mut RetryBudget)| ServiceCounts {
+            service: name_hash(service),
+            requests: budget.requests(now),
         };
         self.retry_budgets.iter_mut().map(report).collect()
     }
 
+    /// Updates which retries this host may lend.
+    pub(super) fn update_retry_pools(&mut self) {
+        for (service, budget) in &mut self.retry_budgets {
+            budget.set_peers(service, &self.peers, self.now);
+            metrics::gauge!("roseshore_retry_allowance", "service" => service.clone())
+                .set(budget.usage(self.now).allowed());
+        }
+    }
+
     /// Sends heartbeats now, to the hosts of this data centre or, with `all`, to all hosts.
     pub(super) fn heartbeat_now(&mut self, all: bool) {
         self.peers.make_due(all);
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -80,11 +80,11 @@
         let Some(exchange) = self.exchanges.get(key) else { return String::new() };
         let (service, started) = (exchange.service.name.clone(), exchange.delivery.started);
         let attempt = exchange.request_fields.attempt.clone();
-        let RetryUsage { usable, reported, unreported, share, lent, pool } =
+        let RetryUsage { requests, hosts, made, local, lent, pool, borrowed } =
             self.retry_budget(&service).usage(now);
         format!(
-            "request={attempt} service={service} started={started} own={unreported} \
-             share={share:.1} lent={lent} pool={pool:.1} reported={reported} usable={usable:.0}"
+            "request={attempt} service={service} started={started} made={made} local={local:.1} \
+             lent={lent} pool={pool:.1} borrowed={borrowed} requests={requests} hosts={hosts}"
         )
     }
 
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -59,11 +59,11 @@
 
     /// The retry budget of a service.
     pub(super) fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
-        let (bounds, peers, now) = (&self.settings.bounds, &self.peers, self.now);
+        let (bounds, peers, started) = (&self.settings.bounds, &self.peers, self.started);
         let fresh = || {
-            let ratio = bounds.retry_ratio;
-            let mut budget = RetryBudget::new(ratio, bounds.retry_slack, bounds.retry_window);
-            budget.set_peers(service, peers, &peers.view(now), now);
+            let (ratio, slack) = (bounds.retry_ratio, bounds.retry_slack);
+            let mut budget = RetryBudget::new(ratio, slack, bounds.retry_window, started);
+            budget.set_peers(service, peers, self.now);
             budget
         };
         self.retry_budgets.entry(service.to_owned()).or_insert_with(fresh)
--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -152,8 +152,8 @@
         let seeds: Vec<SocketAddr> = (0..3).map(addr).collect();
         let (data_centre, now) = (n % self.case.data_centres, self.now);
         let peers = Peers::new(addr(n), &format!("centre-{data_centre}"), life, &seeds, now);
-        let mut budget = RetryBudget::new(RATIO, SLACK, WINDOW);
-        budget.set_peers("models", &peers, &peers.view(now), now);
+        let mut budget = RetryBudget::new(RATIO, SLACK, WINDOW, now);
+        budget.set_peers("models", &peers, now);
         Host {
             peers,
             budget,
@@ -220,11 +220,11 @@
         if !host.alive {
             return;
         }
-        host.budget.set_peers("models", &host.peers, &host.peers.view(now), now);
-        let counts = host.budget.counts(now);
-        let counts = ServiceCounts { service, requests: counts.requests, repeats: counts.retries };
-        let own = LocalState { config: 1, counts: vec![counts], ..LocalState::default() };
-        for (to, beat) in host.peers.due(&own, now) {
+        let counts = vec![ServiceCounts { service, requests: host.budget.requests(now) }];
+        let own = LocalState { config: 1, counts, ..LocalState::default() };
+        let due = host.peers.due(&own, now);
+        host.budget.set_peers("models", &host.peers, now);
+        for (to, beat) in due {
             self.send(n, to, Datagram::Beat(Box::new(beat)));
         }
     }
@@ -482,8 +482,8 @@
 
 #[test]
 fn hosts_that_forget_their_retries_stay_within_the_bound() {
-    let restart = |kills, tenths| Faults { kills, tenths, ..NO_FAULTS };
-    let freeze = |freezes| Faults { freezes, tenths: 3, ..NO_FAULTS };
+    let restart = |kills, tenths| Faults { tenths, kills, ..NO_FAULTS };
+    let freeze = |freezes| Faults { tenths: 3, freezes, ..NO_FAULTS };
     check_outages(&[
         ("all restart", restart(&[2], 10)),
         ("all restart twice", restart(&[2, 6], 10)),
