A reload of the settings keeps the retries of the window

When the operators changed any bound, a host dropped its retry budgets and began with empty counts: it could make its share once more in the same window. Found while looking for other places that forget retries; seen in the code, not in a run. The budget now takes the new bound and keeps what was made and lent. The test is of the decision; the reload itself was a line that cleared the map.

--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Changes the bound. What was made and lent still counts.
+    pub fn set_bound(&mut self, ratio: f64, slack: f64, window: Duration) {
+        (self.ratio, self.slack, self.window) = (ratio, slack, window);
+    }
+
     /// Counts a request.
     pub fn record_request(&mut self, now: Instant) {
         self.expire(now);
--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -232,3 +232,15 @@
     host.set_pool(2, Some(&alone()), next_day);
     assert_eq!(host.usage(next_day).hosts, 2);
 }
+
+/// Guards against a reload of the settings that forgets the retries of the window.
+#[test]
+fn a_changed_bound_still_counts_what_was_retried() {
+    let now = Instant::now();
+    let mut host = budget(0.0, 10.0, 1, now);
+    assert_eq!(spend(&mut host, now), 8);
+    host.set_bound(0.0, 20.0, WINDOW);
+    assert_eq!(spend(&mut host, now), 8);
+    host.set_bound(0.0, 5.0, WINDOW);
+    assert_eq!(spend(&mut host, now), 0);
+}
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -2,7 +2,7 @@
 
 use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::{ConfigLease, RetryBudget};
+use roseshore_core::gateway::{Bounds, ConfigLease, RetryBudget};
 use roseshore_core::prelude::*;
 use std::sync::atomic::Ordering;
 
@@ -50,7 +50,10 @@
             if let Some(proven) = age.and_then(|age| self.now.checked_sub(age)) {
                 self.config_lease.renew(proven);
             }
-            self.retry_budgets.clear();
+            let Bounds { retry_ratio, retry_slack, retry_window, .. } = fresh.bounds;
+            for budget in self.retry_budgets.values_mut() {
+                budget.set_bound(retry_ratio, retry_slack, retry_window);
+            }
             self.store_sync.set_bounds(&fresh.bounds);
         }
         self.settings.bounds = fresh.bounds;
