A lender holds shares of retries since it took them over, not since a first request

A budget is created with the first request of its service, and a lender's claims to the shares of other hosts began with it. The simulations missed it: all their hosts have requests from the start.

What a host holds does not depend on the service, so Peers keeps it now (peers/lending), from the start of the process; budgets of all services read it. The number of hosts that divide the slack moves there for the same reason. The tests cover when a hold begins, lapses and begins anew.

--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 //! made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
 //! with each hop.
 
+mod lending;
 mod message;
 mod peer;
 mod ranking;
@@ -25,6 +26,7 @@
 use super::fatal::FatalReport;
 use super::paces::PaceReport;
 use crate::prelude::*;
+use lending::Lending;
 pub use message::{
     CentreHash, Datagram, Echo, Heartbeat, HoldingReport, KnownHost, LimitReport, ListVersion,
     PeerRequest, PermitGrant, PermitRequest, ReachQuery, ReachReply, RetryLoan, RetryLoanRequest,
@@ -116,6 +118,7 @@
     speaking: bool,
     urgency: Urgency,
     all: BTreeMap<SocketAddr, Peer>,
+    lending: Lending,
     next_named: usize,
 }
 
@@ -141,6 +144,7 @@
             speaking: true,
             urgency: Urgency::Normal,
             all: seeds.iter().filter(|seed| **seed != addr).map(seed).collect(),
+            lending: Lending::default(),
             next_named: 0,
         }
     }
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -7,7 +7,7 @@
 use super::message::{CentreHash, KnownHost, Scope, TargetHash};
 use super::peer::{Peer, Rank, rank};
 use super::{Peers, relation};
-use crate::gateway::retry_budget::{Borrower, Pool};
+use crate::gateway::retry_budget::Borrower;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -105,7 +105,7 @@
     }
 
     /// The first hosts of the own data centre, by rank, which lend retries.
-    fn lending_ranks(&self, now: Instant) -> Vec<Rank> {
+    pub(super) fn lending_ranks(&self, now: Instant) -> Vec<Rank> {
         let mut ranks = self.ranked_near(now);
         ranks.truncate(LENDERS);
         ranks
@@ -126,27 +126,6 @@
         lenders
     }
 
-    /// The pool of a service's retries that this host lends from; `None` if it is no lender.
-    pub fn retry_pool(&self, service: TargetHash, now: Instant) -> Option<Pool> {
-        if !self.speaking {
-            return None;
-        }
-        let ranks = self.lending_ranks(now);
-        if !ranks.contains(&self.rank()) {
-            return None;
-        }
-        let delegates = |p: &&Peer| {
-            let near = self.is_near(p) && p.scope == Scope::Own;
-            near && p.alive(true, now) && p.hears_this_host(now)
-        };
-        let member = |p: &Peer| {
-            let counts = p.counts.iter().filter(|count| count.service == service);
-            (p.addr, counts.map(|count| count.requests).sum())
-        };
-        let members = self.all.values().filter(delegates).map(member).collect();
-        Some(Pool { members, lenders: ranks.len() })
-    }
-
     /// Whether a host that asks this one for retries is in the own data centre, and whether it is a
     /// lender there, which asks the other lenders itself.
     pub fn borrower(&self, addr: SocketAddr, now: Instant) -> Borrower {
--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -18,10 +18,8 @@
 //! passed, and all holders together keep that part in reserve.
 
 use super::peers::{Peers, name_hash};
-use super::window_max::WindowMax;
 use crate::prelude::*;
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::VecDeque;
 
 /// Part of the bound that is shared out; the rest is the reserve for shares that change hands.
 const SHARED_PART: f64 = 0.8;
@@ -37,10 +35,13 @@
 /// Time from the decision for a retry, or a loan, to its arrival at a target. Retries count for so
 /// much longer than the window.
 const DELIVERY_TIME: Duration = LOAN_VALIDITY;
-/// How long a lender holds the share of a host after it was last confirmed.
-const CLAIM_VALIDITY: Duration = Duration::from_secs(1);
-/// How long a host that is gone still has its part of the slack: it may only be out of touch.
-const HOST_RETENTION: Duration = Duration::from_hours(24);
+/// How long a lender uses its pool after it was last confirmed.
+const POOL_VALIDITY: Duration = Duration::from_secs(1);
+
+/// Time for which a retry counts, given the window of the bound.
+pub fn counted_time(window: Duration) -> Duration {
+    window + DELIVERY_TIME
+}
 
 /// How much of a retry budget is spent, as seen by one host.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,11 +74,13 @@
     }
 }
 
-/// The hosts whose pooled shares a lender holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// The pooled shares that a lender holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pool {
-    /// The other hosts, with the requests that they counted.
-    pub members: Vec<(SocketAddr, u32)>,
+    /// Since when it holds its own share.
+    pub own_since: Instant,
+    /// For each other host, since when its share is held, and the requests that it counted.
+    pub members: Vec<(Instant, u32)>,
     /// Lenders among which the pool is divided.
     pub lenders: usize,
 }
@@ -93,33 +96,6 @@
     Remote,
 }
 
-/// A lender's claim to the pooled share of a host.
-#[derive(Clone, Copy, Debug)]
-struct Claim {
-    since: Instant,
-    confirmed: Instant,
-    /// Requests that the host counted.
-    requests: u32,
-}
-
-impl Claim {
-    fn new(since: Instant) -> Claim {
-        Claim { since, confirmed: since, requests: 0 }
-    }
-
-    /// Confirms the claim. It begins anew if it had lapsed.
-    fn confirm(&mut self, requests: u32, now: Instant) {
-        if !self.valid(now) {
-            self.since = now;
-        }
-        (self.confirmed, self.requests) = (now, requests);
-    }
-
-    fn valid(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.confirmed) <= CLAIM_VALIDITY
-    }
-}
-
 /// The retry budget of one service, as seen by one host.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -137,18 +113,14 @@
     /// When each borrowed retry that is not used yet was received.
     borrowed: VecDeque<Instant>,
     /// Hosts among which the slack is divided, including this one.
-    hosts: WindowMax,
-    /// Lenders among which the pool is divided.
-    lenders: WindowMax,
-    /// The claim to this host's own pooled share, while it is a lender.
-    own_claim: Claim,
-    /// The claims to the pooled shares of other hosts.
-    claims: BTreeMap<SocketAddr, Claim>,
+    hosts: usize,
+    /// The pool that this host lends from, and when it was confirmed.
+    pool: Option<(Pool, Instant)>,
 }
 
 impl RetryBudget {
     /// A budget of `ratio` retries per request plus `slack` in each `window`, for all hosts
-    /// together. Until it hears of others, the host is the lender of its own pool.
+    /// together, for a process that has started at this time.
     pub fn new(ratio: f64, slack: f64, window: Duration, started: Instant) -> RetryBudget {
         RetryBudget {
             ratio,
@@ -159,10 +131,8 @@
             retries: VecDeque::new(),
             lent: VecDeque::new(),
             borrowed: VecDeque::new(),
-            hosts: WindowMax::new(HOST_RETENTION),
-            lenders: WindowMax::new(window + DELIVERY_TIME),
-            own_claim: Claim::new(started),
-            claims: BTreeMap::new(),
+            hosts: 1,
+            pool: None,
         }
     }
 
@@ -179,21 +149,14 @@
 
     /// Sets the number of hosts, and the pool that this host lends from.
     pub fn set_peers(&mut self, service: &str, peers: &Peers, now: Instant) {
-        let pool = peers.retry_pool(name_hash(service), now);
-        self.set_pool(peers.known_hosts(now), pool.as_ref(), now);
+        self.set_pool(peers.sharing_hosts(), peers.retry_pool(name_hash(service), now), now);
     }
 
     /// Sets the number of hosts that there are or were recently, including this one, and the pool
     /// that this host lends from; `None` if others lend.
-    pub fn set_pool(&mut self, hosts: usize, pool: Option<&Pool>, now: Instant) {
-        self.hosts.set(hosts, now);
-        self.claims.retain(|_, claim| claim.valid(now));
-        let Some(pool) = pool else { return };
-        self.lenders.set(pool.lenders, now);
-        self.own_claim.confirm(0, now);
-        for (host, requests) in &pool.members {
-            self.claims.entry(*host).or_insert_with(|| Claim::new(now)).confirm(*requests, now);
-        }
+    pub fn set_pool(&mut self, hosts: usize, pool: Option<Pool>, now: Instant) {
+        self.hosts = hosts.max(1);
+        self.pool = pool.map(|pool| (pool, now));
     }
 
     /// Requests of this host, to report to the others.
@@ -204,7 +167,7 @@
 
     /// Time for which retries count.
     fn counted_time(&self) -> Duration {
-        self.window + DELIVERY_TIME
+        counted_time(self.window)
     }
 
     /// Part of a share that its holder may use.
@@ -218,7 +181,7 @@
 
     /// A host's part of the slack.
     fn slack_share(&self) -> f64 {
-        self.slack / self.hosts.get().max(1) as f64
+        self.slack / self.hosts as f64
     }
 
     /// Retries that this host may make of the part of its share that it keeps. The ratio of its own
@@ -230,15 +193,17 @@
 
     /// Retries that this host may lend.
     fn pool(&self, now: Instant) -> f64 {
-        let slack = self.slack_share();
-        let own = Claim { requests: self.requests.len() as u32, ..self.own_claim };
-        let valid = self.claims.values().chain([&own]).filter(|claim| claim.valid(now));
-        let shares = valid.map(|claim| {
-            let share = self.ratio * f64::from(claim.requests) + slack;
-            self.usable_part(claim.since, now) * share
-        });
-        let part = SHARED_PART * (1.0 - LOCAL_PART) / self.lenders.get().max(1) as f64;
-        part * shares.sum::<f64>()
+        let confirmed = |at: Instant| now.saturating_duration_since(at) <= POOL_VALIDITY;
+        let Some((pool, _)) = self.pool.as_ref().filter(|(_, at)| confirmed(*at)) else {
+            return 0.0;
+        };
+        let share = |(since, requests): (Instant, u32)| {
+            let share = self.ratio * f64::from(requests) + self.slack_share();
+            self.usable_part(since, now) * share
+        };
+        let own = share((pool.own_since, self.requests.len() as u32));
+        let shares = own + pool.members.iter().copied().map(share).sum::<f64>();
+        SHARED_PART * (1.0 - LOCAL_PART) * shares / pool.lenders.max(1) as f64
     }
 
     /// Whether [`RetryBudget::try_retry`] would allow a retry now.
@@ -281,7 +246,7 @@
         self.expire(now);
         RetryUsage {
             requests: self.requests.len(),
-            hosts: self.hosts.get().max(1),
+            hosts: self.hosts,
             made: self.retries.len(),
             local: self.local(now),
             lent: self.lent.len(),
--- a/crates/roseshore_core/src/gateway/window_max.rs
+++ b/crates/roseshore_core/src/gateway/window_max.rs
@@ -4,28 +4,21 @@
 use std::collections::VecDeque;
 
 /// A number whose decreases count only after a window has passed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WindowMax {
-    window: Duration,
     /// Times at which values were last set, and the values, in decreasing order.
     values: VecDeque<(Instant, usize)>,
 }
 
 impl WindowMax {
-    /// No value yet.
-    pub(super) fn new(window: Duration) -> WindowMax {
-        WindowMax { window, values: VecDeque::new() }
-    }
-
-    /// Sets the value that holds from now on.
-    pub(super) fn set(&mut self, value: usize, now: Instant) {
+    /// Sets the value that holds from now on. A larger one counts for `window`.
+    pub(super) fn set(&mut self, value: usize, window: Duration, now: Instant) {
         while self.values.back().is_some_and(|(_, smaller)| *smaller <= value) {
             self.values.pop_back();
         }
         self.values.push_back((now, value));
-        while self.values.len() > 1
-            && now.saturating_duration_since(self.values[0].0) >= self.window
-        {
+        let expired = |at: Instant| now.saturating_duration_since(at) >= window;
+        while self.values.len() > 1 && expired(self.values[0].0) {
             self.values.pop_front();
         }
     }
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -6,13 +6,16 @@
 use roseshore_core::gateway::fatal::{CrashReport, FatalReport, REPORT_BYTES};
 use roseshore_core::gateway::paces::PaceReport;
 use roseshore_core::gateway::peers::{
-    Heartbeat, HoldingReport, LimitReport, ListVersion, LocalState, Peers, ServiceCounts,
+    Heartbeat, HoldingReport, LimitReport, ListVersion, LocalState, Peers, Scope, ServiceCounts,
     TargetLoad, name_hash,
 };
 use roseshore_core::gateway::targets::LayersReport;
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
+/// Time for which retries count.
+const WINDOW: Duration = Duration::from_secs(11);
+
 fn addr(n: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, n], 7000))
 }
@@ -104,11 +107,47 @@
         let then = now + ms(1100);
         let beat = sent(&mut b, 1, &other, then).expect("another heartbeat");
         a.receive(addr(2), beat, then);
-        let pool = a.retry_pool(service, then + case.silent).expect("the first host lends");
-        let members = if case.held { vec![(addr(2), 10)] } else { Vec::new() };
-        assert_eq!(pool.members, members, "{}", case.name);
-        assert_eq!(a.known_hosts(then + case.silent), 2, "{}", case.name);
+        let later = then + case.silent;
+        a.update_lending(WINDOW, later);
+        let pool = a.retry_pool(service, later).expect("the first host lends");
+        let members = if case.held { vec![(later, 10)] } else { Vec::new() };
+        assert_eq!((pool.own_since, pool.members), (later, members), "{}", case.name);
+        assert_eq!(a.sharing_hosts(), 2, "{}", case.name);
+    }
+}
+
+/// Guards against a share that counts as held for long after others may have held it.
+#[test]
+fn a_share_is_held_since_it_was_last_taken_over() {
+    let now = Instant::now();
+    let mut a = peers(1, "north", &[], now);
+    let held_since = |a: &Peers, now| a.retry_pool(name_hash("models"), now).map(|p| p.own_since);
+    for step in [0, 900, 1800] {
+        a.update_lending(WINDOW, now + ms(step));
     }
+    assert_eq!(held_since(&a, now + ms(2700)), Some(now));
+    assert_eq!(held_since(&a, now + ms(2900)), None, "not confirmed");
+    a.update_lending(WINDOW, now + ms(2900));
+    assert_eq!(held_since(&a, now + ms(2900)), Some(now + ms(2900)));
+}
+
+/// Guards against a fleet that is parted: each part would have the slack of all for itself.
+#[test]
+fn hosts_that_are_no_longer_known_keep_their_part_of_the_slack() {
+    let now = Instant::now();
+    let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "south", &[addr(1)], now));
+    let mut beat = sent(&mut b, 1, &own(), now).expect("a first contact");
+    (beat.scope, beat.known) = (Scope::Centre(5), 7);
+    a.receive(addr(2), beat, now);
+    a.update_lending(WINDOW, now);
+    assert_eq!(a.sharing_hosts(), 8, "with those that are out of touch with the other speaker");
+    let hour = now + Duration::from_hours(1);
+    assert!(a.due(&own(), hour).is_empty());
+    a.update_lending(WINDOW, hour);
+    assert_eq!((a.known_hosts(hour), a.sharing_hosts()), (1, 8));
+    let next_day = now + Duration::from_hours(25);
+    a.update_lending(WINDOW, next_day);
+    assert_eq!(a.sharing_hosts(), 1);
 }
 
 #[test]
--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -2,7 +2,6 @@
 
 use roseshore_core::gateway::RetryBudget;
 use roseshore_core::gateway::retry_budget::{Borrower, Pool};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -13,15 +12,13 @@
 fn budget(ratio: f64, slack: f64, hosts: usize, now: Instant) -> RetryBudget {
     let started = now.checked_sub(COUNTED).expect("the clock began before");
     let mut budget = RetryBudget::new(ratio, slack, WINDOW, started);
-    for step in 0..=22 {
-        budget.set_pool(hosts, Some(&alone()), started + ms(500 * step));
-    }
+    budget.set_pool(hosts, Some(alone(started)), now);
     budget
 }
 
-/// The pool of a host that is its own only lender.
-fn alone() -> Pool {
-    Pool { members: Vec::new(), lenders: 1 }
+/// The pool of a host that has been its own only lender since then.
+fn alone(own_since: Instant) -> Pool {
+    Pool { own_since, members: Vec::new(), lenders: 1 }
 }
 
 /// Makes as many retries as the budget allows.
@@ -39,13 +36,14 @@
     const RATIO: f64 = 0.2;
     const SLACK: f64 = 200.0;
     let start = Instant::now();
+    let long_ago = start.checked_sub(COUNTED).expect("the clock began before");
     let mut hosts: Vec<RetryBudget> =
         (0..HOSTS).map(|_| budget(RATIO, SLACK, HOSTS, start)).collect();
     let (mut requests, mut retries) = (0_u32, 0_u32);
     for step in 0..90 {
         let now = start + ms(step * 100);
         for host in &mut hosts {
-            host.set_pool(HOSTS, Some(&alone()), now);
+            host.set_pool(HOSTS, Some(alone(long_ago)), now);
             host.record_request(now);
             requests += 1;
             // Far more attempts than the bound permits.
@@ -60,15 +58,16 @@
 #[test]
 fn counts_expire_after_the_window() {
     let start = Instant::now();
+    let long_ago = start.checked_sub(COUNTED).expect("the clock began before");
     let mut host = budget(0.0, 10.0, 1, start);
     assert_eq!(spend(&mut host, start), 8);
     for step in 1..22 {
         let now = start + ms(500 * step);
-        host.set_pool(1, Some(&alone()), now);
+        host.set_pool(1, Some(alone(long_ago)), now);
         assert!(!host.try_retry(now), "after {:?}", now - start);
     }
     let later = start + ms(11_100);
-    host.set_pool(1, Some(&alone()), later);
+    host.set_pool(1, Some(alone(long_ago)), later);
     assert_eq!(spend(&mut host, later), 8);
 }
 
@@ -204,35 +203,20 @@
         },
         case,
     ];
-    let other: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    let pool = Pool { members: vec![(other, 0)], lenders: 1 };
     let begun = Instant::now();
     let now = begun + long;
     for case in cases {
-        let started = begun + long.saturating_sub(case.running);
-        let mut host = RetryBudget::new(0.0, 1000.0, WINDOW, started);
-        for at in (0..=60).map(|step| begun + ms(500 * step)).filter(|at| *at >= started) {
-            let ago = now - at;
-            let lends = case.lending.is_some_and(|since| ago <= since) && ago >= case.confirmed;
-            host.set_pool(2, lends.then_some(&pool), at);
-        }
+        let ago = |time: Duration| begun + long.saturating_sub(time);
+        let pool = |lending| {
+            let since = ago(lending);
+            Pool { own_since: since, members: vec![(since, 0)], lenders: 1 }
+        };
+        let mut host = RetryBudget::new(0.0, 1000.0, WINDOW, ago(case.running));
+        host.set_pool(2, case.lending.map(pool), ago(case.confirmed));
         assert_eq!(spend(&mut host, now), case.made, "{}", case.name);
     }
 }
 
-/// Guards against a fleet that is parted: each part would have the slack of all for itself.
-#[test]
-fn hosts_that_are_no_longer_known_keep_their_part_of_the_slack() {
-    let now = Instant::now();
-    let mut host = budget(0.0, 160.0, 8, now);
-    host.set_pool(2, Some(&alone()), now);
-    assert_eq!(host.usage(now).hosts, 8);
-    assert_eq!(spend(&mut host, now), 16);
-    let next_day = now + Duration::from_hours(25);
-    host.set_pool(2, Some(&alone()), next_day);
-    assert_eq!(host.usage(next_day).hosts, 2);
-}
-
 /// Guards against a reload of the settings that forgets the retries of the window.
 #[test]
 fn a_changed_bound_still_counts_what_was_retried() {
--- a/crates/roseshore_core/tests/gateway/retry_loans.rs
+++ b/crates/roseshore_core/tests/gateway/retry_loans.rs
@@ -72,8 +72,7 @@
     let window = Duration::from_secs(10);
     let started = now.checked_sub(2 * window).expect("the clock began before");
     let mut budget = RetryBudget::new(0.0, 100.0, window, started);
-    let pool = Pool { members: Vec::new(), lenders: 1 };
-    (0..=40).for_each(|n| budget.set_pool(1, Some(&pool), started + n * window / 20));
+    budget.set_pool(1, Some(Pool { own_since: started, members: Vec::new(), lenders: 1 }), now);
     let mut lender = RetryLoans::new(0);
     let mut granted = |from: u8, number: u64| {
         let request = RetryLoanRequest { number, service: SERVICE, wanted: 40 };
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -7,6 +7,7 @@
 use roseshore_core::gateway::fatal::MIN_URGENT_GAP;
 use roseshore_core::gateway::paces::{EnginePace, PaceReport};
 use roseshore_core::gateway::peers::{Datagram, Heartbeat, LocalState, ServiceCounts, name_hash};
+use roseshore_core::gateway::retry_budget::counted_time;
 use roseshore_core::gateway::targets::ReportChanges;
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
@@ -144,6 +145,8 @@
 
     /// Updates which retries this host may lend.
     pub(super) fn update_retry_pools(&mut self) {
+        let counted = counted_time(self.settings.bounds.retry_window);
+        self.peers.update_lending(counted, self.now);
         for (service, budget) in &mut self.retry_budgets {
             budget.set_peers(service, &self.peers, self.now);
             metrics::gauge!("roseshore_retry_allowance", "service" => service.clone())
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -62,10 +62,10 @@
 
     /// The retry budget of a service.
     pub(super) fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
-        let (bounds, peers, started) = (&self.settings.bounds, &self.peers, self.started);
+        let (bounds, peers) = (&self.settings.bounds, &self.peers);
         let fresh = || {
             let (ratio, slack) = (bounds.retry_ratio, bounds.retry_slack);
-            let mut budget = RetryBudget::new(ratio, slack, bounds.retry_window, started);
+            let mut budget = RetryBudget::new(ratio, slack, bounds.retry_window, peers.started());
             budget.set_peers(service, peers, self.now);
             budget
         };
--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use roseshore_core::gateway::peers::{Datagram, LocalState, ServiceCounts, name_hash};
+use roseshore_core::gateway::retry_budget::counted_time;
 use roseshore_core::gateway::{Peers, RetryBudget, RetryLoans};
 use roseshore_core::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -223,6 +224,7 @@
         let counts = vec![ServiceCounts { service, requests: host.budget.requests(now) }];
         let own = LocalState { config: 1, counts, ..LocalState::default() };
         let due = host.peers.due(&own, now);
+        host.peers.update_lending(counted_time(WINDOW), now);
         host.budget.set_peers("models", &host.peers, now);
         for (to, beat) in due {
             self.send(n, to, Datagram::Beat(Box::new(beat)));
