Hashes and reports of targets are leaves that every decision may refer to

Fifteen files of core/gateway referred to each other in a ring, since the hashes and the reports of targets' loads, limits and lists lay with the heartbeats, which themselves carry what fatal, paces, copies and targets report. They are modules of their own now (hashes, reports); the retry budget no longer knows the peers. No decision is changed.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -22,7 +22,7 @@
 //!
 //! What hosts do together:
 //! - [`plan`]: the layers that each engine should hold;
-//! - [`peers`]: the heartbeats between hosts; [`copies`]: the store's contents that they hand each
+//! - [`peers`]: the heartbeats between hosts; [`hashes`] and [`reports`]: what these refer to; [`copies`]: the store's contents that they hand each
 //!   other;
 //! - [`overload`]: when a host turns new callers away;
 //! - [`store_reads`]: which hosts read the store; [`outage`]: whether a missing entry means that
@@ -34,6 +34,7 @@
 pub mod failure;
 pub mod fatal;
 pub mod fingerprint;
+pub mod hashes;
 pub mod leaving;
 pub mod limits;
 pub mod liveness;
@@ -46,6 +47,7 @@
 pub mod plan;
 pub mod poll_timing;
 pub mod position;
+pub mod reports;
 pub mod retry_budget;
 pub mod retry_loans;
 pub mod routes;
--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -20,7 +20,7 @@
 mod record;
 
 use super::fingerprint::{Fingerprint, Suspects};
-use super::peers::TargetHash;
+use super::hashes::TargetHash;
 use crate::prelude::*;
 use attribution::{Block, Evidence};
 pub use record::{FatalRecord, RecordDiff};
--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -4,7 +4,7 @@
 //! related to the next one only by its content: caller, path and body. Different requests may also
 //! have the cause in common, as a part of their prompts.
 
-use super::peers::name_hash;
+use super::hashes::name_hash;
 use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
 use std::fmt;
--- a/crates/roseshore_core/src/gateway/limits.rs
+++ b/crates/roseshore_core/src/gateway/limits.rs
@@ -19,7 +19,9 @@
 pub mod issuer;
 pub mod share;
 
-use super::peers::{LimitReport, PermitGrant, PermitRequest, TargetHash};
+use super::hashes::TargetHash;
+use super::peers::{PermitGrant, PermitRequest};
+use super::reports::LimitReport;
 use crate::prelude::*;
 use advertisement::{Advertisement, Advertisements};
 pub use issuer::Issuer;
--- a/crates/roseshore_core/src/gateway/limits/advertisement.rs
+++ b/crates/roseshore_core/src/gateway/limits/advertisement.rs
@@ -13,7 +13,8 @@
 //! lowest limit applies. Two hosts that preferred the younger of two such advertisements would send
 //! each other theirs, and accept them, forever.
 
-use super::super::peers::{LimitReport, TargetHash};
+use crate::gateway::hashes::TargetHash;
+use crate::gateway::reports::LimitReport;
 use crate::prelude::*;
 
 /// Lowest limit, in requests per second. Only a response shows that a limit of 0 has ended, so such
--- a/crates/roseshore_core/src/gateway/limits/issuer.rs
+++ b/crates/roseshore_core/src/gateway/limits/issuer.rs
@@ -4,9 +4,10 @@
 //! what they send stays within the limit. A new issuer starts with a single permit, since it does
 //! not know what the former one has issued recently.
 
-use super::super::peers::{Peers, PermitGrant, PermitRequest, TargetHash};
 use super::TargetLimits;
 use super::share::{PermitShare, RecentDemand, ShareInputs};
+use crate::gateway::hashes::TargetHash;
+use crate::gateway::peers::{Peers, PermitGrant, PermitRequest};
 use crate::prelude::*;
 use std::collections::HashMap;
 
--- a/crates/roseshore_core/src/gateway/paces.rs
+++ b/crates/roseshore_core/src/gateway/paces.rs
@@ -7,7 +7,7 @@
 //! Polls are limited, so that 1,000 engines do not use up the host. Those that matter for requests
 //! are polled in each round, and the rest of the round goes to the others in turn.
 
-use super::peers::TargetHash;
+use super::hashes::TargetHash;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -24,14 +24,15 @@
 mod view;
 
 use super::fatal::FatalReport;
+pub use super::hashes::{CentreHash, TargetHash, name_hash, target_hash};
 use super::paces::PaceReport;
+pub use super::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::prelude::*;
 use lending::Lending;
 pub use message::{
-    CentreHash, Datagram, Echo, Heartbeat, HoldingReport, KnownHost, LimitReport, ListVersion,
-    PeerRequest, PermitGrant, PermitRequest, ReachQuery, ReachReply, RetryLoan, RetryLoanRequest,
-    Scope, ServiceCounts, TargetHash, TargetLoad, TunnelReply, TunnelRequest, name_hash,
-    target_hash,
+    Datagram, Echo, Heartbeat, HoldingReport, KnownHost, PeerRequest, PermitGrant, PermitRequest,
+    ReachQuery, ReachReply, RetryLoan, RetryLoanRequest, Scope, ServiceCounts, TunnelReply,
+    TunnelRequest,
 };
 use peer::Peer;
 use sending::Urgency;
--- a/crates/roseshore_core/src/gateway/peers/lending.rs
+++ b/crates/roseshore_core/src/gateway/peers/lending.rs
@@ -6,8 +6,9 @@
 //! lenders may each take a share for theirs. The budget therefore asks how long a share has been held.
 
 use super::Peers;
-use super::message::{Scope, TargetHash};
+use super::message::Scope;
 use super::peer::Peer;
+use crate::gateway::hashes::TargetHash;
 use crate::gateway::retry_budget::Pool;
 use crate::gateway::window_max::WindowMax;
 use crate::prelude::*;
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -3,42 +3,12 @@
 
 use crate::gateway::copies::CopyRequest;
 use crate::gateway::fatal::FatalReport;
+use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::paces::PaceReport;
-use crate::gateway::position::Position;
+use crate::gateway::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::gateway::targets::LayersReport;
-use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Hash that identifies a target's incarnation in messages.
-pub type TargetHash = u32;
-/// Hash that identifies a data centre in messages.
-pub type CentreHash = u32;
-
-/// Hash of the name of a target, a service or a data centre.
-pub fn name_hash(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
-/// Hash of a target's incarnation. Reports about a former incarnation have another hash, so they
-/// are never taken for reports about the current one, however late they arrive.
-pub fn target_hash(id: &str, life: Incarnation) -> TargetHash {
-    if life == 0 { name_hash(id) } else { name_hash(&format!("{id}@{life}")) }
-}
-
-/// Load at a target, by one host or several.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TargetLoad {
-    /// Hash of the target.
-    pub target: TargetHash,
-    /// Requests in flight.
-    pub own: u16,
-    /// KV cache that they take, in thousands of tokens times layers.
-    pub held: u32,
-    /// Whether the target fails the liveness checks of a reporting host.
-    pub down: bool,
-}
 
 /// Layers that a target reported to hold, or was ordered to hold, before the list says so. An empty
 /// range means that the target was shown not to hold what the list says.
@@ -61,23 +31,6 @@
     pub requests: u32,
 }
 
-/// A target's advertised limit, as this or another host received it.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitReport {
-    /// Hash of the target.
-    pub target: TargetHash,
-    /// Requests per second that it accepts from all hosts together, as last advertised.
-    pub limit: f32,
-    /// Whether it no longer advertises a limit.
-    pub ended: bool,
-    /// Time since then, in milliseconds.
-    pub age: u32,
-    /// The host that received it from the target, and its sequence number there.
-    pub origin: (u32, u32),
-    /// Recent permit requests that the sender, as issuer, has got from its hosts.
-    pub wanted: u16,
-}
-
 /// Request to the issuer for a permit to send to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
@@ -184,15 +137,6 @@
     Reached(ReachReply),
 }
 
-/// How far a host has read the target list, and the digest of the result.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListVersion {
-    /// Position to read next.
-    pub next: Position,
-    /// Digest of the list.
-    pub digest: u64,
-}
-
 /// When the sender's copy of the store was last proven to be current, in a form that the receiver
 /// can convert to its own clock: milliseconds after the sender received the receiver's heartbeat,
 /// negative if the proof is older than that.
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -1,9 +1,8 @@
 //! One other host, as known from heartbeats.
 
-use super::message::{
-    CentreHash, Heartbeat, KnownHost, LimitReport, ListVersion, Scope, ServiceCounts, TargetHash,
-    TargetLoad,
-};
+use super::message::{Heartbeat, KnownHost, Scope, ServiceCounts};
+use crate::gateway::hashes::{CentreHash, TargetHash};
+use crate::gateway::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::prelude::*;
 use std::cmp::Reverse;
 use std::collections::HashMap;
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -4,9 +4,10 @@
 //! There is no election. Each host computes its rank from the hosts that it hears or that others
 //! name, so for a while two hosts may hold the same role, or none does.
 
-use super::message::{CentreHash, KnownHost, Scope, TargetHash};
+use super::message::{KnownHost, Scope};
 use super::peer::{Peer, Rank, rank};
 use super::{Peers, relation};
+use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::retry_budget::Borrower;
 use crate::prelude::*;
 use std::collections::BTreeMap;
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -4,11 +4,12 @@
 //! host that hears only speakers gets the sums over all hosts but itself, and a speaker of another
 //! data centre gets the sums over this one.
 
-use super::message::{CentreHash, Echo, Heartbeat, KnownHost, Scope};
+use super::message::{Echo, Heartbeat, KnownHost, Scope};
 use super::peer::{Peer, Rank};
 use super::relation::{self, Relation};
 use super::sums::{self, Sums, most_relevant};
 use super::{LocalState, Peers};
+use crate::gateway::hashes::CentreHash;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -1,8 +1,9 @@
 //! Combined loads of several hosts.
 
-use super::message::{TargetHash, TargetLoad};
 use super::peer::Peer;
 use crate::gateway::fatal::FatalReport;
+use crate::gateway::hashes::TargetHash;
+use crate::gateway::reports::TargetLoad;
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -1,9 +1,11 @@
 //! Combined load of the other hosts, as far as this host hears of them.
 
 use super::Peers;
-use super::message::{CentreHash, Scope, TargetHash, TargetLoad};
+use super::message::Scope;
 use super::peer::Peer;
 use super::sums::Sums;
+use crate::gateway::hashes::{CentreHash, TargetHash};
+use crate::gateway::reports::TargetLoad;
 use crate::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -17,7 +17,6 @@
 //! holder uses only a small part of it until the window in which the former one may have used it has
 //! passed, and all holders together keep that part in reserve.
 
-use super::peers::{Peers, name_hash};
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -148,11 +147,6 @@
         self.requests.push_back(now);
     }
 
-    /// Sets the number of hosts, and the pool that this host lends from.
-    pub fn set_peers(&mut self, service: &str, peers: &Peers, now: Instant) {
-        self.set_pool(peers.sharing_hosts(), peers.retry_pool(name_hash(service), now), now);
-    }
-
     /// Sets the number of hosts that there are or were recently, including this one, and the pool
     /// that this host lends from; `None` if others lend.
     pub fn set_pool(&mut self, hosts: usize, pool: Option<Pool>, now: Instant) {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -14,11 +14,12 @@
 mod list;
 mod target;
 
+use super::hashes::TargetHash;
 use super::paces::{EnginePace, PaceReport};
 use super::path::{Candidate, PathRequest};
-use super::peers::{TargetHash, TargetLoad};
 use super::plan::pressure::{EngineUsage, peak_utilisation};
 use super::position::Position;
+use super::reports::TargetLoad;
 use super::routes::EngineSpec;
 use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
--- a/crates/roseshore_core/src/gateway/targets/availability.rs
+++ b/crates/roseshore_core/src/gateway/targets/availability.rs
@@ -7,7 +7,7 @@
 //! failure either, which the next complete response would clear.
 
 use super::{Target, Targets};
-use crate::gateway::peers::TargetHash;
+use crate::gateway::hashes::TargetHash;
 use crate::prelude::*;
 
 /// Longest pause granted at once. A target that asks for more is tried once after it: a time far
--- a/crates/roseshore_core/src/gateway/targets/list.rs
+++ b/crates/roseshore_core/src/gateway/targets/list.rs
@@ -2,8 +2,8 @@
 
 use super::Targets;
 use super::target::{Target, TargetRecord};
-use crate::gateway::peers::ListVersion;
 use crate::gateway::position::Position;
+use crate::gateway::reports::ListVersion;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -1,9 +1,10 @@
 //! A single target: its record in the platform's list and this host's view of it.
 
 use super::super::paces::EnginePace;
-use super::super::peers::{TargetHash, TargetLoad, target_hash};
 use super::super::position::Position;
 use super::Availability;
+use crate::gateway::hashes::{TargetHash, target_hash};
+use crate::gateway::reports::TargetLoad;
 use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -148,7 +148,8 @@
         let counted = counted_time(self.settings.bounds.retry_window);
         self.peers.update_lending(counted, self.now);
         for (service, budget) in &mut self.retry_budgets {
-            budget.set_peers(service, &self.peers, self.now);
+            let pool = self.peers.retry_pool(name_hash(service), self.now);
+            budget.set_pool(self.peers.sharing_hosts(), pool, self.now);
             metrics::gauge!("roseshore_retry_allowance", "service" => service.clone())
                 .set(budget.usage(self.now).allowed());
         }
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -2,6 +2,7 @@
 
 use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
+use roseshore_core::gateway::hashes::name_hash;
 use roseshore_core::gateway::{Bounds, ConfigLease, RetryBudget};
 use roseshore_core::prelude::*;
 use std::sync::atomic::Ordering;
@@ -66,7 +67,8 @@
         let fresh = || {
             let (ratio, slack) = (bounds.retry_ratio, bounds.retry_slack);
             let mut budget = RetryBudget::new(ratio, slack, bounds.retry_window, peers.started());
-            budget.set_peers(service, peers, self.now);
+            let pool = peers.retry_pool(name_hash(service), self.now);
+            budget.set_pool(peers.sharing_hosts(), pool, self.now);
             budget
         };
         self.retry_budgets.entry(service.to_owned()).or_insert_with(fresh)
