--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -3,8 +3,9 @@
 //! The operators bound the retries of each service for all hosts together: a ratio of the requests
 //! in a window, plus a slack. Hosts may lose touch with each other, or start again, at any time, so
 //! the bound holds without any report of what other hosts have retried. Each host has a share: the
-//! ratio of its own requests, and its part of the slack. The shares add up to the bound, and in no
-//! window is more of a share used than all of it.
+//! ratio of its own requests, and its part of the slack. The shares add up to most of the bound; the
+//! rest is in reserve. In no window is more of a share used than all of it, and what its next holder
+//! may use.
 //!
 //! An engine's failure hits a few hosts within milliseconds, so a host keeps only a part of its
 //! share for itself. The lenders of its data centre hold the rest in a pool, from which its hosts,
@@ -14,8 +15,8 @@
 //!
 //! A share may change hands: a host starts again, loses its lenders and becomes its own, or a
 //! lender takes the place of another. What the former holder used of it is unknown. So the new
-//! holder uses only a small part of it until the window in which the former one may have used it has
-//! passed, and all holders together keep that part in reserve.
+//! holder uses only a small part of it, taken from the reserve, until the window in which the former
+//! one may have used it has passed.
 
 use crate::prelude::*;
 use std::collections::VecDeque;
