A host that has just started may send a few requests again at once

Callers of a small or new system would have seen the same for seconds after a start.

The reserve of 0.16 is divided: half is gained little by little as before, half is used at once, a quarter of it by each of at most four holders of a share within a window. So the sum stays within the bound by construction. While a host has not had time to discover the others, it has no part of the slack, as it cannot know its size; what it holds counts from its start.

--- a/crates/roseshore_core/src/gateway/peers/lending.rs
+++ b/crates/roseshore_core/src/gateway/peers/lending.rs
@@ -87,9 +87,9 @@
         Some(Pool { own_since: own.since, members, lenders: self.lending.lenders.get() })
     }
 
-    /// Number of hosts among which the slack is divided.
-    pub fn sharing_hosts(&self) -> usize {
-        self.lending.hosts.get().max(1)
+    /// Number of hosts among which the slack is divided; 0 while this host does not know them.
+    pub fn sharing_hosts(&self, now: Instant) -> usize {
+        if self.discovers(now) { 0 } else { self.lending.hosts.get().max(1) }
     }
 
     /// When this process started; an earlier one may have used the share of its host.
--- a/crates/roseshore_core/src/gateway/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/retry_budget.rs
@@ -23,9 +23,16 @@
 
 /// Part of the bound that is shared out; the rest is the reserve for shares that change hands.
 const SHARED_PART: f64 = 0.84;
-/// Part of a share that its holder gains in the first window, little by little. Successive holders
-/// within a window gain no more than that together.
+/// Holders that a share may have one after the other within a window: hosts do not start, and lenders
+/// do not change, more often.
+const MAX_HOLDERS: f64 = 4.0;
+/// Part of a share that all its holders within a window, but the first, may use together.
 const EARLY_PART: f64 = (1.0 - SHARED_PART) / SHARED_PART;
+/// Part of a share that a new holder may use at once, so that a host that has just started can send
+/// a request again.
+const PART_AT_ONCE: f64 = EARLY_PART / 2.0 / MAX_HOLDERS;
+/// Part of a share that a new holder gains little by little within its first window.
+const GRADUAL_PART: f64 = EARLY_PART / 2.0;
 /// Part of a host's share that it keeps for itself; the rest goes to the pool of its data centre.
 const LOCAL_PART: f64 = 0.1;
 /// Largest part of a pool that one loan to another lender takes.
@@ -103,8 +110,8 @@
     ratio: f64,
     slack: f64,
     window: Duration,
-    /// When this process started; an earlier one may have used the share.
-    started: Instant,
+    /// Since when this process holds its share; an earlier one may have used it.
+    held_since: Instant,
     /// When each request within the window came.
     requests: VecDeque<Instant>,
     /// When each retry that still counts was made.
@@ -113,7 +120,7 @@
     lent: VecDeque<Instant>,
     /// When each borrowed retry that is not used yet was received.
     borrowed: VecDeque<Instant>,
-    /// Hosts among which the slack is divided, including this one.
+    /// Hosts among which the slack is divided, including this one; 0 while they are not known.
     hosts: usize,
     /// The pool that this host lends from, and when it was confirmed.
     pool: Option<(Pool, Instant)>,
@@ -121,18 +128,18 @@
 
 impl RetryBudget {
     /// A budget of `ratio` retries per request plus `slack` in each `window`, for all hosts
-    /// together, for a process that has started at this time.
-    pub fn new(ratio: f64, slack: f64, window: Duration, started: Instant) -> RetryBudget {
+    /// together, for a process that holds its share since this time.
+    pub fn new(ratio: f64, slack: f64, window: Duration, held_since: Instant) -> RetryBudget {
         RetryBudget {
             ratio,
             slack,
             window,
-            started,
+            held_since,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
             lent: VecDeque::new(),
             borrowed: VecDeque::new(),
-            hosts: 1,
+            hosts: 0,
             pool: None,
         }
     }
@@ -148,10 +155,10 @@
         self.requests.push_back(now);
     }
 
-    /// Sets the number of hosts that there are or were recently, including this one, and the pool
-    /// that this host lends from; `None` if others lend.
+    /// Sets the number of hosts that there are or were recently, including this one (0 while that is
+    /// not known), and the pool that this host lends from; `None` if others lend.
     pub fn set_pool(&mut self, hosts: usize, pool: Option<Pool>, now: Instant) {
-        self.hosts = hosts.max(1);
+        self.hosts = hosts;
         self.pool = pool.map(|pool| (pool, now));
     }
 
@@ -168,22 +175,22 @@
 
     /// Part of a share that its holder may use.
     fn usable_part(&self, held_since: Instant, now: Instant) -> f64 {
-        let held = now.saturating_duration_since(held_since);
+        let Some(held) = now.checked_duration_since(held_since) else { return 0.0 };
         if held >= self.counted_time() {
             return 1.0;
         }
-        EARLY_PART * held.as_secs_f64() / self.counted_time().as_secs_f64()
+        PART_AT_ONCE + GRADUAL_PART * held.as_secs_f64() / self.counted_time().as_secs_f64()
     }
 
     /// A host's part of the slack.
     fn slack_share(&self) -> f64 {
-        self.slack / self.hosts as f64
+        if self.hosts == 0 { 0.0 } else { self.slack / self.hosts as f64 }
     }
 
     /// Retries that this host may make of the part of its share that it keeps. The ratio of its own
     /// requests is its own from the start: no earlier process had them.
     fn local(&self, now: Instant) -> f64 {
-        let slack = self.slack_share() * self.usable_part(self.started, now);
+        let slack = self.slack_share() * self.usable_part(self.held_since, now);
         SHARED_PART * LOCAL_PART * (self.ratio * self.requests.len() as f64 + slack)
     }
 
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -149,7 +149,7 @@
         self.peers.update_lending(counted, self.now);
         for (service, budget) in &mut self.retry_budgets {
             let pool = self.peers.retry_pool(name_hash(service), self.now);
-            budget.set_pool(self.peers.sharing_hosts(), pool, self.now);
+            budget.set_pool(self.peers.sharing_hosts(self.now), pool, self.now);
             metrics::gauge!("roseshore_retry_allowance", "service" => service.clone())
                 .set(budget.usage(self.now).allowed());
         }
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -68,7 +68,7 @@
             let (ratio, slack) = (bounds.retry_ratio, bounds.retry_slack);
             let mut budget = RetryBudget::new(ratio, slack, bounds.retry_window, peers.started());
             let pool = peers.retry_pool(name_hash(service), self.now);
-            budget.set_pool(peers.sharing_hosts(), pool, self.now);
+            budget.set_pool(peers.sharing_hosts(self.now), pool, self.now);
             budget
         };
         self.retry_budgets.entry(service.to_owned()).or_insert_with(fresh)
