Quotas that hosts spend together get one home, and the relay's dispatch is split by job

Cause: retries and permits lay beside each other without a common page, and room is to join them; `relay/entry/dispatch.rs` chose paths, queued, sent and handled failures in one file. Change: `core/gateway/quota` holds `limits`, `retry_budget`, `retry_loans`; `relay/entry` has `choice`, `capacity_wait`, `send_failure` beside `dispatch`. No decision changes.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -3,8 +3,7 @@
 //! What a host knows:
 //! - [`routes`]: the operator's configuration as one immutable snapshot;
 //! - [`settings`]: the settings of the process;
-//! - [`targets`]: the targets and their load; [`paces`]: how fast engines run; [`limits`]: how many
-//!   requests targets accept from all hosts together;
+//! - [`targets`]: the targets and their load; [`paces`]: how fast engines run;
 //! - [`position`]: how far the store's logs were read; [`config_lease`]: whether the configuration
 //!   is still known to be the newest;
 //! - [`fatal`]: which requests crash their targets, identified by [`fingerprint`];
@@ -13,14 +12,14 @@
 //! What a host decides for a request:
 //! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
 //!   again;
-//! - [`failure`]: the next step after a failed send; [`retry_budget`]: how many sends may be
-//!   retries; [`retry_loans`]: whom a host asks for more of them;
+//! - [`failure`]: the next step after a failed send;
 //! - [`unavailable`]: why no target can be chosen; [`shortage`]: when a refused caller should try
 //!   again;
 //! - [`leaving`]: which requests a stopping host still accepts; [`poll_timing`]: when a request
 //!   arrived that a busy host polled late.
 //!
 //! What hosts do together:
+//! - [`quota`]: what they spend together, such as retries;
 //! - [`plan`]: the layers that each engine should hold;
 //! - [`peers`]: the heartbeats between hosts; [`hashes`] and [`reports`]: what these refer to; [`copies`]: the store's contents that they hand each
 //!   other;
@@ -36,7 +35,6 @@
 pub mod fingerprint;
 pub mod hashes;
 pub mod leaving;
-pub mod limits;
 pub mod liveness;
 pub mod newer_configs;
 pub mod outage;
@@ -47,9 +45,8 @@
 pub mod plan;
 pub mod poll_timing;
 pub mod position;
+pub mod quota;
 pub mod reports;
-pub mod retry_budget;
-pub mod retry_loans;
 pub mod routes;
 pub mod settings;
 pub mod shortage;
@@ -70,8 +67,8 @@
 pub use path::{Candidate, Hop, PathRequest};
 pub use peers::Peers;
 pub use position::Position;
-pub use retry_budget::RetryBudget;
-pub use retry_loans::RetryLoans;
+pub use quota::retry_budget::RetryBudget;
+pub use quota::retry_loans::RetryLoans;
 pub use routes::{
     AcceleratorKind, CallKind, EngineSpec, OrganisationSpec, RequestLimits, Route, ServiceSpec,
     Snapshot, WeightedService,
--- a/crates/roseshore_core/src/gateway/peers/lending.rs
+++ b/crates/roseshore_core/src/gateway/peers/lending.rs
@@ -1,4 +1,4 @@
-//! The shares of the [retry budget](crate::gateway::retry_budget) that this host holds as a lender,
+//! The shares of the [retry budget](crate::gateway::quota::retry_budget) that this host holds as a lender,
 //! and since when.
 //!
 //! A host's pooled share is held by the lenders of its data centre while they hear each other.
@@ -9,7 +9,7 @@
 use super::message::Scope;
 use super::peer::Peer;
 use crate::gateway::hashes::TargetHash;
-use crate::gateway::retry_budget::Pool;
+use crate::gateway::quota::retry_budget::Pool;
 use crate::gateway::window_max::WindowMax;
 use crate::prelude::*;
 use std::collections::BTreeMap;
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -8,7 +8,7 @@
 use super::peer::{Peer, Rank, rank};
 use super::{Peers, relation};
 use crate::gateway::hashes::{CentreHash, TargetHash};
-use crate::gateway::retry_budget::Borrower;
+use crate::gateway::quota::retry_budget::Borrower;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/roseshore_core/src/gateway/limits.rs
+++ b/crates/roseshore_core/src/gateway/quota/limits.rs
@@ -19,9 +19,9 @@
 pub mod issuer;
 pub mod share;
 
-use super::hashes::TargetHash;
-use super::peers::{PermitGrant, PermitRequest};
-use super::reports::LimitReport;
+use crate::gateway::hashes::TargetHash;
+use crate::gateway::peers::{PermitGrant, PermitRequest};
+use crate::gateway::reports::LimitReport;
 use crate::prelude::*;
 use advertisement::{Advertisement, Advertisements};
 pub use issuer::Issuer;
--- a/crates/roseshore_core/src/gateway/retry_loans.rs
+++ b/crates/roseshore_core/src/gateway/quota/retry_loans.rs
@@ -5,9 +5,9 @@
 //! the others, and lends what it gets when its hosts ask again. A request is for all sends that wait
 //! for a retry of one service; a few are in progress at a time, so that a dead lender delays none.
 
-use super::hashes::TargetHash;
-use super::peers::{RetryLoan, RetryLoanRequest};
 use super::retry_budget::{Borrower, RetryBudget};
+use crate::gateway::hashes::TargetHash;
+use crate::gateway::peers::{RetryLoan, RetryLoanRequest};
 use crate::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/roseshore_core/tests/gateway/limit_ways.rs
+++ b/crates/roseshore_core/tests/gateway/limit_ways.rs
@@ -7,8 +7,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use roseshore_core::gateway::limits::share::ShareInputs;
-use roseshore_core::gateway::limits::{Issuer, PermitShare};
+use roseshore_core::gateway::quota::limits::share::ShareInputs;
+use roseshore_core::gateway::quota::limits::{Issuer, PermitShare};
 use roseshore_core::prelude::*;
 use std::collections::VecDeque;
 
--- a/crates/roseshore_core/tests/gateway/limits.rs
+++ b/crates/roseshore_core/tests/gateway/limits.rs
@@ -2,9 +2,11 @@
 //! what is issued.
 
 use proptest::prelude::*;
-use roseshore_core::gateway::limits::share::ShareInputs;
-use roseshore_core::gateway::limits::{Issuer, LimitChange, Permit, PermitShare, TargetLimits};
 use roseshore_core::gateway::peers::{LimitReport, PermitGrant};
+use roseshore_core::gateway::quota::limits::share::ShareInputs;
+use roseshore_core::gateway::quota::limits::{
+    Issuer, LimitChange, Permit, PermitShare, TargetLimits,
+};
 use roseshore_core::prelude::*;
 
 const TARGET: u32 = 7;
--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -1,7 +1,7 @@
 //! Tests of how many sends may be retries.
 
 use roseshore_core::gateway::RetryBudget;
-use roseshore_core::gateway::retry_budget::{Borrower, Pool};
+use roseshore_core::gateway::quota::retry_budget::{Borrower, Pool};
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(10);
--- a/crates/roseshore_core/tests/gateway/retry_loans.rs
+++ b/crates/roseshore_core/tests/gateway/retry_loans.rs
@@ -1,7 +1,7 @@
 //! Tests of whom a host asks for retries, and when.
 
 use roseshore_core::gateway::peers::{RetryLoan, RetryLoanRequest};
-use roseshore_core::gateway::retry_budget::{Borrower, Pool};
+use roseshore_core::gateway::quota::retry_budget::{Borrower, Pool};
 use roseshore_core::gateway::{RetryBudget, RetryLoans};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -4,7 +4,7 @@
 //! The event loop of the entry host does the I/O.
 
 use quick_error::quick_error;
-use roseshore_core::gateway::limits::AdvertisedLimit;
+use roseshore_core::gateway::quota::limits::AdvertisedLimit;
 use roseshore_core::gateway::{Holding, Hop, Snapshot, TargetRecord};
 use roseshore_core::ids::{Era, Incarnation, PromptPartId};
 use std::net::SocketAddr;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -3,6 +3,8 @@
 mod blocked_requests;
 mod callers;
 mod calls;
+mod capacity_wait;
+mod choice;
 mod copies;
 mod dispatch;
 mod exchange;
@@ -18,6 +20,7 @@
 mod relays;
 mod responses;
 mod retry_loans;
+mod send_failure;
 mod signals;
 mod store_sync;
 mod target_feedback;
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -0,0 +1,147 @@
+//! The choice of the target or path for a request.
+
+use super::EntryHost;
+use super::exchange::Exchange;
+use crate::slab::Key;
+use roseshore_core::gateway::Hop;
+use roseshore_core::gateway::path::{self, PathRequest};
+use roseshore_core::gateway::targets::Claim;
+use roseshore_core::prelude::*;
+use std::net::SocketAddr;
+
+/// The target or path chosen for a send.
+pub(super) struct Choice {
+    pub(super) target: TargetId,
+    pub(super) addr: SocketAddr,
+    /// The engines of the chain, in order; empty for a plain service.
+    pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
+    pub(super) claims: Vec<Claim>,
+    /// Predicted time to the first token in milliseconds.
+    ttft_ms: f64,
+    /// Predicted time between tokens in milliseconds.
+    pub(super) token_ms: f64,
+    /// Whether every target has capacity for the whole answer and none failed recently.
+    pub(super) suitable: bool,
+    /// Expected number of tokens of the answer.
+    expected: f64,
+    /// The highest cache utilisation on the path as a fraction, and its target.
+    pub(super) utilisation: (f64, TargetId),
+    /// A target of the path that failed recently.
+    pub(super) unhealthy: Option<TargetId>,
+}
+
+impl Choice {
+    /// A choice of a single target of a plain service, without predictions.
+    fn plain(target: TargetId, addr: SocketAddr) -> Choice {
+        Choice {
+            claims: vec![Claim { target: target.clone(), kv_used: 0.0 }],
+            target,
+            addr,
+            path: Vec::new(),
+            ttft_ms: 0.0,
+            token_ms: 0.0,
+            suitable: true,
+            expected: 0.0,
+            utilisation: (0.0, TargetId::new()),
+            unhealthy: None,
+        }
+    }
+
+    /// The target that receives the request, the first of the path.
+    pub(super) fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// The choice as text of a log line.
+    pub(super) fn log_text(&self) -> String {
+        let hops = self.path.iter();
+        let hops = hops.map(|(id, _, hop)| format!("{id}={}-{}", hop.layers.0, hop.layers.1));
+        format!(
+            "target={} path={} first_ms={:.0} token_ms={:.1} expected={:.0} fill={:.2} fullest={}",
+            self.target,
+            hops.collect::<Vec<_>>().join(","),
+            self.ttft_ms,
+            self.token_ms,
+            self.expected,
+            self.utilisation.0,
+            self.utilisation.1,
+        )
+    }
+}
+
+impl EntryHost {
+    /// The best target or path for a request now, which may lack capacity.
+    pub(super) fn choose(&mut self, key: Key) -> Option<Choice> {
+        let exchange = self.exchanges.get(key)?;
+        let limited = self.limited_targets(&exchange.service.name);
+        self.choose_at(key, self.now, &limited)
+    }
+
+    /// Like [`EntryHost::choose`], by the expected state at a time `at`, and without starting at
+    /// the targets in `excluded_first`.
+    pub(super) fn choose_at(
+        &mut self,
+        key: Key,
+        at: Instant,
+        excluded_first: &[TargetId],
+    ) -> Option<Choice> {
+        let exchange = self.exchanges.get(key)?;
+        let data_centre = self.settings.data_centre.as_str();
+        let bound = exchange.at_bound();
+        let allowed_first = bound.then_some(exchange.tried_targets.as_slice());
+        let avoid = exchange.avoided.list(at);
+        let Some(spec) = exchange.service.engine.as_ref() else {
+            if bound {
+                return None;
+            }
+            let avoid = [&avoid, excluded_first].concat();
+            let target = self.targets.choose_plain(&exchange.service.name, data_centre, &avoid, at);
+            let record = &target?.record;
+            return Some(Choice::plain(record.id.clone(), record.addr));
+        };
+        let written = f64::from(exchange.delivery.events) * spec.event_tokens;
+        let expected = expected_tokens(exchange, spec.mean_answer);
+        let path_request = PathRequest {
+            layers: spec.layers,
+            prompt_tokens: f64::from(exchange.request_fields.prompt_tokens) + written,
+            answer_tokens: (expected - written).max(spec.event_tokens),
+            data_centre,
+            avoided: &avoid,
+            excluded_first,
+            allowed_first,
+        };
+        let parts = self.targets.parts(&exchange.service.name, spec, &path_request, at);
+        let path = path::choose(&parts, &path_request, &mut self.rng)?;
+        let tokens = path_request.kv_tokens();
+        let claim = |(id, _, hop): &(TargetId, SocketAddr, Hop)| {
+            let kv_used = tokens * f64::from(hop.layers.1 - hop.layers.0);
+            Claim { target: id.clone(), kv_used }
+        };
+        let claims = path.hops.iter().map(claim).collect();
+        let (target, addr, _) = path.hops.first().cloned()?;
+        let (ttft_ms, token_ms, suitable) = (path.ttft_ms, path.token_ms, path.suitable);
+        let (utilisation, expected) =
+            ((path.utilisation, path.bottleneck), path_request.answer_tokens);
+        let (path, unhealthy) = (path.hops, path.unhealthy);
+        Some(Choice {
+            target,
+            addr,
+            path,
+            claims,
+            ttft_ms,
+            token_ms,
+            suitable,
+            expected,
+            utilisation,
+            unhealthy,
+        })
+    }
+}
+
+/// Expected number of tokens of an answer: the caller's estimate or else the usual number, within
+/// the caller's maximum.
+fn expected_tokens(exchange: &Exchange, default: f64) -> f64 {
+    let guess = exchange.request_fields.length_hint.map_or(default, f64::from);
+    let max_tokens = f64::from(exchange.request_fields.max_tokens);
+    if max_tokens > 0.0 { guess.min(max_tokens) } else { guess }
+}
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -7,7 +7,7 @@
 use roseshore_core::gateway::fatal::MIN_URGENT_GAP;
 use roseshore_core::gateway::paces::{EnginePace, PaceReport};
 use roseshore_core::gateway::peers::{Datagram, Heartbeat, LocalState, ServiceCounts, name_hash};
-use roseshore_core::gateway::retry_budget::counted_time;
+use roseshore_core::gateway::quota::retry_budget::counted_time;
 use roseshore_core::gateway::targets::ReportChanges;
 use roseshore_core::prelude::*;
 use roseshore_wire::frame::{self, MAX_DATAGRAM};
--- a/crates/roseshore_relay/src/entry/rate_limits.rs
+++ b/crates/roseshore_relay/src/entry/rate_limits.rs
@@ -1,16 +1,18 @@
 //! Enforces the rate limits of targets, which hold for all hosts together.
 //!
-//! State and decisions are in [`limits`](roseshore_core::gateway::limits). Here, a request to a
+//! State and decisions are in [`limits`](roseshore_core::gateway::quota::limits). Here, a request to a
 //! rate-limited target waits for a permit of the issuer, the host that issues them, and this host
 //! answers requests for permits if it is the issuer.
 
-use super::dispatch::Choice;
+use super::choice::Choice;
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::limits::{AdvertisedLimit, Issuer, LimitChange, Permit, TargetLimits};
 use roseshore_core::gateway::peers::{
     Datagram, LimitReport, PermitGrant, PermitRequest, TargetHash,
 };
+use roseshore_core::gateway::quota::limits::{
+    AdvertisedLimit, Issuer, LimitChange, Permit, TargetLimits,
+};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -1,14 +1,14 @@
 //! Loans of retries between hosts, for sends that this host's part of the retry budget does not
 //! allow.
 //!
-//! Decisions are in [`retry_budget`](roseshore_core::gateway::retry_budget) and
-//! [`retry_loans`](roseshore_core::gateway::retry_loans). Here, sends wait for a loan, and this host
+//! Decisions are in [`retry_budget`](roseshore_core::gateway::quota::retry_budget) and
+//! [`retry_loans`](roseshore_core::gateway::quota::retry_loans). Here, sends wait for a loan, and this host
 //! answers the requests of others.
 
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::peers::{Datagram, RetryLoan, RetryLoanRequest, name_hash};
-use roseshore_core::gateway::retry_budget::{Borrower, RetryUsage};
+use roseshore_core::gateway::quota::retry_budget::{Borrower, RetryUsage};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -0,0 +1,111 @@
+//! What follows a failed send: what is recorded of its targets, a retry or an error.
+
+use super::probes::millis;
+use super::relays::via_name;
+use super::{EntryHost, log_event};
+use crate::slab::Key;
+use roseshore_core::gateway::failure::{self, Blame, Fault, NextStep};
+use roseshore_core::prelude::*;
+use std::net::SocketAddr;
+
+/// How long a request avoids a target after a fault with [`Blame::Unknown`].
+const AVOID_UNKNOWN_BLAME: Duration = Duration::from_millis(250);
+
+impl EntryHost {
+    /// Handles a failed send; `culprit` is the target at fault if it is not the one that the
+    /// request was sent to.
+    pub(super) fn send_failed(&mut self, key: Key, fault: Fault, culprit: Option<SocketAddr>) {
+        let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else { return };
+        let named = culprit.and_then(|addr| send.at(addr));
+        let culprit = named.map_or(&send.target, |(id, _)| id).clone();
+        self.send_failed_by(key, fault, vec![culprit]);
+    }
+
+    /// Handles a failed send that is the fault of these targets; none if it is not known whose.
+    pub(super) fn send_failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(send) = &exchange.send else { return };
+        exchange.verdict = exchange.verdict.join(fault.verdict());
+        let waited = now.saturating_duration_since(send.sent_at).as_millis();
+        let (first, via) = (send.target.clone(), send.route.via);
+        let blame = fault.blame(send.path.len());
+        let path = send.targets().join(",");
+        let text = format!(
+            "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
+             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} via={} suspects={}",
+            exchange.request_fields.attempt,
+            exchange.suspects.request,
+            send.target,
+            fault.name(),
+            exchange.verdict.name(),
+            exchange.sends,
+            exchange.delivery.events,
+            send.reused,
+            send.status,
+            millis(send.pause),
+            send.leaving,
+            via_name(send.route),
+            culprits.join(","),
+        );
+        exchange.refused_sends += u32::from(fault == Fault::Refused);
+        if fault == Fault::NotSent {
+            exchange.tried_targets.retain(|sent| *sent != first);
+        } else {
+            exchange.reached_target = true;
+        }
+        metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
+        log_event!(self, SendFailed, "{text}");
+        self.remember_interrupted(key, fault, &culprits);
+        if let Some(host) = via.filter(|_| fault == Fault::NotSent) {
+            self.relay_failed(&first, host);
+        }
+        for culprit in &culprits {
+            // A response of the first target does not show that a later one is alive.
+            if !(fault.proves_alive() && *culprit == first) {
+                self.check_alive(culprit);
+            }
+            if self.is_link_fault(culprit, via, fault) {
+                continue;
+            }
+            let until = self.record_fault(culprit, blame, fault);
+            if let Some(exchange) = self.exchanges.get_mut(key) {
+                exchange.avoided.add(culprit.clone(), until);
+            }
+        }
+        self.drop_send(key, false);
+        self.retry_or_end(key, fault);
+    }
+
+    /// Records a fault of a target, unless the blame is unknown. Returns the time until which the
+    /// request avoids the target, or `None` if it avoids the target until the request ends.
+    fn record_fault(&mut self, culprit: &TargetId, blame: Blame, fault: Fault) -> Option<Instant> {
+        let now = self.now;
+        if blame == Blame::Unknown {
+            return Some(now + AVOID_UNKNOWN_BLAME);
+        }
+        if self.targets.record_failure(culprit, now) {
+            log_event!(self, TargetLost, "target={culprit} fault={}", fault.name());
+        }
+        // A busy target may be the only one that holds its layers, and has capacity again when
+        // other requests end.
+        self.targets.quarantine_end(culprit).filter(|_| blame == Blame::Busy)
+    }
+
+    /// Sends a request again after a fault, or ends it.
+    fn retry_or_end(&mut self, key: Key, fault: Fault) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        if failure::next_step(&exchange.retry_state(now)) == NextStep::Retry {
+            return self.dispatch(key);
+        }
+        let (code, why) = match fault {
+            Fault::NotSent => (Code::TargetUnreachable, "the target could not be reached"),
+            Fault::Refused => (Code::QueueFull, "the target takes no more"),
+            Fault::Lost | Fault::Cut => (Code::TargetLost, "the target broke off"),
+            Fault::Silent => (Code::TargetSilent, "the target fell silent"),
+            Fault::Garbled | Fault::Failed => (Code::TargetGarbled, "the target's answer is bad"),
+        };
+        self.end_without(key, code, why);
+    }
+}
--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use roseshore_core::gateway::peers::{Datagram, LocalState, ServiceCounts, name_hash};
-use roseshore_core::gateway::retry_budget::counted_time;
+use roseshore_core::gateway::quota::retry_budget::counted_time;
 use roseshore_core::gateway::{Peers, RetryBudget, RetryLoans};
 use roseshore_core::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
