--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -4,6 +4,7 @@
 //! - [`routes`]: the operator's configuration as one immutable snapshot;
 //! - [`settings`]: the settings of the process;
 //! - [`targets`]: the targets and their load; [`paces`]: how fast engines run;
+//!   [`demand`]: what callers ask of a service;
 //! - [`position`]: how far the store's logs were read; [`config_lease`]: whether the configuration
 //!   is still known to be the newest;
 //! - [`fatal`]: which requests crash their targets, identified by [`fingerprint`];
@@ -30,6 +31,7 @@
 pub mod avoid;
 pub mod config_lease;
 pub mod copies;
+pub mod demand;
 pub mod failure;
 pub mod fatal;
 pub mod fingerprint;
