--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -499,3 +499,20 @@
         ),
     ]);
 }
+
+/// Guards against shares that change hands so often that each holder's first part adds up.
+#[test]
+fn hosts_that_are_disturbed_every_4_s_stay_within_the_bound() {
+    let freezes = &[(1, 3), (5, 3), (9, 3), (13, 3), (17, 3)];
+    let kills = &[1, 5, 9, 13, 17, 21];
+    let cases = [
+        ("half freeze for 3 s", Faults { tenths: 5, freezes, ..NO_FAULTS }),
+        ("all are killed", Faults { tenths: 10, kills, ..NO_FAULTS }),
+    ];
+    let cases: Vec<Case> =
+        cases.into_iter().map(|(name, faults)| Case { name, hosts: 59, faults, ..CALM }).collect();
+    run_all(&cases, |case| {
+        let most = outage(case);
+        assert!(most <= 1.0, "{} at {} hosts: {most:.2} of the bound", case.name, case.hosts);
+    });
+}
