Full, slow and dead targets are told apart by evidence

A refusal by a target whose load shows that it is full no longer takes the target out of use, and the request avoids it for a moment only. A silent send is waited for by what its targets show, by what sends through them recently took, and by how long its caller stays; it is not cut when the retry budget does not permit to repeat it. What is left of a budget that is nearly spent is kept for begun streams.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -13,7 +13,8 @@
 //! What a host decides for a request:
 //! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
 //!   again;
-//! - [`failure`]: the next step after a failed send;
+//! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
+//!   slow or dead;
 //! - [`unavailable`]: why no target can be chosen; [`shortage`]: when a refused caller should try
 //!   again;
 //! - [`leaving`]: which requests a stopping host still accepts; [`poll_timing`]: when a request
@@ -47,6 +48,7 @@
 pub mod plan;
 pub mod poll_timing;
 pub mod position;
+pub mod progress;
 pub mod quota;
 pub mod reports;
 pub mod routes;
--- a/crates/roseshore_core/src/gateway/quota/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/quota/retry_budget.rs
@@ -18,6 +18,7 @@
 //! holder uses only a small part of it, taken from the reserve, until the window in which the former
 //! one may have used it has passed.
 
+use crate::gateway::progress::RetrySupply;
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -124,6 +125,8 @@
     hosts: usize,
     /// The pool that this host lends from, and when it was confirmed.
     pool: Option<(Pool, Instant)>,
+    /// When a send last found no retry here and none to borrow.
+    denied_at: Option<Instant>,
 }
 
 impl RetryBudget {
@@ -141,6 +144,7 @@
             borrowed: VecDeque::new(),
             hosts: 0,
             pool: None,
+            denied_at: None,
         }
     }
 
@@ -224,6 +228,22 @@
         self.borrowed.pop_front().is_some()
     }
 
+    /// Records that a send found no retry here and none to borrow.
+    pub fn record_denial(&mut self, now: Instant) {
+        self.denied_at = Some(now);
+    }
+
+    /// What is left of the budget, for the decision whether a refused request may use it.
+    pub fn supply(&mut self, now: Instant) -> RetrySupply {
+        let usage = self.usage(now);
+        RetrySupply {
+            allowed: usage.allowed(),
+            left: usage.left(),
+            lends: usage.pool > 0.0,
+            denied: self.denied_at.map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
     /// Lends up to `wanted` retries, from what this host has borrowed itself and from its pool.
     /// Returns how many.
     pub fn lend(&mut self, wanted: u16, borrower: Borrower, now: Instant) -> u16 {
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -19,6 +19,7 @@
 use super::path::{Candidate, PathRequest};
 use super::plan::pressure::{EngineUsage, peak_utilisation};
 use super::position::Position;
+use super::progress::TargetEvidence;
 use super::reports::TargetLoad;
 use super::routes::EngineSpec;
 use crate::load::breaker::CircuitBreaker;
@@ -35,6 +36,11 @@
     Claim, Holding, LayersReport, LivenessFailure, OutOfUse, Relay, Target, TargetRecord,
 };
 
+/// How long the load that a target reported is valid.
+const LOAD_VALIDITY: Duration = Duration::from_millis(500);
+/// How long the time to a first event counts for later sends through the same targets.
+const FIRST_EVENT_VALIDITY: Duration = Duration::from_secs(3);
+
 /// Changes to what other hosts report about targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReportChanges {
@@ -123,6 +129,50 @@
         !before
     }
 
+    /// Records that a target refused a request because it was full.
+    pub fn record_full(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.all.get_mut(id) {
+            target.full_at = Some(now);
+        }
+    }
+
+    /// Share of an engine's KV cache in use if `added` more, in tokens times layers, were taken; 0 if
+    /// it is not known.
+    pub fn kv_fill(&self, id: &str, spec: Option<&EngineSpec>, added: f64) -> f64 {
+        let known = self.all.get(id).zip(spec);
+        let fill = known.and_then(|(target, spec)| {
+            let capacity = Self::kv_capacity(target, spec)?;
+            Some((target.total_kv_used() + added) / capacity.max(1.0))
+        });
+        fill.unwrap_or(0.0)
+    }
+
+    /// What is known of a target that refused a request: `predicted` is the use of its KV cache
+    /// expected when the request was sent, `takes_slot` whether the request takes one of its slots.
+    pub fn evidence(
+        &self,
+        id: &str,
+        spec: Option<&EngineSpec>,
+        predicted: f64,
+        takes_slot: bool,
+        now: Instant,
+    ) -> TargetEvidence {
+        let Some(target) = self.all.get(id) else { return TargetEvidence::default() };
+        let slots = f64::from(target.record.slots.max(1));
+        let by_slot = |requests: f64| if takes_slot { requests / slots } else { 0.0 };
+        let lost_layers = target.record.kind.is_some() && target.holding().is_none();
+        TargetEvidence {
+            predicted,
+            current: self.kv_fill(id, spec, 0.0),
+            slots: by_slot(target.total_in_flight()),
+            reported: by_slot(target.reported_requests(now)),
+            unavailable: !target.is_available()
+                || target.is_down()
+                || target.clearing.is_some()
+                || lost_layers,
+        }
+    }
+
     /// When a target's quarantine ends; `None` if it is not quarantined.
     pub fn quarantine_end(&self, id: &str) -> Option<Instant> {
         self.all.get(id)?.health.open_until()
@@ -168,6 +218,38 @@
         path.iter().filter(quiet).cloned().collect()
     }
 
+    /// Records the time from a send over a path to its first event.
+    pub fn record_first_event<'a>(
+        &mut self,
+        path: impl Iterator<Item = &'a TargetId>,
+        took: Duration,
+        now: Instant,
+    ) {
+        for id in path {
+            if let Some(target) = self.all.get_mut(id) {
+                let longer = |(known, at): (Duration, Instant)| {
+                    known > took && now.saturating_duration_since(at) < FIRST_EVENT_VALIDITY
+                };
+                target.first_event =
+                    target.first_event.filter(|last| longer(*last)).or(Some((took, now)));
+            }
+        }
+    }
+
+    /// Longest recent time from a send through any of these targets to the first event; zero if none
+    /// is known.
+    pub fn longest_first_event(&self, path: &[TargetId], now: Instant) -> Duration {
+        let known = path.iter().filter_map(|id| self.all.get(id)?.first_event);
+        let recent =
+            known.filter(|(_, at)| now.saturating_duration_since(*at) < FIRST_EVENT_VALIDITY);
+        recent.map(|(took, _)| took).max().unwrap_or_default()
+    }
+
+    /// The largest slowdown of these targets.
+    pub fn slowdown(&self, path: &[TargetId], now: Instant) -> f64 {
+        path.iter().filter_map(|id| self.all.get(id)).fold(1.0, |most, t| t.slowdown(now).max(most))
+    }
+
     /// Whether the target is an engine that is taken to hold no layers: it was restarted, and
     /// nothing arrives through it any more although its port answers.
     pub fn holds_no_layers(&self, id: &str) -> bool {
@@ -420,10 +502,7 @@
                 .filter(|t| t.accepts_work(now) && !avoid.contains(&t.record.id))
         };
         let cost = |t: &Target| {
-            let reported = t
-                .reported_load
-                .filter(|(_, at)| now.saturating_duration_since(*at) < Duration::from_millis(500));
-            let busy = reported.map_or(0.0, |(n, _)| n).max(t.total_in_flight());
+            let busy = t.reported_requests(now).max(t.total_in_flight());
             let far = if t.record.data_centre == near { 0.0 } else { 0.5 };
             (busy + far) / f64::from(t.record.slots.max(1))
         };
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -2,7 +2,7 @@
 
 use super::super::paces::EnginePace;
 use super::super::position::Position;
-use super::Availability;
+use super::{Availability, LOAD_VALIDITY};
 use crate::gateway::hashes::{TargetHash, target_hash};
 use crate::gateway::reports::TargetLoad;
 use crate::load::breaker::CircuitBreaker;
@@ -190,6 +190,10 @@
     pub(super) layers_report: LayersReport,
     /// When data last arrived through it.
     pub(super) last_progress: Option<Instant>,
+    /// Longest recent time from a send through it to the first event, and when that arrived.
+    pub(super) first_event: Option<(Duration, Instant)>,
+    /// When it last refused a request because it was full.
+    pub(super) full_at: Option<Instant>,
     /// How it failed its latest liveness check; `None` if it passed.
     pub(super) liveness_failure: Option<LivenessFailure>,
     /// Since when other hosts have reported that it fails their liveness checks.
@@ -222,6 +226,8 @@
             pace: None,
             reported_holding: None,
             last_progress: None,
+            first_event: None,
+            full_at: None,
             liveness_failure: None,
             reported_at: None,
             alive_at: None,
@@ -281,6 +287,12 @@
         self.liveness_failure
     }
 
+    /// Requests that it recently reported as running and waiting; 0 without such a report.
+    pub(super) fn reported_requests(&self, now: Instant) -> f64 {
+        let recent = |at: Instant| now.saturating_duration_since(at) < LOAD_VALIDITY;
+        self.reported_load.filter(|(_, at)| recent(*at)).map_or(0.0, |(requests, _)| requests)
+    }
+
     /// Requests of all hosts in flight.
     pub fn total_in_flight(&self) -> f64 {
         f64::from(self.in_flight) + f64::from(self.remote_load.own)
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -25,6 +25,7 @@
     mod poll_timing;
     mod position;
     mod pressure;
+    mod progress;
     mod retry_budget;
     mod retry_loans;
     mod routes;
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -5,6 +5,7 @@
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::path::{self, PathRequest};
+use roseshore_core::gateway::progress;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
     pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
     pub(super) claims: Vec<Claim>,
     /// Predicted time to the first token in milliseconds.
-    ttft_ms: f64,
+    pub(super) ttft_ms: f64,
     /// Predicted time between tokens in milliseconds.
     pub(super) token_ms: f64,
     /// Whether every target has capacity for the whole answer and none failed recently.
@@ -119,7 +120,10 @@
         };
         let claims = path.hops.iter().map(claim).collect();
         let (target, addr, _) = path.hops.first().cloned()?;
-        let (ttft_ms, token_ms, suitable) = (path.ttft_ms, path.token_ms, path.suitable);
+        // A request that a full target refused is sent over another path only if that has room.
+        let wants_room = exchange.refused_full && !exchange.delivery.started;
+        let suitable = path.suitable && (!wants_room || progress::is_roomy(path.utilisation));
+        let (ttft_ms, token_ms) = (path.ttft_ms, path.token_ms);
         let (utilisation, expected) =
             ((path.utilisation, path.bottleneck), path_request.answer_tokens);
         let (path, unhealthy) = (path.hops, path.unhealthy);
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -62,6 +62,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         exchange.sends += 1;
         exchange.waiting_since = None;
+        exchange.refused_full = false;
         if !exchange.tried_targets.contains(&choice.target) {
             exchange.tried_targets.push(choice.target.clone());
         }
@@ -94,9 +95,14 @@
         if let Some(hash) = self.targets.hash(&choice.target) {
             self.rate_limits.limits.consume(hash, self.now);
         }
+        let spec = exchange.service.engine.as_ref();
+        let fill = |claim: &Claim| self.targets.kv_fill(&claim.target, spec, claim.kv_used);
+        let fills = choice.claims.iter().map(fill).collect();
         for claim in &choice.claims {
             self.targets.reserve(claim);
         }
+        let targets: Vec<TargetId> = choice.claims.iter().map(|c| c.target.clone()).collect();
+        let slowdown = self.targets.slowdown(&targets, self.now);
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
         let incarnations = choice.claims.iter().filter_map(incarnation).collect();
@@ -114,6 +120,10 @@
             phase: Phase::Head,
             body: Vec::new(),
             token_ms: choice.token_ms,
+            ttft_ms: choice.ttft_ms,
+            fills,
+            slowdown,
+            kept: false,
             reused,
             status: 0,
             pause: None,
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -50,6 +50,8 @@
     pub(super) sends: u32,
     /// Number of sends that a target refused to run.
     pub(super) refused_sends: u32,
+    /// Whether the latest send was refused by a full target.
+    pub(super) refused_full: bool,
     pub(super) verdict: Verdict,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
     pub(super) reached_target: bool,
@@ -219,6 +221,7 @@
             deadline,
             sends: 0,
             refused_sends: 0,
+            refused_full: false,
             verdict: Verdict::NotRun,
             reached_target: false,
             avoided: AvoidedTargets::default(),
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -33,6 +33,14 @@
     pub(super) body: Vec<u8>,
     /// Predicted time between tokens in milliseconds.
     pub(super) token_ms: f64,
+    /// Predicted time to the first token in milliseconds.
+    pub(super) ttft_ms: f64,
+    /// KV cache of each target in use, as predicted with this send; in the order of `claims`.
+    pub(super) fills: Vec<f64>,
+    /// The largest slowdown of its targets when it was sent.
+    pub(super) slowdown: f64,
+    /// Whether it was logged that it is waited for beyond the usual time.
+    pub(super) kept: bool,
     /// Whether it uses an idle connection rather than a new one.
     pub(super) reused: bool,
     /// The status of the response; 0 before it arrives.
@@ -60,6 +68,12 @@
         Some((id, hop.layers))
     }
 
+    /// KV cache of a target in use, as predicted with this send.
+    pub(super) fn fill(&self, id: &str) -> f64 {
+        let mut fills = self.claims.iter().zip(&self.fills);
+        fills.find(|(claim, _)| claim.target == id).map_or(0.0, |(_, fill)| *fill)
+    }
+
     /// All targets involved.
     pub(super) fn targets(&self) -> Vec<TargetId> {
         if self.path.is_empty() {
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Whether a check of a target was not answered in time, and none has been answered since.
+    pub(super) fn check_unanswered(&self, id: &str) -> bool {
+        self.liveness.checks.get(id).is_some_and(|check| check.unanswered > 0)
+    }
+
     /// Starts a check of a target, unless one is in progress.
     pub(super) fn start_check(&mut self, id: &str) {
         let now = self.now;
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -304,7 +304,11 @@
                 let pause = now.saturating_duration_since(before);
                 exchange.delivery.max_pause = exchange.delivery.max_pause.max(pause);
             }
-            send.first_event.get_or_insert(now);
+            if send.first_event.is_none() {
+                send.first_event = Some(now);
+                let took = now.saturating_duration_since(send.sent_at);
+                self.targets.record_first_event(send.path.iter().map(|(id, ..)| id), took, now);
+            }
             let first = exchange.delivery.first_at.is_none();
             exchange.delivery.first_at.get_or_insert(now);
             exchange.delivery.latest_at = Some(now);
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -8,6 +8,7 @@
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::peers::{Datagram, RetryLoan, RetryLoanRequest, name_hash};
+use roseshore_core::gateway::progress;
 use roseshore_core::gateway::quota::retry_budget::{Borrower, RetryUsage};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -53,6 +54,7 @@
             self.poll_for_loan(key, until);
         } else {
             metrics::counter!("roseshore_retries_denied_total").increment(1);
+            self.retry_budget(&service).record_denial(now);
             let usage = self.usage_text(key);
             log_event!(self, RetryDenied, "{usage}");
             self.end_without(key, Code::RetryBudget, "no more sends may be repeated");
@@ -60,6 +62,35 @@
         true
     }
 
+    /// Whether the retry budget permits to repeat a request whose send is still in flight. If not,
+    /// asks other hosts for a loan, while the request goes on waiting for its send.
+    pub(super) fn may_repeat(&mut self, key: Key) -> bool {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
+        let service = exchange.service.name.clone();
+        let lapsed = exchange.loan_wait.is_some_and(|until| now >= until);
+        if self.retry_budget(&service).has_retry(now) {
+            return true;
+        }
+        if lapsed {
+            self.retry_budget(&service).record_denial(now);
+        }
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
+        if lapsed || exchange.loan_wait.is_none() {
+            exchange.loan_wait = Some(now + MAX_LOAN_WAIT);
+        }
+        self.loans_wanted = true;
+        false
+    }
+
+    /// Whether a request that a full target refused may be sent again.
+    pub(super) fn may_retry_full(&mut self, key: Key) -> bool {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get(key) else { return false };
+        let (service, started) = (exchange.service.name.clone(), exchange.delivery.started);
+        progress::may_retry_full(started, &self.retry_budget(&service).supply(now))
+    }
+
     /// Makes a send wait for a loan of a retry; its request ends if that takes too long.
     pub(super) fn wait_for_loan(&mut self, key: Key) {
         let until = self.now + MAX_LOAN_WAIT;
@@ -107,9 +138,11 @@
 
     /// The exchanges of a service whose next send waits for a loan.
     fn waiting_for_loan(&self, service: &str) -> Vec<Key> {
+        let now = self.now;
         let waits = |key: &Key| {
             let exchange = self.exchanges.get(*key);
-            exchange.is_some_and(|e| e.loan_wait.is_some() && e.service.name == service)
+            let exchange = exchange.filter(|exchange| exchange.service.name == service);
+            exchange.is_some_and(|e| e.loan_wait.is_some_and(|end| e.send.is_none() || now < end))
         };
         self.exchanges.keys().into_iter().filter(waits).collect()
     }
@@ -148,7 +181,11 @@
             if !self.retry_budget(&service).has_retry(now) {
                 return;
             }
-            self.dispatch(key);
+            if self.exchanges.get(key).is_some_and(|exchange| exchange.send.is_some()) {
+                self.check_exchange(key);
+            } else {
+                self.dispatch(key);
+            }
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -2,9 +2,12 @@
 
 use super::probes::millis;
 use super::relays::via_name;
+use super::target_feedback::MISDIRECTED;
+use super::timeouts::silence_text;
 use super::{EntryHost, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::failure::{self, Blame, Fault, NextStep};
+use roseshore_core::gateway::progress::{self, AVOID_FULL, Refusal};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
 
@@ -24,6 +27,7 @@
     /// Handles a failed send that is the fault of these targets; none if it is not known whose.
     pub(super) fn send_failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
         let now = self.now;
+        let (evidence, evidence_text) = self.send_evidence(key, fault, &culprits);
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
         exchange.verdict = exchange.verdict.join(fault.verdict());
@@ -33,7 +37,8 @@
         let path = send.targets().join(",");
         let text = format!(
             "request={} fingerprint={} target={} path={path} fault={} verdict={} sends={} \
-             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} via={} suspects={}",
+             waited_ms={waited} events={} kept={} status={} rest_ms={} leaving={} via={} \
+             {evidence_text} suspects={}",
             exchange.request_fields.attempt,
             exchange.suspects.request,
             send.target,
@@ -49,6 +54,8 @@
             culprits.join(","),
         );
         exchange.refused_sends += u32::from(fault == Fault::Refused);
+        let full = evidence == Some(Refusal::Full);
+        (exchange.refused_full, exchange.loan_wait) = (full, None);
         if fault == Fault::NotSent {
             exchange.tried_targets.retain(|sent| *sent != first);
         } else {
@@ -68,7 +75,12 @@
             if self.is_link_fault(culprit, via, fault) {
                 continue;
             }
-            let until = self.record_fault(culprit, blame, fault);
+            let until = if full {
+                self.targets.record_full(culprit, now);
+                Some(now + AVOID_FULL)
+            } else {
+                self.record_fault(culprit, blame, fault)
+            };
             if let Some(exchange) = self.exchanges.get_mut(key) {
                 exchange.avoided.add(culprit.clone(), until);
             }
@@ -77,6 +89,43 @@
         self.retry_or_end(key, fault);
     }
 
+    /// What the targets of a failed send show, as text of a log line, and why the send was refused if
+    /// it was.
+    fn send_evidence(
+        &self,
+        key: Key,
+        fault: Fault,
+        culprits: &[TargetId],
+    ) -> (Option<Refusal>, String) {
+        let Some(exchange) = self.exchanges.get(key) else { return (None, String::new()) };
+        let Some(send) = &exchange.send else { return (None, String::new()) };
+        let (refusal, name, numbers) = match (fault, culprits.first()) {
+            (Fault::Refused, Some(culprit)) => {
+                let spec = exchange.service.engine.as_ref();
+                let first = *culprit == send.target;
+                let fill = send.fill(culprit);
+                let mut load = self.targets.evidence(culprit, spec, fill, first, self.now);
+                load.unavailable |= send.status == MISDIRECTED || (first && send.leaving);
+                let refusal = progress::refusal(&load);
+                let numbers = format!(
+                    " fill={:.2} fill_now={:.2} slots={:.2} load={:.2}",
+                    load.predicted, load.current, load.slots, load.reported
+                );
+                (Some(refusal), refusal.name(), numbers)
+            }
+            (Fault::Silent, Some(_)) => (None, "dead", String::new()),
+            (Fault::Silent, None) => {
+                let Some(silence) = self.silence(key) else { return (None, String::new()) };
+                (None, silence.path.name(), silence_text(&silence))
+            }
+            _ => (None, "-", String::new()),
+        };
+        if name != "-" {
+            metrics::counter!("roseshore_send_evidence_total", "evidence" => name).increment(1);
+        }
+        (refusal, format!("evidence={name}{numbers}"))
+    }
+
     /// Records a fault of a target, unless the blame is unknown. Returns the time until which the
     /// request avoids the target, or `None` if it avoids the target until the request ends.
     fn record_fault(&mut self, culprit: &TargetId, blame: Blame, fault: Fault) -> Option<Instant> {
@@ -96,7 +145,10 @@
     fn retry_or_end(&mut self, key: Key, fault: Fault) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
-        if failure::next_step(&exchange.retry_state(now)) == NextStep::Retry {
+        let full = exchange.refused_full;
+        if failure::next_step(&exchange.retry_state(now)) == NextStep::Retry
+            && (!full || self.may_retry_full(key))
+        {
             return self.dispatch(key);
         }
         let (code, why) = match fault {
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -4,14 +4,15 @@
 use super::dispatch::CONNECT_TIMEOUT;
 use super::exchange::Exchange;
 use super::in_flight::InFlightSend;
-use super::{EntryHost, Timer};
+use super::probes::millis;
+use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
+use roseshore_core::gateway::progress::{self, PathState, RECENT_PROGRESS, Silence};
 use roseshore_core::gateway::{CallKind, Fault};
 use roseshore_core::prelude::*;
 
 /// Time without a first event after which the liveness of the path's targets is checked, and after
-/// which another path is tried. Engines read the largest prompt within a fifth of a second, and a
-/// caller leaves after two seconds.
+/// which another path is usually tried.
 const FIRST_EVENT_TIMEOUTS: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_secs(1));
 /// Lower bounds of the same two times between events.
@@ -27,6 +28,8 @@
 /// Time without a response of a plain service after which an idempotent request is sent to another
 /// target.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(420);
+/// Interval at which a send that is waited for beyond the usual time is looked at again.
+const KEPT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 impl EntryHost {
     /// Checks whether a request is beyond its deadline or its target has made no progress for too
@@ -47,7 +50,7 @@
             }
             return self.set_timer(send.sent_at + CONNECT_TIMEOUT, Timer::Exchange(key));
         }
-        let Some((check_after, give_up)) = progress_timeouts(exchange) else { return };
+        let Some((check_after, usual)) = progress_timeouts(exchange) else { return };
         let stall_time = now.saturating_duration_since(send.latest_at);
         let (latest, until) = (send.latest_at, exchange.deadline);
         if stall_time < check_after {
@@ -59,37 +62,118 @@
         if !empty.is_empty() && exchange.may_move(now) {
             return self.send_failed_by(key, Fault::Silent, empty);
         }
-        if stall_time < give_up {
-            self.set_timer((latest + give_up).min(until), Timer::Exchange(key));
+        if stall_time < usual {
+            self.set_timer((latest + usual).min(until), Timer::Exchange(key));
             for suspect in suspects {
                 self.check_alive(&suspect);
             }
             return;
         }
-        self.reroute(key);
+        let Some(silence) = self.silence(key) else { return };
+        if progress::give_up_after(&silence).is_none_or(|after| stall_time < after)
+            || !self.reroute(key, &silence, stall_time)
+        {
+            self.keep_send(key, &silence);
+        }
+    }
+
+    /// What is known of a send without events.
+    pub(super) fn silence(&self, key: Key) -> Option<Silence> {
+        let now = self.now;
+        let exchange = self.exchanges.get(key)?;
+        let send = exchange.send.as_ref()?;
+        let (_, usual) = progress_timeouts(exchange)?;
+        let targets = send.targets();
+        let waits_for_first = send.latest_at == send.sent_at;
+        let predicted_ms = if waits_for_first { send.ttft_ms } else { step_ms(exchange, send) };
+        let observed = if waits_for_first {
+            self.targets.longest_first_event(&targets, now)
+        } else {
+            Duration::ZERO
+        };
+        Some(Silence {
+            usual,
+            predicted: Duration::try_from_secs_f64(predicted_ms / 1000.0).unwrap_or_default(),
+            slowdown: self.targets.slowdown(&targets, now) / send.slowdown,
+            observed,
+            path: self.path_state(send, &targets),
+            patience: progress::patience(exchange.route.objective, exchange.route.max_gap),
+        })
     }
 
-    /// Sends a request to another target, as the send in flight has made no progress for too long;
-    /// goes on waiting if no other target has capacity.
-    fn reroute(&mut self, key: Key) {
+    /// What the targets of a send without events show.
+    fn path_state(&self, send: &InFlightSend, targets: &[TargetId]) -> PathState {
+        let recent = self.now.checked_sub(RECENT_PROGRESS).unwrap_or(self.now);
+        let quiet = self.targets.suspects(targets, send.latest_at.max(recent));
+        if quiet.is_empty() {
+            return PathState::Moving;
+        }
+        let fails = |id: &TargetId| {
+            self.targets.get(id).is_none_or(|t| t.liveness_failure().is_some() || t.is_down())
+                || self.check_unanswered(id)
+        };
+        if quiet.iter().any(fails) { PathState::Suspect } else { PathState::Quiet }
+    }
+
+    /// Goes on waiting for a send beyond the usual time.
+    fn keep_send(&mut self, key: Key, silence: &Silence) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(send) = exchange.send.as_mut() else { return };
+        let (targets, latest) = (send.targets(), send.latest_at);
+        let logged = std::mem::replace(&mut send.kept, true);
+        let text = format!(
+            "request={} target={} events={} silent_ms={} evidence={}{}",
+            exchange.request_fields.attempt,
+            send.target,
+            exchange.delivery.events,
+            millis(Some(now.saturating_duration_since(latest))),
+            silence.path.name(),
+            silence_text(silence),
+        );
+        let until = exchange.deadline;
+        self.set_timer((now + KEPT_POLL_INTERVAL).min(until), Timer::Exchange(key));
+        if !logged {
+            metrics::counter!("roseshore_sends_kept_total").increment(1);
+            log_event!(self, SendKept, "{text}");
+        }
+        let recent = now.checked_sub(RECENT_PROGRESS).unwrap_or(now);
+        for suspect in self.targets.suspects(&targets, latest.max(recent)) {
+            self.check_alive(&suspect);
+        }
+    }
+
+    /// Sends a request to another target, as the send in flight has made no progress for too long.
+    /// Returns false if the send is to be waited for: no other target has capacity, an answer from
+    /// there would find no caller, or the retry budget does not permit it.
+    fn reroute(&mut self, key: Key, silence: &Silence, silent: Duration) -> bool {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return true };
         if !exchange.may_move(now) {
-            return;
+            return false;
         }
         // Which target is at fault is not known, so no fault is recorded. Only this request avoids
         // them.
-        let Some(path) = exchange.send.as_ref().map(InFlightSend::targets) else { return };
+        let Some(path) = exchange.send.as_ref().map(InFlightSend::targets) else { return true };
         let previous = exchange.avoided.clone();
         for target in path {
             exchange.avoided.add(target, None);
         }
-        if self.choose(key).is_some_and(|choice| choice.suitable) {
-            return self.send_failed_by(key, Fault::Silent, Vec::new());
+        let choice = self.choose(key).filter(|choice| choice.suitable);
+        let in_time = choice.is_some_and(|choice| {
+            let predicted = Duration::try_from_secs_f64(choice.ttft_ms / 1000.0);
+            let path: Vec<TargetId> = choice.claims.into_iter().map(|it| it.target).collect();
+            let observed = self.targets.longest_first_event(&path, now);
+            silence.arrives_in_time(silent, predicted.unwrap_or_default().max(observed))
+        });
+        if in_time && self.may_repeat(key) {
+            self.send_failed_by(key, Fault::Silent, Vec::new());
+            return true;
         }
         if let Some(exchange) = self.exchanges.get_mut(key) {
             exchange.avoided = previous;
         }
+        false
     }
 }
 
@@ -104,8 +188,7 @@
             Some(FIRST_EVENT_TIMEOUTS)
         }
         CallKind::Stream { resumable: true } => {
-            let stride = exchange.service.engine.as_ref().map_or(1.0, |e| e.event_tokens);
-            let step = Duration::from_secs_f64(send.token_ms * stride / 1000.0);
+            let step = Duration::from_secs_f64(step_ms(exchange, send) / 1000.0);
             let check_pause = exchange
                 .route
                 .max_gap
@@ -116,3 +199,20 @@
         }
     }
 }
+
+/// Predicted time between events in milliseconds.
+fn step_ms(exchange: &Exchange, send: &InFlightSend) -> f64 {
+    let stride = exchange.service.engine.as_ref().map_or(1.0, |e| e.event_tokens);
+    send.token_ms * stride
+}
+
+/// The numbers of a silence as text of a log line.
+pub(super) fn silence_text(silence: &Silence) -> String {
+    format!(
+        " predicted_ms={} slowdown={:.2} observed_ms={} patience_ms={}",
+        silence.predicted.as_millis(),
+        silence.slowdown,
+        silence.observed.as_millis(),
+        silence.patience.as_millis(),
+    )
+}
