--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -208,7 +208,7 @@
     pub known: u16,
     /// Loads, by target.
     pub loads: Vec<TargetLoad>,
-    /// Some of the loads that are reported in turn.
+    /// Loads at some of the targets that only other data centres use.
     pub far: Vec<TargetLoad>,
     /// Requests of the sender, by service; only with [`Scope::Own`].
     pub counts: Vec<ServiceCounts>,
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -20,8 +20,9 @@
 const RETRY_UNANSWERED: Duration = Duration::from_secs(5);
 /// Silence after which a host is forgotten.
 const RETENTION: Duration = Duration::from_mins(1);
-/// How long a load that is reported in turn is valid. Each is repeated several times in this time.
-const TURN_LOAD_VALIDITY: Duration = Duration::from_millis(2500);
+/// How long a reported load at a target that only other data centres use is valid. A speaker
+/// repeats each several times in this time.
+const FAR_LOAD_VALIDITY: Duration = Duration::from_millis(2500);
 /// How long a reported number of permit requests is valid before the host's latest heartbeat;
 /// heartbeats report targets in rotation.
 const WANTED_VALIDITY: Duration = Duration::from_millis(2500);
@@ -67,13 +68,12 @@
     pub(super) list: ListVersion,
     pub(super) scope: Scope,
     pub(super) loads: Vec<TargetLoad>,
-    /// Loads that it reports in turn, with the times of the reports.
-    turn_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
+    /// Loads it reported at targets that only other data centres use, with the times of the
+    /// reports.
+    far_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
     pub(super) counts: Vec<ServiceCounts>,
     /// Hosts that it knows of.
     pub(super) known: u16,
-    /// Number of heartbeats sent to it.
-    pub(super) heartbeats: usize,
     /// When this host sent the last heartbeat that it heard.
     pub(super) heard_from: Option<Instant>,
     /// Permit requests that it reported for limited targets, with the times of the reports.
@@ -104,10 +104,9 @@
             list: ListVersion::default(),
             scope: Scope::Own,
             loads: Vec::new(),
-            turn_loads: HashMap::new(),
+            far_loads: HashMap::new(),
             counts: Vec::new(),
             known: 0,
-            heartbeats: 0,
             heard_from: None,
             wanted: HashMap::new(),
         }
@@ -135,9 +134,8 @@
         self.list = heartbeat.list;
         self.scope = heartbeat.scope;
         self.loads = heartbeat.loads;
-        self.turn_loads
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < TURN_LOAD_VALIDITY);
-        self.turn_loads
+        self.far_loads.retain(|_, (_, at)| now.saturating_duration_since(*at) < FAR_LOAD_VALIDITY);
+        self.far_loads
             .extend(heartbeat.far.into_iter().map(|report| (report.target, (report, now))));
         self.counts = heartbeat.counts;
         self.known = heartbeat.known;
@@ -155,10 +153,10 @@
         self.wanted.get(&target).map_or(0, |(wanted, _)| *wanted)
     }
 
-    /// Loads that it reports in turn.
-    pub(super) fn turn_loads(&self) -> impl Iterator<Item = &TargetLoad> {
+    /// Loads it reported at targets that only other data centres use.
+    pub(super) fn far_loads(&self) -> impl Iterator<Item = &TargetLoad> {
         let used = |report: &&TargetLoad| self.loads.iter().all(|l| l.target != report.target);
-        self.turn_loads.values().map(|(report, _)| report).filter(used)
+        self.far_loads.values().map(|(report, _)| report).filter(used)
     }
 
     /// Records that another host's heartbeat names this one.
@@ -183,7 +181,6 @@
 
     /// Records a heartbeat sent to it.
     pub(super) fn record_sent(&mut self, asks: bool, now: Instant) {
-        self.heartbeats = self.heartbeats.wrapping_add(1);
         self.last_sent = Some(now);
         if asks {
             self.unanswered_since.get_or_insert(now);
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -7,7 +7,7 @@
 use super::message::{Echo, Heartbeat, KnownHost, Scope};
 use super::peer::{Peer, Rank};
 use super::relation::{self, Relation};
-use super::sums::{self, Sums, take_turns};
+use super::sums::{self, Sums, most_relevant};
 use super::{LocalState, Peers};
 use crate::gateway::hashes::CentreHash;
 use crate::prelude::*;
@@ -205,15 +205,13 @@
         let max_loads = sums::load_capacity(&heartbeat.fatal, heartbeat.limits.len());
         let Some(peer) = self.all.get_mut(&to) else { return heartbeat };
         peer.record_sent(relation.asks(), now);
-        let turn = peer.heartbeats;
         heartbeat.echo = peer.last_heard.map(|heard| own.echo(peer.sender_clock, heard));
         let mut sums = match relation {
             Relation::Listener if peer.scope == Scope::Own => round.others.without(peer),
             Relation::Listener => round.others.clone(),
             Relation::FarSpeaker => round.near.clone(),
             _ => {
-                (heartbeat.loads, heartbeat.far) =
-                    take_turns(own.loads.clone(), Vec::new(), max_loads, turn);
+                heartbeat.loads = most_relevant(own.loads.clone(), max_loads);
                 heartbeat.counts.clone_from(&own.counts);
                 return heartbeat;
             }
@@ -227,7 +225,8 @@
             }
             _ => Scope::Others(hosts),
         };
-        (heartbeat.loads, heartbeat.far) = sums.reported(max_loads, turn);
+        heartbeat.loads = sums.near_loads(max_loads);
+        heartbeat.far = sums.far_loads(max_loads - heartbeat.loads.len(), self.sequence as usize);
         heartbeat
     }
 
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -12,9 +12,9 @@
 /// Encoded size of a target's load and of a limit, in bytes.
 const LOAD_BYTES: usize = 12;
 const LIMIT_BYTES: usize = 28;
-/// Most of these targets that are reported in turn, different ones with each heartbeat: those that
-/// only hosts of other data centres use, and those for which there is no other place.
-const MAX_TURN_LOADS: usize = 24;
+/// Most of these targets that only hosts of other data centres use. They are reported a few at a
+/// time: there are several times as many, and they matter only when work is sent there.
+const MAX_FAR_LOADS: usize = 24;
 
 /// Combined load of one target.
 #[derive(Clone, Copy, Debug, Default)]
@@ -64,7 +64,7 @@
     pub(super) fn without(&self, peer: &Peer) -> Sums {
         let mut rest = self.clone();
         rest.hosts = rest.hosts.saturating_sub(1);
-        for load in peer.loads.iter().chain(peer.turn_loads()) {
+        for load in &peer.loads {
             if let Some(sum) = rest.loads.get_mut(&load.target) {
                 sum.own = sum.own.saturating_sub(u32::from(load.own));
                 sum.held = sum.held.saturating_sub(load.held);
@@ -80,11 +80,21 @@
         self.loads.iter().map(load).collect()
     }
 
-    /// Loads for a heartbeat: those of targets that the own data centre uses, and those reported in
-    /// turn, together at most `most`.
-    pub(super) fn reported(&self, most: usize, turn: usize) -> (Vec<TargetLoad>, Vec<TargetLoad>) {
-        let near = self.active_loads(true).collect();
-        take_turns(near, self.active_loads(false).collect(), most, turn)
+    /// Loads of targets that the own data centre uses, for a heartbeat: first those that fail
+    /// checks, then by KV cache use.
+    pub(super) fn near_loads(&self, most: usize) -> Vec<TargetLoad> {
+        most_relevant(self.active_loads(true).collect(), most)
+    }
+
+    /// Loads of up to `room` other targets, different ones with each turn.
+    pub(super) fn far_loads(&self, room: usize, turn: usize) -> Vec<TargetLoad> {
+        let mut loads: Vec<TargetLoad> = self.active_loads(false).collect();
+        loads.sort_unstable_by_key(|load| load.target);
+        let most = MAX_FAR_LOADS.min(room).min(loads.len());
+        let first = (turn * most).checked_rem(loads.len()).unwrap_or(0);
+        loads.rotate_left(first);
+        loads.truncate(most);
+        loads
     }
 
     fn active_loads(&self, near: bool) -> impl Iterator<Item = TargetLoad> {
@@ -107,23 +117,9 @@
     MAX_LOADS.saturating_sub(taken.div_ceil(LOAD_BYTES))
 }
 
-/// The loads that matter most, which are reported each time, and some of the others, different ones
-/// with each turn: failing targets first, then by KV cache and requests. Without turns, a target that
-/// holds few layers, and so never much KV cache, would not be reported however full it is.
-pub(super) fn take_turns(
-    mut loads: Vec<TargetLoad>,
-    mut others: Vec<TargetLoad>,
-    most: usize,
-    turn: usize,
-) -> (Vec<TargetLoad>, Vec<TargetLoad>) {
+/// The `most` loads that matter most: failing targets first, then by KV cache and requests.
+pub(super) fn most_relevant(mut loads: Vec<TargetLoad>, most: usize) -> Vec<TargetLoad> {
     loads.sort_by_key(|load| Reverse((load.down, load.held, load.own, load.target)));
-    if loads.len() > most {
-        others.extend(loads.split_off(most - MAX_TURN_LOADS.min(most / 2)));
-    }
-    others.sort_unstable_by_key(|load| load.target);
-    let places = MAX_TURN_LOADS.min(most - loads.len()).min(others.len());
-    let first = turn.wrapping_mul(places).checked_rem(others.len()).unwrap_or(0);
-    others.rotate_left(first);
-    others.truncate(places);
-    (loads, others)
+    loads.truncate(most);
+    loads
 }
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -28,7 +28,6 @@
             if peer.alive(true, now) {
                 sums.hosts += 1;
                 sums.add_loads(&peer.loads, true);
-                sums.add_loads(peer.turn_loads(), true);
             }
         }
         sums
@@ -51,7 +50,6 @@
         for (hosts, peer) in best.into_values() {
             sums.hosts += usize::from(hosts.max(1));
             sums.add_loads(&peer.loads, false);
-            sums.add_loads(peer.turn_loads(), false);
         }
     }
 
@@ -75,7 +73,7 @@
         let mut sums = Sums::default();
         sums.hosts = hosts;
         sums.add_loads(&peer.loads, true);
-        sums.add_loads(peer.turn_loads(), false);
+        sums.add_loads(peer.far_loads(), false);
         sums
     }
 
