Hosts tell each other what callers ask of a service

Cause: no host knows how much its data centre is asked for and how much of it ends, so neither a refusal, a return nor a part of an engine's room can follow from it. Change: each host counts offered and ended work by rank and organisation over a second and reports it in its heartbeats; speakers pass on the sums. Impossible numbers are dropped; a report shrinks with the space that fatal requests and limits leave. Result: unit tests only; decides nothing yet.

--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -99,6 +99,12 @@
     }
 }
 
+/// KV cache that a request needs, tokens: the prompt, and slightly more of the answer than is
+/// written on average while it runs.
+pub fn kv_tokens(prompt_tokens: f64, answer_tokens: f64) -> f64 {
+    prompt_tokens + ANSWER_SHARE * answer_tokens
+}
+
 /// What a request asks of its path.
 #[derive(Clone, Copy, Debug)]
 pub struct PathRequest<'a> {
@@ -125,10 +131,9 @@
         bound && !self.excluded_first.contains(&candidate.id)
     }
 
-    /// KV cache that the request needs, tokens: the prompt, and slightly more of the answer than is
-    /// written on average while it runs.
+    /// KV cache that the request needs, tokens.
     pub fn kv_tokens(&self) -> f64 {
-        self.prompt_tokens + ANSWER_SHARE * self.answer_tokens
+        kv_tokens(self.prompt_tokens, self.answer_tokens)
     }
 
     /// Whether the engine has free KV cache for so many layers of the request.
--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 //! made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
 //! with each hop.
 
+mod demand;
 mod lending;
 mod message;
 mod peer;
@@ -23,6 +24,7 @@
 mod sums;
 mod view;
 
+use super::demand::ServiceDemand;
 use super::fatal::FatalReport;
 pub use super::hashes::{CentreHash, TargetHash, name_hash, target_hash};
 use super::paces::PaceReport;
@@ -82,6 +84,8 @@
     pub fatal: Vec<FatalReport>,
     /// Limits that targets advertised.
     pub limits: Vec<LimitReport>,
+    /// What callers ask of it, by service.
+    pub demand: Vec<ServiceDemand>,
 }
 
 impl Default for LocalState {
@@ -100,6 +104,7 @@
             paces: Vec::new(),
             fatal: Vec::new(),
             limits: Vec::new(),
+            demand: Vec::new(),
         }
     }
 }
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 //! permit requests.
 
 use crate::gateway::copies::CopyRequest;
+use crate::gateway::demand::ServiceDemand;
 use crate::gateway::fatal::FatalReport;
 use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::paces::PaceReport;
@@ -212,6 +213,11 @@
     pub far: Vec<TargetLoad>,
     /// Requests of the sender, by service; only with [`Scope::Own`].
     pub counts: Vec<ServiceCounts>,
+    /// Hosts of the sender's data centre that the demand includes.
+    pub demand_hosts: u16,
+    /// What callers ask of services at the sender or, with another scope, at all hosts of its data
+    /// centre; without the receiver.
+    pub demand: Vec<ServiceDemand>,
     /// Layers that the sender has ordered targets to hold, or found them to hold.
     pub holds: Vec<HoldingReport>,
     /// Paces that engines reported.
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -1,6 +1,7 @@
 //! One other host, as known from heartbeats.
 
 use super::message::{Heartbeat, KnownHost, Scope, ServiceCounts};
+use crate::gateway::demand::{self, ServiceDemand};
 use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::prelude::*;
@@ -72,6 +73,10 @@
     /// reports.
     far_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
     pub(super) counts: Vec<ServiceCounts>,
+    /// Hosts that its demand includes.
+    pub(super) demand_hosts: u16,
+    /// The demand that it reported, for the hosts of its scope in its data centre.
+    pub(super) demand: Vec<ServiceDemand>,
     /// Hosts that it knows of.
     pub(super) known: u16,
     /// When this host sent the last heartbeat that it heard.
@@ -106,6 +111,8 @@
             loads: Vec::new(),
             far_loads: HashMap::new(),
             counts: Vec::new(),
+            demand_hosts: 0,
+            demand: Vec::new(),
             known: 0,
             heard_from: None,
             wanted: HashMap::new(),
@@ -138,6 +145,8 @@
         self.far_loads
             .extend(heartbeat.far.into_iter().map(|report| (report.target, (report, now))));
         self.counts = heartbeat.counts;
+        self.demand_hosts = heartbeat.demand_hosts;
+        self.demand = demand::sanitised(heartbeat.demand);
         self.known = heartbeat.known;
         self.update_wanted(&heartbeat.limits, now);
     }
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -4,11 +4,13 @@
 //! host that hears only speakers gets the sums over all hosts but itself, and a speaker of another
 //! data centre gets the sums over this one.
 
+use super::demand::HostsDemand;
 use super::message::{Echo, Heartbeat, KnownHost, Scope};
 use super::peer::{Peer, Rank};
 use super::relation::{self, Relation};
 use super::sums::{self, Sums, most_relevant};
 use super::{LocalState, Peers};
+use crate::gateway::demand;
 use crate::gateway::hashes::CentreHash;
 use crate::prelude::*;
 use std::collections::BTreeMap;
@@ -25,6 +27,9 @@
 /// How long a host that starts contacts its seeds more often; they may start a little later.
 const SEED_SEARCH: Duration = Duration::from_secs(3);
 
+/// Part of the space for loads and demand that the demand may take.
+const DEMAND_DIVISOR: usize = 2;
+
 /// Which heartbeats are sent at once, regardless of their period.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Urgency {
@@ -58,6 +63,8 @@
     near: Sums,
     /// Sums over all other hosts.
     others: Sums,
+    /// Demand at the other hosts of the own data centre.
+    demand: HostsDemand,
     /// Hosts that were heard and are not forgotten: of the own data centre, and of all.
     near_known: usize,
     known: usize,
@@ -163,7 +170,8 @@
         let mut others = near.clone();
         self.add_far(&mut others, now);
         let (near_known, known) = (self.near_known(), self.heard_hosts());
-        Round { own, near, others, near_known, known, ranked: self.ranked(now) }
+        let demand = self.near_demand(now);
+        Round { own, near, others, demand, near_known, known, ranked: self.ranked(now) }
     }
 
     fn heartbeat(
@@ -196,14 +204,23 @@
             loads: Vec::new(),
             far: Vec::new(),
             counts: Vec::new(),
+            demand_hosts: 1,
+            demand: own.demand.clone(),
             holds: own.holdings.clone(),
             paces: own.paces.clone(),
             fatal: own.fatal.clone(),
             limits: own.limits.clone(),
             named,
         };
-        let max_loads = sums::load_capacity(&heartbeat.fatal, heartbeat.limits.len());
         let Some(peer) = self.all.get_mut(&to) else { return heartbeat };
+        if let Relation::Listener | Relation::FarSpeaker = relation {
+            let included = relation == Relation::Listener && peer.scope == Scope::Own;
+            let receiver = included.then_some(&*peer).filter(|p| p.alive(true, now));
+            (heartbeat.demand_hosts, heartbeat.demand) = round.demand.report(&own.demand, receiver);
+        }
+        let free = sums::free_bytes(&heartbeat.fatal, heartbeat.limits.len());
+        demand::fit(&mut heartbeat.demand, free / DEMAND_DIVISOR);
+        let max_loads = sums::load_capacity(free, &heartbeat.demand);
         peer.record_sent(relation.asks(), now);
         heartbeat.echo = peer.last_heard.map(|heard| own.echo(peer.sender_clock, heard));
         let mut sums = match relation {
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -1,6 +1,7 @@
 //! Combined loads of several hosts.
 
 use super::peer::Peer;
+use crate::gateway::demand::{self, ServiceDemand};
 use crate::gateway::fatal::FatalReport;
 use crate::gateway::hashes::TargetHash;
 use crate::gateway::reports::TargetLoad;
@@ -111,10 +112,16 @@
     }
 }
 
-/// Number of loads that fit a heartbeat beside these fatal requests and this many limits.
-pub(super) fn load_capacity(fatal: &[FatalReport], limits: usize) -> usize {
+/// Space for loads and demand in a heartbeat beside these fatal requests and this many limits,
+/// bytes.
+pub(super) fn free_bytes(fatal: &[FatalReport], limits: usize) -> usize {
     let taken = fatal.iter().map(FatalReport::max_bytes).sum::<usize>() + limits * LIMIT_BYTES;
-    MAX_LOADS.saturating_sub(taken.div_ceil(LOAD_BYTES))
+    (MAX_LOADS * LOAD_BYTES).saturating_sub(taken)
+}
+
+/// Number of loads that fit this space beside the demand.
+pub(super) fn load_capacity(free_bytes: usize, demand: &[ServiceDemand]) -> usize {
+    free_bytes.saturating_sub(demand::report_bytes(demand)) / LOAD_BYTES
 }
 
 /// The `most` loads that matter most: failing targets first, then by KV cache and requests.
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -4,6 +4,7 @@
     mod availability;
     mod avoid;
     mod copies;
+    mod demand;
     mod failure;
     mod fatal;
     mod fatal_load;
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use roseshore_core::gateway::Fingerprint;
 use roseshore_core::gateway::Position;
+use roseshore_core::gateway::demand::{self, OrganisationDemand, Rank, RankDemand, ServiceDemand};
 use roseshore_core::gateway::fatal::{CrashReport, FatalReport, REPORT_BYTES};
 use roseshore_core::gateway::paces::PaceReport;
 use roseshore_core::gateway::peers::{
@@ -229,6 +230,16 @@
     FatalReport { fingerprint, ends: (0..crashes as u32).map(crash).collect(), well: Some(600_000) }
 }
 
+/// Demand of a service with more ranks and organisations than a report holds.
+fn largest_demand(service: u32) -> ServiceDemand {
+    let rank = |n| Rank::new(Some(n), n);
+    let ranks = (0..9).map(|n| RankDemand { rank: rank(n), offered: 9.0, waiting: 999 });
+    let organisations =
+        (0..30).map(|n| OrganisationDemand { organisation: n, rank: rank(n), offered: 1.0 });
+    let (ranks, organisations) = (ranks.collect(), organisations.collect());
+    ServiceDemand { service: u32::MAX - service, ended: 9.0, ranks, organisations }
+}
+
 #[test]
 fn a_heartbeat_fits_a_datagram() {
     let now = Instant::now();
@@ -267,6 +278,7 @@
         wanted: u16::MAX,
     };
     let limits = (0..12).map(limit).collect();
+    let demand = (0..9).map(largest_demand).collect();
     let own = LocalState {
         loads,
         list,
@@ -274,6 +286,7 @@
         paces,
         fatal,
         limits,
+        demand,
         config_proven: Some(now),
         ..own()
     };
@@ -284,7 +297,9 @@
         + beat.holds.len() * 17
         + beat.named.len() * 8
         + beat.paces.len() * 9
+        + demand::report_bytes(&beat.demand)
         + 140;
+    assert!(!beat.demand.is_empty());
     assert!(size <= 1400, "{size}");
 }
 
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -6,6 +6,7 @@
 mod capacity_wait;
 mod choice;
 mod copies;
+mod demand;
 mod dispatch;
 mod exchange;
 mod fatal;
@@ -32,6 +33,7 @@
 use blocked_requests::BlockedRecords;
 use callers::Caller;
 use calls::Call;
+use demand::Demand;
 use exchange::Exchange;
 use fatal::{BrokenSend, ShortRun};
 use liveness::Liveness;
@@ -166,6 +168,7 @@
     relays: Relays,
     rate_limits: RateLimits,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
+    demand: Demand,
     retry_loans: RetryLoans,
     /// Whether sends may wait for a loan that has to be requested.
     loans_wanted: bool,
@@ -281,6 +284,7 @@
             relays: Relays::default(),
             rate_limits: RateLimits::new(rng.random()),
             retry_budgets: HashMap::new(),
+            demand: Demand::default(),
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
             loans_wanted: false,
             placement: PlacementState::default(),
@@ -421,6 +425,7 @@
         self.update_readiness();
         self.send_heartbeats();
         self.update_retry_pools();
+        self.update_demand_gauges();
     }
 
     /// Passes a changed connection to the code for its role.
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -1,12 +1,12 @@
 //! The choice of the target or path for a request.
 
 use super::EntryHost;
-use super::exchange::Exchange;
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::path::{self, PathRequest};
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
+use roseshore_ports::entry::RequestFields;
 use std::net::SocketAddr;
 
 /// The target or path chosen for a send.
@@ -100,7 +100,7 @@
             return Some(Choice::plain(record.id.clone(), record.addr));
         };
         let written = f64::from(exchange.delivery.events) * spec.event_tokens;
-        let expected = expected_tokens(exchange, spec.mean_answer);
+        let expected = expected_tokens(&exchange.request_fields, spec.mean_answer);
         let path_request = PathRequest {
             layers: spec.layers,
             prompt_tokens: f64::from(exchange.request_fields.prompt_tokens) + written,
@@ -140,8 +140,8 @@
 
 /// Expected number of tokens of an answer: the caller's estimate or else the usual number, within
 /// the caller's maximum.
-fn expected_tokens(exchange: &Exchange, default: f64) -> f64 {
-    let guess = exchange.request_fields.length_hint.map_or(default, f64::from);
-    let max_tokens = f64::from(exchange.request_fields.max_tokens);
+pub(super) fn expected_tokens(fields: &RequestFields, default: f64) -> f64 {
+    let guess = fields.length_hint.map_or(default, f64::from);
+    let max_tokens = f64::from(fields.max_tokens);
     if max_tokens > 0.0 { guess.min(max_tokens) } else { guess }
 }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, RequestHead};
 use crate::slab::Key;
 use rand::RngExt;
+use roseshore_core::gateway::demand::Rank;
 use roseshore_core::gateway::failure::{self, FailureReply, NextStep};
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 
 use super::callers::refusal_fields;
+use super::demand::expected_work;
 use super::in_flight::InFlightSend;
 use super::probes::millis;
 use super::rate_limits::PermitWait;
@@ -40,6 +42,10 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) organisation: Option<OrganisationId>,
+    /// By the priorities of its organisation and route.
+    pub(super) rank: Rank,
+    /// KV cache that it is expected to take, as a multiple of the mean request's.
+    pub(super) work: f64,
     /// What may be at fault if a target crashes while it runs the request.
     pub(super) suspects: Suspects,
     /// Version of the configuration by which the request was admitted.
@@ -134,6 +140,7 @@
                 let until = exchange.deadline;
                 let now = self.now;
                 self.retry_budget(&exchange.service.name).record_request(now);
+                self.record_offered(&exchange);
                 let key = self.exchanges.add(exchange);
                 self.set_timer(until, Timer::Exchange(key));
                 Ok(key)
@@ -177,6 +184,7 @@
         let route = route.map_err(|denied| self.denial_refusal(denied))?;
         let organisation = snapshot.authorise(&route, request_fields.api_key.as_deref());
         let organisation = organisation.map_err(|denied| self.denial_refusal(denied))?;
+        let rank = Rank::new(organisation.and_then(|o| o.priority), route.priority);
         let organisation = organisation.map(|o| o.name.clone());
         if self.config_outdated() || (organisation.is_some() && !self.config_current()) {
             return Err(self.unconfirmed_refusal());
@@ -211,8 +219,10 @@
             head,
             body,
             route,
+            work: expected_work(&request_fields, &service),
             service,
             organisation,
+            rank,
             suspects,
             config_version: snapshot.version(),
             started: self.earliest_arrival,
@@ -350,6 +360,7 @@
 
     /// Removes an exchange and logs its outcome.
     pub(super) fn close_exchange(&mut self, key: Key, code: u16, why: &str) {
+        self.record_ended(key);
         self.drop_send(key, false);
         let Some(exchange) = self.exchanges.remove(key) else { return };
         let took = self.now.saturating_duration_since(exchange.started);
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -194,6 +194,7 @@
             paces: self.pace_reports(),
             fatal: self.fatal.reports(self.now),
             limits: self.limit_reports(),
+            demand: self.demand.meter.reports(self.now),
         };
         let due = self.peers.due(&own, self.now);
         self.log_speaking();
