Hosts share the room of an engine instead of all filling the same hole

Cause: 20 hosts and more of a data centre see the same free KV cache by reports that are 200 to 400 ms old, and each takes all of it; engines then refuse. Change: `quota::room`: of a busy engine each host takes its part, by its part of the demand, less what it claimed since; where that is less than a request a draw decides. Refusals by full engines narrow the room that is held to be usable, for a while. Begun streams use all of it.

--- a/crates/roseshore_core/examples/gateway_cost.rs
+++ b/crates/roseshore_core/examples/gateway_cost.rs
@@ -6,6 +6,7 @@
 use roseshore_core::gateway::path::{PathRequest, choose};
 use roseshore_core::gateway::peers::{LocalState, Peers, TargetLoad, name_hash};
 use roseshore_core::gateway::plan::{EngineState, next_improvement, plan};
+use roseshore_core::gateway::quota::room::Share;
 use roseshore_core::gateway::targets::{Absence, Claim};
 use roseshore_core::gateway::{AcceleratorKind, EngineSpec, Holding, TargetRecord, Targets};
 use roseshore_core::prelude::*;
@@ -174,13 +175,13 @@
     let told: HashMap<_, _> = records.iter().step_by(3).map(note).collect();
     let loads = micros(51, || drop(targets.set_remote_loads(&told, now)));
     for record in records.iter().step_by(30) {
-        targets.reserve(&Claim { target: record.id.clone(), kv_used: 1000.0 });
+        targets.reserve(&Claim { target: record.id.clone(), kv_used: 1000.0 }, now);
     }
     let notes = micros(51, || drop(std::hint::black_box(targets.load_reports())));
     let request = request();
     let mut random = SmallRng::seed_from_u64(1);
     let path = micros(101, || {
-        let candidates = targets.parts("models", spec, &request, now);
+        let candidates = targets.parts("models", spec, &request, &Share::WHOLE, now);
         std::hint::black_box(choose(&candidates, &request, &mut random));
     });
     ListCost { whole, record, loads, notes, path }
@@ -220,7 +221,7 @@
     let mut random = SmallRng::seed_from_u64(1);
     let mut hops = 0;
     let time = micros(201, || {
-        let candidates = targets.parts("models", spec, &request, now);
+        let candidates = targets.parts("models", spec, &request, &Share::WHOLE, now);
         hops = choose(&candidates, &request, &mut random).map_or(0, |p| p.hops.len());
     });
     (time, hops)
--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -27,7 +27,7 @@
 const QUEUED_MS: f64 = 16.0;
 /// Requests that may queue for a slot. In a longer queue the first events of all requests come late
 /// although their predictions do not show it.
-const MAX_QUEUED: f64 = 10.0;
+pub(super) const MAX_QUEUED: f64 = 10.0;
 /// Share of an answer's tokens that its KV cache is planned for.
 const ANSWER_SHARE: f64 = 0.6;
 /// A path in the own data centre with a utilisation below this is taken without considering others.
@@ -72,8 +72,12 @@
     pub in_flight: f64,
     /// Requests that it serves at the same time as the first engine of their paths.
     pub slots: f64,
+    /// Requests that this host may still start there by its share, with those that may queue.
+    pub slot_room: f64,
     /// Free KV cache, tokens times layers.
     pub kv_free: f64,
+    /// KV cache that this host may still claim by its share, tokens times layers.
+    pub kv_room: f64,
     /// KV cache beside the weights of its layers, free or not, tokens times layers.
     pub kv_capacity: f64,
     /// Whether it has not failed recently.
@@ -81,6 +85,11 @@
 }
 
 impl Candidate {
+    /// Number of layers that it holds.
+    pub(super) fn width(&self) -> f64 {
+        f64::from(self.layers.1.saturating_sub(self.layers.0))
+    }
+
     /// Share of the slots that are taken, counting one more request; above 1 when some have to
     /// queue.
     fn slot_utilisation(&self) -> f64 {
@@ -92,9 +101,14 @@
         (self.in_flight + 1.0 - self.slots).max(0.0)
     }
 
+    /// Whether one more request may start there.
+    fn takes_start(&self) -> bool {
+        self.queued() <= MAX_QUEUED && self.slot_room >= 1.0
+    }
+
     /// Cost of starting a path there, ms.
     fn start_ms(&self) -> f64 {
-        let full = if self.queued() > MAX_QUEUED { NO_ROOM_MS } else { 0.0 };
+        let full = if self.takes_start() { 0.0 } else { NO_ROOM_MS };
         FULL_SLOTS_MS * self.slot_utilisation().powi(4) + self.queued() * QUEUED_MS + full
     }
 }
@@ -138,7 +152,7 @@
 
     /// Whether the engine has free KV cache for so many layers of the request.
     fn fits(&self, candidate: &Candidate, layers: f64) -> bool {
-        self.kv_tokens() * layers <= candidate.kv_free
+        self.kv_tokens() * layers <= candidate.kv_free.min(candidate.kv_room)
     }
 }
 
@@ -300,7 +314,7 @@
             (candidate.kv_capacity - candidate.kv_free + taken) / candidate.kv_capacity.max(1.0);
         if layers.0 == 0 {
             path.ttft_ms += candidate.queued() * QUEUED_MS;
-            path.suitable &= candidate.queued() <= MAX_QUEUED;
+            path.suitable &= candidate.takes_start();
             fill = fill.max(candidate.slot_utilisation());
         }
         if fill > path.utilisation {
--- a/crates/roseshore_core/src/gateway/peers/relation.rs
+++ b/crates/roseshore_core/src/gateway/peers/relation.rs
@@ -10,6 +10,7 @@
 //! finds itself among them acts as one. If for a while there are two sets of speakers, or none,
 //! state is less fresh.
 
+use crate::gateway::quota::room::ReportAges;
 use crate::prelude::*;
 
 /// Largest data centre, in hosts, in which every host sends heartbeats to every other.
@@ -43,6 +44,15 @@
 /// other can meet there.
 const SEED_PERIOD: Duration = Duration::from_secs(5);
 
+/// Ages up to which loads may be missing in what a host knows of others, in a data centre of so many
+/// hosts. A load passes a speaker on the way to the other hosts of a large data centre, and two on
+/// the way to another one.
+pub fn report_ages(hosts: usize) -> ReportAges {
+    let period = Relation::Speaker.period(hosts.saturating_sub(1));
+    let near = if hosts <= MESH_MAX_HOSTS { 2 * period } else { period };
+    ReportAges { near, far: near + FAR_PERIOD * 5 / 4 }
+}
+
 /// Role of another host towards this one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Relation {
--- a/crates/roseshore_core/src/gateway/quota.rs
+++ b/crates/roseshore_core/src/gateway/quota.rs
@@ -6,7 +6,10 @@
 //!   each host has a fixed share, and borrows more.
 //! - [`limits`]: a rate that a target asks for, dealt out permit by permit by one host of each data
 //!   centre.
+//! - [`room`]: room of engines, which is only spent for a time and which the engines themselves
+//!   bound: each host takes its part of what reports show to be free, and nothing is held.
 
 pub mod limits;
 pub mod retry_budget;
 pub mod retry_loans;
+pub mod room;
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -16,9 +16,10 @@
 
 use super::hashes::TargetHash;
 use super::paces::{EnginePace, PaceReport};
-use super::path::{Candidate, PathRequest};
+use super::path::{Candidate, MAX_QUEUED, PathRequest};
 use super::plan::pressure::{EngineUsage, peak_utilisation};
 use super::position::Position;
+use super::quota::room::{Occupancy, Share, UsableRoom};
 use super::reports::TargetLoad;
 use super::routes::EngineSpec;
 use crate::load::breaker::CircuitBreaker;
@@ -28,7 +29,7 @@
 use list::DroppedTargets;
 pub use list::{Absence, ListDelta, ListUpdate, RecordChange};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use target::ReportedHolding;
 pub use target::{
@@ -100,16 +101,18 @@
     }
 
     /// Accounts for a request that is sent to a target.
-    pub fn reserve(&mut self, claim: &Claim) {
+    pub fn reserve(&mut self, claim: &Claim, now: Instant) {
         if let Some(target) = self.all.get_mut(&claim.target) {
             target.in_flight += 1;
             target.kv_used += claim.kv_used;
+            target.recent.claim(claim.kv_used, now);
         }
     }
 
-    /// Undoes [`Targets::reserve`] when the request has ended.
-    pub fn release(&mut self, claim: &Claim) {
+    /// Undoes [`Targets::reserve`] at `since` when the request has ended.
+    pub fn release(&mut self, claim: &Claim, since: Instant, now: Instant) {
         if let Some(target) = self.all.get_mut(&claim.target) {
+            target.recent.end(claim.kv_used, since, now);
             target.in_flight = target.in_flight.saturating_sub(1);
             target.kv_used = (target.kv_used - claim.kv_used).max(0.0);
         }
@@ -123,6 +126,49 @@
         !before
     }
 
+    /// Records that a full engine refused a request that it is still counted with. Returns whether
+    /// less of its room is held to be usable than before.
+    pub fn record_full(&mut self, id: &str, now: Instant) -> bool {
+        let Some(target) = self.all.get_mut(id) else { return false };
+        let counted = target.total_kv_used();
+        let before = target.usable;
+        target.usable = Some(UsableRoom::after_refusal(before, counted, now));
+        before.is_none_or(|known| known.part(counted, now) >= 1.0)
+    }
+
+    /// Part of an engine's KV cache that is held to be usable; `None` if it is no engine.
+    pub fn usable_part(&self, id: &str, spec: &EngineSpec, now: Instant) -> Option<f64> {
+        let target = self.all.get(id)?;
+        Some(target.usable_part(Self::kv_capacity(target, spec)?, now))
+    }
+
+    /// Occupancy of an engine's KV cache as counted here, as a fraction; `None` if it is no engine.
+    pub fn counted_fill(&self, id: &str, spec: &EngineSpec) -> Option<f64> {
+        let target = self.all.get(id)?;
+        Some(target.total_kv_used() / Self::kv_capacity(target, spec)?.max(1.0))
+    }
+
+    /// Forgets what refusals showed where it no longer narrows an engine's room. Returns those
+    /// engines, and the smallest usable part of the others.
+    pub fn widen(
+        &mut self,
+        service: &str,
+        spec: &EngineSpec,
+        now: Instant,
+    ) -> (Vec<TargetId>, f64) {
+        let (mut back, mut least) = (Vec::new(), 1.0_f64);
+        for target in self.all.values_mut().filter(|t| t.record.service == service) {
+            let Some(usable) = target.usable else { continue };
+            let part = Self::kv_capacity(target, spec).map_or(1.0, |all| usable.part(all, now));
+            if part >= 1.0 {
+                target.usable = None;
+                back.push(target.record.id.clone());
+            }
+            least = least.min(part);
+        }
+        (back, least)
+    }
+
     /// When a target's quarantine ends; `None` if it is not quarantined.
     pub fn quarantine_end(&self, id: &str) -> Option<Instant> {
         self.all.get(id)?.health.open_until()
@@ -436,17 +482,65 @@
         open().filter(|t| t.is_healthy(now)).min_by(least).or_else(|| reachable().min_by(least))
     }
 
-    /// The targets that a path through the layers may use, with their costs and free capacity.
+    /// The targets that a path through the layers may use, with their costs, free capacity and what
+    /// this host may take of it by its share.
     pub fn parts(
         &self,
         service: &str,
         spec: &EngineSpec,
         need: &PathRequest<'_>,
+        share: &Share,
         now: Instant,
     ) -> Vec<Candidate> {
         let usable = |t: &&Target| t.accepts_work(now) && !need.avoided.contains(&t.record.id);
         let all = self.of_service(service).filter(usable);
-        all.filter_map(|t| Self::part(t, spec, need, now)).collect()
+        let mut parts: Vec<Candidate> =
+            all.filter_map(|t| Self::part(t, spec, need, now)).collect();
+        self.divide_room(&mut parts, spec, need, share, now);
+        parts
+    }
+
+    /// Limits the room at each engine to this host's share.
+    fn divide_room(
+        &self,
+        parts: &mut [Candidate],
+        spec: &EngineSpec,
+        need: &PathRequest<'_>,
+        share: &Share,
+        now: Instant,
+    ) {
+        let mut widths: HashMap<DataCentreId, f64> = HashMap::new();
+        for part in parts.iter() {
+            *widths.entry(part.data_centre.clone()).or_default() += part.width();
+        }
+        for part in parts {
+            let Some(target) = self.all.get(&part.id) else { continue };
+            let age = share.report_age(part.local);
+            let (requests, kv) = target.recent.net(age, now);
+            let replicas = widths[&part.data_centre] / f64::from(spec.layers).max(1.0);
+            let memory = Occupancy {
+                capacity: part.kv_capacity,
+                free: part.kv_free,
+                recent: kv,
+                request: need.kv_tokens() * part.width(),
+                replicas,
+            };
+            part.kv_room = share.room(part.local, &memory);
+            let slots = Occupancy {
+                capacity: part.slots + MAX_QUEUED,
+                free: part.slots + MAX_QUEUED - part.in_flight,
+                recent: requests,
+                request: 1.0,
+                replicas,
+            };
+            part.slot_room = share.room(part.local, &slots);
+        }
+    }
+
+    /// Number of data centres with targets of a service.
+    pub fn data_centres(&self, service: &str) -> usize {
+        let centres = self.of_service(service).map(|t| t.record.data_centre.as_str());
+        centres.collect::<BTreeSet<_>>().len()
     }
 
     /// Occupancy of a data centre's engines, as a fraction: the highest occupancy of any layer's KV
@@ -495,6 +589,7 @@
         let context = spec.context_ms * (spec.mean_prompt + spec.mean_answer);
         let step = spec.step_ms + (spec.per_seq_ms + context) * (in_flight + 1.0);
         let kv_capacity = Self::kv_capacity(t, spec)?;
+        let kv_capacity = kv_capacity * t.usable_part(kv_capacity, now);
         let slowness = t.slowdown(now);
         let prefill_ms = slowness * kind.prefill_factor * share / spec.prefill_per_ms;
         Some(Candidate {
@@ -507,7 +602,9 @@
             prefill_ms,
             in_flight,
             slots: f64::from(t.record.slots),
+            slot_room: f64::INFINITY,
             kv_free: kv_capacity - t.total_kv_used(),
+            kv_room: f64::INFINITY,
             kv_capacity,
             healthy: t.is_healthy(now),
         })
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -4,6 +4,7 @@
 use super::super::position::Position;
 use super::Availability;
 use crate::gateway::hashes::{TargetHash, target_hash};
+use crate::gateway::quota::room::{RecentClaims, UsableRoom};
 use crate::gateway::reports::TargetLoad;
 use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
@@ -169,6 +170,10 @@
     pub in_flight: u32,
     /// KV cache used by requests of this host, in tokens times layers.
     pub kv_used: f64,
+    /// Changes of these that other hosts' reports may not cover yet.
+    pub(super) recent: RecentClaims,
+    /// What its refusals showed of its room.
+    pub(super) usable: Option<UsableRoom>,
     /// Set while it is missing from the list: when it is removed.
     pub(super) missing_until: Option<Instant>,
     /// Whether another target answered at its address.
@@ -215,6 +220,8 @@
             record,
             in_flight: 0,
             kv_used: 0.0,
+            recent: RecentClaims::default(),
+            usable: None,
             missing_until: None,
             replaced: false,
             health: CircuitBreaker::default(),
@@ -291,6 +298,11 @@
         self.kv_used + f64::from(self.remote_load.held) * 1000.0
     }
 
+    /// Part of this KV cache that turned out to be usable.
+    pub(super) fn usable_part(&self, capacity: f64, now: Instant) -> f64 {
+        self.usable.map_or(1.0, |usable| usable.part(capacity, now))
+    }
+
     /// The same target in a new incarnation, with no state of the former one except this host's
     /// load: requests that were sent to it still end one by one.
     pub(super) fn restarted(&self, record: TargetRecord) -> Target {
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -28,6 +28,7 @@
     mod pressure;
     mod retry_budget;
     mod retry_loans;
+    mod room;
     mod routes;
     mod shortage;
     mod starts;
--- a/crates/roseshore_core/tests/gateway/holdings.rs
+++ b/crates/roseshore_core/tests/gateway/holdings.rs
@@ -3,6 +3,7 @@
 use super::fixtures::spec;
 use roseshore_core::gateway::PathRequest;
 use roseshore_core::gateway::peers::name_hash;
+use roseshore_core::gateway::quota::room::Share;
 use roseshore_core::gateway::targets::{Holding, Target};
 use roseshore_core::gateway::{TargetRecord, Targets};
 use roseshore_core::prelude::*;
@@ -103,7 +104,7 @@
             excluded_first: &[],
             allowed_first: None,
         };
-        let parts = targets.parts("engines", &spec(), &need, now);
+        let parts = targets.parts("engines", &spec(), &need, &Share::WHOLE, now);
         parts.first().map_or(0, |part| part.kv_capacity as u64)
     };
     targets.upsert(listed((70, 80)));
--- a/crates/roseshore_core/tests/gateway/path.rs
+++ b/crates/roseshore_core/tests/gateway/path.rs
@@ -17,7 +17,9 @@
         prefill_ms: 0.0001,
         in_flight: 0.0,
         slots: 192.0,
+        slot_room: f64::INFINITY,
         kv_free,
+        kv_room: f64::INFINITY,
         kv_capacity: 1e6,
         healthy: true,
     }
--- a/crates/roseshore_core/tests/gateway/starts.rs
+++ b/crates/roseshore_core/tests/gateway/starts.rs
@@ -84,7 +84,9 @@
             prefill_ms: 0.0001,
             in_flight: busy as f64,
             slots: SLOTS as f64,
+            slot_room: f64::INFINITY,
             kv_free: 9e6,
+            kv_room: f64::INFINITY,
             kv_capacity: 9e6,
             healthy: true,
         };
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -104,7 +104,7 @@
         },
         Case {
             name: "it is busy",
-            happens: |t, _| (0..4).for_each(|_| t.reserve(&claim("a", 0.0))),
+            happens: |t, now| (0..4).for_each(|_| t.reserve(&claim("a", 0.0), now)),
             chosen: "b",
         },
         Case {
@@ -402,11 +402,12 @@
 fn requests_to_a_former_incarnation_are_still_released() {
     let mut targets = two();
     let claim = claim("a", 500.0);
-    targets.reserve(&claim);
+    let now = Instant::now();
+    targets.reserve(&claim, now);
     targets.upsert(TargetRecord { life: 7, ..record("a", "north") });
     let own_load = |targets: &Targets| targets.get("a").map(|t| (t.in_flight, t.kv_used));
     assert_eq!(own_load(&targets), Some((1, 500.0)));
-    targets.release(&claim);
+    targets.release(&claim, now, now);
     assert_eq!(own_load(&targets), Some((0, 0.0)));
 }
 
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -425,6 +425,7 @@
         self.update_readiness();
         self.send_heartbeats();
         self.update_retry_pools();
+        self.widen_rooms();
         self.update_demand_gauges();
     }
 
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -85,6 +85,9 @@
         at: Instant,
         excluded_first: &[TargetId],
     ) -> Option<Choice> {
+        let exchange = self.exchanges.get(key)?;
+        let (service, begun) = (exchange.service.name.clone(), exchange.delivery.started);
+        let share = self.room_share(&service, begun);
         let exchange = self.exchanges.get(key)?;
         let data_centre = self.settings.data_centre.as_str();
         let bound = exchange.at_bound();
@@ -110,7 +113,7 @@
             excluded_first,
             allowed_first,
         };
-        let parts = self.targets.parts(&exchange.service.name, spec, &path_request, at);
+        let parts = self.targets.parts(&exchange.service.name, spec, &path_request, &share, at);
         let path = path::choose(&parts, &path_request, &mut self.rng)?;
         let tokens = path_request.kv_tokens();
         let claim = |(id, _, hop): &(TargetId, SocketAddr, Hop)| {
--- a/crates/roseshore_relay/src/entry/demand.rs
+++ b/crates/roseshore_relay/src/entry/demand.rs
@@ -1,12 +1,14 @@
 //! Counts what callers ask of services, here and in the data centre.
 
-use super::EntryHost;
 use super::choice::expected_tokens;
 use super::exchange::Exchange;
+use super::{EntryHost, log_event};
 use crate::slab::Key;
+use rand::RngExt;
 use roseshore_core::gateway::demand::{CentreDemand, DemandMeter};
 use roseshore_core::gateway::path::kv_tokens;
-use roseshore_core::gateway::peers::name_hash;
+use roseshore_core::gateway::peers::{name_hash, relation};
+use roseshore_core::gateway::quota::room::{Share, SteadyDraw};
 use roseshore_core::gateway::{EngineSpec, ServiceSpec};
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::RequestFields;
@@ -15,6 +17,10 @@
 /// How long the sum over a data centre is used.
 const SUM_VALIDITY: Duration = Duration::from_millis(50);
 
+/// Occupancy of an engine's KV cache as counted here, as a fraction, from which on a refusal shows
+/// that it is full.
+const FULL_FILL: f64 = 0.6;
+
 /// What callers ask of services.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
@@ -22,6 +28,8 @@
     pub(super) meter: DemandMeter,
     /// Demand in the data centre, with the time of its sum.
     centre: HashMap<ServiceId, (Instant, CentreDemand)>,
+    /// Decides whether this host takes room of which its part is smaller than a request.
+    draw: SteadyDraw,
 }
 
 impl EntryHost {
@@ -46,6 +54,45 @@
         }
     }
 
+    /// What this host may take of the room of a service's engines, for a request that may have
+    /// begun.
+    pub(super) fn room_share(&mut self, service: &ServiceId, begun: bool) -> Share {
+        let demand = self.centre_demand(service);
+        let ages = relation::report_ages(demand.hosts);
+        let draw = self.demand.draw.get(self.rng.random(), ages.near, self.now);
+        let centres = self.targets.data_centres(service);
+        Share::new(&demand, ages, centres, draw).for_begun(begun)
+    }
+
+    /// Narrows the room of an engine that refused a request, if it seemed to be nearly full.
+    pub(super) fn record_refusal(&mut self, target: &TargetId, service: &ServiceSpec) {
+        let now = self.now;
+        let Some(engine) = &service.engine else { return };
+        let Some(fill) = self.targets.counted_fill(target, engine) else { return };
+        if fill < FULL_FILL {
+            return;
+        }
+        metrics::counter!("roseshore_sends_refused_full_total", "service" => service.name.clone())
+            .increment(1);
+        if self.targets.record_full(target, now) {
+            let part = self.targets.usable_part(target, engine, now).unwrap_or(1.0);
+            log_event!(self, RoomNarrowed, "target={target} fill={fill:.2} usable={part:.2}");
+        }
+    }
+
+    /// Widens the room of engines that refused requests some time ago.
+    pub(super) fn widen_rooms(&mut self) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        for service in snapshot.engine_services() {
+            let Some(engine) = &service.engine else { continue };
+            let (back, least) = self.targets.widen(&service.name, engine, self.now);
+            metrics::gauge!("roseshore_room_usable", "service" => service.name.clone()).set(least);
+            for target in back {
+                log_event!(self, RoomWidened, "target={target}");
+            }
+        }
+    }
+
     /// Shows the demand in the data centre and this host's part of it.
     pub(super) fn update_demand_gauges(&mut self) {
         let Some(snapshot) = self.snapshot.clone() else { return };
@@ -55,6 +102,7 @@
             of("roseshore_demand_offered").set(demand.total.offered());
             of("roseshore_demand_ended").set(f64::from(demand.total.ended));
             of("roseshore_demand_part").set(demand.own_part);
+            of("roseshore_room_part").set(self.room_share(&service.name, false).part());
         }
     }
 
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -95,7 +95,7 @@
             self.rate_limits.limits.consume(hash, self.now);
         }
         for claim in &choice.claims {
-            self.targets.reserve(claim);
+            self.targets.reserve(claim, self.now);
         }
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
@@ -146,7 +146,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.take() else { return };
         for claim in &send.claims {
-            self.targets.release(claim);
+            self.targets.release(claim, send.sent_at, self.now);
         }
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
             self.keep_idle(send.socket, send.route);
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -29,6 +29,7 @@
         exchange.verdict = exchange.verdict.join(fault.verdict());
         let waited = now.saturating_duration_since(send.sent_at).as_millis();
         let (first, via) = (send.target.clone(), send.route.via);
+        let service = exchange.service.clone();
         let blame = fault.blame(send.path.len());
         let path = send.targets().join(",");
         let text = format!(
@@ -68,6 +69,9 @@
             if self.is_link_fault(culprit, via, fault) {
                 continue;
             }
+            if fault == Fault::Refused {
+                self.record_refusal(culprit, &service);
+            }
             let until = self.record_fault(culprit, blame, fault);
             if let Some(exchange) = self.exchanges.get_mut(key) {
                 exchange.avoided.add(culprit.clone(), until);
