Loads that do not fit a heartbeat take turns instead of counting as none

Cause: a heartbeat holds 66 loads at most, fewer beside limits, fatal requests and demand, and the largest went first. Engines with little KV cache were left out by speakers, and so counted as free by all other hosts: of the sends that engines refused, nine in ten were refused by a later engine of the path than the one held to be fullest, mostly the smallest kind, at a true occupancy of 1.0 to 2. Change: failing targets and those of the own data centre go first, the others take turns and stay valid meanwhile, in all heartbeats.

--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -38,7 +38,7 @@
 };
 use peer::Peer;
 use sending::Urgency;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 pub use view::View;
 
@@ -72,6 +72,8 @@
     pub list_proven: Option<Instant>,
     /// Its load at each target.
     pub loads: Vec<TargetLoad>,
+    /// Targets of its data centre; their loads are reported before others.
+    pub home: HashSet<TargetHash>,
     /// Targets that it reached after other hosts had reported that they fail liveness checks.
     pub refuted: Vec<TargetHash>,
     /// Requests that it has counted, by service.
@@ -98,6 +100,7 @@
             list: ListVersion::default(),
             list_proven: None,
             loads: Vec::new(),
+            home: HashSet::new(),
             refuted: Vec::new(),
             counts: Vec::new(),
             holdings: Vec::new(),
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -209,7 +209,8 @@
     pub known: u16,
     /// Loads, by target.
     pub loads: Vec<TargetLoad>,
-    /// Loads at some of the targets that only other data centres use.
+    /// Loads at some of the other targets, different ones with each heartbeat: those that only other
+    /// data centres use, and those for which there is no space above.
     pub far: Vec<TargetLoad>,
     /// Requests of the sender, by service; only with [`Scope::Own`].
     pub counts: Vec<ServiceCounts>,
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -21,8 +21,8 @@
 const RETRY_UNANSWERED: Duration = Duration::from_secs(5);
 /// Silence after which a host is forgotten.
 const RETENTION: Duration = Duration::from_mins(1);
-/// How long a reported load at a target that only other data centres use is valid. A speaker
-/// repeats each several times in this time.
+/// How long a load is valid that is reported in rotation. Each is repeated several times in this
+/// time.
 const FAR_LOAD_VALIDITY: Duration = Duration::from_millis(2500);
 /// How long a reported number of permit requests is valid before the host's latest heartbeat;
 /// heartbeats report targets in rotation.
@@ -52,6 +52,8 @@
     pub(super) capacity: u16,
     pub(super) last_heard: Option<Instant>,
     pub(super) last_sent: Option<Instant>,
+    /// Number of heartbeats sent to it.
+    pub(super) sent: usize,
     /// Since when it has been asked without an answer.
     unanswered_since: Option<Instant>,
     /// When it was last named, or else first learned of.
@@ -69,8 +71,7 @@
     pub(super) list: ListVersion,
     pub(super) scope: Scope,
     pub(super) loads: Vec<TargetLoad>,
-    /// Loads it reported at targets that only other data centres use, with the times of the
-    /// reports.
+    /// Loads that it reports in rotation, with the times of the reports.
     far_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
     pub(super) counts: Vec<ServiceCounts>,
     /// Hosts that its demand includes.
@@ -95,6 +96,7 @@
             capacity: 0,
             last_heard: None,
             last_sent: None,
+            sent: 0,
             unanswered_since: None,
             last_known: now,
             last_named: None,
@@ -162,7 +164,7 @@
         self.wanted.get(&target).map_or(0, |(wanted, _)| *wanted)
     }
 
-    /// Loads it reported at targets that only other data centres use.
+    /// Loads that it reports in rotation.
     pub(super) fn far_loads(&self) -> impl Iterator<Item = &TargetLoad> {
         let used = |report: &&TargetLoad| self.loads.iter().all(|l| l.target != report.target);
         self.far_loads.values().map(|(report, _)| report).filter(used)
@@ -191,6 +193,7 @@
     /// Records a heartbeat sent to it.
     pub(super) fn record_sent(&mut self, asks: bool, now: Instant) {
         self.last_sent = Some(now);
+        self.sent = self.sent.wrapping_add(1);
         if asks {
             self.unanswered_since.get_or_insert(now);
         }
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -8,12 +8,12 @@
 use super::message::{Echo, Heartbeat, KnownHost, Scope};
 use super::peer::{Peer, Rank};
 use super::relation::{self, Relation};
-use super::sums::{self, Sums, most_relevant};
+use super::sums::{self, LoadSpace, ReportedLoads, Sums};
 use super::{LocalState, Peers};
 use crate::gateway::demand;
 use crate::gateway::hashes::CentreHash;
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
 /// Number of hosts of the receiver's data centre, by rank, that heartbeats make known, so that the
@@ -223,12 +223,16 @@
         let max_loads = sums::load_capacity(free, &heartbeat.demand);
         peer.record_sent(relation.asks(), now);
         heartbeat.echo = peer.last_heard.map(|heard| own.echo(peer.sender_clock, heard));
+        let none = HashSet::new();
+        let first = if relation == Relation::FarSpeaker { &none } else { &own.home };
+        let space = LoadSpace { most: max_loads, turn: peer.sent, first };
         let mut sums = match relation {
             Relation::Listener if peer.scope == Scope::Own => round.others.without(peer),
             Relation::Listener => round.others.clone(),
             Relation::FarSpeaker => round.near.clone(),
             _ => {
-                heartbeat.loads = most_relevant(own.loads.clone(), max_loads);
+                let loads = ReportedLoads::of(own.loads.clone(), Vec::new(), &space);
+                (heartbeat.loads, heartbeat.far) = (loads.always, loads.rotated);
                 heartbeat.counts.clone_from(&own.counts);
                 return heartbeat;
             }
@@ -242,8 +246,8 @@
             }
             _ => Scope::Others(hosts),
         };
-        heartbeat.loads = sums.near_loads(max_loads);
-        heartbeat.far = sums.far_loads(max_loads - heartbeat.loads.len(), self.sequence as usize);
+        let loads = sums.report(&space);
+        (heartbeat.loads, heartbeat.far) = (loads.always, loads.rotated);
         heartbeat
     }
 
--- a/crates/roseshore_core/src/gateway/peers/sums.rs
+++ b/crates/roseshore_core/src/gateway/peers/sums.rs
@@ -6,15 +6,16 @@
 use crate::gateway::hashes::TargetHash;
 use crate::gateway::reports::TargetLoad;
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Most targets that a heartbeat reports; more do not fit a datagram.
 const MAX_LOADS: usize = 66;
 /// Encoded size of a target's load and of a limit, in bytes.
 const LOAD_BYTES: usize = 12;
 const LIMIT_BYTES: usize = 28;
-/// Most of these targets that only hosts of other data centres use. They are reported a few at a
-/// time: there are several times as many, and they matter only when work is sent there.
+/// Most loads that are reported in rotation: those of targets that only hosts of other data centres
+/// use, of which there are several times as many and which matter only when work is sent there, and
+/// those that do not fit.
 const MAX_FAR_LOADS: usize = 24;
 
 /// Combined load of one target.
@@ -65,7 +66,7 @@
     pub(super) fn without(&self, peer: &Peer) -> Sums {
         let mut rest = self.clone();
         rest.hosts = rest.hosts.saturating_sub(1);
-        for load in &peer.loads {
+        for load in peer.loads.iter().chain(peer.far_loads()) {
             if let Some(sum) = rest.loads.get_mut(&load.target) {
                 sum.own = sum.own.saturating_sub(u32::from(load.own));
                 sum.held = sum.held.saturating_sub(load.held);
@@ -81,21 +82,10 @@
         self.loads.iter().map(load).collect()
     }
 
-    /// Loads of targets that the own data centre uses, for a heartbeat: first those that fail
-    /// checks, then by KV cache use.
-    pub(super) fn near_loads(&self, most: usize) -> Vec<TargetLoad> {
-        most_relevant(self.active_loads(true).collect(), most)
-    }
-
-    /// Loads of up to `room` other targets, different ones with each turn.
-    pub(super) fn far_loads(&self, room: usize, turn: usize) -> Vec<TargetLoad> {
-        let mut loads: Vec<TargetLoad> = self.active_loads(false).collect();
-        loads.sort_unstable_by_key(|load| load.target);
-        let most = MAX_FAR_LOADS.min(room).min(loads.len());
-        let first = (turn * most).checked_rem(loads.len()).unwrap_or(0);
-        loads.rotate_left(first);
-        loads.truncate(most);
-        loads
+    /// Loads for a heartbeat.
+    pub(super) fn report(&self, space: &LoadSpace<'_>) -> ReportedLoads {
+        let near = self.active_loads(true).collect();
+        ReportedLoads::of(near, self.active_loads(false).collect(), space)
     }
 
     fn active_loads(&self, near: bool) -> impl Iterator<Item = TargetLoad> {
@@ -124,9 +114,55 @@
     free_bytes.saturating_sub(demand::report_bytes(demand)) / LOAD_BYTES
 }
 
-/// The `most` loads that matter most: failing targets first, then by KV cache and requests.
-pub(super) fn most_relevant(mut loads: Vec<TargetLoad>, most: usize) -> Vec<TargetLoad> {
-    loads.sort_by_key(|load| Reverse((load.down, load.held, load.own, load.target)));
-    loads.truncate(most);
-    loads
+/// Space for loads in a heartbeat, and which go first.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadSpace<'a> {
+    /// Loads that fit.
+    pub(super) most: usize,
+    /// Changes with each heartbeat to the receiver.
+    pub(super) turn: usize,
+    /// Targets whose loads go first.
+    pub(super) first: &'a HashSet<TargetHash>,
+}
+
+/// Loads of a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct ReportedLoads {
+    /// Those in every heartbeat.
+    pub(super) always: Vec<TargetLoad>,
+    /// Some of the others.
+    pub(super) rotated: Vec<TargetLoad>,
+}
+
+impl ReportedLoads {
+    /// Divides loads of targets that the own data centre uses and of others. In every heartbeat are
+    /// the failing targets, those to go first, and the largest. A target that is left out would
+    /// count as free, so those for which there is no space take turns.
+    pub(super) fn of(
+        mut near: Vec<TargetLoad>,
+        far: Vec<TargetLoad>,
+        space: &LoadSpace<'_>,
+    ) -> ReportedLoads {
+        let order = |load: &TargetLoad| {
+            Reverse((
+                load.down,
+                space.first.contains(&load.target),
+                load.held,
+                load.own,
+                load.target,
+            ))
+        };
+        near.sort_by_key(order);
+        let mut rest = far;
+        if near.len() > space.most {
+            let turns = MAX_FAR_LOADS.min(space.most / 2);
+            rest.extend(near.split_off(space.most - turns));
+        }
+        rest.sort_unstable_by_key(|load| load.target);
+        let most = MAX_FAR_LOADS.min(space.most - near.len()).min(rest.len());
+        let first = space.turn.wrapping_mul(most).checked_rem(rest.len()).unwrap_or(0);
+        rest.rotate_left(first);
+        rest.truncate(most);
+        ReportedLoads { always: near, rotated: rest }
+    }
 }
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -28,6 +28,7 @@
             if peer.alive(true, now) {
                 sums.hosts += 1;
                 sums.add_loads(&peer.loads, true);
+                sums.add_loads(peer.far_loads(), true);
             }
         }
         sums
@@ -50,6 +51,7 @@
         for (hosts, peer) in best.into_values() {
             sums.hosts += usize::from(hosts.max(1));
             sums.add_loads(&peer.loads, false);
+            sums.add_loads(peer.far_loads(), false);
         }
     }
 
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -29,7 +29,7 @@
 use list::DroppedTargets;
 pub use list::{Absence, ListDelta, ListUpdate, RecordChange};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use target::ReportedHolding;
 pub use target::{
@@ -415,6 +415,12 @@
         self.all.values().map(report).filter(|n| n.own > 0 || n.down).collect()
     }
 
+    /// Hashes of the targets in a data centre.
+    pub fn in_data_centre(&self, centre: &str) -> HashSet<TargetHash> {
+        let near = self.all.values().filter(|t| t.record.data_centre == centre);
+        near.map(|t| t.hash).collect()
+    }
+
     /// Records the pace that a target reported to this or another host; the latest report wins.
     pub fn record_pace(&mut self, target: TargetHash, pace: EnginePace) {
         let known = self.ids.get(&target).and_then(|id| self.all.get_mut(id));
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -188,6 +188,7 @@
             list: self.list_version(),
             list_proven: self.store_sync.outage.last_confirmed(),
             loads: self.targets.load_reports(),
+            home: self.targets.in_data_centre(&self.settings.data_centre),
             refuted: self.targets.refuted(),
             counts: self.service_counts(),
             holdings: self.holding_reports(),
