--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 //! made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
 //! with each hop.
 
+mod demand;
 mod lending;
 mod message;
 mod peer;
@@ -23,6 +24,7 @@
 mod sums;
 mod view;
 
+use super::demand::ServiceDemand;
 use super::fatal::FatalReport;
 pub use super::hashes::{CentreHash, TargetHash, name_hash, target_hash};
 use super::paces::PaceReport;
@@ -36,7 +38,7 @@
 };
 use peer::Peer;
 use sending::Urgency;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 pub use view::View;
 
@@ -70,6 +72,8 @@
     pub list_proven: Option<Instant>,
     /// Its load at each target.
     pub loads: Vec<TargetLoad>,
+    /// Targets of its data centre; their loads are reported before others.
+    pub home: HashSet<TargetHash>,
     /// Targets that it reached after other hosts had reported that they fail liveness checks.
     pub refuted: Vec<TargetHash>,
     /// Requests that it has counted, by service.
@@ -82,6 +86,8 @@
     pub fatal: Vec<FatalReport>,
     /// Limits that targets advertised.
     pub limits: Vec<LimitReport>,
+    /// What callers ask of it, by service.
+    pub demand: Vec<ServiceDemand>,
 }
 
 impl Default for LocalState {
@@ -94,12 +100,14 @@
             list: ListVersion::default(),
             list_proven: None,
             loads: Vec::new(),
+            home: HashSet::new(),
             refuted: Vec::new(),
             counts: Vec::new(),
             holdings: Vec::new(),
             paces: Vec::new(),
             fatal: Vec::new(),
             limits: Vec::new(),
+            demand: Vec::new(),
         }
     }
 }
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 //! permit requests.
 
 use crate::gateway::copies::CopyRequest;
+use crate::gateway::demand::ServiceDemand;
 use crate::gateway::fatal::FatalReport;
 use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::paces::PaceReport;
@@ -208,10 +209,16 @@
     pub known: u16,
     /// Loads, by target.
     pub loads: Vec<TargetLoad>,
-    /// Loads at some of the targets that only other data centres use.
+    /// Loads at some of the other targets, different ones with each heartbeat: those that only other
+    /// data centres use, and those for which there is no space above.
     pub far: Vec<TargetLoad>,
     /// Requests of the sender, by service; only with [`Scope::Own`].
     pub counts: Vec<ServiceCounts>,
+    /// Hosts of the sender's data centre that the demand includes.
+    pub demand_hosts: u16,
+    /// What callers ask of services at the sender or, with another scope, at all hosts of its data
+    /// centre; without the receiver.
+    pub demand: Vec<ServiceDemand>,
     /// Layers that the sender has ordered targets to hold, or found them to hold.
     pub holds: Vec<HoldingReport>,
     /// Paces that engines reported.
--- a/crates/roseshore_core/src/gateway/peers/peer.rs
+++ b/crates/roseshore_core/src/gateway/peers/peer.rs
@@ -1,6 +1,7 @@
 //! One other host, as known from heartbeats.
 
 use super::message::{Heartbeat, KnownHost, Scope, ServiceCounts};
+use crate::gateway::demand::{self, ServiceDemand};
 use crate::gateway::hashes::{CentreHash, TargetHash};
 use crate::gateway::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::prelude::*;
@@ -20,8 +21,8 @@
 const RETRY_UNANSWERED: Duration = Duration::from_secs(5);
 /// Silence after which a host is forgotten.
 const RETENTION: Duration = Duration::from_mins(1);
-/// How long a reported load at a target that only other data centres use is valid. A speaker
-/// repeats each several times in this time.
+/// How long a load is valid that is reported in rotation. Each is repeated several times in this
+/// time.
 const FAR_LOAD_VALIDITY: Duration = Duration::from_millis(2500);
 /// How long a reported number of permit requests is valid before the host's latest heartbeat;
 /// heartbeats report targets in rotation.
@@ -51,6 +52,8 @@
     pub(super) capacity: u16,
     pub(super) last_heard: Option<Instant>,
     pub(super) last_sent: Option<Instant>,
+    /// Number of heartbeats sent to it.
+    pub(super) sent: usize,
     /// Since when it has been asked without an answer.
     unanswered_since: Option<Instant>,
     /// When it was last named, or else first learned of.
@@ -68,10 +71,13 @@
     pub(super) list: ListVersion,
     pub(super) scope: Scope,
     pub(super) loads: Vec<TargetLoad>,
-    /// Loads it reported at targets that only other data centres use, with the times of the
-    /// reports.
+    /// Loads that it reports in rotation, with the times of the reports.
     far_loads: HashMap<TargetHash, (TargetLoad, Instant)>,
     pub(super) counts: Vec<ServiceCounts>,
+    /// Hosts that its demand includes.
+    pub(super) demand_hosts: u16,
+    /// The demand that it reported, for the hosts of its scope in its data centre.
+    pub(super) demand: Vec<ServiceDemand>,
     /// Hosts that it knows of.
     pub(super) known: u16,
     /// When this host sent the last heartbeat that it heard.
@@ -90,6 +96,7 @@
             capacity: 0,
             last_heard: None,
             last_sent: None,
+            sent: 0,
             unanswered_since: None,
             last_known: now,
             last_named: None,
@@ -106,6 +113,8 @@
             loads: Vec::new(),
             far_loads: HashMap::new(),
             counts: Vec::new(),
+            demand_hosts: 0,
+            demand: Vec::new(),
             known: 0,
             heard_from: None,
             wanted: HashMap::new(),
@@ -138,6 +147,8 @@
         self.far_loads
             .extend(heartbeat.far.into_iter().map(|report| (report.target, (report, now))));
         self.counts = heartbeat.counts;
+        self.demand_hosts = heartbeat.demand_hosts;
+        self.demand = demand::sanitised(heartbeat.demand);
         self.known = heartbeat.known;
         self.update_wanted(&heartbeat.limits, now);
     }
@@ -153,7 +164,7 @@
         self.wanted.get(&target).map_or(0, |(wanted, _)| *wanted)
     }
 
-    /// Loads it reported at targets that only other data centres use.
+    /// Loads that it reports in rotation.
     pub(super) fn far_loads(&self) -> impl Iterator<Item = &TargetLoad> {
         let used = |report: &&TargetLoad| self.loads.iter().all(|l| l.target != report.target);
         self.far_loads.values().map(|(report, _)| report).filter(used)
@@ -182,6 +193,7 @@
     /// Records a heartbeat sent to it.
     pub(super) fn record_sent(&mut self, asks: bool, now: Instant) {
         self.last_sent = Some(now);
+        self.sent = self.sent.wrapping_add(1);
         if asks {
             self.unanswered_since.get_or_insert(now);
         }
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -4,6 +4,7 @@
     mod availability;
     mod avoid;
     mod copies;
+    mod demand;
     mod failure;
     mod fatal;
     mod fatal_load;
@@ -28,6 +29,7 @@
     mod progress;
     mod retry_budget;
     mod retry_loans;
+    mod room;
     mod routes;
     mod shortage;
     mod starts;
--- a/crates/roseshore_core/tests/gateway/progress.rs
+++ b/crates/roseshore_core/tests/gateway/progress.rs
@@ -264,23 +264,23 @@
         takes_slot: bool,
         want: Refusal,
     }
-    fn fill(targets: &mut Targets, part: f64) {
+    fn fill(targets: &mut Targets, part: f64, now: Instant) {
         let tokens = 1000.0;
         let capacity = tokens / targets.kv_fill("a", Some(&spec()), tokens);
-        targets.reserve(&Claim { target: "a".to_owned(), kv_used: part * capacity });
+        targets.reserve(&Claim { target: "a".to_owned(), kv_used: part * capacity }, now);
     }
     let cases = [
         Case { name: "empty", happens: |_, _| (), takes_slot: true, want: Refusal::Failing },
         Case {
             name: "cache in use",
-            happens: |t, _| fill(t, 0.9),
+            happens: |t, now| fill(t, 0.9, now),
             takes_slot: false,
             want: Refusal::Full,
         },
         Case {
             name: "cache in use, and dead",
-            happens: |t, _| {
-                fill(t, 0.9);
+            happens: |t, now| {
+                fill(t, 0.9, now);
                 t.liveness_failed("a", LivenessFailure::Silent);
             },
             takes_slot: false,
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -99,7 +99,7 @@
         let fill = |claim: &Claim| self.targets.kv_fill(&claim.target, spec, claim.kv_used);
         let fills = choice.claims.iter().map(fill).collect();
         for claim in &choice.claims {
-            self.targets.reserve(claim);
+            self.targets.reserve(claim, self.now);
         }
         let targets: Vec<TargetId> = choice.claims.iter().map(|c| c.target.clone()).collect();
         let slowdown = self.targets.slowdown(&targets, self.now);
@@ -156,7 +156,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.take() else { return };
         for claim in &send.claims {
-            self.targets.release(claim);
+            self.targets.release(claim, send.sent_at, self.now);
         }
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
             self.keep_idle(send.socket, send.route);
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -188,12 +188,14 @@
             list: self.list_version(),
             list_proven: self.store_sync.outage.last_confirmed(),
             loads: self.targets.load_reports(),
+            home: self.targets.in_data_centre(&self.settings.data_centre),
             refuted: self.targets.refuted(),
             counts: self.service_counts(),
             holdings: self.holding_reports(),
             paces: self.pace_reports(),
             fatal: self.fatal.reports(self.now),
             limits: self.limit_reports(),
+            demand: self.demand.meter.reports(self.now),
         };
         let due = self.peers.due(&own, self.now);
         self.log_speaking();
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -33,6 +33,7 @@
         exchange.verdict = exchange.verdict.join(fault.verdict());
         let waited = now.saturating_duration_since(send.sent_at).as_millis();
         let (first, via) = (send.target.clone(), send.route.via);
+        let service = exchange.service.clone();
         let blame = fault.blame(send.path.len());
         let path = send.targets().join(",");
         let text = format!(
@@ -76,7 +77,7 @@
                 continue;
             }
             let until = if full {
-                self.targets.record_full(culprit, now);
+                self.record_full_engine(culprit, &service);
                 Some(now + AVOID_FULL)
             } else {
                 self.record_fault(culprit, blame, fault)
