Refused callers come back by a schedule that follows from the drain

Cause: everybody who is refused in a burst is told about the same time, 2.4 s and the age of the shortage, and the burst comes back as one. After the loss of all hosts, callers whose second try is refused since a new host may not send again yet are told 2.4 s although there is room. Change: `gateway::returns` gives each refused caller the next slot of a schedule for its rank, slots as far apart as a quarter of this host's part of the drain; within a third of the time that callers have left, spread over its second half for those without a slot. While a data centre is not offered more than ends there, 0.3 s. `CallerAges` tells for how long a caller has tried. A host that cannot confirm its configuration sends callers to another host at once if one can.

The test of the old rule goes; its load and bounds are kept with the new one.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -14,8 +14,8 @@
 //! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
 //!   again;
 //! - [`failure`]: the next step after a failed send;
-//! - [`unavailable`]: why no target can be chosen; [`shortage`]: when a refused caller should try
-//!   again;
+//! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
+//!   back;
 //! - [`leaving`]: which requests a stopping host still accepts; [`poll_timing`]: when a request
 //!   arrived that a busy host polled late.
 //!
@@ -49,9 +49,9 @@
 pub mod position;
 pub mod quota;
 pub mod reports;
+pub mod returns;
 pub mod routes;
 pub mod settings;
-pub mod shortage;
 pub mod store_reads;
 pub mod targets;
 pub mod unavailable;
@@ -71,11 +71,11 @@
 pub use position::Position;
 pub use quota::retry_budget::RetryBudget;
 pub use quota::retry_loans::RetryLoans;
+pub use returns::{CallerAges, Returns};
 pub use routes::{
     AcceleratorKind, CallKind, EngineSpec, OrganisationSpec, RequestLimits, Route, ServiceSpec,
     Snapshot, WeightedService,
 };
 pub use settings::{Bounds, EntrySettings};
-pub use shortage::Shortage;
 pub use targets::{Holding, TargetRecord, Targets};
 pub use unavailable::{SelectionConditions, Unavailable};
--- a/crates/roseshore_core/src/gateway/peers/ranking.rs
+++ b/crates/roseshore_core/src/gateway/peers/ranking.rs
@@ -196,6 +196,17 @@
         self.ranked_before(now, |_| true) + usize::from(far)
     }
 
+    /// Whether another host of the own data centre is likely to hold a confirmed configuration: the
+    /// store answers one, or this host hears none of them and may be the only one cut off.
+    pub fn others_confirm(&self, now: Instant) -> bool {
+        let near = || self.all.values().filter(|p| self.is_near(p) && !p.leaving);
+        let mut alive = near().filter(|p| p.alive(true, now)).peekable();
+        if alive.peek().is_none() {
+            return near().next().is_some();
+        }
+        alive.any(|p| p.reading && p.config > 0)
+    }
+
     /// Whether no other host is known.
     pub fn no_peers(&self) -> bool {
         self.all.is_empty()
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -28,8 +28,8 @@
     mod pressure;
     mod retry_budget;
     mod retry_loans;
+    mod returns;
     mod routes;
-    mod shortage;
     mod starts;
     mod store_reads;
     mod targets;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -21,6 +21,7 @@
 mod relays;
 mod responses;
 mod retry_loans;
+mod returns;
 mod send_failure;
 mod signals;
 mod store_sync;
@@ -48,8 +49,8 @@
 use roseshore_core::gateway::leaving::TokenPace;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
-    ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers, RetryBudget,
-    RetryLoans, Shortage, Snapshot, Targets,
+    CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers,
+    RetryBudget, RetryLoans, Returns, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
@@ -178,7 +179,8 @@
     pace_polling: PacePolling,
     /// Speed of recent streams, to tell which ones end before a shutdown.
     pace: TokenPace,
-    shortage: Shortage,
+    returns: Returns,
+    caller_ages: CallerAges,
     fatal: FatalRequests,
     /// Sends that were interrupted, until it is known whether their targets crashed.
     broken_sends: Vec<BrokenSend>,
@@ -290,7 +292,8 @@
             placement: PlacementState::default(),
             pace_polling: PacePolling::default(),
             pace: TokenPace::default(),
-            shortage: Shortage::default(),
+            returns: Returns::default(),
+            caller_ages: CallerAges::default(),
             fatal: FatalRequests::new(now),
             broken_sends: Vec::new(),
             short_runs: Vec::new(),
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -19,15 +19,15 @@
 use super::in_flight::InFlightSend;
 use super::probes::millis;
 use super::rate_limits::PermitWait;
+use super::returns::{RETRY_ELSEWHERE, count_returned};
 
 /// Retry delay, before jitter, for a refusal that another host may not give: a caller retries on a
 /// new connection, which reaches another host.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Longest retry delay when the delay follows from the rate limits of targets.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(9);
-/// Retry delay, before jitter, when this host is shutting down: just long enough that callers do
-/// not retry all at once.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(60);
+/// Retry delay, before jitter, when all engines want a rest or are at their rate limit.
+const ENGINES_RETRY_AFTER: Duration = Duration::from_millis(2400);
 /// Shortest remaining time in which another send can succeed.
 const MIN_SEND_TIME: Duration = Duration::from_millis(60);
 /// Deadline of a request whose caller gives none.
@@ -51,6 +51,8 @@
     /// Version of the configuration by which the request was admitted.
     pub(super) config_version: u64,
     pub(super) started: Instant,
+    /// For how long its caller has tried already, as far as known.
+    pub(super) age: Duration,
     /// The earlier of the caller's deadline and the time-out of the route.
     pub(super) deadline: Instant,
     pub(super) sends: u32,
@@ -181,13 +183,14 @@
         };
         let host = http::field(&head.fields, "host").unwrap_or("");
         let route = snapshot.route(host, &head.path).cloned();
-        let route = route.map_err(|denied| self.denial_refusal(denied))?;
+        let deadline = request_fields.deadline;
+        let route = route.map_err(|denied| self.denial_refusal(denied, deadline))?;
         let organisation = snapshot.authorise(&route, request_fields.api_key.as_deref());
-        let organisation = organisation.map_err(|denied| self.denial_refusal(denied))?;
+        let organisation = organisation.map_err(|denied| self.denial_refusal(denied, deadline))?;
         let rank = Rank::new(organisation.and_then(|o| o.priority), route.priority);
         let organisation = organisation.map(|o| o.name.clone());
         if self.config_outdated() || (organisation.is_some() && !self.config_current()) {
-            return Err(self.unconfirmed_refusal());
+            return Err(self.unconfirmed_refusal(deadline));
         }
         let service =
             route.service(&request_fields.attempt).and_then(|name| snapshot.service(name));
@@ -214,6 +217,7 @@
         if let Some(refusal) = self.refuse_blocked(&suspects) {
             return Err(refusal);
         }
+        let age = self.caller_age(&route, request_fields.deadline);
         Ok(Exchange {
             caller,
             head,
@@ -226,6 +230,7 @@
             suspects,
             config_version: snapshot.version(),
             started: self.earliest_arrival,
+            age,
             deadline,
             sends: 0,
             refused_sends: 0,
@@ -252,9 +257,9 @@
 
     /// The refusal of a request that the configuration denies. While the configuration is not known
     /// to be the newest, the caller is asked to retry instead.
-    fn denial_refusal(&mut self, denied: Denied) -> Refusal {
+    fn denial_refusal(&mut self, denied: Denied, deadline: Option<Duration>) -> Refusal {
         if !self.config_current() {
-            return self.unconfirmed_refusal();
+            return self.unconfirmed_refusal(deadline);
         }
         match denied {
             Denied::NoRoute => Refusal::not_run(Code::UnknownRoute, "no such route"),
@@ -263,9 +268,10 @@
     }
 
     /// The refusal while the configuration is not confirmed to be the newest.
-    fn unconfirmed_refusal(&mut self) -> Refusal {
+    fn unconfirmed_refusal(&mut self, deadline: Option<Duration>) -> Refusal {
         let text = "the configuration cannot be confirmed";
-        Refusal::not_run(Code::ConfigUnconfirmed, text).after(self.with_jitter(RETRY_AFTER))
+        let delay = self.unconfirmed_delay(deadline.unwrap_or(DEFAULT_DEADLINE));
+        Refusal::not_run(Code::ConfigUnconfirmed, text).after(delay)
     }
 
     /// A retry delay with 25 % jitter, so that callers do not retry all at once.
@@ -277,8 +283,8 @@
     /// `pause`.
     pub(super) fn end_paused(&mut self, key: Key, pause: Duration) {
         // Targets may not have asked other hosts for a pause, so a retry may succeed sooner.
-        let delay = |default_delay: Duration| default_delay.min(pause);
-        self.end_with_delay(key, Code::TargetsRest, "the targets want a rest", delay);
+        let delay = self.unscheduled_delay(key).min(pause);
+        self.end_with_delay(key, Code::TargetsRest, "the targets want a rest", Some(delay));
     }
 
     /// Refuses a request because all its targets are at their rate limit.
@@ -286,51 +292,47 @@
         let Some(exchange) = self.exchanges.get(key) else { return };
         let next_slot = self.next_slot(&exchange.service.name).unwrap_or_default();
         // If callers retried sooner, one of two would be refused again.
-        let delay = |default_delay: Duration| default_delay.max(next_slot).min(MAX_RETRY_AFTER);
-        self.end_with_delay(key, Code::TargetsLimited, "the targets take no more a second", delay);
+        let delay = self.unscheduled_delay(key).max(next_slot).min(MAX_RETRY_AFTER);
+        self.end_with_delay(
+            key,
+            Code::TargetsLimited,
+            "the targets take no more a second",
+            Some(delay),
+        );
+    }
+
+    /// Retry delay, before jitter, of refusals that follow from what targets ask for.
+    fn unscheduled_delay(&self, key: Key) -> Duration {
+        let engine = self.exchanges.get(key).is_some_and(|e| e.service.engine.is_some());
+        if engine { ENGINES_RETRY_AFTER } else { RETRY_AFTER }
     }
 
     /// Ends a request with a refusal or an error.
     pub(super) fn end_without(&mut self, key: Key, code: Code, why: &str) {
-        self.end_with_delay(key, code, why, |default_delay| default_delay);
+        self.end_with_delay(key, code, why, None);
     }
 
-    /// Like [`EntryHost::end_without`]; `delay` maps the default retry delay to the one to use.
-    fn end_with_delay(
-        &mut self,
-        key: Key,
-        code: Code,
-        why: &str,
-        delay: impl FnOnce(Duration) -> Duration,
-    ) {
+    /// Like [`EntryHost::end_without`], with this retry delay, before jitter, if one is given.
+    fn end_with_delay(&mut self, key: Key, code: Code, why: &str, delay: Option<Duration>) {
         let now = self.now;
         self.mark_may_have_run(key);
         let Some(exchange) = self.exchanges.get(key) else { return };
         let end = failure::failure_reply(&exchange.retry_state(now));
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         let attempt = exchange.request_fields.attempt.clone();
-        let engine = exchange.service.engine.is_some();
-        let suspects = exchange.suspects.clone();
         let code = match end {
             FailureReply::NotRun if code.status() != 503 => Code::NoTarget,
             FailureReply::Unknown if code.status() == 503 => Code::TargetLost,
             _ => code,
         };
+        let delay = (end == FailureReply::NotRun).then(|| self.retry_delay(key, code, delay));
         self.close_exchange(key, code.number(), why);
         let refusal = match end {
             FailureReply::Abort => {
                 self.close(caller);
                 return;
             }
-            FailureReply::NotRun => {
-                // A plain service that is full has capacity again within milliseconds.
-                let default_delay = match self.fatal.refused(&suspects, now) {
-                    Some((_, left)) => left,
-                    None if engine => self.shortage.record_refusal(now),
-                    None => RETRY_AFTER,
-                };
-                Refusal::not_run(code, why).after(self.with_jitter(delay(default_delay)))
-            }
+            FailureReply::NotRun => Refusal::not_run(code, why).after(delay.unwrap_or_default()),
             FailureReply::Unknown => Refusal::may_have_run(code, why),
         };
         metrics::counter!("roseshore_refused_total", "code" => code.to_string()).increment(1);
@@ -340,6 +342,21 @@
         self.handle_caller(caller);
     }
 
+    /// The retry delay of a request that has not run; `delay` is that of its code, if it has one.
+    fn retry_delay(&mut self, key: Key, code: Code, delay: Option<Duration>) -> Duration {
+        let Some(exchange) = self.exchanges.get(key) else { return RETRY_AFTER };
+        let engine = exchange.service.engine.is_some();
+        let blocked = self.fatal.refused(&exchange.suspects, self.now).map(|(_, left)| left);
+        let delay = match blocked.or(delay) {
+            Some(delay) => self.with_jitter(delay),
+            None if engine => self.plan_return(key, code),
+            // A plain service that is full has capacity again within milliseconds.
+            None => self.with_jitter(RETRY_AFTER),
+        };
+        metrics::histogram!("roseshore_retry_after_seconds").record(delay.as_secs_f64());
+        delay
+    }
+
     /// Records that the send in flight may have run, unless its connection was never established.
     fn mark_may_have_run(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
@@ -363,6 +380,7 @@
         self.record_ended(key);
         self.drop_send(key, false);
         let Some(exchange) = self.exchanges.remove(key) else { return };
+        count_returned(&exchange, code);
         let took = self.now.saturating_duration_since(exchange.started);
         let first =
             exchange.delivery.first_at.map(|at| at.saturating_duration_since(exchange.started));
