--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -340,20 +340,42 @@
     }
 }
 
-/// Which of three hosts of a data centre the store does not answer, and their read ranks.
+/// Which of three hosts of a data centre the store answers, their read ranks, and which of them know
+/// another one that can confirm its configuration.
 struct ReaderCase {
     name: &'static str,
     reading: [bool; 3],
     ranks: [usize; 3],
+    others: [bool; 3],
 }
 
 #[test]
 fn hosts_that_the_store_does_not_answer_rank_last_as_readers() {
     let cases = [
-        ReaderCase { name: "none", reading: [true, true, true], ranks: [0, 1, 2] },
-        ReaderCase { name: "the first", reading: [false, true, true], ranks: [2, 0, 1] },
-        ReaderCase { name: "two", reading: [false, false, true], ranks: [1, 2, 0] },
-        ReaderCase { name: "all", reading: [false, false, false], ranks: [0, 1, 2] },
+        ReaderCase {
+            name: "none",
+            reading: [true, true, true],
+            ranks: [0, 1, 2],
+            others: [true, true, true],
+        },
+        ReaderCase {
+            name: "the first",
+            reading: [false, true, true],
+            ranks: [2, 0, 1],
+            others: [true, true, true],
+        },
+        ReaderCase {
+            name: "two",
+            reading: [false, false, true],
+            ranks: [1, 2, 0],
+            others: [true, true, false],
+        },
+        ReaderCase {
+            name: "all",
+            reading: [false, false, false],
+            ranks: [0, 1, 2],
+            others: [false, false, false],
+        },
     ];
     for case in cases {
         let now = Instant::now();
@@ -368,6 +390,10 @@
         }
         let ranks: Vec<usize> = hosts.iter().map(|h| h.read_rank(now)).collect();
         assert_eq!(ranks, case.ranks, "{}", case.name);
+        let others: Vec<bool> = hosts.iter().map(|h| h.others_confirm(now)).collect();
+        assert_eq!(others, case.others, "{}: others that can confirm", case.name);
+        let cut_off = hosts[0].others_confirm(now + ms(10_000));
+        assert!(cut_off, "{}: a host that hears nobody may be the only one cut off", case.name);
     }
 }
 
