--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -80,6 +80,7 @@
     RoomNarrowed = 340, Info, "an engine refused a request for want of room, and gets less";
     RoomWidened = 341, Info, "all room of an engine is used again";
     SendKept = 350, Debug, "a send without an event is waited for, as its targets are only slow or it cannot be repeated";
+    ReturnPlanned = 355, Debug, "a refused caller was told when to come back";
     KeyClaimed = 401, Debug, "a key was won";
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
     KeyAbandoned = 403, Warn, "a claim was given up before dispatch";
