A silent send over crowded targets is waited for longer

What a full engine does before a request's first event is not in the predicted time. Sends over targets of at least 0.7 load are now expected no earlier than they are usually given up. The time left to a caller is reckoned from a first event over another path, also in the middle of a stream.

--- a/crates/roseshore_core/src/gateway/progress.rs
+++ b/crates/roseshore_core/src/gateway/progress.rs
@@ -25,6 +25,9 @@
 const WAIT_FACTORS: (f64, f64) = (1.5, 3.0);
 /// Time within which progress of other requests shows that a target is alive.
 pub const RECENT_PROGRESS: Duration = Duration::from_millis(500);
+/// Load of a path, as a fraction, from which an event is expected no earlier than a send is usually
+/// given up: what a full engine does before a request's first event is not in the prediction.
+const CROWDED: f64 = 0.7;
 /// Largest factor by which targets are taken to have become slower since a send.
 const MAX_SLOWDOWN: f64 = 64.0;
 
@@ -44,6 +47,14 @@
     pub unavailable: bool,
 }
 
+impl TargetEvidence {
+    /// The largest of its loads.
+    pub fn load(&self) -> f64 {
+        let TargetEvidence { predicted, current, slots, reported, .. } = *self;
+        [predicted, current, slots, reported].into_iter().fold(0.0, f64::max)
+    }
+}
+
 /// Why a target refused a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -65,9 +76,11 @@
 
 /// Decides why a target refused a request.
 pub fn refusal(evidence: &TargetEvidence) -> Refusal {
-    let TargetEvidence { predicted, current, slots, reported, unavailable } = *evidence;
-    let full = [predicted, current, slots, reported].into_iter().any(|load| load >= MIN_FULL);
-    if full && !unavailable { Refusal::Full } else { Refusal::Failing }
+    if evidence.load() >= MIN_FULL && !evidence.unavailable {
+        Refusal::Full
+    } else {
+        Refusal::Failing
+    }
 }
 
 /// Whether a path has so much room that a request refused by a full target is sent over it.
@@ -116,6 +129,10 @@
     /// Longest time that sends through the same targets recently took for such an event; zero if
     /// none is known.
     pub observed: Duration,
+    /// Expected time to an event over another path, which reads the prompt again.
+    pub elsewhere: Duration,
+    /// Largest load of the targets, as a fraction.
+    pub load: f64,
     /// What the targets show.
     pub path: PathState,
     /// Time without an event after which the caller leaves.
@@ -127,13 +144,14 @@
     fn expected(&self) -> Duration {
         let slowdown =
             if self.slowdown.is_finite() { self.slowdown.clamp(1.0, MAX_SLOWDOWN) } else { 1.0 };
-        self.predicted.mul_f64(slowdown).max(self.observed)
+        let crowded = if self.load >= CROWDED { self.usual } else { Duration::ZERO };
+        self.predicted.mul_f64(slowdown).max(self.observed).max(crowded)
     }
 
     /// Latest time at which another path may be tried so that its first event still finds the caller
-    /// there; another path is expected to take as long as this one.
+    /// there.
     fn latest(&self) -> Duration {
-        self.patience.saturating_sub(self.observed.max(self.predicted))
+        self.patience.saturating_sub(self.elsewhere)
     }
 
     /// Whether an event over another path, expected after `elsewhere`, would still find the caller
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -86,16 +86,19 @@
         let targets = send.targets();
         let waits_for_first = send.latest_at == send.sent_at;
         let predicted_ms = if waits_for_first { send.ttft_ms } else { step_ms(exchange, send) };
-        let observed = if waits_for_first {
-            self.targets.longest_first_event(&targets, now)
-        } else {
-            Duration::ZERO
+        let first_events = self.targets.longest_first_event(&targets, now);
+        let spec = exchange.service.engine.as_ref();
+        let load = |id: &TargetId| {
+            let first = *id == send.target;
+            self.targets.evidence(id, spec, send.fill(id), first, now).load()
         };
         Some(Silence {
             usual,
-            predicted: Duration::try_from_secs_f64(predicted_ms / 1000.0).unwrap_or_default(),
+            predicted: from_ms(predicted_ms),
             slowdown: self.targets.slowdown(&targets, now) / send.slowdown,
-            observed,
+            observed: if waits_for_first { first_events } else { Duration::ZERO },
+            elsewhere: from_ms(send.ttft_ms).max(first_events),
+            load: targets.iter().map(load).fold(0.0, f64::max),
             path: self.path_state(send, &targets),
             patience: progress::patience(exchange.route.objective, exchange.route.max_gap),
         })
@@ -161,10 +164,10 @@
         }
         let choice = self.choose(key).filter(|choice| choice.suitable);
         let in_time = choice.is_some_and(|choice| {
-            let predicted = Duration::try_from_secs_f64(choice.ttft_ms / 1000.0);
+            let predicted = from_ms(choice.ttft_ms);
             let path: Vec<TargetId> = choice.claims.into_iter().map(|it| it.target).collect();
             let observed = self.targets.longest_first_event(&path, now);
-            silence.arrives_in_time(silent, predicted.unwrap_or_default().max(observed))
+            silence.arrives_in_time(silent, predicted.max(observed))
         });
         if in_time && self.may_repeat(key) {
             self.send_failed_by(key, Fault::Silent, Vec::new());
@@ -200,6 +203,11 @@
     }
 }
 
+/// A predicted time; zero if it is no number or none that can be waited for.
+fn from_ms(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
+
 /// Predicted time between events in milliseconds.
 fn step_ms(exchange: &Exchange, send: &InFlightSend) -> f64 {
     let stride = exchange.service.engine.as_ref().map_or(1.0, |e| e.event_tokens);
@@ -209,10 +217,12 @@
 /// The numbers of a silence as text of a log line.
 pub(super) fn silence_text(silence: &Silence) -> String {
     format!(
-        " predicted_ms={} slowdown={:.2} observed_ms={} patience_ms={}",
+        " predicted_ms={} slowdown={:.2} observed_ms={} elsewhere_ms={} load={:.2} patience_ms={}",
         silence.predicted.as_millis(),
         silence.slowdown,
         silence.observed.as_millis(),
+        silence.elsewhere.as_millis(),
+        silence.load,
         silence.patience.as_millis(),
     )
 }
