The crowd at an engine is expected by its part of the free room

Cause: an engine that has just got room draws the requests of all hosts whose other engines are full, those of other data centres included; it was expected to get no more than its part of the layers. Change: what others may send goes by the engine's part of the free room, and for an engine of another data centre by the older reports. Refusals may narrow an engine's room to 0.4 of it.

--- a/crates/roseshore_core/src/gateway/path.rs
+++ b/crates/roseshore_core/src/gateway/path.rs
@@ -101,6 +101,11 @@
         (self.in_flight + 1.0 - self.slots).max(0.0)
     }
 
+    /// Requests that may start there before the queue for a slot is too long.
+    pub(super) fn free_slots(&self) -> f64 {
+        self.slots + MAX_QUEUED - self.in_flight
+    }
+
     /// Whether one more request may start there.
     fn takes_start(&self) -> bool {
         self.queued() <= MAX_QUEUED && self.slot_room >= 1.0
--- a/crates/roseshore_core/src/gateway/quota/room.rs
+++ b/crates/roseshore_core/src/gateway/quota/room.rs
@@ -22,21 +22,22 @@
 const FAR_PART: f64 = 0.1;
 /// Weight of ended requests in the estimate of the others' changes. With their full weight, chance
 /// ends at one host would make it take what the others take as well.
-const ENDED_WEIGHT: f64 = 0.9;
-/// Factor on the requests that an engine is expected to get, by its size among those of its layers:
-/// requests are not spread evenly.
+const ENDED_WEIGHT: f64 = 0.85;
+/// Factor on the requests that an engine is expected to get by its part of the free room: requests
+/// are not spread evenly.
 const CROWD_FACTOR: f64 = 2.0;
 /// Part of the expected requests that are taken to use a draw. Some find no room elsewhere on their
 /// path.
-const DRAW_FACTOR: f64 = 0.5;
+const DRAW_FACTOR: f64 = 0.4;
 /// Part of a busy engine's KV cache that is left to streams that have begun.
 const BEGUN_RESERVE: f64 = 0.01;
 /// Longest time for which a change may be missing in reports.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1200);
 /// Time in which an engine refuses a request.
 const REFUSAL_TIME: Duration = Duration::from_millis(50);
-/// Part of the room that is usable at least, whatever was refused.
-const MIN_USABLE: f64 = 0.6;
+/// Part of the room that is usable at least, whatever was refused. Layers that an engine gives up
+/// may take half of it while requests still run through them.
+const MIN_USABLE: f64 = 0.4;
 /// An engine that refuses is taken to be full at this fraction of the KV cache counted there.
 const REFUSED_FACTOR: f64 = 0.97;
 /// Growth of the usable room a second after a refusal, as a fraction of the room.
@@ -57,9 +58,11 @@
     /// Time that reports about engines of the own data centre and of others do not cover.
     near_age: Duration,
     far_age: Duration,
-    /// Requests that this host and all of its data centre expect in that time.
+    /// Requests that this host expects in that time.
     own_requests: f64,
-    all_requests: f64,
+    /// Requests that others may send in that time to the own data centre, and to another one.
+    near_requests: f64,
+    far_requests: f64,
     /// Decides where the part is smaller than a request; 0 to 1.
     draw: f64,
     /// Whether the request is for a stream that has begun.
@@ -77,8 +80,8 @@
     pub recent: f64,
     /// Room that the request takes.
     pub request: f64,
-    /// Engines of the data centre that run the same layers, on average.
-    pub replicas: f64,
+    /// This engine's part of the free room in its data centre, for the same layers.
+    pub free_part: f64,
 }
 
 /// Ages of the reports of other hosts.
@@ -98,7 +101,8 @@
         near_age: Duration::ZERO,
         far_age: Duration::ZERO,
         own_requests: 0.0,
-        all_requests: 0.0,
+        near_requests: 0.0,
+        far_requests: 0.0,
         draw: 0.0,
         begun: false,
     };
@@ -109,14 +113,17 @@
         let part = (1.0 - EQUAL_WEIGHT) * demand.own_part + EQUAL_WEIGHT * equal;
         let others = centres.saturating_sub(1);
         let left = if others > 0 { FAR_PART } else { 0.0 };
-        let all_requests = demand.total.offered() * ages.near.as_secs_f64();
+        let offered = demand.total.offered();
+        let near_requests = offered * ages.near.as_secs_f64();
         Share {
             near: part * (1.0 - left),
             far: part * FAR_PART / others.max(1) as f64,
             near_age: ages.near,
             far_age: ages.far,
-            own_requests: all_requests * demand.own_part,
-            all_requests,
+            own_requests: near_requests * demand.own_part,
+            near_requests,
+            // The other data centres are taken to be as large.
+            far_requests: offered * ages.far.as_secs_f64() * others as f64,
             draw,
             begun: false,
         }
@@ -142,7 +149,7 @@
     /// is busy, or may be once the others' requests are reported.
     pub fn room(&self, near: bool, at: &Occupancy) -> f64 {
         let part = if near { self.near } else { self.far };
-        if self.begun || part >= 1.0 || self.expected_fill(part, at) < BUSY {
+        if self.begun || part >= 1.0 || self.expected_fill(near, part, at) < BUSY {
             return at.free;
         }
         let free = at.free - BEGUN_RESERVE * at.capacity;
@@ -151,7 +158,7 @@
             return allowed.min(free);
         }
         // A host that seldom has a request for the engine takes its part when it has one.
-        let expected = DRAW_FACTOR * self.own_requests / at.replicas.max(1.0);
+        let expected = DRAW_FACTOR * self.own_requests * at.free_part;
         let any = if near { 1.0 - (-expected).exp() } else { 1.0 };
         let drawn = self.draw * any * at.request < allowed;
         if drawn { at.request.min(free) } else { allowed }
@@ -159,9 +166,10 @@
 
     /// Occupancy, as a fraction, if the other hosts do what this one did and is about to do; they
     /// send no more than callers offer.
-    fn expected_fill(&self, part: f64, at: &Occupancy) -> f64 {
+    fn expected_fill(&self, near: bool, part: f64, at: &Occupancy) -> f64 {
         let like_this_host = (at.recent.max(0.0) + at.request) / part.max(f64::MIN_POSITIVE);
-        let offered = CROWD_FACTOR * self.all_requests * at.request / at.replicas.max(1.0);
+        let requests = if near { self.near_requests } else { self.far_requests };
+        let offered = requests * (CROWD_FACTOR * at.free_part).min(1.0) * at.request;
         (at.capacity - at.free + like_this_host.min(offered)) / at.capacity.max(1.0)
     }
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -45,6 +45,29 @@
     pub back: Vec<TargetId>,
 }
 
+/// Free room at the engines of a data centre.
+#[derive(Clone, Copy, Debug, Default)]
+struct FreeRoom {
+    /// KV cache, in tokens times layers.
+    kv: f64,
+    /// Slots of engines that hold the first layer.
+    slots: f64,
+}
+
+impl FreeRoom {
+    fn add(&mut self, engine: &Candidate) {
+        self.kv += engine.kv_free.max(0.0);
+        if engine.layers.0 == 0 {
+            self.slots += engine.free_slots().max(0.0);
+        }
+    }
+}
+
+/// A part of a whole, 0 to 1; 1 if there is nothing.
+fn fraction(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 { (part / whole).clamp(0.0, 1.0) } else { 1.0 }
+}
+
 /// All known targets, by id.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -515,29 +538,30 @@
         share: &Share,
         now: Instant,
     ) {
-        let mut widths: HashMap<DataCentreId, f64> = HashMap::new();
+        let mut free: HashMap<DataCentreId, FreeRoom> = HashMap::new();
         for part in parts.iter() {
-            *widths.entry(part.data_centre.clone()).or_default() += part.width();
+            free.entry(part.data_centre.clone()).or_default().add(part);
         }
+        let all_layers = f64::from(spec.layers).max(1.0);
         for part in parts {
             let Some(target) = self.all.get(&part.id) else { continue };
-            let age = share.report_age(part.local);
-            let (requests, kv) = target.recent.net(age, now);
-            let replicas = widths[&part.data_centre] / f64::from(spec.layers).max(1.0);
+            let (requests, kv) = target.recent.net(share.report_age(part.local), now);
+            let free = &free[&part.data_centre];
+            let of_layers = free.kv * part.width() / all_layers;
             let memory = Occupancy {
                 capacity: part.kv_capacity,
                 free: part.kv_free,
                 recent: kv,
                 request: need.kv_tokens() * part.width(),
-                replicas,
+                free_part: fraction(part.kv_free, of_layers),
             };
             part.kv_room = share.room(part.local, &memory);
             let slots = Occupancy {
                 capacity: part.slots + MAX_QUEUED,
-                free: part.slots + MAX_QUEUED - part.in_flight,
+                free: part.free_slots(),
                 recent: requests,
                 request: 1.0,
-                replicas,
+                free_part: fraction(part.free_slots(), free.slots),
             };
             part.slot_room = share.room(part.local, &slots);
         }
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -230,6 +230,47 @@
     FatalReport { fingerprint, ends: (0..crashes as u32).map(crash).collect(), well: Some(600_000) }
 }
 
+/// Loads that a host has, as far as they fit into its heartbeats.
+struct Truncated {
+    name: &'static str,
+    /// Number of targets, and of those in its data centre.
+    targets: u32,
+    home: u32,
+    /// Heartbeats until the receiver knows all of them.
+    beats: usize,
+}
+
+/// Guards against targets that are left out of all heartbeats and so count as free, until all hosts
+/// overload them. A listener hears a speaker every 200 to 400 ms, and a load that is a second old is
+/// of no use.
+#[test]
+fn loads_that_do_not_fit_a_heartbeat_take_turns() {
+    let cases = [
+        Truncated { name: "few", targets: 60, home: 20, beats: 1 },
+        Truncated { name: "many", targets: 100, home: 34, beats: 3 },
+        Truncated { name: "many in the data centre", targets: 110, home: 90, beats: 3 },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "north", &[addr(1)], now));
+        // Those of the data centre have the smallest loads.
+        let load = |n: u32| TargetLoad { target: n, own: 1, held: 100 + n, down: false };
+        let loads: Vec<TargetLoad> = (0..case.targets).map(load).collect();
+        let own = LocalState { loads, home: (0..case.home).collect(), ..own() };
+        for beat in 0..case.beats {
+            let at = now + ms(1100 * beat as u64);
+            let beat = sent(&mut b, 1, &own, at).expect("a heartbeat");
+            let first = beat.loads.iter().filter(|load| load.target < case.home).count();
+            assert!(first >= 42.min(case.home as usize), "{}: {first}", case.name);
+            // They arrive 200 ms apart.
+            a.receive(addr(2), beat, now + ms(200 * (at - now).as_millis() as u64 / 1100));
+        }
+        let known = a.loads(now + ms(200 * case.beats as u64));
+        assert_eq!(known.len(), case.targets as usize, "{}", case.name);
+        assert!(known.values().all(|load| load.own == 1), "{}", case.name);
+    }
+}
+
 /// Demand of a service with more ranks and organisations than a report holds.
 fn largest_demand(service: u32) -> ServiceDemand {
     let rank = |n| Rank::new(Some(n), n);
