--- a/crates/roseshore_relay/src/entry/demand.rs
+++ b/crates/roseshore_relay/src/entry/demand.rs
@@ -91,11 +91,14 @@
         let Some(snapshot) = self.snapshot.clone() else { return };
         for service in snapshot.engine_services() {
             let demand = self.centre_demand(&service.name);
-            let of = |name| metrics::gauge!(name, "service" => service.name.clone());
-            of("roseshore_demand_offered").set(demand.total.offered());
-            of("roseshore_demand_ended").set(f64::from(demand.total.ended));
-            of("roseshore_demand_part").set(demand.own_part);
-            of("roseshore_room_part").set(self.room_share(&service.name, false).part());
+            let name = || service.name.clone();
+            metrics::gauge!("roseshore_demand_offered", "service" => name())
+                .set(demand.total.offered());
+            metrics::gauge!("roseshore_demand_ended", "service" => name())
+                .set(f64::from(demand.total.ended));
+            metrics::gauge!("roseshore_demand_part", "service" => name()).set(demand.own_part);
+            metrics::gauge!("roseshore_room_part", "service" => name())
+                .set(self.room_share(&service.name, false).part());
         }
     }
 
