--- a/crates/roseshore_relay/src/entry/demand.rs
+++ b/crates/roseshore_relay/src/entry/demand.rs
@@ -51,10 +51,12 @@
         let Some(snapshot) = self.snapshot.clone() else { return };
         for service in snapshot.engine_services() {
             let demand = self.centre_demand(&service.name);
-            let of = |name| metrics::gauge!(name, "service" => service.name.clone());
-            of("roseshore_demand_offered").set(demand.total.offered());
-            of("roseshore_demand_ended").set(f64::from(demand.total.ended));
-            of("roseshore_demand_part").set(demand.own_part);
+            let (name, total) = (service.name.clone(), &demand.total);
+            metrics::gauge!("roseshore_demand_offered", "service" => name.clone())
+                .set(total.offered());
+            metrics::gauge!("roseshore_demand_ended", "service" => name.clone())
+                .set(f64::from(total.ended));
+            metrics::gauge!("roseshore_demand_part", "service" => name).set(demand.own_part);
         }
     }
 
