Callers are sent to another host only while a path has room

Cause: offered against ended work does not tell whether there is room: after a burst more ends than is offered, and callers were called back after 0.3 s to engines that were still full. Change: the short time follows from the best path's utilisation (less than 0.7).

--- a/crates/roseshore_core/src/gateway/returns.rs
+++ b/crates/roseshore_core/src/gateway/returns.rs
@@ -19,17 +19,15 @@
 
 /// Part of the ended work whose room is kept for callers that come back.
 const RETURN_PART: f64 = 0.25;
-/// Shortest time to come back while callers offer no more than engines end: another host may have
-/// room at once.
+/// Shortest and longest time to come back while paths have room: another host may send the request.
 const MIN_AFTER: Duration = Duration::from_millis(300);
+const MAX_AFTER: Duration = Duration::from_millis(400);
 /// Shortest time to come back from a shortage, besides as long as it has lasted: nothing tells when
 /// one ends, but a long one is seldom over soon. A gap in the layers is filled in two to three
 /// seconds.
 const MIN_AFTER_SHORTAGE: Duration = Duration::from_millis(2400);
 /// Longest time from one slot to the next.
 const MAX_SPACING: Duration = Duration::from_secs(3);
-/// Longest time to come back while the drain is not known, as after a start of all hosts.
-const MAX_AFTER_UNKNOWN: Duration = Duration::from_millis(1200);
 /// Part of its remaining time that a caller waits for at most.
 const WAITED_PART: f64 = 1.0 / 3.0;
 /// After this time without a refusal the shortage is over and its schedule lapses.
@@ -48,6 +46,8 @@
 /// Why a caller is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lack {
+    /// Another send: paths have room, but this host may not send the request again.
+    Send,
     /// Engines that could run the request are full.
     Room,
     /// No path of engines in use exists.
@@ -102,6 +102,9 @@
     ) -> Return {
         let draw = if draw.is_finite() { draw.clamp(0.0, 1.0) } else { 0.5 };
         let limit = longest_wait(caller.remaining);
+        if caller.lack == Lack::Send {
+            return Return { after: unplanned(Lack::Send, limit, draw), slot: None };
+        }
         let age = self.record_refusal(now);
         let Some(drain) = Drain::of(demand) else {
             return Return { after: unplanned(caller.lack, limit, draw), slot: None };
@@ -110,10 +113,7 @@
             let left = at.saturating_duration_since(now);
             return Return { after: left.min(limit), slot: Some(left) };
         }
-        let min = match caller.lack {
-            Lack::Room if !drain.overloaded => MIN_AFTER,
-            _ => (MIN_AFTER_SHORTAGE + age).min(limit / 2),
-        };
+        let min = (MIN_AFTER_SHORTAGE + age).min(limit / 2);
         let slot = self.next_slot(caller.rank, now + min);
         let spacing = drain.spacing(caller.work);
         let after = slot.saturating_duration_since(now) + spacing.max(min / 4).mul_f64(draw);
@@ -168,6 +168,7 @@
     /// Its name for a log line.
     pub fn name(self) -> &'static str {
         match self {
+            Lack::Send => "send",
             Lack::Room => "room",
             Lack::Path => "path",
         }
@@ -211,8 +212,8 @@
 /// A time to come back when nothing is known of the drain, within `limit`.
 pub fn unplanned(lack: Lack, limit: Duration, draw: f64) -> Duration {
     let (min, most) = match lack {
-        Lack::Room => (MIN_AFTER, MAX_AFTER_UNKNOWN),
-        Lack::Path => (MIN_AFTER_SHORTAGE, MIN_AFTER_SHORTAGE * 2),
+        Lack::Send => (MIN_AFTER, MAX_AFTER),
+        Lack::Room | Lack::Path => (MIN_AFTER_SHORTAGE, MIN_AFTER_SHORTAGE * 2),
     };
     spread(min, limit.min(most), draw)
 }
--- a/crates/roseshore_relay/src/entry/returns.rs
+++ b/crates/roseshore_relay/src/entry/returns.rs
@@ -11,6 +11,8 @@
 /// Retry delay, before jitter, when other hosts can serve the caller: just long enough that callers
 /// do not retry all at once.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(60);
+/// Utilisation of the best path from which engines are loaded.
+const LOADED: f64 = 0.7;
 /// Time without a refusal after which callers' deadlines are those of first tries.
 const QUIET_TIME: Duration = Duration::from_secs(10);
 
@@ -25,7 +27,7 @@
 
     /// When a caller should come back that is refused for want of room or of a path.
     pub(super) fn plan_return(&mut self, key: Key, code: Code) -> Duration {
-        let lack = self.lack(key, code);
+        let lack = self.lack(key);
         let Some(exchange) = self.exchanges.get(key) else { return Duration::ZERO };
         let caller = RefusedCaller {
             request: exchange.suspects.request,
@@ -59,10 +61,13 @@
     }
 
     /// What a request is refused for.
-    fn lack(&mut self, key: Key, code: Code) -> Lack {
+    fn lack(&mut self, key: Key) -> Lack {
         let untried = self.exchanges.get(key).is_some_and(|exchange| exchange.sends == 0);
-        let gap = untried && code == Code::NoTarget && self.choose(key).is_none();
-        if gap { Lack::Path } else { Lack::Room }
+        match self.choose(key) {
+            Some(choice) if choice.utilisation.0 < LOADED => Lack::Send,
+            None if untried => Lack::Path,
+            _ => Lack::Room,
+        }
     }
 
     /// When a caller should come back whose request needs a confirmed configuration.
