--- a/crates/roseshore_relay/src/entry/returns.rs
+++ b/crates/roseshore_relay/src/entry/returns.rs
@@ -13,6 +13,8 @@
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(60);
 /// Utilisation of the best path from which engines are loaded.
 const LOADED: f64 = 0.7;
+/// Time after its start in which a host may send little again, while others may.
+const START_TIME: Duration = Duration::from_secs(3);
 /// Time without a refusal after which callers' deadlines are those of first tries.
 const QUIET_TIME: Duration = Duration::from_secs(10);
 
@@ -62,9 +64,11 @@
 
     /// What a request is refused for.
     fn lack(&mut self, key: Key) -> Lack {
-        let untried = self.exchanges.get(key).is_some_and(|exchange| exchange.sends == 0);
+        let Some(exchange) = self.exchanges.get(key) else { return Lack::Room };
+        let (untried, refused) = (exchange.sends == 0, exchange.refused_sends > 0);
+        let new = self.now.saturating_duration_since(self.started) < START_TIME;
         match self.choose(key) {
-            Some(choice) if choice.utilisation.0 < LOADED => Lack::Send,
+            Some(choice) if choice.utilisation.0 < LOADED && (new || !refused) => Lack::Send,
             None if untried => Lack::Path,
             _ => Lack::Room,
         }
