--- a/crates/roseshore_core/src/gateway/returns.rs
+++ b/crates/roseshore_core/src/gateway/returns.rs
@@ -210,7 +210,7 @@
 }
 
 /// A time to come back when nothing is known of the drain, within `limit`.
-pub fn unplanned(lack: Lack, limit: Duration, draw: f64) -> Duration {
+fn unplanned(lack: Lack, limit: Duration, draw: f64) -> Duration {
     let (min, most) = match lack {
         Lack::Send => (MIN_AFTER, MAX_AFTER),
         Lack::Room | Lack::Path => (MIN_AFTER_SHORTAGE, MIN_AFTER_SHORTAGE * 2),
--- a/crates/roseshore_relay/src/entry/returns.rs
+++ b/crates/roseshore_relay/src/entry/returns.rs
@@ -1,11 +1,11 @@
 //! What refused callers are told about coming back, and what is known of those who did.
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, RETRY_AFTER};
 use super::{EntryHost, log_event};
 use crate::slab::Key;
 use rand::RngExt;
 use roseshore_core::gateway::Route;
-use roseshore_core::gateway::returns::{self, Lack, RETURNED_AGE, RefusedCaller};
+use roseshore_core::gateway::returns::{Lack, RETURNED_AGE, RefusedCaller};
 use roseshore_core::prelude::*;
 
 /// Retry delay, before jitter, when other hosts can serve the caller: just long enough that callers
@@ -75,11 +75,11 @@
     }
 
     /// When a caller should come back whose request needs a confirmed configuration.
-    pub(super) fn unconfirmed_delay(&mut self, deadline: Duration) -> Duration {
+    pub(super) fn unconfirmed_delay(&mut self) -> Duration {
         if self.config_outdated() || self.peers.others_confirm(self.now) {
             return self.with_jitter(RETRY_ELSEWHERE);
         }
-        returns::unplanned(Lack::Path, returns::longest_wait(deadline), self.rng.random())
+        self.with_jitter(RETRY_AFTER)
     }
 }
 
