--- a/crates/roseshore_relay/src/entry/demand.rs
+++ b/crates/roseshore_relay/src/entry/demand.rs
@@ -98,11 +98,14 @@
         let Some(snapshot) = self.snapshot.clone() else { return };
         for service in snapshot.engine_services() {
             let demand = self.centre_demand(&service.name);
-            let of = |name| metrics::gauge!(name, "service" => service.name.clone());
-            of("roseshore_demand_offered").set(demand.total.offered());
-            of("roseshore_demand_ended").set(f64::from(demand.total.ended));
-            of("roseshore_demand_part").set(demand.own_part);
-            of("roseshore_room_part").set(self.room_share(&service.name, false).part());
+            let part = self.room_share(&service.name, false).part();
+            let name = || service.name.clone();
+            let offered = demand.total.offered();
+            metrics::gauge!("roseshore_demand_offered", "service" => name()).set(offered);
+            let ended = f64::from(demand.total.ended);
+            metrics::gauge!("roseshore_demand_ended", "service" => name()).set(ended);
+            metrics::gauge!("roseshore_demand_part", "service" => name()).set(demand.own_part);
+            metrics::gauge!("roseshore_room_part", "service" => name()).set(part);
         }
     }
 
