Admission decides by rank and shares which requests are sent, wait or are refused

Cause: in an overload hosts sent whatever found a hole, all waited by themselves, and nothing took rank or organisation into account. Change: Level admits new requests at the rate at which the data centre ends work, by rank and max-min shares; Queue orders who waits at a host; Wait refuses at once who cannot be served in time.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -11,6 +11,7 @@
 //! - [`liveness`]: when an unanswered check shows that a target is dead.
 //!
 //! What a host decides for a request:
+//! - [`admission`]: whether it is sent, waits or is refused under load;
 //! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
 //!   again;
 //! - [`failure`]: the next step after a failed send;
@@ -28,6 +29,7 @@
 //! - [`store_reads`]: which hosts read the store; [`outage`]: whether a missing entry means that
 //!   its target left.
 
+pub mod admission;
 pub mod avoid;
 pub mod config_lease;
 pub mod copies;
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -1,6 +1,7 @@
 //! The operator's configuration as one immutable, versioned snapshot, with look-ups of routes,
 //! services and keys.
 
+use super::demand::Rank;
 use crate::prelude::*;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -268,6 +269,40 @@
         routes.iter().find(|r| path.starts_with(&r.prefix)).ok_or(Denied::NoRoute)
     }
 
+    /// Whether a request that was accepted for an organisation would be accepted again: its route
+    /// is the same one, has a service left, and the key is still the organisation's.
+    pub fn still_accepts(
+        &self,
+        accepted: &Route,
+        (host, path): (&str, &str),
+        key: Option<&str>,
+        organisation: Option<&str>,
+    ) -> bool {
+        let Ok(route) = self.route(host, path) else { return false };
+        let served = route.services.iter().any(|s| self.services.contains_key(&s.service));
+        let owner = self.authorise(route, key).map(|owner| owner.map(|o| o.name.as_str()));
+        route.name == accepted.name && served && owner == Ok(organisation)
+    }
+
+    /// The ranks that requests to a service may have, in order.
+    pub fn ranks(&self, service: &str) -> Vec<Rank> {
+        let mut organisations: Vec<Option<u32>> = self.keys.values().map(|o| o.priority).collect();
+        organisations.sort_unstable();
+        organisations.dedup();
+        let routes = self.by_host.values().flatten();
+        let routes = routes.filter(|r| r.services.iter().any(|s| s.service == service));
+        let mut ranks: Vec<Rank> = routes
+            .flat_map(|route| {
+                let anonymous = route.anonymous || self.keys.is_empty();
+                let owners = if anonymous { &[None] } else { organisations.as_slice() };
+                owners.iter().map(|owner| Rank::new(*owner, route.priority))
+            })
+            .collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        ranks
+    }
+
     /// The organisation that a key belongs to; `None` if the route is anonymous or the
     /// configuration has no keys.
     ///
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -1,6 +1,8 @@
 //! Tests of the decisions of an entry host.
 
 mod gateway {
+    mod admission;
+    mod admission_load;
     mod availability;
     mod avoid;
     mod copies;
--- a/crates/roseshore_core/tests/gateway/routes.rs
+++ b/crates/roseshore_core/tests/gateway/routes.rs
@@ -1,5 +1,6 @@
 //! Tests of routes, keys and the lease on the configuration.
 
+use roseshore_core::gateway::demand::Rank;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
     CallKind, ConfigLease, OrganisationSpec, RequestLimits, Route, ServiceSpec, Snapshot,
@@ -106,3 +107,88 @@
     lease.renew(at(6000));
     assert!(lease.is_valid(at(6100)));
 }
+
+#[test]
+fn a_request_that_waits_is_checked_against_a_new_configuration() {
+    let (accepted, key) = (route("api", "shop.example", "/api/", false), Some("k-1"));
+    let at = ("shop.example", "/api/x");
+    let organisation = |name: &str, key: &str| OrganisationSpec {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        priority: None,
+    };
+    let service = ServiceSpec { name: "a".to_owned(), max_connections: None, engine: None };
+    let with = |routes: &[&str], services: Vec<ServiceSpec>, owner: OrganisationSpec| {
+        let routes = routes.iter().map(|name| route(name, "shop.example", "/api/", false));
+        Snapshot::new(4, routes.collect(), services, vec![owner], RequestLimits::default())
+    };
+    let acme = || organisation("acme", "k-1");
+    let cases = [
+        ("unchanged", with(&["api"], vec![service.clone()], acme()), true),
+        ("no route", with(&[], vec![service.clone()], acme()), false),
+        ("another route", with(&["new"], vec![service.clone()], acme()), false),
+        ("no service", with(&["api"], vec![], acme()), false),
+        ("another key", with(&["api"], vec![service.clone()], organisation("acme", "k-9")), false),
+        ("another owner", with(&["api"], vec![service], organisation("else", "k-1")), false),
+    ];
+    for (name, snapshot, expected) in cases {
+        let accepts = snapshot.still_accepts(&accepted, at, key, Some("acme"));
+        assert_eq!(accepts, expected, "{name}");
+    }
+}
+
+#[test]
+fn the_ranks_of_a_service_come_from_its_routes_and_organisations() {
+    struct Case {
+        name: &'static str,
+        /// Priority of each route, and whether it is anonymous.
+        routes: &'static [(u32, bool)],
+        organisations: &'static [Option<u32>],
+        ranks: &'static [(Option<u32>, u32)],
+    }
+    let cases = [
+        Case {
+            name: "routes alone",
+            routes: &[(2, false), (1, false), (2, false)],
+            organisations: &[],
+            ranks: &[(None, 1), (None, 2)],
+        },
+        Case {
+            name: "organisations first",
+            routes: &[(1, false), (2, false)],
+            organisations: &[None, Some(0), Some(0)],
+            ranks: &[(Some(0), 1), (Some(0), 2), (None, 1), (None, 2)],
+        },
+        Case {
+            name: "a route without keys",
+            routes: &[(1, true)],
+            organisations: &[Some(0)],
+            ranks: &[(None, 1)],
+        },
+        Case {
+            name: "absurd priorities",
+            routes: &[(u32::MAX, false), (9999, false)],
+            organisations: &[],
+            ranks: &[(None, 254)],
+        },
+    ];
+    for case in cases {
+        let routes = case.routes.iter().map(|(priority, anonymous)| Route {
+            priority: *priority,
+            ..route("r", "shop.example", "/", *anonymous)
+        });
+        let organisations =
+            case.organisations.iter().enumerate().map(|(id, priority)| OrganisationSpec {
+                name: id.to_string(),
+                keys: vec![id.to_string()],
+                priority: *priority,
+            });
+        let (routes, organisations) = (routes.collect(), organisations.collect());
+        let snapshot =
+            Snapshot::new(1, routes, Vec::new(), organisations, RequestLimits::default());
+        let expected: Vec<Rank> =
+            case.ranks.iter().map(|(owner, route)| Rank::new(*owner, *route)).collect();
+        assert_eq!(snapshot.ranks("a"), expected, "{}", case.name);
+        assert_eq!(snapshot.ranks("none"), [], "{}", case.name);
+    }
+}
