--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -77,6 +77,9 @@
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
     LineageBroken = 304, Error, "a token did not pass every layer once and in order";
+    RequestQueued = 345, Debug, "a request waits for room";
+    RequestNotAdmitted = 346, Info, "a request was refused since callers ask for more than the engines can do";
+    WaitEnded = 347, Debug, "a request no longer waits for room";
     KeyClaimed = 401, Debug, "a key was won";
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
     KeyAbandoned = 403, Warn, "a claim was given up before dispatch";
--- a/crates/roseshore_core/src/gateway/admission/level.rs
+++ b/crates/roseshore_core/src/gateway/admission/level.rs
@@ -84,11 +84,11 @@
 
 impl Level {
     /// Decides on a request that has not been sent. `utilisation` is that of the best path,
-    /// `suitable` whether it takes the request, and `draw` a random number in `0..1`.
+    /// and `draw` a random number in `0..1`.
     pub fn decide(
         &mut self,
         arrival: &Arrival,
-        (utilisation, suitable): (f64, bool),
+        utilisation: f64,
         demand: &CentreDemand,
         now: Instant,
         draw: f64,
@@ -97,7 +97,7 @@
         self.fill.record(utilisation, FILL_TIME, now);
         let returned = self.returned.entry(arrival.rank).or_default();
         returned.record(f64::from(u8::from(arrival.returned)), RETURNED_TIME, now);
-        if utilisation < FREE_UTILISATION && suitable {
+        if utilisation < FREE_UTILISATION {
             return Decision::Admit;
         }
         let part = admitted_part(arrival, self.fill.value(), demand).max(MIN_PART);
--- a/crates/roseshore_core/src/gateway/admission/queue.rs
+++ b/crates/roseshore_core/src/gateway/admission/queue.rs
@@ -130,6 +130,11 @@
         self.waiters.values()
     }
 
+    /// Whether a request waits.
+    pub fn contains(&self, id: WaiterId) -> bool {
+        self.places.contains_key(&id)
+    }
+
     /// Requests that go before one that joins now.
     pub fn ahead(&self, waiter: &Waiter) -> usize {
         self.waiters.range(..self.place(waiter)).count()
--- a/crates/roseshore_core/src/gateway/admission/wait.rs
+++ b/crates/roseshore_core/src/gateway/admission/wait.rs
@@ -41,9 +41,9 @@
         if self.begun {
             return MAX_STREAM_WAIT;
         }
-        let free = FREE_WAIT.min(self.objective / FREE_WAIT_DIVISOR).saturating_sub(self.age);
+        let free = FREE_WAIT.min(self.objective / FREE_WAIT_DIVISOR);
         let in_time = self.objective.saturating_sub(self.first_token + self.age);
-        free.max(in_time.min(MAX_WAIT.saturating_sub(self.age)))
+        free.max(in_time.min(MAX_WAIT))
     }
 
     /// Predicted time until its turn, behind at least `ahead` requests; `None` while no work ends.
--- a/crates/roseshore_core/src/gateway/demand.rs
+++ b/crates/roseshore_core/src/gateway/demand.rs
@@ -9,6 +9,7 @@
 use super::hashes::TargetHash;
 pub use meter::DemandMeter;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// Most ranks of a service in a report; lower ones count to the last.
 pub const MAX_RANKS: usize = 4;
@@ -40,6 +41,16 @@
     }
 }
 
+/// The priority of the organisation, `-` if it has none, and that of the route: `0.2`.
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 >> 8 {
+            255 => write!(f, "-.{}", self.0 & 255),
+            organisation => write!(f, "{organisation}.{}", self.0 & 255),
+        }
+    }
+}
+
 /// Work of one rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RankDemand {
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -190,6 +190,23 @@
     }
 }
 
+/// What a request was accepted by.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptedRequest<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// The service that it was given to.
+    pub service: &'a str,
+    /// The host name that it asks for.
+    pub host: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its API key.
+    pub key: Option<&'a str>,
+    /// The organisation that the key belonged to.
+    pub organisation: Option<&'a str>,
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denied {
@@ -269,19 +286,13 @@
         routes.iter().find(|r| path.starts_with(&r.prefix)).ok_or(Denied::NoRoute)
     }
 
-    /// Whether a request that was accepted for an organisation would be accepted again: its route
-    /// is the same one, has a service left, and the key is still the organisation's.
-    pub fn still_accepts(
-        &self,
-        accepted: &Route,
-        (host, path): (&str, &str),
-        key: Option<&str>,
-        organisation: Option<&str>,
-    ) -> bool {
-        let Ok(route) = self.route(host, path) else { return false };
-        let served = route.services.iter().any(|s| self.services.contains_key(&s.service));
-        let owner = self.authorise(route, key).map(|owner| owner.map(|o| o.name.as_str()));
-        route.name == accepted.name && served && owner == Ok(organisation)
+    /// Whether a request that was accepted under an earlier configuration would be accepted again.
+    pub fn still_accepts(&self, accepted: &AcceptedRequest<'_>) -> bool {
+        let Ok(route) = self.route(accepted.host, accepted.path) else { return false };
+        let served = route.services.iter().any(|s| s.service == accepted.service)
+            && self.services.contains_key(accepted.service);
+        let owner = self.authorise(route, accepted.key).map(|owner| owner.map(|o| o.name.as_str()));
+        route.name == accepted.route && served && owner == Ok(accepted.organisation)
     }
 
     /// The ranks that requests to a service may have, in order.
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -154,6 +154,9 @@
     pub last_event: Option<u64>,
     /// The targets and the layers each one runs, in order; empty for plain services.
     pub path: &'a [(SocketAddr, Hop)],
+    /// Urgency among the requests of the service, from 0, the first, to 9; `None` if they do not
+    /// differ.
+    pub urgency: Option<u8>,
 }
 
 /// The header fields of a target's response.
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -1,9 +1,9 @@
 //! The process of an entry host: state, event loop and timers.
 
+mod admission;
 mod blocked_requests;
 mod callers;
 mod calls;
-mod capacity_wait;
 mod choice;
 mod copies;
 mod demand;
@@ -30,6 +30,7 @@
 use crate::log_writer::LogWriter;
 use crate::net::{Dial, Endpoint, Net, SocketChange};
 use crate::slab::{Key, Slab};
+use admission::Admission;
 use blocked_requests::BlockedRecords;
 use callers::Caller;
 use calls::Call;
@@ -169,6 +170,7 @@
     rate_limits: RateLimits,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
     demand: Demand,
+    admission: Admission,
     retry_loans: RetryLoans,
     /// Whether sends may wait for a loan that has to be requested.
     loans_wanted: bool,
@@ -285,6 +287,7 @@
             rate_limits: RateLimits::new(rng.random()),
             retry_budgets: HashMap::new(),
             demand: Demand::default(),
+            admission: Admission::default(),
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
             loans_wanted: false,
             placement: PlacementState::default(),
@@ -367,6 +370,7 @@
                 self.last_tick = self.now;
                 self.tick();
             }
+            self.serve_queues();
             self.log.flush();
             if let Some(cut) = self.shutdown_complete() {
                 log_event!(self, Stopped, "cut={cut}");
@@ -426,6 +430,7 @@
         self.send_heartbeats();
         self.update_retry_pools();
         self.update_demand_gauges();
+        self.expire_admission();
     }
 
     /// Passes a changed connection to the code for its role.
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -52,6 +52,11 @@
         &self.target
     }
 
+    /// Predicted time to the first token.
+    pub(super) fn first_token(&self) -> Duration {
+        Duration::try_from_secs_f64(self.ttft_ms / 1000.0).unwrap_or_default()
+    }
+
     /// The choice as text of a log line.
     pub(super) fn log_text(&self) -> String {
         let hops = self.path.iter();
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -25,12 +25,20 @@
 impl EntryHost {
     /// Sends a request to the best available target, queues it, or ends it.
     pub(super) fn dispatch(&mut self, key: Key) {
-        if self.block_or_wait(key) || self.awaits_permit(key) || self.awaits_loan(key) {
+        if self.block_or_wait(key)
+            || self.awaits_permit(key)
+            || self.awaits_loan(key)
+            || self.awaits_room(key)
+        {
             return;
         }
-        let choice = match self.choose(key) {
-            Some(choice) if choice.suitable => choice,
-            other => return self.wait_for_capacity(key, other),
+        let best = self.choose(key);
+        if !self.passes_level(key, best.as_ref()) {
+            return;
+        }
+        let choice = match best {
+            Some(choice) if choice.suitable && self.may_pass(key) => choice,
+            other => return self.wait_for_room(key, other),
         };
         if let Some(choice) = self.with_permit(key, choice) {
             self.send_to(key, choice);
@@ -59,9 +67,10 @@
                 return self.end_without(key, Code::TargetUnreachable, &why);
             }
         };
+        self.end_room_wait(key, true);
+        let urgency = self.urgency(key);
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         exchange.sends += 1;
-        exchange.waiting_since = None;
         if !exchange.tried_targets.contains(&choice.target) {
             exchange.tried_targets.push(choice.target.clone());
         }
@@ -74,6 +83,7 @@
             organisation: exchange.organisation.as_deref(),
             last_event: exchange.delivery.last_id,
             path: &wire_path,
+            urgency,
         };
         let fields = self.platform.forwarded_headers(&exchange.head.fields, &forwarded);
         let mut out = Vec::with_capacity(1024 + exchange.body.len());
@@ -127,7 +137,7 @@
 
     /// Ends a request that is blocked, or makes it wait while it is not known whether it crashes
     /// its targets. Returns whether it did either.
-    fn block_or_wait(&mut self, key: Key) -> bool {
+    pub(super) fn block_or_wait(&mut self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get(key) else { return true };
         if self.fatal.refused(&exchange.suspects, self.now).is_some() {
             self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
@@ -148,6 +158,7 @@
         for claim in &send.claims {
             self.targets.release(claim);
         }
+        self.room_changed();
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
             self.keep_idle(send.socket, send.route);
         } else {
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -14,6 +14,7 @@
 use roseshore_ports::entry::RequestFields;
 use std::sync::Arc;
 
+use super::admission::RoomWait;
 use super::callers::refusal_fields;
 use super::demand::expected_work;
 use super::in_flight::InFlightSend;
@@ -62,8 +63,10 @@
     pub(super) avoided: AvoidedTargets,
     /// The targets that it was sent to; the route limits their number.
     pub(super) tried_targets: Vec<TargetId>,
-    /// Since when it has been waiting for a target with capacity.
-    pub(super) waiting_since: Option<Instant>,
+    /// Whether the level has admitted it.
+    pub(super) level_passed: bool,
+    /// Its wait for room.
+    pub(super) room_wait: Option<RoomWait>,
     /// The rate-limit permit that it is waiting for.
     pub(super) permit_wait: Option<PermitWait>,
     /// Until when its next send waits for a loan of a retry.
@@ -106,6 +109,17 @@
         }
     }
 
+    /// Whether its caller has a part of the stream, from this host or an earlier one.
+    pub(super) fn is_begun(&self) -> bool {
+        self.delivery.started || self.request_fields.last_event.is_some()
+    }
+
+    /// Whether its caller was refused before.
+    pub(super) fn has_returned(&self) -> bool {
+        let first = self.route.timeout.mul_f64(0.95);
+        self.request_fields.deadline.is_some_and(|deadline| deadline < first)
+    }
+
     /// Whether the request was sent to as many targets as its route allows.
     pub(super) fn at_bound(&self) -> bool {
         self.tried_targets.len() >= self.route.max_attempts as usize
@@ -233,7 +247,8 @@
             reached_target: false,
             avoided: AvoidedTargets::default(),
             tried_targets: Vec::new(),
-            waiting_since: None,
+            level_passed: false,
+            room_wait: None,
             permit_wait: None,
             loan_wait: None,
             send: None,
@@ -243,7 +258,11 @@
     }
 
     /// Whether a stream is expected to end before this host has to exit.
-    fn ends_before_exit(&self, request_fields: &RequestFields, service: &ServiceSpec) -> bool {
+    pub(super) fn ends_before_exit(
+        &self,
+        request_fields: &RequestFields,
+        service: &ServiceSpec,
+    ) -> bool {
         let Some(left) = self.grace_left() else { return true };
         let mean_answer = service.engine.as_ref().map_or(0.0, |engine| engine.mean_answer);
         let guess = request_fields.length_hint.map_or(mean_answer, f64::from);
@@ -361,6 +380,7 @@
     /// Removes an exchange and logs its outcome.
     pub(super) fn close_exchange(&mut self, key: Key, code: u16, why: &str) {
         self.record_ended(key);
+        self.end_room_wait(key, false);
         self.drop_send(key, false);
         let Some(exchange) = self.exchanges.remove(key) else { return };
         let took = self.now.saturating_duration_since(exchange.started);
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -100,6 +100,7 @@
         let view = self.peers.view(now);
         let changes = self.targets.set_remote_loads(&view.loads, now);
         self.log_reports(&changes);
+        self.room_changed();
         if !changes.down.is_empty() {
             self.verify_reports(self.started);
         }
--- a/crates/roseshore_relay/src/entry/rate_limits.rs
+++ b/crates/roseshore_relay/src/entry/rate_limits.rs
@@ -159,7 +159,7 @@
             Permit::Unlimited | Permit::Held => Some(choice),
             Permit::Ask => self.request_permit(key, choice, hash),
             Permit::None => {
-                self.wait_for_capacity(key, None);
+                self.wait_for_room(key, None);
                 None
             }
         }
@@ -228,6 +228,7 @@
     /// Applies the issuer's grant and continues the request that waits for it.
     pub(super) fn apply_grant(&mut self, grant: &PermitGrant) {
         self.rate_limits.limits.apply_grant(grant, self.now);
+        self.room_changed();
         let Some(key) = self.rate_limits.waiting.remove(&grant.number) else { return };
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(permit_wait) = exchange.permit_wait.take_if(|a| a.number == grant.number) else {
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -188,6 +188,7 @@
             Ok(fresh) => {
                 let version = fresh.version();
                 self.snapshot = Some(Arc::new(fresh));
+                self.recheck_waiting();
                 let bytes = value.len();
                 log_event!(
                     self,
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -21,6 +21,7 @@
     pub(super) fn handle_signals(&mut self) {
         if self.stop.load(Ordering::Relaxed) && self.stopping_since.is_none() {
             self.stopping_since = Some(self.now);
+            self.recheck_waiting();
             log_event!(self, Draining, "in_flight={}", self.exchanges.len());
         }
         let requested = self.reload.swap(false, Ordering::Relaxed);
