The level admits more while engines fill up, and less near their last place

Cause: while demand grows, work that ends lags behind by the running time of requests, and a correction proportional to the distance from the target refused callers beside free room. Change: the rate grows by e for each tenth of utilisation below the target.

--- a/crates/roseshore_core/src/gateway/admission/level.rs
+++ b/crates/roseshore_core/src/gateway/admission/level.rs
@@ -18,12 +18,12 @@
 
 /// Utilisation of the best path that admission aims at. The rest is kept for begun streams and for
 /// answers that grow longer than expected.
-const TARGET_FILL: f64 = 0.85;
+const TARGET_FILL: f64 = 0.87;
 /// Change of the admitted rate for a given relative distance from the target: the mean running time
 /// of a request over the time in which the distance is to be closed.
-const GAIN: f64 = 4.0;
+const GAIN: f64 = 10.0;
 /// Bounds of the admitted rate as a multiple of the rate at which work ends.
-const RATE_BOUNDS: (f64, f64) = (0.5, 2.5);
+const RATE_BOUNDS: (f64, f64) = (0.4, 4.0);
 /// Ended work below which it says nothing about capacity, mean requests a second.
 const MIN_ENDED: f64 = 1.0;
 /// Part of the offered work that is admitted while no capacity is known.
@@ -142,8 +142,7 @@
     if ended < MIN_ENDED {
         return ended.max(offered * COLD_PART);
     }
-    let correction = 1.0 + GAIN * (TARGET_FILL / fill.max(FREE_UTILISATION) - 1.0);
-    ended * correction.clamp(RATE_BOUNDS.0, RATE_BOUNDS.1)
+    ended * ((TARGET_FILL - fill) * GAIN).exp().clamp(RATE_BOUNDS.0, RATE_BOUNDS.1)
 }
 
 /// The probability for callers who return, or for new ones, when `part` of all is admitted and
--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -418,9 +418,10 @@
                 *count = count.saturating_add(1);
             }
             self.demand.meter.set_waiting(name_hash(service), waiting);
-            let of = |name| metrics::gauge!(name, "service" => service.clone());
-            of("roseshore_queue_length").set(state.queue.len() as f64);
-            of("roseshore_queue_bytes").set(state.queue.bytes() as f64);
+            metrics::gauge!("roseshore_queue_length", "service" => service.clone())
+                .set(state.queue.len() as f64);
+            metrics::gauge!("roseshore_queue_bytes", "service" => service.clone())
+                .set(state.queue.bytes() as f64);
         }
     }
 
