--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -2,8 +2,9 @@
 
 use super::super::paces::EnginePace;
 use super::super::position::Position;
-use super::Availability;
+use super::{Availability, LOAD_VALIDITY};
 use crate::gateway::hashes::{TargetHash, target_hash};
+use crate::gateway::quota::room::{RecentClaims, UsableRoom};
 use crate::gateway::reports::TargetLoad;
 use crate::load::breaker::CircuitBreaker;
 use crate::prelude::*;
@@ -169,6 +170,10 @@
     pub in_flight: u32,
     /// KV cache used by requests of this host, in tokens times layers.
     pub kv_used: f64,
+    /// Changes of these that other hosts' reports may not cover yet.
+    pub(super) recent: RecentClaims,
+    /// What its refusals showed of its room.
+    pub(super) usable: Option<UsableRoom>,
     /// Set while it is missing from the list: when it is removed.
     pub(super) missing_until: Option<Instant>,
     /// Whether another target answered at its address.
@@ -190,6 +195,8 @@
     pub(super) layers_report: LayersReport,
     /// When data last arrived through it.
     pub(super) last_progress: Option<Instant>,
+    /// Longest recent time from a send through it to the first event, and when that arrived.
+    pub(super) first_event: Option<(Duration, Instant)>,
     /// How it failed its latest liveness check; `None` if it passed.
     pub(super) liveness_failure: Option<LivenessFailure>,
     /// Since when other hosts have reported that it fails their liveness checks.
@@ -215,6 +222,8 @@
             record,
             in_flight: 0,
             kv_used: 0.0,
+            recent: RecentClaims::default(),
+            usable: None,
             missing_until: None,
             replaced: false,
             health: CircuitBreaker::default(),
@@ -222,6 +231,7 @@
             pace: None,
             reported_holding: None,
             last_progress: None,
+            first_event: None,
             liveness_failure: None,
             reported_at: None,
             alive_at: None,
@@ -281,6 +291,12 @@
         self.liveness_failure
     }
 
+    /// Requests that it recently reported as running and waiting; 0 without such a report.
+    pub(super) fn reported_requests(&self, now: Instant) -> f64 {
+        let recent = |at: Instant| now.saturating_duration_since(at) < LOAD_VALIDITY;
+        self.reported_load.filter(|(_, at)| recent(*at)).map_or(0.0, |(requests, _)| requests)
+    }
+
     /// Requests of all hosts in flight.
     pub fn total_in_flight(&self) -> f64 {
         f64::from(self.in_flight) + f64::from(self.remote_load.own)
@@ -291,6 +307,11 @@
         self.kv_used + f64::from(self.remote_load.held) * 1000.0
     }
 
+    /// Part of this KV cache that turned out to be usable.
+    pub(super) fn usable_part(&self, capacity: f64, now: Instant) -> f64 {
+        self.usable.map_or(1.0, |usable| usable.part(capacity, now))
+    }
+
     /// The same target in a new incarnation, with no state of the former one except this host's
     /// load: requests that were sent to it still end one by one.
     pub(super) fn restarted(&self, record: TargetRecord) -> Target {
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -28,10 +28,12 @@
     mod poll_timing;
     mod position;
     mod pressure;
+    mod progress;
     mod retry_budget;
     mod retry_loans;
+    mod returns;
+    mod room;
     mod routes;
-    mod shortage;
     mod starts;
     mod store_reads;
     mod targets;
--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -62,7 +62,7 @@
         id: key.to_number() as u64,
         begun: exchange.is_begun(),
         rank: exchange.rank,
-        returned: exchange.has_returned(),
+        returned: exchange.returned(),
         organisation: organisation_hash(exchange),
         work: exchange.work,
         bytes: exchange.body.len() + 1024,
@@ -116,7 +116,7 @@
         let arrival = Arrival {
             rank: exchange.rank,
             organisation: Some(organisation_hash(exchange)),
-            returned: exchange.has_returned(),
+            returned: exchange.returned(),
         };
         let attempt = exchange.request_fields.attempt.clone();
         let organisation = exchange.organisation.clone();
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -4,6 +4,7 @@
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::path::{self, PathRequest};
+use roseshore_core::gateway::progress;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::RequestFields;
@@ -17,7 +18,7 @@
     pub(super) path: Vec<(TargetId, SocketAddr, Hop)>,
     pub(super) claims: Vec<Claim>,
     /// Predicted time to the first token in milliseconds.
-    ttft_ms: f64,
+    pub(super) ttft_ms: f64,
     /// Predicted time between tokens in milliseconds.
     pub(super) token_ms: f64,
     /// Whether every target has capacity for the whole answer and none failed recently.
@@ -90,6 +91,9 @@
         at: Instant,
         excluded_first: &[TargetId],
     ) -> Option<Choice> {
+        let exchange = self.exchanges.get(key)?;
+        let (service, begun) = (exchange.service.name.clone(), exchange.delivery.started);
+        let share = self.room_share(&service, begun);
         let exchange = self.exchanges.get(key)?;
         let data_centre = self.settings.data_centre.as_str();
         let bound = exchange.at_bound();
@@ -115,7 +119,7 @@
             excluded_first,
             allowed_first,
         };
-        let parts = self.targets.parts(&exchange.service.name, spec, &path_request, at);
+        let parts = self.targets.parts(&exchange.service.name, spec, &path_request, &share, at);
         let path = path::choose(&parts, &path_request, &mut self.rng)?;
         let tokens = path_request.kv_tokens();
         let claim = |(id, _, hop): &(TargetId, SocketAddr, Hop)| {
@@ -124,7 +128,10 @@
         };
         let claims = path.hops.iter().map(claim).collect();
         let (target, addr, _) = path.hops.first().cloned()?;
-        let (ttft_ms, token_ms, suitable) = (path.ttft_ms, path.token_ms, path.suitable);
+        // A request that a full target refused is sent over another path only if that has room.
+        let wants_room = exchange.refused_full && !exchange.delivery.started;
+        let suitable = path.suitable && (!wants_room || progress::is_roomy(path.utilisation));
+        let (ttft_ms, token_ms) = (path.ttft_ms, path.token_ms);
         let (utilisation, expected) =
             ((path.utilisation, path.bottleneck), path_request.answer_tokens);
         let (path, unhealthy) = (path.hops, path.unhealthy);
