Admission aims at fuller engines

Cause: at 1.7 times the usual demand, callers were refused beside engines that answered within a fifth of the objective. Change: the target of the best path's utilisation is 0.95.

--- a/crates/roseshore_core/src/gateway/admission.rs
+++ b/crates/roseshore_core/src/gateway/admission.rs
@@ -21,7 +21,7 @@
 
 /// Utilisation of the best path below which every request is sent. It leaves room for what other
 /// hosts send before their loads are known here.
-pub const FREE_UTILISATION: f64 = 0.75;
+pub const FREE_UTILISATION: f64 = 0.8;
 
 /// The last urgency that engines know.
 pub const LAST_URGENCY: u8 = 9;
--- a/crates/roseshore_core/src/gateway/admission/level.rs
+++ b/crates/roseshore_core/src/gateway/admission/level.rs
@@ -18,10 +18,10 @@
 
 /// Utilisation of the best path that admission aims at. The rest is kept for begun streams and for
 /// answers that grow longer than expected.
-const TARGET_FILL: f64 = 0.87;
+const TARGET_FILL: f64 = 0.95;
 /// Change of the admitted rate for a given relative distance from the target: the mean running time
 /// of a request over the time in which the distance is to be closed.
-const GAIN: f64 = 10.0;
+const GAIN: f64 = 12.0;
 /// Bounds of the admitted rate as a multiple of the rate at which work ends.
 const RATE_BOUNDS: (f64, f64) = (0.4, 4.0);
 /// Ended work below which it says nothing about capacity, mean requests a second.
