--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -193,14 +193,13 @@
         };
         let host = http::field(&head.fields, "host").unwrap_or("");
         let route = snapshot.route(host, &head.path).cloned();
-        let deadline = request_fields.deadline;
-        let route = route.map_err(|denied| self.denial_refusal(denied, deadline))?;
+        let route = route.map_err(|denied| self.denial_refusal(denied))?;
         let organisation = snapshot.authorise(&route, request_fields.api_key.as_deref());
-        let organisation = organisation.map_err(|denied| self.denial_refusal(denied, deadline))?;
+        let organisation = organisation.map_err(|denied| self.denial_refusal(denied))?;
         let rank = Rank::new(organisation.and_then(|o| o.priority), route.priority);
         let organisation = organisation.map(|o| o.name.clone());
         if self.config_outdated() || (organisation.is_some() && !self.config_current()) {
-            return Err(self.unconfirmed_refusal(deadline));
+            return Err(self.unconfirmed_refusal());
         }
         let service =
             route.service(&request_fields.attempt).and_then(|name| snapshot.service(name));
@@ -273,9 +272,9 @@
 
     /// The refusal of a request that the configuration denies. While the configuration is not known
     /// to be the newest, the caller is asked to retry instead.
-    fn denial_refusal(&mut self, denied: Denied, deadline: Option<Duration>) -> Refusal {
+    fn denial_refusal(&mut self, denied: Denied) -> Refusal {
         if !self.config_current() {
-            return self.unconfirmed_refusal(deadline);
+            return self.unconfirmed_refusal();
         }
         match denied {
             Denied::NoRoute => Refusal::not_run(Code::UnknownRoute, "no such route"),
@@ -284,9 +283,9 @@
     }
 
     /// The refusal while the configuration is not confirmed to be the newest.
-    fn unconfirmed_refusal(&mut self, deadline: Option<Duration>) -> Refusal {
+    fn unconfirmed_refusal(&mut self) -> Refusal {
         let text = "the configuration cannot be confirmed";
-        let delay = self.unconfirmed_delay(deadline.unwrap_or(DEFAULT_DEADLINE));
+        let delay = self.unconfirmed_delay();
         Refusal::not_run(Code::ConfigUnconfirmed, text).after(delay)
     }
 
--- a/crates/roseshore_relay/src/entry/returns.rs
+++ b/crates/roseshore_relay/src/entry/returns.rs
@@ -1,16 +1,20 @@
 //! What refused callers are told about coming back, and what is known of those who did.
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, RETRY_AFTER};
 use super::{EntryHost, log_event};
 use crate::slab::Key;
 use rand::RngExt;
 use roseshore_core::gateway::Route;
-use roseshore_core::gateway::returns::{self, Lack, RETURNED_AGE, RefusedCaller};
+use roseshore_core::gateway::returns::{Lack, RETURNED_AGE, RefusedCaller};
 use roseshore_core::prelude::*;
 
 /// Retry delay, before jitter, when other hosts can serve the caller: just long enough that callers
 /// do not retry all at once.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(60);
+/// Utilisation of the best path from which engines are loaded.
+const LOADED: f64 = 0.7;
+/// Time after its start in which a host may send little again, while others may.
+const START_TIME: Duration = Duration::from_secs(3);
 /// Time without a refusal after which callers' deadlines are those of first tries.
 const QUIET_TIME: Duration = Duration::from_secs(10);
 
@@ -25,7 +29,7 @@
 
     /// When a caller should come back that is refused for want of room or of a path.
     pub(super) fn plan_return(&mut self, key: Key, code: Code) -> Duration {
-        let lack = self.lack(key, code);
+        let lack = self.lack(key);
         let Some(exchange) = self.exchanges.get(key) else { return Duration::ZERO };
         let caller = RefusedCaller {
             request: exchange.suspects.request,
@@ -59,18 +63,23 @@
     }
 
     /// What a request is refused for.
-    fn lack(&mut self, key: Key, code: Code) -> Lack {
-        let untried = self.exchanges.get(key).is_some_and(|exchange| exchange.sends == 0);
-        let gap = untried && code == Code::NoTarget && self.choose(key).is_none();
-        if gap { Lack::Path } else { Lack::Room }
+    fn lack(&mut self, key: Key) -> Lack {
+        let Some(exchange) = self.exchanges.get(key) else { return Lack::Room };
+        let (untried, refused) = (exchange.sends == 0, exchange.refused_sends > 0);
+        let new = self.now.saturating_duration_since(self.started) < START_TIME;
+        match self.choose(key) {
+            Some(choice) if choice.utilisation.0 < LOADED && (new || !refused) => Lack::Send,
+            None if untried => Lack::Path,
+            _ => Lack::Room,
+        }
     }
 
     /// When a caller should come back whose request needs a confirmed configuration.
-    pub(super) fn unconfirmed_delay(&mut self, deadline: Duration) -> Duration {
+    pub(super) fn unconfirmed_delay(&mut self) -> Duration {
         if self.config_outdated() || self.peers.others_confirm(self.now) {
             return self.with_jitter(RETRY_ELSEWHERE);
         }
-        returns::unplanned(Lack::Path, returns::longest_wait(deadline), self.rng.random())
+        self.with_jitter(RETRY_AFTER)
     }
 }
 
