--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -79,6 +79,9 @@
     LineageBroken = 304, Error, "a token did not pass every layer once and in order";
     RoomNarrowed = 340, Info, "an engine refused a request for want of room, and gets less";
     RoomWidened = 341, Info, "all room of an engine is used again";
+    RequestQueued = 345, Debug, "a request waits for room";
+    RequestNotAdmitted = 346, Info, "a request was refused since callers ask for more than the engines can do";
+    WaitEnded = 347, Debug, "a request no longer waits for room";
     SendKept = 350, Debug, "a send without an event is waited for, as its targets are only slow or it cannot be repeated";
     ReturnPlanned = 355, Debug, "a refused caller was told when to come back";
     KeyClaimed = 401, Debug, "a key was won";
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -1,6 +1,7 @@
 //! The operator's configuration as one immutable, versioned snapshot, with look-ups of routes,
 //! services and keys.
 
+use super::demand::Rank;
 use crate::prelude::*;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -189,6 +190,23 @@
     }
 }
 
+/// What a request was accepted by.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptedRequest<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// The service that it was given to.
+    pub service: &'a str,
+    /// The host name that it asks for.
+    pub host: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its API key.
+    pub key: Option<&'a str>,
+    /// The organisation that the key belonged to.
+    pub organisation: Option<&'a str>,
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denied {
@@ -268,6 +286,34 @@
         routes.iter().find(|r| path.starts_with(&r.prefix)).ok_or(Denied::NoRoute)
     }
 
+    /// Whether a request that was accepted under an earlier configuration would be accepted again.
+    pub fn still_accepts(&self, accepted: &AcceptedRequest<'_>) -> bool {
+        let Ok(route) = self.route(accepted.host, accepted.path) else { return false };
+        let served = route.services.iter().any(|s| s.service == accepted.service)
+            && self.services.contains_key(accepted.service);
+        let owner = self.authorise(route, accepted.key).map(|owner| owner.map(|o| o.name.as_str()));
+        route.name == accepted.route && served && owner == Ok(accepted.organisation)
+    }
+
+    /// The ranks that requests to a service may have, in order.
+    pub fn ranks(&self, service: &str) -> Vec<Rank> {
+        let mut organisations: Vec<Option<u32>> = self.keys.values().map(|o| o.priority).collect();
+        organisations.sort_unstable();
+        organisations.dedup();
+        let routes = self.by_host.values().flatten();
+        let routes = routes.filter(|r| r.services.iter().any(|s| s.service == service));
+        let mut ranks: Vec<Rank> = routes
+            .flat_map(|route| {
+                let anonymous = route.anonymous || self.keys.is_empty();
+                let owners = if anonymous { &[None] } else { organisations.as_slice() };
+                owners.iter().map(|owner| Rank::new(*owner, route.priority))
+            })
+            .collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        ranks
+    }
+
     /// The organisation that a key belongs to; `None` if the route is anonymous or the
     /// configuration has no keys.
     ///
