Admission aims at engines that are 0.97 full

Change: the target is 0.97, the highest at which the decision's load tests keep their bounds (0.98 fails them: large requests at twice the capacity).

--- a/crates/roseshore_core/src/gateway/admission/level.rs
+++ b/crates/roseshore_core/src/gateway/admission/level.rs
@@ -16,7 +16,7 @@
 
 /// Utilisation of the best path that admission aims at. The rest is kept for begun streams and for
 /// answers that grow longer than expected.
-const TARGET_FILL: f64 = 0.95;
+const TARGET_FILL: f64 = 0.97;
 /// Steepness of the admitted rate: it grows by e for each such part of utilisation below the
 /// target, and falls as much above. Flatter, callers are refused beside free room while demand
 /// grows, since ended work lags behind; steeper, the rate swings with loads that are 300 ms old.
