The level is in force where routes are ranked, and refuses nobody while nothing has ended

Change: the level and the engines' urgency need routes of different priorities; without ended work the level admits all.

--- a/crates/roseshore_core/src/gateway/admission/level.rs
+++ b/crates/roseshore_core/src/gateway/admission/level.rs
@@ -25,8 +25,6 @@
 const RATE_BOUNDS: (f64, f64) = (0.4, 4.0);
 /// Ended work below which it says nothing about capacity, mean requests a second.
 const MIN_ENDED: f64 = 1.0;
-/// Part of the offered work that is admitted while no capacity is known.
-const COLD_PART: f64 = 0.25;
 /// Least part of a rank and an organisation that is admitted, so that none starves.
 const MIN_PART: f64 = 0.03;
 /// Part of what is admitted that goes to callers who return before new ones are considered. More of
@@ -139,7 +137,7 @@
 /// Work to admit, mean requests a second.
 fn admitted_rate(ended: f64, offered: f64, fill: f64) -> f64 {
     if ended < MIN_ENDED {
-        return ended.max(offered * COLD_PART);
+        return offered;
     }
     ended * ((TARGET_FILL - fill) * GAIN).exp().clamp(RATE_BOUNDS.0, RATE_BOUNDS.1)
 }
--- a/crates/roseshore_core/src/gateway/demand.rs
+++ b/crates/roseshore_core/src/gateway/demand.rs
@@ -39,6 +39,16 @@
         let level = |priority: u32| priority.min(254) as u16;
         Rank(organisation.map_or(255, level) << 8 | level(route))
     }
+
+    /// The part of the rank that the route's priority gives.
+    fn route(self) -> u16 {
+        self.0 & 0xff
+    }
+
+    /// Whether routes are ranked: some of these ranks differ by the route's priority.
+    pub fn routes_differ(ranks: &[Rank]) -> bool {
+        ranks.windows(2).any(|pair| pair[0].route() != pair[1].route())
+    }
 }
 
 /// The priority of the organisation, `-` if it has none, and that of the route: `0.2`.
--- a/crates/roseshore_core/tests/gateway/routes.rs
+++ b/crates/roseshore_core/tests/gateway/routes.rs
@@ -150,6 +150,7 @@
         routes: &'static [(u32, bool)],
         organisations: &'static [Option<u32>],
         ranks: &'static [(Option<u32>, u32)],
+        routes_differ: bool,
     }
     let cases = [
         Case {
@@ -157,24 +158,35 @@
             routes: &[(2, false), (1, false), (2, false)],
             organisations: &[],
             ranks: &[(None, 1), (None, 2)],
+            routes_differ: true,
         },
         Case {
             name: "organisations first",
             routes: &[(1, false), (2, false)],
             organisations: &[None, Some(0), Some(0)],
             ranks: &[(Some(0), 1), (Some(0), 2), (None, 1), (None, 2)],
+            routes_differ: true,
+        },
+        Case {
+            name: "organisations alone",
+            routes: &[(1, false), (1, false)],
+            organisations: &[Some(1), Some(0)],
+            ranks: &[(Some(0), 1), (Some(1), 1)],
+            routes_differ: false,
         },
         Case {
             name: "a route without keys",
             routes: &[(1, true)],
             organisations: &[Some(0)],
             ranks: &[(None, 1)],
+            routes_differ: false,
         },
         Case {
             name: "absurd priorities",
             routes: &[(u32::MAX, false), (9999, false)],
             organisations: &[],
             ranks: &[(None, 254)],
+            routes_differ: false,
         },
     ];
     for case in cases {
@@ -194,6 +206,7 @@
         let expected: Vec<Rank> =
             case.ranks.iter().map(|(owner, route)| Rank::new(*owner, *route)).collect();
         assert_eq!(snapshot.ranks("a"), expected, "{}", case.name);
+        assert_eq!(Rank::routes_differ(&expected), case.routes_differ, "{}", case.name);
         assert_eq!(snapshot.ranks("none"), [], "{}", case.name);
     }
 }
--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -102,13 +102,26 @@
         self.admission.services.entry(service.to_owned()).or_default()
     }
 
-    /// Whether the level admits a request that has not been sent. Ends the request if not.
+    /// The ranks that requests to a service may have.
+    fn service_ranks(&mut self, service: &str) -> &[Rank] {
+        let Some(snapshot) = self.snapshot.clone() else { return &[] };
+        let state = self.service_admission(service);
+        state.ranks.get_or_insert_with(|| snapshot.ranks(service))
+    }
+
+    /// Whether the level admits a request that has not been sent. Ends the request if not. It is in
+    /// force for services whose routes have different priorities.
     pub(super) fn passes_level(&mut self, key: Key, best: Option<&Choice>) -> bool {
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
         let new = exchange.sends == 0 && !exchange.is_begun() && exchange.service.engine.is_some();
         if !new || std::mem::replace(&mut exchange.level_passed, true) {
             return true;
         }
+        let service = exchange.service.name.clone();
+        if !Rank::routes_differ(self.service_ranks(&service)) {
+            return true;
+        }
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
         let Some(best) = best else {
             exchange.level_passed = false;
             return true;
@@ -120,7 +133,6 @@
         };
         let attempt = exchange.request_fields.attempt.clone();
         let organisation = exchange.organisation.clone();
-        let service = exchange.service.name.clone();
         let demand = self.centre_demand(&service);
         let (now, draw) = (self.now, self.rng.random());
         let state = self.service_admission(&service);
@@ -444,10 +456,8 @@
         let exchange = self.exchanges.get(key)?;
         let (rank, begun) = (exchange.rank, exchange.is_begun());
         let service = exchange.service.name.clone();
-        let snapshot = self.snapshot.clone()?;
-        let state = self.service_admission(&service);
-        let ranks = state.ranks.get_or_insert_with(|| snapshot.ranks(&service));
-        admission::urgency(rank, ranks, begun)
+        let ranks = self.service_ranks(&service);
+        if Rank::routes_differ(ranks) { admission::urgency(rank, ranks, begun) } else { None }
     }
 
     /// Why a request cannot be sent, given the best choice that there is.
