One function each for an engine's fill, an organisation's hash and the free wait

Cause: on the last read of the change, `Targets::counted_fill` was `kv_fill` without an addition, the hash of an organisation's name was written in `entry/admission` and `entry/demand`, and the wait after which a refusal is not late stood twice in `admission/wait`. `service_admission` looked a service up three times, and `passes_level` set a flag that it took back when there was no path. Change: `kv_fill` is an option and serves both, `Exchange::organisation_hash`, `Wait::free_wait`; a request without a path leaves `passes_level` first. Decisions stay as they are; a test's call follows the signature, its assertions are unchanged.

--- a/crates/roseshore_core/src/gateway/admission/wait.rs
+++ b/crates/roseshore_core/src/gateway/admission/wait.rs
@@ -36,14 +36,18 @@
 }
 
 impl Wait {
+    /// Time after which a refusal is not late.
+    fn free_wait(&self) -> Duration {
+        FREE_WAIT.min(self.objective / FREE_WAIT_DIVISOR)
+    }
+
     /// Longest time from now that the caller bears.
     pub fn patience(&self) -> Duration {
         if self.begun {
             return MAX_STREAM_WAIT;
         }
-        let free = FREE_WAIT.min(self.objective / FREE_WAIT_DIVISOR);
         let in_time = self.objective.saturating_sub(self.first_token + self.age);
-        free.max(in_time.min(MAX_WAIT))
+        self.free_wait().max(in_time.min(MAX_WAIT))
     }
 
     /// Predicted time until its turn, behind at least `ahead` requests; `None` while no work ends.
@@ -72,6 +76,6 @@
     /// The longest time for which a request waits for a path that does not exist: what is missing
     /// for longer does not come back within a request's patience.
     pub fn for_path(&self) -> Duration {
-        if self.begun { MAX_STREAM_WAIT } else { FREE_WAIT.min(self.objective / FREE_WAIT_DIVISOR) }
+        if self.begun { MAX_STREAM_WAIT } else { self.free_wait() }
     }
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -155,15 +155,12 @@
         !before
     }
 
-    /// Share of an engine's KV cache in use if `added` more, in tokens times layers, were taken; 0 if
-    /// it is not known.
-    pub fn kv_fill(&self, id: &str, spec: Option<&EngineSpec>, added: f64) -> f64 {
-        let known = self.all.get(id).zip(spec);
-        let fill = known.and_then(|(target, spec)| {
-            let capacity = Self::kv_capacity(target, spec)?;
-            Some((target.total_kv_used() + added) / capacity.max(1.0))
-        });
-        fill.unwrap_or(0.0)
+    /// Share of an engine's KV cache in use, as counted here, if `added` more, in tokens times layers,
+    /// were taken; `None` if it is no engine.
+    pub fn kv_fill(&self, id: &str, spec: &EngineSpec, added: f64) -> Option<f64> {
+        let target = self.all.get(id)?;
+        let capacity = Self::kv_capacity(target, spec)?;
+        Some((target.total_kv_used() + added) / capacity.max(1.0))
     }
 
     /// What is known of a target that refused a request: `predicted` is the use of its KV cache
@@ -182,7 +179,7 @@
         let lost_layers = target.record.kind.is_some() && target.holding().is_none();
         TargetEvidence {
             predicted,
-            current: self.kv_fill(id, spec, 0.0),
+            current: spec.and_then(|spec| self.kv_fill(id, spec, 0.0)).unwrap_or(0.0),
             slots: by_slot(target.total_in_flight()),
             reported: by_slot(target.reported_requests(now)),
             unavailable: !target.is_available()
@@ -208,12 +205,6 @@
         Some(target.usable_part(Self::kv_capacity(target, spec)?, now))
     }
 
-    /// Occupancy of an engine's KV cache as counted here, as a fraction; `None` if it is no engine.
-    pub fn counted_fill(&self, id: &str, spec: &EngineSpec) -> Option<f64> {
-        let target = self.all.get(id)?;
-        Some(target.total_kv_used() / Self::kv_capacity(target, spec)?.max(1.0))
-    }
-
     /// Forgets what refusals showed where it no longer narrows an engine's room. Returns those
     /// engines, and the smallest usable part of the others.
     pub fn widen(
--- a/crates/roseshore_core/tests/gateway/progress.rs
+++ b/crates/roseshore_core/tests/gateway/progress.rs
@@ -301,7 +301,7 @@
     }
     fn fill(targets: &mut Targets, part: f64, now: Instant) {
         let tokens = 1000.0;
-        let capacity = tokens / targets.kv_fill("a", Some(&spec()), tokens);
+        let capacity = tokens / targets.kv_fill("a", &spec(), tokens).expect("an engine");
         targets.reserve(&Claim { target: "a".to_owned(), kv_used: part * capacity }, now);
     }
     let cases = [
--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -63,17 +63,13 @@
         begun: exchange.is_begun(),
         rank: exchange.rank,
         returned: exchange.returned(),
-        organisation: organisation_hash(exchange),
+        organisation: exchange.organisation_hash(),
         work: exchange.work,
         bytes: exchange.body.len() + 1024,
         since,
     }
 }
 
-fn organisation_hash(exchange: &Exchange) -> u32 {
-    name_hash(exchange.organisation.as_deref().unwrap_or_default())
-}
-
 fn count_decision(decision: &'static str, rank: Rank) {
     let rank = rank.to_string();
     metrics::counter!("roseshore_admission_total", "decision" => decision, "rank" => rank)
@@ -96,9 +92,6 @@
     }
 
     fn service_admission(&mut self, service: &str) -> &mut ServiceAdmission {
-        if !self.admission.services.contains_key(service) {
-            self.admission.services.insert(service.to_owned(), ServiceAdmission::default());
-        }
         self.admission.services.entry(service.to_owned()).or_default()
     }
 
@@ -114,21 +107,18 @@
     pub(super) fn passes_level(&mut self, key: Key, best: Option<&Choice>) -> bool {
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
         let new = exchange.sends == 0 && !exchange.is_begun() && exchange.service.engine.is_some();
-        if !new || std::mem::replace(&mut exchange.level_passed, true) {
+        let Some(best) = best.filter(|_| new) else { return true };
+        if std::mem::replace(&mut exchange.level_passed, true) {
             return true;
         }
         let service = exchange.service.name.clone();
         if !Rank::routes_differ(self.service_ranks(&service)) {
             return true;
         }
-        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        let Some(best) = best else {
-            exchange.level_passed = false;
-            return true;
-        };
+        let Some(exchange) = self.exchanges.get(key) else { return false };
         let arrival = Arrival {
             rank: exchange.rank,
-            organisation: Some(organisation_hash(exchange)),
+            organisation: Some(exchange.organisation_hash()),
             returned: exchange.returned(),
         };
         let attempt = exchange.request_fields.attempt.clone();
--- a/crates/roseshore_relay/src/entry/demand.rs
+++ b/crates/roseshore_relay/src/entry/demand.rs
@@ -35,7 +35,7 @@
             return;
         }
         let service = name_hash(&exchange.service.name);
-        let organisation = name_hash(exchange.organisation.as_deref().unwrap_or_default());
+        let organisation = exchange.organisation_hash();
         let (rank, work) = (exchange.rank, exchange.work);
         self.demand.meter.record_offered(service, organisation, rank, work, self.now);
     }
@@ -64,7 +64,7 @@
     pub(super) fn record_full_engine(&mut self, target: &TargetId, service: &ServiceSpec) {
         let now = self.now;
         let Some(engine) = &service.engine else { return };
-        let Some(fill) = self.targets.counted_fill(target, engine) else { return };
+        let Some(fill) = self.targets.kv_fill(target, engine, 0.0) else { return };
         metrics::counter!("roseshore_sends_refused_full_total", "service" => service.name.clone())
             .increment(1);
         if self.targets.record_full(target, now) {
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -106,7 +106,11 @@
             self.rate_limits.limits.consume(hash, self.now);
         }
         let spec = exchange.service.engine.as_ref();
-        let fill = |claim: &Claim| self.targets.kv_fill(&claim.target, spec, claim.kv_used);
+        let fill = |claim: &Claim| {
+            let fill =
+                spec.and_then(|spec| self.targets.kv_fill(&claim.target, spec, claim.kv_used));
+            fill.unwrap_or(0.0)
+        };
         let fills = choice.claims.iter().map(fill).collect();
         for claim in &choice.claims {
             self.targets.reserve(claim, self.now);
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use roseshore_core::gateway::demand::Rank;
 use roseshore_core::gateway::failure::{self, FailureReply, NextStep};
+use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
     AvoidedTargets, Fingerprint, RetryState, Route, ServiceSpec, Suspects,
@@ -118,6 +119,11 @@
         self.delivery.started || self.request_fields.last_event.is_some()
     }
 
+    /// Hash of its organisation's name; that of an empty name without one.
+    pub(super) fn organisation_hash(&self) -> u32 {
+        name_hash(self.organisation.as_deref().unwrap_or_default())
+    }
+
     /// Whether the request was sent to as many targets as its route allows.
     pub(super) fn at_bound(&self) -> bool {
         self.tried_targets.len() >= self.route.max_attempts as usize
