Each answer that a host ends is logged with its reason and the configuration in force

E201 is on the level of details, which is rate limited, and names the configuration of the request's admission only.

E215 (warning, so it is dropped only while the log's buffer is full) names the request, the send that was open, what the caller had, how the last send failed and with which evidence, the code, and the configuration of admission beside the one in force and its age. roseshore_answers_cut_total counts them. The exit of a process logs each answer that it cuts.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -376,6 +376,7 @@
             self.serve_queues();
             self.log.flush();
             if let Some(cut) = self.shutdown_complete() {
+                self.record_exit();
                 log_event!(self, Stopped, "cut={cut}");
                 self.log.close(Duration::from_millis(100));
                 return Ok(cut);
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -5,7 +5,7 @@
 use crate::slab::Key;
 use rand::RngExt;
 use roseshore_core::gateway::demand::Rank;
-use roseshore_core::gateway::failure::{self, FailureReply, NextStep};
+use roseshore_core::gateway::failure::{self, FailureReply, Fault, NextStep};
 use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
@@ -63,6 +63,8 @@
     /// Whether the latest send was refused by a full target.
     pub(super) refused_full: bool,
     pub(super) verdict: Verdict,
+    /// How its last send failed.
+    pub(super) last_failure: Option<SendFailure>,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
     pub(super) reached_target: bool,
     pub(super) avoided: AvoidedTargets,
@@ -94,6 +96,15 @@
     pub(super) max_pause: Duration,
 }
 
+/// How a send of a request failed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendFailure {
+    pub(super) fault: Fault,
+    /// What was known of its targets, as in log lines.
+    pub(super) evidence: &'static str,
+    pub(super) at: Instant,
+}
+
 /// A request that was refused before an exchange was created for it.
 pub(super) struct Refused {
     pub(super) refusal: Refusal,
@@ -251,6 +262,7 @@
             refused_sends: 0,
             refused_full: false,
             verdict: Verdict::NotRun,
+            last_failure: None,
             reached_target: false,
             avoided: AvoidedTargets::default(),
             tried_targets: Vec::new(),
@@ -347,6 +359,9 @@
             _ => code,
         };
         let delay = (end == FailureReply::NotRun).then(|| self.retry_delay(key, code, delay));
+        if end != FailureReply::NotRun {
+            self.record_cut(key, code, why);
+        }
         self.close_exchange(key, code.number(), why);
         let refusal = match end {
             FailureReply::Abort => {
@@ -363,6 +378,34 @@
         self.handle_caller(caller);
     }
 
+    /// Records that this host ends a request that may have run, without a whole answer.
+    pub(super) fn record_cut(&mut self, key: Key, code: Code, why: &str) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let now = self.now;
+        let since = |at: Option<Instant>| millis(at.map(|at| now.saturating_duration_since(at)));
+        let Delivery { started: begun, events, latest_at, .. } = exchange.delivery;
+        let failure = exchange.last_failure;
+        let text = format!(
+            "request={} target={} begun={begun} events={events} silent_ms={} sends={} failure={} \
+             evidence={} failed_ms_ago={} config_version={} config_in_force={} applied_ms_ago={} \
+             code={code} why={why:?}",
+            exchange.request_fields.attempt,
+            exchange.send.as_ref().map_or("-", |send| send.target.as_str()),
+            since(Some(latest_at.unwrap_or(exchange.started))),
+            exchange.sends,
+            failure.map_or("-", |failure| failure.fault.name()),
+            failure.map_or("-", |failure| failure.evidence),
+            since(failure.map(|failure| failure.at)),
+            exchange.config_version,
+            self.config_version(),
+            since(self.store_sync.applied),
+        );
+        log_event!(self, AnswerCut, "{text}");
+        let (code, begun) = (code.to_string(), begun.to_string());
+        metrics::counter!("roseshore_answers_cut_total", "code" => code, "begun" => begun)
+            .increment(1);
+    }
+
     /// The retry delay of a request that has not run; `delay` is that of its code, if it has one.
     fn retry_delay(&mut self, key: Key, code: Code, delay: Option<Duration>) -> Duration {
         let Some(exchange) = self.exchanges.get(key) else { return RETRY_AFTER };
@@ -379,7 +422,7 @@
     }
 
     /// Records that the send in flight may have run, unless its connection was never established.
-    fn mark_may_have_run(&mut self, key: Key) {
+    pub(super) fn mark_may_have_run(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
         if self.net.get(send.socket).is_some_and(|s| s.established()) {
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -1,5 +1,6 @@
 //! What follows a failed send: what is recorded of its targets, a retry or an error.
 
+use super::exchange::SendFailure;
 use super::probes::millis;
 use super::relays::via_name;
 use super::target_feedback::MISDIRECTED;
@@ -27,7 +28,7 @@
     /// Handles a failed send that is the fault of these targets; none if it is not known whose.
     pub(super) fn send_failed_by(&mut self, key: Key, fault: Fault, culprits: Vec<TargetId>) {
         let now = self.now;
-        let (evidence, evidence_text) = self.send_evidence(key, fault, &culprits);
+        let (refusal, evidence, evidence_text) = self.send_evidence(key, fault, &culprits);
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
         exchange.verdict = exchange.verdict.join(fault.verdict());
@@ -55,7 +56,8 @@
             culprits.join(","),
         );
         exchange.refused_sends += u32::from(fault == Fault::Refused);
-        let full = evidence == Some(Refusal::Full);
+        exchange.last_failure = Some(SendFailure { fault, evidence, at: now });
+        let full = refusal == Some(Refusal::Full);
         (exchange.refused_full, exchange.loan_wait) = (full, None);
         if fault == Fault::NotSent {
             exchange.tried_targets.retain(|sent| *sent != first);
@@ -90,16 +92,17 @@
         self.retry_or_end(key, fault);
     }
 
-    /// What the targets of a failed send show, as text of a log line, and why the send was refused if
-    /// it was.
+    /// What the targets of a failed send show, by name and as text of a log line, and why the send
+    /// was refused if it was.
     fn send_evidence(
         &self,
         key: Key,
         fault: Fault,
         culprits: &[TargetId],
-    ) -> (Option<Refusal>, String) {
-        let Some(exchange) = self.exchanges.get(key) else { return (None, String::new()) };
-        let Some(send) = &exchange.send else { return (None, String::new()) };
+    ) -> (Option<Refusal>, &'static str, String) {
+        let unknown = || (None, "-", "evidence=-".to_owned());
+        let Some(exchange) = self.exchanges.get(key) else { return unknown() };
+        let Some(send) = &exchange.send else { return unknown() };
         let (refusal, name, numbers) = match (fault, culprits.first()) {
             (Fault::Refused, Some(culprit)) => {
                 let spec = exchange.service.engine.as_ref();
@@ -116,7 +119,7 @@
             }
             (Fault::Silent, Some(_)) => (None, "dead", String::new()),
             (Fault::Silent, None) => {
-                let Some(silence) = self.silence(key) else { return (None, String::new()) };
+                let Some(silence) = self.silence(key) else { return unknown() };
                 (None, silence.path.name(), silence_text(&silence))
             }
             _ => (None, "-", String::new()),
@@ -124,7 +127,7 @@
         if name != "-" {
             metrics::counter!("roseshore_send_evidence_total", "evidence" => name).increment(1);
         }
-        (refusal, format!("evidence={name}{numbers}"))
+        (refusal, name, format!("evidence={name}{numbers}"))
     }
 
     /// Records a fault of a target, unless the blame is unknown. Returns the time until which the
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -1,5 +1,6 @@
 //! Signals: the graceful shutdown, and the reload of settings.
 
+use super::exchange::Exchange;
 use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::hashes::name_hash;
@@ -101,4 +102,15 @@
             self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
         (left == 0 && !busy).then_some(0)
     }
+
+    /// Records the answers that the exit of this process cuts.
+    pub(super) fn record_exit(&mut self) {
+        for key in self.exchanges.keys() {
+            self.mark_may_have_run(key);
+            let may_have_run = |e: &Exchange| e.verdict != Verdict::NotRun;
+            if self.exchanges.get(key).is_some_and(may_have_run) {
+                self.record_cut(key, Code::Draining, "this host exits");
+            }
+        }
+    }
 }
