A silent send stays open until another one has taken its place

Callers saw streams closed by the host, and idempotent requests end with 502, although the engine that ran them went on a moment later.

Cause: a send without progress was closed first, and the request sent over another path after that. There the request could be refused for want of room, lost, be silent again, or find no path within the route's number of targets, behind others that wait, or on a configuration that has changed since. The host then had nothing left but to end the answer.

Change: the silent send stands by. Data that arrives there first brings the request back to it; so does each reason for which the request would end but for its deadline and a block of the request. The first event of another send, or the head of its response if the caller has none, closes the standby sends. A send is no longer given up for a path that others wait for.

Why it works: whatever becomes of the second send, the first one is closed only for an answer that has begun to arrive.

an_answer_is_not_cut_while_its_target_is_only_silent passes and leaves the list; the tests of answers, hosts, limits, back-off, fatal requests and lost links pass unchanged.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -24,6 +24,7 @@
 mod returns;
 mod send_failure;
 mod signals;
+mod standby;
 mod store_sync;
 mod target_feedback;
 mod timeouts;
@@ -101,7 +102,7 @@
     Probe,
     /// Scrapes of metrics.
     Metrics,
-    /// The send in flight of this exchange.
+    /// A send of this exchange, in flight or standing by.
     Target(Key),
     /// This call.
     Call(Key),
@@ -448,7 +449,7 @@
             Some(Role::Probe | Role::Metrics) => self.handle_probe(key),
             Some(Role::Target(exchange)) => {
                 let exchange = *exchange;
-                self.handle_target(exchange);
+                self.handle_target(exchange, key);
             }
             Some(Role::Call(call)) => {
                 let call = *call;
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::choice::Choice;
 use super::fatal::{ENDS_TARGETS, parts_text};
-use super::in_flight::{InFlightSend, Phase};
+use super::in_flight::InFlightSend;
 use super::relays::via_name;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http;
@@ -120,29 +120,8 @@
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
         let incarnations = choice.claims.iter().filter_map(incarnation).collect();
-        exchange.send = Some(InFlightSend {
-            socket,
-            target: choice.target,
-            route,
-            path: choice.path,
-            claims: choice.claims,
-            incarnations,
-            sent_at: self.now,
-            latest_at: self.now,
-            first_event: None,
-            past_beginning: false,
-            phase: Phase::Head,
-            body: Vec::new(),
-            token_ms: choice.token_ms,
-            ttft_ms: choice.ttft_ms,
-            fills,
-            slowdown,
-            kept: false,
-            reused,
-            status: 0,
-            pause: None,
-            leaving: false,
-        });
+        let send = InFlightSend::new(choice, socket, route, self.now);
+        exchange.send = Some(InFlightSend { incarnations, fills, slowdown, reused, ..send });
         self.roles.insert(socket, Role::Target(key));
         log_event!(self, RouteChosen, "{text}");
         self.net.send(socket, &out);
@@ -169,6 +148,11 @@
     pub(super) fn drop_send(&mut self, key: Key, keep: bool) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.take() else { return };
+        self.release_send(send, keep);
+    }
+
+    /// Closes a send that was removed from its request, like [`EntryHost::drop_send`].
+    pub(super) fn release_send(&mut self, send: InFlightSend, keep: bool) {
         for claim in &send.claims {
             self.targets.release(claim, send.sent_at, self.now);
         }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -79,6 +79,8 @@
     /// Until when its next send waits for a loan of a retry.
     pub(super) loan_wait: Option<Instant>,
     pub(super) send: Option<InFlightSend>,
+    /// Earlier sends that were silent for too long, while none has taken their place.
+    pub(super) standbys: Vec<InFlightSend>,
     pub(super) delivery: Delivery,
 }
 
@@ -271,6 +273,7 @@
             permit_wait: None,
             loan_wait: None,
             send: None,
+            standbys: Vec::new(),
             delivery: Delivery { last_id: request_fields.last_event, ..Delivery::default() },
             request_fields,
         })
@@ -340,13 +343,16 @@
         if engine { ENGINES_RETRY_AFTER } else { RETRY_AFTER }
     }
 
-    /// Ends a request with a refusal or an error.
+    /// Ends a request with a refusal or an error, unless it can go back to a standby send.
     pub(super) fn end_without(&mut self, key: Key, code: Code, why: &str) {
         self.end_with_delay(key, code, why, None);
     }
 
     /// Like [`EntryHost::end_without`], with this retry delay, before jitter, if one is given.
     fn end_with_delay(&mut self, key: Key, code: Code, why: &str, delay: Option<Duration>) {
+        if self.resume_standby(key, code) {
+            return;
+        }
         let now = self.now;
         self.mark_may_have_run(key);
         let Some(exchange) = self.exchanges.get(key) else { return };
@@ -444,6 +450,7 @@
         self.record_ended(key);
         self.end_room_wait(key, false);
         self.drop_send(key, false);
+        self.drop_standbys(key);
         let Some(exchange) = self.exchanges.remove(key) else { return };
         count_returned(&exchange, code);
         let took = self.now.saturating_duration_since(exchange.started);
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -93,7 +93,7 @@
         }
         let same = |key: &Key| {
             let exchange = self.exchanges.get(*key).filter(|e| e.suspects.request == request);
-            exchange.and_then(|e| e.send.as_ref()).is_some_and(|send| is_early(send, self.now))
+            exchange.is_some_and(|e| e.open_sends().any(|send| is_early(send, self.now)))
         };
         self.exchanges.keys().into_iter().filter(same).count()
     }
@@ -137,7 +137,7 @@
     }
 
     /// Whether the process of a target's incarnation has ended.
-    fn incarnation_ended(&self, id: &str, hash: TargetHash) -> bool {
+    pub(super) fn incarnation_ended(&self, id: &str, hash: TargetHash) -> bool {
         let Some(target) = self.targets.get(id) else { return false };
         let another = self.targets.hash(id) != Some(hash);
         another || target.liveness_failure() == Some(LivenessFailure::Reset)
@@ -281,7 +281,7 @@
     fn end_blocked_runs(&mut self) {
         for key in self.exchanges.keys() {
             let Some(exchange) = self.exchanges.get(key) else { continue };
-            let past_start = exchange.send.as_ref().is_some_and(|send| !is_early(send, self.now));
+            let past_start = exchange.open_sends().any(|send| !is_early(send, self.now));
             if !past_start && self.fatal.refused(&exchange.suspects, self.now).is_some() {
                 self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
             }
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -1,6 +1,7 @@
 //! A send, one attempt to have a target run a request, and the progress of its response.
 
 use super::Route;
+use super::choice::Choice;
 use crate::http::{BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
@@ -24,6 +25,8 @@
     /// When the response last made progress: an event of a stream, or the head of another response.
     /// The send time before that.
     pub(super) latest_at: Instant,
+    /// When the request went back to it after it had stood by.
+    pub(super) resumed_at: Option<Instant>,
     /// When the first event arrived.
     pub(super) first_event: Option<Instant>,
     /// Whether it was recorded that the run got beyond its beginning.
@@ -62,12 +65,45 @@
 }
 
 impl InFlightSend {
+    /// A send of a request over the chosen path.
+    pub(super) fn new(choice: Choice, socket: Key, route: Route, now: Instant) -> InFlightSend {
+        InFlightSend {
+            socket,
+            target: choice.target,
+            route,
+            path: choice.path,
+            claims: choice.claims,
+            incarnations: Vec::new(),
+            sent_at: now,
+            latest_at: now,
+            resumed_at: None,
+            first_event: None,
+            past_beginning: false,
+            phase: Phase::Head,
+            body: Vec::new(),
+            token_ms: choice.token_ms,
+            ttft_ms: choice.ttft_ms,
+            fills: Vec::new(),
+            slowdown: 1.0,
+            kept: false,
+            reused: false,
+            status: 0,
+            pause: None,
+            leaving: false,
+        }
+    }
+
     /// The target of the path at an address, and the layers that it was to run.
     pub(super) fn at(&self, addr: SocketAddr) -> Option<(&TargetId, (Layer, Layer))> {
         let (id, _, hop) = self.path.iter().find(|(_, at, _)| *at == addr)?;
         Some((id, hop.layers))
     }
 
+    /// Since when it is waited for without progress.
+    pub(super) fn waited_since(&self) -> Instant {
+        self.resumed_at.map_or(self.latest_at, |resumed| resumed.max(self.latest_at))
+    }
+
     /// KV cache of a target in use, as predicted with this send.
     pub(super) fn fill(&self, id: &str) -> f64 {
         let mut fills = self.claims.iter().zip(&self.fills);
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -32,10 +32,11 @@
 
 impl EntryHost {
     /// Handles input of a target's connection, or its end.
-    pub(super) fn handle_target(&mut self, key: Key) {
+    pub(super) fn handle_target(&mut self, key: Key, connection: Key) {
         loop {
             let Some(exchange) = self.exchanges.get_mut(key) else { return };
-            let Some(send) = exchange.send.as_mut() else { return };
+            let send = exchange.send.as_mut().filter(|send| send.socket == connection);
+            let Some(send) = send else { return self.handle_standby(key, connection) };
             let step = match send.phase {
                 Phase::Head => self.read_head(key),
                 Phase::Stale(_) => self.skip_stale(key),
@@ -180,7 +181,9 @@
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         let Phase::Body(head, _) = &send.phase else { return Step::Finished };
         let head = head.clone();
-        if head.status >= 500 && exchange.may_move(now) && self.has_alternative(key) {
+        let replaceable =
+            !exchange.standbys.is_empty() || (exchange.may_move(now) && self.has_alternative(key));
+        if head.status >= 500 && replaceable {
             self.send_failed(key, Fault::Failed, None);
             return Step::Finished;
         }
@@ -265,6 +268,8 @@
             return;
         }
         exchange.delivery.started = true;
+        self.drop_standbys(key);
+        let Some(exchange) = self.exchanges.get(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         let fields = self.platform.caller_headers(&head.fields);
         let mut out = Vec::with_capacity(512);
@@ -324,6 +329,7 @@
             if first {
                 self.set_timer(now, Timer::Exchange(key));
             }
+            self.drop_standbys(key);
             self.record_past_beginning(key);
         }
         match received {
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -88,7 +88,11 @@
                 exchange.avoided.add(culprit.clone(), until);
             }
         }
-        self.drop_send(key, false);
+        if fault == Fault::Silent {
+            self.set_aside(key);
+        } else {
+            self.drop_send(key, false);
+        }
         self.retry_or_end(key, fault);
     }
 
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -38,6 +38,7 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
         if now >= exchange.deadline {
+            self.drop_standbys(key);
             return self.end_without(key, Code::TargetSilent, "the time for the request is over");
         }
         let Some(send) = &exchange.send else {
@@ -51,15 +52,15 @@
             return self.set_timer(send.sent_at + CONNECT_TIMEOUT, Timer::Exchange(key));
         }
         let Some((check_after, usual)) = progress_timeouts(exchange) else { return };
-        let stall_time = now.saturating_duration_since(send.latest_at);
-        let (latest, until) = (send.latest_at, exchange.deadline);
+        let (latest, until) = (send.waited_since(), exchange.deadline);
+        let stall_time = now.saturating_duration_since(latest);
         if stall_time < check_after {
             return self.set_timer((latest + check_after).min(until), Timer::Exchange(key));
         }
         let suspects = self.targets.suspects(&send.targets(), latest);
         let empty: Vec<TargetId> =
             suspects.iter().filter(|id| self.targets.holds_no_layers(id)).cloned().collect();
-        if !empty.is_empty() && exchange.may_move(now) {
+        if !empty.is_empty() && send.resumed_at.is_none() && exchange.may_move(now) {
             return self.send_failed_by(key, Fault::Silent, empty);
         }
         if stall_time < usual {
@@ -157,7 +158,9 @@
         }
         // Which target is at fault is not known, so no fault is recorded. Only this request avoids
         // them.
-        let Some(path) = exchange.send.as_ref().map(InFlightSend::targets) else { return true };
+        let Some(send) = &exchange.send else { return true };
+        let (path, caller_waited) =
+            (send.targets(), now.saturating_duration_since(send.latest_at).max(silent));
         let previous = exchange.avoided.clone();
         for target in path {
             exchange.avoided.add(target, None);
@@ -167,9 +170,9 @@
             let predicted = from_ms(choice.ttft_ms);
             let path: Vec<TargetId> = choice.claims.into_iter().map(|it| it.target).collect();
             let observed = self.targets.longest_first_event(&path, now);
-            silence.arrives_in_time(silent, predicted.max(observed))
+            silence.arrives_in_time(caller_waited, predicted.max(observed))
         });
-        if in_time && self.may_repeat(key) {
+        if in_time && self.may_pass(key) && self.may_repeat(key) {
             self.send_failed_by(key, Fault::Silent, Vec::new());
             return true;
         }
