The first event decides between a silent send and the one that is to replace it

Any byte from a silent send closed the send that was to replace it, though the byte may begin a refusal or a failure: a plain request ended with 502 while its second target ran it. And the head of a replacement's response closed the silent send before an event had come: if the replacement hung, its caller got a head and nothing more.

A send that goes on now makes the other one stand by. The first event, or a complete response, closes the rest; if the send that went on fails, the request goes back to the one that it displaced before it is sent anew. The head of a stream is sent with its first event, so it is always that of the run that gave the event. A request no longer goes back to a target that has restarted, and the targets of a send that goes on are not avoided any more.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -85,6 +85,7 @@
     WaitEnded = 347, Debug, "a request no longer waits for room";
     SendKept = 350, Debug, "a send without an event is waited for, as its targets are only slow or it cannot be repeated";
     StandbyResumed = 351, Info, "a request goes on with an earlier send that had been silent";
+    StandbyEnded = 352, Info, "the target of a silent send that was kept open has ended it";
     ReturnPlanned = 355, Debug, "a refused caller was told when to come back";
     KeyClaimed = 401, Debug, "a key was won";
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -27,6 +27,8 @@
     pub(super) latest_at: Instant,
     /// When the request went back to it after it had stood by.
     pub(super) resumed_at: Option<Instant>,
+    /// Whether it stands by since a standby send went on, not for its own silence.
+    pub(super) displaced: bool,
     /// When the first event arrived.
     pub(super) first_event: Option<Instant>,
     /// Whether it was recorded that the run got beyond its beginning.
@@ -77,6 +79,7 @@
             sent_at: now,
             latest_at: now,
             resumed_at: None,
+            displaced: false,
             first_event: None,
             past_beginning: false,
             phase: Phase::Head,
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -30,6 +30,10 @@
     Finished,
 }
 
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 impl EntryHost {
     /// Handles input of a target's connection, or its end.
     pub(super) fn handle_target(&mut self, key: Key, connection: Key) {
@@ -88,7 +92,7 @@
             self.refused_by_target(key, &head, &feedback);
             return Step::Finished;
         }
-        let success = (200..300).contains(&head.status);
+        let success = is_success(head.status);
         if success && (feedback.attempt.is_none() || !feedback.sealed) {
             self.send_failed(key, Fault::Garbled, None);
             return Step::Finished;
@@ -97,11 +101,6 @@
             self.send_failed(key, Fault::Failed, None);
             return Step::Finished;
         }
-        if success && exchange.route.kind.is_stream() {
-            self.begin_stream(key, &head);
-        }
-        let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
-        let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         if !exchange.route.kind.is_stream() || !success {
             send.latest_at = now;
         }
@@ -258,9 +257,12 @@
         self.handle_caller(caller);
     }
 
-    /// Sends the response head of a stream to the caller, unless the stream is being resumed.
-    fn begin_stream(&mut self, key: Key, head: &ResponseHead) {
+    /// Sends the response head of a stream to the caller, unless the stream is being resumed. This is
+    /// done with the first event: until then, another send may bring the answer.
+    fn begin_stream(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(send) = &exchange.send else { return };
+        let Phase::Body(head, _) = &send.phase else { return };
         if exchange.delivery.started {
             let attempt = exchange.request_fields.attempt.clone();
             let after = exchange.delivery.last_id.unwrap_or(0);
@@ -268,8 +270,6 @@
             return;
         }
         exchange.delivery.started = true;
-        self.drop_standbys(key);
-        let Some(exchange) = self.exchanges.get(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         let fields = self.platform.caller_headers(&head.fields);
         let mut out = Vec::with_capacity(512);
@@ -292,7 +292,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         let Phase::Body(head, _) = &send.phase else { return Step::Finished };
-        if !exchange.delivery.started {
+        if !is_success(head.status) {
             // An error response on a stream route is forwarded once it is complete.
             return self.read_error(key, received);
         }
@@ -303,6 +303,11 @@
             return Step::Finished;
         }
         if taken.count > 0 {
+            if send.first_event.is_none() {
+                self.begin_stream(key);
+            }
+            let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
+            let Some(send) = exchange.send.as_mut() else { return Step::Finished };
             exchange.delivery.last_id = taken.last;
             exchange.delivery.events += taken.count;
             if let Some(before) = exchange.delivery.latest_at {
@@ -362,6 +367,11 @@
             self.send_failed(key, Fault::Cut, None);
             return Step::Finished;
         }
+        if !exchange.delivery.started {
+            self.begin_stream(key);
+        }
+        let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
+        let Some(send) = &exchange.send else { return Step::Finished };
         exchange.verdict = Verdict::Answered;
         let caller = exchange.caller;
         let targets = send.targets();
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -152,6 +152,9 @@
     /// Sends a request again after a fault, or ends it.
     fn retry_or_end(&mut self, key: Key, fault: Fault) {
         let now = self.now;
+        if self.resume_displaced(key, fault) {
+            return;
+        }
         let Some(exchange) = self.exchanges.get(key) else { return };
         let full = exchange.refused_full;
         if failure::next_step(&exchange.retry_state(now)) == NextStep::Retry
--- a/crates/roseshore_relay/src/entry/standby.rs
+++ b/crates/roseshore_relay/src/entry/standby.rs
@@ -3,14 +3,16 @@
 //! A target without progress may go on a moment later, and the send that is to replace it may be
 //! refused, find no path or be silent as well. The silent send therefore stands by: its connection
 //! stays open. The request goes back to it when data arrives there first, or when it would end
-//! without an answer otherwise. The first event of another send, or the head of its response if the
-//! caller has none yet, replaces the standby sends for good.
+//! without an answer otherwise; a send that is in flight then stands by in its turn. The first
+//! event or complete response of one of them closes the others.
 
 use super::exchange::Exchange;
 use super::in_flight::InFlightSend;
 use super::{EntryHost, Timer, log_event};
 use crate::net::{Ended, Socket};
 use crate::slab::Key;
+use roseshore_core::gateway::Fault;
+use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::prelude::*;
 
 impl EntryHost {
@@ -33,14 +35,17 @@
             return;
         };
         let Some(socket) = self.net.get(connection) else { return };
-        // What a broken connection still delivers is no reason to close the send in flight.
+        // What a broken connection still delivers is no reason to leave the send in flight.
         let useless = socket.ended == Some(Ended::Broken) && exchange.send.is_some();
         if !useless && !socket.input.is_empty() {
-            self.go_back(key, place, "data");
+            self.switch_to(key, place, "data");
             self.handle_target(key, connection);
         } else if socket.ended.is_some() {
             let send = exchange.standbys.remove(place);
+            let attempt = exchange.request_fields.attempt.clone();
+            let text = format!("request={attempt} target={} open=false", send.target);
             self.release_send(send, false);
+            log_event!(self, StandbyEnded, "{text}");
             metrics::counter!("roseshore_standby_sends_total", "outcome" => "ended").increment(1);
         }
     }
@@ -51,25 +56,40 @@
         let Some(exchange) = self.exchanges.get(key) else { return false };
         let place = exchange.standbys.iter().rposition(|send| self.may_go_on(send));
         let Some(place) = place.filter(|_| code != Code::EndsTargets) else { return false };
-        self.go_back(key, place, &code.to_string());
+        self.switch_to(key, place, &code.to_string());
         true
     }
 
-    /// Whether a standby send may still bring an answer: none of the targets behind the first one,
-    /// whose connection is open, has ended.
+    /// Goes back to the send that a standby send had displaced before it failed. Returns whether
+    /// there is one.
+    pub(super) fn resume_displaced(&mut self, key: Key, fault: Fault) -> bool {
+        let Some(exchange) = self.exchanges.get(key) else { return false };
+        let place = exchange.standbys.iter().rposition(|send| send.displaced);
+        let Some(place) = place else { return false };
+        self.switch_to(key, place, fault.name());
+        true
+    }
+
+    /// Whether a standby send may still bring an answer: its first target, whose connection is open,
+    /// has not restarted, and no later one has ended.
     fn may_go_on(&self, send: &InFlightSend) -> bool {
-        let mut later = send.incarnations.iter().filter(|(id, _)| *id != send.target);
-        !later.any(|(id, hash)| self.incarnation_ended(id, *hash))
+        let ended = |(id, hash): &(TargetId, TargetHash)| {
+            let restarted = self.targets.hash(id).is_some_and(|current| current != *hash);
+            restarted || (*id != send.target && self.incarnation_ended(id, *hash))
+        };
+        !send.incarnations.iter().any(ended)
     }
 
-    /// Makes a standby send the send in flight again, and closes the one that was to replace it.
-    fn go_back(&mut self, key: Key, place: usize, by: &str) {
+    /// Makes a standby send the send in flight, in place of the one that is.
+    fn switch_to(&mut self, key: Key, place: usize, by: &str) {
         let now = self.now;
         self.end_room_wait(key, false);
-        self.drop_send(key, false);
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let mut send = exchange.standbys.remove(place);
-        send.resumed_at = Some(now);
+        (send.resumed_at, send.displaced) = (Some(now), false);
+        for target in send.targets() {
+            exchange.avoided.remove(&target);
+        }
         (exchange.permit_wait, exchange.loan_wait, exchange.refused_full) = (None, None, false);
         let text = format!(
             "request={} target={} events={} silent_ms={} sends={} by={by}",
@@ -79,19 +99,21 @@
             now.saturating_duration_since(send.latest_at).as_millis(),
             exchange.sends,
         );
-        exchange.send = Some(send);
+        if let Some(mut displaced) = exchange.send.replace(send) {
+            displaced.displaced = true;
+            exchange.standbys.push(displaced);
+        }
         metrics::counter!("roseshore_standby_sends_total", "outcome" => "resumed").increment(1);
         log_event!(self, StandbyResumed, "{text}");
         self.set_timer(now, Timer::Exchange(key));
     }
 
-    /// Closes the standby sends of a request.
+    /// Closes the standby sends of a request that got an event from another one, or has ended.
     pub(super) fn drop_standbys(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         for send in std::mem::take(&mut exchange.standbys) {
             self.release_send(send, false);
-            metrics::counter!("roseshore_standby_sends_total", "outcome" => "replaced")
-                .increment(1);
+            metrics::counter!("roseshore_standby_sends_total", "outcome" => "closed").increment(1);
         }
     }
 }
