A request does not wait for its own silent send before it is sent again

Found in review. After one crash under a request, further sends wait while runs of it have hardly begun elsewhere. Its own silent send, which stays open, was counted among them: the request waited until its deadline (504) though a sound target was left. Only other exchanges of the same request count.

a_request_does_not_wait_for_its_own_silent_send_before_it_is_sent_again, red on, passes and leaves the list; the tests of fatal requests pass.

--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -81,19 +81,22 @@
     pub(super) fn awaits_diagnosis(&self, exchange: &Exchange) -> bool {
         let request = exchange.suspects.request;
         let broken = self.broken_sends.iter().filter(|b| b.suspects.request == request).count();
-        let pending = broken + self.early_runs(request);
+        let pending = broken + self.early_runs(exchange);
         pending > 0 && self.fatal.near_limit(request, pending)
     }
 
-    /// Number of runs of a request that have hardly begun; 0 while no target has crashed under the
-    /// request.
-    fn early_runs(&self, request: Fingerprint) -> usize {
+    /// Number of other exchanges of the same request whose runs have hardly begun; 0 while no target
+    /// has crashed under the request.
+    fn early_runs(&self, own: &Exchange) -> usize {
+        let request = own.suspects.request;
         if self.fatal.crashes(request) == 0 {
             return 0;
         }
+        let early =
+            |exchange: &Exchange| exchange.open_sends().any(|send| is_early(send, self.now));
         let same = |key: &Key| {
             let exchange = self.exchanges.get(*key).filter(|e| e.suspects.request == request);
-            exchange.is_some_and(|e| e.open_sends().any(|send| is_early(send, self.now)))
+            exchange.is_some_and(|e| !std::ptr::eq(e, own) && early(e))
         };
         self.exchanges.keys().into_iter().filter(same).count()
     }
