A begun stream of a blocked request is not cut for a silence of its target

Found in review. A block ends the runs of a request that have hardly begun and spares those beyond that. A spared run that fell silent was given up all the same, and the request ended since it may not be sent again. It is now waited for; of several open sends of a blocked request only those that have hardly begun are closed, and the request goes on with one that is spared.

--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -133,6 +133,7 @@
     pub(super) fn block_or_wait(&mut self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get(key) else { return true };
         if self.fatal.refused(&exchange.suspects, self.now).is_some() {
+            self.close_early_sends(key);
             self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
             return true;
         }
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -279,13 +279,16 @@
         metrics::gauge!("roseshore_blocked", "kind" => "part").set(parts as f64);
     }
 
-    /// Ends the runs of blocked requests that have hardly begun. A run beyond that may still
-    /// complete, which shows that the request is harmless.
+    /// Ends the runs of blocked requests that have hardly begun.
     fn end_blocked_runs(&mut self) {
         for key in self.exchanges.keys() {
             let Some(exchange) = self.exchanges.get(key) else { continue };
-            let past_start = exchange.open_sends().any(|send| !is_early(send, self.now));
-            if !past_start && self.fatal.refused(&exchange.suspects, self.now).is_some() {
+            if self.fatal.refused(&exchange.suspects, self.now).is_none() {
+                continue;
+            }
+            self.mark_may_have_run(key);
+            self.close_early_sends(key);
+            if self.exchanges.get(key).is_some_and(|exchange| exchange.send.is_none()) {
                 self.end_without(key, Code::EndsTargets, ENDS_TARGETS);
             }
         }
@@ -314,6 +317,6 @@
 
 /// Whether a send has hardly begun to run: its first event came less than [`EARLY`] ago, or has not
 /// come.
-fn is_early(send: &InFlightSend, now: Instant) -> bool {
+pub(super) fn is_early(send: &InFlightSend, now: Instant) -> bool {
     send.first_event.is_none_or(|at| now.saturating_duration_since(at) < EARLY)
 }
--- a/crates/roseshore_relay/src/entry/standby.rs
+++ b/crates/roseshore_relay/src/entry/standby.rs
@@ -7,6 +7,7 @@
 //! event or complete response of one of them closes the others.
 
 use super::exchange::Exchange;
+use super::fatal::is_early;
 use super::in_flight::InFlightSend;
 use super::{EntryHost, Timer, log_event};
 use crate::net::{Ended, Socket};
@@ -55,7 +56,7 @@
     pub(super) fn resume_standby(&mut self, key: Key, code: Code) -> bool {
         let Some(exchange) = self.exchanges.get(key) else { return false };
         let place = exchange.standbys.iter().rposition(|send| self.may_go_on(send));
-        let Some(place) = place.filter(|_| code != Code::EndsTargets) else { return false };
+        let Some(place) = place else { return false };
         self.switch_to(key, place, &code.to_string());
         true
     }
@@ -108,6 +109,22 @@
         self.set_timer(now, Timer::Exchange(key));
     }
 
+    /// Closes the sends of a blocked request that have hardly begun. Those beyond that may still
+    /// complete, which shows that the request is harmless.
+    pub(super) fn close_early_sends(&mut self, key: Key) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let early: Vec<InFlightSend> =
+            exchange.standbys.extract_if(.., |send| is_early(send, now)).collect();
+        let current_early = exchange.send.as_ref().is_some_and(|send| is_early(send, now));
+        for send in early {
+            self.release_send(send, false);
+        }
+        if current_early {
+            self.drop_send(key, false);
+        }
+    }
+
     /// Closes the standby sends of a request that got an event from another one, or has ended.
     pub(super) fn drop_standbys(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -153,7 +153,7 @@
     fn reroute(&mut self, key: Key, silence: &Silence, silent: Duration) -> bool {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return true };
-        if !exchange.may_move(now) {
+        if !exchange.may_move(now) || self.fatal.refused(&exchange.suspects, now).is_some() {
             return false;
         }
         // Which target is at fault is not known, so no fault is recorded. Only this request avoids
