A stopping host keeps a tunnel open while its target owes a response

The same cause elsewhere: a tunnel without bytes for a second passed for unused, so a host that stopped cut it although a request on it was at work or its target only silent; the caller of the other host got 502, also for work that runs once. A tunnel now keeps a stopping host alive, within its grace, while the target has not responded to what it got last, and for 3 s after the last data: longer than hosts keep idle connections and callers wait.

--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -47,8 +47,10 @@
 const MAX_TUNNELS: usize = 512;
 /// Unwritten bytes of one side of a tunnel from which the other side is not read.
 const PAUSE_BYTES: usize = 256 << 10;
-/// Time without data after which a tunnel does not keep a stopping host alive.
-const TUNNEL_IDLE: Duration = Duration::from_secs(1);
+/// Time without data after which a tunnel does not keep a stopping host alive, unless its target
+/// still owes a response. It is longer than hosts keep idle connections, and callers of a silent
+/// stream wait.
+const TUNNEL_IDLE: Duration = Duration::from_secs(3);
 
 /// A question of another host that waits for a check.
 #[derive(Clone, Debug)]
@@ -67,6 +69,8 @@
     id: TargetId,
     opened: Option<Instant>,
     moved_at: Instant,
+    /// Whether the target has sent nothing since the last data of the host.
+    unanswered: bool,
     bytes: u64,
 }
 
@@ -296,7 +300,7 @@
         let connected = addr.filter(|_| allowed).and_then(|addr| self.net.connect(addr).ok());
         let Some(target) = connected else { return self.refuse_tunnel(key, &id) };
         let (opened, moved_at, bytes) = (None, self.now, 0);
-        let tunnel = Tunnel { host: key, target, id, opened, moved_at, bytes };
+        let tunnel = Tunnel { host: key, target, id, opened, moved_at, unanswered: false, bytes };
         let tunnel = self.relays.tunnels.add(tunnel);
         self.roles.insert(key, Role::Tunnel(tunnel));
         self.roles.insert(target, Role::Tunnel(tunnel));
@@ -349,6 +353,8 @@
         }
         if let Some(tunnel) = self.relays.tunnels.get_mut(key).filter(|_| up + down > 0) {
             tunnel.moved_at = self.now;
+            // What the target has sent so far does not answer what it gets now.
+            tunnel.unanswered = up > 0 || (tunnel.unanswered && down == 0);
             tunnel.bytes += (up + down) as u64;
         }
         let host_ended = self.net.get(host).is_none_or(|side| side.ended.is_some());
@@ -401,7 +407,9 @@
     pub(super) fn tunnels_in_use(&self) -> bool {
         let used = |key| {
             let tunnel: Option<&Tunnel> = self.relays.tunnels.get(key);
-            tunnel.is_some_and(|t| self.now.saturating_duration_since(t.moved_at) < TUNNEL_IDLE)
+            tunnel.is_some_and(|t| {
+                t.unanswered || self.now.saturating_duration_since(t.moved_at) < TUNNEL_IDLE
+            })
         };
         self.relays.tunnels.keys().into_iter().any(used)
     }
