--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -65,6 +65,8 @@
     pub(super) verdict: Verdict,
     /// How its last send failed.
     pub(super) last_failure: Option<SendFailure>,
+    /// How a send last failed by silence.
+    pub(super) last_silence: Option<SendFailure>,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
     pub(super) reached_target: bool,
     pub(super) avoided: AvoidedTargets,
@@ -265,6 +267,7 @@
             refused_full: false,
             verdict: Verdict::NotRun,
             last_failure: None,
+            last_silence: None,
             reached_target: false,
             avoided: AvoidedTargets::default(),
             tried_targets: Vec::new(),
@@ -390,18 +393,21 @@
         let now = self.now;
         let since = |at: Option<Instant>| millis(at.map(|at| now.saturating_duration_since(at)));
         let Delivery { started: begun, events, latest_at, .. } = exchange.delivery;
-        let failure = exchange.last_failure;
+        let (failure, silence) = (exchange.last_failure, exchange.last_silence);
         let text = format!(
-            "request={} target={} begun={begun} events={events} silent_ms={} sends={} failure={} \
-             evidence={} failed_ms_ago={} config_version={} config_in_force={} applied_ms_ago={} \
+            "request={} target={} begun={begun} events={events} silent_ms={} sends={} \
+             standbys={} failure={} evidence={} failed_ms_ago={} silence={} given_up_ms_ago={} config_version={} config_in_force={} applied_ms_ago={} \
              code={code} why={why:?}",
             exchange.request_fields.attempt,
             exchange.send.as_ref().map_or("-", |send| send.target.as_str()),
             since(Some(latest_at.unwrap_or(exchange.started))),
             exchange.sends,
+            exchange.standbys.len(),
             failure.map_or("-", |failure| failure.fault.name()),
             failure.map_or("-", |failure| failure.evidence),
             since(failure.map(|failure| failure.at)),
+            silence.map_or("-", |silence| silence.evidence),
+            since(silence.map(|silence| silence.at)),
             exchange.config_version,
             self.config_version(),
             since(self.store_sync.applied),
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -56,7 +56,11 @@
             culprits.join(","),
         );
         exchange.refused_sends += u32::from(fault == Fault::Refused);
-        exchange.last_failure = Some(SendFailure { fault, evidence, at: now });
+        let failure = Some(SendFailure { fault, evidence, at: now });
+        exchange.last_failure = failure;
+        if fault == Fault::Silent {
+            exchange.last_silence = failure;
+        }
         let full = refusal == Some(Refusal::Full);
         (exchange.refused_full, exchange.loan_wait) = (full, None);
         if fault == Fault::NotSent {
