Soak: each target is a process of its own

Targets ran in threads of the soak, so no fault could silence one as a stopped process is silenced: open connections live on, nothing is answered, and everything goes on later.

--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -96,6 +96,15 @@
         addr.map(|addr| (process, addr)).ok_or_else(silent)
     }
 
+    /// Starts a command, under this name.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn spawn(name: &str, mut command: Command) -> Result<Process, ProcessError> {
+        let child = command.spawn().map_err(|err| ProcessError::Start(name.to_owned(), err))?;
+        Ok(Process { name: name.to_owned(), child })
+    }
+
     /// The file name of the program.
     pub fn name(&self) -> &str {
         &self.name
