Soak: frozen targets and changes of the configuration

Cause: the soak froze no target and changed the configuration only to revoke the key, so it could not show the answers that hosts cut while engines were silent and the configuration changed.

Change: a second kind of plan. The test runs beside the one with all other faults, so that both take as long as the latter; scripts/soak.sh runs both kinds.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,14 +1,15 @@
 #!/usr/bin/env bash
 # A soak of real daemons under faults drawn from seeds.
-#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS]
+#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|all]
+# Each seed runs with all faults, and with frozen targets and changes of the configuration, or with one of both.
 # --minutes is the time of faults of each seed. A seed that fails prints its own command and where its logs are.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 usage() {
-  sed -n '3,4p' "$0" >&2
+  sed -n '3,5p' "$0" >&2
   exit 2
 }
-seed=1 seeds=1 seconds=12 hosts=4
+seed=1 seeds=1 seconds=12 hosts=4 kind=all
 while [ $# -gt 0 ]; do
   [ $# -ge 2 ] || usage
   case "$1" in
@@ -16,10 +17,17 @@
     --seeds) seeds=$2 ;;
     --minutes) seconds=$(($2 * 60)) ;;
     --size) hosts=$2 ;;
+    --kind) kind=$2 ;;
     *) usage ;;
   esac
   shift 2
 done
+case "$kind" in
+  faults) tests=promises_are_kept_under_seeded_faults ;;
+  silence) tests=promises_are_kept_while_targets_are_silent ;;
+  all) tests=promises_are_kept ;;
+  *) usage ;;
+esac
 cargo build --workspace --bins --locked
 ROSESHORE_SOAK_SEED=$seed ROSESHORE_SOAK_SEEDS=$seeds ROSESHORE_SOAK_SECONDS=$seconds ROSESHORE_SOAK_HOSTS=$hosts \
-  cargo test -p roseshore_platform --locked --test soak promises_are_kept -- --nocapture
+  cargo test -p roseshore_platform --locked --test soak "$tests" -- --nocapture
