Test: a proof relative to a former process of its receiver is ignored (fails)

Cause: a heartbeat states its sender's proof of the configuration relative to the last heartbeat of the receiver, which it names by the receiver's clock in milliseconds since its start. The echo does not name the process, so a host that has restarted adds the uptime of its former process to its own start. The proof is then too new, by up to that uptime, and is cut at the present time (Peers::proof_time). Evidence: the wall clock in soak.log beside the hosts' logs. The store is silent from 960.634; version 2 without the key is written at 961.811; host 3 is killed after 6.4 s of uptime and back at 965.423; host 0 is frozen since 963.402 and continues at 966.222. Within 80 ms hosts 0 and 1 take version 1 for proven at 966.22 (E511 config_age_ms=101 and 79) while no host has reached the store, and accept the key at 967.06.

--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -213,6 +213,23 @@
     assert!(heard.near);
 }
 
+#[test]
+fn a_proof_relative_to_a_former_process_of_the_receiver_is_ignored() {
+    let now = Instant::now();
+    let (mut a, mut b) = (peers(1, "north", &[addr(2)], now), peers(2, "north", &[addr(1)], now));
+    let uptime = ms(6000);
+    let beat = sent(&mut a, 2, &own(), now + uptime).expect("a first contact");
+    b.receive(addr(1), beat, now + uptime);
+    let proven = now + ms(4000);
+    let reported = LocalState { config_proven: Some(proven), ..own() };
+    let restarted = now + ms(8000);
+    let mut a = Peers::new(addr(1), "north", 11, &[addr(2)], restarted);
+    let beat = sent(&mut b, 1, &reported, restarted + ms(500)).expect("a regular heartbeat");
+    let heard = a.receive(addr(2), beat, restarted + ms(500)).expect("a new heartbeat");
+    let claimed = heard.config_proven.map(|claimed| claimed.saturating_duration_since(proven));
+    assert!(claimed.is_none_or(|newer| newer.is_zero()), "taken for {claimed:?} newer than it is");
+}
+
 #[test]
 fn a_failed_check_in_another_data_centre_does_not_count() {
     let now = Instant::now();
