A proof relative to a former process of its receiver is ignored

Heartbeats express a proof relative to the last heartbeat of the receiver, by the receiver's clock since its start, and did not say which process of it had sent that one. A new process added the times of its predecessor to its own start.

The echo names the process.

--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -10,8 +10,8 @@
 //!
 //! The protocol tolerates the loss of any message. A delayed heartbeat must not be taken for a
 //! fresh one, so the time of a freshness proof is expressed on the receiver's own clock: the sender
-//! names the last heartbeat that it received from the receiver, and how long after it the proof was
-//! made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
+//! names the last heartbeat that it received from the receiver and the process that sent it, and how
+//! long after it the proof was made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
 //! with each hop.
 
 mod demand;
@@ -31,6 +31,7 @@
 pub use super::reports::{LimitReport, ListVersion, TargetLoad};
 use crate::prelude::*;
 use lending::Lending;
+use message::life_tag;
 pub use message::{
     Datagram, Echo, Heartbeat, HoldingReport, KnownHost, PeerRequest, PermitGrant, PermitRequest,
     ReachQuery, ReachReply, RetryLoan, RetryLoanRequest, Scope, ServiceCounts, TunnelReply,
@@ -190,7 +191,8 @@
         }
         let back = regular && !peer.alive(near, now);
         let joined = peer.last_heard.is_none() || heartbeat.life != peer.life || back;
-        let echo = heartbeat.echo;
+        // The clock of a former process of this host started at another time.
+        let echo = heartbeat.echo.filter(|echo| echo.life == life_tag(self.life));
         peer.update(heartbeat, now);
         let sent = |echo: Echo| self.started.checked_add(Duration::from_millis(echo.sent));
         peer.heard_from = echo.and_then(sent).filter(|at| *at <= now);
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -138,11 +138,18 @@
     Reached(ReachReply),
 }
 
+/// Tells the processes of a host apart in an [`Echo`], whose times are relative to one of them.
+pub fn life_tag(life: u64) -> u32 {
+    (life ^ (life >> 32)) as u32
+}
+
 /// When the sender's copy of the store was last proven to be current, in a form that the receiver
 /// can convert to its own clock: milliseconds after the sender received the receiver's heartbeat,
 /// negative if the proof is older than that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
+    /// Tag of the receiver's process that sent it; see [`life_tag`].
+    pub life: u32,
     /// Send time of the receiver's last heartbeat that arrived, in milliseconds on the receiver's
     /// clock.
     pub sent: u64,
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -5,7 +5,7 @@
 //! data centre gets the sums over this one.
 
 use super::demand::HostsDemand;
-use super::message::{Echo, Heartbeat, KnownHost, Scope};
+use super::message::{Echo, Heartbeat, KnownHost, Scope, life_tag};
 use super::peer::{Peer, Rank};
 use super::relation::{self, Relation};
 use super::sums::{self, LoadSpace, ReportedLoads, Sums};
@@ -222,7 +222,7 @@
         demand::fit(&mut heartbeat.demand, free / DEMAND_DIVISOR);
         let max_loads = sums::load_capacity(free, &heartbeat.demand);
         peer.record_sent(relation.asks(), now);
-        heartbeat.echo = peer.last_heard.map(|heard| own.echo(peer.sender_clock, heard));
+        heartbeat.echo = peer.last_heard.map(|heard| own.echo(peer.life, peer.sender_clock, heard));
         let none = HashSet::new();
         let first = if relation == Relation::FarSpeaker { &none } else { &own.home };
         let space = LoadSpace { most: max_loads, turn: peer.sent, first };
@@ -289,15 +289,16 @@
 }
 
 impl LocalState {
-    /// Freshness proofs for a receiver whose last heartbeat arrived at `heard` and was sent at
-    /// `sent` on its clock.
-    fn echo(&self, sent: u64, heard: Instant) -> Echo {
+    /// Freshness proofs for a receiver whose last heartbeat arrived at `heard` and was sent by its
+    /// process `life` at `sent` on that process's clock.
+    fn echo(&self, life: u64, sent: u64, heard: Instant) -> Echo {
         let since = |proven: Instant| {
             let after = proven.saturating_duration_since(heard).as_millis() as i64;
             // Rounded up, so that the proof is not taken for newer than it is.
             let before = heard.saturating_duration_since(proven).as_millis() as i64;
             if proven >= heard { after } else { -(before + 1) }
         };
-        Echo { sent, config: self.config_proven.map(since), list: self.list_proven.map(since) }
+        let (config, list) = (self.config_proven.map(since), self.list_proven.map(since));
+        Echo { life: life_tag(life), sent, config, list }
     }
 }
