The fakes read every connection, whichever others stay open

Seen: with the fakes' server, connections that arrive together are now and then not read at all while another one stays open.

Cause: the server of tiny_http hands a connection to its pool as long as one thread is counted as waiting. The count falls only when the woken thread runs, so two connections may be left to one thread; the second waits until some thread is free, and a kept-alive connection occupies its thread until the client closes it. The busier the machine, the longer the woken thread takes.

Change: the fakes accept by themselves, with one thread for each connection and the types of tiny_http, as the daemon does. At most as many requests as before are handled at once, and replies are the same. Bodies are read before a request is handled.

--- a/crates/roseshore_fakes/src/engine/api.rs
+++ b/crates/roseshore_fakes/src/engine/api.rs
@@ -7,12 +7,12 @@
 use super::link::StageAddr;
 use super::{loader, stream};
 use crate::fault;
-use crate::http::{self, Handler};
+use crate::http::{self, Handler, Request};
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::{Cancel, Kv, KvExport, Order};
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
-use tiny_http::{Method, Request};
+use tiny_http::Method;
 
 /// The longest time that a cancel waits for the work to end.
 const CANCEL_WAIT: Duration = Duration::from_secs(5);
@@ -57,10 +57,10 @@
 
 fn with_body<T: DeserializeOwned>(
     core: &Arc<Core>,
-    mut request: Request,
+    request: Request,
     serve: fn(&Arc<Core>, Request, T),
 ) {
-    match http::read_json(&mut request) {
+    match http::read_json(&request) {
         Ok(body) => serve(core, request, body),
         Err(why) => http::reply_text(request, 400, &why),
     }
--- a/crates/roseshore_fakes/src/engine/stream.rs
+++ b/crates/roseshore_fakes/src/engine/stream.rs
@@ -5,13 +5,12 @@
 use super::link::{Loss, Sampled, Step};
 use super::run::{Open, Run};
 use super::text;
-use crate::http::{self, LineWriter};
+use crate::http::{self, LineWriter, Request};
 use roseshore_core::prelude::*;
 use roseshore_wire::engine::{Generate, Output};
 use std::io;
 use std::sync::Arc;
 use std::thread;
-use tiny_http::Request;
 
 /// The `Retry-After` time of a full engine.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -21,9 +20,9 @@
 const OTHER_ANSWER: &str = "another-answer";
 
 /// Handles `POST /v1/generate`.
-pub(super) fn serve(core: &Arc<Core>, mut request: Request) {
+pub(super) fn serve(core: &Arc<Core>, request: Request) {
     let trace = http::header(&request, "traceparent");
-    let ask: Generate = match http::read_json(&mut request) {
+    let ask: Generate = match http::read_json(&request) {
         Ok(ask) => ask,
         Err(why) => return http::reply_text(request, 400, &why),
     };
--- a/crates/roseshore_fakes/src/fault.rs
+++ b/crates/roseshore_fakes/src/fault.rs
@@ -3,11 +3,11 @@
 //! Each fake has its own struct of faults whose default is "none". [`Faults`] shares it between
 //! threads; `GET /_fault` returns it and `POST /_fault` replaces all of it.
 
-use crate::http;
+use crate::http::{self, Request};
 use parking_lot::RwLock;
 use serde::{Serialize, de::DeserializeOwned};
 use std::sync::Arc;
-use tiny_http::{Method, Request};
+use tiny_http::Method;
 
 /// The HTTP path that reads and replaces the faults.
 pub const PATH: &str = "/_fault";
@@ -54,11 +54,11 @@
     }
 
     /// Handles a request to [`PATH`].
-    pub fn serve(&self, mut request: Request) {
+    pub fn serve(&self, request: Request) {
         if *request.method() == Method::Get {
             return http::reply_json(request, 200, &*self.get());
         }
-        match http::read_json::<T>(&mut request) {
+        match http::read_json::<T>(&request) {
             Ok(faults) => {
                 self.set(faults);
                 http::reply_json(request, 200, &*self.get());
--- a/crates/roseshore_fakes/src/http.rs
+++ b/crates/roseshore_fakes/src/http.rs
@@ -1,32 +1,33 @@
-//! A small HTTP server for the fakes, based on `tiny_http`.
+//! A small HTTP server for the fakes.
 //!
-//! A dispatcher hands each request to a worker thread. Workers are started on demand up to a limit
-//! and live as long as the server. Request and response bodies are JSON. [`LineWriter`] streams
-//! lines and flushes each of them to the socket. `tiny_http` alone does not: both the chunk encoder
-//! and the buffer below it have to be flushed after every line.
+//! Each connection has its own thread, and a limited number of requests is handled at once. Request
+//! and response bodies are JSON. [`LineWriter`] streams lines and flushes each of them to the socket:
+//! both the chunk encoder and the buffer below it have to be flushed after every line.
+
+mod connection;
 
 use chunked_transfer::Encoder;
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::SockRef;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
-use tiny_http::{Header, Response, StatusCode};
+use std::time::Duration;
+use tiny_http::{HTTPVersion, Header, Method, Response, StatusCode};
 
-pub use tiny_http::Request;
+pub use connection::{Request, ResponseWriter};
 
 /// The largest accepted request body, in bytes.
 pub const MAX_BODY: u64 = 16 << 20;
 
-/// The longest wait for the listener to close.
-const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+/// The pause after a failed accept, and between two attempts to wake the acceptor.
+const ACCEPT_RETRY: Duration = Duration::from_millis(1);
 
 /// Handles requests; every path has to reply or start a stream.
 pub trait Handler: Send + Sync + 'static {
-    /// Handles one request on a worker thread, which it may block.
+    /// Handles one request on the thread of its connection, which it may block.
     fn handle(&self, request: Request);
 }
 
@@ -34,8 +35,7 @@
 pub struct Server {
     addr: SocketAddr,
     stop: Arc<AtomicBool>,
-    http: Option<Arc<tiny_http::Server>>,
-    dispatcher: Option<JoinHandle<()>>,
+    acceptor: Option<JoinHandle<()>>,
 }
 
 impl Server {
@@ -52,15 +52,11 @@
         // Accepted sockets inherit TCP_NODELAY. Without it a line may wait for the peer's ACK.
         SockRef::from(&listener).set_tcp_nodelay(true)?;
         let addr = listener.local_addr()?;
-        let http = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let http = Arc::new(http);
         let stop = Arc::new(AtomicBool::new(false));
-        let pool = Pool::new(workers, handler);
-        let dispatcher = thread::spawn({
-            let (http, stop) = (http.clone(), stop.clone());
-            move || dispatch(&http, &stop, &pool)
-        });
-        Ok(Server { addr, stop, http: Some(http), dispatcher: Some(dispatcher) })
+        let (enter, leave) = flume::bounded(workers);
+        let state = Arc::new(ServerState { stop: stop.clone(), handler, enter, leave });
+        let acceptor = thread::spawn(move || accept_all(&listener, &state));
+        Ok(Server { addr, stop, acceptor: Some(acceptor) })
     }
 
     /// The address that the server listens on.
@@ -72,22 +68,13 @@
     /// kept-alive connection gets no reply.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
-        if let Some(http) = self.http.take() {
-            http.unblock();
-        }
-        if let Some(dispatcher) = self.dispatcher.take() {
-            let _ = dispatcher.join();
-            self.wait_closed();
-        }
-    }
-
-    /// Waits until the listener is closed. The accepting thread closes it some time after the
-    /// server is dropped; until then a client could still connect and would get no reply.
-    fn wait_closed(&self) {
-        let until = Instant::now() + CLOSE_LIMIT;
-        while TcpStream::connect(self.addr).is_ok() && Instant::now() < until {
-            thread::sleep(Duration::from_millis(1));
+        let Some(acceptor) = self.acceptor.take() else { return };
+        // A connection wakes the acceptor, which closes the listener when it ends.
+        while !acceptor.is_finished() {
+            let _ = TcpStream::connect(self.addr);
+            thread::sleep(ACCEPT_RETRY);
         }
+        let _ = acceptor.join();
     }
 }
 
@@ -97,47 +84,41 @@
     }
 }
 
-fn dispatch(http: &tiny_http::Server, stop: &AtomicBool, pool: &Pool) {
-    while !stop.load(Ordering::SeqCst) {
-        if let Ok(request) = http.recv() {
-            pool.submit(request);
-        }
-    }
-}
-
-struct Pool {
-    max: usize,
-    count: AtomicUsize,
-    busy: Arc<AtomicUsize>,
+/// What the connections share.
+struct ServerState {
+    stop: Arc<AtomicBool>,
     handler: Arc<dyn Handler>,
-    queue: (flume::Sender<Request>, flume::Receiver<Request>),
+    /// Holds one item for each request in progress; sending waits while it is full.
+    enter: flume::Sender<()>,
+    leave: flume::Receiver<()>,
 }
 
-impl Pool {
-    fn new(max: usize, handler: Arc<dyn Handler>) -> Pool {
-        let queue = flume::bounded(max);
-        Pool { max, count: AtomicUsize::new(0), busy: Arc::default(), handler, queue }
-    }
-
-    // Only the dispatcher calls this. Counting before the hand-over ensures that a worker which is
-    // about to receive a request is not taken for an idle one.
-    fn submit(&self, request: Request) {
-        let busy = self.busy.fetch_add(1, Ordering::SeqCst);
-        if busy >= self.count.load(Ordering::SeqCst) && busy < self.max {
-            self.count.fetch_add(1, Ordering::SeqCst);
-            self.spawn();
+impl ServerState {
+    fn handle(&self, request: Request) {
+        if self.stop.load(Ordering::SeqCst) {
+            return;
         }
-        let _ = self.queue.0.send(request);
+        let _ = self.enter.send(());
+        self.handler.handle(request);
+        let _ = self.leave.recv();
     }
+}
 
-    fn spawn(&self) {
-        let (queue, handler, busy) =
-            (self.queue.1.clone(), self.handler.clone(), self.busy.clone());
-        thread::spawn(move || {
-            while let Ok(request) = queue.recv() {
-                handler.handle(request);
-                busy.fetch_sub(1, Ordering::SeqCst);
-            }
+fn accept_all(listener: &TcpListener, state: &Arc<ServerState>) {
+    loop {
+        let accepted = listener.accept();
+        if state.stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok((stream, _)) = accepted else {
+            thread::sleep(ACCEPT_RETRY);
+            continue;
+        };
+        let state = state.clone();
+        // Without a thread, the connection is closed, as by a host that is out of resources.
+        let _ = thread::Builder::new().spawn(move || {
+            // A client that disconnected is not an error of the fake.
+            let _ = connection::serve(&stream, |request| state.handle(request));
         });
     }
 }
@@ -156,28 +137,15 @@
 
 /// The value of a request header.
 pub fn header(request: &Request, name: &str) -> Option<String> {
-    let found =
-        request.headers().iter().find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
-    found.map(|h| h.value.as_str().to_owned())
-}
-
-/// Reads a request body as raw bytes, up to [`MAX_BODY`].
-///
-/// # Errors
-/// When the body is truncated.
-pub fn read_body(request: &mut Request) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    request.as_reader().take(MAX_BODY).read_to_end(&mut body)?;
-    Ok(body)
+    request.header(name).map(str::to_owned)
 }
 
-/// Reads a request body as JSON.
+/// Parses a request body as JSON.
 ///
 /// # Errors
-/// When the body is truncated or does not parse as `T`; the text gives the reason.
-pub fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, String> {
-    let body = read_body(request).map_err(|e| e.to_string())?;
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
+/// When the body does not parse as `T`; the text gives the reason.
+pub fn read_json<T: DeserializeOwned>(request: &Request) -> Result<T, String> {
+    serde_json::from_slice(request.body()).map_err(|e| e.to_string())
 }
 
 /// Replies with a JSON body.
@@ -213,8 +181,10 @@
             response.add_header(header);
         }
     }
+    let head = *request.method() == Method::Head;
+    let mut out = request.into_writer();
     // A client that disconnected is not an error of the fake.
-    let _ = request.respond(response);
+    let _ = response.raw_print(&mut out, HTTPVersion(1, 1), &[], head, None);
 }
 
 /// A response that is streamed line by line, each line flushed to the socket.
@@ -265,20 +235,10 @@
 /// A writer that discards all output once closed. The encoder writes its final chunk on drop, which
 /// a truncated response must not have.
 struct ClosableWriter {
-    out: Box<dyn Write + Send>,
+    out: ResponseWriter,
     open: bool,
 }
 
-// The buffer below belongs to the connection and outlives the response: without a flush, what the
-// encoder wrote on drop would stay there as long as the connection is kept alive.
-impl Drop for ClosableWriter {
-    fn drop(&mut self) {
-        if self.open {
-            let _ = self.out.flush();
-        }
-    }
-}
-
 impl Write for ClosableWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if self.open { self.out.write(bytes) } else { Err(io::ErrorKind::BrokenPipe.into()) }
--- a/crates/roseshore_fakes/src/platform/handler.rs
+++ b/crates/roseshore_fakes/src/platform/handler.rs
@@ -5,14 +5,14 @@
 use super::weights::WeightsState;
 use super::{PlatformFaults, PlatformSettings};
 use crate::fault::{self, Faults};
-use crate::http::{self, Handler};
+use crate::http::{self, Handler, Request};
 use parking_lot::{Condvar, Mutex};
 use roseshore_core::prelude::*;
 use roseshore_core::wall::millis;
 use roseshore_wire::platform::{Append, Appended, Host};
 use serde::Deserialize;
 use std::thread;
-use tiny_http::{Method, Request};
+use tiny_http::Method;
 
 /// The limit on records per read if the caller gives none.
 const MAX_RECORDS: u64 = 1000;
@@ -66,9 +66,9 @@
         self.log.lock().appends()
     }
 
-    fn append(&self, stream: &str, mut request: Request) {
+    fn append(&self, stream: &str, request: Request) {
         let faults = self.faults.get();
-        let body = http::read_json::<Append>(&mut request);
+        let body = http::read_json::<Append>(&request);
         thread::sleep(Duration::from_millis(faults.slow_ms));
         if faults.appends_limited {
             return http::reply_after(request, 429, Duration::from_secs(1), "over the rate");
@@ -186,8 +186,8 @@
         http::reply_text(request, 200, "given");
     }
 
-    fn replace_hosts(&self, mut request: Request) {
-        match http::read_json::<Vec<Host>>(&mut request) {
+    fn replace_hosts(&self, request: Request) {
+        match http::read_json::<Vec<Host>>(&request) {
             Ok(hosts) => {
                 self.set_hosts(hosts);
                 http::reply_text(request, 200, "ok");
@@ -196,8 +196,8 @@
         }
     }
 
-    fn mark_leaving(&self, mut request: Request) {
-        match http::read_json::<Leave>(&mut request) {
+    fn mark_leaving(&self, request: Request) {
+        match http::read_json::<Leave>(&request) {
             Ok(leave) if self.leave(&leave.host) => http::reply_text(request, 200, "ok"),
             Ok(leave) => http::reply_text(request, 404, &format!("`{}` is not listed", leave.host)),
             Err(why) => http::reply_text(request, 400, &why),
--- a/crates/roseshore_fakes/src/service/handler.rs
+++ b/crates/roseshore_fakes/src/service/handler.rs
@@ -3,14 +3,14 @@
 use super::work::{CallCounts, CallLog, Slots};
 use super::{ServiceFaults, ServiceSettings};
 use crate::fault::{self, Faults};
-use crate::http::{self, Handler};
+use crate::http::{self, Handler, Request};
 use roseshore_core::prelude::*;
 use roseshore_wire::service::{
     IDEMPOTENCY_KEY, Missing, NotStarted, REPLAYED, REQUEST_ID, ServiceLoad,
 };
 use std::io::Write;
 use std::thread;
-use tiny_http::{Method, Request};
+use tiny_http::Method;
 
 const CONTENT: &str = "application/json";
 const FREEZE_STEP: Duration = Duration::from_millis(5);
@@ -62,10 +62,9 @@
         self.reply(request, &faults, 404, body, false);
     }
 
-    fn call(&self, service: &str, mut request: Request) {
+    fn call(&self, service: &str, request: Request) {
         let key = http::header(&request, IDEMPOTENCY_KEY);
         let id = http::header(&request, REQUEST_ID);
-        let Ok(body) = http::read_body(&mut request) else { return http::drop_request(request) };
         let _slot = self.slots.take();
         let faults = self.faults.get();
         if faults.not_run {
@@ -74,7 +73,7 @@
         let run = || {
             self.calls.called(key.as_deref(), id.as_deref());
             self.work(&faults);
-            result(service, &body)
+            result(service, request.body())
         };
         let (result, replayed) = match &key {
             Some(key) if self.settings.remembers => {
