An attempt waits for the log until its deadline

Seen: keyed work at a daemon that is behind in reading the log was refused 10 s after its arrival with RS206, "the deadline passed", while the deadline was a minute away.

Cause: the 10 s that an attempt may wait for the outcome of another attempt bounded every wait, also that for the log alone.

Change: the bound holds only once a current read shows that another attempt holds the key. Otherwise the attempt waits until its deadline, or until the log is held to be out, as before.

Measured in virtual time, attempts with a deadline of a minute: with records that take 15 s to read, RS206 before, the answer after; a claim that takes 15 s to append is won. Held by another attempt for 11 s: RS401, before and after. The tests of once in roseshore_core pass.

--- a/crates/roseshore_core/src/once/partition.rs
+++ b/crates/roseshore_core/src/once/partition.rs
@@ -14,7 +14,7 @@
 pub use types::{Action, Attempt, AttemptId, Decision, LocalWork, LogRecord, ReadResult};
 
 use super::batch::{AppendResult, Batch};
-use super::keys::Keys;
+use super::keys::{Keys, State};
 use super::record::{Act, MAX_BODY, Nonce, Outcome, Owner, Record};
 use crate::prelude::*;
 use settle::OperatorRequests;
@@ -24,7 +24,8 @@
 
 /// How long appends or reads may fail before attempts are refused.
 pub const LOG_FAULT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The longest time that an attempt waits for another attempt's outcome.
+/// The longest time that an attempt waits for another attempt's outcome. For the log alone it waits
+/// until its deadline.
 pub const MAX_OUTCOME_WAIT: Duration = Duration::from_secs(10);
 /// How long one read waits for a first record.
 const READ_WAIT: Duration = Duration::from_millis(100);
@@ -144,7 +145,7 @@
     /// be called.
     pub fn due(&self, now: Instant) -> Option<Instant> {
         let ends = self.running.values().filter_map(|run| match run.phase {
-            Phase::Waiting(_) => Some(run.give_up_at()),
+            Phase::Waiting(_) => Some(self.give_up_at(run)),
             Phase::Won(_) => Some(run.attempt.deadline),
             _ => None,
         });
@@ -304,7 +305,9 @@
         for id in ids {
             let run = &self.running[&id];
             match run.phase {
-                Phase::Waiting(_) if log_down || now >= run.give_up_at() => self.give_up(id, now),
+                Phase::Waiting(_) if log_down || now >= self.give_up_at(run) => {
+                    self.give_up(id, now)
+                }
                 Phase::Won(offset) if now >= run.attempt.deadline => self.abandon(offset),
                 _ => {}
             }
@@ -330,6 +333,17 @@
         running.find(|(_, run)| run.phase == Phase::Won(offset)).map(|(id, _)| *id)
     }
 
+    /// When the attempt is given up if it is still undecided.
+    fn give_up_at(&self, run: &RunningAttempt) -> Instant {
+        let current = self.current_read > run.reads_before;
+        match self.keys.state(&run.attempt.key) {
+            State::Held(held) if current && held.nonce != run.nonce => {
+                run.attempt.deadline.min(run.arrived + MAX_OUTCOME_WAIT)
+            }
+            _ => run.attempt.deadline,
+        }
+    }
+
     fn log_down(&self, now: Instant) -> bool {
         let mut faults = [self.append_fault, self.read_fault].into_iter().flatten();
         faults.any(|since| now >= since + LOG_FAULT_TIMEOUT)
@@ -383,11 +397,6 @@
 }
 
 impl RunningAttempt {
-    /// When the attempt is given up if it is still undecided.
-    fn give_up_at(&self) -> Instant {
-        self.attempt.deadline.min(self.arrived + MAX_OUTCOME_WAIT)
-    }
-
     fn abandonment(&self) -> Record {
         Record { key: self.attempt.key.clone(), nonce: self.nonce, act: Act::Abandon }
     }
--- a/crates/roseshore_core/tests/once/simulation.rs
+++ b/crates/roseshore_core/tests/once/simulation.rs
@@ -122,6 +122,8 @@
     pub(crate) decisions: Vec<(Key, Decision)>,
     pub(crate) settle_results: Vec<SettleResult>,
     pub(crate) step_count: usize,
+    /// The time from an attempt's arrival to its deadline.
+    pub(crate) patience: Duration,
 }
 
 impl Simulation {
@@ -131,6 +133,7 @@
         let (dispatches, answers, decisions, settle_results) = Default::default();
         let (log, late_appends) = Default::default();
         let (now, oldest, step_count) = (start, 0, 0);
+        let patience = Duration::from_secs(5);
         Simulation {
             start,
             now,
@@ -143,6 +146,7 @@
             decisions,
             settle_results,
             step_count,
+            patience,
         }
     }
 
@@ -203,7 +207,7 @@
     }
 
     pub(crate) fn begin(&mut self, d: usize, key: &str, digest: u64) {
-        let deadline = self.now + Duration::from_secs(5);
+        let deadline = self.now + self.patience;
         let ask = Attempt { key: key.into(), digest, deadline };
         let id = self.daemons[d].machine.begin(ask, self.now);
         let asked = TrackedAttempt { key: key.into(), digest, at: self.step_count, deadline };
--- a/crates/roseshore_core/tests/once_faults.rs
+++ b/crates/roseshore_core/tests/once_faults.rs
@@ -364,13 +364,75 @@
     },
 ];
 
-#[test]
-fn faults_at_each_step() {
-    for case in CASES {
+/// Attempts with a deadline of a minute.
+const PATIENT_CASES: &[Case] = &[
+    Case {
+        name: "behind by records that take 15 s to read",
+        before: &[CLAIM, DISPATCH, RECORD],
+        then: &[Step::Begin(1, false), Step::Advance(15_000), Step::Read(1, true)],
+        expected: "repeat",
+    },
+    Case {
+        name: "behind by records that take 15 s to read, free key",
+        before: &[],
+        then: &[
+            Step::Begin(1, false),
+            Step::Advance(15_000),
+            Step::Read(1, true),
+            Step::Append(1, AppendFault::None),
+            Step::Read(1, true),
+        ],
+        expected: "won",
+    },
+    Case {
+        name: "claim that takes 15 s to append",
+        before: &[&[Step::Begin(1, false), Step::Read(1, true), Step::Advance(15_000)]],
+        then: &[Step::Append(1, AppendFault::None), Step::Read(1, true)],
+        expected: "won",
+    },
+    Case {
+        name: "behind until the deadline",
+        before: &[],
+        then: &[Step::Begin(1, false), Step::Advance(61_000)],
+        expected: "RS206 may_have_run",
+    },
+    Case {
+        name: "held by another attempt for 9 s",
+        before: &[CLAIM, DISPATCH, &[Step::Begin(1, false), Step::Read(1, true)]],
+        then: &[Step::Advance(9000)],
+        expected: "won",
+    },
+    Case {
+        name: "held by another attempt for 11 s",
+        before: &[CLAIM, DISPATCH, &[Step::Begin(1, false), Step::Read(1, true)]],
+        then: &[Step::Advance(11_000)],
+        expected: "RS401 may_have_run",
+    },
+    Case {
+        name: "held by another attempt when the log has been read after 11 s",
+        before: &[CLAIM, DISPATCH, &[Step::Begin(1, false), Step::Advance(11_000)]],
+        then: &[Step::Read(1, true)],
+        expected: "RS401 may_have_run",
+    },
+];
+
+fn check(cases: &[Case], patience: Duration) {
+    for case in cases {
         let mut sim = Simulation::new();
+        sim.patience = patience;
         for step in case.before.iter().copied().flatten().chain(case.then) {
             sim.step(*step);
         }
         assert_eq!(describe_last(&sim), case.expected, "{}", case.name);
     }
 }
+
+#[test]
+fn an_attempt_waits_for_the_log_until_its_deadline() {
+    check(PATIENT_CASES, Duration::from_mins(1));
+}
+
+#[test]
+fn faults_at_each_step() {
+    check(CASES, Duration::from_secs(5));
+}
