A fault of the log while an evicted answer is read is no loss of the answer

Seen, in a test with a log whose faults are set: of a key that ran, whose answer is evicted from memory and in the log, a repeat was refused with RS402, "its answer is not kept any more; ask its target", when a single reply of the log was lost. Beside load, where calls to the log run into their time limit, callers were told so of answers that a second read would have brought.

Cause: the answer was read once, whatever the deadline, and a failed read was reported like a trimmed record.

Change: a failed read is repeated every 250 ms until the attempt's deadline, for 500 ms at most, as the daemon waits out faults of the log elsewhere. Then the refusal is RS502 with a time to retry, and says that the key ran and its answer cannot be read now. RS402 stays for a record that is trimmed.

--- a/crates/roseshore_core/src/once/partition.rs
+++ b/crates/roseshore_core/src/once/partition.rs
@@ -11,7 +11,9 @@
 mod types;
 
 pub use settle::{ClaimantStatus, KeyStatus, SettleRequest, SettleResult, may_settle};
-pub use types::{Action, Attempt, AttemptId, Decision, LocalWork, LogRecord, ReadResult};
+pub use types::{
+    Action, Attempt, AttemptId, Decision, LocalWork, LogRecord, ReadResult, StoredAnswer,
+};
 
 use super::batch::{AppendResult, Batch};
 use super::keys::{Keys, State};
@@ -30,7 +32,7 @@
 /// How long one read waits for a first record.
 const READ_WAIT: Duration = Duration::from_millis(100);
 /// The time from a failed read to the next one.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The most bytes of answers too large for the log that the claimant keeps in memory.
 const MAX_LARGE_BYTES: usize = 8 << 20;
 /// The earliest time at which refused callers are told to retry.
@@ -306,7 +308,7 @@
             let run = &self.running[&id];
             match run.phase {
                 Phase::Waiting(_) if log_down || now >= self.give_up_at(run) => {
-                    self.give_up(id, now)
+                    self.give_up(id, now);
                 }
                 Phase::Won(offset) if now >= run.attempt.deadline => self.abandon(offset),
                 _ => {}
--- a/crates/roseshore_core/src/once/partition/decide.rs
+++ b/crates/roseshore_core/src/once/partition/decide.rs
@@ -1,11 +1,14 @@
 //! Decisions on attempts, by the state of their keys.
 
-use super::{Action, AttemptId, Decision, Partition, Phase, RETRY_AFTER, RETRY_SPREAD_MS};
+use super::{
+    Action, AttemptId, Decision, Partition, Phase, RETRY_AFTER, RETRY_SPREAD_MS, RunningAttempt,
+    StoredAnswer,
+};
 use crate::once::keys::{Holder, RecordedOutcome, State};
 use crate::once::record::{Act, Nonce, Outcome, Owner, Record};
 use crate::once::refusals::{
-    already_ran, answer_lost, in_future, in_progress, log_timeout, log_unavailable, not_dispatched,
-    not_run_log_unavailable, reused, too_old, unknown,
+    already_ran, answer_lost, answer_unreadable, in_future, in_progress, log_timeout,
+    log_unavailable, not_dispatched, not_run_log_unavailable, reused, too_old, unknown,
 };
 use crate::prelude::*;
 use std::sync::Arc;
@@ -66,10 +69,15 @@
 
     /// Answers an attempt from the recorded outcome.
     fn replay(&mut self, id: AttemptId, recorded: RecordedOutcome) {
-        let refusal = answer_lost(&self.running[&id].attempt.key);
+        let run = &self.running[&id];
+        let refusal = answer_lost(&run.attempt.key);
         let decision = match (recorded.outcome, recorded.owner) {
             (Some(outcome), _) => Decision::Replay(outcome),
-            (None, _) if recorded.whole => Decision::ReadFromLog(recorded.offset, refusal),
+            (None, _) if recorded.whole => Decision::ReadFromLog(StoredAnswer {
+                offset: recorded.offset,
+                lost: refusal,
+                unreadable: answer_unreadable(&run.attempt.key).after(run.retry_after()),
+            }),
             (None, Some(owner)) => Decision::AskOwner(owner, refusal),
             (None, None) => Decision::Refused(refusal),
         };
@@ -179,7 +187,14 @@
             State::Free if log_down => log_unavailable(key),
             State::Free | State::Recorded(_) | State::Ran(_) => log_timeout(key),
         };
-        let spread = Duration::from_millis(run.nonce % RETRY_SPREAD_MS);
-        self.refuse(id, refusal.after(RETRY_AFTER + spread));
+        let retry_after = run.retry_after();
+        self.refuse(id, refusal.after(retry_after));
+    }
+}
+
+impl RunningAttempt {
+    /// When its caller is told to retry; spread, since an outage refuses many attempts at once.
+    fn retry_after(&self) -> Duration {
+        RETRY_AFTER + Duration::from_millis(self.nonce % RETRY_SPREAD_MS)
     }
 }
--- a/crates/roseshore_core/src/once/partition/types.rs
+++ b/crates/roseshore_core/src/once/partition/types.rs
@@ -26,15 +26,25 @@
     Won(Offset),
     /// The outcome of the key is recorded, and is to be given again.
     Replay(Arc<Outcome>),
-    /// The outcome of the key is recorded, and is to be read at this offset. The refusal is the
-    /// reply if it cannot be read.
-    ReadFromLog(Offset, Refusal),
+    /// The outcome of the key is recorded, and is to be read from the log.
+    ReadFromLog(StoredAnswer),
     /// The claimant may know the outcome. The refusal is the reply if it does not tell.
     AskOwner(Owner, Refusal),
     /// The attempt is given up.
     Refused(Refusal),
 }
 
+/// An answer that is not in memory any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// The offset of its record.
+    pub offset: Offset,
+    /// The reply if the log does not hold the record any more.
+    pub lost: Refusal,
+    /// The reply if the log cannot be read.
+    pub unreadable: Refusal,
+}
+
 /// What the driver must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/roseshore_core/src/once/refusals.rs
+++ b/crates/roseshore_core/src/once/refusals.rs
@@ -28,6 +28,15 @@
     Refusal::may_have_run(Code::KeyUnknown, message)
 }
 
+/// The request ran, and the log, which holds its answer, is unavailable.
+pub(super) fn answer_unreadable(key: &Key) -> Refusal {
+    let message = format!(
+        "key `{key}` ran, and its answer cannot be read while the log is out; ask again with the same \
+         key"
+    );
+    Refusal::may_have_run(Code::LogUnreachable, message)
+}
+
 /// An operator stated that the request ran.
 pub(super) fn already_ran(key: &Key) -> Refusal {
     let message = format!(
--- a/crates/roseshored/src/claims.rs
+++ b/crates/roseshored/src/claims.rs
@@ -13,15 +13,18 @@
 use flume::{Receiver, Sender};
 use partition::Event;
 use roseshore_core::once::batch::MAX_RECORDS;
-use roseshore_core::once::partition::{Attempt, Decision, LocalWork};
+use roseshore_core::once::partition::{
+    Attempt, Decision, LOG_FAULT_TIMEOUT, LocalWork, READ_RETRY_DELAY, StoredAnswer,
+};
 use roseshore_core::once::record::{Act, Owner, Record};
 use roseshore_core::once::{PARTITIONS, partition_of, stream_of};
 use roseshore_core::prelude::*;
 use roseshore_ports::inside::{Claim, ClaimResult, Claims, Members, Outcome, PeerHandler};
-use roseshore_ports::outside::{Log, Peers};
+use roseshore_ports::outside::{CallError, Log, Peers};
 use roseshore_wire::peer::{PeerReply, PeerRequest};
-use std::io;
+use roseshore_wire::platform::Records;
 use std::sync::Arc;
+use std::{io, thread};
 
 /// Time limit of a query to the daemon that claimed a key.
 const OWNER_QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -103,17 +106,26 @@
         work.recv().unwrap_or(LocalWork::Unknown)
     }
 
-    /// Reads a recorded answer that was evicted from memory back from the log.
-    fn read_recorded(&self, key: &Key, offset: Offset, refusal: Refusal) -> ClaimResult {
+    /// Reads a recorded answer that was evicted from memory back from the log. Faults of the log are
+    /// waited out as long as the partition waits before it refuses attempts.
+    fn read_recorded(&self, key: &Key, stored: StoredAnswer, deadline: Instant) -> ClaimResult {
         let stream = stream_of(partition_of(key, self.partitions.len()));
-        let read = self.log.read(&stream, offset, 1, Duration::ZERO);
-        let first = read.ok().and_then(|read| read.records.into_iter().next());
-        let found = first.filter(|record| record.offset == offset);
-        match found.and_then(|record| Record::parse(&record.data)) {
-            Some(Record { key: of, act: Act::Outcome { outcome, .. }, .. }) if of == *key => {
-                ClaimResult::Settled(outcome)
+        let mut give_up_at = None;
+        loop {
+            match self.log.read(&stream, stored.offset, 1, Duration::ZERO) {
+                Ok(Records { records, .. }) if !records.is_empty() => {
+                    let refused = ClaimResult::Refused(stored.lost);
+                    return answer_of(key, &records[0].data).map_or(refused, ClaimResult::Settled);
+                }
+                Err(CallError::Trimmed(..)) => return ClaimResult::Refused(stored.lost),
+                // A log that ends before the record has lost it for now, as after a restart.
+                Ok(_) | Err(_) => {}
             }
-            _ => ClaimResult::Refused(refusal),
+            let now = Instant::now();
+            if now >= *give_up_at.get_or_insert(deadline.min(now + LOG_FAULT_TIMEOUT)) {
+                return ClaimResult::Refused(stored.unreadable);
+            }
+            thread::sleep(READ_RETRY_DELAY);
         }
     }
 
@@ -165,7 +177,7 @@
         match decision.recv_deadline(deadline + DECISION_GRACE) {
             Ok(Decision::Won(offset)) => ClaimResult::Won(Claim { key: key.clone(), offset }),
             Ok(Decision::Replay(outcome)) => ClaimResult::Settled(Outcome::clone(&outcome)),
-            Ok(Decision::ReadFromLog(offset, refusal)) => self.read_recorded(key, offset, refusal),
+            Ok(Decision::ReadFromLog(stored)) => self.read_recorded(key, stored, deadline),
             Ok(Decision::AskOwner(owner, refusal)) => {
                 self.query_owner(key, &owner, deadline, refusal)
             }
@@ -211,6 +223,14 @@
     }
 }
 
+/// The answer in a record, if it is one of this key.
+fn answer_of(key: &Key, record: &str) -> Option<Outcome> {
+    match Record::parse(record)? {
+        Record { key: of, act: Act::Outcome { outcome, .. }, .. } if of == *key => Some(outcome),
+        _ => None,
+    }
+}
+
 /// Refusal when the partition's thread has stopped, so that the key's state in the log is unknown.
 fn partition_stopped(key: &Key) -> Refusal {
     let text = format!(
--- a/crates/roseshored/tests/claims.rs
+++ b/crates/roseshored/tests/claims.rs
@@ -20,6 +20,9 @@
 
 const KEY: &str = "org/plates/7781";
 const CONFIG: ClaimsConfig = ClaimsConfig { partitions: 2, max_records: 1000, max_batch: 512 };
+/// Time limit of calls to the log where a call that is slow, as beside load, must not pass for a
+/// fault.
+const SLOW_LIMIT: Duration = Duration::from_secs(30);
 
 /// The daemons of a test, shared by their member lists and peer connections.
 #[derive(Default)]
@@ -76,8 +79,13 @@
 
 impl Cluster {
     fn new(daemons: u16) -> Cluster {
+        Cluster::with_limit(daemons, Duration::from_secs(2))
+    }
+
+    /// Like [`Cluster::new`], with this time limit of calls to the log.
+    fn with_limit(daemons: u16, limit: Duration) -> Cluster {
         let platform = PlatformFake::start(PlatformSettings::default()).expect("a port is free");
-        let log = Arc::new(HttpPlatform::new(platform.addr(), Duration::from_secs(2)));
+        let log = Arc::new(HttpPlatform::new(platform.addr(), limit));
         let mut cluster = Cluster { platform, log, shared: Arc::default(), daemons: vec![] };
         (0..daemons).for_each(|host| cluster.add(host));
         cluster
@@ -475,6 +483,74 @@
     }
 }
 
+/// A log whose records before an offset are read with a fault.
+struct FaultyLog {
+    log: Arc<HttpPlatform>,
+    before: Mutex<(Offset, Vec<CallError>)>,
+}
+
+impl Log for FaultyLog {
+    fn append(&self, stream: &str, records: &[String]) -> CallResult<Offset> {
+        self.log.append(stream, records)
+    }
+
+    fn read(&self, stream: &str, from: Offset, max: usize, wait: Duration) -> CallResult<Records> {
+        let mut before = self.before.lock();
+        if from < before.0
+            && let Some(fault) = before.1.pop()
+        {
+            return Err(fault);
+        }
+        drop(before);
+        self.log.read(stream, from, max, wait)
+    }
+}
+
+#[test]
+fn faults_while_an_evicted_answer_is_read() {
+    struct Case {
+        name: &'static str,
+        faults: Vec<CallError>,
+        expected: &'static str,
+    }
+    let lost = || CallError::Lost("timed out".into());
+    let cases = [
+        Case { name: "no fault", faults: vec![], expected: "settled 65536" },
+        Case { name: "one reply lost", faults: vec![lost()], expected: "settled 65536" },
+        Case {
+            name: "log unavailable",
+            faults: (0..1000).map(|_| lost()).collect(),
+            expected: "RS502 may_have_run",
+        },
+        Case {
+            name: "trimmed",
+            faults: vec![CallError::Trimmed(1, 1)],
+            expected: "RS402 may_have_run",
+        },
+    ];
+    let mut cluster = Cluster::with_limit(1, SLOW_LIMIT);
+    let before = Mutex::default();
+    let log = Arc::new(FaultyLog { log: cluster.log.clone(), before });
+    cluster.add_with_log(1, log.clone());
+    let deadline = Instant::now() + Duration::from_mins(2);
+    let names = (0..).map(|n| format!("org/plates/{n}"));
+    // More than a partition keeps in memory.
+    let keys: Vec<Key> =
+        names.filter(|key| partition_of(key, CONFIG.partitions) == 0).take(70).collect();
+    for key in &keys {
+        let claim = won(cluster.daemons[0].begin(key, 7, deadline));
+        run(&*cluster.daemons[0], &claim, answer(MAX_BODY));
+    }
+    assert!(cluster.daemons[0].flush(SLOW_LIMIT), "every outcome is in the log");
+    let newest = cluster.daemons[1].begin(&keys[69], 7, deadline);
+    assert_eq!(describe(&newest), "settled 65536", "daemon 1 has read the log");
+    for case in cases {
+        *log.before.lock() = (2 * 69, case.faults);
+        let again = cluster.daemons[1].begin(&keys[0], 7, deadline);
+        assert_eq!(describe(&again), case.expected, "{}", case.name);
+    }
+}
+
 /// A log whose larger replies do not arrive within the time limit of a read.
 struct SlowLog {
     log: Arc<HttpPlatform>,
