A frozen process has stopped when the harness goes on

Seen: runs of a_frozen_daemon_wakes_to_the_newest_configuration take 11 s or, now and then, 0.8 s, where the command does not wait for the frozen daemon. One cause looked at: SIGSTOP takes effect once a thread of the process has been scheduled; on a busy machine its other threads work on until then, and the test may go on with a daemon that is not frozen yet.

Change: `freeze` waits until the process has stopped. The tests are unchanged, and stricter for it.

By the code, a daemon that is no known member yet is not waited for; not traced.

--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -1,7 +1,7 @@
 //! Child processes: programs of the workspace, started and signalled.
 
 use quick_error::quick_error;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -123,9 +123,18 @@
         self.signal(Signal::HUP);
     }
 
-    /// Sends SIGSTOP: the process keeps its sockets open but answers nothing.
+    /// Sends SIGSTOP and waits until the process has stopped: it keeps its sockets open but answers
+    /// nothing.
+    ///
+    /// The signal stops a process only once one of its threads has been scheduled; on a busy machine
+    /// the others work on until then.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let Some(id) = id else { return };
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG;
+        // An error means that the process has exited.
+        wait_until(|| waitid(WaitId::Pid(id), options).map_or(true, |it| it.is_some()));
     }
 
     /// Sends SIGCONT, which resumes the process after [`Process::freeze`].
