Small requests no longer decide whether a large one can meet its deadline

Cause, by the code and the new test; the daemons do not log the estimate: the time per unit of cost was set by the first request that ended. That is a probe of one token, whose time is mostly not in proportion to its cost; if it takes 0.15 s on a busy machine, an answer of 300 tokens is predicted to take over 20 s. Only a request that comes while none is in flight is let through, and corrects the estimate by 3.5%. So a daemon that started slowly serves one request at a time and refuses all others.

Change: the estimate is the 0.3 quantile over the last 32 requests, each scaled down to a smaller request, and never up to a larger one. A request that could be served in time is no longer refused for the time of a smaller one.

Measured: the new test, a request of cost 300 after one of cost 2 that took 0.15 s, was refused before and is admitted now; requests of the same cost that took too long still refuse it.

--- a/crates/roseshore_core/src/admit/queue.rs
+++ b/crates/roseshore_core/src/admit/queue.rs
@@ -4,6 +4,7 @@
 use super::limit::Limit;
 use super::{Capacity, OrgIndex, WaiterId};
 use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Maximum number of waiting requests.
@@ -14,9 +15,11 @@
 /// Weight of a new sample in the estimates.
 const GAIN: f64 = 0.05;
 
-/// Quantile of the time per unit of cost that is assumed when a deadline is checked. With the mean,
-/// a few slow targets would cause all requests to be refused.
+/// Quantile of the time that a request takes which is assumed when a deadline is checked. With the
+/// mean, a few slow targets would cause all requests to be refused.
 const SERVICE_QUANTILE: f64 = 0.3;
+/// Number of ended requests from which that quantile is taken.
+const SAMPLES: usize = 32;
 
 /// One slot in this many is reserved for organisations that have not used their share.
 const RESERVE_DIVISOR: usize = 20;
@@ -87,18 +90,22 @@
     in_flight: InFlight,
     mean_time: f64,
     mean_cost: f64,
-    quantile_time: f64,
+    ended: VecDeque<EndedRequest>,
+}
+
+/// Cost of a request that has ended, and the seconds that it took.
+#[derive(Clone, Copy, Debug)]
+struct EndedRequest {
+    cost: f64,
+    took: f64,
 }
 
 impl ServiceQueue {
     /// Admits a request, queues it, or turns it away.
     pub fn join(&mut self, mut item: Item, now: Instant) -> JoinResult {
         // With nothing in flight the estimate would never be updated, so it is not applied then.
-        let service_time = if self.in_flight.count == 0 {
-            Duration::ZERO
-        } else {
-            duration(self.quantile_time * item.cost)
-        };
+        let service_time =
+            if self.in_flight.count == 0 { Duration::ZERO } else { self.service_time(item.cost) };
         let Some(latest) = item.latest.checked_sub(service_time).filter(|latest| *latest > now)
         else {
             return JoinResult::TooLate(Duration::ZERO);
@@ -151,18 +158,13 @@
     pub fn release(&mut self, org: OrgIndex, cost: f64, took: Duration) {
         self.in_flight.remove(org);
         let took = took.as_secs_f64();
+        self.ended.truncate(SAMPLES - 1);
+        self.ended.push_front(EndedRequest { cost, took });
         if self.mean_cost == 0.0 {
             self.mean_time = took;
             self.mean_cost = cost;
-            self.quantile_time = took / cost;
             return;
         }
-        let below = took / cost < self.quantile_time;
-        self.quantile_time *= if below {
-            1.0 - GAIN * (1.0 - SERVICE_QUANTILE)
-        } else {
-            1.0 + GAIN * SERVICE_QUANTILE
-        };
         self.mean_time += GAIN * (took - self.mean_time);
         self.mean_cost += GAIN * (cost - self.mean_cost);
     }
@@ -192,6 +194,21 @@
         (self.in_flight.count, self.queue.len())
     }
 
+    /// Time that a request takes at least, as far as is known.
+    ///
+    /// A request is assumed to take no longer than one of less cost did: much of the time of a small
+    /// request does not grow with its cost, so that multiples of it refuse large ones that could be
+    /// served in time, and refused requests never correct the estimate.
+    fn service_time(&self, cost: f64) -> Duration {
+        let scaled = |it: &EndedRequest| it.took * (cost / it.cost).min(1.0);
+        let mut times: Vec<f64> = self.ended.iter().map(scaled).collect();
+        if times.is_empty() {
+            return Duration::ZERO;
+        }
+        let index = (times.len() as f64 * SERVICE_QUANTILE) as usize;
+        duration(*times.select_nth_unstable_by(index, f64::total_cmp).1)
+    }
+
     /// Predicted time in which the service completes `work` units of cost.
     fn drain_time(&self, work: f64) -> Duration {
         let unit = if self.mean_cost == 0.0 { 0.0 } else { self.mean_time / self.mean_cost };
--- a/crates/roseshore_core/tests/admit.rs
+++ b/crates/roseshore_core/tests/admit.rs
@@ -386,3 +386,60 @@
     }
     assert_eq!(admission.demands(now).organisations.len(), 32);
 }
+
+#[test]
+fn a_deadline_is_judged_by_requests_of_at_most_the_same_cost() {
+    struct Case {
+        name: &'static str,
+        /// Cost and milliseconds of each request that has ended.
+        ended: &'static [(u32, u64)],
+        /// Cost of a request that arrives while another one is in flight, with a deadline of 20 s.
+        cost: u32,
+        admitted: bool,
+    }
+    let cases = [
+        Case { name: "none has ended", ended: &[], cost: 300, admitted: true },
+        Case { name: "a small one took 0.15 s", ended: &[(2, 150)], cost: 300, admitted: true },
+        Case { name: "a small one took 25 s", ended: &[(2, 25_000)], cost: 300, admitted: false },
+        Case {
+            name: "an equal one took 25 s",
+            ended: &[(300, 25_000)],
+            cost: 300,
+            admitted: false,
+        },
+        Case { name: "a large one took 25 s", ended: &[(300, 25_000)], cost: 30, admitted: true },
+        Case {
+            name: "two of four equal ones were slow",
+            ended: &[(300, 25_000), (300, 600), (300, 25_000), (300, 600)],
+            cost: 300,
+            admitted: true,
+        },
+        Case {
+            name: "three of four equal ones were slow",
+            ended: &[(300, 25_000), (300, 25_000), (300, 600), (300, 25_000)],
+            cost: 300,
+            admitted: false,
+        },
+    ];
+    let fleet = fleet(&[("a", 1.0, 1000.0, 1000.0)]);
+    for case in cases {
+        let mut now = Instant::now();
+        let mut admission = Admission::default();
+        admission.tick(1, now);
+        let arrive = |admission: &mut Admission, cost: u32, left: Duration, now: Instant| {
+            let arrival = Arrival { cost, ..arrival("a", 4, now + left) };
+            match admission.arrive(&fleet, &arrival, now, 0.0) {
+                AdmitResult::Admitted(slot) => Some(slot),
+                _ => None,
+            }
+        };
+        for (cost, took) in case.ended {
+            let slot = arrive(&mut admission, *cost, LONG, now).expect("nothing is in flight");
+            now += Duration::from_millis(*took);
+            admission.release(slot, now, 0.0);
+        }
+        arrive(&mut admission, 1, LONG, now).expect("nothing is in flight");
+        let admitted = arrive(&mut admission, case.cost, Duration::from_secs(20), now).is_some();
+        assert_eq!(admitted, case.admitted, "{}", case.name);
+    }
+}
