A request that has not begun waits for a chain that is due back

The log: one stage of the only chain of the new version was silent for its bound, and out of use for 0.25 s, while the other chain was loading.

Cause: a request that has not begun was refused at the first moment without a chain, though the router knows that the chain is out of use for less than the time after which it sends the caller back.

Change: the router tells whether failures are all that keeps a complete chain out of use, and whether it will be back within that second; then such a request asks again every 0.1 s, for 3 s at most, as one that has begun does. A chain that is gone, loading or withdrawn is still refused at once, and so is one that failed again and is out of use for longer.

Measured: tables for both decisions, the second seen failing without the change.

--- a/crates/roseshore_core/src/answer/machine/route.rs
+++ b/crates/roseshore_core/src/answer/machine/route.rs
@@ -97,8 +97,10 @@
             return;
         }
         let deadline = *self.chain_deadline.get_or_insert(now + self.settings.chain_wait);
-        // An answer that has not begun is refused at once, since the caller can retry it safely.
-        if self.began && now < deadline {
+        // An answer that has not begun is refused at once, since the caller can retry it safely. If a
+        // chain is due back before the caller would be, waiting for it is faster.
+        let soon = refusal.retry_after.is_some_and(|after| after < self.settings.retry_after);
+        if (self.began || soon) && now < deadline {
             self.timeout_at = now + CHAIN_RETRY_INTERVAL;
             return;
         }
--- a/crates/roseshore_core/src/load.rs
+++ b/crates/roseshore_core/src/load.rs
@@ -90,6 +90,12 @@
             && self.breaker.usable(now, self.own_requests.current())
     }
 
+    /// Whether new work may be sent to the target by `until`, unless it fails again.
+    pub fn usable_by(&self, until: Instant) -> bool {
+        let closed = self.breaker.open_until().is_none_or(|end| end <= until);
+        self.declared && !self.host_leaving && !self.draining && closed
+    }
+
     /// Whether it has ever reported.
     pub fn reported(&self) -> bool {
         self.reported_at.is_some()
--- a/crates/roseshore_core/src/route.rs
+++ b/crates/roseshore_core/src/route.rs
@@ -18,7 +18,8 @@
 
 use crate::admit::Capacity;
 use crate::fleet::TargetKind;
-use crate::load::{DataCentreIndex, LoadTable, PollResult, ReportChange, TargetIndex, Ticket};
+use crate::load::{DataCentreIndex, LoadTable, PollResult, ReportChange, Row, TargetIndex, Ticket};
+use crate::order::reconciler::tiles;
 use crate::order::rollout::{LoadedRange, LoadedRanges};
 use crate::prelude::*;
 use chain::{ChainSearch, Scratch};
@@ -244,22 +245,37 @@
     /// Versions and layer ranges of a model that the usable engines hold.
     pub fn loaded_ranges(&self, model: &str, now: Instant) -> LoadedRanges {
         let mut loaded = LoadedRanges { ranges: Vec::new(), complete: true };
-        for row in self.loads.declared().map(|index| self.loads.row(index)) {
-            if row.kind != TargetKind::Engine {
-                continue;
-            }
+        for row in self.engines() {
             let local = row.data_centre == self.local;
             loaded.complete &= !local || row.reported() || !row.usable(now);
-            let Some(engine) = row.engine.as_ref().filter(|_| row.usable(now)) else { continue };
-            let serves = engine.both_phases && !engine.loading && !engine.draining;
-            let Some(version) = engine.version.clone().filter(|_| serves) else { continue };
-            if engine.model.as_deref() == Some(model) {
-                loaded.ranges.push(LoadedRange { version, layers: engine.layers, local });
-            }
+            let Some((version, layers)) = served(row, model).filter(|_| row.usable(now)) else {
+                continue;
+            };
+            loaded.ranges.push(LoadedRange { version: version.clone(), layers, local });
         }
         loaded
     }
 
+    /// Whether the only obstacle to a chain is that targets are out of use after failures, and a
+    /// complete one will be in use by `until` if none fails again.
+    pub fn is_paused(&self, request: &ChainRequest<'_>, now: Instant, until: Instant) -> bool {
+        let has_chain = |usable: &dyn Fn(&Row) -> bool| {
+            let ranges = self.engines().filter_map(|row| {
+                let (version, layers) = served(row, request.model).filter(|_| usable(row))?;
+                let engine = row.engine.as_ref()?;
+                let fits = request.adapter.is_none_or(|it| engine.adapters.contains(it));
+                (fits && version == request.version).then_some(layers)
+            });
+            tiles(ranges, request.layers)
+        };
+        !has_chain(&|row| row.usable(now)) && has_chain(&|row| row.usable_by(until))
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &Row> {
+        let declared = self.loads.declared().map(|index| self.loads.row(index));
+        declared.filter(|row| row.kind == TargetKind::Engine)
+    }
+
     /// Capacity of the layer with the fewest slots among a model's engines.
     pub fn chain_capacity(&mut self, request: &ChainRequest<'_>, now: Instant) -> Option<Capacity> {
         let context =
@@ -294,3 +310,11 @@
         }
     }
 }
+
+/// The version and layers of a model that an engine has loaded and serves; `None` if it serves none.
+fn served<'a>(row: &'a Row, model: &str) -> Option<(&'a VersionId, (Layer, Layer))> {
+    let engine = row.engine.as_ref()?;
+    let serves = engine.both_phases && !engine.loading && !engine.draining;
+    let version = engine.version.as_ref().filter(|_| serves)?;
+    (engine.model.as_deref() == Some(model)).then_some((version, engine.layers))
+}
--- a/crates/roseshore_core/tests/answer.rs
+++ b/crates/roseshore_core/tests/answer.rs
@@ -230,6 +230,46 @@
     }
 }
 
+#[test]
+fn an_answer_that_has_not_begun_waits_for_a_chain_that_is_due_back() {
+    struct Case {
+        name: &'static str,
+        /// When the router says to ask again, in milliseconds.
+        retry_ms: u64,
+        /// How long the first stages are dead.
+        outage_ms: u64,
+        /// The latest time of the refusal in milliseconds; `None` if the answer completes.
+        refused_by: Option<u64>,
+    }
+    let cases = [
+        Case { name: "due back", retry_ms: 100, outage_ms: 400, refused_by: None },
+        Case { name: "does not come", retry_ms: 100, outage_ms: 60_000, refused_by: Some(3_500) },
+        Case { name: "not due", retry_ms: 1_000, outage_ms: 400, refused_by: Some(100) },
+    ];
+    for case in cases {
+        let mut world = World::new(settings());
+        world.chain_retry = Duration::from_millis(case.retry_ms);
+        let start = world.now;
+        set_all(&mut world, 0, State::Dead);
+        world.run_actions();
+        while world.end.is_none() {
+            if world.now >= start + Duration::from_millis(case.outage_ms) {
+                set_all(&mut world, 0, State::Live);
+                world.failed.clear();
+            }
+            world.step();
+        }
+        let Some(limit) = case.refused_by else {
+            assert_whole(&world, case.name);
+            continue;
+        };
+        let Some(Err(refusal)) = &world.end else { panic!("{}: {:?}", case.name, world.end) };
+        assert_eq!(refusal.code, Code::NoRoute, "{}", case.name);
+        assert_eq!(refusal.verdict, Verdict::NotRun, "{}", case.name);
+        assert!(world.now <= start + Duration::from_millis(limit), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_deadline_ends_the_answer_at_once() {
     for step in STEPS.iter().skip(1) {
--- a/crates/roseshore_core/tests/answer/world.rs
+++ b/crates/roseshore_core/tests/answer/world.rs
@@ -53,6 +53,8 @@
     pub(crate) charged: bool,
     /// Whether further attempts are denied.
     pub(crate) deny: bool,
+    /// When the router says to ask again if it finds no chain.
+    pub(crate) chain_retry: Duration,
     stream: Option<Stream>,
     /// Targets reported as failed, which the router excludes.
     pub(crate) failed: BTreeSet<TargetId>,
@@ -86,6 +88,7 @@
             epoch: 0,
             route: Vec::new(),
             began: false,
+            chain_retry: Duration::from_secs(1),
             warm: Vec::new(),
             end: None,
             charged: false,
@@ -250,7 +253,7 @@
         for (row, layers) in self.engines.iter().zip(RANGES) {
             let free = |e: &&Engine| !avoid.contains(&e.name) && !self.failed.contains(&e.name);
             let Some(engine) = row.iter().find(free) else {
-                let refusal = Refusal::not_run(Code::NoRoute, "no chain");
+                let refusal = Refusal::not_run(Code::NoRoute, "no chain").after(self.chain_retry);
                 return self.answer.handle(self.now, Input::NoChain(refusal), &mut self.actions);
             };
             stages.push(Stage {
--- a/crates/roseshore_core/tests/route.rs
+++ b/crates/roseshore_core/tests/route.rs
@@ -118,8 +118,8 @@
     router
 }
 
-fn choose(router: &mut Router, avoid: &[TargetId], now: Instant) -> Option<Vec<String>> {
-    let request = ChainRequest {
+fn request(avoid: &[TargetId]) -> ChainRequest<'_> {
+    ChainRequest {
         model: "m",
         version: "v2",
         layers: LAYERS,
@@ -128,8 +128,11 @@
         prompt: 1000,
         expected: 100,
         avoid,
-    };
-    let chain = router.choose_chain(&request, now)?;
+    }
+}
+
+fn choose(router: &mut Router, avoid: &[TargetId], now: Instant) -> Option<Vec<String>> {
+    let chain = router.choose_chain(&request(avoid), now)?;
     let tiles = chain.stages.windows(2).all(|w| w[0].layers.1 == w[1].layers.0);
     let (first, last) = (chain.stages.first()?, chain.stages.last()?);
     assert!(tiles && first.layers.0 == 0 && last.layers.1 == LAYERS, "{chain:?}");
@@ -392,3 +395,39 @@
         assert_eq!(used, case.used, "{}", case.name);
     }
 }
+
+#[test]
+fn a_chain_is_paused_while_only_failures_keep_it_out_of_use() {
+    struct Case {
+        name: &'static str,
+        engines: Vec<Engine>,
+        paused: bool,
+    }
+    let row = |states: &[State]| {
+        let ids = ["e0", "e1", "e2", "e3"];
+        let layers = [(0, 6), (6, LAYERS), (0, 6), (6, LAYERS)];
+        let all = ids.into_iter().zip(layers).zip(states);
+        all.map(|((id, layers), state)| engine(id, "near", layers, *state)).collect::<Vec<_>>()
+    };
+    let case = |name, states: &[State], paused| Case { name, engines: row(states), paused };
+    let cases = [
+        case("in use", &[Usable, Usable], false),
+        case("a stage failed", &[Failed, Usable], true),
+        case("all stages failed", &[Failed, Failed], true),
+        case("a stage does not answer its poll", &[Usable, Silent], true),
+        case("a stage failed, the other one loads", &[Failed, Loading], false),
+        case("a stage failed, the other one is withdrawn", &[Failed, HostLeaving], false),
+        case("a stage failed, another chain loads", &[Failed, Usable, Loading, Loading], true),
+        case("a stage failed, another chain is in use", &[Failed, Usable, Usable, Usable], false),
+        case("a stage failed that lacks the adapter", &[Failed, NoAdapter], false),
+        case("a stage failed that has the old version", &[OldVersion, Failed], false),
+        case("a stage has not reported", &[Failed, Unreported], false),
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let router = router(&case.engines, 1, now);
+        let paused = |until| router.is_paused(&request(&[]), now, now + until);
+        assert_eq!(paused(Duration::from_secs(1)), case.paused, "{}", case.name);
+        assert!(!paused(Duration::from_millis(100)), "{}: not back that early", case.name);
+    }
+}
--- a/crates/roseshored/src/routing.rs
+++ b/crates/roseshored/src/routing.rs
@@ -29,6 +29,8 @@
 const TYPICAL_TOKENS: (u32, u32) = (200, 100);
 /// Retry delay given to a caller for which there is no route.
 const NO_ROUTE_RETRY: Duration = Duration::from_secs(1);
+/// Retry delay while a chain is out of use for less than [`NO_ROUTE_RETRY`].
+const PAUSED_ROUTE_RETRY: Duration = Duration::from_millis(100);
 
 /// Chooses targets for this daemon's requests from load reports and cache contents.
 pub struct Routing {
@@ -89,6 +91,13 @@
         }
     }
 
+    /// When to ask again for a chain if there is none now.
+    fn chain_retry(&self, request: &ChainRequest<'_>) -> Duration {
+        let now = Instant::now();
+        let paused = self.state.lock().router.is_paused(request, now, now + NO_ROUTE_RETRY);
+        if paused { PAUSED_ROUTE_RETRY } else { NO_ROUTE_RETRY }
+    }
+
     /// Repeats `select` until none of the chosen hosts is leaving, and marks those that are.
     fn choose<T>(
         &self,
@@ -163,21 +172,12 @@
 
 impl Router for Routing {
     fn chain(&self, need: &ChainNeeds) -> Result<(Chain, Permit), Refusal> {
-        let request = ChainRequest {
-            model: &need.model,
-            version: &need.version,
-            layers: need.layers,
-            adapter: need.adapter.as_deref(),
-            prefixes: &need.prefixes,
-            prompt: need.prompt,
-            expected: need.expected,
-            avoid: &need.avoid,
-        };
+        let request = chain_request(need);
         let chosen = self.choose(|router, now| {
             let choice = router.choose_chain(&request, now)?;
             Some(chain_selection(router, choice))
         });
-        chosen.ok_or_else(|| no_chain(need))
+        chosen.ok_or_else(|| no_chain(need, self.chain_retry(&request)))
     }
 
     fn version(&self, model: &ModelId) -> Option<VersionId> {
@@ -327,13 +327,26 @@
     }
 }
 
-fn no_chain(need: &ChainNeeds) -> Refusal {
+fn chain_request(need: &ChainNeeds) -> ChainRequest<'_> {
+    ChainRequest {
+        model: &need.model,
+        version: &need.version,
+        layers: need.layers,
+        adapter: need.adapter.as_deref(),
+        prefixes: &need.prefixes,
+        prompt: need.prompt,
+        expected: need.expected,
+        avoid: &need.avoid,
+    }
+}
+
+fn no_chain(need: &ChainNeeds, retry_after: Duration) -> Refusal {
     let text = format!(
         "no live chain of targets covers all {} layers of model `{}` version `{}`; \
          see `roseshore running` for its targets, or come back later",
         need.layers, need.model, need.version
     );
-    Refusal::not_run(Code::NoRoute, text).after(NO_ROUTE_RETRY)
+    Refusal::not_run(Code::NoRoute, text).after(retry_after)
 }
 
 fn no_replica(serves: &str) -> Refusal {
