--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -139,7 +139,7 @@
 }
 
 /// Tells the processes of a host apart in an [`Echo`], whose times are relative to one of them.
-pub fn life_tag(life: u64) -> u32 {
+pub(super) fn life_tag(life: u64) -> u32 {
     (life ^ (life >> 32)) as u32
 }
 
