Count liveness checks by reason

Change: `roseshore_liveness_checks_total{reason}`, and `E622` with the checks of a host's last second by reason, if there were any.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -126,6 +126,7 @@
     TargetRelayed = 619, Warn, "a target that this daemon cannot reach is reached through another one";
     TunnelOpened = 620, Debug, "a connection to a target was opened for another daemon, or refused";
     TunnelClosed = 621, Debug, "a connection to a target that was opened for another daemon has ended";
+    TargetsChecked = 622, Debug, "liveness checks that a daemon began within a second, by reason";
     LeaseTaken = 701, Info, "this daemon may give orders";
     LeaseLost = 702, Warn, "this daemon may no longer give orders";
     OrderSent = 703, Info, "an order was sent to a target";
--- a/crates/roseshore_core/src/gateway/liveness.rs
+++ b/crates/roseshore_core/src/gateway/liveness.rs
@@ -16,6 +16,66 @@
 /// Bytes of a message from which it counts as a large transfer: 6 ms of a link with 20 Mbit/s.
 pub const LARGE_TRANSFER: usize = 16 << 10;
 
+/// Why a target is checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckReason {
+    /// A request makes no progress there, or has failed.
+    Request,
+    /// The check before it was not answered.
+    Unanswered,
+    /// It fails this host's checks: whether it is back.
+    Failing,
+    /// Another host reports that it fails checks.
+    Reported,
+    /// Another host asks whether this one reaches it.
+    Asked,
+    /// This host's links may be lost.
+    Link,
+}
+
+impl CheckReason {
+    /// All reasons.
+    pub const ALL: [CheckReason; 6] = [
+        CheckReason::Request,
+        CheckReason::Unanswered,
+        CheckReason::Failing,
+        CheckReason::Reported,
+        CheckReason::Asked,
+        CheckReason::Link,
+    ];
+
+    /// Value used in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CheckReason::Request => "request",
+            CheckReason::Unanswered => "unanswered",
+            CheckReason::Failing => "failing",
+            CheckReason::Reported => "reported",
+            CheckReason::Asked => "asked",
+            CheckReason::Link => "link",
+        }
+    }
+}
+
+/// Checks that were begun, by reason.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CheckCounts([u32; CheckReason::ALL.len()]);
+
+impl CheckCounts {
+    /// Counts a check.
+    pub fn record(&mut self, reason: CheckReason) {
+        self.0[reason as usize] += 1;
+    }
+
+    /// The reasons of the counted checks with their numbers; `None` if there are none.
+    pub fn summary(&self) -> Option<String> {
+        let counted = CheckReason::ALL.iter().zip(self.0).filter(|(_, count)| *count > 0);
+        let parts: Vec<String> =
+            counted.map(|(r, count)| format!("{}={count}", r.name())).collect();
+        (!parts.is_empty()).then(|| parts.join(" "))
+    }
+}
+
 /// What a host knows about the delay of its own link.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkState {
--- a/crates/roseshore_core/tests/gateway/liveness.rs
+++ b/crates/roseshore_core/tests/gateway/liveness.rs
@@ -1,7 +1,7 @@
 //! Tests of when a liveness check counts as unanswered.
 
 use roseshore_core::gateway::liveness::{
-    CHECK_TIMEOUT, LARGE_TRANSFER, LinkState, MAX_TRANSFER_WAIT,
+    CHECK_TIMEOUT, CheckCounts, CheckReason, LARGE_TRANSFER, LinkState, MAX_TRANSFER_WAIT,
 };
 use std::time::{Duration, Instant};
 
@@ -82,3 +82,12 @@
         );
     }
 }
+
+#[test]
+fn counts_name_only_reasons_that_occurred() {
+    let mut counts = CheckCounts::default();
+    assert_eq!(counts.summary(), None);
+    let reasons = [CheckReason::Reported, CheckReason::Request, CheckReason::Reported];
+    reasons.into_iter().for_each(|reason| counts.record(reason));
+    assert_eq!(counts.summary().as_deref(), Some("request=1 reported=2"));
+}
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -8,7 +8,7 @@
 use super::{EntryHost, Role, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
-use roseshore_core::gateway::liveness::{CHECK_TIMEOUT, LinkState};
+use roseshore_core::gateway::liveness::{CHECK_TIMEOUT, CheckCounts, CheckReason, LinkState};
 use roseshore_core::gateway::targets::{LivenessFailure, Target};
 use roseshore_core::prelude::*;
 use std::collections::HashMap;
@@ -28,6 +28,8 @@
 const MAX_PENDING_CHECKS: usize = 64;
 /// Time after which a target that other hosts still report to fail is checked again.
 const VERIFY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between log lines that count the checks.
+const COUNTS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The checks of one target.
 #[derive(Clone, Copy, Debug, Default)]
@@ -51,6 +53,9 @@
     checks: HashMap<TargetId, Check>,
     /// Targets found dead in this iteration of the event loop.
     dead: Vec<TargetId>,
+    /// Checks begun since the last log line about them, and when that was written.
+    counts: CheckCounts,
+    counted_at: Option<Instant>,
     /// How late answers to checks may be because of this host's link.
     pub(super) link: LinkState,
 }
@@ -71,7 +76,7 @@
         let due = check.last.is_none_or(|at| now.saturating_duration_since(at) >= CHECK_INTERVAL);
         check.urgent = true;
         if due || check.unanswered > 0 {
-            self.start_check(id);
+            self.start_check(id, CheckReason::Request);
         }
     }
 
@@ -81,7 +86,7 @@
     }
 
     /// Starts a check of a target, unless one is in progress.
-    pub(super) fn start_check(&mut self, id: &str) {
+    pub(super) fn start_check(&mut self, id: &str, reason: CheckReason) {
         let now = self.now;
         let Some(target) = self.targets.get(id) else { return };
         let (addr, fails) = (target.record.addr, target.liveness_failure().is_some());
@@ -92,6 +97,9 @@
             // Whether another host still reaches it is known when this check has failed as well.
             self.ask_reach(id);
         }
+        self.liveness.counts.record(reason);
+        metrics::counter!("roseshore_liveness_checks_total", "reason" => reason.name())
+            .increment(1);
         let check = self.liveness.checks.entry(id.to_owned()).or_default();
         check.last = Some(now);
         if check.unanswered == 0 || fails {
@@ -156,7 +164,7 @@
             self.mark_dead(&id, LivenessFailure::Silent, &text);
         } else {
             self.ask_reach(&id);
-            self.start_check(&id);
+            self.start_check(&id, CheckReason::Unanswered);
         }
     }
 
@@ -226,15 +234,15 @@
     /// Checks the targets that other hosts report to fail their checks and that have shown no sign
     /// of life here since `since`: the fault may be at the links of those hosts.
     pub(super) fn verify_reports(&mut self, since: Instant) {
-        self.check_all(self.targets.unverified(since));
+        self.check_all(self.targets.unverified(since), CheckReason::Reported);
     }
 
     /// Starts checks of targets, as far as not too many are in progress.
-    fn check_all(&mut self, mut targets: Vec<TargetId>) {
+    fn check_all(&mut self, mut targets: Vec<TargetId>, reason: CheckReason) {
         let pending = self.liveness.checks.values().filter(|check| check.pending).count();
         targets.truncate(MAX_PENDING_CHECKS.saturating_sub(pending));
         for id in targets {
-            self.start_check(&id);
+            self.start_check(&id, reason);
         }
     }
 
@@ -250,7 +258,7 @@
             })
         };
         let unseen = self.targets.unseen(since).into_iter().filter(used).collect();
-        self.check_all(unseen);
+        self.check_all(unseen, CheckReason::Link);
     }
 
     /// Checks dead targets again, and drops the state of targets that are no longer listed.
@@ -272,8 +280,21 @@
             let relayed = self.targets.get(&id).is_some_and(|t| t.relay().is_some());
             let interval = if relayed { RELAYED_CHECK_INTERVAL } else { DEAD_CHECK_INTERVAL };
             if last.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
-                self.start_check(&id);
+                self.start_check(&id, CheckReason::Failing);
             }
         }
+        self.log_checks();
+    }
+
+    /// Logs the checks of the last second by reason, if there were any.
+    fn log_checks(&mut self) {
+        let logged = self.liveness.counted_at.get_or_insert(self.now);
+        if self.now.saturating_duration_since(*logged) < COUNTS_INTERVAL {
+            return;
+        }
+        *logged = self.now;
+        if let Some(counts) = std::mem::take(&mut self.liveness.counts).summary() {
+            log_event!(self, TargetsChecked, "{counts}");
+        }
     }
 }
