Speakers check targets in doubt, others seldom; checks for others leave no verdict

Each failing check asks five other hosts, whose own checks then fail, and they do the same. While one target is reached through another host, a host checks all targets of its data centre each second, successfully. Change: `liveness/schedule.rs` decides when a target in doubt is checked: the speakers as before; a host with requests there at once, then as long again as the report has stood, up to 8 s; the rest take turns, four a second for all of them. A check that only answers another host leaves no verdict when it fails and is made twice a second at most. At most 32 targets a second are checked for a doubtful link. A speaker that finds a failing target back says so at once.

--- a/crates/roseshore_core/src/gateway/liveness.rs
+++ b/crates/roseshore_core/src/gateway/liveness.rs
@@ -5,7 +5,10 @@
 //! says nothing about its target. The wait goes on until the transfer is over, or until a later
 //! check is answered, which shows that the link has delivered what arrived before.
 
+mod schedule;
+
 use crate::prelude::*;
+pub use schedule::{CheckDuty, Doubt, LinkChecks};
 
 /// Time-out of a check. Answers take two milliseconds between data centres, and 12 ms from a target
 /// that is twelve times slower than usual.
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -15,6 +15,7 @@
 mod target;
 
 use super::hashes::TargetHash;
+use super::liveness::Doubt;
 use super::paces::{EnginePace, PaceReport};
 use super::path::{Candidate, MAX_QUEUED, PathRequest};
 use super::plan::pressure::{EngineUsage, peak_utilisation};
@@ -461,17 +462,18 @@
         })
     }
 
-    /// Targets that other hosts report to fail liveness checks while this host's checks passed or
-    /// were not made, and that have shown no sign of life here since `since`.
-    pub fn unverified(&self, since: Instant) -> Vec<TargetId> {
-        if !self.reported_down {
-            return Vec::new();
-        }
-        let unverified = |t: &&Target| {
-            t.liveness_failure.is_none()
-                && t.reported_at.is_some_and(|at| t.alive_at < Some(at.max(since)))
+    /// Targets that fail liveness checks of this host, or of others by their reports.
+    pub fn doubtful(&self) -> Vec<(TargetId, Doubt)> {
+        let doubtful = |t: &&Target| t.liveness_failure.is_some() || t.reported_at.is_some();
+        let doubt = |t: &Target| Doubt {
+            target: t.hash,
+            reported: t.reported_at,
+            failing: t.liveness_failure.is_some(),
+            relayed: t.relay().is_some(),
+            used: t.in_flight > 0,
+            alive: t.alive_at,
         };
-        self.all.values().filter(unverified).map(|t| t.record.id.clone()).collect()
+        self.all.values().filter(doubtful).map(|t| (t.record.id.clone(), doubt(t))).collect()
     }
 
     /// Targets that other hosts report to fail liveness checks and that this host reached after the
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -286,6 +286,11 @@
             && self.reported_at.is_some_and(|reported| self.alive_at >= Some(reported))
     }
 
+    /// Latest time at which it was alive by this host's own observation.
+    pub fn alive_at(&self) -> Option<Instant> {
+        self.alive_at
+    }
+
     /// How it failed this host's latest liveness check; `None` if it passed.
     pub fn liveness_failure(&self) -> Option<LivenessFailure> {
         self.liveness_failure
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -5,6 +5,7 @@
     mod admission_load;
     mod availability;
     mod avoid;
+    mod check_load;
     mod copies;
     mod demand;
     mod failure;
--- a/crates/roseshore_core/tests/gateway/liveness.rs
+++ b/crates/roseshore_core/tests/gateway/liveness.rs
@@ -1,7 +1,8 @@
-//! Tests of when a liveness check counts as unanswered.
+//! Tests of when a target is checked for life, and when a check counts as unanswered.
 
 use roseshore_core::gateway::liveness::{
-    CHECK_TIMEOUT, CheckCounts, CheckReason, LARGE_TRANSFER, LinkState, MAX_TRANSFER_WAIT,
+    CHECK_TIMEOUT, CheckCounts, CheckDuty, CheckReason, Doubt, LARGE_TRANSFER, LinkChecks,
+    LinkState, MAX_TRANSFER_WAIT,
 };
 use std::time::{Duration, Instant};
 
@@ -91,3 +92,119 @@
     reasons.into_iter().for_each(|reason| counts.record(reason));
     assert_eq!(counts.summary().as_deref(), Some("request=1 reported=2"));
 }
+
+/// What a host knows of a target at 20,000 ms; reports and checks began at the named times.
+#[derive(Clone, Copy)]
+struct DueCase {
+    name: &'static str,
+    reported: Option<u64>,
+    failing: bool,
+    relayed: bool,
+    used: bool,
+    speaks: bool,
+    alive: Option<u64>,
+    last: Option<u64>,
+    due: bool,
+}
+
+#[test]
+fn a_target_in_doubt_is_checked_by_those_who_need_to_know() {
+    const NOW: u64 = 20_000;
+    let case = DueCase {
+        name: "",
+        reported: Some(NOW),
+        failing: false,
+        relayed: false,
+        used: false,
+        speaks: false,
+        alive: None,
+        last: None,
+        due: false,
+    };
+    let failing = DueCase { failing: true, ..case };
+    let cases = [
+        DueCase { name: "new report, no use", ..case },
+        DueCase { name: "new report, used", used: true, due: true, ..case },
+        DueCase { name: "new report, a speaker", speaks: true, due: true, ..case },
+        DueCase { name: "checked before", used: true, last: Some(NOW - 1), due: true, ..case },
+        DueCase { name: "data since the report", used: true, alive: Some(NOW), ..case },
+        DueCase { name: "its turn has come", reported: Some(NOW - 10_000), due: true, ..case },
+        DueCase {
+            name: "after its turn",
+            reported: Some(NOW - 10_000),
+            last: Some(NOW - 5_000),
+            ..case
+        },
+        DueCase {
+            name: "a speaker looks each second",
+            reported: Some(NOW - 10_000),
+            speaks: true,
+            last: Some(NOW - 1_000),
+            due: true,
+            ..case
+        },
+        DueCase {
+            name: "a user waits as long again",
+            reported: Some(NOW - 10_000),
+            used: true,
+            last: Some(NOW - 4_000),
+            ..case
+        },
+        DueCase {
+            name: "a user at last",
+            reported: Some(NOW - 10_000),
+            used: true,
+            last: Some(NOW - 6_000),
+            due: true,
+            ..case
+        },
+        DueCase { name: "fails here alone", reported: None, last: Some(NOW - 400), ..failing },
+        DueCase {
+            name: "fails here alone, later",
+            reported: None,
+            last: Some(NOW - 500),
+            due: true,
+            ..failing
+        },
+        DueCase { name: "no doubt", reported: None, ..case },
+        DueCase {
+            name: "another host reaches it",
+            relayed: true,
+            reported: None,
+            last: Some(NOW - 900),
+            ..failing
+        },
+        DueCase {
+            name: "another host reaches it, later",
+            relayed: true,
+            last: Some(NOW - 1_000),
+            due: true,
+            ..failing
+        },
+    ];
+    let origin = Instant::now();
+    let at = |ms| origin + Duration::from_millis(ms);
+    for case in cases {
+        let addr = ([10, 0, 0, 1], 1).into();
+        let duty = CheckDuty { speaks: case.speaks, hosts: 40, addr };
+        let doubt = Doubt {
+            target: 7,
+            reported: case.reported.map(at),
+            failing: case.failing,
+            relayed: case.relayed,
+            used: case.used,
+            alive: case.alive.map(at),
+        };
+        assert_eq!(duty.is_due(&doubt, case.last.map(at), at(NOW)), case.due, "{}", case.name);
+    }
+}
+
+/// Guards against a host that checks all targets of its data centre each second as long as another
+/// host reaches one of them for it.
+#[test]
+fn checks_of_a_doubtful_link_are_bounded() {
+    let start = Instant::now();
+    let mut checks = LinkChecks::default();
+    let taken = |checks: &mut LinkChecks, ms| checks.take(20, start + Duration::from_millis(ms));
+    assert_eq!([0, 100, 999, 1_000].map(|ms| taken(&mut checks, ms)), [20, 12, 0, 20]);
+}
--- a/crates/roseshore_relay/src/entry/heartbeats.rs
+++ b/crates/roseshore_relay/src/entry/heartbeats.rs
@@ -102,7 +102,7 @@
         self.log_reports(&changes);
         self.room_changed();
         if !changes.down.is_empty() {
-            self.verify_reports(self.started);
+            self.recheck_doubtful();
         }
     }
 
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -8,26 +8,27 @@
 use super::{EntryHost, Role, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
-use roseshore_core::gateway::liveness::{CHECK_TIMEOUT, CheckCounts, CheckReason, LinkState};
+use roseshore_core::gateway::liveness::{
+    CHECK_TIMEOUT, CheckCounts, CheckDuty, CheckReason, LinkChecks, LinkState,
+};
 use roseshore_core::gateway::targets::{LivenessFailure, Target};
 use roseshore_core::prelude::*;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 
 /// Shortest interval between checks of a target.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between checks of a dead target.
-const DEAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between checks of a target that is reached through another host.
-const RELAYED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered checks in a row after which a target is considered dead. A single one may be a lost
 /// packet.
 const MAX_UNANSWERED: u32 = 2;
 
 /// Maximum number of checks in progress when more targets are to be checked without being in use.
 const MAX_PENDING_CHECKS: usize = 64;
-/// Time after which a target that other hosts still report to fail is checked again.
-const VERIFY_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between checks of a target to answer other hosts.
+const ASKED_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a sign of life after which a target is checked while the host's links are in doubt.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between log lines that count the checks.
 const COUNTS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -41,6 +42,10 @@
     pending: bool,
     /// Whether it was started because a request makes no progress or has failed.
     urgent: bool,
+    /// Whether the check in progress was started only to answer another host.
+    asked: bool,
+    /// When a check was last started to answer another host.
+    asked_at: Option<Instant>,
     /// Unanswered checks in a row.
     unanswered: u32,
     /// Bytes that the host had received when the last check began.
@@ -53,6 +58,9 @@
     checks: HashMap<TargetId, Check>,
     /// Targets found dead in this iteration of the event loop.
     dead: Vec<TargetId>,
+    /// Whether targets that failed checks have passed one in this iteration of the event loop.
+    back: bool,
+    link_checks: LinkChecks,
     /// Checks begun since the last log line about them, and when that was written.
     counts: CheckCounts,
     counted_at: Option<Instant>,
@@ -74,7 +82,7 @@
         let now = self.now;
         let check = self.liveness.checks.entry(id.to_owned()).or_default();
         let due = check.last.is_none_or(|at| now.saturating_duration_since(at) >= CHECK_INTERVAL);
-        check.urgent = true;
+        (check.urgent, check.asked) = (true, false);
         if due || check.unanswered > 0 {
             self.start_check(id, CheckReason::Request);
         }
@@ -85,12 +93,24 @@
         self.liveness.checks.get(id).is_some_and(|check| check.unanswered > 0)
     }
 
+    /// Checks a target for another host, unless it was done less than [`ASKED_INTERVAL`] ago.
+    pub(super) fn check_for_other(&mut self, id: &str) {
+        let now = self.now;
+        let check = self.liveness.checks.entry(id.to_owned()).or_default();
+        let due = |at| now.saturating_duration_since(at) >= ASKED_INTERVAL;
+        if check.asked_at.is_none_or(due) {
+            check.asked_at = Some(now);
+            self.start_check(id, CheckReason::Asked);
+        }
+    }
+
     /// Starts a check of a target, unless one is in progress.
     pub(super) fn start_check(&mut self, id: &str, reason: CheckReason) {
         let now = self.now;
         let Some(target) = self.targets.get(id) else { return };
         let (addr, fails) = (target.record.addr, target.liveness_failure().is_some());
-        if self.liveness.checks.get(id).is_some_and(|check| check.pending) {
+        if let Some(check) = self.liveness.checks.get_mut(id).filter(|check| check.pending) {
+            check.asked &= reason == CheckReason::Asked;
             return;
         }
         if fails {
@@ -106,6 +126,7 @@
             check.first = Some(now);
         }
         check.received = self.net.received();
+        check.asked = reason == CheckReason::Asked;
         match self.net.connect(addr) {
             Ok(key) => {
                 check.pending = true;
@@ -133,12 +154,29 @@
             let started = check.last.unwrap_or(self.now);
             self.liveness.link.record_answer(started);
             self.reply_reached(&id);
+            let failed = self.targets.get(&id).is_some_and(|t| t.liveness_failure().is_some());
+            self.liveness.back |= failed;
             if self.targets.liveness_passed(&id, started) {
                 log_event!(self, TargetBack, "target={id} by=liveness");
             }
             return;
         }
-        self.mark_dead(&id, LivenessFailure::Reset, "");
+        if !self.forget_asked(&id) {
+            self.mark_dead(&id, LivenessFailure::Reset, "");
+        }
+    }
+
+    /// Forgets a failed check that was started only to answer another host. If it counted, all
+    /// hosts would check a lost target in the end, as each of them asks others again.
+    fn forget_asked(&mut self, id: &str) -> bool {
+        let Some(check) = self.liveness.checks.get_mut(id).filter(|c| c.asked) else {
+            return false;
+        };
+        (check.asked, check.last) = (false, None);
+        if check.unanswered == 0 {
+            check.first = None;
+        }
+        true
     }
 
     /// Handles a check that was not answered in time, unless the answer may still wait behind a
@@ -151,6 +189,9 @@
             return self.set_timer(timeout, Timer::Liveness(key));
         }
         let Some(id) = self.end_check(key) else { return };
+        if self.forget_asked(&id) {
+            return;
+        }
         let Some(check) = self.liveness.checks.get_mut(&id) else { return };
         check.unanswered += 1;
         if check.unanswered >= MAX_UNANSWERED {
@@ -207,6 +248,10 @@
     /// is cut off die together, and a request that was sent to each of them in turn would use up
     /// the retry budget.
     pub(super) fn reroute_from_dead(&mut self) {
+        if std::mem::take(&mut self.liveness.back) && self.peers.speaking() {
+            // The other hosts of the data centre seldom check it themselves.
+            self.heartbeat_now(false);
+        }
         let dead = std::mem::take(&mut self.liveness.dead);
         if dead.is_empty() {
             return;
@@ -231,10 +276,34 @@
         }
     }
 
-    /// Checks the targets that other hosts report to fail their checks and that have shown no sign
-    /// of life here since `since`: the fault may be at the links of those hosts.
-    pub(super) fn verify_reports(&mut self, since: Instant) {
-        self.check_all(self.targets.unverified(since), CheckReason::Reported);
+    /// Checks the targets that are due: those that fail, to see whether they are back, and those
+    /// that other hosts report to fail, since the fault may be at the links of those hosts.
+    pub(super) fn recheck_doubtful(&mut self) {
+        let (now, addr) = (self.now, self.peers.addr());
+        let (speaks, hosts) = (self.peers.speaking(), 1 + self.peers.other_hosts(now));
+        let duty = CheckDuty { speaks, hosts, addr };
+        let doubtful = self.targets.doubtful();
+        let due =
+            doubtful.into_iter().filter(|(id, doubt)| duty.is_due(doubt, self.last_check(id), now));
+        let (failing, reported): (Vec<_>, Vec<_>) = due.partition(|(_, doubt)| doubt.failing);
+        for (id, _) in failing {
+            self.start_check(&id, CheckReason::Failing);
+        }
+        let reported = reported.into_iter().map(|(id, _)| id).collect();
+        self.check_all(reported, CheckReason::Reported);
+    }
+
+    /// When a target was last checked.
+    fn last_check(&self, id: &str) -> Option<Instant> {
+        self.liveness.checks.get(id).and_then(|check| check.last)
+    }
+
+    /// Whether this host sends requests to a target, or is likely to.
+    fn is_likely(&self, target: &Target) -> bool {
+        let record = &target.record;
+        target.in_flight > 0
+            || record.kind.is_none()
+            || record.data_centre == self.settings.data_centre
     }
 
     /// Starts checks of targets, as far as not too many are in progress.
@@ -246,24 +315,25 @@
         }
     }
 
-    /// Checks all targets that have shown no sign of life recently: another host reaches a target
-    /// that this one does not, so its link to others may be lost as well.
+    /// Checks targets that have shown no sign of life recently: another host reaches a target that
+    /// this one does not, so its link to others may be lost as well. Those with requests are checked
+    /// first, then those not seen for the longest time.
     pub(super) fn suspect_link(&mut self) {
-        let since = self.now.checked_sub(VERIFY_INTERVAL).unwrap_or(self.now);
-        let local = &self.settings.data_centre;
-        let used = |id: &TargetId| {
-            let target = self.targets.get(id);
-            target.is_some_and(|t| {
-                t.in_flight > 0 || t.record.kind.is_none() || t.record.data_centre == *local
-            })
-        };
-        let unseen = self.targets.unseen(since).into_iter().filter(used).collect();
+        let now = self.now;
+        let since = now.checked_sub(LINK_CHECK_INTERVAL).unwrap_or(now);
+        let target = |id: &TargetId| self.targets.get(id);
+        let likely = |id: &TargetId| target(id).is_some_and(|t| self.is_likely(t));
+        let checked = |id: &TargetId| self.last_check(id).is_some_and(|last| last > since);
+        let mut unseen = self.targets.unseen(since);
+        unseen.retain(|id| likely(id) && !checked(id));
+        unseen.sort_by_key(|id| target(id).map(|t| (Reverse(t.in_flight > 0), t.alive_at())));
+        unseen.truncate(self.liveness.link_checks.take(unseen.len(), now));
         self.check_all(unseen, CheckReason::Link);
     }
 
-    /// Checks dead targets again, and drops the state of targets that are no longer listed.
+    /// Checks targets again that may be lost, and drops the state of targets that are no longer
+    /// listed.
     pub(super) fn recheck_dead(&mut self) {
-        let now = self.now;
         let targets = &self.targets;
         self.liveness.checks.retain(|id, check| check.pending || targets.get(id).is_some());
         let (own, reported, relayed) = self.targets.down_counts();
@@ -271,18 +341,10 @@
         metrics::gauge!("roseshore_targets_relayed").set(relayed as f64);
         metrics::gauge!("roseshore_tunnels").set(self.tunnel_count() as f64);
         metrics::gauge!("roseshore_targets_down", "by" => "reported").set(reported as f64);
-        self.verify_reports(now.checked_sub(VERIFY_INTERVAL).unwrap_or(now));
+        self.recheck_doubtful();
         if relayed > 0 {
             self.suspect_link();
         }
-        for id in self.targets.dead() {
-            let last = self.liveness.checks.get(&id).and_then(|d| d.last);
-            let relayed = self.targets.get(&id).is_some_and(|t| t.relay().is_some());
-            let interval = if relayed { RELAYED_CHECK_INTERVAL } else { DEAD_CHECK_INTERVAL };
-            if last.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
-                self.start_check(&id, CheckReason::Failing);
-            }
-        }
         self.log_checks();
     }
 
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -16,7 +16,6 @@
 use crate::slab::{Key, Slab};
 use rand::seq::IndexedRandom;
 use roseshore_core::gateway::Fault;
-use roseshore_core::gateway::liveness::CheckReason;
 use roseshore_core::gateway::peers::{
     Datagram, PeerRequest, ReachQuery, ReachReply, TargetHash, TunnelReply, TunnelRequest,
 };
@@ -187,7 +186,7 @@
             }
             let fails = self.targets.get(&id).is_some_and(|t| t.liveness_failure().is_some());
             if !fails {
-                self.start_check(&id, CheckReason::Asked);
+                self.check_for_other(&id);
             }
             let (sent, hash, since) = (query.sent, *hash, self.now);
             self.relays.waiting.push(Waiting { from, sent, hash, id, since });
