--- a/crates/roseshore_core/tests/gateway/liveness.rs
+++ b/crates/roseshore_core/tests/gateway/liveness.rs
@@ -89,7 +89,9 @@
     let mut counts = CheckCounts::default();
     assert_eq!(counts.summary(), None);
     let reasons = [CheckReason::Reported, CheckReason::Request, CheckReason::Reported];
-    reasons.into_iter().for_each(|reason| counts.record(reason));
+    for reason in reasons {
+        counts.record(reason);
+    }
     assert_eq!(counts.summary().as_deref(), Some("request=1 reported=2"));
 }
 
