--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -56,7 +56,11 @@
             culprits.join(","),
         );
         exchange.refused_sends += u32::from(fault == Fault::Refused);
-        exchange.last_failure = Some(SendFailure { fault, evidence, at: now });
+        let failure = Some(SendFailure { fault, evidence, at: now });
+        exchange.last_failure = failure;
+        if fault == Fault::Silent {
+            exchange.last_silence = failure;
+        }
         let full = refusal == Some(Refusal::Full);
         (exchange.refused_full, exchange.loan_wait) = (full, None);
         if fault == Fault::NotSent {
@@ -152,6 +156,9 @@
     /// Sends a request again after a fault, or ends it.
     fn retry_or_end(&mut self, key: Key, fault: Fault) {
         let now = self.now;
+        if self.resume_displaced(key, fault) {
+            return;
+        }
         let Some(exchange) = self.exchanges.get(key) else { return };
         let full = exchange.refused_full;
         if failure::next_step(&exchange.retry_state(now)) == NextStep::Retry
