--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -190,7 +190,7 @@
             }
             let fails = self.targets.get(&id).is_some_and(|t| t.liveness_failure().is_some());
             if !fails {
-                self.start_check(&id);
+                self.check_for_other(&id);
             }
             let (sent, hash, since) = (query.sent, *hash, self.now);
             self.relays.waiting.push(Waiting { from, sent, hash, id, since });
