--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -138,7 +138,7 @@
     Reached(ReachReply),
 }
 
-/// Tells the processes of a host apart in an [`Echo`], whose times are relative to one of them.
+/// Identifies a process of a host in an [`Echo`], whose times are relative to that process.
 pub(super) fn life_tag(life: u64) -> u32 {
     (life ^ (life >> 32)) as u32
 }
