--- a/crates/roseshore_core/src/gateway/peers.rs
+++ b/crates/roseshore_core/src/gateway/peers.rs
@@ -11,8 +11,8 @@
 //! The protocol tolerates the loss of any message. A delayed heartbeat must not be taken for a
 //! fresh one, so the time of a freshness proof is expressed on the receiver's own clock: the sender
 //! names the last heartbeat that it received from the receiver and the process that sent it, and how
-//! long after it the proof was made. A proof relayed by a speaker is first expressed on the speaker's clock, and grows older
-//! with each hop.
+//! long after it the proof was made. A proof relayed by a speaker is first expressed on the
+//! speaker's clock, and grows older with each hop.
 
 mod demand;
 mod lending;
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -396,8 +396,8 @@
         let (failure, silence) = (exchange.last_failure, exchange.last_silence);
         let text = format!(
             "request={} target={} begun={begun} events={events} silent_ms={} sends={} \
-             standbys={} failure={} evidence={} failed_ms_ago={} silence={} given_up_ms_ago={} config_version={} config_in_force={} applied_ms_ago={} \
-             code={code} why={why:?}",
+             standbys={} failure={} evidence={} failed_ms_ago={} silence={} given_up_ms_ago={} \
+             config_version={} config_in_force={} applied_ms_ago={} code={code} why={why:?}",
             exchange.request_fields.attempt,
             exchange.send.as_ref().map_or("-", |send| send.target.as_str()),
             since(Some(latest_at.unwrap_or(exchange.started))),
