An entry with layers outside the model ends no host

Each host of its data centre panicked, and again after each start.

Cause: the plan of the layers indexed the model's layers with the ranges of the engines. The end of a range was clamped to the model, its beginning was not, and nothing had compared ranges from outside with the model before. A range that began within the model was taken for an engine's: it got requests, checks and orders.

Evidence: the panic in the hosts' logs (plan.rs:149, "range start index 88 out of range for slice of length 80").

Change: Targets compares entries and reports with the models of the configuration in force, and leaves out entries that do not fit. They stay in the list, whose digest hosts compare. The plan leaves out engines with such ranges, whichever way they came: a configuration with a smaller model may arrive before the engines' new entries. One predicate, EngineSpec::contains.

Why it works: each way by which a range enters (entry, copy, report of a target, report and order of another host, change of the configuration) ends in Targets or in the plan, and both compare it.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -115,7 +115,7 @@
     HostLeaving = 607, Info, "a daemon takes no new work";
     TargetListed = 608, Info, "a target is listed, or its record changed";
     TargetLapsed = 609, Info, "a target dropped out of the list after an outage of the store";
-    RecordSkipped = 610, Warn, "a record of the list of targets cannot be read";
+    RecordSkipped = 610, Warn, "a record of the list of targets cannot be read or used";
     DatagramSkipped = 611, Warn, "a datagram cannot be read or sent";
     CopyFailed = 612, Warn, "another host's copy of the store's records could not be had or given";
     SpeakingChanged = 613, Info, "a daemon began or ended to speak for its data centre";
--- a/crates/roseshore_core/src/gateway/plan.rs
+++ b/crates/roseshore_core/src/gateway/plan.rs
@@ -11,6 +11,8 @@
 //! Later changes are kept few. A gap in the layers is shared out among its neighbours and empty
 //! engines, so that it is filled soon, and an empty engine that is not needed for that takes the
 //! range with the least capacity.
+//!
+//! Engines whose ranges do not lie within the model are left out of the plan.
 
 mod copies;
 mod improve;
@@ -63,16 +65,24 @@
     (both.0 < both.1).then_some(both)
 }
 
+/// Whether all ranges of an engine lie within the model. A configuration with fewer layers may
+/// arrive before the engines report their new ranges.
+fn is_within_model(spec: &EngineSpec, engine: &EngineState) -> bool {
+    let ranges = [engine.layers, engine.assured, engine.ready];
+    ranges.into_iter().flatten().all(|layers| spec.contains(layers))
+}
+
 /// An engine and the range it should hold.
 pub type Placement = (TargetId, LayerRange);
 
 /// The placements that engines should get and do not have yet: all of them for a data centre whose
 /// engines hold nothing, and otherwise those that fill gaps or give empty engines layers.
 pub fn plan(spec: &EngineSpec, engines: &[EngineState]) -> Vec<Placement> {
-    if engines.iter().all(|e| e.layers.is_none()) {
-        return initial_placement(spec, engines);
+    let mut planned: Vec<EngineState> =
+        engines.iter().filter(|e| is_within_model(spec, e)).cloned().collect();
+    if planned.iter().all(|e| e.layers.is_none()) {
+        return initial_placement(spec, &planned);
     }
-    let mut planned = engines.to_vec();
     let mut placements = Vec::new();
     while let Some(gap) = first_uncovered(spec, &planned) {
         let mut moves = repair(spec, &planned, gap);
@@ -112,9 +122,10 @@
 /// cache of two of the largest requests.
 const REPAIR_CAPACITIES: [f64; 3] = [40_000.0, 18_000.0, 6_000.0];
 
-/// The first run of layers that none of the ranges `held` covers.
+/// The first run of layers that none of the ranges `held` covers; ranges beyond the model do not
+/// count.
 pub fn first_gap(spec: &EngineSpec, held: impl Iterator<Item = LayerRange>) -> Option<LayerRange> {
-    let mut ranges: Vec<LayerRange> = held.collect();
+    let mut ranges: Vec<LayerRange> = held.filter(|layers| spec.contains(*layers)).collect();
     ranges.sort_unstable();
     let reach = |end, (from, to): LayerRange| if from <= end { to.max(end) } else { end };
     let end = ranges.iter().copied().fold(0, reach);
@@ -145,8 +156,7 @@
         let Some((from, to)) = engine.layers.filter(|_| index != excluded) else { continue };
         let Some(kind) = spec.kind(Some(&engine.kind)) else { continue };
         let capacity = spec.kv_capacity(kind.memory_mb, to - from).max(1.0);
-        let to = usize::from(to).min(capacities.len());
-        capacities[usize::from(from)..to].iter_mut().for_each(|r| *r += capacity);
+        capacities[usize::from(from)..usize::from(to)].iter_mut().for_each(|r| *r += capacity);
     }
     capacities
 }
--- a/crates/roseshore_core/src/gateway/plan/improve.rs
+++ b/crates/roseshore_core/src/gateway/plan/improve.rs
@@ -8,7 +8,7 @@
 //! lost order on the way costs no more than a new plan.
 
 use super::value::Layout;
-use super::{EngineState, JOIN_CAPACITIES, LayerRange, Move, join_width};
+use super::{EngineState, JOIN_CAPACITIES, LayerRange, Move, is_within_model, join_width};
 use crate::gateway::routes::EngineSpec;
 use crate::prelude::*;
 
@@ -27,10 +27,7 @@
 
 /// The step with the highest throughput, if its gain is large enough.
 pub(super) fn improve(spec: &EngineSpec, engines: &[EngineState]) -> Option<Move> {
-    // A configuration with fewer layers may arrive before the engines report their new ranges.
-    let valid =
-        |e: &EngineState| [e.layers, e.ready].iter().flatten().all(|(_, to)| *to <= spec.layers);
-    if !engines.iter().all(valid) {
+    if !engines.iter().all(|e| is_within_model(spec, e)) {
         return None;
     }
     let mut layout = Layout::new(spec, engines);
--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -129,6 +129,12 @@
         self.kinds.iter().find(|k| Some(k.name.as_str()) == name)
     }
 
+    /// Whether a range of layers, the first and one past the last, is not empty and lies within the
+    /// model.
+    pub fn contains(&self, (from, to): (Layer, Layer)) -> bool {
+        from < to && to <= self.layers
+    }
+
     /// KV cache of one token in one layer, MB.
     pub fn kv_mb(&self) -> f64 {
         self.kv_bytes / f64::from(self.layers) / 1e6
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -12,6 +12,7 @@
 
 mod availability;
 mod list;
+mod models;
 mod target;
 
 use super::hashes::TargetHash;
@@ -30,6 +31,8 @@
 use availability::StoredAvailability;
 use list::DroppedTargets;
 pub use list::{Absence, ListDelta, ListUpdate, RecordChange};
+pub use models::ForeignLayers;
+use models::Models;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -91,6 +94,8 @@
     reported_down: bool,
     /// What targets reported about their availability, by incarnation.
     availability: HashMap<TargetHash, StoredAvailability>,
+    /// The models whose layers engines hold.
+    models: Models,
 }
 
 impl Targets {
@@ -111,7 +116,7 @@
 
     /// The id of the target that listens at an address.
     pub fn id_at(&self, addr: SocketAddr) -> Option<&TargetId> {
-        let listens = |t: &&Target| t.record.addr == addr && !t.replaced;
+        let listens = |t: &&Target| t.record.addr == addr && !t.replaced && !t.foreign;
         self.all.values().find(listens).map(|t| &t.record.id)
     }
 
@@ -125,9 +130,9 @@
         self.all.is_empty()
     }
 
-    /// Iterates over the targets of a service.
+    /// Iterates over the targets of a service, without entries of other programs.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
-        self.all.values().filter(move |t| t.record.service == service)
+        self.all.values().filter(move |t| t.record.service == service && !t.foreign)
     }
 
     /// Accounts for a request that is sent to a target.
@@ -372,7 +377,8 @@
 
     /// Targets that pass this host's checks and have shown no sign of life since `since`.
     pub fn unseen(&self, since: Instant) -> Vec<TargetId> {
-        let unseen = |t: &&Target| t.liveness_failure.is_none() && t.alive_at < Some(since);
+        let unseen =
+            |t: &&Target| t.liveness_failure.is_none() && t.alive_at < Some(since) && !t.foreign;
         self.all.values().filter(unseen).map(|t| t.record.id.clone()).collect()
     }
 
@@ -402,8 +408,8 @@
 
     /// Applies a report of the layers that a target holds; an empty range means that the target was
     /// shown not to hold what the list says. The report is believed until `until`. Returns whether
-    /// it is new. Reports older than the latest one, or made against another list record, are
-    /// ignored. Reports with equal numbers are ordered by their content, so all hosts settle on the
+    /// it is new. Reports older than the latest one, made against another list record or of layers
+    /// that the model does not have are ignored. Reports with equal numbers are ordered by their content, so all hosts settle on the
     /// same one.
     pub fn apply_report(
         &mut self,
@@ -417,6 +423,10 @@
         if report < target.layers_report || report.listed != target.layers_report.listed {
             return false;
         }
+        let holds_some = report.layers.0 < report.layers.1;
+        if holds_some && !self.models.contain(&target.record.service, report.layers) {
+            return false;
+        }
         let new = report > target.layers_report;
         target.layers_report = report;
         let (from, to) = report.layers;
@@ -464,7 +474,8 @@
 
     /// Targets that fail liveness checks of this host, or of others by their reports.
     pub fn doubtful(&self) -> Vec<(TargetId, Doubt)> {
-        let doubtful = |t: &&Target| t.liveness_failure.is_some() || t.reported_at.is_some();
+        let doubtful =
+            |t: &&Target| (t.liveness_failure.is_some() || t.reported_at.is_some()) && !t.foreign;
         let doubt = |t: &Target| Doubt {
             target: t.hash,
             reported: t.reported_at,
--- a/crates/roseshore_core/src/gateway/targets/list.rs
+++ b/crates/roseshore_core/src/gateway/targets/list.rs
@@ -90,6 +90,7 @@
         }
         self.digest ^= known.digest();
         let changed = known.update_record(record);
+        self.models.check(known);
         self.digest ^= known.digest();
         if changed { RecordChange::Changed } else { RecordChange::Unchanged }
     }
@@ -97,6 +98,7 @@
     fn add(&mut self, mut target: Target) {
         target.changed_at = self.position;
         target.availability = self.availability_of(target.hash);
+        self.models.check(&mut target);
         self.digest ^= target.digest();
         self.ids.insert(target.hash, target.record.id.clone());
         self.all.insert(target.record.id.clone(), target);
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -178,6 +178,9 @@
     pub(super) missing_until: Option<Instant>,
     /// Whether another target answered at its address.
     pub(super) replaced: bool,
+    /// Whether its record lists layers that the model of its service does not have. It is the entry
+    /// of another program then, and is neither used nor checked.
+    pub(super) foreign: bool,
     pub(super) hash: TargetHash,
     /// Digest of its record.
     digest: u64,
@@ -226,6 +229,7 @@
             usable: None,
             missing_until: None,
             replaced: false,
+            foreign: false,
             health: CircuitBreaker::default(),
             reported_load: None,
             pace: None,
@@ -248,7 +252,7 @@
 
     /// Whether it takes new work according to the list and its own statements, apart from pauses.
     pub fn is_available(&self) -> bool {
-        !self.record.draining && !self.replaced && !self.availability.leaving
+        !self.record.draining && !self.replaced && !self.foreign && !self.availability.leaving
     }
 
     /// Whether this host's own experience and the liveness checks of all hosts allow new work.
--- a/crates/roseshore_core/tests/gateway/holdings.rs
+++ b/crates/roseshore_core/tests/gateway/holdings.rs
@@ -5,7 +5,9 @@
 use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::quota::room::Share;
 use roseshore_core::gateway::targets::{Holding, Target};
-use roseshore_core::gateway::{TargetRecord, Targets};
+use roseshore_core::gateway::{
+    EngineSpec, RequestLimits, ServiceSpec, Snapshot, TargetRecord, Targets,
+};
 use roseshore_core::prelude::*;
 
 type Layers = (Layer, Layer);
@@ -90,6 +92,131 @@
     }
 }
 
+/// Records and reports under models of some numbers of layers, in order, and what is used at last.
+struct ModelCase {
+    name: &'static str,
+    steps: &'static [Step],
+    /// The layers with which the target is used; `None` if it is not.
+    used: Option<Layers>,
+    /// How often its record was found to be foreign.
+    foreign: usize,
+}
+
+enum Step {
+    /// A configuration with a model of so many layers.
+    Model(Layer),
+    Listed(Layers),
+    Reported(Layers),
+}
+
+/// Guards against layers from outside that the model does not have: an entry of another program is
+/// no target, and neither a request, a check nor an order may go to its address.
+#[test]
+fn a_target_with_layers_outside_the_model_is_not_used() {
+    use Step::{Listed, Model, Reported};
+    let cases = [
+        ModelCase {
+            name: "a record of the model",
+            steps: &[Model(80), Listed((70, 80))],
+            used: Some((70, 80)),
+            foreign: 0,
+        },
+        ModelCase {
+            name: "a record behind the model",
+            steps: &[Model(80), Listed((88, 96))],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a record that ends behind the model",
+            steps: &[Model(80), Listed((70, 81))],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "the same record twice",
+            steps: &[Model(80), Listed((88, 96)), Listed((88, 96))],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "the list before the configuration",
+            steps: &[Listed((88, 96)), Model(80)],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a configuration with a larger model follows",
+            steps: &[Model(80), Listed((88, 96)), Model(96)],
+            used: Some((88, 96)),
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a configuration with a smaller model follows",
+            steps: &[Model(96), Listed((88, 96)), Model(80)],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a valid record follows",
+            steps: &[Model(80), Listed((88, 96)), Listed((72, 80))],
+            used: Some((72, 80)),
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a report behind the model",
+            steps: &[Model(80), Listed((70, 80)), Reported((88, 96))],
+            used: Some((70, 80)),
+            foreign: 0,
+        },
+        ModelCase {
+            name: "a report of an invalid record",
+            steps: &[Model(80), Listed((88, 96)), Reported((70, 80))],
+            used: None,
+            foreign: 1,
+        },
+        ModelCase {
+            name: "a report that a smaller model does not fit",
+            steps: &[Model(96), Listed((70, 80)), Reported((90, 96)), Model(80)],
+            used: Some((70, 80)),
+            foreign: 0,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let (mut targets, mut foreign) = (Targets::default(), 0);
+        for step in case.steps {
+            match *step {
+                Model(layers) => targets.set_models(&model(layers)),
+                Listed(layers) => {
+                    targets.upsert(listed(layers));
+                }
+                Reported(layers) => {
+                    let report = targets.next_report(name_hash("a"), layers);
+                    targets.apply_report(name_hash("a"), report, now + Duration::from_secs(1));
+                }
+            }
+            foreign += targets.take_foreign().len();
+        }
+        let target = targets.get("a").expect("the list holds it");
+        let held = target.holding().map(|h| h.layers);
+        assert_eq!(held.filter(|_| target.accepts_work(now)), case.used, "{}", case.name);
+        assert_eq!(foreign, case.foreign, "{}", case.name);
+        let used = usize::from(case.used.is_some());
+        assert_eq!(targets.of_service("engines").count(), used, "{}", case.name);
+        assert_eq!(targets.unseen(now).len(), used, "{}", case.name);
+        assert_eq!(targets.id_at(target.record.addr).is_some(), used > 0, "{}", case.name);
+        assert_eq!(targets.listed_records().len(), 1, "{}: hosts compare the list", case.name);
+    }
+}
+
+/// A configuration with a model of so many layers.
+fn model(layers: Layer) -> Snapshot {
+    let engine = Some(EngineSpec { layers, ..spec() });
+    let service = ServiceSpec { name: "engines".to_owned(), max_connections: None, engine };
+    Snapshot::new(1, Vec::new(), vec![service], Vec::new(), RequestLimits::default())
+}
+
 #[test]
 fn layers_given_up_take_memory_until_their_requests_end() {
     let now = Instant::now();
--- a/crates/roseshore_core/tests/gateway/plan.rs
+++ b/crates/roseshore_core/tests/gateway/plan.rs
@@ -426,3 +426,56 @@
         }
     }
 }
+
+/// An engine whose ranges do not lie within the model.
+struct OutsideCase {
+    name: &'static str,
+    engine: EngineState,
+}
+
+/// Guards against an entry of another program that ends the host: its layers began behind the
+/// model's last one, and the plan indexed the model's layers with them.
+#[test]
+fn engines_outside_the_model_are_left_out_of_the_plan() {
+    let with = |layers, assured, ready| EngineState {
+        assured,
+        ready,
+        ..engine("outside", "large", layers)
+    };
+    let all_of = |layers| with(Some(layers), Some(layers), Some(layers));
+    let cases = [
+        OutsideCase { name: "it begins behind the model", engine: all_of((88, 96)) },
+        OutsideCase { name: "it begins where the model ends", engine: all_of((80, 96)) },
+        OutsideCase { name: "it ends behind the model", engine: all_of((40, 96)) },
+        OutsideCase { name: "the largest numbers", engine: all_of((Layer::MAX - 1, Layer::MAX)) },
+        OutsideCase { name: "it ends before it begins", engine: all_of((30, 20)) },
+        OutsideCase {
+            name: "an order",
+            engine: with(Some((88, 96)), Some((88, 96)), Some((0, 40))),
+        },
+        OutsideCase { name: "what is sure", engine: with(Some((0, 40)), Some((88, 96)), None) },
+        OutsideCase {
+            name: "what it holds",
+            engine: with(Some((0, 40)), Some((0, 40)), Some((88, 96))),
+        },
+    ];
+    let mut whole = engines([1, 3, 8]);
+    let placements = plan(&spec(), &whole);
+    apply(&mut whole, &placements);
+    let mut one_lost = whole.clone();
+    one_lost.remove(1);
+    let mut gap = engines([2, 1, 0]);
+    let placements = plan(&spec(), &gap);
+    apply(&mut gap, &placements);
+    gap.pop().expect("the last of three");
+    for case in cases {
+        for others in [&Vec::new(), &engines([1, 3, 8]), &whole, &one_lost, &gap] {
+            let mut all = others.clone();
+            all.insert(0, case.engine.clone());
+            assert_eq!(repairs(&spec(), &all), repairs(&spec(), others), "{}", case.name);
+            assert_eq!(next_improvement(&spec(), &all), None, "{}", case.name);
+        }
+        let held = case.engine.layers.into_iter().filter(|layers| layers.1 != 40);
+        assert_eq!(first_gap(&spec(), held), Some((0, 80)), "{}", case.name);
+    }
+}
--- a/crates/roseshore_relay/src/entry/placement.rs
+++ b/crates/roseshore_relay/src/entry/placement.rs
@@ -22,7 +22,7 @@
 };
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
-use roseshore_ports::entry::CallReply;
+use roseshore_ports::entry::{CallReply, Report};
 use std::collections::{BTreeSet, HashMap};
 
 /// Interval between comparisons of the plan with the list of targets.
@@ -309,7 +309,7 @@
         let ordered = self.placement.active_orders.get(id).map(|order| order.layers);
         let asked = self.placement.pending_reports.remove(id);
         let Some(layers) = asked.map(|a| a.layers).or(ordered) else { return };
-        let report = match self.read_report(reply) {
+        let report = match self.read_report(reply).and_then(|r| self.check_layers(id, r)) {
             Ok(report) => report,
             Err(why) => {
                 log_event!(self, ReportFailed, "target={id} why={why:?}");
@@ -349,6 +349,16 @@
         self.call(Purpose::Place(id.to_owned(), layers), addr, &request, CALL_TIMEOUT);
     }
 
+    /// Rejects a report of layers that the model does not have.
+    fn check_layers(&self, id: &str, report: Report) -> Result<Report, String> {
+        match report.holding.map(|h| h.layers) {
+            Some((from, to)) if !self.targets.model_contains(id, (from, to)) => {
+                Err(format!("layers {from}-{to} are outside the model"))
+            }
+            _ => Ok(report),
+        }
+    }
+
     /// Handles the reply to an order.
     pub(super) fn order_reply(
         &mut self,
--- a/crates/roseshore_relay/src/entry/placement/holdings.rs
+++ b/crates/roseshore_relay/src/entry/placement/holdings.rs
@@ -73,8 +73,11 @@
         // Another host gives orders, so this one need not step in.
         self.placement.differs_since = None;
         let Some(id) = self.targets.id_of(holding.target).cloned() else { return };
-        if !self.placement.active_orders.contains_key(&id) {
-            self.expect_layers(&id, holding.word.layers, REPORT_LIFETIME);
+        let layers = holding.word.layers;
+        if !self.placement.active_orders.contains_key(&id)
+            && self.targets.model_contains(&id, layers)
+        {
+            self.expect_layers(&id, layers, REPORT_LIFETIME);
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/records.rs
+++ b/crates/roseshore_relay/src/entry/records.rs
@@ -89,6 +89,14 @@
         for id in restarted {
             self.target_restarted(&id);
         }
+        self.log_foreign();
+    }
+
+    /// Logs entries whose layers the model of their service does not have.
+    fn log_foreign(&mut self) {
+        for foreign in self.targets.take_foreign() {
+            log_event!(self, RecordSkipped, "target={:?} why=\"{foreign}\"", foreign.target);
+        }
     }
 
     /// Sends the requests that run on a restarted target to other targets.
@@ -135,6 +143,7 @@
                 self.target_restarted(id);
             }
         }
+        self.log_foreign();
     }
 
     fn log_listed(&mut self, id: &str) {
@@ -187,6 +196,8 @@
             Ok(fresh) if self.snapshot.is_some() && fresh.version() <= known => fresh.version(),
             Ok(fresh) => {
                 let version = fresh.version();
+                self.targets.set_models(&fresh);
+                self.log_foreign();
                 self.snapshot = Some(Arc::new(fresh));
                 self.recheck_waiting();
                 let bytes = value.len();
