A key is not accepted for want of known ones

The request then had no organisation, so it was not checked either against the proof that the configuration is the newest.

A key is accepted only if it is known: a configuration may remove the last organisation together with its keys. An empty text is no key. The ranks of a service follow the same condition.

Why it works: an unknown key is refused whatever else is configured, and a missing one wherever there are organisations, so the number of known keys no longer matters.

--- a/crates/roseshore_core/src/gateway/routes.rs
+++ b/crates/roseshore_core/src/gateway/routes.rs
@@ -231,6 +231,8 @@
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
     /// Organisations by API key.
     keys: HashMap<String, Arc<OrganisationSpec>>,
+    /// Whether there are organisations, with keys or without.
+    has_organisations: bool,
     limits: RequestLimits,
 }
 
@@ -251,13 +253,14 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
+        let has_organisations = !organisations.is_empty();
         let mut keys = HashMap::new();
         for organisation in organisations.into_iter().map(Arc::new) {
-            for key in &organisation.keys {
+            for key in organisation.keys.iter().filter(|key| !key.is_empty()) {
                 keys.insert(key.clone(), organisation.clone());
             }
         }
-        Snapshot { version, by_host, services, keys, limits }
+        Snapshot { version, by_host, services, keys, has_organisations, limits }
     }
 
     /// Version of the configuration.
@@ -310,7 +313,7 @@
         let routes = routes.filter(|r| r.services.iter().any(|s| s.service == service));
         let mut ranks: Vec<Rank> = routes
             .flat_map(|route| {
-                let anonymous = route.anonymous || self.keys.is_empty();
+                let anonymous = route.anonymous || !self.has_organisations;
                 let owners = if anonymous { &[None] } else { organisations.as_slice() };
                 owners.iter().map(|owner| Rank::new(*owner, route.priority))
             })
@@ -320,21 +323,25 @@
         ranks
     }
 
-    /// The organisation that a key belongs to; `None` if the route is anonymous or the
-    /// configuration has no keys.
+    /// The organisation that a key belongs to; `None` if the route is anonymous, or if there are no
+    /// organisations and the request has no key. Organisations whose keys were all removed still
+    /// require one, and a key is never accepted for want of known ones: it may be a removed one.
     ///
     /// # Errors
-    /// [`Denied::BadKey`] if a key is needed, and it is missing or unknown.
+    /// [`Denied::BadKey`] if a key is needed and missing, or if it is unknown.
     pub fn authorise(
         &self,
         route: &Route,
         key: Option<&str>,
     ) -> Result<Option<&Arc<OrganisationSpec>>, Denied> {
-        if route.anonymous || self.keys.is_empty() {
+        if route.anonymous {
             return Ok(None);
         }
-        let found = key.and_then(|key| self.keys.get(key));
-        found.map(Some).ok_or(Denied::BadKey)
+        match key.filter(|key| !key.is_empty()) {
+            Some(key) => self.keys.get(key).map(Some).ok_or(Denied::BadKey),
+            None if self.has_organisations => Err(Denied::BadKey),
+            None => Ok(None),
+        }
     }
 }
 
--- a/crates/roseshore_core/tests/gateway/routes.rs
+++ b/crates/roseshore_core/tests/gateway/routes.rs
@@ -81,6 +81,71 @@
     }
 }
 
+/// Organisations, and the keys that they accept.
+struct KeysCase {
+    name: &'static str,
+    /// The keys of each organisation.
+    organisations: &'static [&'static [&'static str]],
+    /// Keys, and whether a request with one is accepted.
+    keys: &'static [(Option<&'static str>, bool)],
+}
+
+/// Guards against routes that become anonymous once the last key is removed: requests with the
+/// removed key, with one that was never known and without any ran from then on.
+#[test]
+fn no_key_is_accepted_for_want_of_known_ones() {
+    let cases = [
+        KeysCase {
+            name: "the only organisation has lost its only key",
+            organisations: &[&[]],
+            keys: &[(Some("k-1"), false), (Some("never"), false), (Some(""), false), (None, false)],
+        },
+        KeysCase {
+            name: "all organisations have lost their keys",
+            organisations: &[&[], &[]],
+            keys: &[(Some("k-1"), false), (None, false)],
+        },
+        KeysCase {
+            name: "another organisation has a key",
+            organisations: &[&[], &["k-2"]],
+            keys: &[(Some("k-1"), false), (Some("k-2"), true), (None, false)],
+        },
+        KeysCase {
+            name: "an empty key",
+            organisations: &[&[""]],
+            keys: &[(Some(""), false), (None, false)],
+        },
+        KeysCase {
+            name: "no organisation is left",
+            organisations: &[],
+            keys: &[(Some("k-1"), false), (Some("never"), false), (Some(""), true), (None, true)],
+        },
+    ];
+    for case in cases {
+        let of = |(n, keys): (usize, &&[&str])| OrganisationSpec {
+            name: n.to_string(),
+            keys: keys.iter().map(|&key| key.to_owned()).collect(),
+            priority: None,
+        };
+        let organisations = case.organisations.iter().enumerate().map(of).collect();
+        let routes = vec![
+            Route { priority: 1, ..route("api", "shop.example", "/api/", false) },
+            route("root", "shop.example", "/", true),
+        ];
+        let limits = RequestLimits::default();
+        let snapshot = Snapshot::new(1, routes, Vec::new(), organisations, limits);
+        let path = |path| snapshot.route("shop.example", path).expect("a route");
+        // One for the anonymous route, and one for the other if any request is accepted there.
+        let ranks = 1 + usize::from(case.keys.iter().any(|(_, accepted)| *accepted));
+        assert_eq!(snapshot.ranks("a").len(), ranks, "{}", case.name);
+        for (key, accepted) in case.keys {
+            let allowed = snapshot.authorise(path("/api/"), *key).is_ok();
+            assert_eq!(allowed, *accepted, "{}: {key:?}", case.name);
+            assert!(snapshot.authorise(path("/"), *key).is_ok(), "{}: anonymous", case.name);
+        }
+    }
+}
+
 #[test]
 fn a_request_s_service_is_drawn_by_weight_and_stays_the_same() {
     let route = route("r", "h", "/", true);
@@ -135,7 +200,16 @@
         ("another route", with(&["new"], vec![service.clone()], acme()), false),
         ("no service", with(&["api"], vec![], acme()), false),
         ("another key", with(&["api"], vec![service.clone()], organisation("acme", "k-9")), false),
-        ("another owner", with(&["api"], vec![service], organisation("else", "k-1")), false),
+        (
+            "another owner",
+            with(&["api"], vec![service.clone()], organisation("else", "k-1")),
+            false,
+        ),
+        (
+            "the last key removed",
+            with(&["api"], vec![service], OrganisationSpec { keys: Vec::new(), ..acme() }),
+            false,
+        ),
     ];
     for (name, snapshot, expected) in cases {
         assert_eq!(snapshot.still_accepts(&accepted), expected, "{name}");
