Bytes of a target without end are bounded, and count against it

With our own tests on: 48 bodies without end left every caller without an answer after 20 s, though the route's time is 3 s. A target that sent a head a few bytes at a time met 12 of 12 further requests. A request that may not be repeated got 504 there, and so did the next one. A stream with interim responses without end had no answer. Through another host the target did not count as failing.

Cause: a connection was read until nothing was left, and a fast sender always leaves something. Limits held for what is incomplete, while interim responses, trailers, foreign responses and replies to calls were removed piece by piece, and for one answer (16 MB, more than can be delivered), not for all. Slow bytes passed for silence, which puts no blame on a target. Another host that reaches a target excused failures in its answers.

Change: a connection is read for 64 KB a turn, and input that is not consumed stays with the system. All parts of a response have limits. Unfinished answers are charged to an account; beyond a quarter of MemoryMb the largest is given up (E216). Bytes that keep arriving for a second without completing a head or an event end the send, with blame on the target. A target that began an answer which another one then gave, or which the deadline ended, counts as failing. Chunks are decoded in linear time, an event's end is searched once.

Why it works: whatever the bytes are, either the size or the time of the part that they belong to ends, or the sum of all parts does, and each of these ends closes the connection and records a failure.

The decisions have tests of their own (partial, memory, another host that reaches a target), and the parsers property tests of arbitrary pieces.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -74,6 +74,7 @@
     RetriesLent = 213, Debug, "another host asked for retries of the shared budget";
     RetryMade = 214, Debug, "a request is sent again";
     AnswerCut = 215, Warn, "a host ended a request that may have run, without a whole answer";
+    AnswerGivenUp = 216, Warn, "unfinished answers took too much memory, and the largest one was given up";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -15,7 +15,8 @@
 //! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
 //!   again;
 //! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
-//!   slow or dead;
+//!   slow or dead; [`partial`]: whether what a target sends will become an answer; [`memory`]: what
+//!   unfinished answers may take;
 //! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
 //!   back;
 //! - [`leaving`]: which requests a stopping host still accepts; [`poll_timing`]: when a request
@@ -41,10 +42,12 @@
 pub mod hashes;
 pub mod leaving;
 pub mod liveness;
+pub mod memory;
 pub mod newer_configs;
 pub mod outage;
 pub mod overload;
 pub mod paces;
+pub mod partial;
 pub mod path;
 pub mod peers;
 pub mod plan;
--- a/crates/roseshore_core/src/gateway/failure.rs
+++ b/crates/roseshore_core/src/gateway/failure.rs
@@ -39,6 +39,11 @@
         matches!(self, Fault::Refused | Fault::Garbled | Fault::Failed)
     }
 
+    /// Whether the fault is in what the target sent, so that it does not lie at the link to it.
+    pub fn is_in_response(self) -> bool {
+        matches!(self, Fault::Garbled | Fault::Failed)
+    }
+
     /// Attributes the fault of a send over a path of `hops` engines; 0 for a service without
     /// engines.
     pub fn blame(self, hops: usize) -> Blame {
--- a/crates/roseshore_core/src/gateway/settings.rs
+++ b/crates/roseshore_core/src/gateway/settings.rs
@@ -72,6 +72,8 @@
     pub millicores: u16,
     /// File descriptors that this process may use; `None` if it is not configured.
     pub max_descriptors: Option<usize>,
+    /// Memory that this process may use, bytes; `None` if it is not configured.
+    pub memory: Option<usize>,
     /// Bandwidth of this host's link in bytes per second; `None` if it is not configured.
     pub link_rate: Option<u64>,
 }
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -161,6 +161,15 @@
         !before
     }
 
+    /// Like [`Targets::record_failure`], for a request that failed by what the target sent. Unlike a
+    /// target that was not reached, this one is not in use again once another host reaches it.
+    pub fn record_own_failure(&mut self, id: &str, now: Instant) -> bool {
+        if let Some(target) = self.all.get_mut(id) {
+            target.failed_itself = true;
+        }
+        self.record_failure(id, now)
+    }
+
     /// Share of an engine's KV cache in use, as counted here, if `added` more, in tokens times layers,
     /// were taken; `None` if it is no engine.
     pub fn kv_fill(&self, id: &str, spec: &EngineSpec, added: f64) -> Option<f64> {
@@ -243,6 +252,7 @@
         let before = target.health.tripped();
         target.health.record_success(now);
         target.health.forgive_failure();
+        target.failed_itself = false;
         before && !target.health.tripped()
     }
 
@@ -357,7 +367,9 @@
         if before.is_some() || target.relay().is_none() {
             return false;
         }
-        target.health = CircuitBreaker::default();
+        if !target.failed_itself {
+            target.health = CircuitBreaker::default();
+        }
         true
     }
 
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -189,6 +189,8 @@
     /// Load that other hosts have there.
     pub(super) remote_load: TargetLoad,
     pub(super) health: CircuitBreaker,
+    /// Whether a request has failed by what the target sent, and none has succeeded since.
+    pub(super) failed_itself: bool,
     pub(super) reported_load: Option<(f64, Instant)>,
     /// Pace that it reported.
     pub(super) pace: Option<EnginePace>,
@@ -231,6 +233,7 @@
             replaced: false,
             foreign: false,
             health: CircuitBreaker::default(),
+            failed_itself: false,
             reported_load: None,
             pace: None,
             reported_holding: None,
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -17,12 +17,14 @@
     mod limit_ways;
     mod limits;
     mod liveness;
+    mod memory;
     mod newer_configs;
     mod older_store;
     mod orders;
     mod outage;
     mod overload;
     mod paces;
+    mod partial;
     mod path;
     mod peers;
     mod plan;
--- a/crates/roseshore_core/tests/gateway/targets.rs
+++ b/crates/roseshore_core/tests/gateway/targets.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use roseshore_core::gateway::peers::{TargetLoad, name_hash, target_hash};
 use roseshore_core::gateway::targets::{
-    Absence, Claim, LayersReport, LivenessFailure, RecordChange, Target,
+    Absence, Claim, LayersReport, LivenessFailure, RecordChange, Relay, Target,
 };
 use roseshore_core::gateway::{Holding, Position, TargetRecord, Targets};
 use roseshore_core::prelude::*;
@@ -475,3 +475,22 @@
     targets.record_progress([ids[0].clone()].iter(), false, at(320));
     assert!(targets.dead().is_empty(), "a target that makes progress is alive");
 }
+
+/// Guards against a target whose answers are bad and that counts as sound again as soon as another
+/// host is found to reach it.
+#[test]
+fn another_host_that_reaches_a_target_does_not_excuse_what_the_target_sent() {
+    for (own, in_use) in [(false, true), (true, false)] {
+        let now = Instant::now();
+        let mut targets = two();
+        if own {
+            targets.record_own_failure("a", now);
+        }
+        targets.record_failure("a", now);
+        targets.liveness_failed("a", LivenessFailure::Silent);
+        let host = "10.0.0.9:7".parse().expect("an address");
+        targets.record_relay(target_hash("a", 0), Relay { host, near: true, confirmed: now });
+        let healthy = targets.get("a").is_some_and(|target| target.is_healthy(now));
+        assert_eq!(healthy, in_use, "by what it sent: {own}");
+    }
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -13,6 +13,7 @@
 mod heartbeats;
 mod in_flight;
 mod liveness;
+mod memory;
 mod pace_polling;
 mod placement;
 mod probes;
@@ -49,6 +50,7 @@
 use relays::Relays;
 use roseshore_core::gateway::copies::COPY_TIMEOUT;
 use roseshore_core::gateway::leaving::TokenPace;
+use roseshore_core::gateway::memory::Account;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
     CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers,
@@ -154,6 +156,8 @@
     /// Idle connections to targets and the store, with the time since when they are idle.
     idle: HashMap<Route, Vec<(Key, Instant)>>,
     exchanges: Slab<Exchange>,
+    /// Memory that unfinished answers take.
+    answers: Account,
     calls: Slab<Call>,
     snapshot: Option<Arc<Snapshot>>,
     config_lease: ConfigLease,
@@ -277,6 +281,7 @@
             roles: HashMap::new(),
             idle: HashMap::new(),
             exchanges: Slab::default(),
+            answers: Account::default(),
             calls: Slab::default(),
             snapshot: None,
             targets: Targets::default(),
@@ -374,6 +379,7 @@
                 self.last_tick = self.now;
                 self.tick();
             }
+            self.bound_answers();
             self.serve_queues();
             self.log.flush();
             if let Some(cut) = self.shutdown_complete() {
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -11,6 +11,11 @@
 /// Maximum bytes of a reply's head.
 const MAX_HEAD: usize = 16 << 10;
 
+/// Maximum bytes of the body of a target's reply.
+const MAX_REPORT: usize = 256 << 10;
+/// Maximum bytes of the body of a reply of the store.
+const MAX_STORE_REPLY: usize = 16 << 20;
+
 /// Time-out of a call to the store, beyond the time that the store was asked to wait. A store that
 /// is eighty times slower than usual replies within a third of a second.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -34,6 +39,19 @@
     Place(TargetId, (Layer, Layer)),
 }
 
+impl Purpose {
+    /// Maximum bytes of the reply's body.
+    fn max_body(&self) -> usize {
+        match self {
+            Purpose::Report(_) | Purpose::Pace(_) | Purpose::Place(..) => MAX_REPORT,
+            Purpose::Latest(..)
+            | Purpose::Read(..)
+            | Purpose::ReadBlocked
+            | Purpose::WriteBlocked => MAX_STORE_REPLY,
+        }
+    }
+}
+
 /// Why a call got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallFault {
@@ -124,9 +142,10 @@
         let complete =
             call.decoder.done() || (call.decoder.ends_with_connection() && socket.ended_orderly());
         let ended = socket.ended.is_some();
-        if complete {
+        let too_long = call.body.len() > call.purpose.max_body();
+        if complete && !too_long {
             self.end_call(key, None);
-        } else if taken.is_err() || ended {
+        } else if taken.is_err() || ended || too_long {
             self.end_call(key, Some(CallFault::Broken));
         }
     }
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -120,7 +120,7 @@
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
         let incarnations = choice.claims.iter().filter_map(incarnation).collect();
-        let send = InFlightSend::new(choice, socket, route, self.now);
+        let send = InFlightSend::new(choice, socket, route, self.answers.buffer(), self.now);
         exchange.send = Some(InFlightSend { incarnations, fills, slowdown, reused, ..send });
         self.roles.insert(socket, Role::Target(key));
         log_event!(self, RouteChosen, "{text}");
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -5,6 +5,8 @@
 use crate::http::{BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
+use roseshore_core::gateway::memory::Buffer;
+use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
@@ -34,8 +36,18 @@
     /// Whether it was recorded that the run got beyond its beginning.
     pub(super) past_beginning: bool,
     pub(super) phase: Phase,
+    /// When the first byte of a response arrived.
+    pub(super) response_since: Option<Instant>,
+    /// The head or event that is being received.
+    pub(super) partial: PartialElement,
+    /// Responses to other requests that preceded the expected one.
+    pub(super) stale_responses: u32,
+    /// Bytes of their bodies.
+    pub(super) stale_bytes: usize,
     /// The received part of the body that has not been forwarded.
-    pub(super) body: Vec<u8>,
+    pub(super) body: Buffer,
+    /// Bytes at the front of the body that hold no end of an event.
+    pub(super) searched: usize,
     /// Predicted time between tokens in milliseconds.
     pub(super) token_ms: f64,
     /// Predicted time to the first token in milliseconds.
@@ -67,8 +79,14 @@
 }
 
 impl InFlightSend {
-    /// A send of a request over the chosen path.
-    pub(super) fn new(choice: Choice, socket: Key, route: Route, now: Instant) -> InFlightSend {
+    /// A send of a request over the chosen path; `body` is to hold the response.
+    pub(super) fn new(
+        choice: Choice,
+        socket: Key,
+        route: Route,
+        body: Buffer,
+        now: Instant,
+    ) -> InFlightSend {
         InFlightSend {
             socket,
             target: choice.target,
@@ -83,7 +101,12 @@
             first_event: None,
             past_beginning: false,
             phase: Phase::Head,
-            body: Vec::new(),
+            response_since: None,
+            partial: PartialElement::default(),
+            stale_responses: 0,
+            stale_bytes: 0,
+            body,
+            searched: 0,
             token_ms: choice.token_ms,
             ttft_ms: choice.ttft_ms,
             fills: Vec::new(),
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -8,17 +8,23 @@
 use super::probes::millis;
 use super::target_feedback::MISDIRECTED;
 use super::{EntryHost, Timer, log_event};
-use crate::http::{self, BodyDecoder, BodyFraming, LAST_CHUNK, ResponseHead};
+use crate::http::{self, BodyDecoder, BodyFraming, Framing, LAST_CHUNK, ResponseHead};
+use crate::net::MAX_OUTPUT;
 use crate::slab::Key;
 use crate::sse;
 use roseshore_core::gateway::Fault;
+use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ResponseFields;
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 << 10;
-/// Maximum buffered bytes of a response body; for a stream, of its incomplete event.
-const MAX_BODY: usize = 16 << 20;
+/// Maximum bytes of a response body that is forwarded whole: what can be sent with its head.
+const MAX_BODY: usize = MAX_OUTPUT - 2 * MAX_HEAD;
+/// Maximum bytes of an event of a stream.
+const MAX_EVENT: usize = 256 << 10;
+/// Maximum number of responses to other requests that may precede the expected one.
+const MAX_STALE_RESPONSES: u32 = 8;
 
 /// What to do after a step of reading a response.
 enum Step {
@@ -62,9 +68,17 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         let Some(socket) = self.net.get(send.socket) else { return Step::Finished };
+        if !socket.input.is_empty() {
+            send.response_since.get_or_insert(now);
+        }
         let head = match http::parse_response(&mut socket.input, MAX_HEAD) {
             Ok(Some(head)) => head,
-            Ok(None) if socket.ended.is_none() => return Step::NeedMore,
+            Ok(None) if socket.ended.is_none() => {
+                if send.partial.record(socket.input.len(), now) {
+                    self.send_failed(key, Fault::Garbled, None);
+                }
+                return Step::NeedMore;
+            }
             Ok(None) => {
                 let fault = if socket.established() { Fault::Lost } else { Fault::NotSent };
                 self.send_failed(key, fault, None);
@@ -75,6 +89,7 @@
                 return Step::Finished;
             }
         };
+        send.partial = PartialElement::default();
         let feedback = self.platform.read_response(&head.fields);
         send.status = head.status;
         (send.pause, send.leaving) = (feedback.retry_after, feedback.leaving);
@@ -86,6 +101,11 @@
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         if feedback.attempt.as_ref().is_some_and(|a| *a != exchange.request_fields.attempt) {
             send.phase = Phase::Stale(BodyDecoder::new(head.framing));
+            send.stale_responses += 1;
+            if send.stale_responses > MAX_STALE_RESPONSES {
+                self.send_failed(key, Fault::Garbled, None);
+                return Step::Finished;
+            }
             return Step::Continue;
         }
         if head.status == MISDIRECTED || (feedback.not_run && head.status >= 400) {
@@ -101,6 +121,12 @@
             self.send_failed(key, Fault::Failed, None);
             return Step::Finished;
         }
+        let streamed = success && exchange.route.kind.is_stream();
+        let too_long = matches!(head.framing, Framing::Length(length) if length > MAX_BODY as u64);
+        if too_long && !streamed {
+            self.send_failed(key, Fault::Garbled, None);
+            return Step::Finished;
+        }
         if !exchange.route.kind.is_stream() || !success {
             send.latest_at = now;
         }
@@ -134,6 +160,11 @@
         let Phase::Stale(decoder) = &mut send.phase else { return Step::Continue };
         let mut discarded = Vec::new();
         let taken = decoder.decode(&mut socket.input, &mut discarded);
+        send.stale_bytes += discarded.len();
+        if send.stale_bytes > MAX_BODY {
+            self.send_failed(key, Fault::Garbled, None);
+            return Step::Finished;
+        }
         if decoder.done() {
             send.phase = Phase::Head;
             return Step::Continue;
@@ -151,7 +182,7 @@
         let send = self.exchanges.get_mut(key)?.send.as_mut()?;
         let socket = self.net.get(send.socket)?;
         let Phase::Body(_, decoder) = &mut send.phase else { return None };
-        let taken = decoder.decode(&mut socket.input, &mut send.body);
+        let taken = send.body.edit(|body| decoder.decode(&mut socket.input, body));
         self.liveness.link.record_transfer(send.body.len(), self.now);
         let ends = decoder.ends_with_connection();
         let whole = decoder.done() || (ends && socket.ended_orderly());
@@ -209,7 +240,7 @@
     fn forward_response(&mut self, key: Key, head: &ResponseHead) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.as_mut() else { return };
-        let body = std::mem::take(&mut send.body);
+        let body = send.body.take();
         let target = send.target.clone();
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         exchange.verdict = Verdict::Answered;
@@ -252,6 +283,7 @@
         let Some(exchange) = self.exchanges.get(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         self.drop_send(key, keep_target);
+        self.record_unfinished(key, Duration::ZERO);
         self.close_exchange(key, status, why);
         self.response_sent(caller, keep);
         self.handle_caller(caller);
@@ -297,8 +329,15 @@
             return self.read_error(key, received);
         }
         let (keep, caller) = (head.keep_alive, exchange.caller);
-        let taken = sse::take_events(&mut send.body, exchange.delivery.last_id);
-        if taken.gap {
+        let (received_len, searched) = (send.body.len(), send.searched);
+        let after = exchange.delivery.last_id;
+        let taken = send.body.edit(|body| sse::take_new_events(body, after, searched));
+        send.searched = send.body.len();
+        if send.searched < received_len {
+            send.partial = PartialElement::default();
+        }
+        let endless = send.partial.record(send.searched, now) || send.searched > MAX_EVENT;
+        if taken.gap || (endless && received == Ok(false)) {
             self.send_failed(key, Fault::Garbled, None);
             return Step::Finished;
         }
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -138,14 +138,40 @@
         (refusal, name, format!("evidence={name}{numbers}"))
     }
 
+    /// Records a failure of the targets that began a response that is to be forwarded whole, at
+    /// least for this time, and have not completed it.
+    pub(super) fn record_unfinished(&mut self, key: Key, least: Duration) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        if exchange.route.kind.is_stream() {
+            return;
+        }
+        let late = |since: Instant| now.saturating_duration_since(since) >= least;
+        let unfinished = exchange.open_sends().filter(|send| send.response_since.is_some_and(late));
+        let targets: Vec<TargetId> = unfinished.map(|send| send.target.clone()).collect();
+        for target in targets {
+            self.record_fault(&target, Blame::Failed, Fault::Garbled);
+        }
+    }
+
     /// Records a fault of a target, unless the blame is unknown. Returns the time until which the
     /// request avoids the target, or `None` if it avoids the target until the request ends.
-    fn record_fault(&mut self, culprit: &TargetId, blame: Blame, fault: Fault) -> Option<Instant> {
+    pub(super) fn record_fault(
+        &mut self,
+        culprit: &TargetId,
+        blame: Blame,
+        fault: Fault,
+    ) -> Option<Instant> {
         let now = self.now;
         if blame == Blame::Unknown {
             return Some(now + AVOID_UNKNOWN_BLAME);
         }
-        if self.targets.record_failure(culprit, now) {
+        let new = if fault.is_in_response() {
+            self.targets.record_own_failure(culprit, now)
+        } else {
+            self.targets.record_failure(culprit, now)
+        };
+        if new {
             log_event!(self, TargetLost, "target={culprit} fault={}", fault.name());
         }
         // A busy target may be the only one that holds its layers, and has capacity again when
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -28,6 +28,9 @@
 /// Time without a response of a plain service after which an idempotent request is sent to another
 /// target.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(420);
+/// Time for which a response must have been arriving to count as a failure of its target when the
+/// request's time is over before it is complete.
+const UNFINISHED_TIME: Duration = Duration::from_secs(1);
 /// Interval at which a send that is waited for beyond the usual time is looked at again.
 const KEPT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -38,6 +41,7 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get(key) else { return };
         if now >= exchange.deadline {
+            self.record_unfinished(key, UNFINISHED_TIME);
             self.drop_standbys(key);
             return self.end_without(key, Code::TargetSilent, "the time for the request is over");
         }
--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -9,9 +9,10 @@
 
 /// Maximum number of header fields in a head.
 const MAX_FIELDS: usize = 64;
-/// Maximum bytes of an incomplete line in a chunked body: a chunk size with its extensions, or a
-/// trailer field.
-const MAX_CHUNK_LINE: usize = 64;
+/// Maximum bytes of a line in a chunked body: a chunk size with its extensions, or a trailer field.
+const MAX_CHUNK_LINE: usize = 1 << 10;
+/// Maximum bytes of all trailer fields.
+const MAX_TRAILERS: usize = 16 << 10;
 
 quick_error! {
     /// Why bytes are not a valid HTTP message.
@@ -146,30 +147,35 @@
 }
 
 /// Removes a response head from the front of a buffer; `None` while it is incomplete. Interim
-/// responses (1xx) are skipped.
+/// responses (1xx) before it are removed together with it, and count as a part of it.
 ///
 /// # Errors
-/// If the bytes are not a response head, an incomplete head exceeds `max_size` bytes, or the body
-/// length is ambiguous.
+/// If the bytes are not a response head, the head exceeds `max_size` bytes, or the body length is
+/// ambiguous.
 pub fn parse_response(
     buffer: &mut Vec<u8>,
     max_size: usize,
 ) -> Result<Option<ResponseHead>, HttpError> {
+    let mut begin = 0;
     loop {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut headers);
-        let parsed = response.parse(buffer).map_err(|_| HttpError::Malformed)?;
+        let parsed = response.parse(&buffer[begin..]).map_err(|_| HttpError::Malformed)?;
         let httparse::Status::Complete(used) = parsed else {
             return if buffer.len() > max_size { Err(HttpError::HeadTooLarge) } else { Ok(None) };
         };
-        let fields = copy_fields(response.headers);
+        begin += used;
+        if begin > max_size {
+            return Err(HttpError::HeadTooLarge);
+        }
         let status = response.code.ok_or(HttpError::Malformed)?;
-        let reason = response.reason.unwrap_or("").to_owned();
-        let http11 = response.version == Some(1);
-        buffer.drain(..used);
         if (100..200).contains(&status) {
             continue;
         }
+        let fields = copy_fields(response.headers);
+        let reason = response.reason.unwrap_or("").to_owned();
+        let http11 = response.version == Some(1);
+        buffer.drain(..begin);
         let bodiless = status == 204 || status == 304;
         let framing = framing(&fields)?.unwrap_or(Framing::UntilClose);
         let framing = if bodiless { Framing::Length(0) } else { framing };
@@ -186,7 +192,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// With the size of the trailer fields so far.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -224,74 +231,80 @@
     /// # Errors
     /// If the framing is malformed.
     pub fn decode(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<(), HttpError> {
+        if self.state == DecoderState::UntilClose {
+            body.append(input);
+            return Ok(());
+        }
+        let mut rest = input.as_slice();
+        let decoded = self.decode_elements(&mut rest, body);
+        let used = input.len() - rest.len();
+        input.drain(..used);
+        decoded
+    }
+
+    /// Decodes the elements that are complete, and removes them from the front of `rest`.
+    fn decode_elements(&mut self, rest: &mut &[u8], body: &mut Vec<u8>) -> Result<(), HttpError> {
         loop {
-            match self.state {
-                DecoderState::Done => return Ok(()),
-                DecoderState::UntilClose => {
-                    body.append(input);
-                    return Ok(());
-                }
-                DecoderState::Length(left) => {
-                    let left = take_bytes(left, input, body);
-                    self.state =
-                        if left == 0 { DecoderState::Done } else { DecoderState::Length(left) };
-                    if left > 0 {
+            self.state = match self.state {
+                DecoderState::Done | DecoderState::UntilClose => return Ok(()),
+                DecoderState::Length(left) => match take_bytes(left, rest, body) {
+                    0 => DecoderState::Done,
+                    left => {
+                        self.state = DecoderState::Length(left);
                         return Ok(());
                     }
-                }
-                DecoderState::ChunkData(left) => {
-                    let left = take_bytes(left, input, body);
-                    self.state = if left == 0 {
-                        DecoderState::ChunkEnd
-                    } else {
-                        DecoderState::ChunkData(left)
-                    };
-                    if left > 0 {
+                },
+                DecoderState::ChunkData(left) => match take_bytes(left, rest, body) {
+                    0 => DecoderState::ChunkEnd,
+                    left => {
+                        self.state = DecoderState::ChunkData(left);
                         return Ok(());
                     }
-                }
+                },
                 DecoderState::ChunkSize => {
-                    let Some(line) = take_line(input)? else { return Ok(()) };
-                    let size = chunk_size(&line).ok_or(HttpError::Malformed)?;
-                    self.state = if size == 0 {
-                        DecoderState::Trailer
-                    } else {
-                        DecoderState::ChunkData(size)
-                    };
+                    let Some(line) = take_line(rest)? else { return Ok(()) };
+                    match chunk_size(line).ok_or(HttpError::Malformed)? {
+                        0 => DecoderState::Trailer(0),
+                        size => DecoderState::ChunkData(size),
+                    }
                 }
                 DecoderState::ChunkEnd => {
-                    let Some(line) = take_line(input)? else { return Ok(()) };
+                    let Some(line) = take_line(rest)? else { return Ok(()) };
                     if !line.is_empty() {
                         return Err(HttpError::Malformed);
                     }
-                    self.state = DecoderState::ChunkSize;
+                    DecoderState::ChunkSize
                 }
-                DecoderState::Trailer => {
-                    let Some(line) = take_line(input)? else { return Ok(()) };
-                    if line.is_empty() {
-                        self.state = DecoderState::Done;
+                DecoderState::Trailer(size) => {
+                    let Some(line) = take_line(rest)? else { return Ok(()) };
+                    let size = size + line.len();
+                    if size > MAX_TRAILERS {
+                        return Err(HttpError::HeadTooLarge);
                     }
+                    if line.is_empty() { DecoderState::Done } else { DecoderState::Trailer(size) }
                 }
             }
         }
     }
 }
 
-fn take_bytes(left: u64, input: &mut Vec<u8>, body: &mut Vec<u8>) -> u64 {
-    let count = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
-    body.extend(input.drain(..count));
+/// Moves up to `left` bytes; returns how many are missing.
+fn take_bytes(left: u64, rest: &mut &[u8], body: &mut Vec<u8>) -> u64 {
+    let count = usize::try_from(left).unwrap_or(usize::MAX).min(rest.len());
+    let (taken, after) = rest.split_at(count);
+    body.extend_from_slice(taken);
+    *rest = after;
     left - count as u64
 }
 
-fn take_line(input: &mut Vec<u8>) -> Result<Option<Vec<u8>>, HttpError> {
-    let Some(end) = input.iter().position(|b| *b == b'\n') else {
-        return if input.len() > MAX_CHUNK_LINE { Err(HttpError::Malformed) } else { Ok(None) };
+/// Removes a line from the front, without its end; `None` while it is incomplete.
+fn take_line<'a>(rest: &mut &'a [u8]) -> Result<Option<&'a [u8]>, HttpError> {
+    let searched = &rest[..rest.len().min(MAX_CHUNK_LINE)];
+    let Some(end) = searched.iter().position(|b| *b == b'\n') else {
+        return if rest.len() > MAX_CHUNK_LINE { Err(HttpError::Malformed) } else { Ok(None) };
     };
-    let mut line: Vec<u8> = input.drain(..=end).collect();
-    line.pop();
-    if line.pop_if(|b| *b == b'\r').is_none() {
-        return Err(HttpError::Malformed);
-    }
+    let line = rest[..end].strip_suffix(b"\r").ok_or(HttpError::Malformed)?;
+    *rest = &rest[end + 1..];
     Ok(Some(line))
 }
 
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -20,7 +20,11 @@
 const OWN_SHARE: usize = 4;
 /// Bytes that may be buffered for a peer that does not read; beyond this the connection is treated
 /// as broken.
-const MAX_OUTPUT: usize = 8 << 20;
+pub const MAX_OUTPUT: usize = 8 << 20;
+/// Bytes read from a connection before the others get their turn.
+const READ_TURN: usize = 64 << 10;
+/// Received bytes that may wait to be consumed; beyond this the connection is not read.
+const MAX_INPUT: usize = 1 << 20;
 
 /// Starts outgoing connections.
 pub trait Dial {
@@ -94,6 +98,10 @@
     chunks: Option<ChunkReader>,
     /// Whether input is left in the system's buffer, which slows the sender down.
     paused: bool,
+    /// Whether it is among [`Net::unread`].
+    unread: bool,
+    /// Received bytes that may wait to be consumed.
+    max_input: usize,
     /// How the connection ended; `None` while it is open.
     pub ended: Option<Ended>,
     closing: bool,
@@ -127,6 +135,11 @@
         self.unwritten() == 0
     }
 
+    /// Whether more input may be taken in.
+    fn may_read(&self) -> bool {
+        !self.paused && self.ended.is_none() && self.input.len() < self.max_input
+    }
+
     /// Whether the connection is open and has no unconsumed input, so that it can be reused.
     pub fn reusable(&self) -> bool {
         self.ended.is_none() && self.input.is_empty()
@@ -144,6 +157,8 @@
     max_connections: usize,
     /// Bytes received over all connections so far.
     received: u64,
+    /// Connections that may have more input in the system's buffer, for which no event follows.
+    unread: Vec<Key>,
     scratch: Vec<u8>,
 }
 
@@ -166,6 +181,7 @@
             datagrams,
             max_connections,
             received,
+            unread: Vec::new(),
             scratch,
         })
     }
@@ -229,11 +245,14 @@
         }
     }
 
-    /// Waits for readiness for at most `timeout`.
+    /// Waits for readiness for at most `timeout`; not at all if there is input that was left for the
+    /// next turn.
     ///
     /// # Errors
     /// If the readiness queue fails.
     pub fn wait(&mut self, timeout: Duration) -> io::Result<()> {
+        let may_read = |key: &Key| self.sockets.get(*key).is_some_and(Socket::may_read);
+        let timeout = if self.unread.iter().any(may_read) { Duration::ZERO } else { timeout };
         match self.poll.poll(&mut self.events, Some(timeout)) {
             Err(err) if err.kind() == ErrorKind::Interrupted => self.events.clear(),
             other => other?,
@@ -254,6 +273,16 @@
                 ready.push((key, event.is_writable(), event.is_read_closed()));
             }
         }
+        for key in std::mem::take(&mut self.unread) {
+            let Some(socket) = self.sockets.get_mut(key) else { continue };
+            if socket.may_read() {
+                socket.unread = false;
+                // The peer may have closed its sending side already.
+                ready.push((key, false, true));
+            } else {
+                self.unread.push(key);
+            }
+        }
         for (key, writable, read_closed) in ready {
             self.handle_ready(key, writable, read_closed);
             changes.push(SocketChange::Socket(key));
@@ -337,10 +366,32 @@
             return false;
         };
         socket.paused = false;
-        self.received += read(socket, &mut self.scratch, true);
+        self.read_turn(key, true);
         true
     }
 
+    /// Takes in more input of a connection before it is consumed than is usual.
+    pub fn set_max_input(&mut self, key: Key, bytes: usize) {
+        if let Some(socket) = self.sockets.get_mut(key) {
+            socket.max_input = bytes;
+        }
+    }
+
+    /// Reads what one turn allows, and notes whether there may be more.
+    fn read_turn(&mut self, key: Key, read_closed: bool) {
+        let Some(socket) = self.sockets.get_mut(key) else { return };
+        let before = socket.input.len();
+        let drained = read(socket, &mut self.scratch, read_closed);
+        self.received += (socket.input.len() - before) as u64;
+        if !drained && !socket.unread {
+            socket.unread = true;
+            self.unread.push(key);
+        }
+        if socket.closing {
+            socket.input.clear();
+        }
+    }
+
     fn add(&mut self, stream: TcpStream, connected: bool) -> io::Result<Key> {
         let socket = Socket {
             stream,
@@ -351,6 +402,8 @@
             held: None,
             chunks: None,
             paused: false,
+            unread: false,
+            max_input: MAX_INPUT,
             ended: None,
             closing: false,
         };
@@ -425,10 +478,9 @@
         }
         if socket.connected {
             flush(socket);
-            if !socket.paused {
-                self.received += read(socket, &mut self.scratch, read_closed);
-            }
+            self.read_turn(key, read_closed);
         }
+        let Some(socket) = self.sockets.get_mut(key) else { return };
         if socket.closing && (socket.flushed() || socket.ended == Some(Ended::Broken)) {
             self.close(key);
         }
@@ -472,26 +524,26 @@
     }
 }
 
-/// Reads all available bytes. Readiness is edge-triggered: after a short read nothing is left, and
-/// the next byte brings a new event. If the peer has already closed its sending side
-/// (`read_closed`), no further event follows, so reading goes on until the end of the stream.
-/// Returns the number of bytes read.
-fn read(socket: &mut Socket, scratch: &mut [u8], read_closed: bool) -> u64 {
+/// Reads available bytes, up to what one turn and the unconsumed input allow. Returns whether nothing
+/// is left. Readiness is edge-triggered: after a short read nothing is left, and the next byte brings
+/// a new event. If the peer has already closed its sending side (`read_closed`), no further event
+/// follows, so reading goes on until the end of the stream.
+fn read(socket: &mut Socket, scratch: &mut [u8], read_closed: bool) -> bool {
     let mut received = 0;
-    while socket.ended.is_none() {
+    while socket.may_read() && received < READ_TURN {
         match socket.stream.read(scratch) {
             Ok(0) => socket.ended = Some(end_of_stream(socket)),
             Ok(count) => {
                 receive(socket, &scratch[..count]);
-                received += count as u64;
+                received += count;
                 if count < scratch.len() && !read_closed {
-                    return received;
+                    return true;
                 }
             }
-            Err(err) if err.kind() == ErrorKind::WouldBlock => return received,
+            Err(err) if err.kind() == ErrorKind::WouldBlock => return true,
             Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(_) => socket.ended = Some(Ended::Broken),
         }
     }
-    received
+    socket.ended.is_some()
 }
--- a/crates/roseshore_relay/src/sse.rs
+++ b/crates/roseshore_relay/src/sse.rs
@@ -22,10 +22,22 @@
 /// Removes complete events from the front of `buffer`; those with ids up to `after` were forwarded
 /// before and are discarded. An incomplete event stays in `buffer`.
 pub fn take_events(buffer: &mut Vec<u8>, after: Option<u64>) -> CompleteEvents {
+    take_new_events(buffer, after, 0)
+}
+
+/// Like [`take_events`], for a buffer whose first `searched` bytes hold no end of an event.
+pub fn take_new_events(
+    buffer: &mut Vec<u8>,
+    after: Option<u64>,
+    searched: usize,
+) -> CompleteEvents {
     let mut taken = CompleteEvents { last: after, ..CompleteEvents::default() };
     let mut from = 0;
-    while let Some(at) = find_subslice(&buffer[from..], TERMINATOR) {
-        let end = from + at + TERMINATOR.len();
+    // The end may have begun with the last byte.
+    let mut search = searched.saturating_sub(TERMINATOR.len() - 1);
+    while let Some(at) = find_subslice(&buffer[search..], TERMINATOR) {
+        let end = search + at + TERMINATOR.len();
+        search = end;
         let event = &buffer[from..end];
         from = end;
         let id = event_id(event);
--- a/crates/roseshore_relay/tests/http.rs
+++ b/crates/roseshore_relay/tests/http.rs
@@ -1,7 +1,10 @@
 //! Parsing of HTTP heads, body framing and server-sent events.
 
-use roseshore_relay::http::{BodyDecoder, Framing, HttpError, parse_request, parse_response};
-use roseshore_relay::sse::take_events;
+use proptest::prelude::*;
+use roseshore_relay::http::{
+    BodyDecoder, Framing, HttpError, LAST_CHUNK, parse_request, parse_response, write_chunk,
+};
+use roseshore_relay::sse::{take_events, take_new_events};
 
 const MAX_HEAD: usize = 400;
 
@@ -236,3 +239,89 @@
         assert_eq!(String::from_utf8_lossy(&buffer), case.remaining, "{}", case.name);
     }
 }
+
+/// Bytes without end that are parsed as they arrive.
+struct EndlessCase {
+    name: &'static str,
+    begin: &'static str,
+    again: &'static str,
+}
+
+/// Guards against interim responses and fields without end: each part was complete and removed, so
+/// that no limit on the size of a head was ever reached.
+#[test]
+fn a_head_without_end_is_too_large() {
+    let cases = [
+        EndlessCase { name: "fields", begin: "HTTP/1.1 200 OK\r\n", again: "x: y\r\n" },
+        EndlessCase { name: "a reason", begin: "HTTP/1.1 200 ", again: "abc" },
+        EndlessCase { name: "interim", begin: "", again: "HTTP/1.1 102 Processing\r\n\r\n" },
+    ];
+    for case in cases {
+        let mut buffer = case.begin.as_bytes().to_vec();
+        let mut received = buffer.len();
+        let error = loop {
+            buffer.extend_from_slice(case.again.as_bytes());
+            received += case.again.len();
+            match parse_response(&mut buffer, MAX_HEAD) {
+                Ok(head) => assert_eq!(head, None, "{}", case.name),
+                Err(error) => break error,
+            }
+            assert!(received <= 2 * MAX_HEAD, "{}: {received} bytes", case.name);
+        };
+        let too_large = [HttpError::HeadTooLarge, HttpError::Malformed];
+        assert!(too_large.contains(&error), "{}: {error}", case.name);
+    }
+}
+
+/// Guards against trailer fields without end, which are removed one by one.
+#[test]
+fn trailers_without_end_are_refused() {
+    let (mut decoder, mut body) = (BodyDecoder::new(Framing::Chunked), Vec::new());
+    let mut input = b"0\r\n".to_vec();
+    let refused = (0..10_000).any(|_| {
+        input.extend_from_slice(b"x: y\r\n");
+        decoder.decode(&mut input, &mut body).is_err()
+    });
+    assert!(refused);
+}
+
+proptest! {
+    /// A body in chunks is the same in whatever pieces it arrives.
+    #[test]
+    fn pieces_of_a_chunked_body_do_not_matter(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..50), 0..20),
+        pieces in prop::collection::vec(1..40_usize, 1..20),
+    ) {
+        let mut bytes = Vec::new();
+        for chunk in &chunks {
+            write_chunk(&mut bytes, chunk);
+        }
+        bytes.extend_from_slice(LAST_CHUNK);
+        bytes.extend_from_slice(b"rest");
+        let (mut decoder, mut input, mut body) =
+            (BodyDecoder::new(Framing::Chunked), Vec::new(), Vec::new());
+        let (mut left, mut sizes) = (bytes.as_slice(), pieces.iter().cycle());
+        while !left.is_empty() {
+            let (piece, after) = left.split_at(sizes.next().map_or(1, |size| *size).min(left.len()));
+            input.extend_from_slice(piece);
+            decoder.decode(&mut input, &mut body).expect("well formed");
+            left = after;
+        }
+        prop_assert!(decoder.done());
+        prop_assert_eq!(body, chunks.concat());
+        prop_assert_eq!(input, b"rest");
+    }
+
+    /// Events are the same whether or not what has been searched is searched again.
+    #[test]
+    fn events_are_found_in_pieces(pieces in prop::collection::vec("[a\n]{0,4}", 0..30)) {
+        let (mut again, mut once, mut searched) = (Vec::new(), Vec::new(), 0);
+        for piece in pieces {
+            again.extend_from_slice(piece.as_bytes());
+            once.extend_from_slice(piece.as_bytes());
+            let found = take_new_events(&mut once, None, searched);
+            searched = once.len();
+            prop_assert_eq!(found, take_events(&mut again, None));
+        }
+    }
+}
