An answer too long to be delivered is refused truthfully, without blame

What callers saw: an answer of more than 8 MB ended with a closed connection, as the output for the caller is bounded.

Change: where the length of the answer says so, the request is refused at once with 502 and the verdict that it may have run. It is not sent again, and the target does not count as failing.

--- a/crates/roseshore_core/src/gateway/partial.rs
+++ b/crates/roseshore_core/src/gateway/partial.rs
@@ -33,9 +33,4 @@
         let first = *self.first_arrival.get_or_insert(now);
         self.arrivals >= MIN_ARRIVALS && now.saturating_duration_since(first) >= MAX_TIME
     }
-
-    /// Whether a part of the element has arrived.
-    pub fn is_begun(&self) -> bool {
-        self.len > 0
-    }
 }
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -122,9 +122,11 @@
             return Step::Finished;
         }
         let streamed = success && exchange.route.kind.is_stream();
-        let too_long = matches!(head.framing, Framing::Length(length) if length > MAX_BODY as u64);
-        if too_long && !streamed {
-            self.send_failed(key, Fault::Garbled, None);
+        if let Framing::Length(length) = head.framing
+            && length > MAX_BODY as u64
+            && !streamed
+        {
+            self.refuse_long_answer(key, length);
             return Step::Finished;
         }
         if !exchange.route.kind.is_stream() || !success {
@@ -135,6 +137,16 @@
         Step::Continue
     }
 
+    /// Ends a request whose answer is longer than what can be delivered. Its target has done nothing
+    /// wrong, and another one would give the same answer.
+    fn refuse_long_answer(&mut self, key: Key, length: u64) {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        exchange.verdict = exchange.verdict.join(Verdict::MayHaveRun);
+        self.drop_send(key, false);
+        let why = format!("the answer has {length} bytes, of which {MAX_BODY} can be delivered");
+        self.end_without(key, Code::TargetGarbled, &why);
+    }
+
     /// Handles a response by which a target states that it did not run the request.
     fn refused_by_target(&mut self, key: Key, head: &ResponseHead, feedback: &ResponseFields) {
         let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else { return };
