A host logs why it closes a caller's connection

E217 names the reason, the requests served on the connection, its idle time, and the bytes that were not read or written; the counter roseshore_callers_closed_total counts by reason.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -75,6 +75,7 @@
     RetryMade = 214, Debug, "a request is sent again";
     AnswerCut = 215, Warn, "a host ended a request that may have run, without a whole answer";
     AnswerGivenUp = 216, Warn, "unfinished answers took too much memory, and the largest one was given up";
+    CallerClosed = 217, Debug, "a host closed a caller's connection that the caller had not closed";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -15,6 +15,8 @@
     idle_since: Instant,
     /// When the first byte of the request that is being read arrived.
     first_byte: Option<Instant>,
+    /// Requests that were read from it.
+    requests: u32,
 }
 
 /// What a caller's connection is doing.
@@ -38,7 +40,7 @@
 
 impl Caller {
     pub(super) fn new(now: Instant) -> Caller {
-        Caller { phase: Phase::Head, idle_since: now, first_byte: None }
+        Caller { phase: Phase::Head, idle_since: now, first_byte: None, requests: 0 }
     }
 }
 
@@ -70,7 +72,9 @@
             Some(first_byte) if self.now >= first_byte + limits.receive_timeout => {
                 self.refuse_connection(key, Code::SlowCaller, "the request did not come in time");
             }
-            None if self.now >= caller.idle_since + limits.idle_timeout => self.close(key),
+            None if self.now >= caller.idle_since + limits.idle_timeout => {
+                self.close_caller(key, "idle");
+            }
             _ => self.watch_caller(key),
         }
     }
@@ -170,6 +174,7 @@
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.first_byte = None;
         caller.idle_since = self.now;
+        caller.requests += 1;
         let phase = std::mem::replace(&mut caller.phase, Phase::Head);
         let Phase::Body(partial) = phase else { return };
         let PartialRequest { head, body, .. } = *partial;
@@ -218,9 +223,33 @@
             return;
         }
         caller.phase = Phase::Closing;
+        self.log_caller_closed(key, if keep { "stopping" } else { "last_response" });
         self.close_flushed(key);
     }
 
+    /// Closes a caller's connection now, which the caller has not closed.
+    pub(super) fn close_caller(&mut self, key: Key, why: &str) {
+        self.log_caller_closed(key, why);
+        self.close(key);
+    }
+
+    /// Logs that this host closes a caller's connection, with what it has not read or written.
+    fn log_caller_closed(&mut self, key: Key, why: &str) {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
+        let (requests, idle_since) = (caller.requests, caller.idle_since);
+        let Some(socket) = self.net.get(key) else { return };
+        let (unread, unwritten) = (socket.input.len(), socket.unwritten());
+        let addr = socket.peer_addr().map_or("-".to_owned(), |addr| addr.to_string());
+        let idle = self.now.saturating_duration_since(idle_since).as_millis();
+        let text = format!(
+            "caller={addr} why={why} requests={requests} idle_ms={idle} unread_bytes={unread} \
+             unwritten_bytes={unwritten} config_version={}",
+            self.config_version()
+        );
+        log_event!(self, CallerClosed, "{text}");
+        metrics::counter!("roseshore_callers_closed_total", "why" => why.to_owned()).increment(1);
+    }
+
     fn refuse_malformed(&mut self, key: Key, err: HttpError) {
         let code = match err {
             HttpError::HeadTooLarge => Code::HeadTooLarge,
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -96,7 +96,7 @@
         let idle: Vec<Key> =
             self.roles.keys().copied().filter(|key| self.caller_idle(*key)).collect();
         for key in idle {
-            self.close(key);
+            self.close_caller(key, "stopping");
         }
         let busy =
             self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -113,6 +113,11 @@
         self.output.len() - self.written
     }
 
+    /// Address of the other end; `None` if it is not connected.
+    pub fn peer_addr(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
     /// Whether what is sent reaches the target: the connection is established, and so is the part of
     /// a tunnel behind it.
     pub fn established(&self) -> bool {
