--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # A soak of real daemons under faults drawn from seeds.
-#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|all]
-# Each seed runs with all faults, and with frozen targets and changes of the configuration, or with one of both.
+#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|services|all]
+# Each seed runs with all faults, with frozen targets and changes of the configuration, and with whole services
+# frozen, or with one of these. ROSESHORE_SOAK_KEEP=1 keeps the logs of seeds that pass as well.
 # --minutes is the time of faults of each seed. A seed that fails prints its own command and where its logs are.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 usage() {
-  sed -n '3,5p' "$0" >&2
+  sed -n '3,6p' "$0" >&2
   exit 2
 }
 seed=1 seeds=1 seconds=12 hosts=4 kind=all
@@ -25,6 +26,7 @@
 case "$kind" in
   faults) tests=promises_are_kept_under_seeded_faults ;;
   silence) tests=promises_are_kept_while_targets_are_silent ;;
+  services) tests=promises_are_kept_while_services_are_frozen ;;
   all) tests=promises_are_kept ;;
   *) usage ;;
 esac
