A silent request is sent elsewhere only over engines that respond

What callers saw: nothing at first. Targets got requests again that they could not use: with a whole service stopped, each stream in progress was sent to another stopped engine after 0.7 to 1 s.

Cause: a path was chosen by health, and health was shown by liveness checks. The system of a stopped process goes on accepting connections, so the check passes. Class: evidence of the system below taken for a sign of life of the process.

Now a request whose silent send is still open goes to another path only if all its engines have sent something within 0.2 s: an event, a response or a report. Others are asked for a report, which takes no slot, and are left out of the choice if they do not reply within 50 ms. A send that has failed, was refused or lost is repeated as before.

The tests of silent engines, standby sends, busy links, lists, fatal requests and lost links pass unchanged.

--- /dev/null
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -0,0 +1,55 @@
+//! Which targets have sent something lately, and which were asked to and have not.
+//!
+//! A stopped process neither answers nor ends: its system goes on accepting connections, so a passed
+//! liveness check does not show that it works. Only what the process itself sends does. Targets that
+//! have sent nothing lately are asked for a report before a silent request is sent to them, since a
+//! request that reaches a stopped one arrives when it goes on, long after it was sent.
+
+use super::Targets;
+use crate::prelude::*;
+
+/// Age up to which what a target sent shows that it works.
+const RECENT_RESPONSE: Duration = Duration::from_millis(200);
+/// Time after which a target that was asked and has sent nothing is taken to be stopped. It is far
+/// longer than a working one takes between data centres.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+/// Time after which a target is asked again.
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
+
+impl Targets {
+    /// Records that a target's process sent something.
+    pub fn record_response(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.all.get_mut(id) {
+            target.responded_at = target.responded_at.max(Some(now));
+        }
+    }
+
+    /// The targets of a path that have sent nothing lately.
+    pub fn unresponsive(&self, path: &[TargetId], now: Instant) -> Vec<TargetId> {
+        let recent = |at: Instant| now.saturating_duration_since(at) <= RECENT_RESPONSE;
+        let responds =
+            |id: &&TargetId| self.all.get(*id).is_some_and(|t| t.responded_at.is_some_and(recent));
+        path.iter().filter(|id| !responds(id)).cloned().collect()
+    }
+
+    /// Records that a target is asked for a report; returns false if it was asked lately.
+    pub fn record_ask(&mut self, id: &str, now: Instant) -> bool {
+        let Some(target) = self.all.get_mut(id) else { return false };
+        let due = |at: Instant| now.saturating_duration_since(at) >= ASK_INTERVAL;
+        let ask = target.asked_at.is_none_or(due);
+        if ask {
+            target.asked_at = Some(now);
+        }
+        ask
+    }
+
+    /// The targets that were asked and have sent nothing since, so that they are taken to be
+    /// stopped.
+    pub fn stopped(&self, now: Instant) -> Vec<TargetId> {
+        let late = |at: Instant| now.saturating_duration_since(at) >= ANSWER_TIME;
+        let targets = self.all.iter().filter(|(_, target)| {
+            target.asked_at.is_some_and(|asked| late(asked) && target.responded_at < Some(asked))
+        });
+        targets.map(|(id, _)| id.clone()).collect()
+    }
+}
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -208,6 +208,10 @@
     pub(super) reported_at: Option<Instant>,
     /// Latest time at which it was alive by this host's own observation.
     pub(super) alive_at: Option<Instant>,
+    /// When its process last sent something, as far as this host saw it.
+    pub(super) responded_at: Option<Instant>,
+    /// When it was last asked for a report to see whether it responds.
+    pub(super) asked_at: Option<Instant>,
     /// The host that reaches it; used while it fails this host's liveness checks.
     pub(super) relay: Option<Relay>,
     /// Layers being given up.
@@ -242,6 +246,8 @@
             liveness_failure: None,
             reported_at: None,
             alive_at: None,
+            responded_at: None,
+            asked_at: None,
             relay: None,
             clearing: None,
             availability: Availability::default(),
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -32,6 +32,7 @@
     mod position;
     mod pressure;
     mod progress;
+    mod responses;
     mod retry_budget;
     mod retry_loans;
     mod returns;
--- /dev/null
+++ b/crates/roseshore_core/tests/gateway/responses.rs
@@ -0,0 +1,99 @@
+//! Tests of which targets count as responding, and which as stopped.
+
+use roseshore_core::gateway::Targets;
+use roseshore_core::gateway::targets::TargetRecord;
+use roseshore_core::prelude::*;
+
+fn record(id: &str) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        life: 1,
+        service: "models".to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "north".to_owned(),
+        slots: 6,
+        draining: false,
+        kind: Some("big".to_owned()),
+        holding: None,
+    }
+}
+
+/// When a target was asked and has sent something, in milliseconds before it is judged.
+struct Case {
+    name: &'static str,
+    responded: Option<u64>,
+    asked: Option<u64>,
+    responds: bool,
+    stopped: bool,
+}
+
+const CASES: [Case; 6] = [
+    Case { name: "never heard", responded: None, asked: None, responds: false, stopped: false },
+    Case {
+        name: "sent something just now",
+        responded: Some(200),
+        asked: None,
+        responds: true,
+        stopped: false,
+    },
+    Case {
+        name: "quiet since",
+        responded: Some(201),
+        asked: None,
+        responds: false,
+        stopped: false,
+    },
+    Case {
+        name: "asked just now",
+        responded: Some(300),
+        asked: Some(49),
+        responds: false,
+        stopped: false,
+    },
+    Case {
+        name: "asked, and nothing came",
+        responded: Some(300),
+        asked: Some(50),
+        responds: false,
+        stopped: true,
+    },
+    Case {
+        name: "sent something after it was asked",
+        responded: Some(60),
+        asked: Some(100),
+        responds: true,
+        stopped: false,
+    },
+];
+
+#[test]
+fn only_what_a_target_sends_shows_that_it_works() {
+    let start = Instant::now();
+    let at = |ago: u64| start + Duration::from_millis(1000 - ago);
+    for case in CASES {
+        let mut targets = Targets::default();
+        targets.upsert(record("t"));
+        if let Some(ago) = case.asked {
+            assert!(targets.record_ask("t", at(ago)), "{}", case.name);
+        }
+        if let Some(ago) = case.responded {
+            targets.record_response("t", at(ago));
+        }
+        // A passed liveness check shows that its system accepts connections.
+        targets.liveness_passed("t", at(0));
+        let path = ["t".to_owned()];
+        let responds = targets.unresponsive(&path, at(0)).is_empty();
+        assert_eq!(responds, case.responds, "{}", case.name);
+        assert_eq!(!targets.stopped(at(0)).is_empty(), case.stopped, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_target_is_asked_again_after_a_while() {
+    let start = Instant::now();
+    let mut targets = Targets::default();
+    targets.upsert(record("t"));
+    let asked = [0, 399, 400].map(|ms| targets.record_ask("t", start + Duration::from_millis(ms)));
+    assert_eq!(asked, [true, false, true]);
+    assert!(!targets.record_ask("unknown", start));
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -21,6 +21,7 @@
 mod records;
 mod relays;
 mod responses;
+mod responsiveness;
 mod retry_loans;
 mod returns;
 mod send_failure;
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -196,6 +196,7 @@
             (&purpose, &reply)
         {
             self.apply_reply_feedback(id, reply);
+            self.call_answered(id);
         }
         match purpose {
             Purpose::Latest(stream, era) => self.latest_received(stream, sent, era, reply),
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -98,7 +98,10 @@
         let data_centre = self.settings.data_centre.as_str();
         let bound = exchange.at_bound();
         let allowed_first = bound.then_some(exchange.tried_targets.as_slice());
-        let avoid = exchange.avoided.list(at);
+        let mut avoid = exchange.avoided.list(at);
+        if exchange.leaves_silent_send() {
+            avoid.extend(self.targets.stopped(self.now));
+        }
         let Some(spec) = exchange.service.engine.as_ref() else {
             if bound {
                 return None;
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -40,6 +40,9 @@
             Some(choice) if choice.suitable && self.may_pass(key) => choice,
             other => return self.wait_for_room(key, other),
         };
+        if self.awaits_response(key, &choice) {
+            return;
+        }
         if let Some(choice) = self.with_permit(key, choice) {
             self.send_to(key, choice);
         }
--- a/crates/roseshore_relay/src/entry/pace_polling.rs
+++ b/crates/roseshore_relay/src/entry/pace_polling.rs
@@ -8,7 +8,7 @@
 use roseshore_ports::entry::CallReply;
 
 /// Time-out of a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Smallest change of pace that is logged.
 const LOGGED_CHANGE: f64 = 0.3;
 
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -90,6 +90,7 @@
             }
         };
         send.partial = PartialElement::default();
+        self.targets.record_response(&send.target, now);
         let feedback = self.platform.read_response(&head.fields);
         send.status = head.status;
         (send.pause, send.leaving) = (feedback.retry_after, feedback.leaving);
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -0,0 +1,72 @@
+//! Sends a silent request again only over engines that respond.
+//!
+//! When a whole service is stopped for a moment, another path is as silent as the present one. A
+//! request that is sent there uses up a retry, arrives when the engines go on, and is then given
+//! time that its caller no longer has. So while the silent send is still open, the engines of
+//! another path have to have sent something lately. Those that have not are asked for a report.
+
+use super::calls::Purpose;
+use super::choice::Choice;
+use super::pace_polling::REPORT_TIMEOUT;
+use super::{EntryHost, Timer, log_event};
+use crate::slab::Key;
+use roseshore_core::prelude::*;
+
+/// Interval at which a request whose next path does not respond is looked at again.
+const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+impl EntryHost {
+    /// Whether a request whose silent send is still open waits for the engines of a choice to
+    /// respond.
+    pub(super) fn awaits_response(&mut self, key: Key, choice: &Choice) -> bool {
+        let open = self.exchanges.get(key).is_some_and(|e| !e.standbys.is_empty());
+        if !open || self.responds(key, choice) {
+            return false;
+        }
+        self.set_timer(self.now + RESPONSE_POLL_INTERVAL, Timer::Exchange(key));
+        true
+    }
+
+    /// Whether all engines of a choice have sent something lately; true for a plain service. Asks
+    /// those that have not; the request is looked at again when one of them replies.
+    pub(super) fn responds(&mut self, key: Key, choice: &Choice) -> bool {
+        let now = self.now;
+        let path: Vec<TargetId> = choice.path.iter().map(|(id, ..)| id.clone()).collect();
+        let unresponsive = self.targets.unresponsive(&path, now);
+        if unresponsive.is_empty() {
+            return true;
+        }
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
+        if !std::mem::replace(&mut exchange.awaits_response, true) {
+            let text = format!(
+                "request={} path={} unresponsive={}",
+                exchange.request_fields.attempt,
+                path.join(","),
+                unresponsive.join(",")
+            );
+            metrics::counter!("roseshore_moves_held_total").increment(1);
+            log_event!(self, MoveHeld, "{text}");
+        }
+        for id in unresponsive {
+            if let Some(addr) = self.call_address(&id).filter(|_| self.targets.record_ask(&id, now))
+            {
+                let request = self.platform.report();
+                self.call(Purpose::Pace(id), addr, &request, REPORT_TIMEOUT);
+            }
+        }
+        false
+    }
+
+    /// Records that a target replied to a call, and looks at the requests that wait for that.
+    pub(super) fn call_answered(&mut self, id: &str) {
+        let now = self.now;
+        self.targets.record_response(id, now);
+        for key in self.exchanges.keys() {
+            if let Some(exchange) = self.exchanges.get_mut(key)
+                && std::mem::take(&mut exchange.awaits_response)
+            {
+                self.set_timer(now, Timer::Exchange(key));
+            }
+        }
+    }
+}
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -1,6 +1,7 @@
 //! Time-outs of requests, and detection of targets without progress: when they are checked, and
 //! when a request is sent to another target.
 
+use super::choice::Choice;
 use super::dispatch::CONNECT_TIMEOUT;
 use super::exchange::Exchange;
 use super::in_flight::InFlightSend;
@@ -169,14 +170,22 @@
         for target in path {
             exchange.avoided.add(target, None);
         }
+        exchange.rerouting = true;
         let choice = self.choose(key).filter(|choice| choice.suitable);
-        let in_time = choice.is_some_and(|choice| {
+        if let Some(exchange) = self.exchanges.get_mut(key) {
+            exchange.rerouting = false;
+        }
+        let in_time = |choice: &Choice| {
             let predicted = from_ms(choice.ttft_ms);
-            let path: Vec<TargetId> = choice.claims.into_iter().map(|it| it.target).collect();
+            let path: Vec<TargetId> = choice.claims.iter().map(|it| it.target.clone()).collect();
             let observed = self.targets.longest_first_event(&path, now);
             silence.arrives_in_time(caller_waited, predicted.max(observed))
-        });
-        if in_time && self.may_pass(key) && self.may_repeat(key) {
+        };
+        let choice = choice.filter(in_time);
+        if choice.is_some_and(|choice| self.responds(key, &choice))
+            && self.may_pass(key)
+            && self.may_repeat(key)
+        {
             self.send_failed_by(key, Fault::Silent, Vec::new());
             return true;
         }
