--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -83,6 +83,8 @@
     pub(super) send: Option<InFlightSend>,
     /// Whether it waits for engines to respond before it is sent to them.
     pub(super) awaits_response: bool,
+    /// Whether that was logged.
+    pub(super) move_held: bool,
     /// Whether another path is sought for its silent send, which is still in flight.
     pub(super) rerouting: bool,
     /// Earlier sends that were silent for too long, while none has taken their place.
@@ -286,6 +288,7 @@
             loan_wait: None,
             send: None,
             awaits_response: false,
+            move_held: false,
             rerouting: false,
             standbys: Vec::new(),
             delivery: Delivery { last_id: request_fields.last_event, ..Delivery::default() },
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -37,7 +37,8 @@
             return true;
         }
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        if !std::mem::replace(&mut exchange.awaits_response, true) {
+        exchange.awaits_response = true;
+        if !std::mem::replace(&mut exchange.move_held, true) {
             let text = format!(
                 "request={} path={} unresponsive={}",
                 exchange.request_fields.attempt,
