Input that waits is read before the timer that gives it up

What callers saw: a request on a kept connection whose connection was closed without a byte, and a request that was refused as too slow although it had come whole (LOST where the host itself was only short of processor).

Cause: the loop takes the time after it has polled the sockets, and a process that was held up between the two, or whose poll was interrupted by a signal and so returned nothing, found timers due before it had read what had arrived meanwhile: idle and header time limits of callers, time-outs of sends, checks, calls and copies. Class: a time limit judged by a clock that is ahead of what has been read.

A poll that ends over 5 ms after its timeout is followed by another one that does not wait, and only then timers fire.

The cases of poll_timing tell when the second poll is made.

--- a/crates/roseshore_core/src/gateway/poll_timing.rs
+++ b/crates/roseshore_core/src/gateway/poll_timing.rs
@@ -12,6 +12,9 @@
 /// suspended. Timers fire up to about ten milliseconds late on a busy host.
 const HELD_UP: Duration = Duration::from_millis(50);
 
+/// A poll that ends this much after its timeout may have missed input of the meantime.
+const LATE: Duration = Duration::from_millis(5);
+
 /// The times of one poll of the sockets.
 #[derive(Clone, Copy, Debug)]
 pub struct PollTiming {
@@ -26,6 +29,13 @@
 }
 
 impl PollTiming {
+    /// Whether timers are due that input of the meantime may settle, so that the sockets have to be
+    /// polled again before the timers fire. A process that was held up finds out the time before it
+    /// finds out what has arrived: a poll that a signal interrupts returns nothing.
+    pub fn is_late(&self) -> bool {
+        self.ended.saturating_duration_since(self.began) >= self.timeout + LATE
+    }
+
     /// The earliest moment at which what the poll found may have arrived.
     pub fn earliest_arrival(&self) -> Instant {
         let waited = self.ended.saturating_duration_since(self.began);
--- a/crates/roseshore_core/tests/gateway/poll_timing.rs
+++ b/crates/roseshore_core/tests/gateway/poll_timing.rs
@@ -10,6 +10,7 @@
     timeout: u64,
     ended: u64,
     earliest: u64,
+    late: bool,
 }
 
 #[test]
@@ -21,12 +22,43 @@
             timeout: 100,
             ended: 80,
             earliest: 80,
+            late: false,
+        },
+        Case {
+            name: "busy for two seconds",
+            began: 2_000,
+            timeout: 0,
+            ended: 2_000,
+            earliest: 0,
+            late: false,
+        },
+        Case {
+            name: "busy, then idle",
+            began: 2_000,
+            timeout: 90,
+            ended: 2_040,
+            earliest: 2_040,
+            late: false,
+        },
+        Case { name: "a short poll", began: 2, timeout: 9, ended: 2, earliest: 0, late: false },
+        Case { name: "a late timer", began: 2, timeout: 9, ended: 21, earliest: 21, late: true },
+        Case {
+            name: "held up a little",
+            began: 2,
+            timeout: 9,
+            ended: 16,
+            earliest: 16,
+            late: true,
+        },
+        Case { name: "a timer", began: 2, timeout: 9, ended: 15, earliest: 15, late: false },
+        Case {
+            name: "suspended while waiting",
+            began: 2,
+            timeout: 98,
+            ended: 6_100,
+            earliest: 2,
+            late: true,
         },
-        Case { name: "busy for two seconds", began: 2_000, timeout: 0, ended: 2_000, earliest: 0 },
-        Case { name: "busy, then idle", began: 2_000, timeout: 90, ended: 2_040, earliest: 2_040 },
-        Case { name: "a short poll", began: 2, timeout: 9, ended: 2, earliest: 0 },
-        Case { name: "a late timer", began: 2, timeout: 9, ended: 21, earliest: 21 },
-        Case { name: "suspended while waiting", began: 2, timeout: 98, ended: 6_100, earliest: 2 },
     ];
     let previous_end = Instant::now();
     let at = |ms: u64| previous_end + Duration::from_millis(ms);
@@ -38,5 +70,6 @@
             ended: at(case.ended),
         };
         assert_eq!(timing.earliest_arrival(), at(case.earliest), "{}", case.name);
+        assert_eq!(timing.is_late(), case.late, "{}", case.name);
     }
 }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -363,6 +363,10 @@
             let timing =
                 PollTiming { previous_end: self.now, began, timeout, ended: self.clock.now() };
             (self.now, self.earliest_arrival) = (timing.ended, timing.earliest_arrival());
+            if timing.is_late() {
+                self.net.wait(Duration::ZERO)?;
+                self.net.process_ready(&mut changes);
+            }
             for change in changes.drain(..) {
                 match change {
                     SocketChange::Endpoint(Endpoint::Peers) => self.receive_datagrams(),
