A target that was reached counts although a later send did not reach it

What callers saw: nothing.

Cause: a send whose connection was never established took its target off the list of those that the request was sent to, together with an earlier send that had reached it. Connections to a stopped target are established until its accept queue is full, and not from then on, so both happen to one request at one target.

Each send is now recorded by itself, and only the one that did not reach its target is withdrawn.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -12,7 +12,8 @@
 //!
 //! What a host decides for a request:
 //! - [`admission`]: whether it is sent, waits or is refused under load;
-//! - [`path`]: the engines that it runs through; [`avoid`]: the targets that it is not sent to
+//! - [`path`]: the engines that it runs through; [`tried`]: the targets that it was sent to;
+//!   [`avoid`]: those that it is not sent to
 //!   again;
 //! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
 //!   slow or dead; [`partial`]: whether what a target sends will become an answer; [`memory`]: what
@@ -61,6 +62,7 @@
 pub mod settings;
 pub mod store_reads;
 pub mod targets;
+pub mod tried;
 pub mod unavailable;
 mod window_max;
 
@@ -85,4 +87,5 @@
 };
 pub use settings::{Bounds, EntrySettings};
 pub use targets::{Holding, TargetRecord, Targets};
+pub use tried::TriedTargets;
 pub use unavailable::{SelectionConditions, Unavailable};
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -41,5 +41,6 @@
     mod starts;
     mod store_reads;
     mod targets;
+    mod tried;
     mod unavailable;
 }
--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -365,7 +365,7 @@
                 continue;
             }
             let choice = self.choose(key).filter(|choice| choice.suitable);
-            let restricted = self.exchanges.get(key).is_some_and(|e| !e.tried_targets.is_empty());
+            let restricted = self.exchanges.get(key).is_some_and(|e| e.tried_targets.count() > 0);
             let Some(choice) = choice else {
                 scan.found_none(&entry, restricted, now);
                 continue;
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -97,7 +97,7 @@
         let exchange = self.exchanges.get(key)?;
         let data_centre = self.settings.data_centre.as_str();
         let bound = exchange.at_bound();
-        let allowed_first = bound.then_some(exchange.tried_targets.as_slice());
+        let allowed_first = bound.then_some(exchange.tried_targets.targets());
         let mut avoid = exchange.avoided.list(at);
         if exchange.leaves_silent_send() {
             avoid.extend(self.targets.stopped(self.now));
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -75,9 +75,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         exchange.sends += 1;
         exchange.refused_full = false;
-        if !exchange.tried_targets.contains(&choice.target) {
-            exchange.tried_targets.push(choice.target.clone());
-        }
+        exchange.tried_targets.record(&choice.target);
         let remaining = exchange.deadline.saturating_duration_since(self.now);
         let wire_path: Vec<(SocketAddr, Hop)> =
             choice.path.iter().map(|(_, addr, hop)| (*addr, *hop)).collect();
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -9,7 +9,7 @@
 use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
-    AvoidedTargets, Fingerprint, RetryState, Route, ServiceSpec, Suspects,
+    AvoidedTargets, Fingerprint, RetryState, Route, ServiceSpec, Suspects, TriedTargets,
 };
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::RequestFields;
@@ -71,7 +71,7 @@
     pub(super) reached_target: bool,
     pub(super) avoided: AvoidedTargets,
     /// The targets that it was sent to; the route limits their number.
-    pub(super) tried_targets: Vec<TargetId>,
+    pub(super) tried_targets: TriedTargets,
     /// Whether the level has admitted it.
     pub(super) level_passed: bool,
     /// Its wait for room.
@@ -152,7 +152,7 @@
 
     /// Whether the request was sent to as many targets as its route allows.
     pub(super) fn at_bound(&self) -> bool {
-        self.tried_targets.len() >= self.route.max_attempts as usize
+        self.tried_targets.count() >= self.route.max_attempts as usize
     }
 
     /// Whether the request may be sent to another target although the send in flight may have run.
@@ -281,7 +281,7 @@
             last_silence: None,
             reached_target: false,
             avoided: AvoidedTargets::default(),
-            tried_targets: Vec::new(),
+            tried_targets: TriedTargets::default(),
             level_passed: false,
             room_wait: None,
             permit_wait: None,
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -64,7 +64,7 @@
         let full = refusal == Some(Refusal::Full);
         (exchange.refused_full, exchange.loan_wait) = (full, None);
         if fault == Fault::NotSent {
-            exchange.tried_targets.retain(|sent| *sent != first);
+            exchange.tried_targets.withdraw(&first);
         } else {
             exchange.reached_target = true;
         }
