A target that resets a check at once is not taken for ended

Cause: a check whose connection was accepted and reset before the host looked at it was seen as one that was never accepted, which is what the port of an ended process does. On a host that waits for a processor both come together. Class: a failure is judged by what is left of it when it is looked at.

A reset of a connection that is being opened means that it was accepted: a closed port refuses it. Such a check passes; nothing was sent, so a request on such a connection still counts as not sent.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -13,8 +13,7 @@
 //! What a host decides for a request:
 //! - [`admission`]: whether it is sent, waits or is refused under load;
 //! - [`path`]: the engines that it runs through; [`tried`]: the targets that it was sent to;
-//!   [`avoid`]: those that it is not sent to
-//!   again;
+//!   [`avoid`]: those that it is not sent to again;
 //! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
 //!   slow or dead; [`partial`]: whether what a target sends will become an answer; [`memory`]: what
 //!   unfinished answers may take;
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -143,12 +143,12 @@
     /// Handles the outcome of a check: the connection was established or failed.
     pub(super) fn handle_liveness(&mut self, key: Key) {
         let Some(socket) = self.net.get(key) else { return };
-        let (connected, ended) = (socket.connected, socket.ended.is_some());
-        if !connected && !ended {
+        let (accepted, ended) = (socket.was_accepted(), socket.ended.is_some());
+        if !accepted && !ended {
             return;
         }
         let Some(id) = self.end_check(key) else { return };
-        if connected {
+        if accepted {
             let Some(check) = self.liveness.checks.get_mut(&id) else { return };
             (check.unanswered, check.urgent) = (0, false);
             let started = check.last.unwrap_or(self.now);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -91,6 +91,8 @@
     written: usize,
     /// Whether the connection is established.
     pub connected: bool,
+    /// Whether the other end accepted the connection, and reset it before this was noticed here.
+    reset_at_once: bool,
     /// Output that waits until the host at the other end has opened its part of a tunnel; `None` for
     /// an open tunnel and for other connections.
     held: Option<Vec<u8>>,
@@ -118,6 +120,11 @@
         self.stream.peer_addr().ok()
     }
 
+    /// Whether the other end has accepted the connection, though it may have ended since.
+    pub fn was_accepted(&self) -> bool {
+        self.connected || self.reset_at_once
+    }
+
     /// Whether what is sent reaches the target: the connection is established, and so is the part of
     /// a tunnel behind it.
     pub fn established(&self) -> bool {
@@ -404,6 +411,7 @@
             output: Vec::new(),
             written: 0,
             connected,
+            reset_at_once: false,
             held: None,
             chunks: None,
             paused: false,
@@ -478,7 +486,11 @@
             match socket.stream.take_error() {
                 Ok(None) if socket.stream.peer_addr().is_ok() => socket.connected = true,
                 Ok(None) => {}
-                _ => socket.ended = Some(Ended::Broken),
+                Ok(Some(err)) | Err(err) => {
+                    // A port that nobody listens on refuses a connection instead.
+                    socket.reset_at_once = err.kind() == ErrorKind::ConnectionReset;
+                    socket.ended = Some(Ended::Broken);
+                }
             }
         }
         if socket.connected {
