A target's own failure is passed on when no retry is left

What callers saw: a 502 "no more sends may be repeated" in place of the 500 with which their target had answered, 0.1 s later.

Cause: a complete failure was dropped as soon as another target could be tried, before it was known whether a retry is left.

The failure is kept, up to 64 kB, and forwarded if the request would end with an error of the host's own.

--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -1,7 +1,7 @@
 //! The processing of one request, from its last byte received to the last byte of its response.
 
 use super::{EntryHost, Timer, log_event};
-use crate::http::{self, RequestHead};
+use crate::http::{self, RequestHead, ResponseHead};
 use crate::slab::Key;
 use rand::RngExt;
 use roseshore_core::gateway::demand::Rank;
@@ -65,6 +65,8 @@
     pub(super) verdict: Verdict,
     /// How its last send failed.
     pub(super) last_failure: Option<SendFailure>,
+    /// The failure that a target responded with, to be forwarded if no other target answers.
+    pub(super) own_failure: Option<(ResponseHead, Vec<u8>)>,
     /// How a send last failed by silence.
     pub(super) last_silence: Option<SendFailure>,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
@@ -279,6 +281,7 @@
             verdict: Verdict::NotRun,
             last_failure: None,
             last_silence: None,
+            own_failure: None,
             reached_target: false,
             avoided: AvoidedTargets::default(),
             tried_targets: TriedTargets::default(),
@@ -374,6 +377,10 @@
         self.mark_may_have_run(key);
         let Some(exchange) = self.exchanges.get(key) else { return };
         let end = failure::failure_reply(&exchange.retry_state(now));
+        if end == FailureReply::Unknown && self.forward_own_failure(key) {
+            return;
+        }
+        let Some(exchange) = self.exchanges.get(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         let attempt = exchange.request_fields.attempt.clone();
         let code = match end {
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -23,6 +23,8 @@
 const MAX_BODY: usize = MAX_OUTPUT - 2 * MAX_HEAD;
 /// Maximum bytes of an event of a stream.
 const MAX_EVENT: usize = 256 << 10;
+/// Maximum bytes of the body of a target's failure that is kept while another target is tried.
+const MAX_KEPT_FAILURE: usize = 64 << 10;
 /// Maximum number of responses to other requests that may precede the expected one.
 const MAX_STALE_RESPONSES: u32 = 8;
 
@@ -227,6 +229,7 @@
         let replaceable =
             !exchange.standbys.is_empty() || (exchange.may_move(now) && self.has_alternative(key));
         if head.status >= 500 && replaceable {
+            self.keep_own_failure(key, head);
             self.send_failed(key, Fault::Failed, None);
             return Step::Finished;
         }
@@ -255,6 +258,34 @@
         let Some(send) = exchange.send.as_mut() else { return };
         let body = send.body.take();
         let target = send.target.clone();
+        self.write_whole(key, head, &body);
+        self.record_success(&target, key);
+        self.record_completed(key);
+        self.finish_exchange(key, head.keep_alive, head.status, "whole");
+    }
+
+    /// Keeps a target's complete failure, unless it is large.
+    fn keep_own_failure(&mut self, key: Key, head: ResponseHead) {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(send) = exchange.send.as_mut() else { return };
+        if send.body.len() <= MAX_KEPT_FAILURE {
+            exchange.own_failure = Some((head, send.body.take()));
+        }
+    }
+
+    /// Forwards the failure that a target responded with before another one was tried, if there is
+    /// one. Returns whether there is.
+    pub(super) fn forward_own_failure(&mut self, key: Key) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
+        let Some((head, body)) = exchange.own_failure.take() else { return false };
+        self.write_whole(key, &head, &body);
+        self.finish_exchange(key, false, head.status, "the target's own failure");
+        true
+    }
+
+    /// Writes a complete response of a target to the caller.
+    fn write_whole(&mut self, key: Key, head: &ResponseHead, body: &[u8]) {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         exchange.verdict = Verdict::Answered;
         exchange.delivery.first_at.get_or_insert(self.now);
@@ -270,12 +301,9 @@
             close,
         );
         if exchange.head.method != "HEAD" {
-            out.extend_from_slice(&body);
+            out.extend_from_slice(body);
         }
         self.net.send(caller, &out);
-        self.record_success(&target, key);
-        self.record_completed(key);
-        self.finish_exchange(key, head.keep_alive, head.status, "whole");
     }
 
     /// Records that a target gave a complete response to the exchange `key`.
