--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -228,3 +228,19 @@
     host.set_bound(0.0, 5.0, WINDOW);
     assert_eq!(spend(&mut host, now), 0);
 }
+
+/// Guards against forgetting retries before stopped targets have taken them.
+#[test]
+fn retries_that_arrive_late_stay_within_the_bound() {
+    const SLACK: f64 = 200.0;
+    let stopped = ms(1300);
+    let start = Instant::now();
+    let mut host = budget(0.2, SLACK, 1, start);
+    let first = spend(&mut host, start);
+    // Counts no longer what was made at the start, which arrived when the targets went on.
+    let again = start + COUNTED + ms(1);
+    host.set_pool(1, Some(alone(start.checked_sub(COUNTED).expect("an earlier time"))), again);
+    let second = spend(&mut host, again);
+    assert!(again < start + stopped + WINDOW, "both arrive within one window");
+    assert!((first + second) as f64 <= SLACK, "{first} and {second} of {SLACK}");
+}
