A silent request that gets room is not sent to a stopped engine either

What callers saw: nothing.

Found by reading the change again.

Both now send through EntryHost::send_over, which holds the check.

The tests of silent engines, standby sends, limits and back-off pass unchanged.

--- a/crates/roseshore_relay/src/entry/admission.rs
+++ b/crates/roseshore_relay/src/entry/admission.rs
@@ -374,9 +374,7 @@
                 state.queue.take(entry.id);
                 self.admission.queue_changed = true;
             }
-            if let Some(choice) = self.with_permit(key, choice) {
-                self.send_to(key, choice);
-            }
+            self.send_over(key, choice);
         }
     }
 
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -40,6 +40,12 @@
             Some(choice) if choice.suitable && self.may_pass(key) => choice,
             other => return self.wait_for_room(key, other),
         };
+        self.send_over(key, choice);
+    }
+
+    /// Sends a request over a choice that has room for it, once its engines have responded if need be
+    /// and there is a permit.
+    pub(super) fn send_over(&mut self, key: Key, choice: Choice) {
         if self.awaits_response(key, &choice) {
             return;
         }
