Poll timing computes in one place how late a poll ended

is_late and earliest_arrival each compared the time waited with the timeout and a limit of their own. No change of behaviour; the cases of poll_timing pass unchanged.

--- a/crates/roseshore_core/src/gateway/poll_timing.rs
+++ b/crates/roseshore_core/src/gateway/poll_timing.rs
@@ -11,7 +11,6 @@
 /// A poll that returns this much after its timeout was held up: the process or its machine was
 /// suspended. Timers fire up to about ten milliseconds late on a busy host.
 const HELD_UP: Duration = Duration::from_millis(50);
-
 /// A poll that ends this much after its timeout may have missed input of the meantime.
 const LATE: Duration = Duration::from_millis(5);
 
@@ -29,11 +28,16 @@
 }
 
 impl PollTiming {
+    /// How long after its timeout it ended.
+    fn overrun(&self) -> Duration {
+        self.ended.saturating_duration_since(self.began).saturating_sub(self.timeout)
+    }
+
     /// Whether timers are due that input of the meantime may settle, so that the sockets have to be
     /// polled again before the timers fire. A process that was held up finds out the time before it
     /// finds out what has arrived: a poll that a signal interrupts returns nothing.
     pub fn is_late(&self) -> bool {
-        self.ended.saturating_duration_since(self.began) >= self.timeout + LATE
+        self.overrun() >= LATE
     }
 
     /// The earliest moment at which what the poll found may have arrived.
@@ -41,7 +45,7 @@
         let waited = self.ended.saturating_duration_since(self.began);
         if waited < IMMEDIATE {
             self.previous_end
-        } else if waited >= self.timeout + HELD_UP {
+        } else if self.overrun() >= HELD_UP {
             self.began
         } else {
             self.ended
