Requests that wait for engines to respond are kept in a list

A flag on each request and a look at all requests of the host on every reply of a target, also on those of routine polls, found the requests that wait for an engine; a second flag passed to the choice that another path is sought. Now a list beside the polls holds those that wait, and whether a send is open tells the choice. No change of behaviour but that a request that ends at its deadline, before its connection was open, is told when to come back without the engines that were found stopped.

--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -20,7 +20,7 @@
     /// Records that a target's process sent something.
     pub fn record_response(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.all.get_mut(id) {
-            target.responded_at = target.responded_at.max(Some(now));
+            target.responded_at = Some(now);
         }
     }
 
--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -99,7 +99,7 @@
         let bound = exchange.at_bound();
         let allowed_first = bound.then_some(exchange.tried_targets.targets());
         let mut avoid = exchange.avoided.list(at);
-        if exchange.leaves_silent_send() {
+        if exchange.open_sends().next().is_some() {
             avoid.extend(self.targets.stopped(self.now));
         }
         let Some(spec) = exchange.service.engine.as_ref() else {
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -83,12 +83,8 @@
     /// Until when its next send waits for a loan of a retry.
     pub(super) loan_wait: Option<Instant>,
     pub(super) send: Option<InFlightSend>,
-    /// Whether it waits for engines to respond before it is sent to them.
-    pub(super) awaits_response: bool,
-    /// Whether that was logged.
+    /// Whether it was logged that it waits for engines to respond.
     pub(super) move_held: bool,
-    /// Whether another path is sought for its silent send, which is still in flight.
-    pub(super) rerouting: bool,
     /// Earlier sends that were silent for too long, while none has taken their place.
     pub(super) standbys: Vec<InFlightSend>,
     pub(super) delivery: Delivery,
@@ -147,11 +143,6 @@
         name_hash(self.organisation.as_deref().unwrap_or_default())
     }
 
-    /// Whether it may be sent again while a silent send of it is still open.
-    pub(super) fn leaves_silent_send(&self) -> bool {
-        self.rerouting || !self.standbys.is_empty()
-    }
-
     /// Whether the request was sent to as many targets as its route allows.
     pub(super) fn at_bound(&self) -> bool {
         self.tried_targets.count() >= self.route.max_attempts as usize
@@ -290,9 +281,7 @@
             permit_wait: None,
             loan_wait: None,
             send: None,
-            awaits_response: false,
             move_held: false,
-            rerouting: false,
             standbys: Vec::new(),
             delivery: Delivery { last_id: request_fields.last_event, ..Delivery::default() },
             request_fields,
--- a/crates/roseshore_relay/src/entry/pace_polling.rs
+++ b/crates/roseshore_relay/src/entry/pace_polling.rs
@@ -2,6 +2,7 @@
 
 use super::calls::{CallFault, Purpose};
 use super::{EntryHost, log_event};
+use crate::slab::Key;
 use roseshore_core::gateway::paces::{BATCH_INTERVAL, EnginePace, PollRounds, PolledEngine};
 use roseshore_core::gateway::targets::Target;
 use roseshore_core::prelude::*;
@@ -17,6 +18,8 @@
 pub(super) struct PacePolling {
     last_batch: Option<Instant>,
     rounds: PollRounds,
+    /// Requests that wait until engines that were asked for a report respond.
+    pub(super) awaited_by: Vec<Key>,
 }
 
 impl EntryHost {
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -19,7 +19,7 @@
     /// Whether a request whose silent send is still open waits for the engines of a choice to
     /// respond.
     pub(super) fn awaits_response(&mut self, key: Key, choice: &Choice) -> bool {
-        let open = self.exchanges.get(key).is_some_and(|e| !e.standbys.is_empty());
+        let open = self.exchanges.get(key).is_some_and(|e| e.open_sends().next().is_some());
         if !open || self.responds(key, choice) {
             return false;
         }
@@ -37,7 +37,6 @@
             return true;
         }
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        exchange.awaits_response = true;
         if !std::mem::replace(&mut exchange.move_held, true) {
             let text = format!(
                 "request={} path={} unresponsive={}",
@@ -48,6 +47,9 @@
             metrics::counter!("roseshore_moves_held_total").increment(1);
             log_event!(self, MoveHeld, "{text}");
         }
+        let open = |waiting: &Key| *waiting != key && self.exchanges.get(*waiting).is_some();
+        self.pace_polling.awaited_by.retain(open);
+        self.pace_polling.awaited_by.push(key);
         for id in unresponsive {
             if let Some(addr) = self.call_address(&id).filter(|_| self.targets.record_ask(&id, now))
             {
@@ -62,12 +64,8 @@
     pub(super) fn call_answered(&mut self, id: &str) {
         let now = self.now;
         self.targets.record_response(id, now);
-        for key in self.exchanges.keys() {
-            if let Some(exchange) = self.exchanges.get_mut(key)
-                && std::mem::take(&mut exchange.awaits_response)
-            {
-                self.set_timer(now, Timer::Exchange(key));
-            }
+        for key in std::mem::take(&mut self.pace_polling.awaited_by) {
+            self.set_timer(now, Timer::Exchange(key));
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -170,11 +170,7 @@
         for target in path {
             exchange.avoided.add(target, None);
         }
-        exchange.rerouting = true;
         let choice = self.choose(key).filter(|choice| choice.suitable);
-        if let Some(exchange) = self.exchanges.get_mut(key) {
-            exchange.rerouting = false;
-        }
         let in_time = |choice: &Choice| {
             let predicted = from_ms(choice.ttft_ms);
             let path: Vec<TargetId> = choice.claims.iter().map(|it| it.target.clone()).collect();
