E217 counts what had arrived unread, E215 names every request that an exit cuts

Before a caller's connection is closed, what has arrived is now read and counted; nothing is done with it yet. E215 has the verdict, and is written for all requests that are cut by an exit.

--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -237,6 +237,7 @@
     fn log_caller_closed(&mut self, key: Key, why: &str) {
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
         let (requests, idle_since) = (caller.requests, caller.idle_since);
+        self.net.read_arrived(key);
         let Some(socket) = self.net.get(key) else { return };
         let (unread, unwritten) = (socket.input.len(), socket.unwritten());
         let addr = socket.peer_addr().map_or("-".to_owned(), |addr| addr.to_string());
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -394,7 +394,8 @@
         self.handle_caller(caller);
     }
 
-    /// Records that this host ends a request that may have run, without a whole answer.
+    /// Records that this host ends a request that may have run, or any request at its exit, without a
+    /// whole answer.
     pub(super) fn record_cut(&mut self, key: Key, code: Code, why: &str) {
         let Some(exchange) = self.exchanges.get(key) else { return };
         let now = self.now;
@@ -402,11 +403,12 @@
         let Delivery { started: begun, events, latest_at, .. } = exchange.delivery;
         let (failure, silence) = (exchange.last_failure, exchange.last_silence);
         let text = format!(
-            "request={} target={} begun={begun} events={events} silent_ms={} sends={} \
+            "request={} target={} verdict={} begun={begun} events={events} silent_ms={} sends={} \
              standbys={} failure={} evidence={} failed_ms_ago={} silence={} given_up_ms_ago={} \
              config_version={} config_in_force={} applied_ms_ago={} code={code} why={why:?}",
             exchange.request_fields.attempt,
             exchange.send.as_ref().map_or("-", |send| send.target.as_str()),
+            exchange.verdict.name(),
             since(Some(latest_at.unwrap_or(exchange.started))),
             exchange.sends,
             exchange.standbys.len(),
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -1,6 +1,5 @@
 //! Signals: the graceful shutdown, and the reload of settings.
 
-use super::exchange::Exchange;
 use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::hashes::name_hash;
@@ -103,14 +102,11 @@
         (left == 0 && !busy).then_some(0)
     }
 
-    /// Records the answers that the exit of this process cuts.
+    /// Records the requests that the exit of this process cuts.
     pub(super) fn record_exit(&mut self) {
         for key in self.exchanges.keys() {
             self.mark_may_have_run(key);
-            let may_have_run = |e: &Exchange| e.verdict != Verdict::NotRun;
-            if self.exchanges.get(key).is_some_and(may_have_run) {
-                self.record_cut(key, Code::Draining, "this host exits");
-            }
+            self.record_cut(key, Code::Draining, "this host exits");
         }
     }
 }
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -382,6 +382,13 @@
         true
     }
 
+    /// Takes in what has arrived on a connection since it was last polled.
+    pub fn read_arrived(&mut self, key: Key) {
+        if self.sockets.get(key).is_some_and(|socket| socket.connected) {
+            self.read_turn(key, false);
+        }
+    }
+
     /// Takes in more input of a connection before it is consumed than is usual.
     pub fn set_max_input(&mut self, key: Key, bytes: usize) {
         if let Some(socket) = self.sockets.get_mut(key) {
