A stopping host closes its listener, not the connections that it has accepted

What callers saw: from 2.6 s after the stop signal on, a connection that was accepted and reset with the whole request on it. Cause: shutdown_complete closed every caller's connection that waited for a request, without reading it, while the listener stayed open; so it closed each new connection in the iteration that accepted it, and kept ones on which a request had just come.

Now the listener is closed at that time, after what is pending has been accepted: a caller that cannot connect has sent nothing. The decision is gateway/shutdown.rs.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -59,6 +59,7 @@
     Reloaded = 107, Info, "the settings were read again";
     LinesDropped = 108, Warn, "log lines were left out";
     CallersTurnedAway = 109, Warn, "the daemon had no time for new callers and closed their connections";
+    CallersNotAccepted = 110, Info, "a stopping daemon closed its listener for callers";
     RequestEnded = 201, Debug, "a request got its final verdict";
     RequestRefused = 202, Info, "a request was refused";
     CallerLeft = 203, Info, "a caller left before its answer was whole";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -19,7 +19,8 @@
 //!   unfinished answers may take;
 //! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
 //!   back;
-//! - [`leaving`]: which requests a stopping host still accepts; [`poll_timing`]: when a request
+//! - [`leaving`]: which requests a stopping host still accepts; [`shutdown`]: when it accepts no
+//!   more callers; [`poll_timing`]: when a request
 //!   arrived that a busy host polled late.
 //!
 //! What hosts do together:
@@ -59,6 +60,7 @@
 pub mod returns;
 pub mod routes;
 pub mod settings;
+pub mod shutdown;
 pub mod store_reads;
 pub mod targets;
 pub mod tried;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -38,6 +38,7 @@
     mod returns;
     mod room;
     mod routes;
+    mod shutdown;
     mod starts;
     mod store_reads;
     mod targets;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -387,7 +387,7 @@
             self.bound_answers();
             self.serve_queues();
             self.log.flush();
-            if let Some(cut) = self.shutdown_complete() {
+            if let Some(cut) = self.advance_shutdown() {
                 self.record_exit();
                 log_event!(self, Stopped, "cut={cut}");
                 self.log.close(Duration::from_millis(100));
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, BodyDecoder, BodyFraming, Framing, HttpError, RequestHead};
 use crate::slab::Key;
 use roseshore_core::gateway::RequestLimits;
+use roseshore_core::gateway::shutdown::IdleConnection;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Field;
 use std::cmp::Reverse;
@@ -267,10 +268,28 @@
         self.response_sent(key, false);
     }
 
-    /// Whether a caller's connection is idle: no byte of a next request has arrived.
-    pub(super) fn caller_idle(&self, key: Key) -> bool {
-        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return false };
-        matches!(caller.phase, Phase::Head) && caller.first_byte.is_none()
+    /// A caller's connection if it is idle: no byte of a next request has arrived.
+    pub(super) fn idle_connection(&self, key: Key) -> Option<IdleConnection> {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return None };
+        let idle = matches!(caller.phase, Phase::Head) && caller.first_byte.is_none();
+        idle.then_some(IdleConnection { requests: caller.requests, since: caller.idle_since })
+    }
+
+    /// Closes the idle connections of callers that a stopping host need not keep.
+    pub(super) fn close_idle_callers(&mut self) {
+        let now = self.now;
+        let closable = |entry: &EntryHost, key: &Key| {
+            entry.idle_connection(*key).is_some_and(|idle| idle.may_close(now))
+        };
+        let idle: Vec<Key> = self.roles.keys().copied().filter(|key| closable(self, key)).collect();
+        for key in idle {
+            // A request that has come since the last poll is served.
+            self.net.read_arrived(key);
+            self.handle_caller(key);
+            if closable(self, &key) {
+                self.close_caller(key, "stopping");
+            }
+        }
     }
 }
 
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -1,17 +1,13 @@
 //! Signals: the graceful shutdown, and the reload of settings.
 
 use super::{EntryHost, Role, log_event};
-use crate::slab::Key;
+use crate::net::Endpoint;
 use roseshore_core::gateway::hashes::name_hash;
+use roseshore_core::gateway::shutdown::{Shutdown, Stage};
 use roseshore_core::gateway::{Bounds, ConfigLease, RetryBudget};
 use roseshore_core::prelude::*;
 use std::sync::atomic::Ordering;
 
-/// Time after the stop signal during which the load balancer may still send callers here: until two
-/// probes, one second apart, have failed, and a margin.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(2600);
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// Interval at which the settings are read without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -75,31 +71,35 @@
         self.retry_budgets.entry(service.to_owned()).or_insert_with(fresh)
     }
 
+    /// The shutdown in progress.
+    fn shutdown(&self) -> Option<Shutdown> {
+        Some(Shutdown { since: self.stopping_since?, grace: self.settings.bounds.grace })
+    }
+
     /// Time left until this host has to exit; `None` if it is not shutting down.
     pub(super) fn grace_left(&self) -> Option<Duration> {
-        let since = self.now.saturating_duration_since(self.stopping_since?);
-        Some(self.settings.bounds.grace.saturating_sub(EXIT_RESERVE).saturating_sub(since))
+        Some(self.shutdown()?.time_left(self.now))
     }
 
-    /// The number of requests that are cut off if the process is to exit now; `None` if it is to go
-    /// on.
-    pub(super) fn shutdown_complete(&mut self) -> Option<usize> {
-        let since = self.now.saturating_duration_since(self.stopping_since?);
-        let left = self.exchanges.len();
-        if self.grace_left() == Some(Duration::ZERO) {
-            return Some(left);
+    /// Advances a shutdown. Returns the number of requests that are cut off if the process is to exit
+    /// now; `None` if it is to go on.
+    pub(super) fn advance_shutdown(&mut self) -> Option<usize> {
+        let stage = self.shutdown()?.stage(self.now);
+        if stage == Stage::Over {
+            return Some(self.exchanges.len());
         }
-        if since < MIN_DRAIN_TIME {
+        if stage == Stage::Draining {
             return None;
         }
-        let idle: Vec<Key> =
-            self.roles.keys().copied().filter(|key| self.caller_idle(*key)).collect();
-        for key in idle {
-            self.close_caller(key, "stopping");
+        if self.net.listens(Endpoint::Callers) {
+            self.accept_connections(Endpoint::Callers);
+            self.net.close_listener(Endpoint::Callers);
+            log_event!(self, CallersNotAccepted, "in_flight={}", self.exchanges.len());
         }
+        self.close_idle_callers();
         let busy =
             self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
-        (left == 0 && !busy).then_some(0)
+        (self.exchanges.is_empty() && !busy).then_some(0)
     }
 
     /// Records the requests that the exit of this process cuts.
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -221,6 +221,19 @@
         Ok(bound)
     }
 
+    /// Closes a listener. Connections that have not been accepted are reset.
+    pub fn close_listener(&mut self, endpoint: Endpoint) {
+        for (_, mut listener) in self.listeners.extract_if(.., |(e, _)| *e == endpoint) {
+            // An error is harmless: closing the descriptor, which follows, also deregisters it.
+            let _ = self.poll.registry().deregister(&mut listener);
+        }
+    }
+
+    /// Whether a listener is open.
+    pub fn listens(&self, endpoint: Endpoint) -> bool {
+        self.listeners.iter().any(|(e, _)| *e == endpoint)
+    }
+
     /// Opens the UDP socket and returns its address, with the port that the system chose for port
     /// 0.
     ///
