Requests in flight at the end of the grace period get a response

What callers saw: a closed connection without a response, for calls that were in flight 0.3 s before the kill, and for requests that were never sent. Cause: the loop returned with all of it in memory; only a log line was written.

Now the host ends each of them as it would at a deadline: 503 where nothing was sent, the target's own failure or a 502 that says "may have run" elsewhere. It then has 0.18 s to write this before it exits. Begun streams can only be cut, and are what `E103 cut=` counts.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -74,7 +74,7 @@
     RetryDenied = 212, Info, "a request was not sent again: the retry budget is spent";
     RetriesLent = 213, Debug, "another host asked for retries of the shared budget";
     RetryMade = 214, Debug, "a request is sent again";
-    AnswerCut = 215, Warn, "a host ended a request that may have run, or any at its exit, without a whole answer";
+    AnswerCut = 215, Warn, "a host ended a request that may have run, without a whole answer";
     AnswerGivenUp = 216, Warn, "unfinished answers took too much memory, and the largest one was given up";
     CallerClosed = 217, Debug, "a host closed a caller's connection that the caller had not closed";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
--- a/crates/roseshore_core/src/gateway/shutdown.rs
+++ b/crates/roseshore_core/src/gateway/shutdown.rs
@@ -13,8 +13,11 @@
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2600);
 /// Time for the first request of a new connection to arrive.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-/// Part of the grace period that is reserved for the exit of the process.
+/// Part of the grace period that is reserved for ending what is in flight, and for the exit of the
+/// process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
+/// Part of that time that is reserved for the exit alone.
+const KILL_RESERVE: Duration = Duration::from_millis(120);
 
 /// Progress of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,7 +26,9 @@
     Draining,
     /// No callers are accepted, and connections without a request are closed.
     Closing,
-    /// The grace period is over.
+    /// The time for requests is over: those in flight are ended, and what is left is written.
+    Ending,
+    /// The process has to exit.
     Over,
 }
 
@@ -37,17 +42,23 @@
 }
 
 impl Shutdown {
-    /// Time left until requests in flight are cut off.
+    fn elapsed(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Time left until requests in flight are ended.
     pub fn time_left(&self, now: Instant) -> Duration {
-        let elapsed = now.saturating_duration_since(self.since);
-        self.grace.saturating_sub(EXIT_RESERVE).saturating_sub(elapsed)
+        self.grace.saturating_sub(EXIT_RESERVE).saturating_sub(self.elapsed(now))
     }
 
     /// The current stage.
     pub fn stage(&self, now: Instant) -> Stage {
-        if self.time_left(now).is_zero() {
+        let elapsed = self.elapsed(now);
+        if elapsed + KILL_RESERVE >= self.grace {
             Stage::Over
-        } else if now.saturating_duration_since(self.since) < MIN_DRAIN_TIME {
+        } else if self.time_left(now).is_zero() {
+            Stage::Ending
+        } else if elapsed < MIN_DRAIN_TIME {
             Stage::Draining
         } else {
             Stage::Closing
--- a/crates/roseshore_core/tests/gateway/shutdown.rs
+++ b/crates/roseshore_core/tests/gateway/shutdown.rs
@@ -11,11 +11,12 @@
     left_ms: u64,
 }
 
-const STAGES: [StageCase; 4] = [
+const STAGES: [StageCase; 5] = [
     StageCase { name: "probes pending", after_ms: 2_500, stage: Stage::Draining, left_ms: 5_200 },
     StageCase { name: "probes failed", after_ms: 2_700, stage: Stage::Closing, left_ms: 5_000 },
     StageCase { name: "almost over", after_ms: 7_690, stage: Stage::Closing, left_ms: 10 },
-    StageCase { name: "over", after_ms: 7_800, stage: Stage::Over, left_ms: 0 },
+    StageCase { name: "requests over", after_ms: 7_800, stage: Stage::Ending, left_ms: 0 },
+    StageCase { name: "over", after_ms: 7_900, stage: Stage::Over, left_ms: 0 },
 ];
 
 #[test]
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -213,6 +213,8 @@
     newer_configs: NewerConfigs,
     /// When the stop signal was received.
     stopping_since: Option<Instant>,
+    /// Begun answers that were cut off for the exit of this process.
+    answers_cut: usize,
     settings_read: Instant,
 }
 
@@ -322,6 +324,7 @@
             keys_suspended: true,
             newer_configs: NewerConfigs::default(),
             stopping_since: None,
+            answers_cut: 0,
             settings_read: now,
         };
         let wall = wall::millis(entry.clock.wall());
@@ -342,8 +345,8 @@
         (self.settings.caller_addr, self.settings.probe_addr)
     }
 
-    /// Runs until shutdown after the stop signal is complete; returns the number of requests that
-    /// were cut off.
+    /// Runs until shutdown after the stop signal is complete; returns the number of answers that were
+    /// cut off.
     ///
     /// # Errors
     /// If the readiness queue fails.
@@ -388,7 +391,6 @@
             self.serve_queues();
             self.log.flush();
             if let Some(cut) = self.advance_shutdown() {
-                self.record_exit();
                 log_event!(self, Stopped, "cut={cut}");
                 self.log.close(Duration::from_millis(100));
                 return Ok(cut);
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -394,8 +394,7 @@
         self.handle_caller(caller);
     }
 
-    /// Records that this host ends a request that may have run, or any request at its exit, without a
-    /// whole answer.
+    /// Records that this host ends a request that may have run, without a whole answer.
     pub(super) fn record_cut(&mut self, key: Key, code: Code, why: &str) {
         let Some(exchange) = self.exchanges.get(key) else { return };
         let now = self.now;
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -81,16 +81,16 @@
         Some(self.shutdown()?.time_left(self.now))
     }
 
-    /// Advances a shutdown. Returns the number of requests that are cut off if the process is to exit
+    /// Advances a shutdown. Returns the number of answers that were cut off if the process is to exit
     /// now; `None` if it is to go on.
     pub(super) fn advance_shutdown(&mut self) -> Option<usize> {
         let stage = self.shutdown()?.stage(self.now);
-        if stage == Stage::Over {
-            return Some(self.exchanges.len());
-        }
         if stage == Stage::Draining {
             return None;
         }
+        if stage >= Stage::Ending {
+            self.end_exchanges();
+        }
         if self.net.listens(Endpoint::Callers) {
             self.accept_connections(Endpoint::Callers);
             self.net.close_listener(Endpoint::Callers);
@@ -99,14 +99,17 @@
         self.close_idle_callers();
         let busy =
             self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
-        (self.exchanges.is_empty() && !busy).then_some(0)
+        let done = self.exchanges.is_empty() && !busy;
+        (done || stage == Stage::Over).then_some(self.answers_cut)
     }
 
-    /// Records the requests that the exit of this process cuts.
-    pub(super) fn record_exit(&mut self) {
+    /// Ends all requests before the exit of this process: with a response where no answer has begun.
+    fn end_exchanges(&mut self) {
         for key in self.exchanges.keys() {
-            self.mark_may_have_run(key);
-            self.record_cut(key, Code::Draining, "this host exits");
+            let begun = self.exchanges.get(key).is_some_and(|e| e.delivery.started);
+            self.answers_cut += usize::from(begun);
+            self.drop_standbys(key);
+            self.end_without(key, Code::Draining, "this host exits");
         }
     }
 }
