--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -327,19 +327,20 @@
             answers_cut: 0,
             settings_read: now,
         };
-        let wall = wall::millis(entry.clock.wall());
-        let (host, data_centre) = (entry.settings.host.clone(), entry.settings.data_centre.clone());
-        log_event!(
-            entry,
-            Started,
-            "host={host} data_centre={data_centre} callers={} store={} wall_ms={}",
-            entry.settings.caller_addr,
-            entry.settings.store_addr,
-            wall
-        );
+        entry.log_start();
         Ok(entry)
     }
 
+    fn log_start(&mut self) {
+        let EntrySettings { host, data_centre, caller_addr, store_addr, .. } = &self.settings;
+        let wall = wall::millis(self.clock.wall());
+        let text = format!(
+            "host={host} data_centre={data_centre} callers={caller_addr} store={store_addr} \
+             wall_ms={wall}"
+        );
+        log_event!(self, Started, "{text}");
+    }
+
     /// The addresses that accept callers and health probes.
     pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
         (self.settings.caller_addr, self.settings.probe_addr)
