An answer that is being written does not count as an idle connection

What callers saw: an answer larger than the system's buffers, cut while they read it: 2.6 s after a stop signal, or after IdleTimeoutMs. Cause: a connection counted as idle as soon as its response had been handed to the output buffer, and the close discarded the rest.

A connection is now idle only once its output has been written. Its idle time runs from the last progress, for at least 10 s while something is unread; that also ends connections that wait for their last output, which had no limit. A stopping host waits for them, and for the last bytes of tunnels, until its grace is over. A cut answer is closed once what its caller was sent has been written.

--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -9,11 +9,17 @@
 use roseshore_ports::entry::Field;
 use std::cmp::Reverse;
 
+/// Time after which a caller that takes in nothing of a response is taken to be gone, unless
+/// connections may be idle for longer.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A caller's connection.
 pub(super) struct Caller {
     phase: Phase,
-    /// Since when the connection has waited for a request.
+    /// Since when the connection has waited for a request, or taken in nothing of a response.
     idle_since: Instant,
+    /// Bytes of responses that had not been written when this was last checked.
+    unwritten: usize,
     /// When the first byte of the request that is being read arrived.
     first_byte: Option<Instant>,
     /// Requests that were read from it.
@@ -40,8 +46,14 @@
 }
 
 impl Caller {
+    /// Until when its connection is kept although nothing happens on it.
+    fn idle_until(&self, limits: &RequestLimits) -> Instant {
+        let least = if self.unwritten > 0 { UNREAD_TIMEOUT } else { Duration::ZERO };
+        self.idle_since + limits.idle_timeout.max(least)
+    }
+
     pub(super) fn new(now: Instant) -> Caller {
-        Caller { phase: Phase::Head, idle_since: now, first_byte: None, requests: 0 }
+        Caller { phase: Phase::Head, idle_since: now, unwritten: 0, first_byte: None, requests: 0 }
     }
 }
 
@@ -55,9 +67,9 @@
     pub(super) fn watch_caller(&mut self, key: Key) {
         let limits = self.request_limits();
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
-        let at = caller.first_byte.map_or(caller.idle_since + limits.idle_timeout, |first_byte| {
-            first_byte + limits.receive_timeout
-        });
+        let at = caller
+            .first_byte
+            .map_or(caller.idle_until(&limits), |first_byte| first_byte + limits.receive_timeout);
         self.set_timer(at, Timer::Caller(key));
     }
 
@@ -65,16 +77,21 @@
     /// long.
     pub(super) fn check_caller(&mut self, key: Key) {
         let limits = self.request_limits();
-        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
-        if matches!(caller.phase, Phase::Busy(_) | Phase::Closing) {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
+        if matches!(caller.phase, Phase::Busy(_)) {
             return;
         }
+        let unwritten = self.net.get(key).map_or(0, |socket| socket.unwritten());
+        if std::mem::replace(&mut caller.unwritten, unwritten) != unwritten {
+            caller.idle_since = self.now;
+        }
         match caller.first_byte {
             Some(first_byte) if self.now >= first_byte + limits.receive_timeout => {
                 self.refuse_connection(key, Code::SlowCaller, "the request did not come in time");
             }
-            None if self.now >= caller.idle_since + limits.idle_timeout => {
-                self.close_caller(key, "idle");
+            None if self.now >= caller.idle_until(&limits) => {
+                let why = if unwritten > 0 { "unread" } else { "idle" };
+                self.close_caller(key, why);
             }
             _ => self.watch_caller(key),
         }
@@ -218,14 +235,22 @@
         let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.idle_since = self.now;
         caller.first_byte = None;
+        caller.unwritten = self.net.get(key).map_or(0, |socket| socket.unwritten());
         if keep && self.stopping_since.is_none() {
             caller.phase = Phase::Head;
             self.watch_caller(key);
             return;
         }
+        self.close_written(key, if keep { "stopping" } else { "last_response" });
+    }
+
+    /// Closes a caller's connection once all that was sent on it has been written.
+    pub(super) fn close_written(&mut self, key: Key, why: &str) {
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
         caller.phase = Phase::Closing;
-        self.log_caller_closed(key, if keep { "stopping" } else { "last_response" });
+        self.log_caller_closed(key, why);
         self.close_flushed(key);
+        self.watch_caller(key);
     }
 
     /// Closes a caller's connection now, which the caller has not closed.
@@ -268,25 +293,30 @@
         self.response_sent(key, false);
     }
 
-    /// A caller's connection if it is idle: no byte of a next request has arrived.
-    pub(super) fn idle_connection(&self, key: Key) -> Option<IdleConnection> {
+    /// A caller's connection if it is idle: all responses have been written, and no byte of a next
+    /// request has arrived.
+    pub(super) fn idle_connection(&mut self, key: Key) -> Option<IdleConnection> {
+        let written = self.net.get(key).is_some_and(|socket| socket.flushed());
         let Some(Role::Caller(caller)) = self.roles.get(&key) else { return None };
-        let idle = matches!(caller.phase, Phase::Head) && caller.first_byte.is_none();
+        let idle = matches!(caller.phase, Phase::Head) && caller.first_byte.is_none() && written;
         idle.then_some(IdleConnection { requests: caller.requests, since: caller.idle_since })
     }
 
     /// Closes the idle connections of callers that a stopping host need not keep.
     pub(super) fn close_idle_callers(&mut self) {
         let now = self.now;
-        let closable = |entry: &EntryHost, key: &Key| {
-            entry.idle_connection(*key).is_some_and(|idle| idle.may_close(now))
+        let is_closable = |entry: &mut EntryHost, key| {
+            entry.idle_connection(key).is_some_and(|idle| idle.may_close(now))
         };
-        let idle: Vec<Key> = self.roles.keys().copied().filter(|key| closable(self, key)).collect();
-        for key in idle {
+        let connections: Vec<Key> = self.roles.keys().copied().collect();
+        for key in connections {
+            if !is_closable(self, key) {
+                continue;
+            }
             // A request that has come since the last poll is served.
             self.net.read_arrived(key);
             self.handle_caller(key);
-            if closable(self, &key) {
+            if is_closable(self, key) {
                 self.close_caller(key, "stopping");
             }
         }
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -383,7 +383,7 @@
         }
         self.close_exchange(key, code.number(), why);
         let refusal = match end {
-            FailureReply::Abort => return self.close_caller(caller, "answer_cut"),
+            FailureReply::Abort => return self.close_written(caller, "answer_cut"),
             FailureReply::NotRun => Refusal::not_run(code, why).after(delay.unwrap_or_default()),
             FailureReply::Unknown => Refusal::may_have_run(code, why),
         };
--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -97,8 +97,8 @@
             log_event!(self, CallersNotAccepted, "in_flight={}", self.exchanges.len());
         }
         self.close_idle_callers();
-        let busy =
-            self.roles.values().any(|r| matches!(r, Role::Caller(_))) || self.tunnels_in_use();
+        let unfinished = |role: &Role| matches!(role, Role::Caller(_) | Role::Closing);
+        let busy = self.roles.values().any(unfinished) || self.tunnels_in_use();
         let done = self.exchanges.is_empty() && !busy;
         (done || stage == Stage::Over).then_some(self.answers_cut)
     }
