Requests that were sent ahead are read in the event loop, not by recursion

What callers saw: all that a host had in flight cut off, as its process ended with an overflowed stack.

Callers that got a response are kept in a list, which the loop works off before the queues; it does not sleep while the list has entries.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -213,6 +213,8 @@
     newer_configs: NewerConfigs,
     /// When the stop signal was received.
     stopping_since: Option<Instant>,
+    /// Callers that got a response, from which a next request may have been received.
+    resumed_callers: Vec<Key>,
     /// Begun answers that were cut off for the exit of this process.
     answers_cut: usize,
     settings_read: Instant,
@@ -324,6 +326,7 @@
             keys_suspended: true,
             newer_configs: NewerConfigs::default(),
             stopping_since: None,
+            resumed_callers: Vec::new(),
             answers_cut: 0,
             settings_read: now,
         };
@@ -389,6 +392,7 @@
                 self.tick();
             }
             self.bound_answers();
+            self.handle_resumed_callers();
             self.serve_queues();
             self.log.flush();
             if let Some(cut) = self.advance_shutdown() {
@@ -399,8 +403,12 @@
         }
     }
 
-    /// When the event loop has to wake up next: at the earliest timer or the next tick.
+    /// When the event loop has to wake up next: at the earliest timer or the next tick, or at once if
+    /// there are requests to read.
     fn next_timer(&self) -> Instant {
+        if !self.resumed_callers.is_empty() {
+            return self.now;
+        }
         let tick = self.last_tick + TICK_INTERVAL;
         self.timers.peek().map_or(tick, |Reverse((at, _))| tick.min(*at))
     }
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Handles requests that were received before the response to an earlier one.
+    pub(super) fn handle_resumed_callers(&mut self) {
+        while let Some(key) = self.resumed_callers.pop() {
+            self.handle_caller(key);
+        }
+    }
+
     /// Starts to read the body of a request, unless its announced length is too large.
     fn start_body(&mut self, key: Key, head: RequestHead, limits: &RequestLimits) {
         if let Framing::Length(length) = head.framing
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -391,7 +391,7 @@
         let fields = refusal_fields(&refusal, Some(&attempt));
         self.respond(caller, code.status(), &fields, why.as_bytes(), keep);
         self.response_sent(caller, keep);
-        self.handle_caller(caller);
+        self.resumed_callers.push(caller);
     }
 
     /// Records that this host ends a request that may have run, without a whole answer.
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -327,7 +327,7 @@
         self.record_unfinished(key, Duration::ZERO);
         self.close_exchange(key, status, why);
         self.response_sent(caller, keep);
-        self.handle_caller(caller);
+        self.resumed_callers.push(caller);
     }
 
     /// Sends the response head of a stream to the caller, unless the stream is being resumed. This is
