A caller's next request is read once the response before it is written

Cause: a request was read as soon as the response before it was in the buffer. Evidence: a_second_answer_waits_until_the_first_is_written, red each run before.

A request is now left in the input until the output is written, so no more than one response is buffered for a connection. The test passes.

--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -123,6 +123,9 @@
                     }
                     return;
                 }
+                // The next request is read once the response to the one before has been written, which
+                // bounds what is buffered for the caller.
+                Phase::Head if !ended && !socket.flushed() => return,
                 Phase::Head => {
                     // Empty lines before a request are to be ignored (RFC 9112, section 2.2).
                     let blank = socket.input.iter().take_while(|b| b"\r\n".contains(b)).count();
