An address that cannot be dialled costs no request

What callers saw: 503 "Network is unreachable" although another target was sound. Cause: an entry of another writer with an address such as 255.255.255.255:1 was chosen, the system refused the connection at once, and only a refusal by the other end led to another target. Evidence: a_request_is_not_lost_to_an_address_that_cannot_be_dialled, three addresses, failed before.

Every failure that is the address's own now makes the request avoid the target, and the target count as dead until a check succeeds; a lack of descriptors or memory at this host still ends the request.

--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -6,12 +6,12 @@
 use super::relays::via_name;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http;
+use crate::net::is_exhausted;
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ForwardedFields;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 /// Time-out for a connection to be established: a millisecond between data centres, and the
@@ -63,7 +63,7 @@
         let route = self.route_to(&choice.target, choice.addr);
         let (socket, reused) = match self.acquire_connection(route, new_only) {
             Ok(connection) => connection,
-            Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
+            Err(err) if !is_exhausted(&err) => {
                 self.check_alive(&choice.target);
                 let until = Some(self.now + AVOID_UNREACHABLE);
                 if let Some(exchange) = self.exchanges.get_mut(key) {
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -6,6 +6,7 @@
 
 use super::probes::millis;
 use super::{EntryHost, Role, Timer, log_event};
+use crate::net::is_exhausted;
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
 use roseshore_core::gateway::liveness::{
@@ -136,7 +137,12 @@
             Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
                 self.mark_dead(id, LivenessFailure::Reset, "");
             }
-            Err(err) => log_event!(self, ReportFailed, "target={id} liveness=unsent why={err:?}"),
+            Err(err) => {
+                log_event!(self, ReportFailed, "target={id} liveness=unsent why={err:?}");
+                if !is_exhausted(&err) {
+                    self.mark_dead(id, LivenessFailure::Silent, "");
+                }
+            }
         }
     }
 
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -5,6 +5,7 @@
 pub use mio::net::TcpStream;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
+use rustix::io::Errno;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -345,7 +346,7 @@
     /// If the system refuses immediately, or the maximum number of connections is reached.
     pub fn connect(&mut self, addr: SocketAddr) -> io::Result<Key> {
         if self.sockets.len() >= self.max_connections {
-            return Err(io::Error::other("too many connections"));
+            return Err(io::Error::new(ErrorKind::QuotaExceeded, "too many connections"));
         }
         self.add(self.dial.dial(addr)?, false)
     }
@@ -524,6 +525,13 @@
     }
 }
 
+/// Whether a connection failed since this host has no room for one, rather than by its address.
+pub fn is_exhausted(err: &io::Error) -> bool {
+    const LACKING: [Errno; 4] = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    err.kind() == ErrorKind::QuotaExceeded
+        || Errno::from_io_error(err).is_some_and(|errno| LACKING.contains(&errno))
+}
+
 fn flush(socket: &mut Socket) {
     while socket.written < socket.output.len() {
         match socket.stream.write(&socket.output[socket.written..]) {
