What a connection has received is read before a failed write ends it

What callers saw: 502 "the target broke off" in place of the target's whole response. Cause: a target that responds before it has read the whole request and closes resets the connection; a host that did not run meanwhile finds the response, the end and a writable socket in one event, wrote first, and took the failed write for the end of the connection, so the response was never read. Evidence: a_response_is_read_before_the_end_of_its_connection, with a stopped process: the case of a request of 7 MB failed before. Class: an end is noted before what came ahead of it.

A failed write now only stops further output. Reading goes on to the end, which counts as broken, so that an answer without a length is not taken for complete.

--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -105,6 +105,8 @@
     unread: bool,
     /// Received bytes that may wait to be consumed.
     max_input: usize,
+    /// Whether the connection takes no more output. What was received before can still be read.
+    write_failed: bool,
     /// How the connection ended; `None` while it is open.
     pub ended: Option<Ended>,
     closing: bool,
@@ -438,6 +440,7 @@
             paused: false,
             unread: false,
             max_input: MAX_INPUT,
+            write_failed: false,
             ended: None,
             closing: false,
         };
@@ -468,7 +471,9 @@
 
     /// Queues bytes and writes as many as the socket accepts now.
     pub fn send(&mut self, key: Key, bytes: &[u8]) {
-        let Some(socket) = self.sockets.get_mut(key) else { return };
+        let Some(socket) = self.sockets.get_mut(key).filter(|socket| !socket.write_failed) else {
+            return;
+        };
         let held = socket.held.as_ref().map_or(0, Vec::len);
         if socket.unwritten() + held + bytes.len() > MAX_OUTPUT {
             socket.ended = Some(Ended::Broken);
@@ -516,6 +521,7 @@
         }
         if socket.connected {
             flush(socket);
+            let read_closed = read_closed || socket.write_failed;
             self.read_turn(key, read_closed);
         }
         let Some(socket) = self.sockets.get_mut(key) else { return };
@@ -540,8 +546,8 @@
             Err(err) if err.kind() == ErrorKind::WouldBlock => return,
             Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(_) => {
-                socket.ended = Some(Ended::Broken);
-                return;
+                socket.write_failed = true;
+                break;
             }
         }
     }
@@ -561,9 +567,11 @@
 }
 
 /// How a connection ended whose peer has closed its sending side. A tunnel that ends before the
-/// target's connection is broken.
+/// target's connection is broken, and so is a connection that was reset: the write that failed may
+/// have taken the system's report of it.
 fn end_of_stream(socket: &Socket) -> Ended {
     match &socket.chunks {
+        _ if socket.write_failed => Ended::Broken,
         Some(chunks) if !chunks.ended() => Ended::Broken,
         _ => Ended::Orderly,
     }
