The grace period counts from the earliest moment at which the signal may have come

What callers saw: all that a host had in flight cut by the kill. Cause: the grace period ran from the iteration that noticed the signal; a process that was held up for seconds planned its end for after the kill. Evidence: a process stopped with SIGSTOP for 6 s, SIGTERM meanwhile, a call in flight: it exited 13.7 s after the signal, of which the platform gives 8.

The time is now that of the poll's earliest arrival, as for requests. If the process was held up before the signal came, it ends earlier than it must, with responses. the_grace_period_runs_while_the_process_is_frozen failed before and passes.

--- a/crates/roseshore_relay/src/entry/signals.rs
+++ b/crates/roseshore_relay/src/entry/signals.rs
@@ -16,7 +16,8 @@
     /// periodically.
     pub(super) fn handle_signals(&mut self) {
         if self.stop.load(Ordering::Relaxed) && self.stopping_since.is_none() {
-            self.stopping_since = Some(self.now);
+            // A process that was held up may have got the signal when that began.
+            self.stopping_since = Some(self.earliest_arrival);
             self.recheck_waiting();
             log_event!(self, Draining, "in_flight={}", self.exchanges.len());
         }
