What an engine sent before it stopped with a request's own does not count

What callers saw: a stream that was sent to another stopped engine, for a retry, and arrived late. Cause: whatever an engine had sent within 0.2 s showed that it works, also if it was sent before the request's own engine fell silent; when both stop at the same moment and the own one is found dead after 0.2 s, the other still counted.

What an engine sent now counts only from 60 ms after the own send's last progress on; otherwise it is asked for a report, a round trip.

--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -10,6 +10,9 @@
 
 /// Age up to which what a target sent shows that it works.
 const RECENT_RESPONSE: Duration = Duration::from_millis(200);
+/// How much later than others a target may send its last, when all of a service stop together. What
+/// it sent up to then after a request's own target does not show that it works.
+const STOP_SPREAD: Duration = Duration::from_millis(60);
 /// Time after which a target that was asked and has sent nothing is taken to be stopped. It is far
 /// longer than a working one takes between data centres.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
@@ -24,9 +27,18 @@
         }
     }
 
-    /// The targets of a path that have sent nothing lately.
-    pub fn unresponsive(&self, path: &[TargetId], now: Instant) -> Vec<TargetId> {
-        let recent = |at: Instant| now.saturating_duration_since(at) <= RECENT_RESPONSE;
+    /// The targets of a path that have sent nothing lately, or nothing since a request's own target
+    /// was last heard.
+    pub fn unresponsive(
+        &self,
+        path: &[TargetId],
+        silent_since: Option<Instant>,
+        now: Instant,
+    ) -> Vec<TargetId> {
+        let recent = |at: Instant| {
+            now.saturating_duration_since(at) <= RECENT_RESPONSE
+                && silent_since.is_none_or(|since| at >= since + STOP_SPREAD)
+        };
         let responds =
             |id: &&TargetId| self.all.get(*id).is_some_and(|t| t.responded_at.is_some_and(recent));
         path.iter().filter(|id| !responds(id)).cloned().collect()
--- a/crates/roseshore_core/tests/gateway/responses.rs
+++ b/crates/roseshore_core/tests/gateway/responses.rs
@@ -23,16 +23,42 @@
     name: &'static str,
     responded: Option<u64>,
     asked: Option<u64>,
+    /// When the request's own target was last heard.
+    silent: Option<u64>,
     responds: bool,
     stopped: bool,
 }
 
-const CASES: [Case; 6] = [
-    Case { name: "never heard", responded: None, asked: None, responds: false, stopped: false },
+const CASES: [Case; 8] = [
+    Case {
+        name: "never heard",
+        responded: None,
+        asked: None,
+        silent: None,
+        responds: false,
+        stopped: false,
+    },
     Case {
         name: "sent something just now",
         responded: Some(200),
         asked: None,
+        silent: None,
+        responds: true,
+        stopped: false,
+    },
+    Case {
+        name: "stopped with the request's own target",
+        responded: Some(100),
+        asked: None,
+        silent: Some(120),
+        responds: false,
+        stopped: false,
+    },
+    Case {
+        name: "sent something later than the request's own target",
+        responded: Some(100),
+        asked: None,
+        silent: Some(160),
         responds: true,
         stopped: false,
     },
@@ -40,6 +66,7 @@
         name: "quiet since",
         responded: Some(201),
         asked: None,
+        silent: None,
         responds: false,
         stopped: false,
     },
@@ -47,6 +74,7 @@
         name: "asked just now",
         responded: Some(300),
         asked: Some(49),
+        silent: None,
         responds: false,
         stopped: false,
     },
@@ -54,6 +82,7 @@
         name: "asked, and nothing came",
         responded: Some(300),
         asked: Some(50),
+        silent: None,
         responds: false,
         stopped: true,
     },
@@ -61,6 +90,7 @@
         name: "sent something after it was asked",
         responded: Some(60),
         asked: Some(100),
+        silent: None,
         responds: true,
         stopped: false,
     },
@@ -82,7 +112,8 @@
         // A passed liveness check shows that its system accepts connections.
         targets.liveness_passed("t", at(0));
         let path = ["t".to_owned()];
-        let responds = targets.unresponsive(&path, at(0)).is_empty();
+        let silent_since = case.silent.map(at);
+        let responds = targets.unresponsive(&path, silent_since, at(0)).is_empty();
         assert_eq!(responds, case.responds, "{}", case.name);
         assert_eq!(!targets.stopped(at(0)).is_empty(), case.stopped, "{}", case.name);
     }
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -7,6 +7,7 @@
 
 use super::calls::Purpose;
 use super::choice::Choice;
+use super::exchange::Exchange;
 use super::pace_polling::REPORT_TIMEOUT;
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
@@ -32,7 +33,8 @@
     pub(super) fn responds(&mut self, key: Key, choice: &Choice) -> bool {
         let now = self.now;
         let path: Vec<TargetId> = choice.path.iter().map(|(id, ..)| id.clone()).collect();
-        let unresponsive = self.targets.unresponsive(&path, now);
+        let silent_since = self.exchanges.get(key).and_then(Exchange::silent_since);
+        let unresponsive = self.targets.unresponsive(&path, silent_since, now);
         if unresponsive.is_empty() {
             return true;
         }
--- a/crates/roseshore_relay/src/entry/standby.rs
+++ b/crates/roseshore_relay/src/entry/standby.rs
@@ -140,4 +140,9 @@
     pub(super) fn open_sends(&self) -> impl Iterator<Item = &InFlightSend> {
         self.send.iter().chain(&self.standbys)
     }
+
+    /// When any of them last made progress.
+    pub(super) fn silent_since(&self) -> Option<Instant> {
+        self.open_sends().map(|send| send.latest_at).max()
+    }
 }
