An engine that was stopped counts as responding some time after it goes on

What callers saw: silent streams sent to the first engines that went on, for a retry each, when all engines of a service go on within milliseconds. Cause: a reply to a report showed that an engine works, also in the moment in which a whole service resumes and each stream's own engine is about to go on.

An engine that had left a question unanswered for 50 ms now counts as responding 0.15 s after it is heard again. Core cases: 0.14 s and 0.16 s after.

--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -269,7 +269,7 @@
             if let Some(target) = self.all.get_mut(id) {
                 target.last_progress = Some(now);
                 target.alive_at = Some(now);
-                target.responded_at = Some(now);
+                target.record_response(now);
                 if let Some(relay) = &mut target.relay {
                     relay.confirmed = now;
                 } else if !relayed {
--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -6,6 +6,7 @@
 //! request that reaches a stopped one arrives when it goes on, long after it was sent.
 
 use super::Targets;
+use super::target::Target;
 use crate::prelude::*;
 
 /// Age up to which what a target sent shows that it works.
@@ -16,6 +17,9 @@
 /// Time after which a target that was asked and has sent nothing is taken to be stopped. It is far
 /// longer than a working one takes between data centres.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
+/// Time after which a target that was taken to be stopped counts as working. Targets that were
+/// stopped together go on within this time, each with the requests that it has.
+const RESUME_SPREAD: Duration = Duration::from_millis(150);
 /// Time after which a target is asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -23,7 +27,7 @@
     /// Records that a target's process sent something.
     pub fn record_response(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.all.get_mut(id) {
-            target.responded_at = Some(now);
+            target.record_response(now);
         }
     }
 
@@ -39,8 +43,13 @@
             now.saturating_duration_since(at) <= RECENT_RESPONSE
                 && silent_since.is_none_or(|since| at >= since + STOP_SPREAD)
         };
-        let responds =
-            |id: &&TargetId| self.all.get(*id).is_some_and(|t| t.responded_at.is_some_and(recent));
+        let resumes = |at: Instant| now.saturating_duration_since(at) < RESUME_SPREAD;
+        let responds = |id: &&TargetId| {
+            let target = self.all.get(*id);
+            target.is_some_and(|target| {
+                target.responded_at.is_some_and(recent) && !target.resumed_at.is_some_and(resumes)
+            })
+        };
         path.iter().filter(|id| !responds(id)).cloned().collect()
     }
 
@@ -51,6 +60,7 @@
         let ask = target.asked_at.is_none_or(due);
         if ask {
             target.asked_at = Some(now);
+            target.unanswered_since.get_or_insert(now);
         }
         ask
     }
@@ -59,9 +69,18 @@
     /// stopped.
     pub fn stopped(&self, now: Instant) -> Vec<TargetId> {
         let late = |at: Instant| now.saturating_duration_since(at) >= ANSWER_TIME;
-        let targets = self.all.iter().filter(|(_, target)| {
-            target.asked_at.is_some_and(|asked| late(asked) && target.responded_at < Some(asked))
-        });
-        targets.map(|(id, _)| id.clone()).collect()
+        let stopped = self.all.iter().filter(|(_, t)| t.unanswered_since.is_some_and(late));
+        stopped.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+impl Target {
+    /// Records that the target's process sent something.
+    pub(super) fn record_response(&mut self, now: Instant) {
+        let asked = self.unanswered_since.take_if(|asked| *asked <= now);
+        if asked.is_some_and(|asked| now.saturating_duration_since(asked) >= ANSWER_TIME) {
+            self.resumed_at = Some(now);
+        }
+        self.responded_at = Some(now);
     }
 }
--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -212,6 +212,10 @@
     pub(super) responded_at: Option<Instant>,
     /// When it was last asked for a report to see whether it responds.
     pub(super) asked_at: Option<Instant>,
+    /// When it was first asked of the times that it has not answered.
+    pub(super) unanswered_since: Option<Instant>,
+    /// When it last answered after it had been taken to be stopped.
+    pub(super) resumed_at: Option<Instant>,
     /// The host that reaches it; used while it fails this host's liveness checks.
     pub(super) relay: Option<Relay>,
     /// Layers being given up.
@@ -248,6 +252,8 @@
             alive_at: None,
             responded_at: None,
             asked_at: None,
+            unanswered_since: None,
+            resumed_at: None,
             relay: None,
             clearing: None,
             availability: Availability::default(),
--- a/crates/roseshore_core/tests/gateway/responses.rs
+++ b/crates/roseshore_core/tests/gateway/responses.rs
@@ -29,7 +29,7 @@
     stopped: bool,
 }
 
-const CASES: [Case; 8] = [
+const CASES: [Case; 10] = [
     Case {
         name: "never heard",
         responded: None,
@@ -62,6 +62,22 @@
         responds: true,
         stopped: false,
     },
+    Case {
+        name: "goes on after it was stopped",
+        responded: Some(140),
+        asked: Some(600),
+        silent: None,
+        responds: false,
+        stopped: false,
+    },
+    Case {
+        name: "went on some time ago",
+        responded: Some(160),
+        asked: Some(600),
+        silent: None,
+        responds: true,
+        stopped: false,
+    },
     Case {
         name: "quiet since",
         responded: Some(201),
