Connections free the memory of large messages once these are through

Cause: the buffers of a connection kept the capacity of its largest answer and request for as long as it lived. Evidence: 30 idle connections that had fetched 7.8 MB each held 260 MB.

--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -27,6 +27,9 @@
 /// Received bytes that may wait to be consumed; beyond this the connection is not read.
 const MAX_INPUT: usize = 1 << 20;
 
+/// Memory that an empty buffer of a connection keeps.
+const KEPT_CAPACITY: usize = 32 << 10;
+
 /// Starts outgoing connections.
 pub trait Dial {
     /// Starts to open a connection without waiting until it is established.
@@ -415,6 +418,9 @@
     /// Reads what one turn allows, and notes whether there may be more.
     fn read_turn(&mut self, key: Key, read_closed: bool) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
+        if socket.input.is_empty() {
+            clear(&mut socket.input);
+        }
         let before = socket.input.len();
         let drained = read(socket, &mut self.scratch, read_closed);
         self.received += (socket.input.len() - before) as u64;
@@ -551,10 +557,16 @@
             }
         }
     }
-    socket.output.clear();
+    clear(&mut socket.output);
     socket.written = 0;
 }
 
+/// Empties a buffer, and frees its memory if that is more than small messages take.
+fn clear(buffer: &mut Vec<u8>) {
+    buffer.clear();
+    buffer.shrink_to(KEPT_CAPACITY);
+}
+
 /// Takes in received bytes, without the framing of a tunnel.
 fn receive(socket: &mut Socket, bytes: &[u8]) {
     match &mut socket.chunks {
