A request whose own target goes on may still be moved

What callers saw, since: a stream that stayed with an engine that had restarted. Cause: the engines of another path had to have sent something 60 ms after the own send's last progress, which a send that goes on moves forward all the time.

The rule applies once the own send has been silent for those 60 ms.

--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -39,9 +39,10 @@
         silent_since: Option<Instant>,
         now: Instant,
     ) -> Vec<TargetId> {
+        // A request may also be moved while its own target goes on, such as from an old incarnation.
+        let counts_from = silent_since.map(|since| since + STOP_SPREAD).filter(|from| *from <= now);
         let recent = |at: Instant| {
-            now.saturating_duration_since(at) <= RECENT_RESPONSE
-                && silent_since.is_none_or(|since| at >= since + STOP_SPREAD)
+            now.saturating_duration_since(at) <= RECENT_RESPONSE && Some(at) >= counts_from
         };
         let resumes = |at: Instant| now.saturating_duration_since(at) < RESUME_SPREAD;
         let responds = |id: &&TargetId| {
--- a/crates/roseshore_core/tests/gateway/responses.rs
+++ b/crates/roseshore_core/tests/gateway/responses.rs
@@ -29,7 +29,7 @@
     stopped: bool,
 }
 
-const CASES: [Case; 10] = [
+const CASES: [Case; 11] = [
     Case {
         name: "never heard",
         responded: None,
@@ -54,6 +54,14 @@
         responds: false,
         stopped: false,
     },
+    Case {
+        name: "the request's own target goes on",
+        responded: Some(100),
+        asked: None,
+        silent: Some(40),
+        responds: true,
+        stopped: false,
+    },
     Case {
         name: "sent something later than the request's own target",
         responded: Some(100),
