A report of another incarnation brings its address no order

What operators saw: an engine that was ordered to hold more layers than it has memory for, and fell. Cause: the address of a lost engine goes to another target, whose report was taken for the lost engine's; the start time in it was decoded and not compared. Evidence: an entry with a start time of its own at an address that reports another one was ordered layers 40 to 80.

--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -1,6 +1,6 @@
 //! HTTP calls that this host makes itself: to the store, and to targets for reports and orders.
 
-use super::{EntryHost, Role, Route, Timer};
+use super::{EntryHost, Role, Route, Timer, log_event};
 use crate::http::{self, BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Position;
@@ -181,13 +181,22 @@
         self.call_done(call.purpose, call.sent, reply);
     }
 
-    /// The report in a target's reply, or why there is none.
+    /// The report in a target's reply, or why there is none. A report of another incarnation shows
+    /// that the target's address now belongs to another one.
     pub(super) fn read_report(
-        &self,
+        &mut self,
+        id: &str,
         reply: Result<CallReply, CallFault>,
     ) -> Result<Report, String> {
         let reply = reply.map_err(|fault| format!("{fault:?}"))?;
-        self.platform.report_reply(&reply).map_err(|err| err.to_string())
+        let report = self.platform.report_reply(&reply).map_err(|err| err.to_string())?;
+        let listed = self.targets.get(id).map_or(0, |target| target.record.life);
+        if listed != 0 && report.life != 0 && report.life != listed {
+            self.targets.mark_replaced(id);
+            log_event!(self, TargetLeft, "target={id} state=replaced life={listed}");
+            return Err(format!("it is of incarnation {}", report.life));
+        }
+        Ok(report)
     }
 
     /// Passes the reply or fault of a call to the code for its purpose.
--- a/crates/roseshore_relay/src/entry/pace_polling.rs
+++ b/crates/roseshore_relay/src/entry/pace_polling.rs
@@ -61,7 +61,7 @@
 
     /// Handles the reply of an engine to a poll.
     pub(super) fn pace_received(&mut self, id: &str, reply: Result<CallReply, CallFault>) {
-        let report = match self.read_report(reply) {
+        let report = match self.read_report(id, reply) {
             Ok(report) => report,
             Err(why) => {
                 return log_event!(self, ReportFailed, "target={id} pace=unknown why={why:?}");
--- a/crates/roseshore_relay/src/entry/placement.rs
+++ b/crates/roseshore_relay/src/entry/placement.rs
@@ -309,7 +309,7 @@
         let ordered = self.placement.active_orders.get(id).map(|order| order.layers);
         let asked = self.placement.pending_reports.remove(id);
         let Some(layers) = asked.map(|a| a.layers).or(ordered) else { return };
-        let report = match self.read_report(reply).and_then(|r| self.check_layers(id, r)) {
+        let report = match self.read_report(id, reply).and_then(|r| self.check_layers(id, r)) {
             Ok(report) => report,
             Err(why) => {
                 log_event!(self, ReportFailed, "target={id} why={why:?}");
