A request tries few addresses that cannot be dialled

What callers saw, since: a host that ended with an overflowed stack. Cause: a connection that the system refused to open led to another target by recursion, and a host that has lost its network is refused all of them. Evidence: 1,000 entries with such addresses, SIGABRT.

After four such connections a request is refused as not run; each marks its target as dead, so later requests find the sound ones.

--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -17,6 +17,9 @@
 /// Time-out for a connection to be established: a millisecond between data centres, and the
 /// retransmission of one lost packet.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Connections of one request that the system may refuse to open. If this host has lost its network,
+/// it refuses all.
+const MAX_UNDIALLED: u32 = 4;
 /// How long a request avoids a target to which no connection can be opened.
 const AVOID_UNREACHABLE: Duration = Duration::from_millis(250);
 /// Interval at which a request that waits for a diagnosis is looked at again.
@@ -63,7 +66,7 @@
         let route = self.route_to(&choice.target, choice.addr);
         let (socket, reused) = match self.acquire_connection(route, new_only) {
             Ok(connection) => connection,
-            Err(err) if !is_exhausted(&err) => {
+            Err(err) if !is_exhausted(&err) && self.may_dial_again(key) => {
                 self.check_alive(&choice.target);
                 let until = Some(self.now + AVOID_UNREACHABLE);
                 if let Some(exchange) = self.exchanges.get_mut(key) {
@@ -72,6 +75,7 @@
                 return self.dispatch(key);
             }
             Err(err) => {
+                self.check_alive(&choice.target);
                 let why = format!("no connection to `{}`: {err}", choice.addr);
                 return self.end_without(key, Code::TargetUnreachable, &why);
             }
@@ -135,6 +139,14 @@
         self.set_timer(self.now + CONNECT_TIMEOUT, Timer::Exchange(key));
     }
 
+    /// Whether a request may go to another target after a connection that the system refused to
+    /// open. Counts these.
+    fn may_dial_again(&mut self, key: Key) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
+        exchange.undialled += 1;
+        exchange.undialled < MAX_UNDIALLED
+    }
+
     /// Ends a request that is blocked, or makes it wait while it is not known whether it crashes
     /// its targets. Returns whether it did either.
     pub(super) fn block_or_wait(&mut self, key: Key) -> bool {
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -58,6 +58,8 @@
     /// The earlier of the caller's deadline and the time-out of the route.
     pub(super) deadline: Instant,
     pub(super) sends: u32,
+    /// Connections for it that the system refused to open.
+    pub(super) undialled: u32,
     /// Number of sends that a target refused to run.
     pub(super) refused_sends: u32,
     /// Whether the latest send was refused by a full target.
@@ -267,6 +269,7 @@
             age,
             deadline,
             sends: 0,
+            undialled: 0,
             refused_sends: 0,
             refused_full: false,
             verdict: Verdict::NotRun,
