--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -19,6 +19,9 @@
 static LOG_COUNT: AtomicU16 = AtomicU16::new(0);
 /// Ports below the ephemeral range, so that no outgoing connection takes one.
 const PORT_RANGE: std::ops::Range<u16> = 10_000..20_000;
+/// Distance between the first ports of processes with successive ids: more than a soak of some
+/// minutes uses.
+const PORT_DISTANCE: u32 = 503;
 
 quick_error! {
     /// Errors from starting or calling a program.
@@ -209,18 +212,18 @@
     dir
 }
 
-/// Returns a port of this host on which no process currently listens.
+/// Returns a port of this host on which no process currently listens at any address.
 ///
 /// The search starts at an offset derived from the process id, so that concurrent processes probe
 /// different ports; one process returns each port once until the range is used up.
 pub fn free_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let span = PORT_RANGE.end - PORT_RANGE.start;
-    let begin = (std::process::id() % u32::from(span)) as u16;
+    let begin = (std::process::id().wrapping_mul(PORT_DISTANCE) % u32::from(span)) as u16;
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = PORT_RANGE.start + begin.wrapping_mul(61).wrapping_add(step) % span;
-        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        let port = PORT_RANGE.start + begin.wrapping_add(step) % span;
+        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
             return port;
         }
     }
