--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -19,9 +19,8 @@
 //!   unfinished answers may take;
 //! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
 //!   back;
-//! - [`leaving`]: which requests a stopping host still accepts; [`shutdown`]: when it accepts no
-//!   more callers; [`poll_timing`]: when a request
-//!   arrived that a busy host polled late.
+//! - [`leaving`]: which requests a stopping host still accepts; [`shutdown`]: when it accepts no more
+//!   callers, and when it ends; [`poll_timing`]: when a request arrived that a busy host polled late.
 //!
 //! What hosts do together:
 //! - [`quota`]: what they spend together, such as retries;
