A copy that a link holds back is taken back when it is given up

A stream whose first engine is behind a silent link goes to another one after 1.0 to 1.8 s; once that one delivers, the host closed the first connection. An orderly close lets the system deliver what was written before, so the first copy arrived when the link went on, up to 2 s after the second, with the time that was left when it was written.

Change: a send that is not kept for reuse is closed with a reset, which drops what has not reached the other end. A tunnel whose host has reset it is not forwarded any more, and resets its target.

What a target's system has taken cannot be taken back: its process reads it also after a reset (tried: accepted and queued connections).

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -542,6 +542,13 @@
         self.net.close(key);
     }
 
+    /// Closes a connection now, and takes back what has not reached its other end.
+    fn abort(&mut self, key: Key) {
+        self.roles.remove(&key);
+        self.relays.forget(key);
+        self.net.abort(key);
+    }
+
     /// Closes a connection whose peer has closed it.
     fn close_ended(&mut self, key: Key) {
         if self.net.get(key).is_none_or(|socket| socket.ended.is_some()) {
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -171,7 +171,8 @@
         self.release_send(send, keep);
     }
 
-    /// Closes a send that was removed from its request, like [`EntryHost::drop_send`].
+    /// Closes a send that was removed from its request, like [`EntryHost::drop_send`]. A copy of the
+    /// request that is still on its way would arrive late, so it is taken back.
     pub(super) fn release_send(&mut self, send: InFlightSend, keep: bool) {
         for claim in &send.claims {
             self.targets.release(claim, send.sent_at, self.now);
@@ -180,7 +181,7 @@
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
             self.keep_idle(send.socket, send.route);
         } else {
-            self.close(send.socket);
+            self.abort(send.socket);
         }
     }
 }
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -346,6 +346,10 @@
                 tunnel.opened = Some(self.now);
             }
         }
+        if self.net.get(host).is_some_and(|side| side.ended == Some(Ended::Broken)) {
+            // The other host has taken back what was not forwarded yet.
+            return self.end_tunnel(key);
+        }
         let up = self.forward(host, target, Framing::Plain);
         let down = self.forward(target, host, Framing::Chunks);
         if down > 0 {
@@ -394,7 +398,7 @@
         if self.net.get(tunnel.target).is_some_and(|side| side.ended_orderly()) {
             self.net.send(tunnel.host, &chunk(&[]));
         }
-        self.close(tunnel.target);
+        self.abort(tunnel.target);
         self.roles.insert(tunnel.host, Role::Closing);
         self.close_flushed(tunnel.host);
         let open = millis(tunnel.opened.map(|at| self.now.saturating_duration_since(at)));
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -512,6 +512,16 @@
         }
     }
 
+    /// Closes the connection now with a reset, so that bytes that have not reached the other end's
+    /// system are not delivered later.
+    pub fn abort(&mut self, key: Key) {
+        if let Some(socket) = self.sockets.get_mut(key) {
+            // A connection that has ended takes no options, and delivers nothing.
+            let _ = socket2::SockRef::from(&socket.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(key);
+    }
+
     fn handle_ready(&mut self, key: Key, writable: bool, read_closed: bool) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
         if !socket.connected && writable {
