Retries count until they have arrived

A daemon as a process and a target that is stopped for 1.5 s show one way: 30 streams break off and are sent again to the stopped target, 30 more 10.3 s after the first ones.

Cause: a retry counted from when it was made, and for 0.2 s beyond the window. A stopped process reads it when it goes on. Where the first copy of a request waits there and the second does not, it is the first that arrives last.

Change: a host remembers which copies of a repeated request no target is known to have read (quota/pending_retries): a target that responds to a copy, ends its connection, sends something 60 ms after it, or has another incarnation has read it or never will. Until then the budget counts the retries anew at every tick. The lender of a borrowed one counts it from when it was lent, so what is missing then counts at the borrower, and further loans replace it first. E218 and roseshore_retries_late_total name the retries that were late.

Why it works: at any time, pending retries and those that arrived within the window are within the share, so those that arrive within a window are.

The core test is replaced: the budget can't know alone what arrives late, so the test reports it as a host does.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -77,6 +77,7 @@
     AnswerCut = 215, Warn, "a host ended a request that may have run, without a whole answer";
     AnswerGivenUp = 216, Warn, "unfinished answers took too much memory, and the largest one was given up";
     CallerClosed = 217, Debug, "a host closed a caller's connection that the caller had not closed";
+    RetriesLate = 218, Info, "retries may have arrived at their targets long after they were made";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -78,6 +78,7 @@
 pub use path::{Candidate, Hop, PathRequest};
 pub use peers::Peers;
 pub use position::Position;
+pub use quota::pending_retries::PendingRetries;
 pub use quota::retry_budget::RetryBudget;
 pub use quota::retry_loans::RetryLoans;
 pub use returns::{CallerAges, Returns};
--- a/crates/roseshore_core/src/gateway/quota/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/quota/retry_budget.rs
@@ -13,11 +13,16 @@
 //! ([`retry_loans`](super::retry_loans)). A lender counts what it lends, so a loan that is lost on
 //! the way is only wasted.
 //!
+//! Retries count from when they arrive, which may be long after they were made
+//! ([`pending_retries`](super::pending_retries)). The lender of a borrowed one counts it from when it
+//! was lent; what is missing then is counted by the host that made it.
+//!
 //! A share may change hands: a host starts again, loses its lenders and becomes its own, or a
 //! lender takes the place of another. What the former holder used of it is unknown. So the new
 //! holder uses only a small part of it, taken from the reserve, until the window in which the former
 //! one may have used it has passed.
 
+use super::pending_retries::CountedRetry;
 use crate::gateway::progress::RetrySupply;
 use crate::prelude::*;
 use std::collections::VecDeque;
@@ -69,6 +74,8 @@
     pub pool: f64,
     /// Borrowed retries that are not used yet.
     pub borrowed: usize,
+    /// Borrowed retries that arrived so late that their lenders no longer count them.
+    pub late: usize,
 }
 
 impl RetryUsage {
@@ -79,7 +86,7 @@
 
     /// How many more retries this host may make of its own.
     fn left(&self) -> f64 {
-        self.allowed() - (self.made + self.lent) as f64
+        self.allowed() - (self.made + self.lent + self.late) as f64
     }
 }
 
@@ -105,6 +112,13 @@
     Remote,
 }
 
+/// A borrowed retry that counts here when its lender no longer counts it.
+#[derive(Clone, Copy, Debug)]
+struct LateRetry {
+    made: Instant,
+    counted: Instant,
+}
+
 /// The retry budget of one service, as seen by one host.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -121,6 +135,8 @@
     lent: VecDeque<Instant>,
     /// When each borrowed retry that is not used yet was received.
     borrowed: VecDeque<Instant>,
+    /// Borrowed retries that arrived late.
+    late: Vec<LateRetry>,
     /// Hosts among which the slack is divided, including this one; 0 while they are not known.
     hosts: usize,
     /// The pool that this host lends from, and when it was confirmed.
@@ -142,6 +158,7 @@
             retries: VecDeque::new(),
             lent: VecDeque::new(),
             borrowed: VecDeque::new(),
+            late: Vec::new(),
             hosts: 0,
             pool: None,
             denied_at: None,
@@ -228,6 +245,30 @@
         self.borrowed.pop_front().is_some()
     }
 
+    /// Counts a retry from now on, as it may arrive only now.
+    pub fn postpone(&mut self, retry: CountedRetry, now: Instant) {
+        let CountedRetry { made, counted } = retry;
+        if let Some(place) = self.retries.iter().position(|at| *at == counted) {
+            self.retries.remove(place);
+            return self.retries.push_back(now);
+        }
+        let known = self.late.iter_mut().find(|late| (late.made, late.counted) == (made, counted));
+        match known {
+            Some(late) => late.counted = now,
+            None => self.late.push(LateRetry { made, counted: now }),
+        }
+    }
+
+    /// Borrowed retries that their lenders no longer count, although they arrived within the window.
+    pub fn late(&self, now: Instant) -> usize {
+        self.late.iter().filter(|late| self.is_overdue(late, now)).count()
+    }
+
+    /// Whether a late retry's lender, which lent it some time before it was made, no longer counts it.
+    fn is_overdue(&self, late: &LateRetry, now: Instant) -> bool {
+        now.saturating_duration_since(late.made) + LOAN_VALIDITY >= self.counted_time()
+    }
+
     /// Records that a send found no retry here and none to borrow.
     pub fn record_denial(&mut self, now: Instant) {
         self.denied_at = Some(now);
@@ -259,9 +300,16 @@
         (passed_on + from_pool) as u16
     }
 
-    /// Adds borrowed retries.
+    /// Adds borrowed retries. They first replace late ones, which their lenders count again thereby.
     pub fn borrow(&mut self, granted: u16, now: Instant) {
-        self.borrowed.extend(std::iter::repeat_n(now, usize::from(granted)));
+        let mut granted = usize::from(granted);
+        while granted > 0
+            && let Some(place) = self.late.iter().position(|late| self.is_overdue(late, now))
+        {
+            self.late.swap_remove(place);
+            granted -= 1;
+        }
+        self.borrowed.extend(std::iter::repeat_n(now, granted));
     }
 
     /// How much of the budget is spent.
@@ -275,6 +323,7 @@
             lent: self.lent.len(),
             pool: self.pool(now),
             borrowed: self.borrowed.len(),
+            late: self.late(now),
         }
     }
 
@@ -289,5 +338,6 @@
         expire(&mut self.retries, counted);
         expire(&mut self.lent, counted);
         expire(&mut self.borrowed, LOAN_VALIDITY);
+        self.late.retain(|late| now.saturating_duration_since(late.counted) <= counted);
     }
 }
--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -7,6 +7,7 @@
 
 use super::Targets;
 use super::target::Target;
+use crate::gateway::hashes::TargetHash;
 use crate::prelude::*;
 
 /// Age up to which what a target sent shows that it works.
@@ -20,6 +21,9 @@
 /// Time after which a target that was taken to be stopped counts as working. Targets that were
 /// stopped together go on within this time, each with the requests that it has.
 const RESUME_SPREAD: Duration = Duration::from_millis(150);
+/// Time after which a working target has read what was sent to it, and what it had sent before that
+/// has arrived.
+const READ_TIME: Duration = Duration::from_millis(60);
 /// Time after which a target is asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -54,6 +58,12 @@
         path.iter().filter(|id| !responds(id)).cloned().collect()
     }
 
+    /// Whether an incarnation of a target has read what was sent to it at this time, or has ended.
+    pub fn has_read(&self, id: &str, incarnation: TargetHash, sent: Instant) -> bool {
+        let target = self.all.get(id).filter(|target| target.hash == incarnation);
+        target.is_none_or(|target| target.responded_at.is_some_and(|at| at >= sent + READ_TIME))
+    }
+
     /// Records that a target is asked for a report; returns false if it was asked lately.
     pub fn record_ask(&mut self, id: &str, now: Instant) -> bool {
         let Some(target) = self.all.get_mut(id) else { return false };
--- a/crates/roseshore_core/tests/gateway/retry_budget.rs
+++ b/crates/roseshore_core/tests/gateway/retry_budget.rs
@@ -1,7 +1,9 @@
 //! Tests of how many sends may be retries.
 
-use roseshore_core::gateway::RetryBudget;
+use roseshore_core::gateway::hashes::target_hash;
+use roseshore_core::gateway::quota::pending_retries::PendingCopy;
 use roseshore_core::gateway::quota::retry_budget::{Borrower, Pool};
+use roseshore_core::gateway::{PendingRetries, RetryBudget};
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -26,7 +28,7 @@
     (0..1000).take_while(|_| budget.try_retry(now)).count()
 }
 
-fn ms(n: u64) -> Duration {
+const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
@@ -229,18 +231,71 @@
     assert_eq!(spend(&mut host, now), 0);
 }
 
+/// Retries to targets that are stopped, and how many may be made when the window has passed.
+struct Stopped {
+    name: &'static str,
+    /// For how long the targets are stopped.
+    lasts: Duration,
+    /// Retries that the host borrows for it; it makes them before its own share counts.
+    borrowed: u16,
+    /// Whether the first retries still count then.
+    counts: bool,
+}
+
+const STOPPED: [Stopped; 4] = [
+    Stopped { name: "not stopped", lasts: ms(0), borrowed: 0, counts: false },
+    Stopped { name: "stopped for a moment", lasts: ms(1300), borrowed: 0, counts: true },
+    Stopped { name: "borrowed, not stopped", lasts: ms(0), borrowed: 40, counts: false },
+    Stopped { name: "borrowed, stopped", lasts: ms(1300), borrowed: 40, counts: true },
+];
+
+/// Makes retries whose targets read them once they go on, and reports to the
+/// budget like a host until the end. Returns how many were made at the start.
+fn send_to_stopped(host: &mut RetryBudget, case: &Stopped, start: Instant, end: Instant) -> usize {
+    let mut pending = PendingRetries::default();
+    let made = spend(host, start);
+    for number in 0..made {
+        let copy = PendingCopy {
+            connection: number,
+            target: "t".to_owned(),
+            incarnation: target_hash("t", 1),
+            sent: start,
+        };
+        pending.record((number, "request"), &"models".to_owned(), vec![copy], start);
+    }
+    let steps = (end - start).as_millis() as u64 / 100;
+    for now in (0..steps).map(|step| start + ms(100 * step)) {
+        for (_, retry) in pending.postpone(|_| now >= start + case.lasts, now) {
+            host.postpone(retry, now);
+        }
+    }
+    assert_eq!(pending.take_late().len(), if case.counts { made } else { 0 }, "{}", case.name);
+    made
+}
+
 /// Guards against forgetting retries before stopped targets have taken them.
 #[test]
 fn retries_that_arrive_late_stay_within_the_bound() {
     const SLACK: f64 = 200.0;
-    let stopped = ms(1300);
-    let start = Instant::now();
-    let mut host = budget(0.2, SLACK, 1, start);
-    let first = spend(&mut host, start);
-    // Counts no longer what was made at the start, which arrived when the targets went on.
-    let again = start + COUNTED + ms(1);
-    host.set_pool(1, Some(alone(start.checked_sub(COUNTED).expect("an earlier time"))), again);
-    let second = spend(&mut host, again);
-    assert!(again < start + stopped + WINDOW, "both arrive within one window");
-    assert!((first + second) as f64 <= SLACK, "{first} and {second} of {SLACK}");
+    for case in STOPPED {
+        let start = Instant::now();
+        let long_ago = start.checked_sub(COUNTED).expect("an earlier time");
+        let own_slack = if case.borrowed > 0 { 0.0 } else { SLACK };
+        let mut host = budget(0.0, own_slack, 1, start);
+        host.borrow(case.borrowed, start);
+        let again = start + COUNTED + ms(1);
+        assert!(again < start + ms(1300) + WINDOW, "late ones arrive within one window");
+        let first = send_to_stopped(&mut host, &case, start, again);
+        assert!(first >= 40, "{}: {first}", case.name);
+        host.set_pool(1, Some(alone(long_ago)), again);
+        host.borrow(case.borrowed, again);
+        let second = spend(&mut host, again);
+        assert_eq!(second, if case.counts { 0 } else { first }, "{}", case.name);
+        if case.counts {
+            let last = start + case.lasts + COUNTED + ms(101);
+            host.set_pool(1, Some(alone(long_ago)), last);
+            host.borrow(case.borrowed, last);
+            assert_eq!(spend(&mut host, last), first, "{}: a window later", case.name);
+        }
+    }
 }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -55,7 +55,7 @@
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
     CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers,
-    RetryBudget, RetryLoans, Returns, Snapshot, Targets,
+    PendingRetries, RetryBudget, RetryLoans, Returns, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
@@ -179,6 +179,7 @@
     demand: Demand,
     admission: Admission,
     retry_loans: RetryLoans,
+    pending_retries: PendingRetries,
     /// Whether sends may wait for a loan that has to be requested.
     loans_wanted: bool,
     store_sync: StoreSync,
@@ -303,6 +304,7 @@
             admission: Admission::default(),
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
             loans_wanted: false,
+            pending_retries: PendingRetries::default(),
             placement: PlacementState::default(),
             pace_polling: PacePolling::default(),
             pace: TokenPace::default(),
@@ -456,6 +458,7 @@
         self.update_readiness();
         self.send_heartbeats();
         self.update_retry_pools();
+        self.postpone_retries();
         self.widen_rooms();
         self.update_demand_gauges();
         self.expire_admission();
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -134,6 +134,7 @@
         let send = InFlightSend::new(choice, socket, route, self.answers.buffer(), self.now);
         exchange.send = Some(InFlightSend { incarnations, fills, slowdown, reused, ..send });
         self.roles.insert(socket, Role::Target(key));
+        self.record_retry(key);
         log_event!(self, RouteChosen, "{text}");
         self.net.send(socket, &out);
         self.set_timer(self.now + CONNECT_TIMEOUT, Timer::Exchange(key));
@@ -177,6 +178,14 @@
         for claim in &send.claims {
             self.targets.release(claim, send.sent_at, self.now);
         }
+        // A target that has ended a connection reads no more of it, unlike a host that relays it.
+        let (unsent, ended) = self
+            .net
+            .get(send.socket)
+            .map_or((false, false), |socket| (!socket.established(), socket.ended.is_some()));
+        if unsent || (ended && send.route.via.is_none()) {
+            self.pending_retries.settle(send.socket.to_number());
+        }
         self.room_changed();
         if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
             self.keep_idle(send.socket, send.route);
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -8,6 +8,7 @@
 use roseshore_core::gateway::memory::Buffer;
 use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::gateway::peers::TargetHash;
+use roseshore_core::gateway::quota::pending_retries::PendingCopy;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -125,6 +126,13 @@
         Some((id, hop.layers))
     }
 
+    /// The copy of the request, which its target may not have read yet.
+    pub(super) fn pending_copy(&self) -> Option<PendingCopy> {
+        let (target, incarnation) = self.incarnations.first().cloned()?;
+        let connection = self.socket.to_number();
+        Some(PendingCopy { connection, target, incarnation, sent: self.sent_at })
+    }
+
     /// Since when it is waited for without progress.
     pub(super) fn waited_since(&self) -> Instant {
         self.resumed_at.map_or(self.latest_at, |resumed| resumed.max(self.latest_at))
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -70,8 +70,9 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
         let Some(socket) = self.net.get(send.socket) else { return Step::Finished };
-        if !socket.input.is_empty() {
-            send.response_since.get_or_insert(now);
+        if !socket.input.is_empty() && send.response_since.is_none() {
+            send.response_since = Some(now);
+            self.pending_retries.settle(send.socket.to_number());
         }
         let head = match http::parse_response(&mut socket.input, MAX_HEAD) {
             Ok(Some(head)) => head,
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -5,10 +5,12 @@
 //! [`retry_loans`](roseshore_core::gateway::quota::retry_loans). Here, sends wait for a loan, and this host
 //! answers the requests of others.
 
+use super::in_flight::InFlightSend;
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::peers::{Datagram, RetryLoan, RetryLoanRequest, name_hash};
 use roseshore_core::gateway::progress;
+use roseshore_core::gateway::quota::pending_retries::{PendingCopy, RepeatedRequest};
 use roseshore_core::gateway::quota::retry_budget::{Borrower, RetryUsage};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -40,6 +42,39 @@
         true
     }
 
+    /// Records that a request is sent again and charged for it, with the copies of it that may still
+    /// arrive.
+    pub(super) fn record_retry(&mut self, key: Key) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        if exchange.sends < 2 || !exchange.reached_target {
+            return;
+        }
+        let pending = exchange.open_sends().filter(|send| send.response_since.is_none());
+        let copies = pending.filter_map(InFlightSend::pending_copy).collect();
+        let request = (key.to_number(), exchange.request_fields.attempt.as_str());
+        self.pending_retries.record(request, &exchange.service.name, copies, self.now);
+    }
+
+    /// Counts the retries from now on that may still arrive, and logs those that were late.
+    pub(super) fn postpone_retries(&mut self) {
+        let now = self.now;
+        let settled =
+            |copy: &PendingCopy| self.targets.has_read(&copy.target, copy.incarnation, copy.sent);
+        for (service, retry) in self.pending_retries.postpone(settled, now) {
+            self.retry_budget(&service).postpone(retry, now);
+        }
+        for request in self.pending_retries.take_late() {
+            let RepeatedRequest { attempt, service, retries, .. } = &request;
+            let (count, delay) = (retries.len(), request.delay().as_millis());
+            metrics::counter!("roseshore_retries_late_total").increment(count as u64);
+            log_event!(
+                self,
+                RetriesLate,
+                "request={attempt} service={service} retries={count} late_ms={delay}"
+            );
+        }
+    }
+
     /// Whether the next send of a request still waits for a retry. Ends the request if the wait is
     /// over.
     pub(super) fn awaits_loan(&mut self, key: Key) -> bool {
@@ -111,11 +146,12 @@
         let Some(exchange) = self.exchanges.get(key) else { return String::new() };
         let (service, started) = (exchange.service.name.clone(), exchange.delivery.started);
         let attempt = exchange.request_fields.attempt.clone();
-        let RetryUsage { requests, hosts, made, local, lent, pool, borrowed } =
+        let RetryUsage { requests, hosts, made, local, lent, pool, borrowed, late } =
             self.retry_budget(&service).usage(now);
         format!(
             "request={attempt} service={service} started={started} made={made} local={local:.1} \
-             lent={lent} pool={pool:.1} borrowed={borrowed} requests={requests} hosts={hosts}"
+             lent={lent} pool={pool:.1} borrowed={borrowed} late={late} requests={requests} \
+             hosts={hosts}"
         )
     }
 
@@ -128,7 +164,12 @@
         let lenders = self.peers.lenders(self.now);
         let services: Vec<ServiceId> = self.retry_budgets.keys().cloned().collect();
         for service in services {
-            let waiting = self.waiting_for_loan(&service).len() as u16;
+            let now = self.now;
+            let mut waiting = self.waiting_for_loan(&service).len();
+            if waiting > 0 {
+                waiting += self.retry_budget(&service).late(now);
+            }
+            let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
             let hash = name_hash(&service);
             for (lender, request) in self.retry_loans.requests(hash, waiting, &lenders, self.now) {
                 self.send_message(lender, &Datagram::AskRetries(request));
