Few silent requests leave a copy behind that their target has not read

A stream that is sent to an engine just after it was frozen is sent elsewhere 1.0 to 1.9 s later. Its first copy is with the engine's system, where nothing takes it back, and is read when the engine goes on, with the time that was left when it was written.

Change: a silent request that its target has not read (no byte of a response, and nothing else from the target since) is sent elsewhere only while such requests are at most 0.15 of a host's moves, or 16 of all hosts together (gateway/moves). The others wait for their target, as all do while a whole service is stopped (E353 unread=true). Targets found dead are left as before.

Tried and not kept: new requests that avoid engines whose streams fell silent and that do not answer a report.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -90,7 +90,7 @@
     SendKept = 350, Debug, "a send without an event is waited for, as its targets are only slow or it cannot be repeated";
     StandbyResumed = 351, Info, "a request goes on with an earlier send that had been silent";
     StandbyEnded = 352, Info, "the target of a silent send that was kept open has ended it";
-    MoveHeld = 353, Debug, "a silent request is not sent elsewhere yet, as the targets there have sent nothing lately either";
+    MoveHeld = 353, Debug, "a silent request is not sent elsewhere yet: the targets there have sent nothing lately either, or too many copies would be read late";
     ReturnPlanned = 355, Debug, "a refused caller was told when to come back";
     KeyClaimed = 401, Debug, "a key was won";
     KeyRepeated = 402, Info, "a repeat of a key got the recorded answer";
--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -15,8 +15,9 @@
 //! - [`path`]: the engines that it runs through; [`tried`]: the targets that it was sent to;
 //!   [`avoid`]: those that it is not sent to again;
 //! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
-//!   slow or dead; [`partial`]: whether what a target sends will become an answer; [`memory`]: what
-//!   unfinished answers may take;
+//!   slow or dead; [`moves`]: how many silent requests are sent elsewhere before they were read;
+//!   [`partial`]: whether what a target sends will become an answer; [`memory`]: what unfinished
+//!   answers may take;
 //! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
 //!   back;
 //! - [`leaving`]: which requests a stopping host still accepts; [`shutdown`]: when it accepts no more
@@ -43,6 +44,7 @@
 pub mod leaving;
 pub mod liveness;
 pub mod memory;
+pub mod moves;
 pub mod newer_configs;
 pub mod outage;
 pub mod overload;
@@ -72,6 +74,7 @@
 pub use failure::{Fault, NextStep, RetryState};
 pub use fatal::FatalRequests;
 pub use fingerprint::{Fingerprint, Suspects};
+pub use moves::Moves;
 pub use newer_configs::NewerConfigs;
 pub use outage::StoreOutage;
 pub use overload::Overload;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -18,6 +18,7 @@
     mod limits;
     mod liveness;
     mod memory;
+    mod moves;
     mod newer_configs;
     mod older_store;
     mod orders;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -54,8 +54,8 @@
 use roseshore_core::gateway::memory::Account;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
-    CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, NewerConfigs, Overload, Peers,
-    PendingRetries, RetryBudget, RetryLoans, Returns, Snapshot, Targets,
+    CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, Moves, NewerConfigs, Overload,
+    Peers, PendingRetries, RetryBudget, RetryLoans, Returns, Snapshot, Targets,
 };
 use roseshore_core::prelude::*;
 use roseshore_core::wall;
@@ -180,6 +180,8 @@
     admission: Admission,
     retry_loans: RetryLoans,
     pending_retries: PendingRetries,
+    /// Silent requests that were sent elsewhere.
+    moves: Moves,
     /// Whether sends may wait for a loan that has to be requested.
     loans_wanted: bool,
     store_sync: StoreSync,
@@ -305,6 +307,7 @@
             retry_loans: RetryLoans::new(usize::from(rng.random::<u16>())),
             loans_wanted: false,
             pending_retries: PendingRetries::default(),
+            moves: Moves::default(),
             placement: PlacementState::default(),
             pace_polling: PacePolling::default(),
             pace: TokenPace::default(),
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -11,6 +11,7 @@
 use super::pace_polling::REPORT_TIMEOUT;
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
+use roseshore_core::gateway::quota::pending_retries::PendingCopy;
 use roseshore_core::prelude::*;
 
 /// Interval at which a request whose next path does not respond is looked at again.
@@ -62,6 +63,32 @@
         false
     }
 
+    /// Whether the target of the send in flight may not have read it yet.
+    pub(super) fn is_unread(&self, key: Key) -> bool {
+        let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else {
+            return false;
+        };
+        let read =
+            |copy: PendingCopy| self.targets.has_read(&copy.target, copy.incarnation, copy.sent);
+        send.response_since.is_none() && !send.pending_copy().is_none_or(read)
+    }
+
+    /// Whether a silent request may be sent elsewhere, as far as its target has read it or few copies
+    /// of others were left behind unread.
+    pub(super) fn may_leave_copy(&mut self, key: Key) -> bool {
+        let hosts = 1 + self.peers.other_hosts(self.now);
+        let may_leave = !self.is_unread(key) || self.moves.may_leave_unread(hosts);
+        let Some(exchange) = self.exchanges.get_mut(key).filter(|_| !may_leave) else {
+            return true;
+        };
+        if !std::mem::replace(&mut exchange.move_held, true) {
+            let text = format!("request={} path=- unread=true", exchange.request_fields.attempt);
+            metrics::counter!("roseshore_moves_held_total").increment(1);
+            log_event!(self, MoveHeld, "{text}");
+        }
+        false
+    }
+
     /// Records that a target replied to a call, and looks at the requests that wait for that.
     pub(super) fn call_answered(&mut self, id: &str) {
         let now = self.now;
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -93,6 +93,7 @@
             }
         }
         if fault == Fault::Silent {
+            self.moves.record(self.is_unread(key));
             self.set_aside(key);
         } else {
             self.drop_send(key, false);
--- a/crates/roseshore_relay/src/entry/timeouts.rs
+++ b/crates/roseshore_relay/src/entry/timeouts.rs
@@ -154,7 +154,8 @@
 
     /// Sends a request to another target, as the send in flight has made no progress for too long.
     /// Returns false if the send is to be waited for: no other target has capacity, an answer from
-    /// there would find no caller, or the retry budget does not permit it.
+    /// there would find no caller, too many copies would be read late, or the retry budget does not
+    /// permit it.
     fn reroute(&mut self, key: Key, silence: &Silence, silent: Duration) -> bool {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return true };
@@ -180,6 +181,7 @@
         let choice = choice.filter(in_time);
         if choice.is_some_and(|choice| self.responds(key, &choice))
             && self.may_pass(key)
+            && self.may_leave_copy(key)
             && self.may_repeat(key)
         {
             self.send_failed_by(key, Fault::Silent, Vec::new());
