What fails is not sent again to an engine that is stopped

Cause: only requests whose silent send was open were kept from engines that have sent nothing lately. One whose target had failed was sent to a stopped engine as well, was read when that went on, and spent a retry.

Change: every retry is sent only over engines that have sent something within 0.2 s, or reply to a report.

What is left are first copies at engines that have just been frozen, and retries to engines that were heard less than 0.2 s ago.

--- a/crates/roseshore_relay/src/entry/choice.rs
+++ b/crates/roseshore_relay/src/entry/choice.rs
@@ -99,7 +99,7 @@
         let bound = exchange.at_bound();
         let allowed_first = bound.then_some(exchange.tried_targets.targets());
         let mut avoid = exchange.avoided.list(at);
-        if exchange.open_sends().next().is_some() {
+        if exchange.is_repeated() {
             avoid.extend(self.targets.stopped(self.now));
         }
         let Some(spec) = exchange.service.engine.as_ref() else {
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -150,6 +150,11 @@
         self.tried_targets.count() >= self.route.max_attempts as usize
     }
 
+    /// Whether a target may have read the request, so that its next send is a retry.
+    pub(super) fn is_repeated(&self) -> bool {
+        self.reached_target || self.open_sends().next().is_some()
+    }
+
     /// Whether the request may be sent to another target although the send in flight may have run.
     pub(super) fn may_move(&self, now: Instant) -> bool {
         let mut after = self.retry_state(now);
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -1,9 +1,10 @@
-//! Sends a silent request again only over engines that respond.
+//! Sends requests again only over engines that respond.
 //!
-//! When a whole service is stopped for a moment, another path is as silent as the present one. A
-//! request that is sent there uses up a retry, arrives when the engines go on, and is then given
-//! time that its caller no longer has. So while the silent send is still open, the engines of
-//! another path have to have sent something lately. Those that have not are asked for a report.
+//! When a whole service is stopped for a moment, another path is as silent as the present one, and
+//! what fails elsewhere meanwhile meets stopped engines as well. A request that is sent again there
+//! uses up a retry, arrives when the engines go on, and is then given time that its caller no longer
+//! has. So the engines of the path of a retry have to have sent something lately. Those that have
+//! not are asked for a report.
 
 use super::calls::Purpose;
 use super::choice::Choice;
@@ -18,11 +19,10 @@
 const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 impl EntryHost {
-    /// Whether a request whose silent send is still open waits for the engines of a choice to
-    /// respond.
+    /// Whether a request that is to be sent again waits for the engines of a choice to respond.
     pub(super) fn awaits_response(&mut self, key: Key, choice: &Choice) -> bool {
-        let open = self.exchanges.get(key).is_some_and(|e| e.open_sends().next().is_some());
-        if !open || self.responds(key, choice) {
+        let again = self.exchanges.get(key).is_some_and(Exchange::is_repeated);
+        if !again || self.responds(key, choice) {
             return false;
         }
         self.set_timer(self.now + RESPONSE_POLL_INTERVAL, Timer::Exchange(key));
