--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 use super::relays::via_name;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http;
-use crate::net::is_exhausted;
+use crate::net::{Socket, is_exhausted};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::targets::Claim;
@@ -178,12 +178,11 @@
         for claim in &send.claims {
             self.targets.release(claim, send.sent_at, self.now);
         }
-        // A target that has ended a connection reads no more of it, unlike a host that relays it.
-        let (unsent, ended) = self
-            .net
-            .get(send.socket)
-            .map_or((false, false), |socket| (!socket.established(), socket.ended.is_some()));
-        if unsent || (ended && send.route.via.is_none()) {
+        // What was not sent never arrives. A target that has ended its connection reads no more of
+        // it; the end of a tunnel does not show that.
+        let direct = send.route.via.is_none();
+        let is_settled = |s: &mut Socket| !s.established() || (direct && s.ended.is_some());
+        if self.net.get(send.socket).is_some_and(is_settled) {
             self.pending_retries.settle(send.socket.to_number());
         }
         self.room_changed();
