--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,14 +2,14 @@
 # A soak of real daemons under faults drawn from seeds.
 #   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|services|stops|links|engines|retries|all]
 # Each seed runs with all faults, with frozen targets and changes of the configuration, with whole services frozen,
-# with hosts that are stopped in turn, with silent links to engines, with frozen engines, and with
-# engines that fail a part of their requests beside frozen engines and disturbed hosts, or with one of these.
+# with hosts that are stopped in turn, with silent links to engines, with frozen engines, and with engines that fail a
+# part of their requests beside frozen engines and disturbed hosts, or with one of these.
 # ROSESHORE_SOAK_KEEP=1 keeps the logs of seeds that pass as well.
 # --minutes is the time of faults of each seed. A seed that fails prints its own command and where its logs are.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 usage() {
-  sed -n '3,6p' "$0" >&2
+  sed -n '3,8p' "$0" >&2
   exit 2
 }
 seed=1 seeds=1 seconds=12 hosts=4 kind=all
