Late retries, unread copies and held moves have one form each

Read again, no change of behaviour. The retry budget had a second type with the fields of CountedRetry. Whether a copy is pending, and whether its target has read it, was written out at two callers; pending_copy and has_read answer it now. The two places that hold back a move log it through one function, which builds its text only for the first line, as before.

--- a/crates/roseshore_core/src/gateway/quota/pending_retries.rs
+++ b/crates/roseshore_core/src/gateway/quota/pending_retries.rs
@@ -111,9 +111,9 @@
         }
     }
 
-    /// The retries that may arrive from now on, by service, as the budget counts them so far.
-    /// `settled` tells whether a target has read a copy or never will. To be called several times
-    /// in the delivery time of the budget.
+    /// The retries that may arrive from now on, by service, as the budget counts them so far. Copies
+    /// that `settled` says were read, or never will be, are no longer pending. This has to be called
+    /// more often than the budget's delivery time.
     pub fn postpone(
         &mut self,
         settled: impl Fn(&PendingCopy) -> bool,
--- a/crates/roseshore_core/src/gateway/quota/retry_budget.rs
+++ b/crates/roseshore_core/src/gateway/quota/retry_budget.rs
@@ -112,13 +112,6 @@
     Remote,
 }
 
-/// A borrowed retry that counts here when its lender no longer counts it.
-#[derive(Clone, Copy, Debug)]
-struct LateRetry {
-    made: Instant,
-    counted: Instant,
-}
-
 /// The retry budget of one service, as seen by one host.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -135,8 +128,8 @@
     lent: VecDeque<Instant>,
     /// When each borrowed retry that is not used yet was received.
     borrowed: VecDeque<Instant>,
-    /// Borrowed retries that arrived late.
-    late: Vec<LateRetry>,
+    /// Borrowed retries that arrived late; they count here when their lenders no longer count them.
+    late: Vec<CountedRetry>,
     /// Hosts among which the slack is divided, including this one; 0 while they are not known.
     hosts: usize,
     /// The pool that this host lends from, and when it was confirmed.
@@ -247,15 +240,13 @@
 
     /// Counts a retry from now on, as it may arrive only now.
     pub fn postpone(&mut self, retry: CountedRetry, now: Instant) {
-        let CountedRetry { made, counted } = retry;
-        if let Some(place) = self.retries.iter().position(|at| *at == counted) {
+        if let Some(place) = self.retries.iter().position(|at| *at == retry.counted) {
             self.retries.remove(place);
             return self.retries.push_back(now);
         }
-        let known = self.late.iter_mut().find(|late| (late.made, late.counted) == (made, counted));
-        match known {
+        match self.late.iter_mut().find(|late| **late == retry) {
             Some(late) => late.counted = now,
-            None => self.late.push(LateRetry { made, counted: now }),
+            None => self.late.push(CountedRetry { counted: now, ..retry }),
         }
     }
 
@@ -265,7 +256,7 @@
     }
 
     /// Whether a late retry's lender, which lent it some time before it was made, no longer counts it.
-    fn is_overdue(&self, late: &LateRetry, now: Instant) -> bool {
+    fn is_overdue(&self, late: &CountedRetry, now: Instant) -> bool {
         now.saturating_duration_since(late.made) + LOAN_VALIDITY >= self.counted_time()
     }
 
--- a/crates/roseshore_core/src/gateway/targets/responses.rs
+++ b/crates/roseshore_core/src/gateway/targets/responses.rs
@@ -7,7 +7,7 @@
 
 use super::Targets;
 use super::target::Target;
-use crate::gateway::hashes::TargetHash;
+use crate::gateway::quota::pending_retries::PendingCopy;
 use crate::prelude::*;
 
 /// Age up to which what a target sent shows that it works.
@@ -58,10 +58,11 @@
         path.iter().filter(|id| !responds(id)).cloned().collect()
     }
 
-    /// Whether an incarnation of a target has read what was sent to it at this time, or has ended.
-    pub fn has_read(&self, id: &str, incarnation: TargetHash, sent: Instant) -> bool {
-        let target = self.all.get(id).filter(|target| target.hash == incarnation);
-        target.is_none_or(|target| target.responded_at.is_some_and(|at| at >= sent + READ_TIME))
+    /// Whether the target of a copy has read it, or has ended.
+    pub fn has_read(&self, copy: &PendingCopy) -> bool {
+        let target = self.all.get(&copy.target).filter(|target| target.hash == copy.incarnation);
+        let read = |at: Instant| at >= copy.sent + READ_TIME;
+        target.is_none_or(|target| target.responded_at.is_some_and(read))
     }
 
     /// Records that a target is asked for a report; returns false if it was asked lately.
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -126,9 +126,10 @@
         Some((id, hop.layers))
     }
 
-    /// The copy of the request, which its target may not have read yet.
+    /// The copy of the request; `None` once its target has begun to respond to it.
     pub(super) fn pending_copy(&self) -> Option<PendingCopy> {
-        let (target, incarnation) = self.incarnations.first().cloned()?;
+        let unanswered = self.response_since.is_none();
+        let (target, incarnation) = self.incarnations.first().filter(|_| unanswered).cloned()?;
         let connection = self.socket.to_number();
         Some(PendingCopy { connection, target, incarnation, sent: self.sent_at })
     }
--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -9,10 +9,10 @@
 use super::calls::Purpose;
 use super::choice::Choice;
 use super::exchange::Exchange;
+use super::in_flight::InFlightSend;
 use super::pace_polling::REPORT_TIMEOUT;
 use super::{EntryHost, Timer, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::quota::pending_retries::PendingCopy;
 use roseshore_core::prelude::*;
 
 /// Interval at which a request whose next path does not respond is looked at again.
@@ -39,17 +39,9 @@
         if unresponsive.is_empty() {
             return true;
         }
-        let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        if !std::mem::replace(&mut exchange.move_held, true) {
-            let text = format!(
-                "request={} path={} unresponsive={}",
-                exchange.request_fields.attempt,
-                path.join(","),
-                unresponsive.join(",")
-            );
-            metrics::counter!("roseshore_moves_held_total").increment(1);
-            log_event!(self, MoveHeld, "{text}");
-        }
+        self.log_held_move(key, || {
+            format!("path={} unresponsive={}", path.join(","), unresponsive.join(","))
+        });
         let open = |waiting: &Key| *waiting != key && self.exchanges.get(*waiting).is_some();
         self.pace_polling.awaited_by.retain(open);
         self.pace_polling.awaited_by.push(key);
@@ -65,12 +57,9 @@
 
     /// Whether the target of the send in flight may not have read it yet.
     pub(super) fn is_unread(&self, key: Key) -> bool {
-        let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else {
-            return false;
-        };
-        let read =
-            |copy: PendingCopy| self.targets.has_read(&copy.target, copy.incarnation, copy.sent);
-        send.response_since.is_none() && !send.pending_copy().is_none_or(read)
+        let send = self.exchanges.get(key).and_then(|exchange| exchange.send.as_ref());
+        let copy = send.and_then(InFlightSend::pending_copy);
+        copy.is_some_and(|copy| !self.targets.has_read(&copy))
     }
 
     /// Whether a silent request may be sent elsewhere, as far as its target has read it or few copies
@@ -78,15 +67,21 @@
     pub(super) fn may_leave_copy(&mut self, key: Key) -> bool {
         let hosts = 1 + self.peers.other_hosts(self.now);
         let may_leave = !self.is_unread(key) || self.moves.may_leave_unread(hosts);
-        let Some(exchange) = self.exchanges.get_mut(key).filter(|_| !may_leave) else {
-            return true;
-        };
-        if !std::mem::replace(&mut exchange.move_held, true) {
-            let text = format!("request={} path=- unread=true", exchange.request_fields.attempt);
-            metrics::counter!("roseshore_moves_held_total").increment(1);
-            log_event!(self, MoveHeld, "{text}");
+        if !may_leave {
+            self.log_held_move(key, || "path=- unread=true".to_owned());
         }
-        false
+        may_leave
+    }
+
+    /// Logs and counts, once for each request, that it is not sent elsewhere yet.
+    fn log_held_move(&mut self, key: Key, why: impl FnOnce() -> String) {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        if std::mem::replace(&mut exchange.move_held, true) {
+            return;
+        }
+        let attempt = exchange.request_fields.attempt.clone();
+        metrics::counter!("roseshore_moves_held_total").increment(1);
+        log_event!(self, MoveHeld, "request={attempt} {}", why());
     }
 
     /// Records that a target replied to a call, and looks at the requests that wait for that.
--- a/crates/roseshore_relay/src/entry/retry_loans.rs
+++ b/crates/roseshore_relay/src/entry/retry_loans.rs
@@ -10,7 +10,7 @@
 use crate::slab::Key;
 use roseshore_core::gateway::peers::{Datagram, RetryLoan, RetryLoanRequest, name_hash};
 use roseshore_core::gateway::progress;
-use roseshore_core::gateway::quota::pending_retries::{PendingCopy, RepeatedRequest};
+use roseshore_core::gateway::quota::pending_retries::RepeatedRequest;
 use roseshore_core::gateway::quota::retry_budget::{Borrower, RetryUsage};
 use roseshore_core::prelude::*;
 use std::net::SocketAddr;
@@ -49,8 +49,7 @@
         if exchange.sends < 2 || !exchange.reached_target {
             return;
         }
-        let pending = exchange.open_sends().filter(|send| send.response_since.is_none());
-        let copies = pending.filter_map(InFlightSend::pending_copy).collect();
+        let copies = exchange.open_sends().filter_map(InFlightSend::pending_copy).collect();
         let request = (key.to_number(), exchange.request_fields.attempt.as_str());
         self.pending_retries.record(request, &exchange.service.name, copies, self.now);
     }
@@ -58,9 +57,8 @@
     /// Counts the retries from now on that may still arrive, and logs those that were late.
     pub(super) fn postpone_retries(&mut self) {
         let now = self.now;
-        let settled =
-            |copy: &PendingCopy| self.targets.has_read(&copy.target, copy.incarnation, copy.sent);
-        for (service, retry) in self.pending_retries.postpone(settled, now) {
+        let postponed = self.pending_retries.postpone(|copy| self.targets.has_read(copy), now);
+        for (service, retry) in postponed {
             self.retry_budget(&service).postpone(retry, now);
         }
         for request in self.pending_retries.take_late() {
@@ -161,17 +159,17 @@
         if !std::mem::take(&mut self.loans_wanted) {
             return;
         }
-        let lenders = self.peers.lenders(self.now);
+        let now = self.now;
+        let lenders = self.peers.lenders(now);
         let services: Vec<ServiceId> = self.retry_budgets.keys().cloned().collect();
         for service in services {
-            let now = self.now;
             let mut waiting = self.waiting_for_loan(&service).len();
             if waiting > 0 {
                 waiting += self.retry_budget(&service).late(now);
             }
             let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
             let hash = name_hash(&service);
-            for (lender, request) in self.retry_loans.requests(hash, waiting, &lenders, self.now) {
+            for (lender, request) in self.retry_loans.requests(hash, waiting, &lenders, now) {
                 self.send_message(lender, &Datagram::AskRetries(request));
             }
         }
