Requests of all callers together have a bound in memory

What callers saw: clients that sent many large bodies, chunked or with a length, and stopped short of their end, took all memory of a host; the process ended, and every request in it.

Cause: a limit for each body (MaxBodyBytes) and none for all of them. A body was held three times on its way: with the exchange, in the bytes made for the target, and as output of its connection. The account of memory knew unfinished answers.

Change: the account has kinds of holders, and each buffer that takes bytes from outside is charged to one: input and output of every connection (Buffer), bodies of requests (Body, in blocks, not copied as it grows), unfinished answers. A body is held once; the exchange and the output of its target share it. Requests have a quarter of MemoryMb. Beyond that those that are not complete are refused as not run, without progress for longest first; what is complete may have been sent and is kept. A body that cannot be taken whatever is given up is refused when its length is announced. Short ones (16 KB) are always taken. The rest of a refused request is read for 0.5 s or 1 MB, since a reset could cost the caller the refusal. A body over 8 MB no longer meets the limit of a connection's output.

Sent-ahead requests and unread responses, whose memory is charged now, are not given up yet.

--- a/crates/roseshore_core/src/code.rs
+++ b/crates/roseshore_core/src/code.rs
@@ -57,6 +57,7 @@
     RetryBudget = 205, 503, "the retry budget of the service is spent";
     DeadlinePassed = 206, 504, "the deadline passed";
     Overloaded = 207, 503, "callers ask for more than the engines can do";
+    MemoryFull = 208, 503, "the host has no memory for the request";
     NoRoute = 301, 503, "no chain of targets covers every layer";
     TargetUnreachable = 302, 503, "the target could not be reached";
     TargetLost = 303, 502, "the target was lost in the middle of the answer";
--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -60,6 +60,8 @@
     LinesDropped = 108, Warn, "log lines were left out";
     CallersTurnedAway = 109, Warn, "the daemon had no time for new callers and closed their connections";
     CallersNotAccepted = 110, Info, "a stopping daemon closed its listener for callers";
+    MemoryLow = 111, Warn, "what is held for others takes too much memory, and some of it was given up";
+    ConnectionsFull = 112, Warn, "callers have all connections that they may have, and the least active were closed or new ones refused";
     RequestEnded = 201, Debug, "a request got its final verdict";
     RequestRefused = 202, Info, "a request was refused";
     CallerLeft = 203, Info, "a caller left before its answer was whole";
--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -5,6 +5,7 @@
 //! have the cause in common, as a part of their prompts.
 
 use super::hashes::name_hash;
+use super::memory::Body;
 use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -39,6 +40,17 @@
         }
     }
 
+    /// Like [`Fingerprint::of`], with a body as the last field.
+    pub fn of_request(organisation: Option<&str>, fields: &[&[u8]], body: &Body) -> Fingerprint {
+        let mut hash = hash_fields(fields);
+        hash.update(&(body.len() as u64).to_le_bytes());
+        body.blocks().for_each(|block| hash.update(block));
+        Fingerprint {
+            organisation: organisation.map_or(0, name_hash),
+            digest: hash.digest() & !PART_BIT,
+        }
+    }
+
     /// Computes the fingerprint of a part of a prompt.
     pub fn of_part(organisation: Option<&str>, model: &str, id: &str) -> Fingerprint {
         Fingerprint {
@@ -54,13 +66,17 @@
 }
 
 fn digest(fields: &[&[u8]]) -> u64 {
-    let mut digest = Xxh3::new();
+    hash_fields(fields).digest()
+}
+
+fn hash_fields(fields: &[&[u8]]) -> Xxh3 {
+    let mut hash = Xxh3::new();
     for field in fields {
         // The length keeps the end of one field from being taken for the start of the next.
-        digest.update(&(field.len() as u64).to_le_bytes());
-        digest.update(field);
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field);
     }
-    digest.digest()
+    hash
 }
 
 /// What may be at fault when a target crashes while it runs a request.
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -51,7 +51,6 @@
 use relays::Relays;
 use roseshore_core::gateway::copies::COPY_TIMEOUT;
 use roseshore_core::gateway::leaving::{CallTimes, TokenPace};
-use roseshore_core::gateway::memory::Account;
 use roseshore_core::gateway::poll_timing::PollTiming;
 use roseshore_core::gateway::{
     CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, Moves, NewerConfigs, Overload,
@@ -157,8 +156,6 @@
     /// Idle connections to targets and the store, with the time since when they are idle.
     idle: HashMap<Route, Vec<(Key, Instant)>>,
     exchanges: Slab<Exchange>,
-    /// Memory that unfinished answers take.
-    answers: Account,
     calls: Slab<Call>,
     snapshot: Option<Arc<Snapshot>>,
     config_lease: ConfigLease,
@@ -291,7 +288,6 @@
             roles: HashMap::new(),
             idle: HashMap::new(),
             exchanges: Slab::default(),
-            answers: Account::default(),
             calls: Slab::default(),
             snapshot: None,
             targets: Targets::default(),
@@ -374,6 +370,7 @@
                 woke.saturating_duration_since(began),
             );
             self.woke = woke;
+            self.net.set_now(woke);
             self.net.process_ready(&mut changes);
             let timing =
                 PollTiming { previous_end: self.now, began, timeout, ended: self.clock.now() };
@@ -399,7 +396,7 @@
                 self.last_tick = self.now;
                 self.tick();
             }
-            self.bound_answers();
+            self.bound_memory();
             self.handle_resumed_callers();
             self.serve_queues();
             self.log.flush();
@@ -468,6 +465,7 @@
         self.widen_rooms();
         self.update_demand_gauges();
         self.expire_admission();
+        self.update_memory_gauges();
     }
 
     /// Passes a changed connection to the code for its role.
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -1,9 +1,11 @@
 //! Connections of callers: reads requests and sends responses.
 
+use super::exchange::RETRY_AFTER;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http::{self, BodyDecoder, BodyFraming, Framing, HttpError, RequestHead};
 use crate::slab::Key;
 use roseshore_core::gateway::RequestLimits;
+use roseshore_core::gateway::memory::{Body, Holder};
 use roseshore_core::gateway::shutdown::IdleConnection;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::Field;
@@ -12,6 +14,10 @@
 /// Time after which a caller that takes in nothing of a response is taken to be gone, unless
 /// connections may be idle for longer.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which the rest of a refused request is read.
+const REFUSED_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes of the rest of a refused request that are read.
+const REFUSED_BYTES: usize = 1 << 20;
 
 /// A caller's connection.
 pub(super) struct Caller {
@@ -36,16 +42,28 @@
     Busy(Key),
     /// The last response is being written.
     Closing,
+    /// A request was refused before all of it had come; so many bytes of the rest are still read,
+    /// since closing the connection with unread bytes could cost the caller the refusal.
+    Refused(usize),
 }
 
 /// A request whose body is being read.
 struct PartialRequest {
     head: RequestHead,
     decoder: BodyDecoder,
-    body: Vec<u8>,
+    body: Body,
 }
 
 impl Caller {
+    /// Memory that the request takes which is being read; `None` if no further one is read.
+    pub(super) fn partial_bytes(&self) -> Option<usize> {
+        match &self.phase {
+            Phase::Head => Some(0),
+            Phase::Body(partial) => Some(partial.body.charged()),
+            Phase::Busy(_) | Phase::Closing | Phase::Refused(_) => None,
+        }
+    }
+
     /// Until when its connection is kept although nothing happens on it.
     fn idle_until(&self, limits: &RequestLimits) -> Instant {
         let least = if self.unwritten > 0 { UNREAD_TIMEOUT } else { Duration::ZERO };
@@ -58,9 +76,13 @@
 }
 
 impl EntryHost {
-    /// Limits on requests in the configuration, or defaults while there is none.
+    /// Limits on requests in the configuration, or defaults while there is none. No body is larger
+    /// than the memory for requests.
     fn request_limits(&self) -> RequestLimits {
-        self.snapshot.as_ref().map_or_else(RequestLimits::default, |s| s.limits().clone())
+        let limits = self.snapshot.as_ref().map(|snapshot| snapshot.limits().clone());
+        let limits = limits.unwrap_or_default();
+        let body_bytes = limits.body_bytes.min(self.memory_limits().max_body());
+        RequestLimits { body_bytes, ..limits }
     }
 
     /// Sets the timer for reading a request, or for an idle connection.
@@ -85,6 +107,13 @@
         if std::mem::replace(&mut caller.unwritten, unwritten) != unwritten {
             caller.idle_since = self.now;
         }
+        if matches!(caller.phase, Phase::Refused(_)) {
+            if self.now < caller.idle_since + REFUSED_TIMEOUT {
+                let until = caller.idle_since + REFUSED_TIMEOUT;
+                return self.set_timer(until, Timer::Caller(key));
+            }
+            return self.close(key);
+        }
         match caller.first_byte {
             Some(first_byte) if self.now >= first_byte + limits.receive_timeout => {
                 self.refuse_connection(key, Code::SlowCaller, "the request did not come in time");
@@ -116,8 +145,17 @@
                     }
                     return;
                 }
+                Phase::Refused(left) => {
+                    *left = left.saturating_sub(socket.input.len());
+                    let over = *left == 0;
+                    socket.input.edit(Vec::clear);
+                    if ended || over {
+                        self.close(key);
+                    }
+                    return;
+                }
                 Phase::Closing => {
-                    socket.input.clear();
+                    socket.input.edit(Vec::clear);
                     if ended {
                         self.close(key);
                     }
@@ -129,13 +167,14 @@
                 Phase::Head => {
                     // Empty lines before a request are to be ignored (RFC 9112, section 2.2).
                     let blank = socket.input.iter().take_while(|b| b"\r\n".contains(b)).count();
-                    socket.input.drain(..blank);
+                    socket.input.edit(|input| drop(input.drain(..blank)));
                     if !socket.input.is_empty() && caller.first_byte.is_none() {
                         caller.first_byte = Some(self.now);
                         let timeout = self.now + limits.receive_timeout;
                         self.timers.push(Reverse((timeout, Timer::Caller(key))));
                     }
-                    match http::parse_request(&mut socket.input, limits.head_bytes) {
+                    let head_bytes = limits.head_bytes;
+                    match socket.input.edit(|input| http::parse_request(input, head_bytes)) {
                         Ok(Some(head)) => self.start_body(key, head, &limits),
                         Ok(None) if ended => return self.close(key),
                         Ok(None) => return,
@@ -144,7 +183,7 @@
                 }
                 Phase::Body(partial) => {
                     let PartialRequest { decoder, body, .. } = &mut **partial;
-                    let taken = decoder.decode(&mut socket.input, body);
+                    let taken = socket.input.edit(|input| decoder.decode(input, body));
                     self.liveness.link.record_transfer(body.len(), self.now);
                     let (done, large) = (decoder.done(), body.len() > limits.body_bytes);
                     if let Err(err) = taken {
@@ -186,14 +225,19 @@
         {
             return self.refuse_connection(key, Code::BodyTooLarge, "the body is too large");
         }
+        if let Framing::Length(length) = head.framing
+            && self.memory_limits().lacks_room(self.net.account(), length as usize)
+        {
+            return self.refuse_incoming(key);
+        }
         let expects = http::field(&head.fields, "expect");
         if expects.is_some_and(|e| e.eq_ignore_ascii_case("100-continue")) {
             self.net.send(key, b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         let decoder = BodyDecoder::new(head.framing);
+        let body = self.net.account().body(Holder::Receiving);
         if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
-            caller.phase =
-                Phase::Body(Box::new(PartialRequest { head, decoder, body: Vec::new() }));
+            caller.phase = Phase::Body(Box::new(PartialRequest { head, decoder, body }));
         }
     }
 
@@ -205,7 +249,8 @@
         caller.requests += 1;
         let phase = std::mem::replace(&mut caller.phase, Phase::Head);
         let Phase::Body(partial) = phase else { return };
-        let PartialRequest { head, body, .. } = *partial;
+        let PartialRequest { head, mut body, .. } = *partial;
+        body.pass_to(Holder::Requests);
         let keep = head.keep_alive;
         match self.begin_exchange(key, head, body) {
             Ok(exchange) => {
@@ -297,10 +342,33 @@
 
     /// Refuses input that is not an acceptable request, and closes the connection.
     fn refuse_connection(&mut self, key: Key, code: Code, text: &str) {
+        self.refuse_partial(key, &Refusal::not_run(code, text));
+    }
+
+    /// Refuses a request of which a part may not have come yet, and closes the connection.
+    fn refuse_partial(&mut self, key: Key, refusal: &Refusal) {
+        let (code, text) = (refusal.code, &refusal.message);
         log_event!(self, RequestRefused, "code={code} verdict=not_run why={text:?}");
-        let fields = refusal_fields(&Refusal::not_run(code, text), None);
+        metrics::counter!("roseshore_refused_total", "code" => code.to_string()).increment(1);
+        let fields = refusal_fields(refusal, None);
         self.respond(key, code.status(), &fields, text.as_bytes(), false);
-        self.response_sent(key, false);
+        let Some(Role::Caller(caller)) = self.roles.get_mut(&key) else { return };
+        caller.first_byte = None;
+        caller.idle_since = self.now;
+        caller.phase = Phase::Refused(REFUSED_BYTES);
+        self.log_caller_closed(key, "refused");
+        self.net.finish_output(key);
+        if let Some(socket) = self.net.get(key) {
+            socket.input.edit(Vec::clear);
+        }
+        self.set_timer(self.now + REFUSED_TIMEOUT, Timer::Caller(key));
+    }
+
+    /// Gives up what a caller has sent of a request that is not complete, for want of memory.
+    pub(super) fn refuse_incoming(&mut self, key: Key) {
+        let retry_after = self.with_jitter(RETRY_AFTER);
+        let text = "this host has no memory for the request";
+        self.refuse_partial(key, &Refusal::not_run(Code::MemoryFull, text).after(retry_after));
     }
 
     /// A caller's connection if it is idle: all responses have been written, and no byte of a next
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -128,7 +128,7 @@
         let Some(call) = self.calls.get_mut(key) else { return };
         let Some(socket) = self.net.get(call.socket) else { return };
         if call.head.is_none() {
-            match http::parse_response(&mut socket.input, MAX_HEAD) {
+            match socket.input.edit(|input| http::parse_response(input, MAX_HEAD)) {
                 Ok(Some(head)) => {
                     call.decoder = BodyDecoder::new(head.framing);
                     call.head = Some(head);
@@ -137,7 +137,7 @@
                 Ok(None) | Err(_) => return self.end_call(key, Some(CallFault::Broken)),
             }
         }
-        let taken = call.decoder.decode(&mut socket.input, &mut call.body);
+        let taken = socket.input.edit(|input| call.decoder.decode(input, &mut call.body));
         self.liveness.link.record_transfer(call.body.len(), self.now);
         let complete =
             call.decoder.done() || (call.decoder.ends_with_connection() && socket.ended_orderly());
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -43,7 +43,7 @@
         let Some(socket) = self.net.get(key) else { return };
         self.liveness.link.record_transfer(socket.input.len(), self.now);
         let ended = socket.ended.is_some();
-        match frame::take::<StoreCopy>(&mut socket.input) {
+        match socket.input.edit(frame::take::<StoreCopy>) {
             Ok(Some(copy)) => {
                 self.close(key);
                 self.copy_received(copy);
@@ -152,7 +152,7 @@
         };
         self.liveness.link.record_transfer(socket.unwritten(), self.now);
         let ended = socket.ended.is_some();
-        match frame::take::<PeerRequest>(&mut socket.input) {
+        match socket.input.edit(frame::take::<PeerRequest>) {
             Ok(Some(PeerRequest::Copy(request))) => self.send_copy(key, request),
             Ok(Some(PeerRequest::Tunnel(request))) => self.accept_tunnel(key, request),
             Ok(None) if !ended => {}
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::net::{Socket, is_exhausted};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
+use roseshore_core::gateway::memory::Holder;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ForwardedFields;
@@ -99,10 +100,10 @@
             urgency,
         };
         let fields = self.platform.forwarded_headers(&exchange.head.fields, &forwarded);
-        let mut out = Vec::with_capacity(1024 + exchange.body.len());
+        let mut out = Vec::with_capacity(1024);
         let head = &exchange.head;
         http::write_request(&mut out, &head.method, &head.path, &fields, exchange.body.len());
-        out.extend_from_slice(&exchange.body);
+        let body = exchange.body.clone();
         let path: Vec<TargetId> = choice.claims.iter().map(|claim| claim.target.clone()).collect();
         let text = format!(
             "request={} fingerprint={} send={} {} prompt={} parts={} left_ms={} via={} heard_ms={}",
@@ -133,12 +134,18 @@
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
         let incarnations = choice.claims.iter().filter_map(incarnation).collect();
-        let send = InFlightSend::new(choice, socket, route, self.answers.buffer(), self.now);
+        let send = InFlightSend::new(
+            choice,
+            socket,
+            route,
+            self.net.account().buffer(Holder::Answers),
+            self.now,
+        );
         exchange.send = Some(InFlightSend { incarnations, fills, slowdown, reused, ..send });
         self.roles.insert(socket, Role::Target(key));
         self.record_retry(key);
         log_event!(self, RouteChosen, "{text}");
-        self.net.send(socket, &out);
+        self.net.send_body(socket, &out, &body);
         self.set_timer(self.now + CONNECT_TIMEOUT, Timer::Exchange(key));
     }
 
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use roseshore_core::gateway::demand::Rank;
 use roseshore_core::gateway::failure::{self, FailureReply, Fault, NextStep};
+use roseshore_core::gateway::memory::{Body, Buffer};
 use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
@@ -39,7 +40,7 @@
 pub(super) struct Exchange {
     pub(super) caller: Key,
     pub(super) head: RequestHead,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Arc<Body>,
     pub(super) request_fields: RequestFields,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
@@ -68,7 +69,7 @@
     /// How its last send failed.
     pub(super) last_failure: Option<SendFailure>,
     /// The failure that a target responded with, to be forwarded if no other target answers.
-    pub(super) own_failure: Option<(ResponseHead, Vec<u8>)>,
+    pub(super) own_failure: Option<(ResponseHead, Buffer)>,
     /// How a send last failed by silence.
     pub(super) last_silence: Option<SendFailure>,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
@@ -171,7 +172,7 @@
         &mut self,
         caller: Key,
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
     ) -> Result<Key, Refused> {
         let request_fields = match self.platform.read_request(&head.fields) {
             Ok(request_fields) => request_fields,
@@ -218,7 +219,7 @@
         &mut self,
         caller: Key,
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
         request_fields: RequestFields,
     ) -> Result<Exchange, Refusal> {
         let Some(snapshot) = self.snapshot.clone() else {
@@ -264,7 +265,7 @@
         Ok(Exchange {
             caller,
             head,
-            body,
+            body: Arc::new(body),
             route,
             work: expected_work(&request_fields, &service),
             service,
@@ -525,8 +526,8 @@
     organisation: Option<&str>,
     host: &str,
     head: &RequestHead,
-    body: &[u8],
+    body: &Body,
 ) -> Fingerprint {
-    let parts = [head.method.as_bytes(), host.as_bytes(), head.path.as_bytes(), body];
-    Fingerprint::of(organisation, &parts)
+    let parts = [head.method.as_bytes(), host.as_bytes(), head.path.as_bytes()];
+    Fingerprint::of_request(organisation, &parts, body)
 }
--- a/crates/roseshore_relay/src/entry/memory.rs
+++ b/crates/roseshore_relay/src/entry/memory.rs
@@ -1,11 +1,13 @@
-//! Bounds the memory that unfinished answers take.
+//! Bounds the memory that is held for others.
+//!
+//! What has to be given up, and how much of it, is decided in [`roseshore_core::gateway::memory`].
 
 use super::exchange::Exchange;
-use super::{EntryHost, log_event};
+use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::Fault;
 use roseshore_core::gateway::failure::Blame;
-use roseshore_core::gateway::memory::answers_limit;
+use roseshore_core::gateway::memory::{Candidate, Holder, MemoryLimits, Relief, least_active};
 use roseshore_core::prelude::*;
 
 /// An unfinished answer.
@@ -17,14 +19,85 @@
 }
 
 impl EntryHost {
-    /// Gives up the largest unfinished answers while all of them take too much memory: one that
-    /// never ends becomes the largest in the end.
-    pub(super) fn bound_answers(&mut self) {
-        let limit = answers_limit(self.settings.memory);
-        while self.answers.used() > limit {
-            let Some(largest) = self.largest_answer() else { return };
-            self.give_up_answer(&largest, limit);
+    /// The limits of what is held for others.
+    pub(super) fn memory_limits(&self) -> MemoryLimits {
+        MemoryLimits::new(self.settings.memory)
+    }
+
+    /// Shows what is held, by kind of holder.
+    pub(super) fn update_memory_gauges(&self) {
+        for holder in Holder::ALL {
+            metrics::gauge!("roseshore_memory_held_bytes", "holder" => holder.name())
+                .set(self.net.account().used_by(holder) as f64);
+        }
+    }
+
+    /// Gives up what exceeds the limits.
+    pub(super) fn bound_memory(&mut self) {
+        let limits = self.memory_limits();
+        let account = self.net.account();
+        if limits.reliefs(account).is_empty() && limits.total_excess(account).is_none() {
+            return;
+        }
+        self.net.free_empty();
+        let mut given_up = 0;
+        for (relief, bytes) in limits.reliefs(self.net.account()) {
+            given_up += self.give_up(relief, bytes);
+        }
+        for relief in Relief::ORDER {
+            let Some(bytes) = limits.total_excess(self.net.account()) else { break };
+            given_up += self.give_up(relief, bytes);
+        }
+        if given_up > 0 {
+            let account = self.net.account();
+            let held = Holder::ALL
+                .map(|holder| format!("{}={}", holder.name(), account.used_by(holder)))
+                .join(" ");
+            log_event!(self, MemoryLow, "given_up={given_up} {held}");
+        }
+    }
+
+    /// Gives up so many bytes, if there are as many; returns the number of requests, answers and
+    /// connections that it ends.
+    fn give_up(&mut self, relief: Relief, bytes: usize) -> usize {
+        match relief {
+            Relief::Receiving => {
+                let chosen = least_active(self.incoming(), bytes);
+                for key in &chosen {
+                    self.refuse_incoming(*key);
+                }
+                chosen.len()
+            }
+            Relief::Stalled | Relief::Unread => 0,
+            Relief::Answers => self.give_up_answers(bytes),
+        }
+    }
+
+    /// Callers whose requests are not complete, or that have sent the next one ahead.
+    fn incoming(&mut self) -> Vec<Candidate<Key>> {
+        let callers = self.roles.iter().filter_map(|(key, role)| match role {
+            Role::Caller(caller) => Some((*key, caller.partial_bytes()?)),
+            _ => None,
+        });
+        let callers: Vec<(Key, usize)> = callers.collect();
+        let incoming = callers.into_iter().filter_map(|(key, partial)| {
+            let socket = self.net.get(key)?;
+            let bytes = partial + socket.input.charged();
+            (bytes > 0).then_some(Candidate { key, bytes, active: socket.active() })
+        });
+        incoming.collect()
+    }
+
+    /// Gives up the largest unfinished answers, together so many bytes.
+    fn give_up_answers(&mut self, bytes: usize) -> usize {
+        let (mut freed, mut count) = (0, 0);
+        while freed < bytes {
+            let Some(largest) = self.largest_answer() else { break };
+            freed += largest.bytes;
+            count += 1;
+            self.give_up_answer(&largest);
         }
+        count
     }
 
     fn largest_answer(&self) -> Option<Unfinished> {
@@ -40,12 +113,13 @@
         sends.filter(|answer| answer.bytes > 0).max_by_key(|answer| answer.bytes)
     }
 
-    fn give_up_answer(&mut self, answer: &Unfinished, limit: usize) {
-        let (key, used) = (answer.exchange, self.answers.used());
+    fn give_up_answer(&mut self, answer: &Unfinished) {
+        let (key, used) = (answer.exchange, self.net.account().used_by(Holder::Answers));
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let attempt = exchange.request_fields.attempt.clone();
         let place = exchange.standbys.iter().position(|send| send.socket == answer.socket);
         let standby = place.map(|place| exchange.standbys.remove(place));
+        let limit = self.memory_limits().answers();
         log_event!(
             self,
             AnswerGivenUp,
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -21,7 +21,7 @@
             return;
         };
         let ended = socket.ended.is_some();
-        let head = match http::parse_request(&mut socket.input, MAX_HEAD) {
+        let head = match socket.input.edit(|input| http::parse_request(input, MAX_HEAD)) {
             Ok(Some(head)) => head,
             Ok(None) if !ended => return,
             _ => return self.close(key),
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -275,7 +275,7 @@
         let Some(socket) = self.net.get(key).filter(|socket| socket.tunnel_pending()) else {
             return false;
         };
-        let reply = frame::take::<TunnelReply>(&mut socket.input);
+        let reply = socket.input.edit(frame::take::<TunnelReply>);
         if let Ok(Some(TunnelReply { open: true })) = reply {
             self.relays.opening.remove(&key);
             self.net.tunnel_opened(key);
@@ -373,7 +373,7 @@
         let mut moved = 0;
         loop {
             let Some(source) = self.net.get(from) else { return moved };
-            let bytes = std::mem::take(&mut source.input);
+            let bytes = source.input.take();
             if !bytes.is_empty() {
                 match framing {
                     Framing::Plain => self.net.send(to, &bytes),
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -13,6 +13,7 @@
 use crate::slab::Key;
 use crate::sse;
 use roseshore_core::gateway::Fault;
+use roseshore_core::gateway::memory::{Buffer, Holder};
 use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ResponseFields;
@@ -74,7 +75,7 @@
             send.response_since = Some(now);
             self.pending_retries.settle(send.socket.to_number());
         }
-        let head = match http::parse_response(&mut socket.input, MAX_HEAD) {
+        let head = match socket.input.edit(|input| http::parse_response(input, MAX_HEAD)) {
             Ok(Some(head)) => head,
             Ok(None) if socket.ended.is_none() => {
                 if send.partial.record(socket.input.len(), now) {
@@ -175,7 +176,7 @@
         let Some(socket) = self.net.get(send.socket) else { return Step::Finished };
         let Phase::Stale(decoder) = &mut send.phase else { return Step::Continue };
         let mut discarded = Vec::new();
-        let taken = decoder.decode(&mut socket.input, &mut discarded);
+        let taken = socket.input.edit(|input| decoder.decode(input, &mut discarded));
         send.stale_bytes += discarded.len();
         if send.stale_bytes > MAX_BODY {
             self.send_failed(key, Fault::Garbled, None);
@@ -198,7 +199,8 @@
         let send = self.exchanges.get_mut(key)?.send.as_mut()?;
         let socket = self.net.get(send.socket)?;
         let Phase::Body(_, decoder) = &mut send.phase else { return None };
-        let taken = send.body.edit(|body| decoder.decode(&mut socket.input, body));
+        let input = &mut socket.input;
+        let taken = send.body.edit(|body| input.edit(|input| decoder.decode(input, body)));
         self.liveness.link.record_transfer(send.body.len(), self.now);
         let ends = decoder.ends_with_connection();
         let whole = decoder.done() || (ends && socket.ended_orderly());
@@ -257,9 +259,9 @@
     fn forward_response(&mut self, key: Key, head: &ResponseHead) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.as_mut() else { return };
-        let body = send.body.take();
+        let mut body = send.body.take_for(Holder::Unread);
         let target = send.target.clone();
-        self.write_whole(key, head, &body);
+        self.write_whole(key, head, &mut body);
         self.record_success(&target, key);
         self.record_completed(key);
         self.finish_exchange(key, head.keep_alive, head.status, "whole");
@@ -270,7 +272,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.as_mut() else { return };
         if send.body.len() <= MAX_KEPT_FAILURE {
-            exchange.own_failure = Some((head, send.body.take()));
+            exchange.own_failure = Some((head, send.body.take_for(Holder::Answers)));
         }
     }
 
@@ -278,20 +280,20 @@
     /// one. Returns whether there is.
     pub(super) fn forward_own_failure(&mut self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        let Some((head, body)) = exchange.own_failure.take() else { return false };
-        self.write_whole(key, &head, &body);
+        let Some((head, mut body)) = exchange.own_failure.take() else { return false };
+        self.write_whole(key, &head, &mut body);
         self.finish_exchange(key, false, head.status, "the target's own failure");
         true
     }
 
     /// Writes a complete response of a target to the caller.
-    fn write_whole(&mut self, key: Key, head: &ResponseHead, body: &[u8]) {
+    fn write_whole(&mut self, key: Key, head: &ResponseHead, body: &mut Buffer) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         exchange.verdict = Verdict::Answered;
         exchange.delivery.first_at.get_or_insert(self.now);
         let fields = self.platform.caller_headers(&head.fields);
-        let mut out = Vec::with_capacity(512 + body.len());
+        let mut out = Vec::with_capacity(512);
         let close = !keep || self.stopping_since.is_some();
         http::write_response(
             &mut out,
@@ -301,10 +303,11 @@
             BodyFraming::Length(body.len()),
             close,
         );
-        if exchange.head.method != "HEAD" {
-            out.extend_from_slice(body);
+        if exchange.head.method == "HEAD" {
+            self.net.send(caller, &out);
+        } else {
+            self.net.send_buffer(caller, &out, body);
         }
-        self.net.send(caller, &out);
     }
 
     /// Records that a target gave a complete response to the exchange `key`.
--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -230,9 +230,11 @@
     ///
     /// # Errors
     /// If the framing is malformed.
-    pub fn decode(&mut self, input: &mut Vec<u8>, body: &mut Vec<u8>) -> Result<(), HttpError> {
+    pub fn decode(&mut self, input: &mut Vec<u8>, body: &mut impl Write) -> Result<(), HttpError> {
         if self.state == DecoderState::UntilClose {
-            body.append(input);
+            // Writing to memory cannot fail.
+            let _ = body.write_all(input);
+            input.clear();
             return Ok(());
         }
         let mut rest = input.as_slice();
@@ -243,7 +245,11 @@
     }
 
     /// Decodes the elements that are complete, and removes them from the front of `rest`.
-    fn decode_elements(&mut self, rest: &mut &[u8], body: &mut Vec<u8>) -> Result<(), HttpError> {
+    fn decode_elements(
+        &mut self,
+        rest: &mut &[u8],
+        body: &mut impl Write,
+    ) -> Result<(), HttpError> {
         loop {
             self.state = match self.state {
                 DecoderState::Done | DecoderState::UntilClose => return Ok(()),
@@ -289,10 +295,11 @@
 }
 
 /// Moves up to `left` bytes; returns how many are missing.
-fn take_bytes(left: u64, rest: &mut &[u8], body: &mut Vec<u8>) -> u64 {
+fn take_bytes(left: u64, rest: &mut &[u8], body: &mut impl Write) -> u64 {
     let count = usize::try_from(left).unwrap_or(usize::MAX).min(rest.len());
     let (taken, after) = rest.split_at(count);
-    body.extend_from_slice(taken);
+    // Writing to memory cannot fail.
+    let _ = body.write_all(taken);
     *rest = after;
     left - count as u64
 }
--- a/crates/roseshore_relay/src/lib.rs
+++ b/crates/roseshore_relay/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod http;
 pub mod log_writer;
 pub mod net;
+mod output;
 pub mod slab;
 pub mod sse;
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -1,14 +1,17 @@
 //! Non-blocking sockets with their input and output buffers, over a readiness poll.
 
 use crate::chunks::ChunkReader;
+use crate::output::{Output, clear};
 use crate::slab::{Key, Slab};
 pub use mio::net::TcpStream;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
+use roseshore_core::gateway::memory::{Account, Body, Buffer, Holder};
 use rustix::io::Errno;
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::io::{self, ErrorKind, Read};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Bytes per read.
 const READ_SIZE: usize = 16 << 10;
@@ -19,8 +22,8 @@
 /// New callers are not taken once all connections but one in so many are in use; the rest is for
 /// targets, the store, probes and other hosts.
 const OWN_SHARE: usize = 4;
-/// Bytes that may be buffered for a peer that does not read; beyond this the connection is treated
-/// as broken.
+/// Bytes that may be buffered for a peer that does not read, bodies of requests left out; beyond
+/// this the connection is treated as broken.
 pub const MAX_OUTPUT: usize = 8 << 20;
 /// Bytes read from a connection before the others get their turn.
 const READ_TURN: usize = 64 << 10;
@@ -29,9 +32,6 @@
 /// Received bytes that may wait to be consumed; beyond this the connection is not read.
 const MAX_INPUT: usize = 1 << 20;
 
-/// Memory that an empty buffer of a connection keeps: a message of the usual size.
-const KEPT_CAPACITY: usize = 4 << 10;
-
 /// Starts outgoing connections.
 pub trait Dial {
     /// Starts to open a connection without waiting until it is established.
@@ -92,16 +92,17 @@
 pub struct Socket {
     stream: TcpStream,
     /// Bytes received and not yet consumed.
-    pub input: Vec<u8>,
-    output: Vec<u8>,
-    written: usize,
+    pub input: Buffer,
+    output: Output,
+    /// When bytes were last read or written.
+    active: Instant,
     /// Whether the connection is established.
     pub connected: bool,
     /// Whether the other end accepted the connection, and reset it before this was noticed here.
     reset_at_once: bool,
     /// Output that waits until the host at the other end has opened its part of a tunnel; `None` for
     /// an open tunnel and for other connections.
-    held: Option<Vec<u8>>,
+    held: Option<Output>,
     /// Removes the framing of an open tunnel; `None` for other connections.
     chunks: Option<ChunkReader>,
     /// Whether input is left in the system's buffer, which slows the sender down.
@@ -115,12 +116,24 @@
     /// How the connection ended; `None` while it is open.
     pub ended: Option<Ended>,
     closing: bool,
+    /// Whether its sending side is closed once all output has been written.
+    finishing: bool,
 }
 
 impl Socket {
     /// Bytes of output that the socket has not accepted yet.
     pub fn unwritten(&self) -> usize {
-        self.output.len() - self.written
+        self.output.len()
+    }
+
+    /// Memory that is charged for its output.
+    pub fn output_charged(&self) -> usize {
+        self.output.charged()
+    }
+
+    /// When bytes were last read from it or written to it; at first, when it was opened.
+    pub fn active(&self) -> Instant {
+        self.active
     }
 
     /// Address of the other end; `None` if it is not connected.
@@ -182,6 +195,9 @@
     /// Connections that input was read from since the last [`Net::wait`].
     filled: Vec<Key>,
     scratch: Vec<u8>,
+    account: Account,
+    /// The time of this turn.
+    now: Instant,
 }
 
 impl Net {
@@ -206,9 +222,32 @@
             unread: Vec::new(),
             filled: Vec::new(),
             scratch,
+            account: Account::default(),
+            now: Instant::now(),
         })
     }
 
+    /// The account that input and output are charged to.
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// Sets the time of this turn, by which [`Socket::active`] goes.
+    pub fn set_now(&mut self, now: Instant) {
+        self.now = now;
+    }
+
+    /// Frees the memory that empty buffers keep.
+    pub fn free_empty(&mut self) {
+        for key in self.sockets.keys() {
+            let Some(socket) = self.sockets.get_mut(key) else { continue };
+            if socket.input.is_empty() {
+                drop(socket.input.take());
+            }
+            socket.output.free_empty();
+        }
+    }
+
     /// Opens a TCP listener and returns its address, with the port that the system chose for port
     /// 0.
     ///
@@ -289,7 +328,7 @@
     pub fn wait(&mut self, timeout: Duration) -> io::Result<()> {
         for key in std::mem::take(&mut self.filled) {
             if let Some(socket) = self.sockets.get_mut(key).filter(|s| s.input.is_empty()) {
-                clear(&mut socket.input);
+                socket.input.edit(clear);
             }
         }
         let may_read = |key: &Key| self.sockets.get(*key).is_some_and(Socket::may_read);
@@ -354,7 +393,11 @@
                 metrics::counter!("roseshore_connections_refused_total").increment(1);
                 continue;
             }
-            if let Ok(key) = self.add(stream, true) {
+            let holders = match endpoint {
+                Endpoint::Callers => (Holder::Receiving, Holder::Unread),
+                _ => (Holder::Relayed, Holder::Relayed),
+            };
+            if let Ok(key) = self.add(stream, true, holders) {
                 return Some(key);
             }
         }
@@ -368,7 +411,7 @@
         if self.sockets.len() >= self.max_connections {
             return Err(io::Error::new(ErrorKind::QuotaExceeded, "too many connections"));
         }
-        self.add(self.dial.dial(addr)?, false)
+        self.add(self.dial.dial(addr)?, false, (Holder::Relayed, Holder::Relayed))
     }
 
     /// Like [`Net::connect`], to another host that is asked by `request` to open a tunnel. Other
@@ -380,7 +423,7 @@
         let key = self.connect(host)?;
         self.send(key, request);
         if let Some(socket) = self.sockets.get_mut(key) {
-            socket.held = Some(Vec::new());
+            socket.held = Some(Output::new(&self.account, Holder::Relayed));
         }
         Ok(key)
     }
@@ -390,13 +433,15 @@
     pub fn tunnel_opened(&mut self, key: Key) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
         socket.chunks = Some(ChunkReader::default());
-        let received = std::mem::take(&mut socket.input);
+        let received = socket.input.take();
         receive(socket, &received);
         if socket.ended == Some(Ended::Orderly) {
             socket.ended = Some(end_of_stream(socket));
         }
-        let held = socket.held.take();
-        self.send(key, &held.unwrap_or_default());
+        if let Some(held) = socket.held.take() {
+            socket.output.append(held);
+            flush(socket, self.now);
+        }
     }
 
     /// Stops reading from a connection.
@@ -438,6 +483,7 @@
         let count = socket.input.len() - before;
         self.received += count as u64;
         if count > 0 {
+            socket.active = self.now;
             self.filled.push(key);
         }
         if !drained && !socket.unread {
@@ -445,16 +491,22 @@
             self.unread.push(key);
         }
         if socket.closing {
-            socket.input.clear();
+            socket.input.edit(Vec::clear);
         }
     }
 
-    fn add(&mut self, stream: TcpStream, connected: bool) -> io::Result<Key> {
+    /// Adds a connection whose input and output are charged to these holders.
+    fn add(
+        &mut self,
+        stream: TcpStream,
+        connected: bool,
+        (input, output): (Holder, Holder),
+    ) -> io::Result<Key> {
         let socket = Socket {
             stream,
-            input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
+            input: self.account.buffer(input),
+            output: Output::new(&self.account, output),
+            active: self.now,
             connected,
             reset_at_once: false,
             held: None,
@@ -465,6 +517,7 @@
             write_failed: false,
             ended: None,
             closing: false,
+            finishing: false,
         };
         let key = self.sockets.add(socket);
         let token = Token(key.to_number());
@@ -493,24 +546,54 @@
 
     /// Queues bytes and writes as many as the socket accepts now.
     pub fn send(&mut self, key: Key, bytes: &[u8]) {
+        self.send_all(key, bytes.len(), |output| output.push(bytes));
+    }
+
+    /// Like [`Net::send`], with a head and a body that is handed over.
+    pub fn send_buffer(&mut self, key: Key, head: &[u8], body: &mut Buffer) {
+        self.send_all(key, head.len() + body.len(), |output| {
+            output.push(head);
+            output.push_buffer(body);
+        });
+    }
+
+    /// Like [`Net::send`], with a head and a body that others hold as well.
+    pub fn send_body(&mut self, key: Key, head: &[u8], body: &Arc<Body>) {
+        self.send_all(key, head.len(), |output| {
+            output.push(head);
+            output.push_body(body);
+        });
+    }
+
+    /// Queues output, so many bytes of it for this connection alone.
+    fn send_all(&mut self, key: Key, bytes: usize, push: impl FnOnce(&mut Output)) {
         let Some(socket) = self.sockets.get_mut(key).filter(|socket| !socket.write_failed) else {
             return;
         };
-        let held = socket.held.as_ref().map_or(0, Vec::len);
-        if socket.unwritten() + held + bytes.len() > MAX_OUTPUT {
+        let held = socket.held.as_ref().map_or(0, Output::len);
+        if bytes > MAX_OUTPUT.saturating_sub(socket.unwritten() + held) {
             socket.ended = Some(Ended::Broken);
             return;
         }
         if let Some(held) = &mut socket.held {
-            held.extend_from_slice(bytes);
-            return;
+            return push(held);
+        }
+        if socket.output.len() == 0 {
+            socket.active = self.now;
         }
-        socket.output.extend_from_slice(bytes);
+        push(&mut socket.output);
         if socket.connected {
-            flush(socket);
+            flush(socket, self.now);
         }
     }
 
+    /// Closes the sending side of the connection once all output has been written.
+    pub fn finish_output(&mut self, key: Key) {
+        let Some(socket) = self.sockets.get_mut(key) else { return };
+        socket.finishing = true;
+        flush(socket, self.now);
+    }
+
     /// Closes the connection once all output has been written, or now if it has ended.
     pub fn close_flushed(&mut self, key: Key) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
@@ -552,7 +635,7 @@
             }
         }
         if socket.connected {
-            flush(socket);
+            flush(socket, self.now);
             let read_closed = read_closed || socket.write_failed;
             self.read_turn(key, read_closed, limit);
         }
@@ -570,35 +653,27 @@
         || Errno::from_io_error(err).is_some_and(|errno| LACKING.contains(&errno))
 }
 
-fn flush(socket: &mut Socket) {
-    while socket.written < socket.output.len() {
-        match socket.stream.write(&socket.output[socket.written..]) {
-            Ok(0) => break,
-            Ok(count) => socket.written += count,
-            Err(err) if err.kind() == ErrorKind::WouldBlock => return,
-            Err(err) if err.kind() == ErrorKind::Interrupted => {}
-            Err(_) => {
-                socket.write_failed = true;
-                break;
-            }
-        }
+fn flush(socket: &mut Socket, now: Instant) {
+    let before = socket.output.len();
+    let written = socket.output.write_to(&mut socket.stream);
+    if socket.output.len() < before {
+        socket.active = now;
+    }
+    socket.write_failed |= written.is_err();
+    if socket.finishing && socket.flushed() {
+        socket.finishing = false;
+        // The other end may have closed the connection, which leaves nothing to close.
+        let _ = socket.stream.shutdown(Shutdown::Write);
     }
-    clear(&mut socket.output);
-    socket.written = 0;
-}
-
-/// Empties a buffer, and frees its memory if that is more than small messages take.
-fn clear(buffer: &mut Vec<u8>) {
-    buffer.clear();
-    buffer.shrink_to(KEPT_CAPACITY);
 }
 
 /// Takes in received bytes, without the framing of a tunnel.
 fn receive(socket: &mut Socket, bytes: &[u8]) {
-    match &mut socket.chunks {
-        Some(chunks) => chunks.read(bytes, &mut socket.input),
-        None => socket.input.extend_from_slice(bytes),
-    }
+    let Socket { chunks, input, .. } = socket;
+    input.edit(|input| match chunks {
+        Some(chunks) => chunks.read(bytes, input),
+        None => input.extend_from_slice(bytes),
+    });
     if socket.chunks.as_ref().is_some_and(ChunkReader::ended) {
         socket.ended = Some(Ended::Orderly);
     }
