What callers send ahead of a response is bounded

Cause: the limit of unconsumed input, 1 MB a connection, is the same for a connection whose input nobody consumes yet.

Change: 16 KB are read ahead of a response. While requests take too much memory, what was read ahead is dropped, and the connection is closed after the response that is in progress; its caller takes the rest as not read, and repeats it.

--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -3,6 +3,7 @@
 use super::exchange::RETRY_AFTER;
 use super::{EntryHost, Role, Timer, log_event};
 use crate::http::{self, BodyDecoder, BodyFraming, Framing, HttpError, RequestHead};
+use crate::net::MAX_INPUT;
 use crate::slab::Key;
 use roseshore_core::gateway::RequestLimits;
 use roseshore_core::gateway::memory::{Body, Holder};
@@ -18,6 +19,8 @@
 const REFUSED_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of the rest of a refused request that are read.
 const REFUSED_BYTES: usize = 1 << 20;
+/// Bytes that are read of what a caller sends before it has the response to an earlier request.
+const MAX_AHEAD: usize = 16 << 10;
 
 /// A caller's connection.
 pub(super) struct Caller {
@@ -58,9 +61,17 @@
     /// Memory that the request takes which is being read; `None` if no further one is read.
     pub(super) fn partial_bytes(&self) -> Option<usize> {
         match &self.phase {
-            Phase::Head => Some(0),
+            Phase::Head | Phase::Busy(_) => Some(0),
             Phase::Body(partial) => Some(partial.body.charged()),
-            Phase::Busy(_) | Phase::Closing | Phase::Refused(_) => None,
+            Phase::Closing | Phase::Refused(_) => None,
+        }
+    }
+
+    /// The request that is being processed.
+    pub(super) fn exchange(&self) -> Option<Key> {
+        match self.phase {
+            Phase::Busy(exchange) => Some(exchange),
+            _ => None,
         }
     }
 
@@ -139,6 +150,10 @@
             match &mut caller.phase {
                 Phase::Busy(exchange) => {
                     let exchange = *exchange;
+                    if self.exchanges.get(exchange).is_some_and(|e| !e.head.keep_alive) {
+                        // No further request of this connection is served.
+                        socket.input.edit(Vec::clear);
+                    }
                     if ended {
                         self.caller_left(exchange);
                         self.close(key);
@@ -165,6 +180,7 @@
                 // bounds what is buffered for the caller.
                 Phase::Head if !ended && !socket.flushed() => return,
                 Phase::Head => {
+                    socket.set_max_input(MAX_INPUT);
                     // Empty lines before a request are to be ignored (RFC 9112, section 2.2).
                     let blank = socket.input.iter().take_while(|b| b"\r\n".contains(b)).count();
                     socket.input.edit(|input| drop(input.drain(..blank)));
@@ -257,6 +273,9 @@
                 if let Some(Role::Caller(caller)) = self.roles.get_mut(&key) {
                     caller.phase = Phase::Busy(exchange);
                 }
+                if let Some(socket) = self.net.get(key) {
+                    socket.set_max_input(MAX_AHEAD);
+                }
                 self.dispatch(exchange);
             }
             Err(refused) => {
@@ -366,6 +385,14 @@
 
     /// Gives up what a caller has sent of a request that is not complete, for want of memory.
     pub(super) fn refuse_incoming(&mut self, key: Key) {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return };
+        if let Some(exchange) = caller.exchange() {
+            // The connection is closed after the response, which its caller takes as not read.
+            if let Some(exchange) = self.exchanges.get_mut(exchange) {
+                exchange.head.keep_alive = false;
+            }
+            return self.handle_caller(key);
+        }
         let retry_after = self.with_jitter(RETRY_AFTER);
         let text = "this host has no memory for the request";
         self.refuse_partial(key, &Refusal::not_run(Code::MemoryFull, text).after(retry_after));
--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -25,7 +25,9 @@
             Ok(socket) => {
                 self.roles.insert(socket, Role::CopySource(from, 0));
                 // A copy is decoded once it is whole.
-                self.net.set_max_input(socket, 2 * frame::MAX_FRAME);
+                if let Some(copy) = self.net.get(socket) {
+                    copy.set_max_input(2 * frame::MAX_FRAME);
+                }
                 self.net.send(socket, &bytes);
                 self.set_timer(until, Timer::Copy(socket));
                 true
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -30,7 +30,7 @@
 /// Bytes read from all connections in one turn, before they are consumed and accounted for.
 const READ_ALL: usize = 1 << 20;
 /// Received bytes that may wait to be consumed; beyond this the connection is not read.
-const MAX_INPUT: usize = 1 << 20;
+pub const MAX_INPUT: usize = 1 << 20;
 
 /// Starts outgoing connections.
 pub trait Dial {
@@ -131,6 +131,11 @@
         self.output.charged()
     }
 
+    /// Takes in so many bytes of input before they are consumed.
+    pub fn set_max_input(&mut self, bytes: usize) {
+        self.max_input = bytes;
+    }
+
     /// When bytes were last read from it or written to it; at first, when it was opened.
     pub fn active(&self) -> Instant {
         self.active
@@ -468,13 +473,6 @@
         }
     }
 
-    /// Takes in more input of a connection before it is consumed than is usual.
-    pub fn set_max_input(&mut self, key: Key, bytes: usize) {
-        if let Some(socket) = self.sockets.get_mut(key) {
-            socket.max_input = bytes;
-        }
-    }
-
     /// Reads up to about so many bytes, and notes whether there may be more.
     fn read_turn(&mut self, key: Key, read_closed: bool, limit: usize) {
         let Some(socket) = self.sockets.get_mut(key) else { return };
