Responses that callers do not read are bounded

Cause: output had a limit for each connection, and what was written to a caller left the account of unfinished answers.

From an eighth of MemoryMb on, callers that have taken in nothing for a second are closed, from a quarter on the least active ones.

--- a/crates/roseshore_relay/src/entry/memory.rs
+++ b/crates/roseshore_relay/src/entry/memory.rs
@@ -10,6 +10,12 @@
 use roseshore_core::gateway::memory::{Candidate, Holder, MemoryLimits, Relief, least_active};
 use roseshore_core::prelude::*;
 
+/// Time without progress after which a caller does not read its response.
+const STALLED: Duration = Duration::from_secs(1);
+
+/// Why a stream to such a caller ends.
+const UNREAD: &str = "the caller does not read its response";
+
 /// An unfinished answer.
 struct Unfinished {
     exchange: Key,
@@ -68,7 +74,16 @@
                 }
                 chosen.len()
             }
-            Relief::Stalled | Relief::Unread => 0,
+            Relief::Stalled => {
+                let stalled = self.now.checked_sub(STALLED);
+                let mut unread = self.unread();
+                unread.retain(|caller| stalled.is_some_and(|stalled| caller.active < stalled));
+                self.close_unread(unread, bytes)
+            }
+            Relief::Unread => {
+                let unread = self.unread();
+                self.close_unread(unread, bytes)
+            }
             Relief::Answers => self.give_up_answers(bytes),
         }
     }
@@ -83,11 +98,36 @@
         let incoming = callers.into_iter().filter_map(|(key, partial)| {
             let socket = self.net.get(key)?;
             let bytes = partial + socket.input.charged();
-            (bytes > 0).then_some(Candidate { key, bytes, active: socket.active() })
+            (bytes > 0).then_some(Candidate { key, bytes, active: socket.last_read() })
         });
         incoming.collect()
     }
 
+    /// Callers that have not read all that was sent.
+    fn unread(&mut self) -> Vec<Candidate<Key>> {
+        let callers = self.roles.iter().filter(|(_, role)| matches!(role, Role::Caller(_)));
+        let callers: Vec<Key> = callers.map(|(key, _)| *key).collect();
+        let unread = callers.into_iter().filter_map(|key| {
+            let socket = self.net.get(key).filter(|socket| !socket.flushed())?;
+            Some(Candidate { key, bytes: socket.output_charged(), active: socket.last_write() })
+        });
+        unread.collect()
+    }
+
+    fn close_unread(&mut self, unread: Vec<Candidate<Key>>, bytes: usize) -> usize {
+        let chosen = least_active(unread, bytes);
+        for key in &chosen {
+            if let Some(Role::Caller(caller)) = self.roles.get(key)
+                && let Some(exchange) = caller.exchange()
+            {
+                self.record_cut(exchange, Code::MemoryFull, UNREAD);
+                self.close_exchange(exchange, Code::MemoryFull.number(), UNREAD);
+            }
+            self.close_caller(*key, "unread");
+        }
+        chosen.len()
+    }
+
     /// Gives up the largest unfinished answers, together so many bytes.
     fn give_up_answers(&mut self, bytes: usize) -> usize {
         let (mut freed, mut count) = (0, 0);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -94,8 +94,10 @@
     /// Bytes received and not yet consumed.
     pub input: Buffer,
     output: Output,
-    /// When bytes were last read or written.
-    active: Instant,
+    /// When bytes were last read.
+    last_read: Instant,
+    /// When bytes were last written, or began to wait for it.
+    last_write: Instant,
     /// Whether the connection is established.
     pub connected: bool,
     /// Whether the other end accepted the connection, and reset it before this was noticed here.
@@ -136,9 +138,14 @@
         self.max_input = bytes;
     }
 
-    /// When bytes were last read from it or written to it; at first, when it was opened.
-    pub fn active(&self) -> Instant {
-        self.active
+    /// When bytes were last read from it; at first, when it was opened.
+    pub fn last_read(&self) -> Instant {
+        self.last_read
+    }
+
+    /// When bytes were last written to it, or began to wait for that; at first, when it was opened.
+    pub fn last_write(&self) -> Instant {
+        self.last_write
     }
 
     /// Address of the other end; `None` if it is not connected.
@@ -237,7 +244,7 @@
         &self.account
     }
 
-    /// Sets the time of this turn, by which [`Socket::active`] goes.
+    /// Sets the time of this turn, by which [`Socket::last_read`] and [`Socket::last_write`] go.
     pub fn set_now(&mut self, now: Instant) {
         self.now = now;
     }
@@ -481,7 +488,7 @@
         let count = socket.input.len() - before;
         self.received += count as u64;
         if count > 0 {
-            socket.active = self.now;
+            socket.last_read = self.now;
             self.filled.push(key);
         }
         if !drained && !socket.unread {
@@ -504,7 +511,8 @@
             stream,
             input: self.account.buffer(input),
             output: Output::new(&self.account, output),
-            active: self.now,
+            last_read: self.now,
+            last_write: self.now,
             connected,
             reset_at_once: false,
             held: None,
@@ -576,8 +584,8 @@
         if let Some(held) = &mut socket.held {
             return push(held);
         }
-        if socket.output.len() == 0 {
-            socket.active = self.now;
+        if socket.flushed() {
+            socket.last_write = self.now;
         }
         push(&mut socket.output);
         if socket.connected {
@@ -655,7 +663,7 @@
     let before = socket.output.len();
     let written = socket.output.write_to(&mut socket.stream);
     if socket.output.len() < before {
-        socket.active = now;
+        socket.last_write = now;
     }
     socket.write_failed |= written.is_err();
     if socket.finishing && socket.flushed() {
