Callers that do nothing make room for new ones

What callers saw: beside as many connections as callers may have, idle or with a part of a request, an ordinary caller was closed unread until these timed out (IdleTimeoutMs, HeaderTimeoutMs), and no log line said so.

Cause: three quarters of the connections were the bound for callers, whatever those did; what they started at targets could take the last quarter, and with it the host's calls to the store.

Change: beyond the bound, a new caller takes the place of the one that has done nothing for longest: first of those that never sent a whole request, then of those that wait for their next one; never of one with a request in progress. E112 says how many were closed or not taken.

--- a/crates/roseshore_core/src/gateway.rs
+++ b/crates/roseshore_core/src/gateway.rs
@@ -16,8 +16,8 @@
 //!   [`avoid`]: those that it is not sent to again;
 //! - [`failure`]: the next step after a failed send; [`progress`]: whether its targets are full,
 //!   slow or dead; [`moves`]: how many silent requests are sent elsewhere before they were read;
-//!   [`partial`]: whether what a target sends will become an answer; [`memory`]: what unfinished
-//!   answers may take;
+//!   [`partial`]: whether what a target sends will become an answer; [`memory`]: what is held for
+//!   others, and what of it is given up;
 //! - [`unavailable`]: why no target can be chosen; [`returns`]: when a refused caller should come
 //!   back;
 //! - [`leaving`]: which requests a stopping host still accepts; [`shutdown`]: when it accepts no more
@@ -28,13 +28,14 @@
 //! - [`plan`]: the layers that each engine should hold;
 //! - [`peers`]: the heartbeats between hosts; [`hashes`] and [`reports`]: what these refer to; [`copies`]: the store's contents that they hand each
 //!   other;
-//! - [`overload`]: when a host turns new callers away;
+//! - [`overload`]: when a host turns new callers away; [`connections`]: how many each may have;
 //! - [`store_reads`]: which hosts read the store; [`outage`]: whether a missing entry means that
 //!   its target left.
 
 pub mod admission;
 pub mod avoid;
 pub mod config_lease;
+pub mod connections;
 pub mod copies;
 pub mod demand;
 pub mod failure;
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -6,6 +6,7 @@
     mod availability;
     mod avoid;
     mod check_load;
+    mod connections;
     mod copies;
     mod demand;
     mod failure;
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod calls;
 mod choice;
+mod connections;
 mod copies;
 mod demand;
 mod dispatch;
@@ -199,6 +200,8 @@
     overload: Overload,
     /// New callers turned away since the last tick.
     turned_away: u32,
+    /// Connections that were closed for new ones since the last tick.
+    replaced: usize,
     /// When the event loop last woke up.
     woke: Instant,
     blocked_records: BlockedRecords,
@@ -317,6 +320,7 @@
             short_runs: Vec::new(),
             overload: Overload::default(),
             turned_away: 0,
+            replaced: 0,
             woke: now,
             blocked_records: BlockedRecords::default(),
             rng,
@@ -455,6 +459,7 @@
         self.fatal.expire(self.now);
         self.update_blocked_gauges();
         self.log_turned_away();
+        self.log_connections_full();
         self.expire_limits();
         self.close_idle();
         self.update_outdated();
@@ -507,18 +512,21 @@
                 self.net.close(key);
                 continue;
             }
+            if endpoint == Endpoint::Callers && !self.make_room_for_caller() {
+                self.net.refuse(key);
+                continue;
+            }
             let role = match endpoint {
                 Endpoint::Callers => Role::Caller(Caller::new(self.now)),
                 Endpoint::Probes => Role::Probe,
                 Endpoint::Metrics | Endpoint::Peers => Role::Metrics,
                 Endpoint::Copies => Role::PeerRequester,
             };
-            let caller = matches!(role, Role::Caller(_));
             self.roles.insert(key, role);
-            if caller {
-                self.watch_caller(key);
-            } else if endpoint == Endpoint::Copies {
-                self.set_timer(self.now + COPY_TIMEOUT, Timer::Copy(key));
+            match endpoint {
+                Endpoint::Callers => self.watch_caller(key),
+                Endpoint::Copies => self.set_timer(self.now + COPY_TIMEOUT, Timer::Copy(key)),
+                Endpoint::Probes | Endpoint::Metrics | Endpoint::Peers => {}
             }
         }
     }
@@ -571,9 +579,14 @@
         }
     }
 
-    /// An idle connection on a route or, if there is none or `new_only` is set, a new one. The flag
-    /// tells whether it is reused.
-    fn acquire_connection(&mut self, route: Route, new_only: bool) -> io::Result<(Key, bool)> {
+    /// An idle connection on a route or, if there is none or `new_only` is set, a new one while there
+    /// are fewer than `max`. The flag tells whether it is reused.
+    fn acquire_connection(
+        &mut self,
+        route: Route,
+        new_only: bool,
+        max: usize,
+    ) -> io::Result<(Key, bool)> {
         while let Some((key, _)) =
             self.idle.get_mut(&route).filter(|_| !new_only).and_then(Vec::pop)
         {
@@ -582,6 +595,9 @@
             }
             self.close(key);
         }
+        if self.net.connections().0 >= max {
+            return Err(io::Error::new(io::ErrorKind::QuotaExceeded, "too many connections"));
+        }
         metrics::counter!("roseshore_connections_opened_total").increment(1);
         let key = match route.via {
             None => self.net.connect(route.to)?,
--- a/crates/roseshore_relay/src/entry/callers.rs
+++ b/crates/roseshore_relay/src/entry/callers.rs
@@ -58,6 +58,16 @@
 }
 
 impl Caller {
+    /// Whether it never sent a whole request; `None` while one is in progress, or after the last
+    /// response.
+    pub(super) fn is_replaceable(&self) -> Option<bool> {
+        match self.phase {
+            Phase::Head | Phase::Body(_) => Some(self.requests == 0),
+            Phase::Refused(_) => Some(true),
+            Phase::Busy(_) | Phase::Closing => None,
+        }
+    }
+
     /// Memory that the request takes which is being read; `None` if no further one is read.
     pub(super) fn partial_bytes(&self) -> Option<usize> {
         match &self.phase {
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -89,7 +89,7 @@
             }
             _ => Route { to: addr, via: None },
         };
-        let Ok((socket, _)) = self.acquire_connection(route, false) else {
+        let Ok((socket, _)) = self.acquire_connection(route, false, usize::MAX) else {
             return self.call_done(purpose, self.now, Err(CallFault::Unreachable));
         };
         let mut out = Vec::with_capacity(256 + request.body.len());
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/connections.rs
@@ -0,0 +1,65 @@
+//! Closes connections that keep others from being taken.
+
+use super::{EntryHost, Role, log_event};
+use crate::slab::Key;
+use roseshore_core::gateway::connections::ConnectionLimits;
+use roseshore_core::gateway::memory::Candidate;
+use roseshore_core::prelude::*;
+
+impl EntryHost {
+    pub(super) fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits::new(self.net.connections().1)
+    }
+
+    /// Closes callers for a new one if there are too many connections. Returns whether there is room
+    /// for it.
+    pub(super) fn make_room_for_caller(&mut self) -> bool {
+        let limits = self.connection_limits();
+        if self.net.connections().0 <= limits.with_callers() {
+            return true;
+        }
+        let (mut fresh, mut kept) = (Vec::new(), Vec::new());
+        let keys: Vec<Key> = self.roles.keys().copied().collect();
+        for key in keys {
+            match self.replaceable(key) {
+                Some((true, caller)) => fresh.push(caller),
+                Some((false, caller)) => kept.push(caller),
+                None => {}
+            }
+        }
+        for key in limits.closed(fresh, kept) {
+            // A request that has come since the last poll is served.
+            self.net.read_arrived(key);
+            self.handle_caller(key);
+            if self.replaceable(key).is_some() {
+                self.close_caller(key, "connections_full");
+                self.replaced += 1;
+            }
+        }
+        self.net.connections().0 <= limits.with_callers()
+    }
+
+    /// A caller without a request in progress whose connection may be closed for a new caller, and
+    /// whether it never sent a whole request.
+    fn replaceable(&mut self, key: Key) -> Option<(bool, Candidate<Key>)> {
+        let Some(Role::Caller(caller)) = self.roles.get(&key) else { return None };
+        let fresh = caller.is_replaceable()?;
+        let socket = self.net.get(key).filter(|socket| fresh || socket.flushed())?;
+        let active = socket.last_read().max(socket.last_write());
+        Some((fresh, Candidate { key, bytes: 0, active }))
+    }
+
+    /// Logs how many connections were closed, or not taken, since the last tick.
+    pub(super) fn log_connections_full(&mut self) {
+        let (closed, refused) = (std::mem::take(&mut self.replaced), self.net.take_refused());
+        metrics::counter!("roseshore_connections_refused_total").increment(refused as u64);
+        if closed + refused > 0 {
+            let (open, max) = self.net.connections();
+            log_event!(
+                self,
+                ConnectionsFull,
+                "closed={closed} refused={refused} connections={open} max={max}"
+            );
+        }
+    }
+}
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -66,7 +66,8 @@
         }
         let new_only = self.exchanges.get(key).is_some_and(|e| !e.route.kind.is_idempotent());
         let route = self.route_to(&choice.target, choice.addr);
-        let (socket, reused) = match self.acquire_connection(route, new_only) {
+        let max = self.connection_limits().with_sends();
+        let (socket, reused) = match self.acquire_connection(route, new_only, max) {
             Ok(connection) => connection,
             Err(err) if !is_exhausted(&err) && self.may_dial_again(key) => {
                 self.check_alive(&choice.target);
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -19,9 +19,6 @@
 const MAX_EVENTS: usize = 512;
 /// Length of the accept queue: the new callers of one second at peak load.
 const BACKLOG: i32 = 1024;
-/// New callers are not taken once all connections but one in so many are in use; the rest is for
-/// targets, the store, probes and other hosts.
-const OWN_SHARE: usize = 4;
 /// Bytes that may be buffered for a peer that does not read, bodies of requests left out; beyond
 /// this the connection is treated as broken.
 pub const MAX_OUTPUT: usize = 8 << 20;
@@ -208,6 +205,8 @@
     filled: Vec<Key>,
     scratch: Vec<u8>,
     account: Account,
+    /// Connections that were closed at once, as there was no room for them.
+    refused: usize,
     /// The time of this turn.
     now: Instant,
 }
@@ -235,6 +234,7 @@
             filled: Vec::new(),
             scratch,
             account: Account::default(),
+            refused: 0,
             now: Instant::now(),
         })
     }
@@ -387,7 +387,7 @@
     }
 
     /// Accepts a connection; `None` when none is pending. Connections beyond the maximum are closed
-    /// and counted. Callers may not use up the connections that serving them takes.
+    /// and counted.
     pub fn accept(&mut self, endpoint: Endpoint) -> Option<Key> {
         loop {
             let (_, listener) = self.listeners.iter().find(|(e, _)| *e == endpoint)?;
@@ -397,12 +397,8 @@
                 Err(err) if err.kind() == ErrorKind::ConnectionAborted => continue,
                 Err(_) => return None,
             };
-            let max = match endpoint {
-                Endpoint::Callers => self.max_connections - self.max_connections / OWN_SHARE,
-                _ => self.max_connections,
-            };
-            if self.sockets.len() >= max {
-                metrics::counter!("roseshore_connections_refused_total").increment(1);
+            if self.sockets.len() >= self.max_connections {
+                self.refused += 1;
                 continue;
             }
             let holders = match endpoint {
@@ -415,6 +411,22 @@
         }
     }
 
+    /// Closes a connection that was just accepted, for want of room.
+    pub fn refuse(&mut self, key: Key) {
+        self.close(key);
+        self.refused += 1;
+    }
+
+    /// The number of connections, and how many there may be.
+    pub fn connections(&self) -> (usize, usize) {
+        (self.sockets.len(), self.max_connections)
+    }
+
+    /// Connections that were closed at once since the last call, for want of room.
+    pub fn take_refused(&mut self) -> usize {
+        std::mem::take(&mut self.refused)
+    }
+
     /// Starts to open a connection; [`Socket::connected`] tells when it is established.
     ///
     /// # Errors
