Probes that do nothing make room for callers

What callers saw: beside 200 idle connections to the port of health probes (MaxFds = 300) no ordinary caller was taken for 20 s; nothing but the other end closed these connections.

Cause: probes and scrapes of metrics had no bound but that of all connections, and no time limit.

Change: each has one connection in 32, 8 at least; a new one takes the place of the least active.

--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -526,7 +526,8 @@
             match endpoint {
                 Endpoint::Callers => self.watch_caller(key),
                 Endpoint::Copies => self.set_timer(self.now + COPY_TIMEOUT, Timer::Copy(key)),
-                Endpoint::Probes | Endpoint::Metrics | Endpoint::Peers => {}
+                Endpoint::Probes | Endpoint::Metrics => self.make_room_for_probe(key),
+                Endpoint::Peers => {}
             }
         }
     }
--- a/crates/roseshore_relay/src/entry/connections.rs
+++ b/crates/roseshore_relay/src/entry/connections.rs
@@ -3,7 +3,7 @@
 use super::{EntryHost, Role, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::connections::ConnectionLimits;
-use roseshore_core::gateway::memory::Candidate;
+use roseshore_core::gateway::memory::{Candidate, least_active};
 use roseshore_core::prelude::*;
 
 impl EntryHost {
@@ -49,6 +49,24 @@
         Some((fresh, Candidate { key, bytes: 0, active }))
     }
 
+    /// Closes the probe that has done nothing for longest, if there are too many of its kind.
+    pub(super) fn make_room_for_probe(&mut self, new: Key) {
+        let Some(role) = self.roles.get(&new).map(std::mem::discriminant) else { return };
+        let same = self.roles.iter().filter(|(_, other)| std::mem::discriminant(*other) == role);
+        let same: Vec<Key> = same.map(|(key, _)| *key).collect();
+        if same.len() <= self.connection_limits().probes() {
+            return;
+        }
+        let candidates = same.into_iter().filter(|key| *key != new).filter_map(|key| {
+            let active = self.net.get(key)?.last_read();
+            Some(Candidate { key, bytes: 1, active })
+        });
+        for key in least_active(candidates.collect(), 1) {
+            self.close(key);
+            self.replaced += 1;
+        }
+    }
+
     /// Logs how many connections were closed, or not taken, since the last tick.
     pub(super) fn log_connections_full(&mut self) {
         let (closed, refused) = (std::mem::take(&mut self.replaced), self.net.take_refused());
