Requests between hosts have a bound of their own

Cause: the port between hosts read up to 1 MB of a message from each connection before it was whole, though a request for a copy or a tunnel has a few dozen bytes; 8 MB is the bound of the copies that answer it.

Change: such a request has 4 KB.

--- a/crates/roseshore_relay/src/entry/copies.rs
+++ b/crates/roseshore_relay/src/entry/copies.rs
@@ -11,6 +11,9 @@
 use roseshore_wire::frame;
 use std::net::SocketAddr;
 
+/// Maximum bytes of a request for a copy or a tunnel.
+const MAX_REQUEST: usize = 4 << 10;
+
 impl EntryHost {
     /// Requests the store data that another host has and this one lacks. Returns whether the
     /// request was sent.
@@ -154,7 +157,7 @@
         };
         self.liveness.link.record_transfer(socket.unwritten(), self.now);
         let ended = socket.ended.is_some();
-        match socket.input.edit(frame::take::<PeerRequest>) {
+        match socket.input.edit(|input| frame::take_short::<PeerRequest>(input, MAX_REQUEST)) {
             Ok(Some(PeerRequest::Copy(request))) => self.send_copy(key, request),
             Ok(Some(PeerRequest::Tunnel(request))) => self.accept_tunnel(key, request),
             Ok(None) if !ended => {}
--- a/crates/roseshore_wire/src/frame.rs
+++ b/crates/roseshore_wire/src/frame.rs
@@ -89,9 +89,20 @@
 /// # Errors
 /// If the length exceeds [`MAX_FRAME`], the version differs or the content is malformed.
 pub fn take<T: DeserializeOwned>(input: &mut Vec<u8>) -> Result<Option<T>, FrameError> {
+    take_short(input, MAX_FRAME)
+}
+
+/// Like [`take`], with a maximum length of the message and its version.
+///
+/// # Errors
+/// If the length exceeds `max`, the version differs or the content is malformed.
+pub fn take_short<T: DeserializeOwned>(
+    input: &mut Vec<u8>,
+    max: usize,
+) -> Result<Option<T>, FrameError> {
     let Some(len) = input.first_chunk::<4>() else { return Ok(None) };
     let len = u32::from_be_bytes(*len) as usize;
-    if len > MAX_FRAME {
+    if len > max {
         return Err(FrameError::Length(len));
     }
     let Some(bytes) = input.get(4..4 + len) else { return Ok(None) };
