Tunnels together have a bound in memory

Cause: each side of a tunnel may hold 256 KB that the other end has not read; 512 tunnels make 256 MB, as much as a host has.

Change: while bytes of other hosts take a sixteenth of MemoryMb, a tunnel holds 16 KB before the other side is not read. A host with few connections keeps fewer tunnels: one connection in three may be theirs, each has two.

--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -43,10 +43,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Targets in one question.
 const MAX_ASKED: usize = 64;
-/// Tunnels that a host keeps open for others.
-const MAX_TUNNELS: usize = 512;
 /// Unwritten bytes of one side of a tunnel from which the other side is not read.
 const PAUSE_BYTES: usize = 256 << 10;
+/// The same while all tunnels together take too much memory.
+const PAUSE_SHORT: usize = 16 << 10;
 /// Time without data after which a tunnel does not keep a stopping host alive, unless its target
 /// still owes a response. It is longer than hosts keep idle connections, and callers of a silent
 /// stream wait.
@@ -296,7 +296,8 @@
         let id = self.targets.id_of(request.target).cloned().unwrap_or_default();
         let usable = self.targets.get(&id).filter(|t| t.liveness_failure().is_none());
         let addr = usable.map(|target| target.record.addr);
-        let allowed = self.stopping_since.is_none() && self.relays.tunnels.len() < MAX_TUNNELS;
+        let allowed = self.stopping_since.is_none()
+            && self.relays.tunnels.len() < self.connection_limits().tunnels();
         let connected = addr.filter(|_| allowed).and_then(|addr| self.net.connect(addr).ok());
         let Some(target) = connected else { return self.refuse_tunnel(key, &id) };
         let (opened, moved_at, bytes) = (None, self.now, 0);
@@ -382,7 +383,8 @@
                 moved += bytes.len();
             }
             let unwritten = self.net.get(to).map_or(0, |socket| socket.unwritten());
-            if unwritten > PAUSE_BYTES {
+            let much = self.memory_limits().is_relaying_too_much(self.net.account());
+            if unwritten > if much { PAUSE_SHORT } else { PAUSE_BYTES } {
                 self.net.pause(from);
                 return moved;
             }
