The older daemon bounds the memory of all request bodies

What callers saw: 600 clients with bodies of the size that its settings allow, short of their end, took 640 MB.

A body with a length was allocated whole when its length was announced.

Change: bodies are charged to the account of the entry host (a Buffer each) and grow as they arrive. Bodies of up to 16 KiB are always taken.

--- a/crates/roseshore_core/src/gateway/memory.rs
+++ b/crates/roseshore_core/src/gateway/memory.rs
@@ -299,6 +299,12 @@
         length > BLOCK && length.saturating_add(complete) > self.requests
     }
 
+    /// Whether a body that has `held` bytes may take `more` where nothing is given up for it.
+    pub fn can_take(&self, account: &Account, held: usize, more: usize) -> bool {
+        let used = account.used_by(Holder::Receiving) + account.used_by(Holder::Requests);
+        held.saturating_add(more) <= BLOCK || used.saturating_add(more) <= self.requests
+    }
+
     /// Whether tunnels have to be slowed down.
     pub fn is_relaying_too_much(&self, account: &Account) -> bool {
         account.used_by(Holder::Relayed) > self.relayed
--- a/crates/roseshored/src/http.rs
+++ b/crates/roseshored/src/http.rs
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 use pool::Pool;
 use read::{Limits, ReadError, Reader, Request};
+use roseshore_core::gateway::memory::{Account, MemoryLimits};
 use roseshore_core::prelude::*;
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -47,6 +48,7 @@
     context: ServerContext,
     handler: &'static dyn RequestHandler,
     limits: Limits,
+    account: Account,
     write_limit: Duration,
     in_flight: InFlight,
     closing: AtomicBool,
@@ -75,6 +77,7 @@
         let addr = listener.local_addr()?;
         let limits = Limits {
             body: settings.max_body,
+            memory: MemoryLimits::new(Some(settings.memory)),
             request: settings.read_timeout,
             idle: settings.idle_timeout,
         };
@@ -82,6 +85,7 @@
             context,
             handler,
             limits,
+            account: Account::default(),
             write_limit: settings.write_timeout,
             in_flight: InFlight::new(settings.max_requests),
             closing: AtomicBool::new(false),
@@ -180,7 +184,7 @@
     fn serve(&self, stream: TcpStream) {
         let Ok(registered) = self.register(&stream) else { return };
         let Ok(copy) = stream.try_clone() else { return };
-        let mut reader = Reader::new(copy, self.limits);
+        let mut reader = Reader::new(copy, self.limits, self.account.clone());
         loop {
             match reader.request() {
                 Err(ReadError::Closed) => break,
@@ -239,7 +243,7 @@
         let _ = stream.set_write_timeout(Some(REJECT_LIMIT));
         let Ok(copy) = stream.try_clone() else { return };
         let limits = Limits { request: REJECT_LIMIT, ..self.limits };
-        let head = match Reader::new(copy, limits).request() {
+        let head = match Reader::new(copy, limits, self.account.clone()).request() {
             Ok(request) => Some(Box::new(request)),
             Err(ReadError::Refused(_, head)) => head,
             Err(ReadError::Closed) => return,
--- a/crates/roseshored/src/http/read.rs
+++ b/crates/roseshored/src/http/read.rs
@@ -5,6 +5,7 @@
 //! and of the body, and on the time for both together.
 
 use chunked_transfer::Decoder;
+use roseshore_core::gateway::memory::{Account, Buffer, Holder, MemoryLimits};
 use roseshore_core::prelude::*;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
@@ -13,6 +14,8 @@
 
 /// Longest head, in bytes.
 const MAX_HEAD: usize = 16 << 10;
+/// Bytes of a body that are read at once.
+const READ_SIZE: usize = 8 << 10;
 /// Maximum number of headers.
 const MAX_HEADERS: usize = 100;
 /// Minor version of HTTP/1 that supports chunked bodies.
@@ -35,6 +38,8 @@
 pub struct Limits {
     /// Longest body, in bytes.
     pub body: usize,
+    /// Memory that all bodies may take.
+    pub memory: MemoryLimits,
     /// Time for one whole request, from its first byte.
     pub request: Duration,
     /// How long a connection may be idle between two requests.
@@ -51,7 +56,7 @@
     /// The query, without the `?`.
     pub query: String,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Buffer,
     /// When the first byte arrived.
     pub received: Instant,
     /// Whether the connection is closed after this request.
@@ -108,14 +113,15 @@
 pub struct Reader {
     input: BufReader<DeadlineStream>,
     limits: Limits,
+    account: Account,
     first: bool,
 }
 
 impl Reader {
-    /// Creates a reader of a new connection.
-    pub fn new(stream: TcpStream, limits: Limits) -> Reader {
+    /// Creates a reader of a new connection, whose bodies are charged to `account`.
+    pub fn new(stream: TcpStream, limits: Limits, account: Account) -> Reader {
         let stream = DeadlineStream { stream, deadline: Instant::now() };
-        Reader { input: BufReader::new(stream), limits, first: true }
+        Reader { input: BufReader::new(stream), limits, account, first: true }
     }
 
     /// Reads the next request with its body.
@@ -127,9 +133,8 @@
         let received = Instant::now();
         self.set_deadline(received + self.limits.request);
         let mut request = self.head(received).map_err(|it| ReadError::Refused(it, None))?;
-        match self.body(&request) {
-            Ok(body) => request.body = body,
-            Err(refusal) => return Err(ReadError::Refused(refusal, Some(Box::new(request)))),
+        if let Err(refusal) = self.body(&mut request) {
+            return Err(ReadError::Refused(refusal, Some(Box::new(request))));
         }
         Ok(request)
     }
@@ -167,7 +172,8 @@
             // The head is parsed again only after a line end, so that a head sent byte by byte costs
             // no more than one sent at once.
             let line_ended = head[before..].contains(&b'\n');
-            let parsed = if line_ended { parse(&head, received)? } else { None };
+            let body = || self.account.buffer(Holder::Receiving);
+            let parsed = if line_ended { parse(&head, received, body)? } else { None };
             if let Some((request, len)) = parsed {
                 self.input.consume(len - before);
                 return Ok(request);
@@ -177,23 +183,26 @@
         Err(bad_request("the head ends early or exceeds 16 KiB; send a shorter one"))
     }
 
-    fn body(&mut self, request: &Request) -> Result<Vec<u8>, Refusal> {
-        let max = self.limits.body;
+    fn body(&mut self, request: &mut Request) -> Result<(), Refusal> {
+        let Limits { body: max, memory, .. } = self.limits;
         match body_length(request)? {
-            BodyLength::Bytes(0) => Ok(Vec::new()),
+            BodyLength::Bytes(0) => Ok(()),
             BodyLength::Bytes(len) if len > max as u64 => Err(too_large(max)),
+            BodyLength::Bytes(len) if !memory.can_take(&self.account, 0, len as usize) => {
+                Err(no_memory())
+            }
             BodyLength::Bytes(len) => {
                 self.send_continue(request)?;
-                let mut body = vec![0; len as usize];
-                self.input.read_exact(&mut body).map_err(|err| read_refusal(&err))?;
-                Ok(body)
+                let input = (&mut self.input).take(len);
+                read_body(input, &mut request.body, memory, &self.account)?;
+                let whole = request.body.len() as u64 == len;
+                if whole { Ok(()) } else { Err(read_refusal(&ErrorKind::UnexpectedEof.into())) }
             }
             BodyLength::Chunked => {
                 self.send_continue(request)?;
-                let mut body = Vec::new();
-                let mut input = Decoder::new(&mut self.input).take(max as u64 + 1);
-                input.read_to_end(&mut body).map_err(|err| read_refusal(&err))?;
-                if body.len() > max { Err(too_large(max)) } else { Ok(body) }
+                let input = Decoder::new(&mut self.input).take(max as u64 + 1);
+                read_body(input, &mut request.body, memory, &self.account)?;
+                if request.body.len() > max { Err(too_large(max)) } else { Ok(()) }
             }
         }
     }
@@ -211,8 +220,32 @@
     }
 }
 
+/// Reads a body up to its end, unless all bodies together take too much memory.
+fn read_body(
+    mut input: impl Read,
+    body: &mut Buffer,
+    limits: MemoryLimits,
+    account: &Account,
+) -> Result<(), Refusal> {
+    let mut chunk = [0; READ_SIZE];
+    loop {
+        let count = input.read(&mut chunk).map_err(|err| read_refusal(&err))?;
+        if count == 0 {
+            return Ok(());
+        }
+        if !limits.can_take(account, body.len(), count) {
+            return Err(no_memory());
+        }
+        body.edit(|body| body.extend_from_slice(&chunk[..count]));
+    }
+}
+
 /// Parses a head; returns the request and the head's length, or `None` if the head is incomplete.
-fn parse(head: &[u8], received: Instant) -> Result<Option<(Request, usize)>, Refusal> {
+fn parse(
+    head: &[u8],
+    received: Instant,
+    body: impl FnOnce() -> Buffer,
+) -> Result<Option<(Request, usize)>, Refusal> {
     if head.starts_with(b"\r") || head.starts_with(b"\n") {
         return Err(bad_request(BAD_REQUEST_LINE));
     }
@@ -220,7 +253,7 @@
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(head).map_err(malformed)? {
         httparse::Status::Partial => Ok(None),
-        httparse::Status::Complete(len) => Ok(Some((request(&parsed, received)?, len))),
+        httparse::Status::Complete(len) => Ok(Some((request(&parsed, received, body())?, len))),
     }
 }
 
@@ -237,7 +270,11 @@
     }
 }
 
-fn request(parsed: &httparse::Request<'_, '_>, received: Instant) -> Result<Request, Refusal> {
+fn request(
+    parsed: &httparse::Request<'_, '_>,
+    received: Instant,
+    body: Buffer,
+) -> Result<Request, Refusal> {
     let method = parsed.method.and_then(|it| Method::from_str(it).ok());
     let target = parsed.path.filter(|it| it.starts_with('/'));
     let (Some(method), Some(target)) = (method, target) else {
@@ -249,7 +286,7 @@
         method,
         path: path.to_owned(),
         query: query.to_owned(),
-        body: Vec::new(),
+        body,
         received,
         close: !chunked,
         chunked,
@@ -325,6 +362,11 @@
     Refusal::not_run(Code::BodyTooLarge, text)
 }
 
+fn no_memory() -> Refusal {
+    let text = "this host has no memory for the request; come back, or raise `--memory-mb`";
+    Refusal::not_run(Code::MemoryFull, text)
+}
+
 fn bad_request(text: impl Into<String>) -> Refusal {
     Refusal::not_run(Code::BadRequest, text)
 }
--- a/crates/roseshored/src/serve/services.rs
+++ b/crates/roseshored/src/serve/services.rs
@@ -46,7 +46,7 @@
     let info = builder.build(request, exchange)?;
     let key = request_info::key(request, &info)?;
     let _permit = request_info::admit(exchange, &info)?;
-    let digest = request_info::digest([request.body.as_slice()]);
+    let digest = request_info::digest([&*request.body]);
     let trace = exchange.trace.header();
     exchange.dispatched = true;
     exchange.key_checked = true;
--- a/crates/roseshored/src/settings.rs
+++ b/crates/roseshored/src/settings.rs
@@ -83,6 +83,12 @@
         Kind::Count(1024..=67_108_864),
         "Maximum size of a request body, bytes",
     ),
+    optional(
+        "memory-mb",
+        Some("256"),
+        Kind::Count(16..=1_048_576),
+        "Memory of the process, MB; request bodies may take a quarter of it",
+    ),
     optional(
         "caller-ms",
         Some("10000"),
@@ -206,6 +212,8 @@
     pub max_requests: usize,
     /// Longest request body, bytes.
     pub max_body: usize,
+    /// Memory of the process, bytes.
+    pub memory: usize,
     /// Longest time for a caller to send one request.
     pub read_timeout: Duration,
     /// Longest idle time of a kept connection.
@@ -261,6 +269,7 @@
             max_connections: values.count("connections") as usize,
             max_requests: values.count("requests") as usize,
             max_body: values.count("body-bytes") as usize,
+            memory: (values.count("memory-mb") as usize) << 20,
             read_timeout: values.millis("caller-ms"),
             idle_timeout: values.millis("idle-ms"),
             write_timeout: values.millis("write-ms"),
