Data of a former incarnation does not bring a stream back

What callers saw: a stream that had moved since its target had restarted went back to it and was cut at its deadline.

Cause: the send to the former incarnation stood by. Going back to it at the end of all other ways asks whether its target has restarted (may_go_on); going back by data did not.

Change: a send of which a target has restarted is closed rather than set aside, and data on one that stands by is no reason to leave the send in flight.

--- a/crates/roseshore_relay/src/entry/standby.rs
+++ b/crates/roseshore_relay/src/entry/standby.rs
@@ -17,31 +17,37 @@
 use roseshore_core::prelude::*;
 
 impl EntryHost {
-    /// Makes the send in flight stand by, or closes it if its connection is not established.
+    /// Makes the send in flight stand by, or closes it if its connection is not established or one
+    /// of its targets has restarted.
     pub(super) fn set_aside(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.take() else { return };
         let open = |s: &mut Socket| s.established() && s.ended.is_none();
-        if !self.net.get(send.socket).is_some_and(open) {
+        if !self.net.get(send.socket).is_some_and(open) || self.has_restarted(&send) {
             return self.release_send(send, false);
         }
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
         exchange.standbys.push(send);
         metrics::counter!("roseshore_standby_sends_total", "outcome" => "set_aside").increment(1);
     }
 
     /// Handles input of a standby send's connection, or its end.
     pub(super) fn handle_standby(&mut self, key: Key, connection: Key) {
-        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let Some(exchange) = self.exchanges.get(key) else { return };
         let Some(place) = exchange.standbys.iter().position(|s| s.socket == connection) else {
             return;
         };
+        let replaced = exchange.send.is_some();
+        let restarted = exchange.standbys.get(place).is_some_and(|send| self.has_restarted(send));
         let Some(socket) = self.net.get(connection) else { return };
-        // What a broken connection still delivers is no reason to leave the send in flight.
-        let useless = socket.ended == Some(Ended::Broken) && exchange.send.is_some();
+        // What a broken connection still delivers is no reason to leave the send in flight, and what
+        // a former incarnation has sent none either.
+        let useless = (socket.ended == Some(Ended::Broken) || restarted) && replaced;
         if !useless && !socket.input.is_empty() {
             self.switch_to(key, place, "data");
             self.handle_target(key, connection);
-        } else if socket.ended.is_some() {
+        } else if socket.ended.is_some() || useless {
+            let Some(exchange) = self.exchanges.get_mut(key) else { return };
             let send = exchange.standbys.remove(place);
             let attempt = exchange.request_fields.attempt.clone();
             let text = format!("request={attempt} target={} open=false", send.target);
@@ -75,10 +81,17 @@
     /// has not restarted, and no later one has ended.
     fn may_go_on(&self, send: &InFlightSend) -> bool {
         let ended = |(id, hash): &(TargetId, TargetHash)| {
-            let restarted = self.targets.hash(id).is_some_and(|current| current != *hash);
-            restarted || (*id != send.target && self.incarnation_ended(id, *hash))
+            *id != send.target && self.incarnation_ended(id, *hash)
+        };
+        !self.has_restarted(send) && !send.incarnations.iter().any(ended)
+    }
+
+    /// Whether a target of a send has restarted since.
+    fn has_restarted(&self, send: &InFlightSend) -> bool {
+        let restarted = |(id, hash): &(TargetId, TargetHash)| {
+            self.targets.hash(id).is_some_and(|current| current != *hash)
         };
-        !send.incarnations.iter().any(ended)
+        send.incarnations.iter().any(restarted)
     }
 
     /// Makes a standby send the send in flight, in place of the one that is.
