--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -88,8 +88,10 @@
     pub clock: Box<dyn Clock>,
     /// Opens connections to targets, the store and other hosts.
     pub dial: Box<dyn Dial>,
-    /// Address at which metrics are served, and their recorder; `None` to serve none.
-    pub metrics: Option<(SocketAddr, PrometheusHandle)>,
+    /// The recorder of the metrics; `None` if the process has none.
+    pub metrics: Option<PrometheusHandle>,
+    /// Address at which metrics are served; `None` to serve none.
+    pub metrics_addr: Option<SocketAddr>,
     /// Set by the stop signal.
     pub stop: Arc<AtomicBool>,
     /// Set by the reload signal.
@@ -148,6 +150,8 @@
     platform: Box<dyn EntryPlatform>,
     clock: Box<dyn Clock>,
     metrics_handle: Option<PrometheusHandle>,
+    /// When samples of histograms were last added up.
+    metrics_drained: Instant,
     stop: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
     net: Net,
@@ -249,6 +253,7 @@
             clock,
             dial,
             metrics,
+            metrics_addr,
             stop,
             reload,
             quiet,
@@ -258,13 +263,9 @@
         let mut net = Net::new(sockets.saturating_sub(RESERVED_DESCRIPTORS).max(64), dial)?;
         settings.caller_addr = net.listen(Endpoint::Callers, settings.caller_addr)?;
         settings.probe_addr = net.listen(Endpoint::Probes, settings.probe_addr)?;
-        let metrics_handle = match metrics {
-            Some((addr, handle)) => {
-                net.listen(Endpoint::Metrics, addr)?;
-                Some(handle)
-            }
-            None => None,
-        };
+        if let Some(addr) = metrics_addr {
+            net.listen(Endpoint::Metrics, addr)?;
+        }
         if let Some(peer) = settings.peer_addr {
             settings.peer_addr = Some(net.bind_datagrams(peer)?);
             net.listen(Endpoint::Copies, peer)?;
@@ -282,7 +283,8 @@
             read_settings,
             platform,
             clock,
-            metrics_handle,
+            metrics_handle: metrics,
+            metrics_drained: now,
             stop,
             reload,
             net,
@@ -471,6 +473,7 @@
         self.update_demand_gauges();
         self.expire_admission();
         self.update_memory_gauges();
+        self.drain_metrics();
     }
 
     /// Passes a changed connection to the code for its role.
--- a/crates/roseshore_relay/src/entry/probes.rs
+++ b/crates/roseshore_relay/src/entry/probes.rs
@@ -7,6 +7,8 @@
 
 /// Maximum bytes of a probe's head.
 const MAX_HEAD: usize = 8 << 10;
+/// Interval at which samples of histograms are added up.
+const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which a host that cannot confirm its configuration is no longer ready: callers with
 /// keys are then better served by other hosts. It allows for one more read, with its time-out, than
 /// usual.
@@ -49,6 +51,15 @@
         }
     }
 
+    /// Adds up the samples of histograms, which the recorder keeps one by one until then.
+    pub(super) fn drain_metrics(&mut self) {
+        let due = self.now.saturating_duration_since(self.metrics_drained) >= METRICS_INTERVAL;
+        if let Some(handle) = self.metrics_handle.as_ref().filter(|_| due) {
+            handle.run_upkeep();
+            self.metrics_drained = self.now;
+        }
+    }
+
     /// Updates which newer configurations other hosts have.
     pub(super) fn update_outdated(&mut self) {
         let newest = self.peers.newest_config(self.now);
--- a/crates/roseshored/src/entry.rs
+++ b/crates/roseshored/src/entry.rs
@@ -103,7 +103,7 @@
     signal_hook::flag::register(SIGHUP, reload.clone())?;
     let handle = recorder()?;
     let port = matches.get_one::<u16>("metrics-port").copied();
-    let metrics = port.map(|port| (SocketAddr::new(settings.caller_addr.ip(), port), handle));
+    let metrics_addr = port.map(|port| SocketAddr::new(settings.caller_addr.ip(), port));
     let read_settings = Box::new(move || read_boot(&path));
     let platform = Box::new(Platform);
     let (clock, dial, quiet) = (Box::new(BootClock::new()), Box::new(DirectDial), false);
@@ -113,7 +113,8 @@
         platform,
         clock,
         dial,
-        metrics,
+        metrics: Some(handle),
+        metrics_addr,
         stop,
         reload,
         quiet,
