--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -240,3 +240,25 @@
     }
     false
 }
+
+/// Memory that a running process has in use, in MB.
+pub fn resident_mb(process: u32) -> Option<usize> {
+    status_mb(process, "VmRSS:")
+}
+
+/// The most memory that a running process has had in use, in MB.
+pub fn peak_resident_mb(process: u32) -> Option<usize> {
+    status_mb(process, "VmHWM:")
+}
+
+fn status_mb(process: u32, field: &str) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with(field))?;
+    let kilobytes = line.split_whitespace().nth(1)?.parse::<usize>().ok()?;
+    Some(kilobytes / 1024)
+}
+
+/// How many descriptors a process has open; 0 if it has exited.
+pub fn open_descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
--- a/crates/roseshore_harness/tests/misbehaving_clients.rs
+++ b/crates/roseshore_harness/tests/misbehaving_clients.rs
@@ -2,7 +2,7 @@
 
 use roseshore_harness::caller::{Chat, RequestOptions};
 use roseshore_harness::fleets::{self, CHAT, CUSTOMER, Shape};
-use roseshore_harness::process::wait_until;
+use roseshore_harness::process::{open_descriptors, peak_resident_mb, wait_until};
 use roseshore_harness::world::{Plan, World};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -61,19 +61,12 @@
     stream
 }
 
-fn status_mb(process: u32, field: &str) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a status");
-    let line = status.lines().find(|line| line.starts_with(field)).expect("its memory");
-    let kilobytes = line.split_whitespace().nth(1).expect("a number");
-    kilobytes.parse::<usize>().expect("a number") / 1024
-}
-
 /// Waits until a process takes no more memory.
 fn settle(process: u32) {
-    let mut last = usize::MAX;
+    let mut last = None;
     wait_until(|| {
         thread::sleep(QUIET_TIME);
-        std::mem::replace(&mut last, status_mb(process, "VmHWM:")) == last
+        std::mem::replace(&mut last, peak_resident_mb(process)) == last
     });
 }
 
@@ -103,11 +96,10 @@
         });
         settle(daemon.process.id());
         assert!(wait_until(is_answered), "{}: not answered beside the crowd", case.name);
-        let fds = format!("/proc/{}/fd", daemon.process.id());
-        let descriptors = std::fs::read_dir(fds).expect("it lives").count();
+        let descriptors = open_descriptors(daemon.process.id());
         drop(crowd);
         assert!(wait_until(is_answered), "{}: not answered after the crowd", case.name);
-        let peak = status_mb(daemon.process.id(), "VmHWM:");
+        let peak = peak_resident_mb(daemon.process.id()).expect("it runs");
         println!("{}: {peak} MB of {MEMORY_MB}, {descriptors} descriptors", case.name);
         peaks.push((case.name, peak, descriptors));
     }
