The search for connections to close is made once for many new ones

Cause: a new caller beyond the bound made the host look at all connections, also where the one before had just found that each has a request in progress; a new probe did so always, to count those of its kind. A crowd that connects fast could keep the event loop busy with that.

Change: callers that connect in the same turn are not taken once one found no room; connections are counted by endpoint, and an eighth of the probes is closed at once.

--- a/crates/roseshore_core/src/gateway/connections.rs
+++ b/crates/roseshore_core/src/gateway/connections.rs
@@ -15,6 +15,8 @@
 const PROBES_SHARE: usize = 32;
 /// Connections that either may have at least.
 const MIN_PROBES: usize = 8;
+/// Part of the probes that is closed at once for a new one.
+const PROBES_CLOSED_SHARE: usize = 8;
 /// Part of the connections that tunnels for other hosts may have; each takes two.
 const TUNNELS_SHARE: usize = 3;
 /// Most tunnels for other hosts.
@@ -50,6 +52,11 @@
         (self.max / PROBES_SHARE).max(MIN_PROBES)
     }
 
+    /// Probes of one kind that are closed at once for a new one.
+    pub fn probes_closed(&self) -> usize {
+        self.probes() / PROBES_CLOSED_SHARE
+    }
+
     /// Tunnels that a host may keep open for others.
     pub fn tunnels(&self) -> usize {
         (self.max / TUNNELS_SHARE / 2).min(MAX_TUNNELS)
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -204,6 +204,8 @@
     overload: Overload,
     /// New callers turned away since the last tick.
     turned_away: u32,
+    /// The turn in which there was no room for a new caller.
+    no_room_at: Option<Instant>,
     /// Connections that were closed for new ones since the last tick.
     replaced: usize,
     /// When the event loop last woke up.
@@ -322,6 +324,7 @@
             short_runs: Vec::new(),
             overload: Overload::default(),
             turned_away: 0,
+            no_room_at: None,
             replaced: 0,
             woke: now,
             blocked_records: BlockedRecords::default(),
@@ -529,7 +532,7 @@
             match endpoint {
                 Endpoint::Callers => self.watch_caller(key),
                 Endpoint::Copies => self.set_timer(self.now + COPY_TIMEOUT, Timer::Copy(key)),
-                Endpoint::Probes | Endpoint::Metrics => self.make_room_for_probe(key),
+                Endpoint::Probes | Endpoint::Metrics => self.make_room_for_probe(endpoint, key),
                 Endpoint::Peers => {}
             }
         }
--- a/crates/roseshore_relay/src/entry/connections.rs
+++ b/crates/roseshore_relay/src/entry/connections.rs
@@ -1,6 +1,7 @@
 //! Closes connections that keep others from being taken.
 
 use super::{EntryHost, Role, log_event};
+use crate::net::Endpoint;
 use crate::slab::Key;
 use roseshore_core::gateway::connections::ConnectionLimits;
 use roseshore_core::gateway::memory::{Candidate, least_active};
@@ -18,6 +19,10 @@
         if self.net.connections().0 <= limits.with_callers() {
             return true;
         }
+        // All callers are looked at, which is done once for those that connect at the same time.
+        if self.no_room_at == Some(self.now) {
+            return false;
+        }
         let (mut fresh, mut kept) = (Vec::new(), Vec::new());
         let keys: Vec<Key> = self.roles.keys().copied().collect();
         for key in keys {
@@ -36,7 +41,9 @@
                 self.replaced += 1;
             }
         }
-        self.net.connections().0 <= limits.with_callers()
+        let has_room = self.net.connections().0 <= limits.with_callers();
+        self.no_room_at = (!has_room).then_some(self.now);
+        has_room
     }
 
     /// A caller without a request in progress whose connection may be closed for a new caller, and
@@ -49,19 +56,23 @@
         Some((fresh, Candidate { key, bytes: 0, active }))
     }
 
-    /// Closes the probe that has done nothing for longest, if there are too many of its kind.
-    pub(super) fn make_room_for_probe(&mut self, new: Key) {
-        let Some(role) = self.roles.get(&new).map(std::mem::discriminant) else { return };
-        let same = self.roles.iter().filter(|(_, other)| std::mem::discriminant(*other) == role);
-        let same: Vec<Key> = same.map(|(key, _)| *key).collect();
-        if same.len() <= self.connection_limits().probes() {
+    /// Closes the probes that have done nothing for longest, if there are too many of their kind.
+    pub(super) fn make_room_for_probe(&mut self, endpoint: Endpoint, new: Key) {
+        let limits = self.connection_limits();
+        if self.net.accepted(endpoint) <= limits.probes() {
             return;
         }
-        let candidates = same.into_iter().filter(|key| *key != new).filter_map(|key| {
+        let is_same = |role: &Role| match endpoint {
+            Endpoint::Probes => matches!(role, Role::Probe),
+            _ => matches!(role, Role::Metrics),
+        };
+        let same = self.roles.iter().filter(|(key, role)| **key != new && is_same(role));
+        let same: Vec<Key> = same.map(|(key, _)| *key).collect();
+        let candidates = same.into_iter().filter_map(|key| {
             let active = self.net.get(key)?.last_read();
             Some(Candidate { key, bytes: 1, active })
         });
-        for key in least_active(candidates.collect(), 1) {
+        for key in least_active(candidates.collect(), limits.probes_closed()) {
             self.close(key);
             self.replaced += 1;
         }
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -114,6 +114,8 @@
     write_failed: bool,
     /// How the connection ended; `None` while it is open.
     pub ended: Option<Ended>,
+    /// Where it was accepted; `None` for an outgoing connection.
+    endpoint: Option<Endpoint>,
     closing: bool,
     /// Whether its sending side is closed once all output has been written.
     finishing: bool,
@@ -205,6 +207,8 @@
     filled: Vec<Key>,
     scratch: Vec<u8>,
     account: Account,
+    /// Open connections that were accepted at each endpoint.
+    accepted: [usize; ENDPOINTS.len()],
     /// Connections that were closed at once, as there was no room for them.
     refused: usize,
     /// The time of this turn.
@@ -234,6 +238,7 @@
             filled: Vec::new(),
             scratch,
             account: Account::default(),
+            accepted: [0; ENDPOINTS.len()],
             refused: 0,
             now: Instant::now(),
         })
@@ -405,9 +410,12 @@
                 Endpoint::Callers => (Holder::Receiving, Holder::Unread),
                 _ => (Holder::Relayed, Holder::Relayed),
             };
-            if let Ok(key) = self.add(stream, true, holders) {
-                return Some(key);
+            let Ok(key) = self.add(stream, true, holders) else { continue };
+            if let Some(socket) = self.sockets.get_mut(key) {
+                socket.endpoint = Some(endpoint);
+                self.accepted[endpoint as usize] += 1;
             }
+            return Some(key);
         }
     }
 
@@ -417,6 +425,11 @@
         self.refused += 1;
     }
 
+    /// The number of open connections that were accepted at an endpoint.
+    pub fn accepted(&self, endpoint: Endpoint) -> usize {
+        self.accepted[endpoint as usize]
+    }
+
     /// The number of connections, and how many there may be.
     pub fn connections(&self) -> (usize, usize) {
         (self.sockets.len(), self.max_connections)
@@ -534,6 +547,7 @@
             max_input: MAX_INPUT,
             write_failed: false,
             ended: None,
+            endpoint: None,
             closing: false,
             finishing: false,
         };
@@ -624,6 +638,9 @@
     /// Closes the connection now and discards its output.
     pub fn close(&mut self, key: Key) {
         if let Some(mut socket) = self.sockets.remove(key) {
+            if let Some(endpoint) = socket.endpoint {
+                self.accepted[endpoint as usize] -= 1;
+            }
             // An error is harmless: closing the descriptor, which follows, also deregisters it.
             let _ = self.poll.registry().deregister(&mut socket.stream);
         }
