--- a/crates/roseshored/src/http/read.rs
+++ b/crates/roseshored/src/http/read.rs
@@ -229,10 +229,12 @@
 ) -> Result<(), Refusal> {
     let mut chunk = [0; READ_SIZE];
     loop {
-        let count = input.read(&mut chunk).map_err(|err| read_refusal(&err))?;
-        if count == 0 {
-            return Ok(());
-        }
+        let count = match input.read(&mut chunk) {
+            Ok(0) => return Ok(()),
+            Ok(count) => count,
+            Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+            Err(err) => return Err(read_refusal(&err)),
+        };
         if !limits.can_take(account, body.len(), count) {
             return Err(no_memory());
         }
