The number of hosts is kept in the store

Callers' requests were sent again more often than the operators allow (BUDGET): hosts that start while they do not hear the others divided the slack among those that they hear. A process knows no others but its three seeds, and once it has held its share for a window, the share is its own.

Change: the host that reads the store for the others writes the number of hosts that were heard at the same time to the router's own topic, and the first host of each data centre reads it; heartbeats pass it on within a data centre. A host that serves has its configuration from the store, or from a host that has, so it learns the number as well. Hosts of two versions, which do not hear each other, read the same number.

--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -71,8 +71,8 @@
     TargetEnded = 207, Warn, "a target ended while it ran a request";
     RequestBlocked = 208, Warn, "a request is held to end its targets, and refused";
     RequestCleared = 209, Info, "a request is no longer held to end its targets";
-    BlockedWritten = 210, Info, "records of blocked requests were written to the store, or dropped there";
-    BlockedFailed = 211, Warn, "records of blocked requests could not be read or written";
+    OwnRecordsWritten = 210, Info, "records of blocked requests, or the number of daemons, were written to the store or dropped there";
+    OwnRecordsFailed = 211, Warn, "records of blocked requests, or the number of daemons, could not be read or written";
     RetryDenied = 212, Info, "a request was not sent again: the retry budget is spent";
     RetriesLent = 213, Debug, "another host asked for retries of the shared budget";
     RetryMade = 214, Debug, "a request is sent again";
--- a/crates/roseshore_core/src/gateway/peers/lending.rs
+++ b/crates/roseshore_core/src/gateway/peers/lending.rs
@@ -4,6 +4,10 @@
 //! A host's pooled share is held by the lenders of its data centre while they hear each other.
 //! Nothing is agreed on: a lender derives what it holds from heartbeats, so for a while two groups of
 //! lenders may each take a share for theirs. The budget therefore asks how long a share has been held.
+//!
+//! A process that starts behind a cut hears only a part of the hosts, so the number of hosts among
+//! which the slack is divided is also kept in the store. The first host of each data centre reads
+//! it, and heartbeats pass it on.
 
 use super::Peers;
 use super::message::Scope;
@@ -45,6 +49,10 @@
     lenders: WindowMax,
     /// Hosts among which the slack is divided.
     hosts: WindowMax,
+    /// Hosts that were heard at the same time.
+    heard: WindowMax,
+    /// The number of hosts in the store; 0 if it was not read.
+    recorded: u16,
 }
 
 impl Lending {
@@ -58,6 +66,7 @@
     /// Updates which shares this host holds. To be called several times within [`HOLD_VALIDITY`];
     /// `window` is the time for which retries count.
     pub fn update_lending(&mut self, window: Duration, now: Instant) {
+        self.lending.heard.set(self.heard_hosts(), HOST_RETENTION, now);
         self.lending.hosts.set(self.known_hosts(now), HOST_RETENTION, now);
         self.lending.holds.retain(|_, hold| hold.valid(now));
         let ranks = self.lending_ranks(now);
@@ -92,6 +101,28 @@
         if self.discovers(now) { 0 } else { self.lending.hosts.get().max(1) }
     }
 
+    /// Sets the number of hosts that the store holds.
+    pub fn set_recorded_hosts(&mut self, hosts: u16) {
+        self.lending.recorded = hosts;
+    }
+
+    /// The number of hosts to write to the store; `None` if the one that it holds is to stay. It
+    /// grows with the hosts that are heard, and falls once no process of this age has heard so many.
+    pub fn hosts_to_record(&self, now: Instant) -> Option<u16> {
+        if self.discovers(now) {
+            return None;
+        }
+        let heard = u16::try_from(self.lending.heard.get()).unwrap_or(u16::MAX);
+        let knows_all = now.saturating_duration_since(self.started) >= HOST_RETENTION;
+        let outdated = heard < self.lending.recorded && knows_all;
+        (heard > self.lending.recorded || outdated).then_some(heard)
+    }
+
+    /// Number of hosts in the whole system, as far as this one has heard of them or the store says.
+    pub(super) fn reported_hosts(&self) -> usize {
+        self.heard_hosts().max(self.lending.recorded.into())
+    }
+
     /// When this process started; an earlier one may have used the share of its host.
     pub fn started(&self) -> Instant {
         self.started
--- a/crates/roseshore_core/src/gateway/peers/message.rs
+++ b/crates/roseshore_core/src/gateway/peers/message.rs
@@ -211,8 +211,8 @@
     pub list: ListVersion,
     /// Hosts that the following loads include.
     pub scope: Scope,
-    /// Hosts that the sender hears or has heard and not forgotten, in the whole system or, for a
-    /// receiver in another data centre, in its own.
+    /// Hosts that the sender hears or has heard and not forgotten: in its data centre for a receiver
+    /// in another one, otherwise in the whole system, or as many as the store says.
     pub known: u16,
     /// Loads, by target.
     pub loads: Vec<TargetLoad>,
--- a/crates/roseshore_core/src/gateway/peers/sending.rs
+++ b/crates/roseshore_core/src/gateway/peers/sending.rs
@@ -169,7 +169,7 @@
         near.clear_failures(&own.refuted);
         let mut others = near.clone();
         self.add_far(&mut others, now);
-        let (near_known, known) = (self.near_known(), self.heard_hosts());
+        let (near_known, known) = (self.near_known(), self.reported_hosts());
         let demand = self.near_demand(now);
         Round { own, near, others, demand, near_known, known, ranked: self.ranked(now) }
     }
--- a/crates/roseshore_core/src/gateway/peers/view.rs
+++ b/crates/roseshore_core/src/gateway/peers/view.rs
@@ -142,13 +142,13 @@
         self.near_known() + far.into_values().map(usize::from).sum::<usize>()
     }
 
-    /// Number of hosts that there are, or were until recently, as far as this host or a speaker of
-    /// its data centre knows. A host that has just started also counts those that it does not hear
-    /// yet.
+    /// Number of hosts that there are, or were until recently, as far as this host, a speaker of its
+    /// data centre or the store knows. A host that has just started also counts those that it does
+    /// not hear yet.
     pub fn known_hosts(&self, now: Instant) -> usize {
         let near = self.all.values().filter(|p| self.is_near(p) && p.last_heard.is_some());
         let reported = near.map(|p| usize::from(p.known)).max().unwrap_or(0);
         let named = if self.discovers(now) { 1 + self.all.len() } else { 1 };
-        self.heard_hosts().max(reported).max(named)
+        self.reported_hosts().max(reported).max(named)
     }
 }
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -158,6 +158,62 @@
     assert_eq!(a.sharing_hosts(next_day), 1);
 }
 
+/// What is written to the store of the number of hosts.
+struct RecordCase {
+    name: &'static str,
+    /// Hours since this host started, in the first of which it heard one other host.
+    hours: u64,
+    recorded: u16,
+    written: Option<u16>,
+    /// Hosts among which the slack is divided.
+    sharing: usize,
+}
+
+/// Guards against a number that never falls, or falls while some hosts are only out of touch.
+#[test]
+fn the_number_of_hosts_in_the_store_follows_what_is_heard() {
+    let case = |name, hours, recorded, written, sharing| RecordCase {
+        name,
+        hours,
+        recorded,
+        written,
+        sharing,
+    };
+    let cases = [
+        case("no number yet", 1, 0, Some(2), 2),
+        case("more hosts than known", 1, 1, Some(2), 2),
+        case("the same", 1, 2, None, 2),
+        case("started behind a cut", 1, 6, None, 6),
+        case("none has heard so many for a day", 30, 6, Some(1), 6),
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let (mut a, mut b) = (peers(1, "north", &[], now), peers(2, "south", &[addr(1)], now));
+        a.receive(addr(2), sent(&mut b, 1, &own(), now).expect("a first contact"), now);
+        a.update_lending(WINDOW, now);
+        assert_eq!(a.hosts_to_record(now), None, "{}: it may not have heard of all", case.name);
+        let later = now + Duration::from_hours(case.hours);
+        a.set_recorded_hosts(case.recorded);
+        assert!(a.due(&own(), later).is_empty(), "{}", case.name);
+        a.update_lending(WINDOW, later);
+        assert_eq!(a.hosts_to_record(later), case.written, "{}", case.name);
+        assert_eq!(a.sharing_hosts(later), case.sharing, "{}", case.name);
+    }
+}
+
+/// Guards against a data centre whose other hosts do not learn what its first one has read.
+#[test]
+fn heartbeats_pass_on_the_number_of_hosts_in_the_store() {
+    let now = Instant::now();
+    let mut first = peers(1, "north", &[addr(2)], now);
+    let mut second = peers(2, "north", &[addr(1)], now);
+    first.set_recorded_hosts(6);
+    let beat = sent(&mut first, 2, &own(), now).expect("a first contact");
+    second.receive(addr(1), beat, now);
+    second.update_lending(WINDOW, now);
+    assert_eq!(second.sharing_hosts(now + ms(2000)), 6);
+}
+
 #[test]
 fn a_leaving_host_loses_its_rank() {
     let now = Instant::now();
--- a/crates/roseshore_ports/src/entry.rs
+++ b/crates/roseshore_ports/src/entry.rs
@@ -234,13 +234,13 @@
     /// # Errors
     /// If the reply has no records; the fault says why.
     fn latest_reply(&self, reply: &CallReply) -> Result<Page, StoreFault>;
-    /// Requests a page of the records of blocked requests, after the key `since`. The reply is
-    /// decoded by [`EntryPlatform::latest_reply`].
-    fn read_blocked(&self, since: Option<&str>) -> CallRequest;
-    /// Requests that records of blocked requests are appended. A record without a value deletes its
+    /// Requests a page of the hosts' own records, after the key `since`. The reply is decoded by
+    /// [`EntryPlatform::latest_reply`].
+    fn read_own(&self, since: Option<&str>) -> CallRequest;
+    /// Requests that records of the hosts' own are appended. A record without a value deletes its
     /// key.
-    fn write_blocked(&self, records: &[KeyedRecord]) -> CallRequest;
-    /// Decodes the reply to [`EntryPlatform::write_blocked`].
+    fn write_own(&self, records: &[KeyedRecord]) -> CallRequest;
+    /// Decodes the reply to [`EntryPlatform::write_own`].
     ///
     /// # Errors
     /// If the records may not have been written; the fault says why.
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -1,7 +1,6 @@
 //! The process of an entry host: state, event loop and timers.
 
 mod admission;
-mod blocked_requests;
 mod callers;
 mod calls;
 mod choice;
@@ -15,6 +14,7 @@
 mod in_flight;
 mod liveness;
 mod memory;
+mod own_records;
 mod pace_polling;
 mod placement;
 mod probes;
@@ -36,7 +36,6 @@
 use crate::net::{Dial, Endpoint, Net, SocketChange};
 use crate::slab::{Key, Slab};
 use admission::Admission;
-use blocked_requests::BlockedRecords;
 use callers::Caller;
 use calls::Call;
 use demand::Demand;
@@ -44,6 +43,7 @@
 use fatal::{BrokenSend, ShortRun};
 use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
+use own_records::OwnRecords;
 use pace_polling::PacePolling;
 use placement::PlacementState;
 use rand::RngExt;
@@ -210,7 +210,7 @@
     replaced: usize,
     /// When the event loop last woke up.
     woke: Instant,
-    blocked_records: BlockedRecords,
+    own_records: OwnRecords,
     rng: SmallRng,
     started: Instant,
     now: Instant,
@@ -327,7 +327,7 @@
             no_room_at: None,
             replaced: 0,
             woke: now,
-            blocked_records: BlockedRecords::default(),
+            own_records: OwnRecords::default(),
             rng,
             started: now,
             now,
@@ -455,7 +455,7 @@
             log_event!(self, TargetLeft, "target={id} state=missing");
         }
         self.sync_store();
-        self.sync_blocked();
+        self.sync_own_records();
         self.update_placement();
         self.poll_paces();
         self.recheck_dead();
--- a/crates/roseshore_relay/src/entry/calls.rs
+++ b/crates/roseshore_relay/src/entry/calls.rs
@@ -31,10 +31,10 @@
     Report(TargetId),
     /// Asks a target for a report to learn its pace.
     Pace(TargetId),
-    /// Reads a page of the records of blocked requests.
-    ReadBlocked,
-    /// Writes records of blocked requests.
-    WriteBlocked,
+    /// Reads a page of the hosts' own records.
+    ReadOwn,
+    /// Writes records of the hosts' own.
+    WriteOwn,
     /// Orders a target to hold these layers.
     Place(TargetId, (Layer, Layer)),
 }
@@ -44,10 +44,9 @@
     fn max_body(&self) -> usize {
         match self {
             Purpose::Report(_) | Purpose::Pace(_) | Purpose::Place(..) => MAX_REPORT,
-            Purpose::Latest(..)
-            | Purpose::Read(..)
-            | Purpose::ReadBlocked
-            | Purpose::WriteBlocked => MAX_STORE_REPLY,
+            Purpose::Latest(..) | Purpose::Read(..) | Purpose::ReadOwn | Purpose::WriteOwn => {
+                MAX_STORE_REPLY
+            }
         }
     }
 }
@@ -214,8 +213,8 @@
             }
             Purpose::Report(id) => self.report_received(&id, reply),
             Purpose::Pace(id) => self.pace_received(&id, reply),
-            Purpose::ReadBlocked => self.blocked_page_received(reply),
-            Purpose::WriteBlocked => self.blocked_write_done(reply),
+            Purpose::ReadOwn => self.own_page_received(reply),
+            Purpose::WriteOwn => self.own_write_done(reply),
             Purpose::Place(id, layers) => self.order_reply(&id, layers, reply),
         }
     }
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -253,7 +253,7 @@
             FatalChange::CrashedEarly => self.heartbeat_soon(),
             FatalChange::Cleared => {
                 log_event!(self, RequestCleared, "fingerprint={fingerprint} by={by}");
-                self.blocked_changed();
+                self.own_records_changed();
             }
             FatalChange::Blocked => {
                 let ends = self.fatal.crashes(fingerprint);
@@ -264,7 +264,7 @@
                     "fingerprint={fingerprint} part={} ends={ends} by={by} blocked={blocked}",
                     fingerprint.is_part()
                 );
-                self.blocked_changed();
+                self.own_records_changed();
                 self.heartbeat_now(true);
                 self.end_blocked_runs();
             }
--- a/crates/roseshore_relay/src/entry/store_sync/replies.rs
+++ b/crates/roseshore_relay/src/entry/store_sync/replies.rs
@@ -70,7 +70,7 @@
         log_event!(self, StoreWentBack, "{text}");
         self.store_sync.enter_era(era);
         self.store_sync.outage.record_rollback(self.now);
-        self.blocked_changed();
+        self.own_records_changed();
     }
 
     /// Records whether the store, whose newest configuration has this version, holds an older one
--- a/crates/roseshore_relay/tests/retry_budget.rs
+++ b/crates/roseshore_relay/tests/retry_budget.rs
@@ -121,6 +121,8 @@
     requests: Vec<Instant>,
     retries: Vec<Instant>,
     denied: usize,
+    /// The number of hosts in the store, which every host reaches.
+    recorded_hosts: u16,
 }
 
 impl World {
@@ -139,6 +141,7 @@
             requests: Vec::new(),
             retries: Vec::new(),
             denied: 0,
+            recorded_hosts: 0,
         };
         world.hosts = (0..case.hosts).map(|n| world.fresh(n, 1)).collect();
         for n in 0..case.hosts {
@@ -221,6 +224,13 @@
         if !host.alive {
             return;
         }
+        if host.peers.rank_in_centre(now) == 0 {
+            host.peers.set_recorded_hosts(self.recorded_hosts);
+        }
+        if host.peers.read_rank(now) == 0 {
+            let hosts = host.peers.hosts_to_record(now);
+            self.recorded_hosts = hosts.unwrap_or(self.recorded_hosts);
+        }
         let counts = vec![ServiceCounts { service, requests: host.budget.requests(now) }];
         let own = LocalState { config: 1, counts, ..LocalState::default() };
         let due = host.peers.due(&own, now);
@@ -523,6 +533,18 @@
     ]);
 }
 
+/// Guards against processes that start behind a cut and divide the slack among the hosts that they
+/// hear.
+#[test]
+fn hosts_that_restart_behind_a_long_cut_stay_within_the_bound() {
+    let behind = |kills, parts| Faults { kills, parts, cut: (1, 24), ..NO_FAULTS };
+    check_outages(&[
+        ("data centres apart", behind(&[2], 3)),
+        ("data centres apart, restarts in series", behind(&[2, 5, 8], 3)),
+        ("four parts", behind(&[2], 4)),
+    ]);
+}
+
 /// Guards against shares that change hands so often that each holder's first part adds up. Fewer
 /// requests follow here than came before, so the operators' bound applies.
 #[test]
