Copies that may be left unread are divided among all hosts

Engines that go on after a stop were given requests that had been answered elsewhere, with more time than their callers had left. Of the eight copies that all hosts together may leave at stopped engines, each host took its part by the hosts that it heard just then, so each part of a system behind a cut had all eight.

--- a/crates/roseshore_relay/src/entry/responsiveness.rs
+++ b/crates/roseshore_relay/src/entry/responsiveness.rs
@@ -77,7 +77,7 @@
     /// Whether a silent request may be sent elsewhere, as far as its target has read it or few copies
     /// of others were left behind unread.
     pub(super) fn may_leave_copy(&mut self, key: Key) -> bool {
-        let hosts = 1 + self.peers.other_hosts(self.now);
+        let hosts = self.peers.known_hosts(self.now);
         let may_leave = !self.is_unread(key) || self.moves.may_leave_unread(hosts);
         if !may_leave {
             self.log_held_move(key, || "path=- unread=true".to_owned());
