--- a/crates/roseshore_adapters/tests/platform.rs
+++ b/crates/roseshore_adapters/tests/platform.rs
@@ -236,6 +236,27 @@
     }
 }
 
+/// Guards against replies that are none in the protocol, such as one whose status is 0503.
+#[test]
+fn invalid_replies_prove_nothing() {
+    let head = |line: &str, fields: &str| {
+        format!("{line}\r\n{fields}Content-Length: 11\r\n\r\n{{\"first\":1}}")
+    };
+    let lines =
+        ["000 X", "099 X", "600 X", "999 X", "0200 X", "+200 X", "200200 X", "0503 X", "+503 X"];
+    let mut replies: Vec<String> =
+        lines.iter().map(|line| head(&format!("HTTP/1.1 {line}"), "")).collect();
+    replies.extend(["HTTQ/1.1 200 X", "HTTP/9.1 200 X", "200 200 X"].map(|line| head(line, "")));
+    for field in ["na me: x", "na\u{1}me: x", "name: a\u{1}b", "name : x", "name"] {
+        replies.push(head("HTTP/1.1 200 X", &format!("{field}\r\n")));
+    }
+    for reply in replies {
+        let log = HttpPlatform::new(scripted(String::leak(reply.clone()).as_bytes()), LIMIT);
+        let got = outcome(log.append("s", &texts(1)));
+        assert!([Outcome::Lost, Outcome::Garbled].contains(&got), "{reply:?}: {got:?}");
+    }
+}
+
 #[test]
 fn offsets_have_no_holes_and_reads_go_on() {
     let (_fake, log) = start(PlatformSettings::default());
--- a/crates/roseshore_adapters/tests/service.rs
+++ b/crates/roseshore_adapters/tests/service.rs
@@ -265,6 +265,33 @@
     }
 }
 
+/// Guards against replies that are none in the protocol, such as one whose status is 000 or 666.
+#[test]
+fn invalid_replies_prove_nothing() {
+    const SAID: &str = "{\"not_run\":true}";
+    let head =
+        |line: &str, fields: &str| format!("{line}\r\n{fields}Content-Length: 16\r\n\r\n{SAID}");
+    let lines =
+        ["000 X", "001 X", "099 X", "101 X", "600 X", "666 X", "999 X", "0200 X", "0503 X", "20 X"];
+    let mut replies: Vec<String> =
+        lines.iter().map(|line| head(&format!("HTTP/1.1 {line}"), "")).collect();
+    for line in ["HTTQ/1.1 200 X", "HTTP/9.1 200 X", "HTTP/1.1 503"] {
+        replies.push(head(&line.replace("503", "5\u{1}3"), ""));
+    }
+    for field in ["na me: x", "na\u{1}me: x", "name: a\u{1}b", "name : x"] {
+        replies.push(head("HTTP/1.1 503 X", &format!("{field}\r\n")));
+    }
+    for reply in replies {
+        let (addr, seen) = scripted(String::leak(reply.clone()).as_bytes());
+        let services = HttpServices::default();
+        let call = services.call(addr, "notes", b"x", Some("k"), &context(BOUND));
+        assert!([Kind::Lost, Kind::Garbled].contains(&kind(&call)), "{reply:?}: {call:?}");
+        assert_eq!(seen.len(), 1, "sent more than once, {reply:?}");
+        let lookup = services.lookup(addr, "certs", "weld-9", &context(BOUND));
+        assert!([Kind::Lost, Kind::Garbled].contains(&kind(&lookup)), "{reply:?}: {lookup:?}");
+    }
+}
+
 #[test]
 fn a_call_never_goes_over_a_kept_connection() {
     let reply = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok";
