A response has a status from 200 to 599

Callers got answers with the status 000 as they were (MIXED), and 001, 010, 099, 600, 666 and 999. The library that parses heads takes any three digits, and no reader checked the range; 000 was written on as 0.

--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -5,6 +5,7 @@
 
 use quick_error::quick_error;
 use roseshore_ports::entry::Field;
+use roseshore_wire::http::{ResponseKind, response_kind};
 use std::io::Write;
 
 /// Maximum number of header fields in a head.
@@ -169,8 +170,9 @@
             return Err(HttpError::HeadTooLarge);
         }
         let status = response.code.ok_or(HttpError::Malformed)?;
-        if (100..200).contains(&status) {
-            continue;
+        match response_kind(status).ok_or(HttpError::Malformed)? {
+            ResponseKind::Interim => continue,
+            ResponseKind::Final => {}
         }
         let fields = copy_fields(response.headers);
         let reason = response.reason.unwrap_or("").to_owned();
