Only blanks and tabs are white space in fields and chunk sizes

Callers got bodies whose end was guessed: a length, a coding or a chunk's size beside a no-break space, a next line (U+0085) or a vertical tab was read with Unicode's notion of white space, blanks before a chunk's size were skipped, and of two `Transfer-Encoding: chunked` fields only the first was read. Another reader of the same bytes ends the body elsewhere.

Change: wire/http.rs says what white space is and what a chunk's size is; every reader of fields uses it. Two codings are ambiguous, as two lengths were. What callers send is read by the same rules.

--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -5,7 +5,7 @@
 
 use quick_error::quick_error;
 use roseshore_ports::entry::Field;
-use roseshore_wire::http::{ResponseKind, response_kind};
+use roseshore_wire::http::{ResponseKind, chunk_size, response_kind, trim};
 use std::io::Write;
 
 /// Maximum number of header fields in a head.
@@ -23,8 +23,8 @@
         Malformed { display("the bytes are no HTTP message") }
         /// The head exceeds the maximum size.
         HeadTooLarge { display("the head is too large") }
-        /// Two `Content-Length` fields, or a `Transfer-Encoding` other than `chunked` or beside a
-        /// `Content-Length`. Guessing the length would allow request smuggling.
+        /// Two `Content-Length` or `Transfer-Encoding` fields, a `Transfer-Encoding` other than `chunked`
+        /// or beside a `Content-Length`. Guessing the length would allow request smuggling.
         Ambiguous { display("the length of the body is ambiguous") }
     }
 }
@@ -73,13 +73,13 @@
 /// The trimmed value of the first header field with this name (case-insensitive), if it is UTF-8.
 pub fn field<'a>(fields: &'a [Field], name: &str) -> Option<&'a str> {
     let found = fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(&found.1).ok().map(str::trim)
+    std::str::from_utf8(&found.1).ok().map(trim)
 }
 
 fn has_token(fields: &[Field], name: &str, token: &str) -> bool {
     let all = fields.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
     let values = all.filter_map(|(_, v)| std::str::from_utf8(v).ok());
-    values.flat_map(|v| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(token))
+    values.flat_map(|v| v.split(',')).any(|w| trim(w).eq_ignore_ascii_case(token))
 }
 
 /// Body framing according to the header fields; `None` if no field determines it.
@@ -89,15 +89,16 @@
     if lengths.next().is_some() {
         return Err(HttpError::Ambiguous);
     }
-    let has_encoding = fields.iter().any(|(n, _)| n.eq_ignore_ascii_case("transfer-encoding"));
-    if has_encoding {
+    let codings =
+        fields.iter().filter(|(n, _)| n.eq_ignore_ascii_case("transfer-encoding")).count();
+    if codings > 0 {
         let chunked = field(fields, "transfer-encoding")
             .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
-        let valid = length.is_none() && chunked;
+        let valid = length.is_none() && chunked && codings == 1;
         return if valid { Ok(Some(Framing::Chunked)) } else { Err(HttpError::Ambiguous) };
     }
     let Some((_, value)) = length else { return Ok(None) };
-    let digits = std::str::from_utf8(value).ok().map(str::trim);
+    let digits = std::str::from_utf8(value).ok().map(trim);
     let digits = digits.filter(|d| !d.is_empty() && d.bytes().all(|b| b.is_ascii_digit()));
     let number = digits.and_then(|d| d.parse().ok()).ok_or(HttpError::Malformed)?;
     Ok(Some(Framing::Length(number)))
@@ -317,13 +318,6 @@
     Ok(Some(line))
 }
 
-fn chunk_size(line: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(line).ok()?;
-    let digits = text.split(';').next()?.trim();
-    let valid = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    valid.then(|| u64::from_str_radix(digits, 16).ok()).flatten()
-}
-
 /// Appends a request head to `out`. `body` is the body's length in bytes; `Content-Length` is left
 /// out for a `GET` without a body.
 pub fn write_request(out: &mut Vec<u8>, method: &str, path: &str, fields: &[Field], body: usize) {
--- a/crates/roseshore_wire/src/http.rs
+++ b/crates/roseshore_wire/src/http.rs
@@ -33,3 +33,20 @@
         None
     }
 }
+
+/// Removes the white space that may surround a field's value: blanks and tabs.
+pub fn trim(value: &str) -> &str {
+    value.trim_matches([' ', '\t'])
+}
+
+/// The size in the line before a chunk, which may be followed by blanks and extensions; `None` if the
+/// line is malformed.
+pub fn chunk_size(line: &[u8]) -> Option<u64> {
+    let (size, _) = match line.iter().position(|byte| *byte == b';') {
+        Some(end) => line.split_at(end),
+        None => (line, &[][..]),
+    };
+    let digits = std::str::from_utf8(size).ok()?.trim_end_matches([' ', '\t']);
+    let valid = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    valid.then(|| u64::from_str_radix(digits, 16).ok()).flatten()
+}
--- a/crates/roseshore_wire/tests/http.rs
+++ b/crates/roseshore_wire/tests/http.rs
@@ -1,6 +1,6 @@
 //! The rules of HTTP messages that libraries leave to their callers.
 
-use roseshore_wire::http::{ResponseKind, response_kind};
+use roseshore_wire::http::{ResponseKind, chunk_size, response_kind, trim};
 
 #[test]
 fn a_response_has_a_status_of_the_protocol() {
@@ -11,3 +11,37 @@
     assert!(kinds(0..=99).chain(kinds(600..=u16::MAX)).all(|kind| kind.is_none()));
     assert_eq!(response_kind(101), None, "nothing here asks for another protocol");
 }
+
+#[test]
+fn white_space_is_blanks_and_tabs() {
+    assert_eq!(trim(" \t3\t "), "3");
+    for other in ["\u{a0}3", "3\u{85}", "\u{b}3", "3\r", "\u{2003}3"] {
+        assert_eq!(trim(other), other, "{other:?}");
+    }
+}
+
+struct SizeCase {
+    line: &'static str,
+    size: Option<u64>,
+}
+
+#[test]
+fn a_chunk_s_size_is_hexadecimal() {
+    let cases = [
+        SizeCase { line: "1f", size: Some(31) },
+        SizeCase { line: "1F \t", size: Some(31) },
+        SizeCase { line: "1f ;a=\"b c\"", size: Some(31) },
+        SizeCase { line: "ffffffffffffffff", size: Some(u64::MAX) },
+        SizeCase { line: "10000000000000000", size: None },
+        SizeCase { line: "", size: None },
+        SizeCase { line: ";a=b", size: None },
+        SizeCase { line: " 1f", size: None },
+        SizeCase { line: "\u{b}1f", size: None },
+        SizeCase { line: "1f\u{a0}", size: None },
+        SizeCase { line: "0x1f", size: None },
+        SizeCase { line: "+1f", size: None },
+    ];
+    for case in cases {
+        assert_eq!(chunk_size(case.line.as_bytes()), case.size, "{:?}", case.line);
+    }
+}
