Trailer fields and chunk extensions are checked

Callers got bodies as whole whose trailers were none by the protocol: names with blanks and control bytes, lines without a colon, folded lines, control bytes in values, and in chunk extensions. They were skipped as lines of any content, so what follows a body that went wrong passed for its end. A host put a configuration in force that came in that way.

Change: wire/http.rs says what a trailer field is and what an extension may hold; the decoder of bodies asks it, for targets, the store, reports, orders and callers alike. Where a stream turns out to be malformed, nothing that was read together with the malformed bytes is passed on, and the stream goes on at another engine after the last event that was. Another request's response that is malformed counts as garbled rather than lost.

--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -186,8 +186,9 @@
             send.phase = Phase::Head;
             return Step::Continue;
         }
-        if taken.is_err() || socket.ended.is_some() {
-            self.send_failed(key, Fault::Lost, None);
+        let fault = if taken.is_err() { Some(Fault::Garbled) } else { None };
+        if let Some(fault) = fault.or(socket.ended.map(|_| Fault::Lost)) {
+            self.send_failed(key, fault, None);
             return Step::Finished;
         }
         Step::NeedMore
@@ -365,6 +366,11 @@
     /// Reads a stream and forwards its complete events.
     fn read_events(&mut self, key: Key) -> Step {
         let Some(received) = self.read_bytes(key) else { return Step::Finished };
+        if received == Err(Fault::Garbled) {
+            // What precedes the malformed bytes cannot be trusted either.
+            self.send_failed(key, Fault::Garbled, None);
+            return Step::Finished;
+        }
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -5,7 +5,7 @@
 
 use quick_error::quick_error;
 use roseshore_ports::entry::Field;
-use roseshore_wire::http::{ResponseKind, chunk_size, response_kind, trim};
+use roseshore_wire::http::{ResponseKind, chunk_size, is_trailer_field, response_kind, trim};
 use std::io::Write;
 
 /// Maximum number of header fields in a head.
@@ -290,7 +290,11 @@
                     if size > MAX_TRAILERS {
                         return Err(HttpError::HeadTooLarge);
                     }
-                    if line.is_empty() { DecoderState::Done } else { DecoderState::Trailer(size) }
+                    match line {
+                        [] => DecoderState::Done,
+                        field if is_trailer_field(field) => DecoderState::Trailer(size),
+                        _ => return Err(HttpError::Malformed),
+                    }
                 }
             }
         }
--- a/crates/roseshore_wire/src/http.rs
+++ b/crates/roseshore_wire/src/http.rs
@@ -42,11 +42,28 @@
 /// The size in the line before a chunk, which may be followed by blanks and extensions; `None` if the
 /// line is malformed.
 pub fn chunk_size(line: &[u8]) -> Option<u64> {
-    let (size, _) = match line.iter().position(|byte| *byte == b';') {
-        Some(end) => line.split_at(end),
-        None => (line, &[][..]),
-    };
+    if !is_text(line) {
+        return None;
+    }
+    let size = line.split(|byte| *byte == b';').next()?;
     let digits = std::str::from_utf8(size).ok()?.trim_end_matches([' ', '\t']);
     let valid = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
     valid.then(|| u64::from_str_radix(digits, 16).ok()).flatten()
 }
+
+/// Whether a line is a trailer field: a name, a colon and a value on this line.
+pub fn is_trailer_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return false };
+    let (name, value) = line.split_at(colon);
+    !name.is_empty() && name.iter().all(|byte| is_token(*byte)) && is_text(value)
+}
+
+/// Whether a byte may occur in a field's name.
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Whether bytes may occur in a field's value: no control characters but tabs.
+fn is_text(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == b'\t' || !byte.is_ascii_control())
+}
--- a/crates/roseshore_wire/tests/http.rs
+++ b/crates/roseshore_wire/tests/http.rs
@@ -1,6 +1,6 @@
 //! The rules of HTTP messages that libraries leave to their callers.
 
-use roseshore_wire::http::{ResponseKind, chunk_size, response_kind, trim};
+use roseshore_wire::http::{ResponseKind, chunk_size, is_trailer_field, response_kind, trim};
 
 #[test]
 fn a_response_has_a_status_of_the_protocol() {
@@ -40,8 +40,38 @@
         SizeCase { line: "1f\u{a0}", size: None },
         SizeCase { line: "0x1f", size: None },
         SizeCase { line: "+1f", size: None },
+        SizeCase { line: "1f;a\u{1}", size: None },
+        SizeCase { line: "1f;a=b\u{7f}", size: None },
+        SizeCase { line: "1f;a=\u{e9}\t", size: Some(31) },
     ];
     for case in cases {
         assert_eq!(chunk_size(case.line.as_bytes()), case.size, "{:?}", case.line);
     }
 }
+
+struct TrailerCase {
+    line: &'static str,
+    valid: bool,
+}
+
+#[test]
+fn a_trailer_field_has_a_name_and_a_value() {
+    let cases = [
+        TrailerCase { line: "a: b", valid: true },
+        TrailerCase { line: "x-1_~:", valid: true },
+        TrailerCase { line: "a:\tb \u{e9}: c", valid: true },
+        TrailerCase { line: "a", valid: false },
+        TrailerCase { line: ": b", valid: false },
+        TrailerCase { line: "a : b", valid: false },
+        TrailerCase { line: "a b: c", valid: false },
+        TrailerCase { line: " a: b", valid: false },
+        TrailerCase { line: "(a): b", valid: false },
+        TrailerCase { line: "\u{e9}: b", valid: false },
+        TrailerCase { line: "a\u{1}: b", valid: false },
+        TrailerCase { line: "a: b\u{0}", valid: false },
+        TrailerCase { line: "a: b\rc: d", valid: false },
+    ];
+    for case in cases {
+        assert_eq!(is_trailer_field(case.line.as_bytes()), case.valid, "{:?}", case.line);
+    }
+}
