A response does not begin with an empty line

Callers got answers whose heads followed an empty line: the library that parses heads skips such lines, as servers do before a request. Before a response they are none in the protocol, and the rest of something else.

Change: the parser of responses refuses a head that begins with a line end.

--- a/crates/roseshore_relay/src/http.rs
+++ b/crates/roseshore_relay/src/http.rs
@@ -160,6 +160,10 @@
 ) -> Result<Option<ResponseHead>, HttpError> {
     let mut begin = 0;
     loop {
+        if buffer.get(begin).is_some_and(|byte| b"\r\n".contains(byte)) {
+            // The library skips empty lines, as servers do before a request.
+            return Err(HttpError::Malformed);
+        }
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut headers);
         let parsed = response.parse(&buffer[begin..]).map_err(|_| HttpError::Malformed)?;
