The older daemon refuses replies that are none by the protocol

Callers of plain services got replies with the statuses 101, 600, 666 and 999 as they were, and the platform's log counted records as appended, or refused, by a status line like `HTTP/1.1 0200`: `ureq` takes any status from 100 to 999, and `minreq` any number of digits, with a sign, after any version.

--- a/crates/roseshore_adapters/src/agent.rs
+++ b/crates/roseshore_adapters/src/agent.rs
@@ -8,15 +8,16 @@
 
 use quick_error::quick_error;
 use roseshore_core::prelude::*;
-use roseshore_ports::outside::CallError;
+use roseshore_ports::outside::{CallError, CallResult};
+use roseshore_wire::http::{ResponseKind, response_kind};
 use std::net::SocketAddr;
 use ureq::config::Config;
-use ureq::http::Uri;
+use ureq::http::{Response, Uri};
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
 };
-use ureq::{Agent, Error};
+use ureq::{Agent, Body, Error};
 
 /// Size of the input and of the output buffer that each connection holds, also while it is idle.
 /// With the 128 KiB that `ureq` uses by default, these buffers were nearly all of the memory used
@@ -70,6 +71,23 @@
     }
 }
 
+/// The response of a call. The library takes statuses that no response has.
+pub(crate) fn response(outcome: Result<Response<Body>, Error>) -> CallResult<Response<Body>> {
+    let response = outcome.map_err(call_error)?;
+    let status = response.status().as_u16();
+    match response_kind(status) {
+        Some(ResponseKind::Final) => Ok(response),
+        Some(ResponseKind::Interim) | None => {
+            Err(CallError::Garbled(format!("the response has the status {status}")))
+        }
+    }
+}
+
+/// Converts the error of a request that could not be built, and so was not sent.
+pub(crate) fn invalid_request(error: ureq::http::Error) -> CallError {
+    CallError::Unreached(error.to_string())
+}
+
 /// Opens TCP connections and wraps errors that occur before the connection exists in a
 /// [`ConnectError`].
 #[derive(Debug)]
--- a/crates/roseshore_adapters/src/engine/client.rs
+++ b/crates/roseshore_adapters/src/engine/client.rs
@@ -5,7 +5,7 @@
 //! the engine has read the call.
 
 use super::status::Reply;
-use crate::agent::{PoolLimits, agent, call_error};
+use crate::agent::{PoolLimits, agent, call_error, response};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::CallResult;
 use std::net::SocketAddr;
@@ -72,7 +72,7 @@
 
 /// Reads a complete reply and returns its body if the status is `200`.
 pub(super) fn read_body(outcome: Result<ureq::http::Response<Body>, Error>) -> CallResult<Vec<u8>> {
-    read_reply(outcome.map_err(call_error)?)?.into_body()
+    read_reply(response(outcome)?)?.into_body()
 }
 
 /// Reads the status, the `Retry-After` header and the complete body of a response.
--- a/crates/roseshore_adapters/src/engine/stream.rs
+++ b/crates/roseshore_adapters/src/engine/stream.rs
@@ -5,7 +5,7 @@
 //! dropped receivers and shuts down their connections, which ends the read.
 
 use super::client;
-use crate::agent::{PoolLimits, agent, call_error};
+use crate::agent::{self, PoolLimits};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallError, CallResult, StreamItem};
 use roseshore_wire::engine::{Generate, Output};
@@ -55,7 +55,7 @@
         if limit.is_zero() {
             return Err(CallError::Unreached("the deadline passed".to_owned()));
         }
-        let agent = agent(PoolLimits::NONE);
+        let agent = agent::agent(PoolLimits::NONE);
         let response = post(&agent, addr, ask, &body, limit)?;
         let (sender, receiver) = flume::bounded(MAX_BUFFERED_ITEMS);
         let _ = self.opened.send(OpenStream { items: sender.downgrade(), agent });
@@ -84,7 +84,7 @@
     }
     let request = request.config().timeout_global(Some(limit));
     let request = request.timeout_connect(Some(client::connect_timeout(limit))).build();
-    let response = request.send(body).map_err(call_error)?;
+    let response = agent::response(request.send(body))?;
     if response.status().as_u16() == 200 {
         return Ok(response);
     }
--- a/crates/roseshore_adapters/src/lib.rs
+++ b/crates/roseshore_adapters/src/lib.rs
@@ -4,7 +4,7 @@
 //! that tells whether the call may have run.
 
 mod agent;
-pub mod call;
+mod call;
 pub mod clock;
 pub mod engine;
 pub mod peer;
--- a/crates/roseshore_adapters/src/service.rs
+++ b/crates/roseshore_adapters/src/service.rs
@@ -5,7 +5,7 @@
 //! be retried, but a call would be reported as "may have run" although it did not start. Each call
 //! therefore uses a new connection.
 
-use crate::agent::{PoolLimits, agent, call_error};
+use crate::agent::{PoolLimits, agent, call_error, invalid_request, response};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallContext, CallError, CallResult, ServiceReply, Services};
 use roseshore_wire::service::{
@@ -50,7 +50,7 @@
             .map_err(invalid_request)?;
         let request = self.pooled.configure_request(request);
         let reply = self.pooled.run(request.timeout_global(Some(remaining)).build());
-        read_reply(reply.map_err(call_error)?)
+        read_reply(response(reply)?)
     }
 
     fn call(
@@ -70,7 +70,7 @@
         }
         let request = self.unpooled.configure_request(request.body(body).map_err(invalid_request)?);
         let reply = self.unpooled.run(request.timeout_global(Some(remaining)).build());
-        let reply = read_reply(reply.map_err(call_error)?)?;
+        let reply = read_reply(response(reply)?)?;
         if is_not_run(&reply) {
             let body = String::from_utf8_lossy(&reply.body).into_owned();
             return Err(CallError::Refused(reply.status, None, body));
@@ -83,7 +83,7 @@
             Request::get(format!("http://{addr}/v1/load")).body(()).map_err(invalid_request)?;
         let request = self.pooled.configure_request(request);
         let reply = self.pooled.run(request.timeout_global(Some(limit)).build());
-        let reply = read_reply(reply.map_err(call_error)?)?;
+        let reply = read_reply(response(reply)?)?;
         serde_json::from_slice(&reply.body).map_err(|e| CallError::Garbled(e.to_string()))
     }
 }
@@ -130,8 +130,3 @@
     let said = serde_json::from_slice::<NotStarted>(&reply.body);
     reply.status == STATUS_UNAVAILABLE && said.is_ok_and(|u| u.not_run)
 }
-
-/// Converts the error of a request that could not be built, and so was not sent.
-fn invalid_request(error: ureq::http::Error) -> CallError {
-    CallError::Unreached(error.to_string())
-}
