A part of prompts acquits a request only until its next crash

Change: a request is blocked by all its crashes as soon as one of them is explained by no blocked part. Until then the part acquits it as before, since most requests that ran beside a fatal part are sound.

Measured: the new test, a fourth crash that nothing explains, did not block before.

--- a/crates/roseshore_core/src/gateway/fatal/attribution.rs
+++ b/crates/roseshore_core/src/gateway/fatal/attribution.rs
@@ -125,12 +125,16 @@
 pub(super) fn attribute(evidence: Vec<Evidence>, limits: CrashLimits) -> Vec<Block> {
     let (mut parts, mut requests): (Vec<Evidence>, Vec<Evidence>) =
         evidence.into_iter().partition(|evidence| evidence.suspect.is_part());
+    let unreduced = requests.clone();
     let mut blocks = Vec::new();
     let all_organisations = across_organisations(&parts);
     block_parts(all_organisations, true, limits, &mut blocks, &mut [&mut parts, &mut requests]);
     block_parts(parts, false, limits, &mut blocks, &mut [&mut requests]);
     drop_redundant(&mut blocks);
-    let blocked = requests.iter().filter(|evidence| evidence.exceeds(limits));
+    // A part acquits the requests that ran beside it, until one of them crashes a target that the
+    // part does not explain.
+    let unexplained = unreduced.iter().zip(&requests).filter(|(_, left)| !left.crashes.is_empty());
+    let blocked = unexplained.map(|(all, _)| all).filter(|all| all.exceeds(limits));
     let block = |it: &Evidence| Block::of(std::slice::from_ref(it), it, false);
     blocks.extend(blocked.filter_map(block));
     blocks
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -526,3 +526,26 @@
     }
     assert!(fatal.refused(&suspects("a", 9, &["f"]), now + ms(50)).is_none());
 }
+
+/// Guards against requests that go on crashing targets, since a part of the prompts beside which they
+/// ran explains their first crashes.
+#[test]
+fn a_request_acquitted_by_a_part_is_blocked_by_its_next_crash() {
+    let start = Instant::now();
+    let mut fatal = FatalRequests::new(start);
+    let own = suspects("a", 1, &["r"]);
+    let mut crash = |target, suspects: &Suspects, second| {
+        for suspect in suspects.all() {
+            fatal.record_crash(suspect, target, true, start + Duration::from_secs(second));
+        }
+        fatal.refused(&own, start + Duration::from_secs(second)).is_some()
+    };
+    for target in 1..=4 {
+        crash(target, &suspects("a", 10 + target, &["p"]), u64::from(target));
+    }
+    let beside = [1, 2, 3].map(|target| crash(target, &own, u64::from(target)));
+    assert_eq!(beside, [false; 3], "another request's part explains these");
+    assert!(crash(5, &own, 6), "nothing explains this one");
+    let sound = fatal.refused(&suspects("a", 2, &["r"]), start + Duration::from_secs(6));
+    assert!(sound.is_none(), "another request with the same part");
+}
