The number of hosts is not read anew with each blocked request

A change of the blocked requests makes a read of the hosts' records due, and with also at the first host of each data centre, which reads them for the number of hosts only: calls to the store that nobody needs (by reading, no run).

Change: that number has a time of its own.

--- a/crates/roseshore_relay/src/entry/own_records.rs
+++ b/crates/roseshore_relay/src/entry/own_records.rs
@@ -29,8 +29,8 @@
 pub(super) struct OwnRecords {
     /// When the records were last read, or could not be read.
     read_at: Option<Instant>,
-    /// Whether all records have been read once.
-    complete: bool,
+    /// When the number of hosts was last read.
+    counted_at: Option<Instant>,
     /// The number of hosts that was read; 0 for none.
     hosts: u16,
     /// Whether a call is in flight.
@@ -41,27 +41,22 @@
     recorded: Vec<Fingerprint>,
 }
 
-impl OwnRecords {
-    /// Whether the records were last read within this time.
-    fn read_within(&self, time: Duration, now: Instant) -> bool {
-        self.read_at.is_some_and(|at| now.saturating_duration_since(at) < time)
-    }
-}
-
 impl EntryHost {
     /// Starts to read the records when that is due, if this host reads the store for the others or
     /// is the first of its data centre.
     pub(super) fn sync_own_records(&mut self) {
         let now = self.now;
+        let within = |at: Option<Instant>, interval: Duration| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < interval)
+        };
         if self.own_records.in_flight
-            || self.own_records.read_within(READ_INTERVAL, now)
+            || within(self.own_records.read_at, READ_INTERVAL)
             || self.stopping_since.is_some()
             || self.store_sync.outage.is_down()
         {
             return;
         }
-        let counted =
-            self.own_records.complete && self.own_records.read_within(COUNT_INTERVAL, now);
+        let counted = within(self.own_records.counted_at, COUNT_INTERVAL);
         let counts = !counted && self.peers.rank_in_centre(now) == 0;
         if self.snapshot.is_none() || !(counts || self.peers.read_rank(now) == 0) {
             return;
@@ -99,7 +94,7 @@
         if self.own_records.last_key.is_some() {
             return self.read_own();
         }
-        self.own_records.complete = true;
+        self.own_records.counted_at = Some(self.now);
         self.peers.set_recorded_hosts(self.own_records.hosts);
         if self.peers.read_rank(self.now) == 0 {
             self.write_own();
