--- a/crates/roseshore_adapters/src/agent.rs
+++ b/crates/roseshore_adapters/src/agent.rs
@@ -83,6 +83,16 @@
     }
 }
 
+/// Like [`response`], for one that states where its body ends.
+pub(crate) fn delimited(outcome: Result<Response<Body>, Error>) -> CallResult<Response<Body>> {
+    let response = response(outcome)?;
+    let headers = response.headers();
+    if !headers.contains_key("content-length") && !headers.contains_key("transfer-encoding") {
+        return Err(CallError::Lost("the reply has no length".to_owned()));
+    }
+    Ok(response)
+}
+
 /// Converts the error of a request that could not be built, and so was not sent.
 pub(crate) fn invalid_request(error: ureq::http::Error) -> CallError {
     CallError::Unreached(error.to_string())
--- a/crates/roseshore_adapters/src/call.rs
+++ b/crates/roseshore_adapters/src/call.rs
@@ -4,7 +4,7 @@
 //! Only a connection that could not be opened guarantees that the request was not sent. A reply
 //! counts once it is complete, which a reply that ends with its connection never is.
 
-use crate::agent::{PoolLimits, agent, call_error, response};
+use crate::agent::{PoolLimits, agent, call_error, delimited};
 use roseshore_core::prelude::*;
 use roseshore_core::retry;
 use roseshore_ports::outside::{CallError, CallResult};
@@ -42,12 +42,8 @@
     let seconds = limit.as_millis().div_ceil(1000).max(1) as u64;
     let request = client.configure_request(request);
     let request = request.timeout_global(Some(Duration::from_secs(seconds))).build();
-    let mut response = response(client.run(request))?;
-    let headers = response.headers();
-    if !headers.contains_key("content-length") && !headers.contains_key("transfer-encoding") {
-        return Err(CallError::Lost("the reply has no length".to_owned()));
-    }
-    let retry_after = headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let mut response = delimited(client.run(request))?;
+    let retry_after = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
     let retry_after = retry_after.and_then(retry::parse_retry_after);
     let status = response.status().as_u16();
     let body = response.body_mut().with_config().limit(MAX_REPLY_BYTES).read_to_vec();
--- a/crates/roseshore_adapters/src/service.rs
+++ b/crates/roseshore_adapters/src/service.rs
@@ -5,7 +5,7 @@
 //! be retried, but a call would be reported as "may have run" although it did not start. Each call
 //! therefore uses a new connection.
 
-use crate::agent::{PoolLimits, agent, call_error, invalid_request, response};
+use crate::agent::{PoolLimits, agent, call_error, delimited, invalid_request};
 use roseshore_core::prelude::*;
 use roseshore_ports::outside::{CallContext, CallError, CallResult, ServiceReply, Services};
 use roseshore_wire::service::{
@@ -50,7 +50,7 @@
             .map_err(invalid_request)?;
         let request = self.pooled.configure_request(request);
         let reply = self.pooled.run(request.timeout_global(Some(remaining)).build());
-        read_reply(response(reply)?)
+        read_reply(delimited(reply)?)
     }
 
     fn call(
@@ -70,7 +70,7 @@
         }
         let request = self.unpooled.configure_request(request.body(body).map_err(invalid_request)?);
         let reply = self.unpooled.run(request.timeout_global(Some(remaining)).build());
-        let reply = read_reply(response(reply)?)?;
+        let reply = read_reply(delimited(reply)?)?;
         if is_not_run(&reply) {
             let body = String::from_utf8_lossy(&reply.body).into_owned();
             return Err(CallError::Refused(reply.status, None, body));
@@ -83,7 +83,7 @@
             Request::get(format!("http://{addr}/v1/load")).body(()).map_err(invalid_request)?;
         let request = self.pooled.configure_request(request);
         let reply = self.pooled.run(request.timeout_global(Some(limit)).build());
-        let reply = read_reply(response(reply)?)?;
+        let reply = read_reply(delimited(reply)?)?;
         serde_json::from_slice(&reply.body).map_err(|e| CallError::Garbled(e.to_string()))
     }
 }
@@ -116,9 +116,6 @@
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
     let content = text("content-type").to_owned();
     let replayed = text(REPLAYED) == "true";
-    if !headers.contains_key("content-length") && !headers.contains_key("transfer-encoding") {
-        return Err(CallError::Lost("the reply has no length".to_owned()));
-    }
     let status = reply.status().as_u16();
     let body =
         reply.body_mut().with_config().limit(MAX_BODY_BYTES).read_to_vec().map_err(call_error)?;
--- a/crates/roseshore_adapters/tests/service.rs
+++ b/crates/roseshore_adapters/tests/service.rs
@@ -275,9 +275,9 @@
         ["000 X", "001 X", "099 X", "101 X", "600 X", "666 X", "999 X", "0200 X", "0503 X", "20 X"];
     let mut replies: Vec<String> =
         lines.iter().map(|line| head(&format!("HTTP/1.1 {line}"), "")).collect();
-    for line in ["HTTQ/1.1 200 X", "HTTP/9.1 200 X", "HTTP/1.1 503"] {
-        replies.push(head(&line.replace("503", "5\u{1}3"), ""));
-    }
+    replies.extend(
+        ["HTTQ/1.1 200 X", "HTTP/9.1 200 X", "HTTP/1.1 5\u{1}3"].map(|line| head(line, "")),
+    );
     for field in ["na me: x", "na\u{1}me: x", "name: a\u{1}b", "name : x"] {
         replies.push(head("HTTP/1.1 503 X", &format!("{field}\r\n")));
     }
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -186,7 +186,7 @@
             send.phase = Phase::Head;
             return Step::Continue;
         }
-        let fault = if taken.is_err() { Some(Fault::Garbled) } else { None };
+        let fault = taken.is_err().then_some(Fault::Garbled);
         if let Some(fault) = fault.or(socket.ended.map(|_| Fault::Lost)) {
             self.send_failed(key, fault, None);
             return Step::Finished;
--- a/crates/roseshore_wire/src/http.rs
+++ b/crates/roseshore_wire/src/http.rs
@@ -2,8 +2,8 @@
 //!
 //! They check the form of status lines, field names and values. What they leave to their callers is
 //! decided here for every reader: which statuses a response may have, what white space is, and the
-//! lines of a chunked body. A message that breaks a rule is none: nothing of it is used, and what
-//! follows it on its connection cannot be told apart from it.
+//! lines of a chunked body. A message that breaks a rule is none: nothing of it is used, nor of what
+//! follows on its connection, as where it ends is not known.
 
 use std::ops::RangeInclusive;
 
