--- a/crates/roseshore_core/src/event.rs
+++ b/crates/roseshore_core/src/event.rs
@@ -80,6 +80,8 @@
     AnswerGivenUp = 216, Warn, "unfinished answers took too much memory, and the largest one was given up";
     CallerClosed = 217, Debug, "a host closed a caller's connection that the caller had not closed";
     RetriesLate = 218, Info, "retries may have arrived at their targets long after they were made";
+    CrashesDropped = 219, Info, "crashes no longer count against a request or a part of prompts: a run with it went well";
+    CrashNotFound = 220, Info, "an interrupted send does not count as a crash: none of its targets is known to have ended";
     RouteChosen = 301, Debug, "an answer was given a chain of targets";
     StageLost = 302, Warn, "a stage was lost in the middle of an answer";
     AnswerResumed = 303, Info, "an answer goes on over another chain";
--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -87,6 +87,9 @@
 /// Largest encoded size of a request's report without its crashes, and of each crash, in bytes.
 const REQUEST_BYTES: usize = 22;
 const CRASH_BYTES: usize = 9;
+/// Least number of crashes whose acquittal is reported: each crash of a target adds one to many
+/// suspects, and most of these succeed within a second.
+const MIN_REPORTED_DROPS: usize = 2;
 /// Shortest gap between heartbeats sent at once because of an early crash, instead of with the next
 /// regular ones; each heartbeat carries several reports.
 pub const MIN_URGENT_GAP: Duration = Duration::from_millis(50);
@@ -127,6 +130,9 @@
     Blocked,
     /// The suspect was blocked, and is no longer taken to crash targets.
     Cleared,
+    /// So many crashes, at least [`MIN_REPORTED_DROPS`], no longer count against a suspect that was
+    /// not blocked.
+    Dropped(usize),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -202,12 +208,12 @@
         new
     }
 
-    /// Drops crashes up to a completion. Returns whether there were any.
-    fn clear_before(&mut self, completed: Instant) -> bool {
+    /// Drops crashes up to a completion. Returns how many there were.
+    fn clear_before(&mut self, completed: Instant) -> usize {
         let before = self.crashes.len();
         self.crashes.retain(|crash| crash.at > completed);
         self.last_success = self.last_success.max(Some(completed));
-        self.crashes.len() < before
+        before - self.crashes.len()
     }
 
     /// Time of the latest crash or completion.
@@ -333,7 +339,8 @@
         let known = history.early_crashes();
         let outdated =
             completed.is_some_and(|completed| crashes.iter().any(|crash| crash.at <= completed));
-        let cleared = completed.is_some_and(|completed| history.clear_before(completed));
+        let dropped = completed.map_or(0, |completed| history.clear_before(completed));
+        let cleared = dropped > 0;
         let added = crashes.iter().filter(|crash| history.add_crash(**crash)).count();
         if added > 0 || cleared || outdated {
             history.changed = now;
@@ -347,6 +354,7 @@
             (true, false) => FatalChange::Cleared,
             _ if early > known => FatalChange::CrashedEarly,
             _ if added > 0 => FatalChange::Crashed,
+            _ if dropped >= MIN_REPORTED_DROPS => FatalChange::Dropped(dropped),
             _ => FatalChange::None,
         }
     }
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -115,13 +115,32 @@
                 self.record_crash(&broken, &id, hash);
             } else if broken.targets.iter().any(|(id, _)| self.is_unreachable(id)) {
                 // A machine or link failed, which is not the fault of the request.
+                self.log_no_crash(&broken, "unreachable");
             } else if now.saturating_duration_since(broken.at) < DIAGNOSIS_TIME {
                 waiting.push(broken);
+            } else {
+                self.log_no_crash(&broken, "alive");
             }
         }
         self.broken_sends.extend(waiting);
     }
 
+    /// Logs an interrupted send that does not count as a crash, and why.
+    fn log_no_crash(&mut self, broken: &BrokenSend, why: &str) {
+        let BrokenSend { suspects, attempt, parts, targets, early, at } = broken;
+        let ids: Vec<&str> = targets.iter().map(|(id, _)| id.as_str()).collect();
+        log_event!(
+            self,
+            CrashNotFound,
+            "request={attempt} fingerprint={} parts={} targets={} early={early} waited_ms={} \
+             why={why}",
+            suspects.request,
+            parts_text(parts),
+            ids.join(","),
+            self.now.saturating_duration_since(*at).as_millis()
+        );
+    }
+
     /// Checks the targets of interrupted sends again: the first check may have been skipped because
     /// it came too soon after another one.
     pub(super) fn recheck_broken(&mut self) {
@@ -157,19 +176,29 @@
     fn record_crash(&mut self, broken: &BrokenSend, id: &str, hash: TargetHash) {
         let BrokenSend { suspects, attempt, parts, early, at, .. } = broken;
         let change = self.fatal.record_crash(suspects.request, hash, *early, self.now);
+        self.apply_change(suspects.request, change, "own");
+        if *early {
+            self.record_part_crash(&suspects.parts, hash);
+        }
         log_event!(
             self,
             TargetEnded,
             "request={attempt} fingerprint={} parts={} target={id} early={early} ends={} \
-             known_after_ms={}",
+             part_ends={} known_after_ms={}",
             suspects.request,
             parts_text(parts),
             self.fatal.crashes(suspects.request),
+            self.crashes_text(&suspects.parts),
             self.now.saturating_duration_since(*at).as_millis()
         );
-        self.apply_change(suspects.request, change, "own");
-        if *early {
-            self.record_part_crash(&suspects.parts, hash);
+    }
+
+    /// The crashes that count against each of these parts, as text of a log line.
+    fn crashes_text(&self, parts: &[Fingerprint]) -> String {
+        let text = |part: &Fingerprint| format!("{part}:{}", self.fatal.crashes(*part));
+        match parts {
+            [] => "-".to_owned(),
+            _ => parts.iter().map(text).collect::<Vec<_>>().join(","),
         }
     }
 
@@ -251,6 +280,14 @@
             // Only speakers forward reports of other hosts.
             FatalChange::CrashedEarly if by == BY_PEER && !self.peers.speaking() => {}
             FatalChange::CrashedEarly => self.heartbeat_soon(),
+            FatalChange::Dropped(ends) => {
+                let part = fingerprint.is_part();
+                log_event!(
+                    self,
+                    CrashesDropped,
+                    "fingerprint={fingerprint} part={part} ends={ends} by={by}"
+                );
+            }
             FatalChange::Cleared => {
                 log_event!(self, RequestCleared, "fingerprint={fingerprint} by={by}");
                 self.own_records_changed();
