Each run counts by what became of its targets, whoever waited for it

Cause: a crash was looked for only where it interrupted the send that an exchange waited for. A caller that left, a complete response or another send that took over ended the exchange's interest, and with it the evidence; a complete response even cleared the part, unless other streams had shown the crash by chance.

Change: a run is remembered when its send is released, for whatever reason, and judged by its targets (`fatal::judge`, a pure function): it counts as a crash if one of them has ended, and as survived only once all of them were alive half a second after it. A kept connection, data, or a check shows that; checks are made only where nothing else does. Requests go by the same rule as parts. `entry/ended_runs.rs` takes over from broken sends and short runs. E207 names how the run ended (`run=`).

Not in tests: an engine that restarts in place after a complete response.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -29,7 +29,9 @@
 pub use history::SurvivalReport;
 use history::{Crash, Survivals, SuspectHistory};
 pub use record::{FatalRecord, RecordDiff};
-pub use run::{EARLY, Progress, Stage};
+pub use run::{
+    DIAGNOSIS_TIME, EARLY, OUTLIVED_AFTER, Progress, RunEnd, RunVerdict, Stage, TargetState, judge,
+};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -217,17 +219,18 @@
         }
     }
 
-    /// Records that a target crashed under a suspect at this host, when a run had got as far as
-    /// `stage`.
+    /// Records that a target crashed at `at` under a suspect at this host, when a run had got as far
+    /// as `stage`.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
         target: TargetHash,
         stage: Stage,
+        at: Instant,
         now: Instant,
     ) -> FatalChange {
         let survivals = self.recent_survivals(fingerprint);
-        self.update(fingerprint, &[Crash { target, stage, at: now }], &survivals, now)
+        self.update(fingerprint, &[Crash { target, stage, at }], &survivals, now)
     }
 
     /// Records that a run with a suspect got as far as a stage at this host.
--- a/crates/roseshore_core/src/gateway/fatal/run.rs
+++ b/crates/roseshore_core/src/gateway/fatal/run.rs
@@ -70,3 +70,78 @@
         Stage::after(self.ran(now))
     }
 }
+
+/// How a host stopped watching a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Its connection broke off.
+    Interrupted,
+    /// The host closed its connection, since its caller had left, its time was over, or another send
+    /// took its place.
+    Closed,
+    /// It got a complete response.
+    Completed,
+}
+
+impl RunEnd {
+    /// Value used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunEnd::Interrupted => "interrupted",
+            RunEnd::Closed => "closed",
+            RunEnd::Completed => "completed",
+        }
+    }
+}
+
+/// What is known of a target that a run used, since the run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// Its process has ended.
+    Ended,
+    /// Nothing answers at its address.
+    Unreachable,
+    /// Its process was alive after the run.
+    Alive,
+    /// None of this.
+    Unknown,
+}
+
+/// What a run shows about its suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunVerdict {
+    /// The target with this number, in order of the path, crashed under it.
+    Crashed(usize),
+    /// Its targets outlived it.
+    Survived,
+    /// Nothing; the text says why, for the log.
+    Inconclusive(&'static str),
+    /// It is too early to tell.
+    Undecided,
+}
+
+/// How long after a run that the host did not see break off its targets may crash under it.
+pub const OUTLIVED_AFTER: Duration = EARLY;
+/// Time to determine what became of a target: liveness checks of one target are 0.2 s apart, so there
+/// is time for three.
+pub const DIAGNOSIS_TIME: Duration = Duration::from_secs(1);
+
+/// Judges a run that ended `since` ago by the state of its targets. For a run that did not break off
+/// they count as alive only if they were so [`OUTLIVED_AFTER`] its end.
+pub fn judge(end: RunEnd, targets: &[TargetState], since: Duration) -> RunVerdict {
+    // Of several targets that crashed together, as in a rack, only one counts.
+    if let Some(ended) = targets.iter().position(|state| *state == TargetState::Ended) {
+        return RunVerdict::Crashed(ended);
+    }
+    let alive = targets.iter().all(|state| *state == TargetState::Alive);
+    let unreachable = targets.contains(&TargetState::Unreachable);
+    match end {
+        // A machine or link failed, which is not the fault of the request.
+        RunEnd::Interrupted if unreachable => RunVerdict::Inconclusive("unreachable"),
+        RunEnd::Interrupted if since >= DIAGNOSIS_TIME => RunVerdict::Inconclusive("alive"),
+        RunEnd::Completed if alive && since >= OUTLIVED_AFTER => RunVerdict::Survived,
+        RunEnd::Closed if alive && since >= OUTLIVED_AFTER => RunVerdict::Inconclusive("alive"),
+        _ if since >= OUTLIVED_AFTER + DIAGNOSIS_TIME => RunVerdict::Inconclusive("unknown"),
+        _ => RunVerdict::Undecided,
+    }
+}
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -3,7 +3,8 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::fatal::{
-    CrashReport, EARLY, FatalChange, FatalReport, Progress, REPORT_BYTES, Stage, SurvivalReport,
+    CrashReport, EARLY, FatalChange, FatalReport, Progress, REPORT_BYTES, RunEnd, RunVerdict,
+    Stage, SurvivalReport, TargetState, judge,
 };
 use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
@@ -55,7 +56,9 @@
         now = start + ms(at);
         let report = |ends, survived| FatalReport { fingerprint: request, ends, survived };
         match *step {
-            Step::Crash(_, target, early) => fatal.record_crash(request, target, stage(early), now),
+            Step::Crash(_, target, early) => {
+                fatal.record_crash(request, target, stage(early), now, now)
+            }
             Step::Done(_) => fatal.record_survival(request, Stage::COMPLETE, now),
             Step::Remote(_, target, age) => {
                 let crash = CrashReport { target, stage: Stage::BEGINNING, age };
@@ -205,7 +208,7 @@
     let now = Instant::now();
     let mut fatal = FatalRequests::new(now);
     for target in 1..=3 {
-        fatal.record_crash(print("guilty"), target, Stage::BEGINNING, now);
+        fatal.record_crash(print("guilty"), target, Stage::BEGINNING, now, now);
     }
     for n in 0..5_000_u32 {
         fatal.record_crash(
@@ -213,6 +216,7 @@
             3,
             Stage::BEGINNING,
             now + ms(u64::from(n)),
+            now + ms(u64::from(n)),
         );
     }
     // A moment at which it is the turn of the blocked requests again.
@@ -255,7 +259,7 @@
             let now = start + ms(step as u64 * 10);
             let due = |at: u64| at / 10 == step as u64;
             for (host, _, target, early) in crashes.iter().filter(|(_, at, ..)| due(*at)) {
-                hosts[*host].record_crash(print("a"), *target, stage(*early), now);
+                hosts[*host].record_crash(print("a"), *target, stage(*early), now, now);
             }
             if let Some((host, _)) = completed.filter(|(_, at)| due(*at)) {
                 hosts[host].record_survival(print("a"), Stage::COMPLETE, now);
@@ -299,7 +303,7 @@
     let mut known = FatalRequests::new(start);
     for n in 0..50 {
         for target in 1..=3 {
-            known.record_crash(print(&format!("r-{n}")), target, Stage::BEGINNING, start);
+            known.record_crash(print(&format!("r-{n}")), target, Stage::BEGINNING, start, start);
         }
     }
     let mut joined = FatalRequests::new(start);
@@ -346,9 +350,9 @@
         let start = Instant::now();
         let mut writer = FatalRequests::new(start);
         for target in 1..=3 {
-            writer.record_crash(print("a"), target, Stage::BEGINNING, start);
+            writer.record_crash(print("a"), target, Stage::BEGINNING, start, start);
         }
-        writer.record_crash(print("b"), 1, Stage::BEGINNING, start);
+        writer.record_crash(print("b"), 1, Stage::BEGINNING, start, start);
         let diff = writer.record_diff(&[], WALL, start);
         assert_eq!(diff.missing.len(), 1, "{}: only what is blocked", case.name);
         let record = &diff.missing[0];
@@ -506,7 +510,7 @@
             match *run {
                 Run::Crash(target, organisation, number, parts) => {
                     for suspect in suspects(organisation, number, parts).all() {
-                        fatal.record_crash(suspect, target, Stage::BEGINNING, now);
+                        fatal.record_crash(suspect, target, Stage::BEGINNING, now, now);
                     }
                 }
                 Run::Survive(organisation, parts) => {
@@ -537,7 +541,13 @@
     let mut fatal = FatalRequests::new(now);
     for target in 1..=4 {
         for suspect in suspects("a", target, &["f"]).all() {
-            fatal.record_crash(suspect, target, Stage::BEGINNING, now + ms(u64::from(target) * 5));
+            fatal.record_crash(
+                suspect,
+                target,
+                Stage::BEGINNING,
+                now + ms(u64::from(target) * 5),
+                now + ms(u64::from(target) * 5),
+            );
         }
     }
     assert!(fatal.refused(&suspects("a", 9, &["f"]), now + ms(50)).is_none());
@@ -557,6 +567,7 @@
                 target,
                 Stage::BEGINNING,
                 start + Duration::from_secs(second),
+                start + Duration::from_secs(second),
             );
         }
         fatal.refused(&own, start + Duration::from_secs(second)).is_some()
@@ -607,7 +618,7 @@
     for target in 0..4 {
         let now = start + ms(u64::from(target) * 1_000);
         fatal.record_survival(part, late, now);
-        fatal.record_crash(part, target, late, now + ms(200));
+        fatal.record_crash(part, target, late, now + ms(200), now + ms(200));
     }
     assert_eq!(fatal.crashes(part), 4, "runs that got as far as the crashes");
     let other = FatalReport {
@@ -618,3 +629,41 @@
     fatal.receive(&other, start + ms(3_500));
     assert_eq!(fatal.crashes(part), 0, "a longer run");
 }
+
+/// A run that ended some milliseconds ago, and what is known of its targets.
+struct JudgeCase {
+    name: &'static str,
+    end: RunEnd,
+    since: u64,
+    targets: &'static [TargetState],
+    verdict: RunVerdict,
+}
+
+#[test]
+fn a_run_is_judged_by_what_became_of_its_targets() {
+    use RunEnd::{Closed, Completed, Interrupted};
+    use TargetState::{Alive, Ended, Unknown, Unreachable};
+    let case =
+        |name, end, since, targets, verdict| JudgeCase { name, end, since, targets, verdict };
+    let cases = [
+        case("port closed", Interrupted, 1, &[Ended], RunVerdict::Crashed(0)),
+        case("a later target", Interrupted, 1, &[Unknown, Ended], RunVerdict::Crashed(1)),
+        case("no news", Interrupted, 300, &[Unknown], RunVerdict::Undecided),
+        case("caller left", Closed, 100, &[Ended], RunVerdict::Crashed(0)),
+        case("too soon", Completed, 100, &[Alive], RunVerdict::Undecided),
+        case("outlived", Completed, 600, &[Alive, Alive], RunVerdict::Survived),
+        case("not known of one", Completed, 600, &[Alive, Unknown], RunVerdict::Undecided),
+        case("never known", Completed, 9_000, &[Unknown], RunVerdict::Inconclusive("unknown")),
+        case(
+            "no sign of life",
+            Completed,
+            9_000,
+            &[Unreachable],
+            RunVerdict::Inconclusive("unknown"),
+        ),
+        case("closed and outlived", Closed, 600, &[Alive], RunVerdict::Inconclusive("alive")),
+    ];
+    for JudgeCase { name, end, since, targets, verdict } in cases {
+        assert_eq!(judge(end, targets, ms(since)), verdict, "{name}");
+    }
+}
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -322,7 +322,7 @@
         let lost: Vec<Run> = self.runs.extract_if(.., |run| run.engine == engine).collect();
         for run in &lost {
             for suspect in run.suspects(self.load.parts).all() {
-                let change = self.known.record_crash(suspect, target, run.stage(now), now);
+                let change = self.known.record_crash(suspect, target, run.stage(now), now, now);
                 self.newly_blocked |= change == FatalChange::Blocked;
             }
         }
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -8,6 +8,7 @@
 mod copies;
 mod demand;
 mod dispatch;
+mod ended_runs;
 mod exchange;
 mod fatal;
 mod heartbeats;
@@ -39,8 +40,8 @@
 use callers::Caller;
 use calls::Call;
 use demand::Demand;
+use ended_runs::EndedRuns;
 use exchange::Exchange;
-use fatal::{BrokenSend, ShortRun};
 use liveness::Liveness;
 use metrics_exporter_prometheus::PrometheusHandle;
 use own_records::OwnRecords;
@@ -197,10 +198,8 @@
     returns: Returns,
     caller_ages: CallerAges,
     fatal: FatalRequests,
-    /// Sends that were interrupted, until it is known whether their targets crashed.
-    broken_sends: Vec<BrokenSend>,
-    /// Runs that completed before they were beyond their beginning.
-    short_runs: Vec<ShortRun>,
+    /// Runs that have ended, until it is known whether their targets crashed.
+    ended_runs: EndedRuns,
     overload: Overload,
     /// New callers turned away since the last tick.
     turned_away: u32,
@@ -320,8 +319,7 @@
             returns: Returns::default(),
             caller_ages: CallerAges::default(),
             fatal: FatalRequests::new(now),
-            broken_sends: Vec::new(),
-            short_runs: Vec::new(),
+            ended_runs: EndedRuns::default(),
             overload: Overload::default(),
             turned_away: 0,
             no_room_at: None,
@@ -398,7 +396,7 @@
             self.fire_timers();
             self.exchange_reach();
             self.reroute_from_dead();
-            self.resolve_broken_sends();
+            self.resolve_interrupted();
             self.request_loans();
             self.send_urgent();
             if self.now.saturating_duration_since(self.last_tick) >= TICK_INTERVAL {
@@ -459,8 +457,7 @@
         self.update_placement();
         self.poll_paces();
         self.recheck_dead();
-        self.recheck_broken();
-        self.resolve_short_runs();
+        self.resolve_ended();
         self.fatal.expire(self.now);
         self.update_blocked_gauges();
         self.log_turned_away();
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends requests to targets.
 
 use super::choice::Choice;
+use super::ended_runs::RunSubject;
 use super::fatal::{ENDS_TARGETS, parts_text};
 use super::in_flight::InFlightSend;
 use super::probes::millis;
@@ -142,7 +143,13 @@
             self.net.account().buffer(Holder::Answers),
             self.now,
         );
-        exchange.send = Some(InFlightSend { incarnations, fills, slowdown, reused, ..send });
+        let subject = RunSubject {
+            suspects: exchange.suspects.clone(),
+            attempt: exchange.request_fields.attempt.clone(),
+            parts: exchange.request_fields.prompt_parts.clone(),
+        };
+        let send = InFlightSend { incarnations, subject, fills, slowdown, reused, ..send };
+        exchange.send = Some(send);
         self.roles.insert(socket, Role::Target(key));
         self.record_retry(key);
         log_event!(self, RouteChosen, "{text}");
@@ -184,7 +191,9 @@
 
     /// Closes a send that was removed from its request, like [`EntryHost::drop_send`]. A copy of the
     /// request that is still on its way would arrive late, so it is taken back.
-    pub(super) fn release_send(&mut self, send: InFlightSend, keep: bool) {
+    pub(super) fn release_send(&mut self, mut send: InFlightSend, keep: bool) {
+        let kept = keep && self.net.get(send.socket).is_some_and(|s| s.reusable());
+        self.remember_ended(&mut send, kept);
         for claim in &send.claims {
             self.targets.release(claim, send.sent_at, self.now);
         }
@@ -196,7 +205,7 @@
             self.pending_retries.settle(send.socket.to_number());
         }
         self.room_changed();
-        if keep && self.net.get(send.socket).is_some_and(|s| s.reusable()) {
+        if kept {
             self.keep_idle(send.socket, send.route);
         } else {
             self.abort(send.socket);
--- /dev/null
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -0,0 +1,221 @@
+//! Determines what became of the targets of a run that has ended.
+//!
+//! A run is the target's, not the caller's: whether a request crashes its targets shows in each of
+//! its runs, also where the caller has left, another send has taken its place, or the response is
+//! complete. So every run is remembered when its send is released, until it is known whether one of
+//! its targets crashed under it.
+//!
+//! The end of a connection does not show its cause: the target may have spoilt one response, a link
+//! may be down, or the target's process may have ended. The process has ended if the target's port
+//! resets a connection or the list of targets shows a new incarnation.
+
+use super::fatal::parts_text;
+use super::in_flight::InFlightSend;
+use super::{EntryHost, log_event};
+use crate::slab::Key;
+use roseshore_core::gateway::fatal::{
+    DIAGNOSIS_TIME, OUTLIVED_AFTER, RunEnd, RunVerdict, Stage, TargetState, judge,
+};
+use roseshore_core::gateway::peers::TargetHash;
+use roseshore_core::gateway::targets::{LivenessFailure, Target};
+use roseshore_core::gateway::{Fault, Fingerprint, Suspects};
+use roseshore_core::prelude::*;
+
+/// Most runs that are remembered: far more than end at a host within a second.
+const MAX_RUNS: usize = 8192;
+
+/// What a run may crash its targets with.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunSubject {
+    pub(super) suspects: Suspects,
+    /// Attempt id of the request, and the parts of its prompt, for the log.
+    pub(super) attempt: String,
+    pub(super) parts: Vec<PromptPartId>,
+}
+
+/// A run that has ended, until it is known what became of its targets.
+#[derive(Debug)]
+pub(super) struct EndedRun {
+    pub(super) subject: RunSubject,
+    /// Its targets, with their incarnations when it was sent.
+    targets: Vec<(TargetId, TargetHash)>,
+    /// How far it got.
+    pub(super) stage: Stage,
+    pub(super) end: RunEnd,
+    pub(super) at: Instant,
+    /// Its connection to the first target, if that was kept.
+    connection: Option<Key>,
+}
+
+/// The runs that have ended.
+#[derive(Debug, Default)]
+pub(super) struct EndedRuns {
+    /// Runs that broke off a moment ago.
+    interrupted: Vec<EndedRun>,
+    others: Vec<EndedRun>,
+}
+
+impl EntryHost {
+    /// Remembers a send that the fault of targets interrupts while its connection may stay open.
+    pub(super) fn remember_interrupted(&mut self, key: Key, culprits: &[TargetId]) {
+        let Some(send) = self.exchanges.get(key).and_then(|e| e.send.as_ref()) else { return };
+        let mut targets = send.incarnations.clone();
+        targets.retain(|(id, _)| culprits.contains(id));
+        let stage = send.progress.stage(self.now);
+        let (subject, end, at) = (send.subject.clone(), RunEnd::Interrupted, self.now);
+        self.remember_run(EndedRun { subject, targets, stage, end, at, connection: None });
+    }
+
+    /// Remembers the run of a send that is released. With `kept`, its connection stays open.
+    pub(super) fn remember_ended(&mut self, send: &mut InFlightSend, kept: bool) {
+        let Some(mut end) = send.end else { return };
+        let Some(socket) = self.net.get(send.socket).filter(|s| s.established()) else { return };
+        if end == RunEnd::Closed && socket.ended.is_some() {
+            end = RunEnd::Interrupted;
+        }
+        let run = EndedRun {
+            subject: std::mem::take(&mut send.subject),
+            targets: std::mem::take(&mut send.incarnations),
+            stage: send.progress.stage(self.now),
+            end,
+            at: self.now,
+            connection: kept.then_some(send.socket),
+        };
+        self.remember_run(run);
+    }
+
+    fn remember_run(&mut self, mut run: EndedRun) {
+        run.targets.retain(|(id, _)| !self.announced_leaving(id));
+        let EndedRuns { interrupted, others } = &mut self.ended_runs;
+        if run.targets.is_empty() || interrupted.len() + others.len() >= MAX_RUNS {
+            return;
+        }
+        match run.end {
+            RunEnd::Interrupted => interrupted.push(run),
+            RunEnd::Closed | RunEnd::Completed => others.push(run),
+        }
+    }
+
+    /// Number of runs of a request that broke off, and whose cause is not known yet.
+    pub(super) fn interrupted_runs(&self, request: Fingerprint) -> usize {
+        let same = |run: &&EndedRun| run.subject.suspects.request == request;
+        self.ended_runs.interrupted.iter().filter(same).count()
+    }
+
+    /// Determines what became of the targets of runs that broke off a moment ago.
+    pub(super) fn resolve_interrupted(&mut self) {
+        let runs = std::mem::take(&mut self.ended_runs.interrupted);
+        for run in runs {
+            let recent = self.now.saturating_duration_since(run.at) < DIAGNOSIS_TIME;
+            if let Some(run) = self.resolve(run) {
+                let EndedRuns { interrupted, others } = &mut self.ended_runs;
+                if recent { interrupted.push(run) } else { others.push(run) }
+            }
+        }
+    }
+
+    /// Determines what became of the targets of other runs, and checks the targets again that
+    /// nothing is known of: the first check may have been skipped because it came too soon after
+    /// another one.
+    pub(super) fn resolve_ended(&mut self) {
+        for run in std::mem::take(&mut self.ended_runs.others) {
+            if let Some(run) = self.resolve(run) {
+                self.ended_runs.others.push(run);
+            }
+        }
+        let EndedRuns { interrupted, others } = &self.ended_runs;
+        let due = |run: &&EndedRun| {
+            let since = self.now.saturating_duration_since(run.at);
+            since >= OUTLIVED_AFTER && since < OUTLIVED_AFTER + DIAGNOSIS_TIME
+        };
+        let others = others.iter().filter(due);
+        let unknown = |run: &EndedRun| {
+            let mut targets = run.targets.iter();
+            let unknown = targets
+                .find(|(id, hash)| self.target_state(run, id, *hash) == TargetState::Unknown);
+            unknown.map(|(id, _)| id.clone())
+        };
+        let mut ids: Vec<TargetId> = interrupted.iter().chain(others).filter_map(unknown).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        for id in ids {
+            self.check_alive(&id);
+        }
+    }
+
+    /// Records what a run shows; returns it if that is not known yet.
+    fn resolve(&mut self, run: EndedRun) -> Option<EndedRun> {
+        let state = |(id, hash): &(TargetId, TargetHash)| self.target_state(&run, id, *hash);
+        let states: Vec<TargetState> = run.targets.iter().map(state).collect();
+        match judge(run.end, &states, self.now.saturating_duration_since(run.at)) {
+            RunVerdict::Crashed(number) => {
+                let (id, hash) = run.targets[number].clone();
+                self.record_crash(&run, &id, hash);
+            }
+            RunVerdict::Survived => self.record_outlived(&run),
+            RunVerdict::Inconclusive(why) if run.end == RunEnd::Interrupted => {
+                self.log_no_crash(&run, why);
+            }
+            RunVerdict::Inconclusive(_) => {}
+            RunVerdict::Undecided => return Some(run),
+        }
+        None
+    }
+
+    /// What is known of a target since a run on it ended.
+    fn target_state(&self, run: &EndedRun, id: &TargetId, hash: TargetHash) -> TargetState {
+        if self.incarnation_ended(id, hash) {
+            return TargetState::Ended;
+        }
+        let outlived = run.end != RunEnd::Interrupted;
+        let kept = |key: Key| self.net.peek(key).is_some_and(|socket| socket.ended.is_none());
+        let first = run.targets.first().is_some_and(|(first, _)| first == id);
+        if outlived
+            && (self.targets.reached_since(id, run.at + OUTLIVED_AFTER)
+                || (first && run.connection.is_some_and(kept)))
+        {
+            return TargetState::Alive;
+        }
+        match self.targets.get(id).and_then(Target::liveness_failure) {
+            Some(LivenessFailure::Silent) => TargetState::Unreachable,
+            _ => TargetState::Unknown,
+        }
+    }
+
+    /// Logs an interrupted run that does not count as a crash, and why.
+    fn log_no_crash(&mut self, run: &EndedRun, why: &str) {
+        let RunSubject { suspects, attempt, parts } = &run.subject;
+        let ids: Vec<&str> = run.targets.iter().map(|(id, _)| id.as_str()).collect();
+        log_event!(
+            self,
+            CrashNotFound,
+            "request={attempt} fingerprint={} parts={} targets={} stage={} waited_ms={} why={why}",
+            suspects.request,
+            parts_text(parts),
+            ids.join(","),
+            run.stage,
+            self.now.saturating_duration_since(run.at).as_millis()
+        );
+    }
+
+    /// Whether a target said that it is leaving, so that its end is no crash.
+    fn announced_leaving(&self, id: &str) -> bool {
+        self.targets.get(id).is_none_or(|target| !target.is_available())
+    }
+
+    /// Whether the process of a target's incarnation has ended.
+    pub(super) fn incarnation_ended(&self, id: &str, hash: TargetHash) -> bool {
+        let Some(target) = self.targets.get(id) else { return false };
+        let another = self.targets.hash(id) != Some(hash);
+        another || target.liveness_failure() == Some(LivenessFailure::Reset)
+    }
+}
+
+/// How a run ends whose send failed; `None` if its target has not run it.
+pub(super) fn run_end(fault: Fault) -> Option<RunEnd> {
+    match fault {
+        Fault::Lost | Fault::Cut => Some(RunEnd::Interrupted),
+        Fault::NotSent | Fault::Refused => None,
+        Fault::Silent | Fault::Garbled | Fault::Failed => Some(RunEnd::Closed),
+    }
+}
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -1,78 +1,26 @@
 //! Detects requests and parts of prompts that make targets crash, and blocks them.
 //!
-//! An interrupted send does not show its cause: the target may have spoilt one response, a link may
-//! be down, or the target's process may have ended. Only the last counts against the request, so
-//! the cause is determined first: the process has ended if the target's port resets a connection or
-//! the list of targets shows a new incarnation.
+//! What counts is the end of a run, as [`ended_runs`](super::ended_runs) determines it, and how far
+//! runs got.
 
+use super::ended_runs::{EndedRun, RunSubject};
 use super::exchange::Exchange;
 use super::in_flight::InFlightSend;
 use super::{EntryHost, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::fatal::{EARLY, FatalChange, FatalReport, Refused, Stage};
+use roseshore_core::gateway::fatal::{
+    FatalChange, FatalReport, OUTLIVED_AFTER, Refused, RunEnd, Stage,
+};
 use roseshore_core::gateway::peers::TargetHash;
-use roseshore_core::gateway::targets::LivenessFailure;
-use roseshore_core::gateway::{Fault, Fingerprint, Suspects};
+use roseshore_core::gateway::{Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
-/// Time to determine whether a target crashed. Liveness checks of one target are 0.2 s apart, so
-/// there is time for three; a target takes seconds to restart.
-const DIAGNOSIS_TIME: Duration = Duration::from_secs(1);
 /// Parts of a prompt that a log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Value of `by` in a log line about a report of another host.
 pub(super) const BY_PEER: &str = "heard";
 
-/// An interrupted send, until it is known whether one of its targets crashed.
-#[derive(Debug)]
-pub(super) struct BrokenSend {
-    suspects: Suspects,
-    attempt: String,
-    /// The parts of its prompt, for the log.
-    parts: Vec<PromptPartId>,
-    /// The targets on its path, with their incarnations at that time.
-    targets: Vec<(TargetId, TargetHash)>,
-    /// How far the run had got.
-    stage: Stage,
-    at: Instant,
-}
-
-/// A run that completed before it was beyond its beginning, until it is known whether its targets
-/// outlived it.
-#[derive(Debug)]
-pub(super) struct ShortRun {
-    parts: Vec<Fingerprint>,
-    targets: Vec<(TargetId, TargetHash)>,
-    /// When it would have been beyond its beginning.
-    due: Instant,
-}
-
 impl EntryHost {
-    /// Remembers an interrupted send until it is known whether one of its targets crashed.
-    pub(super) fn remember_interrupted(&mut self, key: Key, fault: Fault, culprits: &[TargetId]) {
-        let Some(exchange) = self.exchanges.get(key) else { return };
-        let Some(send) = &exchange.send else { return };
-        let mut targets = send.incarnations.clone();
-        match fault {
-            Fault::Lost | Fault::Cut => {}
-            Fault::Silent => targets.retain(|(id, _)| culprits.contains(id)),
-            Fault::NotSent | Fault::Refused | Fault::Garbled | Fault::Failed => return,
-        }
-        targets.retain(|(id, _)| !self.announced_leaving(id));
-        if targets.is_empty() {
-            return;
-        }
-        let broken = BrokenSend {
-            suspects: exchange.suspects.clone(),
-            attempt: exchange.request_fields.attempt.clone(),
-            parts: exchange.request_fields.prompt_parts.clone(),
-            targets,
-            stage: send.progress.stage(self.now),
-            at: self.now,
-        };
-        self.broken_sends.push(broken);
-    }
-
     /// Whether a request has to wait, before it is sent again, until the cause of its interrupted
     /// sends is known: if a target crashed in each of them, one more crash blocks the request. A
     /// check takes milliseconds. Once a target has crashed while running the request, its runs that
@@ -80,8 +28,7 @@
     /// host learns of the last crash.
     pub(super) fn awaits_diagnosis(&self, exchange: &Exchange) -> bool {
         let request = exchange.suspects.request;
-        let broken = self.broken_sends.iter().filter(|b| b.suspects.request == request).count();
-        let pending = broken + self.early_runs(exchange);
+        let pending = self.interrupted_runs(request) + self.early_runs(exchange);
         pending > 0 && self.fatal.near_limit(request, pending)
     }
 
@@ -101,94 +48,25 @@
         self.exchanges.keys().into_iter().filter(same).count()
     }
 
-    /// Determines which interrupted sends failed because a target crashed.
-    pub(super) fn resolve_broken_sends(&mut self) {
-        if self.broken_sends.is_empty() {
-            return;
-        }
-        let now = self.now;
-        let mut waiting = Vec::new();
-        for broken in std::mem::take(&mut self.broken_sends) {
-            // Of several targets that crashed together, as in a rack, only one counts.
-            let ended = broken.targets.iter().find(|(id, hash)| self.incarnation_ended(id, *hash));
-            if let Some((id, hash)) = ended.cloned() {
-                self.record_crash(&broken, &id, hash);
-            } else if broken.targets.iter().any(|(id, _)| self.is_unreachable(id)) {
-                // A machine or link failed, which is not the fault of the request.
-                self.log_no_crash(&broken, "unreachable");
-            } else if now.saturating_duration_since(broken.at) < DIAGNOSIS_TIME {
-                waiting.push(broken);
-            } else {
-                self.log_no_crash(&broken, "alive");
-            }
-        }
-        self.broken_sends.extend(waiting);
-    }
-
-    /// Logs an interrupted send that does not count as a crash, and why.
-    fn log_no_crash(&mut self, broken: &BrokenSend, why: &str) {
-        let BrokenSend { suspects, attempt, parts, targets, stage, at } = broken;
-        let ids: Vec<&str> = targets.iter().map(|(id, _)| id.as_str()).collect();
-        log_event!(
-            self,
-            CrashNotFound,
-            "request={attempt} fingerprint={} parts={} targets={} stage={stage} waited_ms={} \
-             why={why}",
-            suspects.request,
-            parts_text(parts),
-            ids.join(","),
-            self.now.saturating_duration_since(*at).as_millis()
-        );
-    }
-
-    /// Checks the targets of interrupted sends again: the first check may have been skipped because
-    /// it came too soon after another one.
-    pub(super) fn recheck_broken(&mut self) {
-        let first = |broken: &BrokenSend| broken.targets.first().map(|(id, _)| id.clone());
-        let mut ids: Vec<TargetId> = self.broken_sends.iter().filter_map(first).collect();
-        ids.sort_unstable();
-        ids.dedup();
-        for id in ids {
-            self.check_alive(&id);
-        }
-    }
-
-    /// Whether a target said that it is leaving, so that its end is no crash.
-    fn announced_leaving(&self, id: &str) -> bool {
-        self.targets.get(id).is_none_or(|target| !target.is_available())
-    }
-
-    /// Whether the process of a target's incarnation has ended.
-    pub(super) fn incarnation_ended(&self, id: &str, hash: TargetHash) -> bool {
-        let Some(target) = self.targets.get(id) else { return false };
-        let another = self.targets.hash(id) != Some(hash);
-        another || target.liveness_failure() == Some(LivenessFailure::Reset)
-    }
-
-    /// Whether a target's machine does not answer at all, rather than resetting connections.
-    fn is_unreachable(&self, id: &str) -> bool {
-        self.targets
-            .get(id)
-            .is_some_and(|target| target.liveness_failure() == Some(LivenessFailure::Silent))
-    }
-
-    /// Records that a target crashed while it ran a request.
-    fn record_crash(&mut self, broken: &BrokenSend, id: &str, hash: TargetHash) {
-        let BrokenSend { suspects, attempt, parts, stage, at, .. } = broken;
+    /// Records that a target crashed under a run.
+    pub(super) fn record_crash(&mut self, run: &EndedRun, id: &str, hash: TargetHash) {
+        let (RunSubject { suspects, attempt, parts }, at) = (&run.subject, run.at);
         for suspect in suspects.all() {
-            let change = self.fatal.record_crash(suspect, hash, *stage, self.now);
+            let change = self.fatal.record_crash(suspect, hash, run.stage, at, self.now);
             self.apply_change(suspect, change, "own");
         }
         log_event!(
             self,
             TargetEnded,
-            "request={attempt} fingerprint={} parts={} target={id} stage={stage} ends={} \
+            "request={attempt} fingerprint={} parts={} target={id} stage={} run={} ends={} \
              part_ends={} known_after_ms={}",
             suspects.request,
             parts_text(parts),
+            run.stage,
+            run.end.name(),
             self.fatal.crashes(suspects.request),
             self.crashes_text(&suspects.parts),
-            self.now.saturating_duration_since(*at).as_millis()
+            self.now.saturating_duration_since(at).as_millis()
         );
     }
 
@@ -224,42 +102,22 @@
         }
     }
 
-    /// Records that a request got a complete response, so that it does not crash its targets. The
-    /// parts of its prompt may still do so if it was over sooner than they crash a target.
-    pub(super) fn record_completed(&mut self, key: Key) {
-        let now = self.now;
-        let Some(exchange) = self.exchanges.get(key) else { return };
-        let suspects = exchange.suspects.clone();
-        if let Some(send) = &exchange.send {
-            let stage = send.progress.stage(now);
-            if stage.is_beginning() && !suspects.parts.is_empty() {
-                let due = send.first_event.unwrap_or(now) + EARLY;
-                let mut targets = send.incarnations.clone();
-                targets.retain(|(id, _)| !self.announced_leaving(id));
-                self.short_runs.push(ShortRun { parts: suspects.parts, targets, due });
-            } else {
-                suspects.parts.into_iter().for_each(|part| self.record_survival(part, stage));
-            }
+    /// Marks that the send in flight got a complete response.
+    pub(super) fn mark_completed(&mut self, key: Key) {
+        let send = self.exchanges.get_mut(key).and_then(|exchange| exchange.send.as_mut());
+        if let Some(send) = send {
+            send.end = Some(RunEnd::Completed);
         }
-        self.record_survival(suspects.request, Stage::COMPLETE);
     }
 
-    /// Records the outcome of runs that completed before they were beyond their beginning.
-    pub(super) fn resolve_short_runs(&mut self) {
-        let now = self.now;
-        let due: Vec<ShortRun> = self.short_runs.extract_if(.., |run| run.due <= now).collect();
-        for run in due {
-            let ended = run.targets.iter().find(|(id, hash)| self.incarnation_ended(id, *hash));
-            let ended = ended.map(|(_, hash)| *hash);
-            for part in run.parts {
-                let Some(hash) = ended else {
-                    self.record_survival(part, Stage::after(EARLY));
-                    continue;
-                };
-                let change = self.fatal.record_crash(part, hash, Stage::BEGINNING, now);
-                self.apply_change(part, change, "own");
-            }
+    /// Records that targets outlived a run that got a complete response, so that its request does not
+    /// crash them, and the parts of its prompt not before the run's end.
+    pub(super) fn record_outlived(&mut self, run: &EndedRun) {
+        let RunSubject { suspects, .. } = &run.subject;
+        for part in &suspects.parts {
+            self.record_survival(*part, run.stage.max(Stage::after(OUTLIVED_AFTER)));
         }
+        self.record_survival(suspects.request, Stage::COMPLETE);
     }
 
     fn record_survival(&mut self, suspect: Fingerprint, stage: Stage) {
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -2,10 +2,11 @@
 
 use super::Route;
 use super::choice::Choice;
+use super::ended_runs::RunSubject;
 use crate::http::{BodyDecoder, ResponseHead};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
-use roseshore_core::gateway::fatal::{Progress, Stage};
+use roseshore_core::gateway::fatal::{Progress, RunEnd, Stage};
 use roseshore_core::gateway::memory::Buffer;
 use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::gateway::peers::TargetHash;
@@ -35,6 +36,10 @@
     pub(super) displaced: bool,
     /// When the first event arrived.
     pub(super) first_event: Option<Instant>,
+    /// What is at fault if a target crashes under it.
+    pub(super) subject: RunSubject,
+    /// How the run ends; `None` if its target has not run it.
+    pub(super) end: Option<RunEnd>,
     /// Progress of the run by its events, and the stage that it is recorded to have survived.
     pub(super) progress: Progress,
     pub(super) survived: Stage,
@@ -102,6 +107,8 @@
             resumed_at: None,
             displaced: false,
             first_event: None,
+            subject: RunSubject::default(),
+            end: Some(RunEnd::Closed),
             progress: Progress::default(),
             survived: Stage::BEGINNING,
             phase: Phase::Head,
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -264,7 +264,7 @@
         let target = send.target.clone();
         self.write_whole(key, head, &mut body);
         self.record_success(&target, key);
-        self.record_completed(key);
+        self.mark_completed(key);
         self.finish_exchange(key, head.keep_alive, head.status, "whole");
     }
 
@@ -470,7 +470,7 @@
         for target in &targets {
             self.record_success(target, key);
         }
-        self.record_completed(key);
+        self.mark_completed(key);
         self.finish_exchange(key, keep, 200, "whole");
         Step::Finished
     }
--- a/crates/roseshore_relay/src/entry/send_failure.rs
+++ b/crates/roseshore_relay/src/entry/send_failure.rs
@@ -1,5 +1,6 @@
 //! What follows a failed send: what is recorded of its targets, a retry or an error.
 
+use super::ended_runs::run_end;
 use super::exchange::SendFailure;
 use super::probes::millis;
 use super::relays::via_name;
@@ -30,8 +31,11 @@
         let now = self.now;
         let (refusal, evidence, evidence_text) = self.send_evidence(key, fault, &culprits);
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
-        let Some(send) = &exchange.send else { return };
         exchange.verdict = exchange.verdict.join(fault.verdict());
+        if let Some(send) = exchange.send.as_mut() {
+            send.end = run_end(fault);
+        }
+        let Some(send) = &exchange.send else { return };
         let waited = now.saturating_duration_since(send.sent_at).as_millis();
         let (first, via) = (send.target.clone(), send.route.via);
         let service = exchange.service.clone();
@@ -70,7 +74,9 @@
         }
         metrics::counter!("roseshore_sends_failed_total", "fault" => fault.name()).increment(1);
         log_event!(self, SendFailed, "{text}");
-        self.remember_interrupted(key, fault, &culprits);
+        if fault == Fault::Silent {
+            self.remember_interrupted(key, &culprits);
+        }
         if let Some(host) = via.filter(|_| fault == Fault::NotSent) {
             self.relay_failed(&first, host);
         }
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -571,6 +571,11 @@
         self.received
     }
 
+    /// Returns a connection to look at.
+    pub fn peek(&self, key: Key) -> Option<&Socket> {
+        self.sockets.get(key)
+    }
+
     /// A connection; `None` once it was closed.
     pub fn get(&mut self, key: Key) -> Option<&mut Socket> {
         self.sockets.get_mut(key)
--- a/crates/roseshore_relay/tests/heartbeats.rs
+++ b/crates/roseshore_relay/tests/heartbeats.rs
@@ -440,7 +440,13 @@
     /// the fatal request.
     fn crash_at_three_hosts(&mut self) {
         for n in 0..3 {
-            self.hosts[n].fatal.record_crash(fatal_request(), n as u32, Stage::BEGINNING, self.now);
+            self.hosts[n].fatal.record_crash(
+                fatal_request(),
+                n as u32,
+                Stage::BEGINNING,
+                self.now,
+                self.now,
+            );
         }
     }
 
@@ -448,7 +454,7 @@
     fn record_crash_at(&mut self, n: usize, request: Fingerprint, target: u32, early: bool) {
         let stage = if early { Stage::BEGINNING } else { Stage::after(EARLY) };
         let now = self.now;
-        if self.hosts[n].fatal.record_crash(request, target, stage, now)
+        if self.hosts[n].fatal.record_crash(request, target, stage, now, now)
             == FatalChange::CrashedEarly
         {
             self.hosts[n].urgent = true;
@@ -524,6 +530,7 @@
             n as u32,
             Stage::BEGINNING,
             cluster.now,
+            cluster.now,
         );
     }
     cluster.run(ms(5000));
