An interrupted run is kept until the list shows what became of its target

Cause: a crash was known only by a port that resets. Where a new process listens at the address by then, the check passes, and the evidence was dropped a second later: "not yet known" passed for "no crash". A target that had left the list counted as alive.

Change: an interrupted run stays undecided until data arrives from its target, or the list shows another incarnation, another target at the address, or no entry; six seconds at most, in which three writes of an entry are missed. A passed check decides nothing. The crash counts with the time of the interruption, so that later survivors acquit sound parts as before.

--- a/crates/roseshore_core/src/gateway/fatal/run.rs
+++ b/crates/roseshore_core/src/gateway/fatal/run.rs
@@ -122,10 +122,14 @@
 
 /// How long after a run that the host did not see break off its targets may crash under it.
 pub const OUTLIVED_AFTER: Duration = EARLY;
-/// Time to determine what became of a target: liveness checks of one target are 0.2 s apart, so there
-/// is time for three.
+/// Time in which checks determine what became of a target: those of one target are 0.2 s apart, so
+/// there is time for three. A target that starts again at once answers them as before.
 pub const DIAGNOSIS_TIME: Duration = Duration::from_secs(1);
 
+/// Time after which the list of targets shows that a target has ended: it writes its entry each 1.2 s,
+/// and the entry lapses when three writes are missing.
+const LISTED_AFTER: Duration = Duration::from_secs(6);
+
 /// Judges a run that ended `since` ago by the state of its targets. For a run that did not break off
 /// they count as alive only if they were so [`OUTLIVED_AFTER`] its end.
 pub fn judge(end: RunEnd, targets: &[TargetState], since: Duration) -> RunVerdict {
@@ -138,7 +142,8 @@
     match end {
         // A machine or link failed, which is not the fault of the request.
         RunEnd::Interrupted if unreachable => RunVerdict::Inconclusive("unreachable"),
-        RunEnd::Interrupted if since >= DIAGNOSIS_TIME => RunVerdict::Inconclusive("alive"),
+        RunEnd::Interrupted if alive => RunVerdict::Inconclusive("alive"),
+        RunEnd::Interrupted if since < LISTED_AFTER => RunVerdict::Undecided,
         RunEnd::Completed if alive && since >= OUTLIVED_AFTER => RunVerdict::Survived,
         RunEnd::Closed if alive && since >= OUTLIVED_AFTER => RunVerdict::Inconclusive("alive"),
         _ if since >= OUTLIVED_AFTER + DIAGNOSIS_TIME => RunVerdict::Inconclusive("unknown"),
--- a/crates/roseshore_core/src/gateway/targets.rs
+++ b/crates/roseshore_core/src/gateway/targets.rs
@@ -122,6 +122,13 @@
         self.all.values().find(listens).map(|t| &t.record.id)
     }
 
+    /// Whether a target is no longer listed, or another one has taken its address.
+    pub fn is_gone(&self, id: &str) -> bool {
+        let Some(target) = self.all.get(id) else { return true };
+        let follows = |other: &Target| other.record.addr == target.record.addr && !other.foreign;
+        target.replaced || self.all.values().any(|t| t.record.id != id && follows(t))
+    }
+
     /// Number of known targets, including those that are missing from the list but still kept.
     pub fn len(&self) -> usize {
         self.all.len()
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -648,7 +648,10 @@
     let cases = [
         case("port closed", Interrupted, 1, &[Ended], RunVerdict::Crashed(0)),
         case("a later target", Interrupted, 1, &[Unknown, Ended], RunVerdict::Crashed(1)),
-        case("no news", Interrupted, 300, &[Unknown], RunVerdict::Undecided),
+        case("no news", Interrupted, 3_000, &[Unknown], RunVerdict::Undecided),
+        case("no news at all", Interrupted, 9_000, &[Unknown], RunVerdict::Inconclusive("unknown")),
+        case("data since", Interrupted, 200, &[Alive], RunVerdict::Inconclusive("alive")),
+        case("of one", Interrupted, 200, &[Alive, Unknown], RunVerdict::Undecided),
         case("caller left", Closed, 100, &[Ended], RunVerdict::Crashed(0)),
         case("too soon", Completed, 100, &[Alive], RunVerdict::Undecided),
         case("outlived", Completed, 600, &[Alive, Alive], RunVerdict::Survived),
--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -7,7 +7,9 @@
 //!
 //! The end of a connection does not show its cause: the target may have spoilt one response, a link
 //! may be down, or the target's process may have ended. The process has ended if the target's port
-//! resets a connection or the list of targets shows a new incarnation.
+//! resets a connection, or if the list of targets shows a new incarnation, another target at its
+//! address, or no longer shows it. As long as neither that nor data from the target tells, the run
+//! stays undecided.
 
 use super::fatal::parts_text;
 use super::in_flight::InFlightSend;
@@ -24,6 +26,9 @@
 /// Most runs that are remembered: far more than end at a host within a second.
 const MAX_RUNS: usize = 8192;
 
+/// How long after the end of a run data may still be read that its target had sent before.
+const READ_LATE: Duration = Duration::from_millis(100);
+
 /// What a run may crash its targets with.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RunSubject {
@@ -164,16 +169,21 @@
 
     /// What is known of a target since a run on it ended.
     fn target_state(&self, run: &EndedRun, id: &TargetId, hash: TargetHash) -> TargetState {
-        if self.incarnation_ended(id, hash) {
+        let interrupted = run.end == RunEnd::Interrupted;
+        // One that was listed when the run broke off has not left by its own decision.
+        if self.incarnation_ended(id, hash) || (interrupted && self.targets.is_gone(id)) {
             return TargetState::Ended;
         }
-        let outlived = run.end != RunEnd::Interrupted;
         let kept = |key: Key| self.net.peek(key).is_some_and(|socket| socket.ended.is_none());
         let first = run.targets.first().is_some_and(|(first, _)| first == id);
-        if outlived
-            && (self.targets.reached_since(id, run.at + OUTLIVED_AFTER)
-                || (first && run.connection.is_some_and(kept)))
-        {
+        let alive = if interrupted {
+            // A passed check shows only that something listens at the address.
+            self.targets.suspects(std::slice::from_ref(id), run.at + READ_LATE).is_empty()
+        } else {
+            self.targets.reached_since(id, run.at + OUTLIVED_AFTER)
+                || (first && run.connection.is_some_and(kept))
+        };
+        if alive {
             return TargetState::Alive;
         }
         match self.targets.get(id).and_then(Target::liveness_failure) {
