Machines that fall silent one after the other count against a part

Cause: a target that nothing answers for was put down to its machine or a link, whenever and how often that happened, and the run was forgotten at once.

Change: after a second of silence the run counts as a crash of its own kind, which is never an early one, so that it takes five; and those within two seconds of each other count once, since a cut or a host's own link silences many. A target that another host reaches has only lost its link and does not count. Survivors acquit as of other crashes.

Core test: five at once, two cuts, four in series, and a survivor between do not block; five in series do.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -97,7 +97,7 @@
 /// Largest encoded size of a suspect's report without its crashes and survivals, and of each crash
 /// and survival, in bytes.
 const REQUEST_BYTES: usize = 17;
-const CRASH_BYTES: usize = 9;
+const CRASH_BYTES: usize = 10;
 const SURVIVAL_BYTES: usize = 6;
 /// Least number of crashes whose acquittal is reported: each crash of a target adds one to many
 /// suspects, and most of these succeed within a second.
@@ -113,6 +113,8 @@
     pub target: TargetHash,
     /// How far the request had got there.
     pub stage: Stage,
+    /// Whether its machine fell silent, rather than its process ending.
+    pub silent: bool,
     /// Time since the crash in milliseconds, rounded up so that a report does not grow younger when
     /// it is forwarded.
     pub age: u32,
@@ -229,8 +231,24 @@
         at: Instant,
         now: Instant,
     ) -> FatalChange {
+        self.record(fingerprint, Crash { target, stage, silent: false, at }, now)
+    }
+
+    /// Like [`FatalRequests::record_crash`], for a target whose machine fell silent.
+    pub fn record_silence(
+        &mut self,
+        fingerprint: Fingerprint,
+        target: TargetHash,
+        stage: Stage,
+        at: Instant,
+        now: Instant,
+    ) -> FatalChange {
+        self.record(fingerprint, Crash { target, stage, silent: true, at }, now)
+    }
+
+    fn record(&mut self, fingerprint: Fingerprint, crash: Crash, now: Instant) -> FatalChange {
         let survivals = self.recent_survivals(fingerprint);
-        self.update(fingerprint, &[Crash { target, stage, at }], &survivals, now)
+        self.update(fingerprint, &[crash], &survivals, now)
     }
 
     /// Records that a run with a suspect got as far as a stage at this host.
@@ -268,7 +286,8 @@
         let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_RETENTION;
         let crash = |crash: &CrashReport| {
             let at = placed(crash.age).filter(recent)?;
-            Some(Crash { target: crash.target, stage: crash.stage, at })
+            let CrashReport { target, stage, silent, .. } = *crash;
+            Some(Crash { target, stage, silent, at })
         };
         let crashes: Vec<Crash> = report.ends.iter().filter_map(crash).collect();
         if crashes.is_empty() && !self.suspects.contains_key(&report.fingerprint) {
--- a/crates/roseshore_core/src/gateway/fatal/attribution.rs
+++ b/crates/roseshore_core/src/gateway/fatal/attribution.rs
@@ -19,6 +19,8 @@
 
 /// Crashes of several targets that are less than this apart may have one cause outside of them.
 const TOGETHER: Duration = Duration::from_millis(30);
+/// The same for machines that fall silent, which is noticed when requests wait for them.
+const SILENT_TOGETHER: Duration = Duration::from_secs(2);
 
 /// What is known of one suspect.
 #[derive(Clone, Debug)]
@@ -77,25 +79,17 @@
 impl Evidence {
     /// Number of crashes where a run had hardly begun.
     fn early(&self) -> usize {
-        self.count(|crash| crash.stage.is_beginning())
+        self.count(Crash::is_early)
     }
 
-    /// Number of crashes of a kind. For a part, targets that crash together count once: many
-    /// requests with a common part may run on a rack that fails.
+    /// Number of crashes of a kind. Targets that crash together count once where they may have done
+    /// so for one reason: machines that fall silent, as behind a cut; and for a part, as many
+    /// requests with it may run on a rack that fails.
     fn count(&self, counts: impl Fn(&Crash) -> bool) -> usize {
-        let counted = self.crashes.iter().filter(|crash| counts(crash));
-        if !self.suspect.is_part() {
-            return counted.count();
-        }
-        let mut times: Vec<Instant> = counted.map(|crash| crash.at).collect();
-        times.sort_unstable();
-        let mut counted: Option<Instant> = None;
-        let apart = |at: &Instant| {
-            let new = counted.is_none_or(|last| at.saturating_duration_since(last) >= TOGETHER);
-            counted = if new { Some(*at) } else { counted };
-            new
-        };
-        times.into_iter().filter(apart).count()
+        let (silent, ended): (Vec<&Crash>, Vec<&Crash>) =
+            self.crashes.iter().filter(|crash| counts(crash)).partition(|crash| crash.silent);
+        let ended = if self.suspect.is_part() { apart(ended, TOGETHER) } else { ended.len() };
+        ended + apart(silent, SILENT_TOGETHER)
     }
 
     fn exceeds(&self, limits: CrashLimits) -> bool {
@@ -132,6 +126,18 @@
     }
 }
 
+/// Number of crashes, those within `window` of the first of them counted once.
+fn apart(mut crashes: Vec<&Crash>, window: Duration) -> usize {
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let mut counted: Option<Instant> = None;
+    let new = |crash: &&Crash| {
+        let new = counted.is_none_or(|last| crash.at.saturating_duration_since(last) >= window);
+        counted = if new { Some(crash.at) } else { counted };
+        new
+    };
+    crashes.into_iter().filter(new).count()
+}
+
 /// Whether two reports are about the same crash of a target.
 pub(super) fn same_crash(a: &Crash, b: &Crash) -> bool {
     let gap = a.at.max(b.at).saturating_duration_since(a.at.min(b.at));
--- a/crates/roseshore_core/src/gateway/fatal/history.rs
+++ b/crates/roseshore_core/src/gateway/fatal/history.rs
@@ -17,9 +17,18 @@
     pub(super) target: TargetHash,
     /// How far the run had got there.
     pub(super) stage: Stage,
+    /// Whether its machine fell silent, rather than its process ending.
+    pub(super) silent: bool,
     pub(super) at: Instant,
 }
 
+impl Crash {
+    /// Whether a process ended when the run had hardly begun.
+    pub(super) fn is_early(&self) -> bool {
+        self.stage.is_beginning() && !self.silent
+    }
+}
+
 /// A run that got as far as a stage, in a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SurvivalReport {
@@ -87,7 +96,7 @@
     }
 
     pub(super) fn early_crashes(&self) -> usize {
-        self.crashes.iter().filter(|crash| crash.stage.is_beginning()).count()
+        self.crashes.iter().filter(|crash| crash.is_early()).count()
     }
 
     /// Adds a crash. Returns whether it is new. Of two runs on the same target, the one that had got
@@ -101,8 +110,9 @@
             self.crashes.push(crash);
             return true;
         };
-        let new = crash.stage < known.stage;
+        let new = crash.stage < known.stage || (known.silent && !crash.silent);
         known.stage = known.stage.min(crash.stage);
+        known.silent &= crash.silent;
         new
     }
 
@@ -124,11 +134,12 @@
     pub(super) fn report(&self, fingerprint: Fingerprint, now: Instant) -> FatalReport {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32 + 1;
         let mut crashes = self.crashes.clone();
-        crashes.sort_unstable_by_key(|crash| (crash.stage, Reverse(crash.at)));
+        crashes.sort_unstable_by_key(|crash| (!crash.is_early(), crash.stage, Reverse(crash.at)));
         crashes.truncate(MAX_CRASHES_REPORTED);
         let crash = |crash: &Crash| CrashReport {
             target: crash.target,
             stage: crash.stage,
+            silent: crash.silent,
             age: age(crash.at),
         };
         FatalReport {
--- a/crates/roseshore_core/src/gateway/fatal/run.rs
+++ b/crates/roseshore_core/src/gateway/fatal/run.rs
@@ -112,6 +112,8 @@
 pub enum RunVerdict {
     /// The target with this number, in order of the path, crashed under it.
     Crashed(usize),
+    /// The machine of the target with this number fell silent under it.
+    FellSilent(usize),
     /// Its targets outlived it.
     Survived,
     /// Nothing; the text says why, for the log.
@@ -138,10 +140,11 @@
         return RunVerdict::Crashed(ended);
     }
     let alive = targets.iter().all(|state| *state == TargetState::Alive);
-    let unreachable = targets.contains(&TargetState::Unreachable);
+    let silent = targets.iter().position(|state| *state == TargetState::Unreachable);
+    if let Some(silent) = silent.filter(|_| end == RunEnd::Interrupted && since >= DIAGNOSIS_TIME) {
+        return RunVerdict::FellSilent(silent);
+    }
     match end {
-        // A machine or link failed, which is not the fault of the request.
-        RunEnd::Interrupted if unreachable => RunVerdict::Inconclusive("unreachable"),
         RunEnd::Interrupted if alive => RunVerdict::Inconclusive("alive"),
         RunEnd::Interrupted if since < LISTED_AFTER => RunVerdict::Undecided,
         RunEnd::Completed if alive && since >= OUTLIVED_AFTER => RunVerdict::Survived,
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -61,7 +61,7 @@
             }
             Step::Done(_) => fatal.record_survival(request, Stage::COMPLETE, now),
             Step::Remote(_, target, age) => {
-                let crash = CrashReport { target, stage: Stage::BEGINNING, age };
+                let crash = CrashReport { target, stage: Stage::BEGINNING, silent: false, age };
                 fatal.receive(&report(vec![crash], vec![]), now)
             }
             Step::RemoteDone(_, age) => fatal.receive(&report(vec![], completed(age)), now),
@@ -197,7 +197,7 @@
     let again = start + ms(3_000);
     fatal.record_survival(known, Stage::COMPLETE, again);
     // A crash before the second success, which another host reports late.
-    let crash = CrashReport { target: crashed, stage: Stage::BEGINNING, age: 1_000 };
+    let crash = CrashReport { target: crashed, stage: Stage::BEGINNING, silent: false, age: 1_000 };
     let report = FatalReport { fingerprint: known, ends: vec![crash], survived: vec![] };
     fatal.receive(&report, again + ms(500));
     assert_eq!(fatal.crashes(known), 0);
@@ -651,6 +651,8 @@
         case("no news", Interrupted, 3_000, &[Unknown], RunVerdict::Undecided),
         case("no news at all", Interrupted, 9_000, &[Unknown], RunVerdict::Inconclusive("unknown")),
         case("data since", Interrupted, 200, &[Alive], RunVerdict::Inconclusive("alive")),
+        case("silent a moment", Interrupted, 300, &[Unreachable], RunVerdict::Undecided),
+        case("silent", Interrupted, 1_000, &[Unreachable], RunVerdict::FellSilent(0)),
         case("of one", Interrupted, 200, &[Alive, Unknown], RunVerdict::Undecided),
         case("caller left", Closed, 100, &[Ended], RunVerdict::Crashed(0)),
         case("too soon", Completed, 100, &[Alive], RunVerdict::Undecided),
@@ -670,3 +672,39 @@
         assert_eq!(judge(end, targets, ms(since)), verdict, "{name}");
     }
 }
+
+/// When machines fall silent under a part, in milliseconds, and whether that blocks it.
+struct SilentCase {
+    name: &'static str,
+    at: &'static [u64],
+    /// When a run with the part outlives them.
+    survived: Option<u64>,
+    blocked: bool,
+}
+
+#[test]
+fn machines_that_fall_silent_block_a_part_only_one_after_the_other() {
+    const SERIES: &[u64] = &[0, 3_000, 6_000, 9_000, 12_000];
+    let case = |name, at, survived, blocked| SilentCase { name, at, survived, blocked };
+    let cases = [
+        case("one after the other", SERIES, None, true),
+        case("four of them", &SERIES[..4], None, false),
+        case("all at once, as behind a cut", &[0, 200, 400, 900, 1_200, 1_900], None, false),
+        case("two cuts", &[0, 200, 400, 20_000, 20_200, 20_400], None, false),
+        case("a run outlives some", SERIES, Some(7_000), false),
+    ];
+    for SilentCase { name, at, survived, blocked } in cases {
+        let start = Instant::now();
+        let part = Fingerprint::of_part(Some("acme"), "model", "p");
+        let mut fatal = FatalRequests::new(start);
+        for (target, at) in (0_u32..).zip(at) {
+            let now = start + ms(*at);
+            fatal.record_silence(part, target, Stage::BEGINNING, now, now);
+            if survived.is_some_and(|after| (*at..*at + 3_000).contains(&after)) {
+                fatal.record_survival(part, stage(false), now + ms(1_000));
+            }
+        }
+        let end = start + ms(*at.last().expect("there are some"));
+        assert_eq!(fatal.blocked(part, end).is_some(), blocked, "{name}");
+    }
+}
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -61,6 +61,8 @@
     /// Mean time between random failures, and how many engines fail together.
     every: Duration,
     together: usize,
+    /// Whether these fall silent, as behind a cut.
+    silent: bool,
     parts: FatalParts,
 }
 
@@ -255,7 +257,7 @@
         if self.random.random::<f64>() < chance {
             for _ in 0..self.load.together {
                 let engine = self.random.random_range(0..ENGINES);
-                self.crash(engine);
+                self.crash(engine, self.load.silent);
             }
         }
     }
@@ -290,7 +292,7 @@
                     Some(part) => self.part_crashes[part].push(now),
                     None => self.crashed[run.request as usize] += 1,
                 }
-                self.crash(run.engine);
+                self.crash(run.engine, false);
             }
         }
     }
@@ -311,7 +313,7 @@
     }
 
     /// Crashes an engine with all that runs there.
-    fn crash(&mut self, engine: usize) {
+    fn crash(&mut self, engine: usize, silent: bool) {
         let now = self.now;
         if self.restarting_until[engine].is_some_and(|until| now < until) {
             return;
@@ -322,7 +324,12 @@
         let lost: Vec<Run> = self.runs.extract_if(.., |run| run.engine == engine).collect();
         for run in &lost {
             for suspect in run.suspects(self.load.parts).all() {
-                let change = self.known.record_crash(suspect, target, run.stage(now), now, now);
+                let stage = run.stage(now);
+                let change = if silent {
+                    self.known.record_silence(suspect, target, stage, now, now)
+                } else {
+                    self.known.record_crash(suspect, target, stage, now, now)
+                };
                 self.newly_blocked |= change == FatalChange::Blocked;
             }
         }
@@ -366,6 +373,7 @@
         crashes_after: EARLY_CRASH,
         every: Duration::from_secs(every),
         together,
+        silent: false,
         parts: NO_PARTS,
     };
     let slow = Load { crashes_after: LATE_CRASH, ..load("slow to crash them", 3, 3600, 1) };
@@ -435,6 +443,8 @@
     failures: (u64, usize),
     /// How long after its first event a request with a fatal part crashes its engine.
     crashes_after: Duration,
+    /// Whether engines that fail fall silent.
+    silent: bool,
     max_crashed: f64,
 }
 
@@ -449,6 +459,7 @@
         parts,
         failures,
         crashes_after: EARLY_CRASH,
+        silent: false,
         max_crashed: MAX_CRASHED,
     };
     let cases = [
@@ -467,14 +478,25 @@
         case("beside racks that fail", second, (10, 4)),
         case("racks alone", none, (5, 4)),
         case("single failures alone", none, (1, 1)),
+        PartCase { silent: true, ..case("cuts alone", none, (5, 6)) },
+        PartCase { silent: true, ..case("single machines that fall silent alone", none, (2, 1)) },
     ];
-    for PartCase { name, parts, failures: (every, together), crashes_after, max_crashed } in cases {
+    for case in cases {
+        let PartCase {
+            name,
+            parts,
+            failures: (every, together),
+            crashes_after,
+            silent,
+            max_crashed,
+        } = case;
         let load = Load {
             name,
             fatal: 0,
             crashes_after,
             every: Duration::from_secs(every),
             together,
+            silent,
             parts,
         };
         let before = play_parts(Load { parts: FatalParts { known: false, ..parts }, ..load });
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -301,7 +301,12 @@
 /// The longest report of a request under which targets crash.
 fn largest_report(digest: u64, crashes: usize) -> FatalReport {
     let fingerprint = Fingerprint { organisation: u32::MAX, digest };
-    let crash = |n| CrashReport { target: u32::MAX - n, stage: Stage::COMPLETE, age: 600_000 };
+    let crash = |n| CrashReport {
+        target: u32::MAX - n,
+        stage: Stage::COMPLETE,
+        silent: true,
+        age: 600_000,
+    };
     let survived = vec![SurvivalReport { stage: Stage::COMPLETE, age: 600_000 }; 2];
     FatalReport { fingerprint, ends: (0..crashes as u32).map(crash).collect(), survived }
 }
--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -155,7 +155,11 @@
         match judge(run.end, &states, self.now.saturating_duration_since(run.at)) {
             RunVerdict::Crashed(number) => {
                 let (id, hash) = run.targets[number].clone();
-                self.record_crash(&run, &id, hash);
+                self.record_crash(&run, &id, hash, false);
+            }
+            RunVerdict::FellSilent(number) => {
+                let (id, hash) = run.targets[number].clone();
+                self.record_crash(&run, &id, hash, true);
             }
             RunVerdict::Survived => self.record_outlived(&run),
             RunVerdict::Inconclusive(why) if run.end == RunEnd::Interrupted => {
@@ -186,9 +190,14 @@
         if alive {
             return TargetState::Alive;
         }
-        match self.targets.get(id).and_then(Target::liveness_failure) {
-            Some(LivenessFailure::Silent) => TargetState::Unreachable,
-            _ => TargetState::Unknown,
+        // A target that another host reaches has only lost its link to this one.
+        let silent = |target: &Target| {
+            target.liveness_failure() == Some(LivenessFailure::Silent) && target.relay().is_none()
+        };
+        if self.targets.get(id).is_some_and(silent) {
+            TargetState::Unreachable
+        } else {
+            TargetState::Unknown
         }
     }
 
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -48,17 +48,28 @@
         self.exchanges.keys().into_iter().filter(same).count()
     }
 
-    /// Records that a target crashed under a run.
-    pub(super) fn record_crash(&mut self, run: &EndedRun, id: &str, hash: TargetHash) {
+    /// Records that a target crashed under a run, or its machine fell silent.
+    pub(super) fn record_crash(
+        &mut self,
+        run: &EndedRun,
+        id: &str,
+        hash: TargetHash,
+        silent: bool,
+    ) {
         let (RunSubject { suspects, attempt, parts }, at) = (&run.subject, run.at);
         for suspect in suspects.all() {
-            let change = self.fatal.record_crash(suspect, hash, run.stage, at, self.now);
+            let change = if silent {
+                self.fatal.record_silence(suspect, hash, run.stage, at, self.now)
+            } else {
+                self.fatal.record_crash(suspect, hash, run.stage, at, self.now)
+            };
             self.apply_change(suspect, change, "own");
         }
         log_event!(
             self,
             TargetEnded,
-            "request={attempt} fingerprint={} parts={} target={id} stage={} run={} ends={} \
+            "request={attempt} fingerprint={} parts={} target={id} silent={silent} stage={} run={} \
+             ends={} \
              part_ends={} known_after_ms={}",
             suspects.request,
             parts_text(parts),
