The last part of a prompt and those behind the eighth count as suspects

What callers saw: a part that crashes its engines is never blocked if it is the last one of its prompts, as those of a session share it, or has eight others before it.

Cause: the last part was taken for the request's own, and only the first eight of the others were considered. What crashed under a part that is no suspect was put down to the parts beside it.

Change: the last part is a suspect like the others; where it is the request's own, the request explains as much, and stands for it as before. Its survivals are remembered only while crashes count against it, since most last parts are seen once. Up to 32 parts beside it are considered; the limit on the size of a request's head bounds them before.

In the core tests the last part was the same in all requests, which would be a session's; it is the request's own now.

--- a/crates/roseshore_core/src/gateway/fingerprint.rs
+++ b/crates/roseshore_core/src/gateway/fingerprint.rs
@@ -15,7 +15,7 @@
 /// Marks the digests of prompt parts, so that they differ from those of requests.
 const PART_BIT: u64 = 1;
 /// Number of shared parts of a prompt that are considered.
-const MAX_PARTS: usize = 8;
+const MAX_PARTS: usize = 32;
 
 /// Identifies a request by its caller, path and body, or a part of a prompt by its caller, model
 /// and id. The organisation is stored beside the digest, not only hashed into it: a caller that
@@ -84,30 +84,33 @@
 pub struct Suspects {
     /// The request as a whole.
     pub request: Fingerprint,
-    /// The parts of its prompt that other requests may have as well.
+    /// The parts of its prompt that other requests have as well.
     pub parts: Vec<Fingerprint>,
+    /// The last part, which is the request's own or that of its session.
+    pub last: Option<Fingerprint>,
 }
 
 impl Suspects {
-    /// The suspects of a request for a model. The last part of a prompt is the request's own, so
-    /// the request stands for it.
+    /// The suspects of a request for a model.
     pub fn new(
         request: Fingerprint,
         organisation: Option<&str>,
         model: &str,
         parts: &[PromptPartId],
     ) -> Suspects {
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let part = |id: &PromptPartId| Fingerprint::of_part(organisation, model, id);
-        let mut parts: Vec<Fingerprint> = shared.iter().take(MAX_PARTS).map(part).collect();
+        let (last, shared) = parts.split_last().unzip();
+        let last = last.map(part);
+        let shared = shared.unwrap_or_default().iter().take(MAX_PARTS).map(part);
+        let mut parts: Vec<Fingerprint> = shared.filter(|shared| Some(*shared) != last).collect();
         parts.sort_unstable();
         parts.dedup();
-        Suspects { request, parts }
+        Suspects { request, parts, last }
     }
 
     /// All of them.
     pub fn all(&self) -> impl Iterator<Item = Fingerprint> {
-        std::iter::once(self.request).chain(self.parts.iter().copied())
+        std::iter::once(self.request).chain(self.parts.iter().copied()).chain(self.last)
     }
 }
 
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -390,7 +390,8 @@
 
 fn suspects(organisation: &str, number: u32, parts: &[&str]) -> Suspects {
     let request = Fingerprint::of(Some(organisation), &[&number.to_le_bytes()]);
-    let ids: Vec<String> = parts.iter().chain(&["own"]).map(|id| (*id).to_owned()).collect();
+    let own = format!("own-{number}");
+    let ids: Vec<String> = parts.iter().chain(&[own.as_str()]).map(|id| (*id).to_owned()).collect();
     Suspects::new(request, Some(organisation), "model", &ids)
 }
 
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -76,18 +76,17 @@
             run.stage,
             run.end.name(),
             self.fatal.crashes(suspects.request),
-            self.crashes_text(&suspects.parts),
+            self.crashes_text(suspects),
             self.now.saturating_duration_since(at).as_millis()
         );
     }
 
-    /// The crashes that count against each of these parts, as text of a log line.
-    fn crashes_text(&self, parts: &[Fingerprint]) -> String {
-        let text = |part: &Fingerprint| format!("{part}:{}", self.fatal.crashes(*part));
-        match parts {
-            [] => "-".to_owned(),
-            _ => parts.iter().map(text).collect::<Vec<_>>().join(","),
-        }
+    /// The crashes that count against each part of a prompt, as text of a log line.
+    fn crashes_text(&self, suspects: &Suspects) -> String {
+        let parts = suspects.parts.iter().copied().chain(suspects.last);
+        let text = |part: Fingerprint| format!("{part}:{}", self.fatal.crashes(part));
+        let texts: Vec<String> = parts.map(text).collect();
+        if texts.is_empty() { "-".to_owned() } else { texts.join(",") }
     }
 
     /// Applies what another host or a record in the store reports about a suspect.
@@ -108,7 +107,15 @@
             return;
         }
         send.survived = stage;
-        for part in exchange.suspects.parts.clone() {
+        let suspects = exchange.suspects.clone();
+        self.record_survival_of_parts(&suspects, stage);
+    }
+
+    /// Records how far a run with these parts got. Most last parts are of one request only and are
+    /// not remembered for it.
+    fn record_survival_of_parts(&mut self, suspects: &Suspects, stage: Stage) {
+        let last = suspects.last.filter(|last| self.fatal.crashes(*last) > 0);
+        for part in suspects.parts.iter().copied().chain(last) {
             self.record_survival(part, stage);
         }
     }
@@ -125,9 +132,7 @@
     /// crash them, and the parts of its prompt not before the run's end.
     pub(super) fn record_outlived(&mut self, run: &EndedRun) {
         let RunSubject { suspects, .. } = &run.subject;
-        for part in &suspects.parts {
-            self.record_survival(*part, run.stage.max(Stage::after(OUTLIVED_AFTER)));
-        }
+        self.record_survival_of_parts(suspects, run.stage.max(Stage::after(OUTLIVED_AFTER)));
         self.record_survival(suspects.request, Stage::COMPLETE);
     }
 
