Crashes at targets that another host reaches count against a part

Cause: only the host that a request came to looked for the crash, by its own checks, which its lost link leaves unanswered. The host that relayed saw the target's connection end and told of nothing but that.

Change: a relaying host checks the target whose side of a tunnel has ended, and reports as ever that it fails. An interrupted run that went through another host counts as a crash of its first target if others report that one down.

--- a/crates/roseshore_core/src/gateway/targets/target.rs
+++ b/crates/roseshore_core/src/gateway/targets/target.rs
@@ -270,6 +270,11 @@
         !self.record.draining && !self.replaced && !self.foreign && !self.availability.leaving
     }
 
+    /// Whether other hosts report that it fails their liveness checks.
+    pub fn is_reported_down(&self) -> bool {
+        self.remote_load.down
+    }
+
     /// Whether this host's own experience and the liveness checks of all hosts allow new work.
     pub fn is_healthy(&self, now: Instant) -> bool {
         !self.is_down() && self.health.usable(now, self.in_flight)
--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -50,6 +50,8 @@
     pub(super) at: Instant,
     /// Its connection to the first target, if that was kept.
     connection: Option<Key>,
+    /// Whether it reached its first target through another host.
+    relayed: bool,
 }
 
 /// The runs that have ended.
@@ -68,7 +70,8 @@
         targets.retain(|(id, _)| culprits.contains(id));
         let stage = send.progress.stage(self.now);
         let (subject, end, at) = (send.subject.clone(), RunEnd::Interrupted, self.now);
-        self.remember_run(EndedRun { subject, targets, stage, end, at, connection: None });
+        let relayed = send.route.via.is_some();
+        self.remember_run(EndedRun { subject, targets, stage, end, at, connection: None, relayed });
     }
 
     /// Remembers the run of a send that is released. With `kept`, its connection stays open.
@@ -85,6 +88,7 @@
             end,
             at: self.now,
             connection: kept.then_some(send.socket),
+            relayed: send.route.via.is_some(),
         };
         self.remember_run(run);
     }
@@ -174,12 +178,16 @@
     /// What is known of a target since a run on it ended.
     fn target_state(&self, run: &EndedRun, id: &TargetId, hash: TargetHash) -> TargetState {
         let interrupted = run.end == RunEnd::Interrupted;
+        let first = run.targets.first().is_some_and(|(first, _)| first == id);
+        // Only the host that relayed to a target, and checks it when that has ended, sees its port.
+        let relayed = first && run.relayed;
+        let relay_lost = relayed && self.targets.get(id).is_some_and(Target::is_reported_down);
         // One that was listed when the run broke off has not left by its own decision.
-        if self.incarnation_ended(id, hash) || (interrupted && self.targets.is_gone(id)) {
+        let gone = interrupted && (relay_lost || self.targets.is_gone(id));
+        if gone || self.incarnation_ended(id, hash) {
             return TargetState::Ended;
         }
         let kept = |key: Key| self.net.peek(key).is_some_and(|socket| socket.ended.is_none());
-        let first = run.targets.first().is_some_and(|(first, _)| first == id);
         let alive = if interrupted {
             // A passed check shows only that something listens at the address.
             self.targets.suspects(std::slice::from_ref(id), run.at + READ_LATE).is_empty()
--- a/crates/roseshore_relay/src/entry/relays.rs
+++ b/crates/roseshore_relay/src/entry/relays.rs
@@ -364,6 +364,10 @@
         }
         let host_ended = self.net.get(host).is_none_or(|side| side.ended.is_some());
         let target_ended = self.net.get(target).is_none_or(|side| side.ended.is_some());
+        if target_ended && !host_ended {
+            // The other host cannot see whether the target has crashed.
+            self.check_alive(&id);
+        }
         if host_ended || target_ended {
             self.end_tunnel(key);
         }
