Targets are checked for ended runs only where that may tell something

Cause: checks the targets of each run that ended without breaking off, unless something else shows that they outlived it.

Change: checks are made for runs that had hardly begun, and for those whose request or parts have crashes held against them. A longer run without any shows nothing that is asked.

--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -135,7 +135,8 @@
         let EndedRuns { interrupted, others } = &self.ended_runs;
         let due = |run: &&EndedRun| {
             let since = self.now.saturating_duration_since(run.at);
-            since >= OUTLIVED_AFTER && since < OUTLIVED_AFTER + DIAGNOSIS_TIME
+            (OUTLIVED_AFTER..OUTLIVED_AFTER + DIAGNOSIS_TIME).contains(&since)
+                && self.is_worth_a_check(run)
         };
         let others = others.iter().filter(due);
         let unknown = |run: &EndedRun| {
@@ -152,6 +153,13 @@
         }
     }
 
+    /// Whether targets are checked for a run that did not break off, if nothing else shows that they
+    /// outlived it: if it was short, or something is held against its suspects.
+    fn is_worth_a_check(&self, run: &EndedRun) -> bool {
+        let crashes = |suspect| self.fatal.crashes(suspect) > 0;
+        run.stage.is_beginning() || run.subject.suspects.all().any(crashes)
+    }
+
     /// Records what a run shows; returns it if that is not known yet.
     fn resolve(&mut self, run: EndedRun) -> Option<EndedRun> {
         let state = |(id, hash): &(TargetId, TargetHash)| self.target_state(&run, id, *hash);
