A host that stood still does not count known crashes again

Cause: a report says how long ago a crash was when it was sent. A host that is stopped reads it seconds later and places the crash that much too late. Crashes of one target count as one within two seconds, so each came again as a new one, and went on to all other hosts from there.

Change: reports are merged with the earliest moment at which they may have arrived, which the event loop knows. A crash is the same as a known one if it may be by that, and survivals count from the earliest time.

Evidence: `crashes_that_are_reported_again_to_a_host_that_stood_still_count_once`: four in place of two where the time of reading passes for that of arrival, as before; a later crash of the same target still counts.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -248,7 +248,7 @@
 
     fn record(&mut self, fingerprint: Fingerprint, crash: Crash, now: Instant) -> FatalChange {
         let survivals = self.recent_survivals(fingerprint);
-        self.update(fingerprint, &[crash], &survivals, now)
+        self.update(fingerprint, &[crash], Duration::ZERO, &survivals, now)
     }
 
     /// Records that a run with a suspect got as far as a stage at this host.
@@ -262,7 +262,7 @@
         if !self.suspects.contains_key(&fingerprint) {
             return FatalChange::None;
         }
-        self.update(fingerprint, &[], &self.recent_survivals(fingerprint), now)
+        self.update(fingerprint, &[], Duration::ZERO, &self.recent_survivals(fingerprint), now)
     }
 
     fn remember_survival(&mut self, fingerprint: Fingerprint, stage: Stage, now: Instant) {
@@ -280,8 +280,9 @@
         }
     }
 
-    /// Merges a report from another host.
-    pub fn receive(&mut self, report: &FatalReport, now: Instant) -> FatalChange {
+    /// Merges a report from another host, which has arrived since `arrived`: a host that stood still
+    /// reads it later.
+    pub fn receive(&mut self, report: &FatalReport, arrived: Instant, now: Instant) -> FatalChange {
         let placed = |age: u32| now.checked_sub(Duration::from_millis(u64::from(age)));
         let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_RETENTION;
         let crash = |crash: &CrashReport| {
@@ -294,12 +295,13 @@
             return FatalChange::None;
         }
         let mut survivals = self.recent_survivals(report.fingerprint);
+        let unread = now.saturating_duration_since(arrived);
         for SurvivalReport { stage, age } in &report.survived {
-            if let Some(at) = placed(*age) {
+            if let Some(at) = placed(*age).and_then(|at| at.checked_sub(unread)) {
                 survivals.add(*stage, at);
             }
         }
-        self.update(report.fingerprint, &crashes, &survivals, now)
+        self.update(report.fingerprint, &crashes, unread, &survivals, now)
     }
 
     /// How far runs with the suspect got at this host recently.
@@ -311,6 +313,7 @@
         &mut self,
         fingerprint: Fingerprint,
         crashes: &[Crash],
+        earlier: Duration,
         survivals: &Survivals,
         now: Instant,
     ) -> FatalChange {
@@ -322,7 +325,7 @@
         let outdated = crashes.iter().any(|crash| survivals.acquit(crash));
         let dropped = history.add_survivals(survivals);
         let cleared = dropped > 0;
-        let added = crashes.iter().filter(|crash| history.add_crash(**crash)).count();
+        let added = crashes.iter().filter(|crash| history.add_crash(**crash, earlier)).count();
         if added > 0 || cleared || outdated {
             history.changed = now;
         }
--- a/crates/roseshore_core/src/gateway/fatal/attribution.rs
+++ b/crates/roseshore_core/src/gateway/fatal/attribution.rs
@@ -140,8 +140,14 @@
 
 /// Whether two reports are about the same crash of a target.
 pub(super) fn same_crash(a: &Crash, b: &Crash) -> bool {
+    same_crash_within(a, b, SAME_CRASH_WINDOW)
+}
+
+/// Whether two reports are about the same crash of a target, if their times may differ by less than
+/// `window` then.
+pub(super) fn same_crash_within(a: &Crash, b: &Crash, window: Duration) -> bool {
     let gap = a.at.max(b.at).saturating_duration_since(a.at.min(b.at));
-    a.target == b.target && gap < SAME_CRASH_WINDOW
+    a.target == b.target && gap < window
 }
 
 /// Attributes crashes to suspects.
--- a/crates/roseshore_core/src/gateway/fatal/history.rs
+++ b/crates/roseshore_core/src/gateway/fatal/history.rs
@@ -1,7 +1,7 @@
 //! What is known of one suspect: the crashes under it, and the runs that survived.
 
 use super::run::Stage;
-use super::{CrashReport, FatalReport, MAX_CRASHES_REPORTED, attribution};
+use super::{CrashReport, FatalReport, MAX_CRASHES_REPORTED, SAME_CRASH_WINDOW, attribution};
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::hashes::TargetHash;
 use crate::prelude::*;
@@ -99,13 +99,14 @@
         self.crashes.iter().filter(|crash| crash.is_early()).count()
     }
 
-    /// Adds a crash. Returns whether it is new. Of two runs on the same target, the one that had got
-    /// less far counts.
-    pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
+    /// Adds a crash that is known to have occurred at its time or up to `earlier` before. Returns
+    /// whether it is new. Of two runs on the same target, the one that had got less far counts.
+    pub(super) fn add_crash(&mut self, crash: Crash, earlier: Duration) -> bool {
         if self.survivals.acquit(&crash) {
             return false;
         }
-        let same = |known: &&mut Crash| attribution::same_crash(known, &crash);
+        let window = SAME_CRASH_WINDOW + earlier;
+        let same = |known: &&mut Crash| attribution::same_crash_within(known, &crash, window);
         let Some(known) = self.crashes.iter_mut().find(same) else {
             self.crashes.push(crash);
             return true;
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -62,9 +62,9 @@
             Step::Done(_) => fatal.record_survival(request, Stage::COMPLETE, now),
             Step::Remote(_, target, age) => {
                 let crash = CrashReport { target, stage: Stage::BEGINNING, silent: false, age };
-                fatal.receive(&report(vec![crash], vec![]), now)
+                fatal.receive(&report(vec![crash], vec![]), now, now)
             }
-            Step::RemoteDone(_, age) => fatal.receive(&report(vec![], completed(age)), now),
+            Step::RemoteDone(_, age) => fatal.receive(&report(vec![], completed(age)), now, now),
         };
         fatal.expire(now);
     }
@@ -199,7 +199,7 @@
     // A crash before the second success, which another host reports late.
     let crash = CrashReport { target: crashed, stage: Stage::BEGINNING, silent: false, age: 1_000 };
     let report = FatalReport { fingerprint: known, ends: vec![crash], survived: vec![] };
-    fatal.receive(&report, again + ms(500));
+    fatal.receive(&report, again + ms(500), again + ms(500));
     assert_eq!(fatal.crashes(known), 0);
 }
 
@@ -269,7 +269,7 @@
                 in_transit.extend(reports.map(|report| (now + ms(transmission.delay), transmission.to, report)));
             }
             for (_, to, report) in in_transit.extract_if(.., |(at, ..)| *at <= now) {
-                hosts[to].receive(&report, now);
+                hosts[to].receive(&report, now, now);
             }
         }
         // From here on every report gets through.
@@ -279,7 +279,7 @@
             for from in 0..4 {
                 for report in hosts[from].reports(now) {
                     for to in (0..4).filter(|to| *to != from) {
-                        hosts[to].receive(&report, now + ms(5));
+                        hosts[to].receive(&report, now + ms(5), now + ms(5));
                     }
                 }
             }
@@ -311,7 +311,7 @@
     for step in 0..200 {
         let now = start + ms(5_000 + step * 100);
         for report in known.reports(now) {
-            let change = joined.receive(&report, now);
+            let change = joined.receive(&report, now, now);
             changes += usize::from(matches!(change, FatalChange::Blocked));
         }
     }
@@ -364,7 +364,7 @@
             reader.record_survival(print("a"), Stage::COMPLETE, now);
         }
         let wall = WALL.saturating_add_signed(case.later * 1000);
-        reader.receive(&record.aged(wall), now);
+        reader.receive(&record.aged(wall), now, now);
         assert_eq!(reader.blocked(print("a"), now).is_some(), case.blocked, "{}", case.name);
         let outdated = reader.record_diff(&[print("a")], wall, now).outdated;
         assert_eq!(outdated.is_empty(), case.blocked, "{}", case.name);
@@ -627,7 +627,7 @@
         ends: vec![],
         survived: vec![SurvivalReport { stage: Stage::after(ms(1_200)), age: 1 }],
     };
-    fatal.receive(&other, start + ms(3_500));
+    fatal.receive(&other, start + ms(3_500), start + ms(3_500));
     assert_eq!(fatal.crashes(part), 0, "a longer run");
 }
 
@@ -709,3 +709,42 @@
         assert_eq!(fatal.blocked(part, end).is_some(), blocked, "{name}");
     }
 }
+
+/// Reports of two crashes that a host reads again after it stood still, and the crashes that it
+/// counts then.
+struct UnreadCase {
+    name: &'static str,
+    /// How long it stood still.
+    unread: u64,
+    /// When the targets crash again, if they do.
+    again: Option<u64>,
+    counted: usize,
+}
+
+#[test]
+fn crashes_that_are_reported_again_to_a_host_that_stood_still_count_once() {
+    let case = |name, unread, again, counted| UnreadCase { name, unread, again, counted };
+    let cases = [
+        case("read at once", 0, None, 2),
+        case("read after three seconds", 3_000, None, 2),
+        case("and crashed again", 3_000, Some(9_000), 4),
+    ];
+    for UnreadCase { name, unread, again, counted } in cases {
+        let start = Instant::now();
+        let crash =
+            |target, age| CrashReport { target, stage: Stage::BEGINNING, silent: false, age };
+        let report = |age| FatalReport {
+            fingerprint: print("a"),
+            ends: vec![crash(1, age), crash(2, age)],
+            survived: vec![],
+        };
+        let mut fatal = FatalRequests::new(start);
+        fatal.receive(&report(10), start, start);
+        let arrived = start + ms(200);
+        fatal.receive(&report(210), arrived, arrived + ms(unread));
+        if let Some(at) = again {
+            fatal.receive(&report(10), start + ms(at), start + ms(at));
+        }
+        assert_eq!(fatal.crashes(print("a")), counted, "{name}");
+    }
+}
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -91,7 +91,7 @@
 
     /// Applies what another host or a record in the store reports about a suspect.
     pub(super) fn apply_fatal_report(&mut self, report: &FatalReport, by: &str) {
-        let change = self.fatal.receive(report, self.now);
+        let change = self.fatal.receive(report, self.earliest_arrival, self.now);
         self.apply_change(report.fingerprint, change, by);
     }
 
--- a/crates/roseshore_relay/tests/heartbeats.rs
+++ b/crates/roseshore_relay/tests/heartbeats.rs
@@ -172,7 +172,7 @@
             };
             let config = beat.config;
             for note in &beat.fatal {
-                match host.fatal.receive(note, at) {
+                match host.fatal.receive(note, at, at) {
                     FatalChange::Blocked => host.peers.make_due(true),
                     FatalChange::CrashedEarly => host.urgent |= host.peers.speaking(),
                     FatalChange::None
