--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # A soak of real daemons under faults drawn from seeds.
-#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|services|stops|links|engines|retries|scarce|all]
+#   scripts/soak.sh [--seed N] [--seeds N] [--minutes M] [--size HOSTS] [--kind faults|silence|services|stops|links|engines|retries|scarce|parts|all]
 # Each seed runs with all faults, with frozen targets and changes of the configuration, with whole services frozen,
 # with hosts that are stopped in turn, with silent links to engines, with frozen engines, and with engines that fail a
-# part of their requests beside frozen engines and disturbed hosts, with many and with too few retries, or with one of
-# these.
+# part of their requests beside frozen engines and disturbed hosts, with many and with too few retries, with requests
+# whose prompts have a part that crashes engines, or with one of these.
 # ROSESHORE_SOAK_KEEP=1 keeps the logs of seeds that pass as well.
 # --minutes is the time of faults of each seed. A seed that fails prints its own command and where its logs are.
 set -euo pipefail
@@ -33,6 +33,7 @@
   engines) tests=promises_are_kept_while_engines_are_frozen ;;
   retries) tests=promises_are_kept_while_engines_fail_requests ;;
   scarce) tests=promises_are_kept_while_retries_are_scarce ;;
+  parts) tests=promises_are_kept_while_a_part_of_prompts_crashes_engines ;;
   links) tests=promises_are_kept_while_links_are_silent ;;
   stops) tests=promises_are_kept_while_hosts_are_stopped ;;
   all) tests=promises_are_kept ;;
