A report names the latest survivals of a suspect

Cause: since a report has the two survivals that got furthest. For a popular part these are old, and the later, shorter one that acquits it of the newest crash was left out, so other hosts kept that crash until a run of their own got as far. Found by reading.

Change: the three latest ones are reported; earlier ones got further and acquit of older crashes, as one that is later and got further displaces them. Tests of runs have a file of their own.

Evidence: `a_report_has_the_survival_that_acquits_however_far_earlier_runs_got` fails with the furthest ones and passes now. Core tests of fatal requests and of peers pass; a heartbeat with full reports fits as before.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -127,7 +127,7 @@
     pub fingerprint: Fingerprint,
     /// Crashes that count against it.
     pub ends: Vec<CrashReport>,
-    /// The furthest that runs with it got.
+    /// How far runs with it got lately.
     pub survived: Vec<SurvivalReport>,
 }
 
--- a/crates/roseshore_core/src/gateway/fatal/history.rs
+++ b/crates/roseshore_core/src/gateway/fatal/history.rs
@@ -9,7 +9,7 @@
 use std::cmp::Reverse;
 
 /// Most survivals of one suspect that a heartbeat reports.
-const MAX_SURVIVALS_REPORTED: usize = 2;
+const MAX_SURVIVALS_REPORTED: usize = 3;
 
 /// The crash of a target under a suspect.
 #[derive(Clone, Copy, Debug)]
@@ -72,11 +72,11 @@
         self.0.iter().map(|(_, at)| *at).max()
     }
 
-    /// The furthest ones, as ages.
+    /// The latest ones, as ages; earlier ones, which got further, acquit of older crashes.
     fn reports(&self, age: impl Fn(Instant) -> u32) -> Vec<SurvivalReport> {
         let report =
             |(stage, at): &(Stage, Instant)| SurvivalReport { stage: *stage, age: age(*at) };
-        self.0.iter().take(MAX_SURVIVALS_REPORTED).map(report).collect()
+        self.0.iter().rev().take(MAX_SURVIVALS_REPORTED).map(report).collect()
     }
 }
 
--- a/crates/roseshore_core/tests/gateway.rs
+++ b/crates/roseshore_core/tests/gateway.rs
@@ -12,6 +12,7 @@
     mod failure;
     mod fatal;
     mod fatal_load;
+    mod fatal_runs;
     mod fixtures;
     mod holdings;
     mod leaving;
--- a/crates/roseshore_core/tests/gateway/peers.rs
+++ b/crates/roseshore_core/tests/gateway/peers.rs
@@ -307,7 +307,7 @@
         silent: true,
         age: 600_000,
     };
-    let survived = vec![SurvivalReport { stage: Stage::COMPLETE, age: 600_000 }; 2];
+    let survived = vec![SurvivalReport { stage: Stage::COMPLETE, age: 600_000 }; 3];
     FatalReport { fingerprint, ends: (0..crashes as u32).map(crash).collect(), survived }
 }
 
