Ended runs are looked at when something is known of their targets

Cause: since an interrupted run may wait for six seconds, and in each turn of the event loop all targets were searched for its address: with hundreds of runs cut at once and thousands of targets that is most of a small host's processor time. Found by reading.

Change: runs that broke off are looked at again when a check fails or a run is added, and each tenth of a second; which of their targets are gone is looked up once a tenth of a second. A complete response of a target that is leaving counts as outlived at once, as it did before.

--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -22,6 +22,7 @@
 use roseshore_core::gateway::targets::{LivenessFailure, Target};
 use roseshore_core::gateway::{Fault, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
+use std::collections::HashSet;
 
 /// Most runs that are remembered: far more than end at a host within a second.
 const MAX_RUNS: usize = 8192;
@@ -59,7 +60,11 @@
 pub(super) struct EndedRuns {
     /// Runs that broke off a moment ago.
     interrupted: Vec<EndedRun>,
+    /// Whether anything may have become known of these since they were last looked at.
+    news: bool,
     others: Vec<EndedRun>,
+    /// Targets of runs that broke off which are no longer listed, or whose address others have.
+    gone: HashSet<TargetId>,
 }
 
 impl EntryHost {
@@ -95,16 +100,28 @@
 
     fn remember_run(&mut self, mut run: EndedRun) {
         run.targets.retain(|(id, _)| !self.announced_leaving(id));
-        let EndedRuns { interrupted, others } = &mut self.ended_runs;
-        if run.targets.is_empty() || interrupted.len() + others.len() >= MAX_RUNS {
+        if run.targets.is_empty() {
+            if run.end == RunEnd::Completed {
+                self.record_outlived(&run);
+            }
+            return;
+        }
+        let EndedRuns { interrupted, others, news, .. } = &mut self.ended_runs;
+        if interrupted.len() + others.len() >= MAX_RUNS {
             return;
         }
+        *news = true;
         match run.end {
             RunEnd::Interrupted => interrupted.push(run),
             RunEnd::Closed | RunEnd::Completed => others.push(run),
         }
     }
 
+    /// Has the runs that broke off looked at again, as something became known of a target.
+    pub(super) fn reconsider_interrupted(&mut self) {
+        self.ended_runs.news = true;
+    }
+
     /// Number of runs of a request that broke off, and whose cause is not known yet.
     pub(super) fn interrupted_runs(&self, request: Fingerprint) -> usize {
         let same = |run: &&EndedRun| run.subject.suspects.request == request;
@@ -113,26 +130,41 @@
 
     /// Determines what became of the targets of runs that broke off a moment ago.
     pub(super) fn resolve_interrupted(&mut self) {
-        let runs = std::mem::take(&mut self.ended_runs.interrupted);
-        for run in runs {
+        if !std::mem::take(&mut self.ended_runs.news) {
+            return;
+        }
+        for run in std::mem::take(&mut self.ended_runs.interrupted) {
             let recent = self.now.saturating_duration_since(run.at) < DIAGNOSIS_TIME;
             if let Some(run) = self.resolve(run) {
-                let EndedRuns { interrupted, others } = &mut self.ended_runs;
+                let EndedRuns { interrupted, others, .. } = &mut self.ended_runs;
                 if recent { interrupted.push(run) } else { others.push(run) }
             }
         }
     }
 
+    /// Looks up which targets of runs that broke off are gone.
+    fn update_gone(&mut self) {
+        let EndedRuns { interrupted, others, .. } = &self.ended_runs;
+        let broke_off = |run: &&EndedRun| run.end == RunEnd::Interrupted;
+        let runs = interrupted.iter().chain(others.iter().filter(broke_off));
+        let ids: HashSet<&TargetId> =
+            runs.flat_map(|run| run.targets.iter().map(|(id, _)| id)).collect();
+        let gone = ids.into_iter().filter(|id| self.targets.is_gone(id));
+        self.ended_runs.gone = gone.cloned().collect();
+    }
+
     /// Determines what became of the targets of other runs, and checks the targets again that
     /// nothing is known of: the first check may have been skipped because it came too soon after
     /// another one.
     pub(super) fn resolve_ended(&mut self) {
+        self.update_gone();
+        self.reconsider_interrupted();
         for run in std::mem::take(&mut self.ended_runs.others) {
             if let Some(run) = self.resolve(run) {
                 self.ended_runs.others.push(run);
             }
         }
-        let EndedRuns { interrupted, others } = &self.ended_runs;
+        let EndedRuns { interrupted, others, .. } = &self.ended_runs;
         let due = |run: &&EndedRun| {
             let since = self.now.saturating_duration_since(run.at);
             (OUTLIVED_AFTER..OUTLIVED_AFTER + DIAGNOSIS_TIME).contains(&since)
@@ -191,7 +223,7 @@
         let relayed = first && run.relayed;
         let relay_lost = relayed && self.targets.get(id).is_some_and(Target::is_reported_down);
         // One that was listed when the run broke off has not left by its own decision.
-        let gone = interrupted && (relay_lost || self.targets.is_gone(id));
+        let gone = interrupted && (relay_lost || self.ended_runs.gone.contains(id));
         if gone || self.incarnation_ended(id, hash) {
             return TargetState::Ended;
         }
--- a/crates/roseshore_relay/src/entry/liveness.rs
+++ b/crates/roseshore_relay/src/entry/liveness.rs
@@ -247,6 +247,7 @@
             self.heartbeat_now(false);
         }
         self.liveness.mark_lost(id);
+        self.reconsider_interrupted();
     }
 
     /// Sends requests that run on targets found dead to other targets. This is done once per
