An ended run is no reason to check a target that another host reaches

At a target that is reached through another host such a check goes unanswered, and an urgent one that does ends the relay, so the host had no way to its only target.

Change: relayed targets are not checked for that; their connections and data show life. Crashes are passed to the core as one type in place of two functions and five arguments.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -26,8 +26,8 @@
 use super::hashes::TargetHash;
 use crate::prelude::*;
 use attribution::{Block, Evidence};
-pub use history::SurvivalReport;
-use history::{Crash, Survivals, SuspectHistory};
+pub use history::{Crash, SurvivalReport};
+use history::{Survivals, SuspectHistory};
 pub use record::{FatalRecord, RecordDiff};
 pub use run::{
     DIAGNOSIS_TIME, EARLY, OUTLIVED_AFTER, Progress, RunEnd, RunVerdict, Stage, TargetState, judge,
@@ -221,32 +221,13 @@
         }
     }
 
-    /// Records that a target crashed at `at` under a suspect at this host, when a run had got as far
-    /// as `stage`.
+    /// Records that a target crashed under a suspect at this host.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
-        target: TargetHash,
-        stage: Stage,
-        at: Instant,
-        now: Instant,
-    ) -> FatalChange {
-        self.record(fingerprint, Crash { target, stage, silent: false, at }, now)
-    }
-
-    /// Like [`FatalRequests::record_crash`], for a target whose machine fell silent.
-    pub fn record_silence(
-        &mut self,
-        fingerprint: Fingerprint,
-        target: TargetHash,
-        stage: Stage,
-        at: Instant,
+        crash: Crash,
         now: Instant,
     ) -> FatalChange {
-        self.record(fingerprint, Crash { target, stage, silent: true, at }, now)
-    }
-
-    fn record(&mut self, fingerprint: Fingerprint, crash: Crash, now: Instant) -> FatalChange {
         let survivals = self.recent_survivals(fingerprint);
         self.update(fingerprint, &[crash], Duration::ZERO, &survivals, now)
     }
--- a/crates/roseshore_core/src/gateway/fatal/history.rs
+++ b/crates/roseshore_core/src/gateway/fatal/history.rs
@@ -13,13 +13,15 @@
 
 /// The crash of a target under a suspect.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Crash {
-    pub(super) target: TargetHash,
+pub struct Crash {
+    /// Hash of the target's incarnation that crashed.
+    pub target: TargetHash,
     /// How far the run had got there.
-    pub(super) stage: Stage,
+    pub stage: Stage,
     /// Whether its machine fell silent, rather than its process ending.
-    pub(super) silent: bool,
-    pub(super) at: Instant,
+    pub silent: bool,
+    /// When it crashed.
+    pub at: Instant,
 }
 
 impl Crash {
--- a/crates/roseshore_core/tests/gateway/fatal.rs
+++ b/crates/roseshore_core/tests/gateway/fatal.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use roseshore_core::gateway::fatal::{
-    CrashReport, EARLY, FatalChange, FatalReport, REPORT_BYTES, Stage, SurvivalReport,
+    Crash, CrashReport, EARLY, FatalChange, FatalReport, REPORT_BYTES, Stage, SurvivalReport,
 };
 use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
@@ -21,6 +21,11 @@
     vec![SurvivalReport { stage: Stage::COMPLETE, age }]
 }
 
+/// A process that ended under a run.
+fn crash(target: u32, stage: Stage, at: Instant) -> Crash {
+    Crash { target, stage, silent: false, at }
+}
+
 fn print(body: &str) -> Fingerprint {
     Fingerprint::of(Some("acme"), &[b"POST", b"/draft/", body.as_bytes()])
 }
@@ -56,7 +61,7 @@
         let report = |ends, survived| FatalReport { fingerprint: request, ends, survived };
         match *step {
             Step::Crash(_, target, early) => {
-                fatal.record_crash(request, target, stage(early), now, now)
+                fatal.record_crash(request, crash(target, stage(early), now), now)
             }
             Step::Done(_) => fatal.record_survival(request, Stage::COMPLETE, now),
             Step::Remote(_, target, age) => {
@@ -207,14 +212,12 @@
     let now = Instant::now();
     let mut fatal = FatalRequests::new(now);
     for target in 1..=3 {
-        fatal.record_crash(print("guilty"), target, Stage::BEGINNING, now, now);
+        fatal.record_crash(print("guilty"), crash(target, Stage::BEGINNING, now), now);
     }
     for n in 0..5_000_u32 {
         fatal.record_crash(
             print(&format!("beside-{n}")),
-            3,
-            Stage::BEGINNING,
-            now + ms(u64::from(n)),
+            crash(3, Stage::BEGINNING, now + ms(u64::from(n))),
             now + ms(u64::from(n)),
         );
     }
@@ -258,7 +261,7 @@
             let now = start + ms(step as u64 * 10);
             let due = |at: u64| at / 10 == step as u64;
             for (host, _, target, early) in crashes.iter().filter(|(_, at, ..)| due(*at)) {
-                hosts[*host].record_crash(print("a"), *target, stage(*early), now, now);
+                hosts[*host].record_crash(print("a"), crash(*target, stage(*early), now), now);
             }
             if let Some((host, _)) = completed.filter(|(_, at)| due(*at)) {
                 hosts[host].record_survival(print("a"), Stage::COMPLETE, now);
@@ -302,7 +305,11 @@
     let mut known = FatalRequests::new(start);
     for n in 0..50 {
         for target in 1..=3 {
-            known.record_crash(print(&format!("r-{n}")), target, Stage::BEGINNING, start, start);
+            known.record_crash(
+                print(&format!("r-{n}")),
+                crash(target, Stage::BEGINNING, start),
+                start,
+            );
         }
     }
     let mut joined = FatalRequests::new(start);
@@ -349,9 +356,9 @@
         let start = Instant::now();
         let mut writer = FatalRequests::new(start);
         for target in 1..=3 {
-            writer.record_crash(print("a"), target, Stage::BEGINNING, start, start);
+            writer.record_crash(print("a"), crash(target, Stage::BEGINNING, start), start);
         }
-        writer.record_crash(print("b"), 1, Stage::BEGINNING, start, start);
+        writer.record_crash(print("b"), crash(1, Stage::BEGINNING, start), start);
         let diff = writer.record_diff(&[], WALL, start);
         assert_eq!(diff.missing.len(), 1, "{}: only what is blocked", case.name);
         let record = &diff.missing[0];
@@ -510,7 +517,7 @@
             match *run {
                 Run::Crash(target, organisation, number, parts) => {
                     for suspect in suspects(organisation, number, parts).all() {
-                        fatal.record_crash(suspect, target, Stage::BEGINNING, now, now);
+                        fatal.record_crash(suspect, crash(target, Stage::BEGINNING, now), now);
                     }
                 }
                 Run::Survive(organisation, parts) => {
@@ -543,9 +550,7 @@
         for suspect in suspects("a", target, &["f"]).all() {
             fatal.record_crash(
                 suspect,
-                target,
-                Stage::BEGINNING,
-                now + ms(u64::from(target) * 5),
+                crash(target, Stage::BEGINNING, now + ms(u64::from(target) * 5)),
                 now + ms(u64::from(target) * 5),
             );
         }
@@ -564,9 +569,7 @@
         for suspect in suspects.all() {
             fatal.record_crash(
                 suspect,
-                target,
-                Stage::BEGINNING,
-                start + Duration::from_secs(second),
+                crash(target, Stage::BEGINNING, start + Duration::from_secs(second)),
                 start + Duration::from_secs(second),
             );
         }
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -3,7 +3,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use roseshore_core::gateway::fatal::{CrashLimits, FatalChange, Stage};
+use roseshore_core::gateway::fatal::{Crash, CrashLimits, FatalChange, Stage};
 use roseshore_core::gateway::{FatalRequests, Fingerprint, Suspects};
 use roseshore_core::prelude::*;
 
@@ -324,12 +324,8 @@
         let lost: Vec<Run> = self.runs.extract_if(.., |run| run.engine == engine).collect();
         for run in &lost {
             for suspect in run.suspects(self.load.parts).all() {
-                let stage = run.stage(now);
-                let change = if silent {
-                    self.known.record_silence(suspect, target, stage, now, now)
-                } else {
-                    self.known.record_crash(suspect, target, stage, now, now)
-                };
+                let crash = Crash { target, stage: run.stage(now), silent, at: now };
+                let change = self.known.record_crash(suspect, crash, now);
                 self.newly_blocked |= change == FatalChange::Blocked;
             }
         }
--- a/crates/roseshore_core/tests/gateway/fatal_runs.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_runs.rs
@@ -1,7 +1,7 @@
 //! Runs of requests and parts of prompts: what their ends show, and how far they acquit.
 
 use roseshore_core::gateway::fatal::{
-    CrashReport, EARLY, FatalReport, Progress, RunEnd, RunVerdict, Stage, SurvivalReport,
+    Crash, CrashReport, EARLY, FatalReport, Progress, RunEnd, RunVerdict, Stage, SurvivalReport,
     TargetState, judge,
 };
 use roseshore_core::gateway::{FatalRequests, Fingerprint};
@@ -11,6 +11,11 @@
     Duration::from_millis(n)
 }
 
+/// A process that ended under a run.
+fn crash(target: u32, stage: Stage, at: Instant) -> Crash {
+    Crash { target, stage, silent: false, at }
+}
+
 fn part() -> Fingerprint {
     Fingerprint::of_part(Some("acme"), "model", "p")
 }
@@ -51,7 +56,7 @@
     for target in 0..4 {
         let now = start + ms(u64::from(target) * 1_000);
         fatal.record_survival(part, late, now);
-        fatal.record_crash(part, target, late, now + ms(200), now + ms(200));
+        fatal.record_crash(part, crash(target, late, now + ms(200)), now + ms(200));
     }
     assert_eq!(fatal.crashes(part), 4, "runs that got as far as the crashes");
     let other = FatalReport {
@@ -132,7 +137,11 @@
         let mut fatal = FatalRequests::new(start);
         for (target, at) in (0_u32..).zip(at) {
             let now = start + ms(*at);
-            fatal.record_silence(part, target, Stage::BEGINNING, now, now);
+            fatal.record_crash(
+                part,
+                Crash { silent: true, ..crash(target, Stage::BEGINNING, now) },
+                now,
+            );
             if survived.is_some_and(|after| (*at..*at + 3_000).contains(&after)) {
                 fatal.record_survival(part, Stage::after(EARLY), now + ms(1_000));
             }
@@ -190,7 +199,7 @@
     }
     let crashed = start + ms(5_000);
     for host in [&mut known, &mut other] {
-        host.record_crash(part(), 1, Stage::BEGINNING, crashed, crashed);
+        host.record_crash(part(), crash(1, Stage::BEGINNING, crashed), crashed);
     }
     let now = start + ms(6_000);
     known.record_survival(part(), Stage::after(EARLY), now);
--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -180,6 +180,8 @@
         let mut ids: Vec<TargetId> = interrupted.iter().chain(others).filter_map(unknown).collect();
         ids.sort_unstable();
         ids.dedup();
+        // This host does not reach a relayed target, and a check would only end the relay.
+        ids.retain(|id| self.targets.get(id).is_none_or(|target| target.relay().is_none()));
         for id in ids {
             self.check_alive(&id);
         }
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -9,7 +9,7 @@
 use super::{EntryHost, log_event};
 use crate::slab::Key;
 use roseshore_core::gateway::fatal::{
-    FatalChange, FatalReport, OUTLIVED_AFTER, Refused, RunEnd, Stage,
+    Crash, FatalChange, FatalReport, OUTLIVED_AFTER, Refused, RunEnd, Stage,
 };
 use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::gateway::{Fingerprint, Suspects};
@@ -57,12 +57,9 @@
         silent: bool,
     ) {
         let (RunSubject { suspects, attempt, parts }, at) = (&run.subject, run.at);
+        let crash = Crash { target: hash, stage: run.stage, silent, at };
         for suspect in suspects.all() {
-            let change = if silent {
-                self.fatal.record_silence(suspect, hash, run.stage, at, self.now)
-            } else {
-                self.fatal.record_crash(suspect, hash, run.stage, at, self.now)
-            };
+            let change = self.fatal.record_crash(suspect, crash, self.now);
             self.apply_change(suspect, change, "own");
         }
         log_event!(
--- a/crates/roseshore_relay/tests/heartbeats.rs
+++ b/crates/roseshore_relay/tests/heartbeats.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use roseshore_core::gateway::fatal::{EARLY, FatalChange, MIN_URGENT_GAP, Stage};
+use roseshore_core::gateway::fatal::{Crash, EARLY, FatalChange, MIN_URGENT_GAP, Stage};
 use roseshore_core::gateway::peers::{Datagram, LocalState, TargetLoad, name_hash};
 use roseshore_core::gateway::{FatalRequests, Fingerprint, Peers};
 use roseshore_core::prelude::*;
@@ -430,6 +430,11 @@
     assert!(cluster.now - cluster.started < ms(30_000));
 }
 
+/// A process that ended under a run.
+fn crash(target: u32, stage: Stage, at: Instant) -> Crash {
+    Crash { target, stage, silent: false, at }
+}
+
 /// The request under which targets crash.
 fn fatal_request() -> Fingerprint {
     Fingerprint::of(Some("acme"), &[b"/draft/", b"body"])
@@ -442,9 +447,7 @@
         for n in 0..3 {
             self.hosts[n].fatal.record_crash(
                 fatal_request(),
-                n as u32,
-                Stage::BEGINNING,
-                self.now,
+                crash(n as u32, Stage::BEGINNING, self.now),
                 self.now,
             );
         }
@@ -454,7 +457,7 @@
     fn record_crash_at(&mut self, n: usize, request: Fingerprint, target: u32, early: bool) {
         let stage = if early { Stage::BEGINNING } else { Stage::after(EARLY) };
         let now = self.now;
-        if self.hosts[n].fatal.record_crash(request, target, stage, now, now)
+        if self.hosts[n].fatal.record_crash(request, crash(target, stage, now), now)
             == FatalChange::CrashedEarly
         {
             self.hosts[n].urgent = true;
@@ -527,9 +530,7 @@
     for n in [0, 1, 3] {
         cluster.hosts[n].fatal.record_crash(
             fatal_request(),
-            n as u32,
-            Stage::BEGINNING,
-            cluster.now,
+            crash(n as u32, Stage::BEGINNING, cluster.now),
             cluster.now,
         );
     }
