A complete run acquits a part of crashes at its own length

Cause: since a crash late in a run counts for all its parts, and only a run that gets to the next stage acquits of it. Where all runs of a part end within one stage none does, so the crashes of bystanders add up until the part is blocked. And a fatal part whose crashes fall on both sides of a stage's end was acquitted of the earlier ones by the runs of the later ones.

Change: a complete run whose targets outlived it acquits of crashes at its own stage as well, since it went through all of it. A run in progress has to last a fifth longer than the end of a stage.

--- a/crates/roseshore_core/src/gateway/fatal.rs
+++ b/crates/roseshore_core/src/gateway/fatal.rs
@@ -127,7 +127,7 @@
     pub fingerprint: Fingerprint,
     /// Crashes that count against it.
     pub ends: Vec<CrashReport>,
-    /// How far runs with it got lately.
+    /// Up to which stages runs with it acquitted it lately.
     pub survived: Vec<SurvivalReport>,
 }
 
@@ -198,7 +198,7 @@
     limits: CrashLimits,
     started: Instant,
     suspects: HashMap<Fingerprint, SuspectHistory>,
-    /// How far runs with each suspect got at this host recently.
+    /// Up to which stages runs at this host acquitted each suspect recently.
     survivals: HashMap<Fingerprint, Survivals>,
     /// What is refused, by the current histories.
     blocks: Vec<Block>,
@@ -232,7 +232,7 @@
         self.update(fingerprint, &[crash], Duration::ZERO, &survivals, now)
     }
 
-    /// Records that a run with a suspect got as far as a stage at this host.
+    /// Records that a run at this host acquits a suspect of crashes before a stage.
     pub fn record_survival(
         &mut self,
         fingerprint: Fingerprint,
@@ -285,7 +285,7 @@
         self.update(report.fingerprint, &crashes, unread, &survivals, now)
     }
 
-    /// How far runs with the suspect got at this host recently.
+    /// Up to which stages runs at this host acquitted the suspect recently.
     fn recent_survivals(&self, fingerprint: Fingerprint) -> Survivals {
         self.survivals.get(&fingerprint).cloned().unwrap_or_default()
     }
--- a/crates/roseshore_core/src/gateway/fatal/history.rs
+++ b/crates/roseshore_core/src/gateway/fatal/history.rs
@@ -31,22 +31,22 @@
     }
 }
 
-/// A run that got as far as a stage, in a heartbeat.
+/// A run that acquits of crashes before a stage, in a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SurvivalReport {
-    /// How far it got.
+    /// The stage before which it acquits.
     pub stage: Stage,
     /// Time since then in milliseconds, rounded up.
     pub age: u32,
 }
 
-/// When runs last got as far as each stage; those that later or longer runs make needless are left
-/// out.
+/// When runs last acquitted of crashes before each stage; those that later or longer runs make
+/// needless are left out.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Survivals(Vec<(Stage, Instant)>);
 
 impl Survivals {
-    /// Adds a run that got as far as a stage.
+    /// Adds a run that acquits of crashes before a stage.
     pub(super) fn add(&mut self, stage: Stage, at: Instant) {
         if self.0.iter().any(|(known, since)| *known >= stage && *since >= at) {
             return;
@@ -60,12 +60,12 @@
         other.0.iter().for_each(|(stage, at)| self.add(*stage, *at));
     }
 
-    /// Whether a run got beyond the point of this crash after it.
+    /// Whether a run after this crash acquits of it.
     pub(super) fn acquit(&self, crash: &Crash) -> bool {
         self.0.iter().any(|(stage, at)| *stage > crash.stage && *at >= crash.at)
     }
 
-    /// Whether a run ever got beyond this stage.
+    /// Whether a run ever acquitted of crashes at this stage.
     pub(super) fn beyond(&self, stage: Stage) -> bool {
         self.0.iter().any(|(known, _)| *known > stage)
     }
--- a/crates/roseshore_core/src/gateway/fatal/run.rs
+++ b/crates/roseshore_core/src/gateway/fatal/run.rs
@@ -1,8 +1,9 @@
 //! How far a run got before it ended, which is what its end and its survival are worth.
 //!
 //! A request or a part of a prompt that crashes its targets does so at about the same point of each
-//! run. A run that got beyond that point acquits it; one that did not get there shows nothing. So
-//! crashes and survivals are both recorded with the [`Stage`] of their run.
+//! run. A run that got clearly beyond that point acquits it; one that did not get there shows
+//! nothing, unless it is complete and its targets outlived it. So crashes are recorded with the
+//! [`Stage`] of their run, and survivals with the stage up to which they acquit.
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -11,6 +12,9 @@
 /// A run is in its beginning until it has made progress for this long. Requests that crash their
 /// targets did so 30 to 120 ms after they began to run.
 pub const EARLY: Duration = Duration::from_millis(500);
+/// How much longer than runs that crash their targets a run has to last to acquit of these crashes,
+/// which do not occur at exactly the same point.
+const OUTLIVED_FACTOR: f64 = 1.2;
 /// Most time between two events that counts as progress. A target that is stopped, or whose events
 /// arrive late, does not get further meanwhile.
 const MAX_COUNTED_GAP: Duration = Duration::from_millis(100);
@@ -37,6 +41,17 @@
     pub fn is_beginning(self) -> bool {
         self == Stage::BEGINNING
     }
+
+    /// The stage before which a run that has made progress for so long acquits of crashes.
+    pub fn outlived(ran: Duration) -> Stage {
+        Stage::after(ran.div_f64(OUTLIVED_FACTOR))
+    }
+
+    /// The stage before which a complete run of this stage acquits of crashes.
+    #[must_use]
+    pub fn completed(self) -> Stage {
+        Stage(self.0.saturating_add(1))
+    }
 }
 
 impl fmt::Display for Stage {
@@ -65,10 +80,15 @@
         self.ran + gap.min(MAX_COUNTED_GAP)
     }
 
-    /// Its stage, if it ends or gets an event now.
+    /// Its stage, if it ends now.
     pub fn stage(&self, now: Instant) -> Stage {
         Stage::after(self.ran(now))
     }
+
+    /// The stage before which it acquits of crashes, if it gets an event now.
+    pub fn outlived(&self, now: Instant) -> Stage {
+        Stage::outlived(self.ran(now))
+    }
 }
 
 /// How a host stopped watching a run.
--- a/crates/roseshore_core/tests/gateway/fatal_load.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_load.rs
@@ -125,8 +125,16 @@
 }
 
 impl Run {
+    fn ran(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.sent).saturating_sub(FIRST)
+    }
+
     fn stage(&self, now: Instant) -> Stage {
-        Stage::after(now.saturating_duration_since(self.sent).saturating_sub(FIRST))
+        Stage::after(self.ran(now))
+    }
+
+    fn outlived(&self, now: Instant) -> Stage {
+        Stage::outlived(self.ran(now))
     }
 
     fn suspects(&self, parts: FatalParts) -> Suspects {
@@ -270,11 +278,11 @@
         for run in completed {
             self.known.record_survival(print(run.request), Stage::COMPLETE, now);
             for part in run.suspects(self.load.parts).parts {
-                self.known.record_survival(part, run.stage(now), now);
+                self.known.record_survival(part, run.stage(now).completed(), now);
             }
         }
         for run in &mut self.runs {
-            let stage = run.stage(now);
+            let stage = run.outlived(now);
             if stage <= run.survived {
                 continue;
             }
--- a/crates/roseshore_core/tests/gateway/fatal_runs.rs
+++ b/crates/roseshore_core/tests/gateway/fatal_runs.rs
@@ -208,3 +208,50 @@
     }
     assert_eq!(other.crashes(part()), 0);
 }
+
+/// Runs of a part that last for so long, in milliseconds, and whether the part is blocked when
+/// engines crash under them.
+struct ShortCase {
+    name: &'static str,
+    runs: u64,
+    /// When each crash occurs in its run.
+    crashes: &'static [u64],
+    /// Whether runs between the crashes are complete.
+    complete: bool,
+    blocked: bool,
+}
+
+#[test]
+fn complete_runs_acquit_a_part_of_crashes_that_none_of_its_runs_gets_beyond() {
+    const LATE: &[u64] = &[700, 900, 600, 800, 700, 900];
+    const NEAR_A_STAGE: &[u64] = &[480, 520, 480, 520, 480, 520];
+    let case = |name, runs, crashes, complete, blocked| ShortCase {
+        name,
+        runs,
+        crashes,
+        complete,
+        blocked,
+    };
+    let cases = [
+        case("sound runs of a second", 950, LATE, true, false),
+        case("runs that end before each crash", 450, LATE, true, true),
+        case("no complete run", 950, LATE, false, true),
+        case("crashes on both sides of a stage's end", 450, NEAR_A_STAGE, false, true),
+    ];
+    for ShortCase { name, runs, crashes, complete, blocked } in cases {
+        let start = Instant::now();
+        let mut fatal = FatalRequests::new(start);
+        let mut now = start;
+        for (target, crash_at) in (0_u32..).zip(crashes) {
+            now += ms(5_000);
+            // What a run that crashes its target had shown before.
+            fatal.record_survival(part(), Stage::outlived(ms(*crash_at)), now);
+            let stage = Stage::after(ms(*crash_at));
+            fatal.record_crash(part(), crash(target, stage, now), now);
+            if complete {
+                fatal.record_survival(part(), Stage::after(ms(runs)).completed(), now + ms(1_000));
+            }
+        }
+        assert_eq!(fatal.blocked(part(), now).is_some(), blocked, "{name}");
+    }
+}
--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -8,9 +8,7 @@
 use super::in_flight::InFlightSend;
 use super::{EntryHost, log_event};
 use crate::slab::Key;
-use roseshore_core::gateway::fatal::{
-    Crash, FatalChange, FatalReport, OUTLIVED_AFTER, Refused, RunEnd, Stage,
-};
+use roseshore_core::gateway::fatal::{Crash, FatalChange, FatalReport, Refused, RunEnd, Stage};
 use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::gateway::{Fingerprint, Suspects};
 use roseshore_core::prelude::*;
@@ -99,7 +97,7 @@
         let Some(send) = exchange.send.as_mut() else { return };
         // If the connection has ended, the events may be older than they look.
         let open = self.net.get(send.socket).is_some_and(|socket| socket.ended.is_none());
-        let stage = send.progress.stage(now);
+        let stage = send.progress.outlived(now);
         if !open || stage <= send.survived {
             return;
         }
@@ -108,8 +106,8 @@
         self.record_survival_of_parts(&suspects, stage);
     }
 
-    /// Records how far a run with these parts got. Most last parts are of one request only and are
-    /// not remembered for it.
+    /// Records that a run acquits these parts of crashes before a stage. Most last parts are of one
+    /// request only and are not remembered for it.
     fn record_survival_of_parts(&mut self, suspects: &Suspects, stage: Stage) {
         let last = suspects.last.filter(|last| self.fatal.crashes(*last) > 0);
         for part in suspects.parts.iter().copied().chain(last) {
@@ -129,7 +127,7 @@
     /// crash them, and the parts of its prompt not before the run's end.
     pub(super) fn record_outlived(&mut self, run: &EndedRun) {
         let RunSubject { suspects, .. } = &run.subject;
-        self.record_survival_of_parts(suspects, run.stage.max(Stage::after(OUTLIVED_AFTER)));
+        self.record_survival_of_parts(suspects, run.stage.completed());
         self.record_survival(suspects.request, Stage::COMPLETE);
     }
 
