--- a/crates/roseshore_relay/src/entry/fatal.rs
+++ b/crates/roseshore_relay/src/entry/fatal.rs
@@ -64,8 +64,7 @@
             self,
             TargetEnded,
             "request={attempt} fingerprint={} parts={} target={id} silent={silent} stage={} run={} \
-             ends={} \
-             part_ends={} known_after_ms={}",
+             ends={} part_ends={} known_after_ms={}",
             suspects.request,
             parts_text(parts),
             run.stage,
