--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -8,7 +8,7 @@
 //! The end of a connection does not show its cause: the target may have spoilt one response, a link
 //! may be down, or the target's process may have ended. The process has ended if the target's port
 //! resets a connection, or if the list of targets shows a new incarnation, another target at its
-//! address, or no longer shows it. As long as neither that nor data from the target tells, the run
+//! address, or no longer shows it. Until one of these, or data from the target, decides it, the run
 //! stays undecided.
 
 use super::fatal::parts_text;
