Bodies of responses grow in blocks

Each body grew in one buffer, which was copied to one twice as large; the buffer that it left fitted nothing else.

Change: a response that is forwarded whole is kept in blocks, as bodies of requests are, and its output shares them. A stream keeps its buffer. Which of both it is, is decided once, with the head, so that an error on a stream route needs no path of its own.

The test is as it was.

--- a/crates/roseshore_core/src/gateway/memory.rs
+++ b/crates/roseshore_core/src/gateway/memory.rs
@@ -143,15 +143,6 @@
         self.edit(std::mem::take)
     }
 
-    /// Moves the bytes to a new buffer of another kind of holder.
-    #[must_use]
-    pub fn take_for(&mut self, holder: Holder) -> Buffer {
-        let mut taken = self.charge.account.buffer(holder);
-        let bytes = self.take();
-        taken.edit(|empty| *empty = bytes);
-        taken
-    }
-
     /// Memory that is charged for it.
     pub fn charged(&self) -> usize {
         self.charge.bytes
@@ -166,7 +157,7 @@
     }
 }
 
-/// The body of a request in blocks of [`BLOCK`] bytes, which are charged to an account. It is not
+/// The body of a message in blocks of [`BLOCK`] bytes, which are charged to an account. It is not
 /// copied as it grows, and a freed block fits any other body.
 #[derive(Debug)]
 pub struct Body {
@@ -198,6 +189,13 @@
         block.and_then(|block| block.get(offset % BLOCK..)).unwrap_or_default()
     }
 
+    /// Moves the bytes to a new body.
+    #[must_use]
+    pub fn take(&mut self) -> Body {
+        let empty = self.charge.account.body(self.charge.holder);
+        std::mem::replace(self, empty)
+    }
+
     /// Charges it to another kind of holder from now on.
     pub fn pass_to(&mut self, holder: Holder) {
         self.charge.pass_to(holder);
--- a/crates/roseshore_relay/src/entry/dispatch.rs
+++ b/crates/roseshore_relay/src/entry/dispatch.rs
@@ -11,7 +11,6 @@
 use crate::net::{Socket, is_exhausted};
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
-use roseshore_core::gateway::memory::Holder;
 use roseshore_core::gateway::targets::Claim;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ForwardedFields;
@@ -136,13 +135,8 @@
         let incarnation =
             |claim: &Claim| Some((claim.target.clone(), self.targets.hash(&claim.target)?));
         let incarnations = choice.claims.iter().filter_map(incarnation).collect();
-        let send = InFlightSend::new(
-            choice,
-            socket,
-            route,
-            self.net.account().buffer(Holder::Answers),
-            self.now,
-        );
+        let account = self.net.account();
+        let send = InFlightSend::new(choice, socket, route, account, self.now);
         let subject = RunSubject {
             suspects: exchange.suspects.clone(),
             attempt: exchange.request_fields.attempt.clone(),
--- a/crates/roseshore_relay/src/entry/exchange.rs
+++ b/crates/roseshore_relay/src/entry/exchange.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use roseshore_core::gateway::demand::Rank;
 use roseshore_core::gateway::failure::{self, FailureReply, Fault, NextStep};
-use roseshore_core::gateway::memory::{Body, Buffer};
+use roseshore_core::gateway::memory::Body;
 use roseshore_core::gateway::peers::name_hash;
 use roseshore_core::gateway::routes::Denied;
 use roseshore_core::gateway::{
@@ -69,7 +69,7 @@
     /// How its last send failed.
     pub(super) last_failure: Option<SendFailure>,
     /// The failure that a target responded with, to be forwarded if no other target answers.
-    pub(super) own_failure: Option<(ResponseHead, Buffer)>,
+    pub(super) own_failure: Option<(ResponseHead, Body)>,
     /// How a send last failed by silence.
     pub(super) last_silence: Option<SendFailure>,
     /// Whether a send may have reached its target, so that the next one counts as a retry.
--- a/crates/roseshore_relay/src/entry/in_flight.rs
+++ b/crates/roseshore_relay/src/entry/in_flight.rs
@@ -7,7 +7,7 @@
 use crate::slab::Key;
 use roseshore_core::gateway::Hop;
 use roseshore_core::gateway::fatal::{Progress, RunEnd, Stage};
-use roseshore_core::gateway::memory::Buffer;
+use roseshore_core::gateway::memory::{Account, Body, Buffer, Holder};
 use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::gateway::peers::TargetHash;
 use roseshore_core::gateway::quota::pending_retries::PendingCopy;
@@ -52,9 +52,11 @@
     pub(super) stale_responses: u32,
     /// Bytes of their bodies.
     pub(super) stale_bytes: usize,
-    /// The received part of the body that has not been forwarded.
-    pub(super) body: Buffer,
-    /// Bytes at the front of the body that hold no end of an event.
+    /// The received part of a response that is forwarded whole.
+    pub(super) body: Body,
+    /// The received part of a stream that has not been forwarded.
+    pub(super) events: Buffer,
+    /// Bytes at the front of it that hold no end of an event.
     pub(super) searched: usize,
     /// Predicted time between tokens in milliseconds.
     pub(super) token_ms: f64,
@@ -82,17 +84,19 @@
     Head,
     /// Reading the response to another request, which is discarded.
     Stale(BodyDecoder),
-    /// Reading the body.
-    Body(ResponseHead, BodyDecoder),
+    /// Reading the body of a response that is forwarded whole.
+    Whole(ResponseHead, BodyDecoder),
+    /// Reading a stream.
+    Events(ResponseHead, BodyDecoder),
 }
 
 impl InFlightSend {
-    /// A send of a request over the chosen path; `body` is to hold the response.
+    /// A send of a request over the chosen path; the response is charged to `account`.
     pub(super) fn new(
         choice: Choice,
         socket: Key,
         route: Route,
-        body: Buffer,
+        account: &Account,
         now: Instant,
     ) -> InFlightSend {
         InFlightSend {
@@ -116,7 +120,8 @@
             partial: PartialElement::default(),
             stale_responses: 0,
             stale_bytes: 0,
-            body,
+            body: account.body(Holder::Answers),
+            events: account.buffer(Holder::Answers),
             searched: 0,
             token_ms: choice.token_ms,
             ttft_ms: choice.ttft_ms,
--- a/crates/roseshore_relay/src/entry/memory.rs
+++ b/crates/roseshore_relay/src/entry/memory.rs
@@ -147,7 +147,7 @@
             sends.map(move |send| Unfinished {
                 exchange: key,
                 socket: send.socket,
-                bytes: send.body.charged(),
+                bytes: send.body.charged() + send.events.charged(),
             })
         });
         sends.filter(|answer| answer.bytes > 0).max_by_key(|answer| answer.bytes)
--- a/crates/roseshore_relay/src/entry/responses.rs
+++ b/crates/roseshore_relay/src/entry/responses.rs
@@ -13,7 +13,7 @@
 use crate::slab::Key;
 use crate::sse;
 use roseshore_core::gateway::Fault;
-use roseshore_core::gateway::memory::{Buffer, Holder};
+use roseshore_core::gateway::memory::{Body, Holder};
 use roseshore_core::gateway::partial::PartialElement;
 use roseshore_core::prelude::*;
 use roseshore_ports::entry::ResponseFields;
@@ -53,10 +53,8 @@
             let step = match send.phase {
                 Phase::Head => self.read_head(key),
                 Phase::Stale(_) => self.skip_stale(key),
-                Phase::Body(..) if exchange.delivery.started || exchange.route.kind.is_stream() => {
-                    self.read_events(key)
-                }
-                Phase::Body(..) => self.read_body(key),
+                Phase::Events(..) => self.read_events(key),
+                Phase::Whole(..) => self.read_body(key),
             };
             match step {
                 Step::Continue => {}
@@ -138,7 +136,8 @@
             send.latest_at = now;
         }
         let decoder = BodyDecoder::new(head.framing);
-        send.phase = Phase::Body(head, decoder);
+        send.phase =
+            if streamed { Phase::Events(head, decoder) } else { Phase::Whole(head, decoder) };
         Step::Continue
     }
 
@@ -194,18 +193,24 @@
         Step::NeedMore
     }
 
-    /// Decodes received bytes into the body. Returns whether the body is complete, or the fault if
-    /// it is broken.
+    /// Decodes received bytes. Returns whether the body is complete, or the fault if it is broken.
     fn read_bytes(&mut self, key: Key) -> Option<Result<bool, Fault>> {
         let send = self.exchanges.get_mut(key)?.send.as_mut()?;
         let socket = self.net.get(send.socket)?;
-        let Phase::Body(_, decoder) = &mut send.phase else { return None };
-        let input = &mut socket.input;
-        let taken = send.body.edit(|body| input.edit(|input| decoder.decode(input, body)));
-        self.liveness.link.record_transfer(send.body.len(), self.now);
+        let (body, events) = (&mut send.body, &mut send.events);
+        let taken = socket.input.edit(|input| match &mut send.phase {
+            Phase::Whole(_, decoder) => Some((decoder.decode(input, body), decoder)),
+            Phase::Events(_, decoder) => {
+                Some((events.edit(|events| decoder.decode(input, events)), decoder))
+            }
+            Phase::Head | Phase::Stale(_) => None,
+        });
+        let (taken, decoder) = taken?;
+        let received = body.len() + events.len();
+        self.liveness.link.record_transfer(received, self.now);
         let ends = decoder.ends_with_connection();
         let whole = decoder.done() || (ends && socket.ended_orderly());
-        if taken.is_err() || send.body.len() > MAX_BODY {
+        if taken.is_err() || received > MAX_BODY {
             return Some(Err(Fault::Garbled));
         }
         if !whole && socket.ended.is_some() {
@@ -228,7 +233,7 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
-        let Phase::Body(head, _) = &send.phase else { return Step::Finished };
+        let Phase::Whole(head, _) = &send.phase else { return Step::Finished };
         let head = head.clone();
         let replaceable =
             !exchange.standbys.is_empty() || (exchange.may_move(now) && self.has_alternative(key));
@@ -260,9 +265,9 @@
     fn forward_response(&mut self, key: Key, head: &ResponseHead) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.as_mut() else { return };
-        let mut body = send.body.take_for(Holder::Unread);
+        let body = send.body.take();
         let target = send.target.clone();
-        self.write_whole(key, head, &mut body);
+        self.write_whole(key, head, body);
         self.record_success(&target, key);
         self.mark_completed(key);
         self.finish_exchange(key, head.keep_alive, head.status, "whole");
@@ -273,7 +278,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = exchange.send.as_mut() else { return };
         if send.body.len() <= MAX_KEPT_FAILURE {
-            exchange.own_failure = Some((head, send.body.take_for(Holder::Answers)));
+            exchange.own_failure = Some((head, send.body.take()));
         }
     }
 
@@ -281,14 +286,14 @@
     /// one. Returns whether there is.
     pub(super) fn forward_own_failure(&mut self, key: Key) -> bool {
         let Some(exchange) = self.exchanges.get_mut(key) else { return false };
-        let Some((head, mut body)) = exchange.own_failure.take() else { return false };
-        self.write_whole(key, &head, &mut body);
+        let Some((head, body)) = exchange.own_failure.take() else { return false };
+        self.write_whole(key, &head, body);
         self.finish_exchange(key, false, head.status, "the target's own failure");
         true
     }
 
     /// Writes a complete response of a target to the caller.
-    fn write_whole(&mut self, key: Key, head: &ResponseHead, body: &mut Buffer) {
+    fn write_whole(&mut self, key: Key, head: &ResponseHead, mut body: Body) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let (caller, keep) = (exchange.caller, exchange.head.keep_alive);
         exchange.verdict = Verdict::Answered;
@@ -307,7 +312,8 @@
         if exchange.head.method == "HEAD" {
             self.net.send(caller, &out);
         } else {
-            self.net.send_buffer(caller, &out, body);
+            body.pass_to(Holder::Unread);
+            self.net.send_whole(caller, &out, body);
         }
     }
 
@@ -340,7 +346,7 @@
     fn begin_stream(&mut self, key: Key) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let Some(send) = &exchange.send else { return };
-        let Phase::Body(head, _) = &send.phase else { return };
+        let Phase::Events(head, _) = &send.phase else { return };
         if exchange.delivery.started {
             let attempt = exchange.request_fields.attempt.clone();
             let after = exchange.delivery.last_id.unwrap_or(0);
@@ -374,16 +380,12 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
-        let Phase::Body(head, _) = &send.phase else { return Step::Finished };
-        if !is_success(head.status) {
-            // An error response on a stream route is forwarded once it is complete.
-            return self.read_error(key, received);
-        }
+        let Phase::Events(head, _) = &send.phase else { return Step::Finished };
         let (keep, caller) = (head.keep_alive, exchange.caller);
-        let (received_len, searched) = (send.body.len(), send.searched);
+        let (received_len, searched) = (send.events.len(), send.searched);
         let after = exchange.delivery.last_id;
-        let taken = send.body.edit(|body| sse::take_new_events(body, after, searched));
-        send.searched = send.body.len();
+        let taken = send.events.edit(|events| sse::take_new_events(events, after, searched));
+        send.searched = send.events.len();
         if send.searched < received_len {
             send.partial = PartialElement::default();
         }
@@ -438,23 +440,11 @@
         }
     }
 
-    /// Reads an error response on a stream route.
-    fn read_error(&mut self, key: Key, received: Result<bool, Fault>) -> Step {
-        match received {
-            Ok(false) => Step::NeedMore,
-            Ok(true) => self.read_body(key),
-            Err(fault) => {
-                self.send_failed(key, fault, None);
-                Step::Finished
-            }
-        }
-    }
-
     /// Ends a complete stream; a stream that ends within an event is a fault.
     fn end_stream(&mut self, key: Key, keep: bool) -> Step {
         let Some(exchange) = self.exchanges.get_mut(key) else { return Step::Finished };
         let Some(send) = exchange.send.as_mut() else { return Step::Finished };
-        if !send.body.is_empty() {
+        if !send.events.is_empty() {
             self.send_failed(key, Fault::Cut, None);
             return Step::Finished;
         }
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -587,10 +587,10 @@
     }
 
     /// Like [`Net::send`], with a head and a body that is handed over.
-    pub fn send_buffer(&mut self, key: Key, head: &[u8], body: &mut Buffer) {
+    pub fn send_whole(&mut self, key: Key, head: &[u8], body: Body) {
         self.send_all(key, head.len() + body.len(), |output| {
             output.push(head);
-            output.push_buffer(body);
+            output.push_body(&Arc::new(body));
         });
     }
 
--- a/crates/roseshore_relay/src/output.rs
+++ b/crates/roseshore_relay/src/output.rs
@@ -12,7 +12,7 @@
 #[derive(Debug)]
 enum Piece {
     Bytes(Buffer),
-    /// The body of a request, which is kept for a retry as well.
+    /// A body, which may be kept for a retry as well.
     Body(Arc<Body>),
 }
 
@@ -49,10 +49,11 @@
         self.len
     }
 
-    /// Memory that is charged for it, bodies left out.
+    /// Memory that is charged for it, bodies that others hold as well left out.
     pub(crate) fn charged(&self) -> usize {
         let charged = |piece: &Piece| match piece {
             Piece::Bytes(bytes) => bytes.charged(),
+            Piece::Body(body) if Arc::strong_count(body) == 1 => body.charged(),
             Piece::Body(_) => 0,
         };
         self.pieces.iter().map(charged).sum()
@@ -69,15 +70,6 @@
         }
     }
 
-    /// Adds these bytes: a copy if they are few, so that they are written together with others.
-    pub(crate) fn push_buffer(&mut self, bytes: &mut Buffer) {
-        if bytes.len() <= BLOCK {
-            return self.push(bytes);
-        }
-        self.len += bytes.len();
-        self.pieces.push_back(Piece::Bytes(bytes.take_for(self.holder)));
-    }
-
     /// Adds a body: a copy if it is short, so that it is written together with its head.
     pub(crate) fn push_body(&mut self, body: &Arc<Body>) {
         if body.len() <= BLOCK {
