A poll after a busy turn does not wait

A caller whose time is over gets an answer that it no longer waits for, and the target runs the request.

Cause: how long a poll took stood for whether it had waited. A host that loses its processor for 1 to 50 ms between the readings of the clock around a poll takes what it finds for new, though it came during the stall before.

Evidence: a clock that moves 3 ms at each of the host's next six readings.

Change: after a turn of a millisecond or more the next poll does not wait, so that what it finds came before it, whatever the time it took. Net::wait returns the time that it was to wait, for input left over likewise.

--- a/crates/roseshore_core/src/gateway/poll_timing.rs
+++ b/crates/roseshore_core/src/gateway/poll_timing.rs
@@ -6,7 +6,8 @@
 
 use crate::prelude::*;
 
-/// A poll that returns faster than this found what had arrived before it began.
+/// A poll that returns faster than this found what had arrived before it began. A turn that is
+/// shorter leaves nothing worth telling apart.
 const IMMEDIATE: Duration = Duration::from_millis(1);
 /// A poll that returns this much after its timeout was held up: the process or its machine was
 /// suspended. Timers fire up to about ten milliseconds late on a busy host.
@@ -27,6 +28,16 @@
     pub ended: Instant,
 }
 
+/// The longest time that a poll may wait which begins now. After a turn that kept the loop busy it
+/// does not wait: how long a poll took does not tell what had arrived before it from what it waited
+/// for, since the process may lose its processor in between.
+pub fn max_wait(previous_end: Instant, began: Instant, next_timer: Instant) -> Duration {
+    if began.saturating_duration_since(previous_end) >= IMMEDIATE {
+        return Duration::ZERO;
+    }
+    next_timer.saturating_duration_since(began)
+}
+
 impl PollTiming {
     /// How long after its timeout it ended.
     fn overrun(&self) -> Duration {
@@ -43,7 +54,7 @@
     /// The earliest moment at which what the poll found may have arrived.
     pub fn earliest_arrival(&self) -> Instant {
         let waited = self.ended.saturating_duration_since(self.began);
-        if waited < IMMEDIATE {
+        if self.timeout.is_zero() || waited < IMMEDIATE {
             self.previous_end
         } else if self.overrun() >= HELD_UP {
             self.began
--- a/crates/roseshore_core/tests/gateway/poll_timing.rs
+++ b/crates/roseshore_core/tests/gateway/poll_timing.rs
@@ -1,6 +1,6 @@
 //! Tests of when something that a busy host polls may have arrived.
 
-use roseshore_core::gateway::poll_timing::PollTiming;
+use roseshore_core::gateway::poll_timing::{PollTiming, max_wait};
 use roseshore_core::prelude::*;
 
 /// A poll; times in ms after the end of the poll before.
@@ -51,6 +51,14 @@
             late: true,
         },
         Case { name: "a timer", began: 2, timeout: 9, ended: 15, earliest: 15, late: false },
+        Case {
+            name: "interrupted in a poll that does not wait",
+            began: 120,
+            timeout: 0,
+            ended: 130,
+            earliest: 0,
+            late: true,
+        },
         Case {
             name: "suspended while waiting",
             began: 2,
@@ -73,3 +81,14 @@
         assert_eq!(timing.is_late(), case.late, "{}", case.name);
     }
 }
+
+#[test]
+fn a_poll_after_a_busy_turn_does_not_wait() {
+    let previous_end = Instant::now();
+    let at = |us: u64| previous_end + Duration::from_micros(us);
+    let cases = [(0, 100), (900, 99), (1_000, 0), (250_000, 0)];
+    for (began, wait_ms) in cases {
+        let wait = max_wait(previous_end, at(began), at(100_000));
+        assert_eq!(wait.as_millis(), wait_ms, "began {began} us after the turn");
+    }
+}
--- a/crates/roseshore_relay/src/entry.rs
+++ b/crates/roseshore_relay/src/entry.rs
@@ -53,7 +53,7 @@
 use relays::Relays;
 use roseshore_core::gateway::copies::COPY_TIMEOUT;
 use roseshore_core::gateway::leaving::{CallTimes, TokenPace};
-use roseshore_core::gateway::poll_timing::PollTiming;
+use roseshore_core::gateway::poll_timing::{PollTiming, max_wait};
 use roseshore_core::gateway::{
     CallerAges, ConfigLease, Copies, EntrySettings, FatalRequests, Moves, NewerConfigs, Overload,
     Peers, PendingRetries, RetryBudget, RetryLoans, Returns, Snapshot, Targets,
@@ -369,8 +369,7 @@
         let mut changes = Vec::new();
         loop {
             let began = self.clock.now();
-            let timeout = self.next_timer().saturating_duration_since(began);
-            self.net.wait(timeout)?;
+            let timeout = self.net.wait(max_wait(self.now, began, self.next_timer()))?;
             let woke = self.clock.now();
             self.overload.record(
                 began.saturating_duration_since(self.woke),
--- a/crates/roseshore_relay/src/net.rs
+++ b/crates/roseshore_relay/src/net.rs
@@ -338,11 +338,11 @@
     }
 
     /// Waits for readiness for at most `timeout`; not at all if there is input that was left for the
-    /// next turn.
+    /// next turn. Returns the longest time that it was to wait.
     ///
     /// # Errors
     /// If the readiness queue fails.
-    pub fn wait(&mut self, timeout: Duration) -> io::Result<()> {
+    pub fn wait(&mut self, timeout: Duration) -> io::Result<Duration> {
         for key in std::mem::take(&mut self.filled) {
             if let Some(socket) = self.sockets.get_mut(key).filter(|s| s.input.is_empty()) {
                 socket.input.edit(clear);
@@ -354,7 +354,7 @@
             Err(err) if err.kind() == ErrorKind::Interrupted => self.events.clear(),
             other => other?,
         }
-        Ok(())
+        Ok(timeout)
     }
 
     /// Does the I/O that is pending since the last [`Net::wait`], and appends the sockets that
