Requests do not wait for what cannot be checked

Cause: since a run that broke off stays undecided until something tells what became of its target, also where only another host reaches the target, or its machine does not answer. A request waits before it is sent again if one crash more than the undecided runs would block it. A send that falls silent, goes on, and falls silent again was remembered each time, and stayed so when its target had sent more. Two such runs of identical requests are enough.

What callers saw: a repeatable request at a target in trouble behind another host was answered after 1.9 s instead of 0.3 s, or not before its deadline (log: E206 silent and E351 in turn, each 45 to 256 ms, no second send while a sound target was free; two to five undecided runs at each look).

What counts as a crash is unchanged.

--- a/crates/roseshore_relay/src/entry/ended_runs.rs
+++ b/crates/roseshore_relay/src/entry/ended_runs.rs
@@ -51,6 +51,8 @@
     pub(super) at: Instant,
     /// Its connection to the first target, if that was kept.
     connection: Option<Key>,
+    /// The same while its send stands by, and may go on.
+    standby: Option<Key>,
     /// Whether it reached its first target through another host.
     relayed: bool,
 }
@@ -75,8 +77,22 @@
         targets.retain(|(id, _)| culprits.contains(id));
         let stage = send.progress.stage(self.now);
         let (subject, end, at) = (send.subject.clone(), RunEnd::Interrupted, self.now);
-        let relayed = send.route.via.is_some();
-        self.remember_run(EndedRun { subject, targets, stage, end, at, connection: None, relayed });
+        let (standby, relayed) = (Some(send.socket), send.route.via.is_some());
+        let known = |run: &EndedRun| run.standby == standby && run.targets == targets;
+        let EndedRuns { interrupted, others, .. } = &self.ended_runs;
+        if interrupted.iter().chain(others).any(known) {
+            return;
+        }
+        let run = EndedRun { subject, targets, stage, end, at, connection: None, standby, relayed };
+        self.remember_run(run);
+    }
+
+    /// Forgets that a run broke off, as its target has sent more.
+    pub(super) fn forget_interrupted(&mut self, connection: Key) {
+        let EndedRuns { interrupted, others, .. } = &mut self.ended_runs;
+        for runs in [interrupted, others] {
+            runs.retain(|run| run.standby != Some(connection));
+        }
     }
 
     /// Remembers the run of a send that is released. With `kept`, its connection stays open.
@@ -93,6 +109,7 @@
             end,
             at: self.now,
             connection: kept.then_some(send.socket),
+            standby: None,
             relayed: send.route.via.is_some(),
         };
         self.remember_run(run);
@@ -122,10 +139,17 @@
         self.ended_runs.news = true;
     }
 
-    /// Number of runs of a request that broke off, and whose cause is not known yet.
+    /// Number of runs of a request that broke off, and whose cause checks of this host will soon
+    /// show. A check of a target that this host does not reach takes a second and may show nothing.
     pub(super) fn interrupted_runs(&self, request: Fingerprint) -> usize {
-        let same = |run: &&EndedRun| run.subject.suspects.request == request;
-        self.ended_runs.interrupted.iter().filter(same).count()
+        let silent = |(id, _): &(TargetId, TargetHash)| {
+            let failure = self.targets.get(id).and_then(Target::liveness_failure);
+            failure == Some(LivenessFailure::Silent)
+        };
+        let pending = |run: &&EndedRun| {
+            run.subject.suspects.request == request && !run.targets.iter().any(silent)
+        };
+        self.ended_runs.interrupted.iter().filter(pending).count()
     }
 
     /// Determines what became of the targets of runs that broke off a moment ago.
--- a/crates/roseshore_relay/src/entry/standby.rs
+++ b/crates/roseshore_relay/src/entry/standby.rs
@@ -44,6 +44,7 @@
         // a former incarnation has sent none either.
         let useless = (socket.ended == Some(Ended::Broken) || restarted) && replaced;
         if !useless && !socket.input.is_empty() {
+            self.forget_interrupted(connection);
             self.switch_to(key, place, "data");
             self.handle_target(key, connection);
         } else if socket.ended.is_some() || useless {
