Ports are found free without listening

Cause: free_port listened at a port to find out whether it is free. A program that another thread starts in that moment holds a copy of the socket until exec, so the port stays in use for a while after the check.

Change: the port is bound without listening, which does not keep it in use.

--- a/crates/roseshore_harness/src/process.rs
+++ b/crates/roseshore_harness/src/process.rs
@@ -2,9 +2,10 @@
 
 use quick_error::quick_error;
 use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
+use socket2::{Domain, Socket, Type};
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -223,12 +224,24 @@
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = PORT_RANGE.start + begin.wrapping_add(step) % span;
-        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
+        if is_free(port) {
             return port;
         }
     }
 }
 
+/// Whether no process listens on a port. It is bound without listening: a process that another
+/// thread starts meanwhile inherits the socket for a moment, and a listening one would then keep the
+/// port in use.
+fn is_free(port: u16) -> bool {
+    let bind = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, port)).into())
+    };
+    bind().is_ok()
+}
+
 /// Polls a condition until it holds; `false` if it does not within 20 s.
 pub fn wait_until(mut holds: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + START_LIMIT;
